--- /dev/null
+++ b/internal/prefix/prefix.go
@@ -0,0 +1,40 @@
+// Package prefix cuts prompts into blocks and names every prefix by a chained
+// hash, so that placement and engines' cache events speak of the same blocks.
+package prefix
+
+import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// BytesPerToken is the estimate that turns prompt bytes into tokens.
+	BytesPerToken = 4
+	// BlockTokens is the length of a cache block in tokens.
+	BlockTokens = 64
+
+	blockBytes = BlockTokens * BytesPerToken
+)
+
+// Tokens estimates the number of tokens of a text of n bytes, rounding up.
+func Tokens(n int) int {
+	return (n + BytesPerToken - 1) / BytesPerToken
+}
+
+// Hashes returns one chained hash per whole block of the prompt. Two prompts
+// share their first k blocks exactly if their first k hashes are equal.
+func Hashes(prompt []byte) []uint64 {
+	n := len(prompt) / blockBytes
+	out := make([]uint64, 0, n)
+	var chain [8]byte
+	for i := range n {
+		d := xxhash.New()
+		_, _ = d.Write(chain[:])
+		_, _ = d.Write(prompt[i*blockBytes : (i+1)*blockBytes])
+		h := d.Sum64()
+		out = append(out, h)
+		binary.BigEndian.PutUint64(chain[:], h)
+	}
+	return out
+}
