Keep requests in custody and run pool schedulers (not wired yet)

Cause: the transition waiting -> dispatched has to be made in one place, and a pool's queue has to survive the death of the host that schedules it. A grant carries its expiry on the custodian's own clock, derived from the clock readings in the custodian's messages: a custodian that was paused before it read a grant finds it expired.

--- a/internal/peer/peerpb/doc.go
+++ b/internal/peer/peerpb/doc.go
@@ -3,3 +3,12 @@
 package peerpb
 
 //go:generate go run github.com/bufbuild/buf/cmd/buf@v1.75.0 generate --template ../../../buf.gen.yaml -o ../../.. ../../..
+
+// Body is the interface of an Envelope's bodies.
+type Body = isEnvelope_Body
+
+// Wrap returns an envelope with the body; its sender is filled in on the way
+// out.
+func Wrap(body Body) *Envelope {
+	return &Envelope{Body: body}
+}
--- /dev/null
+++ b/internal/system/custody/custody.go
@@ -0,0 +1,261 @@
+// Package custody owns the requests whose callers are connected to this host.
+// A request moves waiting -> dispatched once; the move is made in one place
+// (dispatch), before the first byte goes to an endpoint, and is never undone.
+// The system is pure: see package system.
+package custody
+
+import (
+	"time"
+
+	"github.com/trefoilchute/trefoilchute/internal/ident"
+	"github.com/trefoilchute/trefoilchute/internal/peer/peerpb"
+	"github.com/trefoilchute/trefoilchute/internal/resource"
+	"github.com/trefoilchute/trefoilchute/internal/result"
+	"github.com/trefoilchute/trefoilchute/internal/system"
+)
+
+const (
+	// acceptTimeout is how long a submitted request waits for the scheduler's
+	// word before it is submitted again.
+	acceptTimeout = 250 * time.Millisecond
+	// holdingsInterval is the time between two reports of everything held.
+	holdingsInterval = 2 * time.Second
+	// tickInterval is the time between two looks at the waiting requests.
+	tickInterval = 50 * time.Millisecond
+	// retryWithoutQueue is the time to come back where no queue tells one.
+	retryWithoutQueue = 1 * time.Second
+)
+
+// Scheduler names one process that schedules a pool.
+type Scheduler struct {
+	Host        ident.Host
+	Incarnation uint64
+}
+
+// View is what custody needs to know of the configuration and the membership.
+type View interface {
+	// Domains lists the failure domains with an active endpoint of the target,
+	// the one to try first in front.
+	Domains(target string) []ident.Domain
+	// Scheduler returns the process that schedules a pool now.
+	Scheduler(pool ident.Pool) (Scheduler, bool)
+	// Endpoint returns a declared endpoint.
+	Endpoint(name ident.Endpoint) (resource.Endpoint, bool)
+}
+
+// Arrival is a request that a caller has sent.
+type Arrival struct {
+	ID   ident.Request
+	Rank int
+	Team ident.Team
+	// Target is the model or plain service.
+	Target       string
+	PromptTokens int
+	MaxTokens    int
+	// Deadline is when the answer is due, on the host's clock.
+	Deadline time.Duration
+	// Prefix holds the chained block hashes of the prompt.
+	Prefix []uint64
+	// Key is "team/key" of a caller's idempotency key; empty without one.
+	Key         string
+	KeyHash     uint64
+	Fingerprint uint64
+	Idempotent  bool
+	// FirstAttempt says that the caller declares this the key's first sending.
+	FirstAttempt bool
+}
+
+// Config is fixed for the life of a System.
+type Config struct {
+	Self ident.Host
+	View View
+}
+
+// state is where a request stands. Only dispatch sets stateDispatched.
+type state int
+
+const (
+	// stateChecking: the key's earlier runs are being looked up.
+	stateChecking state = iota
+	// stateQueued: submitted to a scheduler.
+	stateQueued
+	// stateClaiming: granted, while the claim of a non-idempotent request is
+	// being written.
+	stateClaiming
+	// stateGranted: granted, while a connection is being made.
+	stateGranted
+	// stateDispatched: the first byte may have been sent.
+	stateDispatched
+)
+
+// row is one request.
+type row struct {
+	Arrival
+	state     state
+	pool      ident.Pool
+	scheduler Scheduler
+	// accepted says that the scheduler has confirmed the request.
+	accepted    bool
+	submittedAt time.Duration
+	spilled     bool
+	// claimed says that the claim row of a non-idempotent request is ours.
+	claimed      bool
+	attempt      ident.Attempt
+	endpoint     ident.Endpoint
+	grantExpires time.Duration
+	dispatchedAt time.Duration
+}
+
+// System is the table of requests in custody.
+type System struct {
+	cfg  Config
+	rows map[ident.Request]*row
+	// order lists the rows by arrival, so that every walk is deterministic. It
+	// may hold rows that are gone; sweep drops them.
+	order []*row
+	// epochs holds the highest scheduler epoch seen of each pool.
+	epochs map[ident.Pool]uint64
+	// reported holds the pools for which the last holdings were not empty.
+	reported   map[ident.Pool]bool
+	holdingsAt time.Duration
+	directives []Directive
+}
+
+// New returns an empty system.
+func New(cfg Config) *System {
+	return &System{
+		cfg:      cfg,
+		rows:     map[ident.Request]*row{},
+		epochs:   map[ident.Pool]uint64{},
+		reported: map[ident.Pool]bool{},
+	}
+}
+
+// Take returns the directives since the last call.
+func (s *System) Take() []Directive {
+	out := s.directives
+	s.directives = nil
+	return out
+}
+
+// Counts returns the number of requests not yet dispatched and dispatched.
+func (s *System) Counts() (waiting, dispatched int) {
+	for _, r := range s.rows {
+		if r.state == stateDispatched {
+			dispatched++
+		} else {
+			waiting++
+		}
+	}
+	return waiting, dispatched
+}
+
+// Arrive takes a new request into custody. It is looked up by its key first,
+// if it needs one.
+func (s *System) Arrive(now time.Duration, a Arrival, out *system.Outbox) {
+	r := &row{Arrival: a, state: stateChecking}
+	s.rows[a.ID] = r
+	s.order = append(s.order, r)
+	switch {
+	case !a.Idempotent:
+		s.direct(Directive{Kind: LookClaim, ID: a.ID})
+	case a.Key != "":
+		s.direct(Directive{Kind: NoteKey, ID: a.ID})
+	default:
+		s.queue(now, r, out)
+	}
+}
+
+// Checked ends the look-up of a key. A nil verdict lets the request go on;
+// otherwise the request leaves custody with the verdict.
+func (s *System) Checked(now time.Duration, id ident.Request, verdict *result.Error, out *system.Outbox) {
+	r := s.rows[id]
+	if r == nil || r.state != stateChecking {
+		return
+	}
+	if verdict != nil {
+		s.refuse(r, verdict)
+		return
+	}
+	s.queue(now, r, out)
+}
+
+// Joined removes a request that takes part in another request's answer.
+func (s *System) Joined(id ident.Request) {
+	delete(s.rows, id)
+}
+
+// queue submits a request to the pool that its target has first.
+func (s *System) queue(now time.Duration, r *row, out *system.Outbox) {
+	domains := s.cfg.View.Domains(r.Target)
+	if len(domains) == 0 {
+		s.refuse(r, &result.Error{
+			Code: result.NoEndpoint, RetryAfter: retryWithoutQueue,
+			Reason: "no active endpoint is declared for " + r.Target,
+		})
+		return
+	}
+	r.pool = ident.Pool{Target: r.Target, Domain: domains[0]}
+	s.submit(now, r, out)
+}
+
+// submit sends a waiting request to its pool's scheduler of now.
+func (s *System) submit(now time.Duration, r *row, out *system.Outbox) {
+	sched, ok := s.cfg.View.Scheduler(r.pool)
+	if !ok {
+		s.refuse(r, &result.Error{
+			Code: result.CutOff, RetryAfter: retryWithoutQueue,
+			Reason: "no live host schedules " + r.pool.String(),
+		})
+		return
+	}
+	r.state = stateQueued
+	r.scheduler = sched
+	r.accepted = false
+	r.submittedAt = now
+	out.Send(sched.Host, peerpb.Wrap(&peerpb.Envelope_Submit{Submit: r.submission(now)}))
+}
+
+// refuse ends a request that was not dispatched.
+func (s *System) refuse(r *row, verdict *result.Error) {
+	delete(s.rows, r.ID)
+	if r.claimed {
+		s.direct(Directive{Kind: ReleaseClaim, ID: r.ID})
+	}
+	s.direct(Directive{Kind: Refuse, ID: r.ID, Verdict: verdict})
+}
+
+// withdraw tells the scheduler to forget a request or its grant.
+func (s *System) withdraw(now time.Duration, r *row, out *system.Outbox) {
+	switch r.state {
+	case stateQueued:
+		out.Send(r.scheduler.Host, peerpb.Wrap(&peerpb.Envelope_Cancel{Cancel: &peerpb.Cancel{
+			Request: string(r.ID), Target: r.pool.Target, Domain: string(r.pool.Domain),
+		}}))
+	case stateClaiming, stateGranted:
+		s.report(now, r, &peerpb.Report{Phase: peerpb.Report_PHASE_DECLINED}, out)
+	}
+}
+
+// Gone says that the caller of a request has left. A waiting request is
+// withdrawn. A dispatched one is canceled, unless a resend may still ask for
+// its answer by its key.
+func (s *System) Gone(now time.Duration, id ident.Request, out *system.Outbox) {
+	r := s.rows[id]
+	if r == nil {
+		return
+	}
+	if r.state == stateDispatched {
+		if r.Key == "" {
+			s.direct(Directive{Kind: CancelRun, ID: id, Endpoint: r.endpoint})
+		}
+		return
+	}
+	s.withdraw(now, r, out)
+	s.refuse(r, result.New(result.CallerGone, "the caller closed its connection"))
+}
+
+// direct adds a directive.
+func (s *System) direct(d Directive) {
+	s.directives = append(s.directives, d)
+}
--- /dev/null
+++ b/internal/system/custody/message.go
@@ -0,0 +1,58 @@
+package custody
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/trefoilchute/trefoilchute/internal/ident"
+	"github.com/trefoilchute/trefoilchute/internal/peer/peerpb"
+	"github.com/trefoilchute/trefoilchute/internal/system"
+)
+
+// submission returns the request as its scheduler needs it.
+func (r *row) submission(now time.Duration) *peerpb.Submit {
+	return &peerpb.Submit{
+		Request: string(r.ID), Target: r.pool.Target, Domain: string(r.pool.Domain),
+		TierRank: int32(r.Rank), Team: string(r.Team),
+		PromptTokens: int64(r.PromptTokens), MaxTokens: int64(r.MaxTokens),
+		DeadlineUs: (r.Deadline - now).Microseconds(),
+		Prefix:     r.Prefix, KeyHash: r.KeyHash, Fingerprint: r.Fingerprint,
+		Idempotent: r.Idempotent, Spilled: r.spilled, ClockUs: now.Microseconds(),
+	}
+}
+
+// running returns a dispatched request as its scheduler needs it. The prefix is
+// left out: placement has used it.
+func (r *row) running(now time.Duration) *peerpb.Running {
+	request := r.submission(now)
+	request.Prefix = nil
+	return &peerpb.Running{
+		Request: request, Endpoint: string(r.endpoint), Attempt: uint64(r.attempt),
+		AgeUs: (now - r.dispatchedAt).Microseconds(),
+	}
+}
+
+// report completes a report with the request's names and sends it to the
+// pool's scheduler of now, which may be another than the one that granted.
+func (s *System) report(now time.Duration, r *row, m *peerpb.Report, out *system.Outbox) {
+	m.Request = string(r.ID)
+	m.Target = r.pool.Target
+	m.Domain = string(r.pool.Domain)
+	m.Endpoint = string(r.endpoint)
+	m.Attempt = uint64(r.attempt)
+	m.ClockUs = now.Microseconds()
+	to := r.scheduler
+	if sched, ok := s.cfg.View.Scheduler(r.pool); ok {
+		to = sched
+	}
+	out.Send(to.Host, peerpb.Wrap(&peerpb.Envelope_Report{Report: m}))
+}
+
+// sortedPools returns the keys in a fixed order.
+func sortedPools(m map[ident.Pool]bool) []ident.Pool {
+	return slices.SortedFunc(maps.Keys(m), func(a, b ident.Pool) int {
+		return cmp.Or(cmp.Compare(a.Target, b.Target), cmp.Compare(a.Domain, b.Domain))
+	})
+}
--- /dev/null
+++ b/internal/system/custody/tick.go
@@ -0,0 +1,130 @@
+package custody
+
+import (
+	"time"
+
+	"github.com/trefoilchute/trefoilchute/internal/ident"
+	"github.com/trefoilchute/trefoilchute/internal/peer/peerpb"
+	"github.com/trefoilchute/trefoilchute/internal/result"
+	"github.com/trefoilchute/trefoilchute/internal/system"
+)
+
+// Tick looks at what waits: deadlines, grants that lapsed, submissions without
+// an answer, pools whose scheduler changed.
+func (s *System) Tick(now time.Duration, out *system.Outbox) {
+	kept := s.order[:0]
+	for _, r := range s.order {
+		if s.rows[r.ID] != r {
+			continue
+		}
+		s.tickRow(now, r, out)
+		if s.rows[r.ID] == r {
+			kept = append(kept, r)
+		}
+	}
+	clear(s.order[len(kept):])
+	s.order = kept
+	if now >= s.holdingsAt {
+		s.holdingsAt = now + holdingsInterval
+		s.sendHoldings(now, out)
+	}
+}
+
+// tickRow looks at one request.
+func (s *System) tickRow(now time.Duration, r *row, out *system.Outbox) {
+	if r.state == stateDispatched {
+		return
+	}
+	if now >= r.Deadline {
+		s.withdraw(now, r, out)
+		s.refuse(r, result.New(result.Expired, "the deadline passed in the queue"))
+		return
+	}
+	switch r.state {
+	case stateGranted:
+		if now >= r.grantExpires {
+			s.giveBack(now, r, false, out)
+		}
+	case stateQueued:
+		s.tickQueued(now, r, out)
+	}
+}
+
+// tickQueued submits a request again where the last submission came to nothing.
+func (s *System) tickQueued(now time.Duration, r *row, out *system.Outbox) {
+	sched, ok := s.cfg.View.Scheduler(r.pool)
+	moved := ok && sched != r.scheduler
+	if moved && sched.Host != r.scheduler.Host {
+		s.withdraw(now, r, out)
+	}
+	unanswered := !r.accepted && now-r.submittedAt >= acceptTimeout
+	if !ok || moved || unanswered {
+		s.submit(now, r, out)
+	}
+}
+
+// NextWake returns when Tick is due, and false while nothing is in custody.
+func (s *System) NextWake(now time.Duration) (time.Duration, bool) {
+	if len(s.rows) == 0 && len(s.reported) == 0 {
+		return 0, false
+	}
+	return now + tickInterval, true
+}
+
+// sendHoldings reports everything dispatched to the schedulers, so that a lost
+// report doesn't leave their ledgers wrong for long. A pool that has become
+// empty is reported once more.
+func (s *System) sendHoldings(now time.Duration, out *system.Outbox) {
+	running := map[ident.Pool][]*peerpb.Running{}
+	var pools []ident.Pool
+	for _, r := range s.order {
+		if r.state != stateDispatched {
+			continue
+		}
+		if running[r.pool] == nil {
+			pools = append(pools, r.pool)
+		}
+		running[r.pool] = append(running[r.pool], r.running(now))
+	}
+	for _, pool := range sortedPools(s.reported) {
+		if running[pool] == nil {
+			pools = append(pools, pool)
+		}
+	}
+	s.reported = map[ident.Pool]bool{}
+	for _, pool := range pools {
+		if len(running[pool]) > 0 {
+			s.reported[pool] = true
+		}
+		if sched, ok := s.cfg.View.Scheduler(pool); ok {
+			out.Send(sched.Host, peerpb.Wrap(&peerpb.Envelope_Holdings{Holdings: &peerpb.Holdings{
+				Target: pool.Target, Domain: string(pool.Domain), Epoch: s.epochs[pool],
+				Running: running[pool], ClockUs: now.Microseconds(),
+			}}))
+		}
+	}
+}
+
+// TakeOver answers a new scheduler with what this host holds in the pool.
+func (s *System) TakeOver(now time.Duration, from Scheduler, m *peerpb.TakeOver, suspects []*peerpb.Suspect, out *system.Outbox) {
+	pool := ident.Pool{Target: m.GetTarget(), Domain: ident.Domain(m.GetDomain())}
+	h := &peerpb.Holdings{
+		Target: pool.Target, Domain: string(pool.Domain), Epoch: s.epochs[pool],
+		Suspects: suspects, TakeOver: true, ClockUs: now.Microseconds(),
+	}
+	for _, r := range s.order {
+		if s.rows[r.ID] != r || r.pool != pool {
+			continue
+		}
+		switch r.state {
+		case stateDispatched:
+			h.Running = append(h.Running, r.running(now))
+		case stateQueued:
+			r.scheduler = from
+			r.accepted = false
+			r.submittedAt = now
+			h.Waiting = append(h.Waiting, r.submission(now))
+		}
+	}
+	out.Send(from.Host, peerpb.Wrap(&peerpb.Envelope_Holdings{Holdings: h}))
+}
