Schedule a pool: strict tiers, fair shares, grants that lapse

Cause: the whole path needs a scheduler behind the contract in event.go.

Change: tables of requests, attempts, endpoints, tiers and teams; systems that run over them in a fixed order in each step. A request waits by tier, by its team's virtual start time and by deadline. A grant nobody reports on frees its slot after its lifetime and a margin, and its attempt stays known, so that a late start still counts in the ledger.

Not yet: estimates, placement, shedding, windows, quarantine, spilling.

--- /dev/null
+++ b/internal/pool/intake.go
@@ -0,0 +1,255 @@
+package pool
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/trefoilchute/trefoilchute/internal/ident"
+	"github.com/trefoilchute/trefoilchute/internal/result"
+)
+
+const (
+	// retryWithoutEndpoint is the Retry-After while no endpoint takes work.
+	retryWithoutEndpoint = 2 * time.Second
+	// unreachableClosed bars an endpoint that took no connection.
+	unreachableClosed = time.Second
+)
+
+// take applies one event to the tables.
+func (s *Scheduler) take(e Event) {
+	switch e := e.(type) {
+	case Arrive:
+		s.arrive(e.Request)
+	case Cancel:
+		s.cancel(e.ID)
+	case Started:
+		s.started(e)
+	case Declined:
+		s.declined(e)
+	case Finished:
+		s.finished(e)
+	case Configure:
+		s.configure(e)
+	case Restore:
+		s.restore(e)
+	case HostLost:
+		s.hostLost(e.Host)
+	}
+}
+
+// arrive queues a new request or refuses it at once. A known id is a repeat
+// of a message and changes nothing.
+func (s *Scheduler) arrive(r Request) {
+	if s.requests[r.ID] != nil {
+		return
+	}
+	s.sequence++
+	row := &request{Request: r, sequence: s.sequence, arrived: s.now, cost: s.costOf(r)}
+	if refusal := s.admit(row); refusal != nil {
+		s.emit(*refusal)
+		return
+	}
+	s.requests[r.ID] = row
+	s.enqueue(row)
+}
+
+// costOf estimates the slot time of a request.
+func (s *Scheduler) costOf(r Request) time.Duration {
+	tokens := r.PromptTokens + r.MaxTokens
+	return time.Duration(tokens+1) * time.Millisecond
+}
+
+// admit returns the refusal of a request that can't wait, or nil.
+func (s *Scheduler) admit(r *request) *Refuse {
+	if r.Deadline <= s.now {
+		return s.refusal(r, result.Expired, 0, "the deadline passed before the request arrived")
+	}
+	if !s.anyEndpoint() {
+		return s.refusal(r, result.NoEndpoint, retryWithoutEndpoint, "no endpoint of the pool takes work")
+	}
+	return s.admitToQueue(r)
+}
+
+func (s *Scheduler) admitToQueue(r *request) *Refuse {
+	t := s.teams.get(r.Team)
+	if t.MaxQueued > 0 && t.waiting >= t.MaxQueued {
+		return s.refusal(r, result.TeamLimit, retryWithoutEndpoint, "the team has its most requests waiting")
+	}
+	limit := s.tiers.byRank[r.Rank].MaxQueued
+	if limit > 0 && s.queue.tier(r.Rank).size >= limit {
+		return s.refusal(r, result.QueueFull, retryWithoutEndpoint, "the tier has its most requests waiting")
+	}
+	return nil
+}
+
+func (s *Scheduler) anyEndpoint() bool {
+	return slices.ContainsFunc(s.endpoints.rows, func(e *endpoint) bool {
+		return e.takesWork(s.now)
+	})
+}
+
+func (s *Scheduler) refusal(r *request, code result.Code, after time.Duration, reason string) *Refuse {
+	return &Refuse{ID: r.ID, Host: r.Host, Code: code, RetryAfter: after, Reason: reason}
+}
+
+// enqueue puts a row into the queue and watches its deadline.
+func (s *Scheduler) enqueue(r *request) {
+	r.phase, r.attempt = phaseQueued, nil
+	s.queue.push(r, s.teams.get(r.Team))
+	s.timers.set(&r.timer, r.Deadline, func() { s.expire(r) })
+}
+
+// dequeue takes a row out of the queue.
+func (s *Scheduler) dequeue(r *request) {
+	s.queue.remove(r)
+	s.timers.stop(&r.timer)
+}
+
+// expire refuses a queued request whose deadline has passed.
+func (s *Scheduler) expire(r *request) {
+	s.queue.remove(r)
+	delete(s.requests, r.ID)
+	s.emit(*s.refusal(r, result.Expired, 0, "the deadline passed in the queue"))
+}
+
+// cancel withdraws a request. What is granted keeps its slot until the
+// custodian reports or the grant lapses.
+func (s *Scheduler) cancel(id ident.Request) {
+	r := s.requests[id]
+	if r == nil || r.phase == phaseRunning {
+		return
+	}
+	if r.phase == phaseQueued {
+		s.dequeue(r)
+	}
+	delete(s.requests, id)
+}
+
+// started books a dispatch. It may come late, for a grant that has lapsed:
+// the request runs all the same and counts.
+func (s *Scheduler) started(e Started) {
+	a := s.attempts.find(e.ID, e.Attempt)
+	if a == nil || a.started {
+		return
+	}
+	a.started, a.startedAt, a.void = true, s.now, false
+	s.timers.stop(&a.timer)
+	s.hold(a)
+	r := s.requests[e.ID]
+	if r == nil {
+		return
+	}
+	if r.phase == phaseQueued {
+		s.dequeue(r)
+	}
+	r.phase, r.attempt = phaseRunning, a
+}
+
+// declined frees the slot of an unused grant.
+func (s *Scheduler) declined(e Declined) {
+	a := s.attempts.find(e.ID, e.Attempt)
+	if a == nil || a.started {
+		return
+	}
+	if e.Unreachable {
+		a.endpoint.closedUntil = s.now + unreachableClosed
+	}
+	s.settle(a)
+	r := s.requests[e.ID]
+	if r == nil || r.attempt != a {
+		return
+	}
+	if e.Requeue {
+		s.enqueue(r)
+		return
+	}
+	delete(s.requests, e.ID)
+}
+
+// finished frees the slot of a request that left its endpoint.
+func (s *Scheduler) finished(e Finished) {
+	a := s.attempts.find(e.ID, e.Attempt)
+	if a == nil {
+		return
+	}
+	s.settle(a)
+	if r := s.requests[e.ID]; r != nil && (r.attempt == a || r.phase == phaseQueued) {
+		if r.phase == phaseQueued {
+			s.dequeue(r)
+		}
+		delete(s.requests, e.ID)
+	}
+}
+
+// configure brings the declared resources up to date.
+func (s *Scheduler) configure(e Configure) {
+	s.tiers.configure(e.Tiers)
+	s.teams.configure(e.Teams)
+	s.endpoints.configure(s.config.Pool, e.Endpoints)
+}
+
+// restore takes over what one host holds.
+func (s *Scheduler) restore(e Restore) {
+	for _, r := range e.Waiting {
+		s.arrive(r)
+	}
+	running := slices.Clone(e.Running)
+	slices.SortFunc(running, func(a, b Running) int { return cmp.Compare(a.Request.ID, b.Request.ID) })
+	for _, r := range running {
+		s.restoreRunning(r)
+	}
+}
+
+func (s *Scheduler) restoreRunning(r Running) {
+	if s.attempts.find(r.Request.ID, r.Attempt) != nil {
+		s.started(Started{ID: r.Request.ID, Attempt: r.Attempt})
+		return
+	}
+	a := &attempt{
+		id:        r.Attempt,
+		request:   r.Request,
+		endpoint:  s.endpoints.get(r.Endpoint),
+		granted:   s.now - r.Age,
+		startedAt: s.now - r.Age,
+		started:   true,
+	}
+	s.attempts.put(a)
+	s.hold(a)
+	row := s.requests[r.Request.ID]
+	if row == nil {
+		s.sequence++
+		row = &request{Request: r.Request, sequence: s.sequence, arrived: s.now - r.Age}
+		s.requests[row.ID] = row
+	} else if row.phase == phaseQueued {
+		s.dequeue(row)
+	}
+	row.phase, row.attempt = phaseRunning, a
+}
+
+// hostLost drops what waits for a dead custodian. Its running requests keep
+// their slots until their deadline, since nobody will report their end.
+func (s *Scheduler) hostLost(h ident.Host) {
+	var lost []*request
+	for _, r := range s.requests {
+		if r.Host == h {
+			lost = append(lost, r)
+		}
+	}
+	slices.SortFunc(lost, func(a, b *request) int { return cmp.Compare(a.sequence, b.sequence) })
+	for _, r := range lost {
+		s.loseCustodian(r)
+	}
+}
+
+func (s *Scheduler) loseCustodian(r *request) {
+	if r.phase != phaseRunning {
+		s.cancel(r.ID)
+		return
+	}
+	a := r.attempt
+	s.timers.set(&a.timer, max(s.now, r.Deadline), func() {
+		s.settle(a)
+		delete(s.requests, r.ID)
+	})
+}
--- /dev/null
+++ b/internal/pool/ledger.go
@@ -0,0 +1,70 @@
+package pool
+
+import "github.com/trefoilchute/trefoilchute/internal/ident"
+
+// hold counts an attempt in its endpoint's and team's in-flight numbers.
+func (s *Scheduler) hold(a *attempt) {
+	if a.holds {
+		return
+	}
+	a.holds = true
+	a.endpoint.inFlight++
+	s.teams.get(a.request.Team).inFlight++
+}
+
+// release takes an attempt out of the in-flight numbers.
+func (s *Scheduler) release(a *attempt) {
+	if !a.holds {
+		return
+	}
+	a.holds = false
+	a.endpoint.inFlight--
+	s.teams.get(a.request.Team).inFlight--
+}
+
+// settle ends an attempt: nothing more is expected of it.
+func (s *Scheduler) settle(a *attempt) {
+	s.release(a)
+	s.timers.stop(&a.timer)
+	s.attempts.remove(a)
+}
+
+// issue grants a queued request a slot of an endpoint.
+func (s *Scheduler) issue(r *request, e *endpoint, why string) {
+	s.lastAttempt++
+	a := &attempt{
+		id:       ident.Attempt(s.lastAttempt),
+		request:  r.Request,
+		endpoint: e,
+		granted:  s.now,
+	}
+	s.attempts.put(a)
+	s.hold(a)
+	r.phase, r.attempt = phaseGranted, a
+	expires := s.now + GrantLifetime
+	s.timers.set(&a.timer, expires+GrantMargin, func() { s.lapse(a) })
+	s.emit(Grant{
+		ID:       r.ID,
+		Host:     r.Host,
+		Endpoint: e.Name,
+		Attempt:  a.id,
+		Expires:  expires,
+		Why:      why,
+	})
+}
+
+// lapse frees the slot of a grant that nobody reported on, and queues its
+// request again: the custodian dispatches a request once, whatever it is
+// granted. The row stays for a while, for a report that comes later still.
+func (s *Scheduler) lapse(a *attempt) {
+	a.void = true
+	s.release(a)
+	s.timers.set(&a.timer, s.now+attemptMemory, func() { s.attempts.remove(a) })
+	if r := s.requests[a.request.ID]; r != nil && r.attempt == a {
+		if r.Deadline <= s.now {
+			delete(s.requests, r.ID)
+			return
+		}
+		s.enqueue(r)
+	}
+}
--- /dev/null
+++ b/internal/pool/queue.go
@@ -0,0 +1,189 @@
+package pool
+
+import (
+	"cmp"
+	"container/heap"
+	"slices"
+	"time"
+
+	"github.com/trefoilchute/trefoilchute/internal/ident"
+)
+
+// queue holds the waiting requests: by tier, in a tier by the team's virtual
+// start time (start-time fair queueing), in a team by deadline. Taking the
+// next request and removing any one cost a logarithm of the number waiting.
+type queue struct {
+	// tiers is sorted by rank, highest tier first.
+	tiers []*tierQueue
+	size  int
+}
+
+// tierQueue is the queue of one tier.
+type tierQueue struct {
+	rank int
+	// virtual is the tier's virtual time: the start tag last served.
+	virtual float64
+	teams   map[ident.Team]*teamQueue
+	// ready holds the teams with waiting requests by start tag.
+	ready teamHeap
+	size  int
+	// backlog is the sum of the costs waiting.
+	backlog time.Duration
+}
+
+// teamQueue is one team's part of a tier's queue.
+type teamQueue struct {
+	team *team
+	tier *tierQueue
+	// start is the virtual start tag of the team's next request.
+	start float64
+	// index is the place in the tier's heap plus one; 0 when not in it.
+	index    int
+	requests requestHeap
+}
+
+func newQueue() *queue {
+	return &queue{}
+}
+
+// tier returns the queue of a rank and makes it if needed.
+func (q *queue) tier(rank int) *tierQueue {
+	i, found := slices.BinarySearchFunc(q.tiers, rank, func(t *tierQueue, r int) int {
+		return cmp.Compare(t.rank, r)
+	})
+	if !found {
+		t := &tierQueue{rank: rank, teams: map[ident.Team]*teamQueue{}}
+		q.tiers = slices.Insert(q.tiers, i, t)
+	}
+	return q.tiers[i]
+}
+
+// push adds a waiting request.
+func (q *queue) push(r *request, of *team) {
+	t := q.tier(r.Rank)
+	tq := t.teams[r.Team]
+	if tq == nil {
+		tq = &teamQueue{team: of, tier: t}
+		t.teams[r.Team] = tq
+	}
+	if len(tq.requests) == 0 {
+		tq.start = max(tq.start, t.virtual)
+	}
+	heap.Push(&tq.requests, r)
+	of.waiting++
+	t.size++
+	t.backlog += r.cost
+	q.size++
+	if tq.index == 0 {
+		heap.Push(&t.ready, tq)
+	}
+}
+
+// remove takes a waiting request out without serving it.
+func (q *queue) remove(r *request) {
+	t := q.tier(r.Rank)
+	tq := t.teams[r.Team]
+	heap.Remove(&tq.requests, r.position)
+	tq.team.waiting--
+	t.size--
+	t.backlog -= r.cost
+	q.size--
+	if len(tq.requests) == 0 && tq.index > 0 {
+		heap.Remove(&t.ready, tq.index-1)
+	}
+}
+
+// charge books the cost of a request that is served to its team's share.
+func (q *queue) charge(r *request, of *team) {
+	t := q.tier(r.Rank)
+	tq := t.teams[r.Team]
+	t.virtual = max(t.virtual, tq.start)
+	tq.start += r.cost.Seconds() / of.weight()
+	if tq.index > 0 {
+		heap.Fix(&t.ready, tq.index-1)
+	}
+}
+
+// head returns the team's request with the earliest deadline.
+func (tq *teamQueue) head() *request {
+	return tq.requests[0]
+}
+
+// popTeam takes the team with the smallest start tag out of the heap, so that
+// the next one can be looked at. Each team taken goes back by putBack.
+func (t *tierQueue) popTeam() *teamQueue {
+	if len(t.ready) == 0 {
+		return nil
+	}
+	return heap.Pop(&t.ready).(*teamQueue)
+}
+
+// putBack returns a team to the heap if it still has requests.
+func (t *tierQueue) putBack(tq *teamQueue) {
+	if len(tq.requests) > 0 && tq.index == 0 {
+		heap.Push(&t.ready, tq)
+	}
+}
+
+// teamHeap orders teams by start tag, then by name.
+type teamHeap []*teamQueue
+
+func (h teamHeap) Len() int { return len(h) }
+
+func (h teamHeap) Less(i, j int) bool {
+	if h[i].start != h[j].start {
+		return h[i].start < h[j].start
+	}
+	return h[i].team.Name < h[j].team.Name
+}
+
+func (h teamHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].index, h[j].index = i+1, j+1
+}
+
+func (h *teamHeap) Push(x any) {
+	t := x.(*teamQueue)
+	t.index = len(*h) + 1
+	*h = append(*h, t)
+}
+
+func (h *teamHeap) Pop() any {
+	last := len(*h) - 1
+	t := (*h)[last]
+	(*h)[last] = nil
+	*h = (*h)[:last]
+	t.index = 0
+	return t
+}
+
+// requestHeap orders requests by deadline, then by arrival.
+type requestHeap []*request
+
+func (h requestHeap) Len() int { return len(h) }
+
+func (h requestHeap) Less(i, j int) bool {
+	if h[i].Deadline != h[j].Deadline {
+		return h[i].Deadline < h[j].Deadline
+	}
+	return h[i].sequence < h[j].sequence
+}
+
+func (h requestHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].position, h[j].position = i, j
+}
+
+func (h *requestHeap) Push(x any) {
+	r := x.(*request)
+	r.position = len(*h)
+	*h = append(*h, r)
+}
+
+func (h *requestHeap) Pop() any {
+	last := len(*h) - 1
+	r := (*h)[last]
+	(*h)[last] = nil
+	*h = (*h)[:last]
+	return r
+}
--- /dev/null
+++ b/internal/pool/scheduler.go
@@ -0,0 +1,76 @@
+package pool
+
+import (
+	"time"
+
+	"github.com/trefoilchute/trefoilchute/internal/ident"
+)
+
+// Scheduler decides for one pool. It isn't safe for concurrent use: one
+// goroutine steps it. Its zero value is not usable; call New.
+//
+// The tables hold the entities; the systems run over them in the fixed order
+// of Step. Invariants between steps:
+//
+//   - a request row is either in the queue, or isolated, or has an attempt
+//     that is not settled;
+//   - the in-flight count of an endpoint equals the number of its attempts
+//     that hold a slot;
+//   - a request that was refused, spilled, canceled or finished has no row.
+type Scheduler struct {
+	config Config
+	now    time.Duration
+	out    []Effect
+
+	tiers     *tierTable
+	teams     *teamTable
+	endpoints *endpointTable
+	requests  map[ident.Request]*request
+	attempts  *attemptTable
+	queue     *queue
+	timers    *timers
+
+	sequence    uint64
+	lastAttempt uint64
+}
+
+// New returns a scheduler without endpoints, tiers and teams: a Configure
+// event brings them.
+func New(c Config) *Scheduler {
+	s := &Scheduler{
+		config:      c,
+		tiers:       newTierTable(),
+		teams:       newTeamTable(),
+		endpoints:   newEndpointTable(),
+		requests:    map[ident.Request]*request{},
+		attempts:    newAttemptTable(),
+		timers:      &timers{},
+		lastAttempt: c.Epoch << attemptBits,
+	}
+	s.queue = newQueue()
+	return s
+}
+
+// Step takes in the events in their order, at a time that never falls, and
+// returns what to do, in order. It may be called without events, which lets
+// time pass.
+func (s *Scheduler) Step(now time.Duration, events []Event) []Effect {
+	s.now = max(s.now, now)
+	s.out = nil
+	for _, e := range events {
+		s.take(e)
+	}
+	s.runTimers()
+	s.grant()
+	return s.out
+}
+
+// NextWake returns when Step should be called next if no event comes before.
+// The second result is false when there is nothing to wait for.
+func (s *Scheduler) NextWake() (time.Duration, bool) {
+	return s.timers.next()
+}
+
+func (s *Scheduler) emit(e Effect) {
+	s.out = append(s.out, e)
+}
--- /dev/null
+++ b/internal/pool/table.go
@@ -0,0 +1,164 @@
+package pool
+
+import (
+	"time"
+
+	"github.com/trefoilchute/trefoilchute/internal/ident"
+	"github.com/trefoilchute/trefoilchute/internal/resource"
+)
+
+const (
+	// GrantLifetime is how long a custodian may use a grant.
+	GrantLifetime = 1500 * time.Millisecond
+	// GrantMargin is how long after its end a grant that nobody reported on
+	// still holds its slot: the report of a late use may be on its way.
+	GrantMargin = 500 * time.Millisecond
+	// attemptMemory is how long the row of a void grant is kept, so that a
+	// report that comes later still finds its endpoint.
+	attemptMemory = 2 * time.Minute
+	// attemptBits is the room for attempts in one epoch.
+	attemptBits = 20
+)
+
+// phase is where a request stands.
+type phase int
+
+const (
+	phaseQueued phase = iota
+	phaseGranted
+	phaseRunning
+)
+
+// request is the row of a request that waits or has an unsettled attempt.
+type request struct {
+	Request
+	// sequence orders requests by arrival.
+	sequence uint64
+	arrived  time.Duration
+	phase    phase
+	// attempt is the latest attempt, if the phase isn't phaseQueued.
+	attempt *attempt
+	// cost is the estimated slot time on an endpoint of average speed.
+	cost time.Duration
+	// position is the index in the team's heap while queued.
+	position int
+	timer    timer
+}
+
+// attempt is the row of one grant and of what came of it.
+type attempt struct {
+	id       ident.Attempt
+	request  Request
+	endpoint *endpoint
+	granted  time.Duration
+	// startedAt is the dispatch time; meaningful once started.
+	startedAt time.Duration
+	started   bool
+	// holds says that the attempt counts in its endpoint's in-flight number.
+	holds bool
+	// void says that the grant's lifetime is over without a report.
+	void  bool
+	timer timer
+}
+
+// attemptKey identifies an attempt also across epochs, whose numbers may
+// meet.
+type attemptKey struct {
+	request ident.Request
+	attempt ident.Attempt
+}
+
+// attemptTable holds the attempts that are unsettled or void for a short time.
+type attemptTable struct {
+	rows map[attemptKey]*attempt
+}
+
+func newAttemptTable() *attemptTable {
+	return &attemptTable{rows: map[attemptKey]*attempt{}}
+}
+
+func (t *attemptTable) find(r ident.Request, a ident.Attempt) *attempt {
+	return t.rows[attemptKey{r, a}]
+}
+
+func (t *attemptTable) put(a *attempt) {
+	t.rows[attemptKey{a.request.ID, a.id}] = a
+}
+
+func (t *attemptTable) remove(a *attempt) {
+	delete(t.rows, attemptKey{a.request.ID, a.id})
+}
+
+// tierTable holds the declared tiers by rank.
+type tierTable struct {
+	byRank map[int]resource.Tier
+}
+
+func newTierTable() *tierTable {
+	return &tierTable{byRank: map[int]resource.Tier{}}
+}
+
+func (t *tierTable) configure(tiers []resource.Tier) {
+	t.byRank = make(map[int]resource.Tier, len(tiers))
+	for _, tier := range tiers {
+		t.byRank[tier.Rank] = tier
+	}
+}
+
+// team is the row of a team, declared or met in a request.
+type team struct {
+	resource.Team
+	// inFlight counts the team's attempts that hold a slot.
+	inFlight int
+	// waiting counts the team's queued requests over all tiers.
+	waiting int
+}
+
+// atLimit says that the team may have no further request at endpoints.
+func (t *team) atLimit() bool {
+	return t.MaxInFlight > 0 && t.inFlight >= t.MaxInFlight
+}
+
+func (t *team) weight() float64 {
+	if t.Weight > 0 {
+		return t.Weight
+	}
+	return 1
+}
+
+// teamTable holds the teams by name.
+type teamTable struct {
+	rows map[ident.Team]*team
+}
+
+func newTeamTable() *teamTable {
+	return &teamTable{rows: map[ident.Team]*team{}}
+}
+
+// get returns the team's row and makes it if needed: a request may be older
+// than the configuration that removed its team.
+func (t *teamTable) get(name ident.Team) *team {
+	row := t.rows[name]
+	if row == nil {
+		row = &team{Team: resource.Team{Name: name}}
+		t.rows[name] = row
+	}
+	return row
+}
+
+func (t *teamTable) configure(teams []resource.Team) {
+	declared := make(map[ident.Team]bool, len(teams))
+	for _, d := range teams {
+		declared[d.Name] = true
+		t.get(d.Name).Team = d
+	}
+	for name, row := range t.rows {
+		if declared[name] {
+			continue
+		}
+		row.Team = resource.Team{Name: name}
+		if row.inFlight == 0 && row.waiting == 0 {
+			delete(t.rows, name)
+		}
+	}
+}
