Claim requests that are not idempotent in the platform's table

Look reads the row at arrival, Acquire inserts it before dispatch, Finish keeps the answer in it, Release and a discarded Acquire remove it. An insert whose answer was lost is settled by reading the nonce back.

The table being out of reach proves 'not run' only for the caller's first attempt, as an earlier one may have been dispatched by another host: other attempts get the new code earlier_unknown. A kept answer that can't be read gets answer_unreadable. Platform calls gain the object store, for answers over 16 KiB.

Not yet: the fence for old keys, and a proof that a late insert of a refused request can't outlive its discard.

--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -34,6 +34,10 @@
 	OutcomeUnknown Code = 300
 	EndpointLost   Code = 301
 	AnswerCut      Code = 302
+	// EarlierUnknown speaks of the key: this attempt was not dispatched, an
+	// earlier one may have been.
+	EarlierUnknown   Code = 303
+	AnswerUnreadable Code = 304
 
 	BadRequest     Code = 400
 	Unauthorized   Code = 401
@@ -100,6 +104,8 @@
 	{OutcomeUnknown, "outcome_unknown", http.StatusBadGateway, RanUnknown, "only if running twice is harmless", "The request may have run."},
 	{EndpointLost, "endpoint_lost", http.StatusBadGateway, RanUnknown, "only if running twice is harmless", "The endpoint was lost while it ran the request."},
 	{AnswerCut, "answer_cut", http.StatusBadGateway, RanUnknown, "only if running twice is harmless", "The answer ended before its end marker and could not be resumed."},
+	{EarlierUnknown, "earlier_unknown", http.StatusServiceUnavailable, RanUnknown, "after Retry-After, with the same key", "This attempt was not run, but whether an earlier one with the same key was can't be seen now."},
+	{AnswerUnreadable, "answer_unreadable", http.StatusServiceUnavailable, RanYes, "after Retry-After, with the same key", "The request ran, but its kept answer can't be read now."},
 	{BadRequest, "bad_request", http.StatusBadRequest, RanNo, "corrected", "The request is malformed."},
 	{Unauthorized, "unauthorized", http.StatusUnauthorized, RanNo, "with a valid key", "The bearer key names no team."},
 	{NoRoute, "no_route", http.StatusNotFound, RanNo, "corrected", "No route serves this path or model."},
--- /dev/null
+++ b/internal/system/claim/claim_test.go
@@ -0,0 +1,205 @@
+package claim
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/trefoilchute/trefoilchute/internal/ident"
+	"github.com/trefoilchute/trefoilchute/internal/platform"
+	"github.com/trefoilchute/trefoilchute/internal/result"
+	"github.com/trefoilchute/trefoilchute/internal/system"
+)
+
+// fakeTable is the table and the object store as a claim system sees them.
+type fakeTable struct {
+	rows    map[string]platform.Row
+	objects map[string][]byte
+	version uint64
+	// puts and deletes count written rows, gets counts reads.
+	puts, deletes, gets int
+}
+
+func newFakeTable() *fakeTable {
+	return &fakeTable{rows: map[string]platform.Row{}, objects: map[string][]byte{}}
+}
+
+// do applies a call and returns its reply.
+func (f *fakeTable) do(c system.Call) system.Reply {
+	r := system.Reply{Owner: c.Owner, Token: c.Token}
+	switch c.Kind {
+	case system.CallGet:
+		f.gets++
+		row, ok := f.rows[c.Key]
+		if !ok {
+			r.Err = platform.ErrNotFound
+			return r
+		}
+		r.Rows = []platform.Row{row}
+	case system.CallList:
+		f.gets++
+		r.Rows = f.list(c)
+	case system.CallCommit:
+		r.Version, r.Err = f.commit(c.Txn)
+	case system.CallGetObject:
+		value, ok := f.objects[c.Key]
+		if !ok {
+			r.Err = platform.ErrNotFound
+			return r
+		}
+		r.Rows = []platform.Row{{Key: c.Key, Value: value}}
+	case system.CallPutObject:
+		f.objects[c.Key] = c.Value
+	}
+	return r
+}
+
+func (f *fakeTable) list(c system.Call) []platform.Row {
+	var rows []platform.Row
+	for _, key := range sortedKeys(f.rows) {
+		if len(rows) < c.Limit && key > c.After && len(key) >= len(c.Key) && key[:len(c.Key)] == c.Key {
+			rows = append(rows, f.rows[key])
+		}
+	}
+	return rows
+}
+
+func (f *fakeTable) commit(txn platform.Txn) (uint64, error) {
+	for _, c := range txn.Conditions {
+		if f.rows[c.Key].Version != c.Version {
+			return 0, platform.ErrConflict
+		}
+	}
+	f.version++
+	for _, p := range txn.Puts {
+		f.puts++
+		f.rows[p.Key] = platform.Row{Key: p.Key, Value: p.Value, Version: f.version}
+	}
+	for _, key := range txn.Deletes {
+		f.deletes++
+		delete(f.rows, key)
+	}
+	return f.version, nil
+}
+
+// testSystem returns a system whose view of other hosts is the given one.
+func testSystem(host ident.Host, view Liveness) *System {
+	n := 0
+	return New(Config{
+		Host:        host,
+		Incarnation: 1,
+		Nonce: func() string {
+			n++
+			return string(host) + strconv.Itoa(n)
+		},
+		Liveness: func(ident.Host, uint64) Liveness { return view },
+	})
+}
+
+// settle answers calls until there are none, and returns the last result.
+func settle(s *System, f *fakeTable, out *system.Outbox) Result {
+	for len(out.Calls) > 0 {
+		c := out.Calls[0]
+		out.Calls = out.Calls[1:]
+		s.Reply(0, f.do(c), out)
+	}
+	var last Result
+	for _, r := range s.Take() {
+		last = r
+	}
+	return last
+}
+
+func TestAnswerIsKeptForResends(t *testing.T) {
+	for _, size := range []int{10, maxInlineAnswer + 1} {
+		g := NewWithT(t)
+		f := newFakeTable()
+		a, b := testSystem("a", Alive), testSystem("b", Alive)
+		var out system.Outbox
+		req := Request{ID: "r1", Team: "t", Key: "k", Fingerprint: 7}
+		a.Look(0, req, &out)
+		g.Expect(settle(a, f, &out)).To(Equal(Free{ID: "r1"}))
+		a.Acquire(0, 0, req, Placement{Endpoint: "e", Attempt: 3}, &out)
+		g.Expect(settle(a, f, &out)).To(Equal(Acquired{ID: "r1"}))
+
+		resend := Request{ID: "r2", Team: "t", Key: "k", Fingerprint: 7}
+		b.Look(0, resend, &out)
+		running := settle(b, f, &out).(Running)
+		g.Expect(running.Claim.Holder).To(Equal(ident.Host("a")))
+		g.Expect(running.Claim.Request).To(Equal(ident.Request("r1")))
+
+		answer := Answer{Code: result.OK, Status: 200, Body: make([]byte, size)}
+		a.Finish(0, "r1", answer, &out)
+		a.Look(0, resend, &out)
+		g.Expect(a.Take()).To(Equal([]Result{Answered{ID: "r2", Answer: answer}}), "before it is stored")
+		settle(a, f, &out)
+		g.Expect(a.Pending()).To(BeZero())
+		b.Look(0, resend, &out)
+		kept := settle(b, f, &out).(Answered).Answer
+		g.Expect(kept.Body).To(Equal(answer.Body))
+
+		b.Look(0, Request{ID: "r3", Team: "t", Key: "k", Fingerprint: 8}, &out)
+		g.Expect(settle(b, f, &out).(Refused).Err.Code).To(Equal(result.KeyMismatch))
+	}
+}
+
+func TestLostInsertIsSettledByNonce(t *testing.T) {
+	g := NewWithT(t)
+	f := newFakeTable()
+	a := testSystem("a", Alive)
+	var out system.Outbox
+	a.Acquire(0, 0, Request{ID: "r1", Key: "k"}, Placement{}, &out)
+	lost := f.do(out.Calls[0])
+	out.Calls = nil
+	lost.Err = platform.ErrAmbiguous
+	a.Reply(0, lost, &out)
+	g.Expect(settle(a, f, &out)).To(Equal(Acquired{ID: "r1"}))
+	a.Release(0, "r1", &out)
+	settle(a, f, &out)
+	g.Expect(f.rows).To(BeEmpty())
+	g.Expect(a.Pending()).To(BeZero())
+}
+
+func TestDeadHolder(t *testing.T) {
+	g := NewWithT(t)
+	f := newFakeTable()
+	a, b := testSystem("a", Alive), testSystem("b", Dead)
+	var out system.Outbox
+	a.Acquire(0, 0, Request{ID: "r1", Key: "k"}, Placement{Endpoint: "e"}, &out)
+	settle(a, f, &out)
+	resend := Request{ID: "r2", Key: "k"}
+	b.Look(0, resend, &out)
+	lost := settle(b, f, &out).(Lost)
+	g.Expect(lost.Claim.Endpoint).To(Equal(ident.Endpoint("e")))
+	b.Adopt(resend, lost)
+	b.Finish(0, "r2", Answer{Code: result.OK, Status: 200, Body: []byte("x")}, &out)
+	settle(b, f, &out)
+	b.Look(0, Request{ID: "r3", Key: "k"}, &out)
+	g.Expect(settle(b, f, &out).(Answered).Answer.Body).To(Equal([]byte("x")))
+}
+
+func TestTableDownIsRefusedInTime(t *testing.T) {
+	for first, code := range map[bool]result.Code{true: result.PlatformDown, false: result.EarlierUnknown} {
+		g := NewWithT(t)
+		a := testSystem("a", Alive)
+		var out system.Outbox
+		a.Look(0, Request{ID: "r1", Key: "k", FirstAttempt: first}, &out)
+		var now time.Duration
+		for len(a.ops) > 0 {
+			if len(out.Calls) > 0 {
+				a.Reply(now, system.Reply{Token: out.Calls[0].Token, Err: platform.ErrUnavailable}, &out)
+				out.Calls = nil
+			}
+			if wake, ok := a.NextWake(); ok {
+				now = wake
+				a.Tick(now, &out)
+			}
+		}
+		g.Expect(now).To(BeNumerically("<", 2*time.Second))
+		refused := a.Take()[0].(Refused)
+		g.Expect(refused.Err.Code).To(Equal(code))
+		g.Expect(refused.Err.RetryAfter).To(BeNumerically(">", 0))
+	}
+}
--- /dev/null
+++ b/internal/system/claim/result.go
@@ -0,0 +1,110 @@
+package claim
+
+import (
+	"time"
+
+	"github.com/trefoilchute/trefoilchute/internal/ident"
+	"github.com/trefoilchute/trefoilchute/internal/platform"
+	"github.com/trefoilchute/trefoilchute/internal/result"
+)
+
+// Result is what became of a Look or an Acquire. Its concrete types are in
+// this file. Each Look and each Acquire that isn't withdrawn has one Result.
+type Result interface {
+	// Request returns the request that the result is for.
+	Request() ident.Request
+}
+
+// Free answers Look: there is no claim, the request may be queued.
+type Free struct{ ID ident.Request }
+
+// Acquired answers Acquire: the request may be dispatched, once, by this host.
+type Acquired struct{ ID ident.Request }
+
+// Running says that another request with the key is running.
+type Running struct {
+	ID    ident.Request
+	Claim Claim
+	// Reachable says that the claim's holder can be asked for the answer.
+	Reachable bool
+}
+
+// Lost says that another request with the key was claimed by a process that
+// has ended: it may have run.
+type Lost struct {
+	ID    ident.Request
+	Claim Claim
+	// Version is the version of the claim's row.
+	Version uint64
+}
+
+// Answered brings the kept answer of the key's request.
+type Answered struct {
+	ID     ident.Request
+	Answer Answer
+}
+
+// Refused says that the request is not dispatched, and why.
+type Refused struct {
+	ID  ident.Request
+	Err *result.Error
+}
+
+// Request returns the request that the result is for.
+func (r Free) Request() ident.Request { return r.ID }
+
+// Request returns the request that the result is for.
+func (r Acquired) Request() ident.Request { return r.ID }
+
+// Request returns the request that the result is for.
+func (r Running) Request() ident.Request { return r.ID }
+
+// Request returns the request that the result is for.
+func (r Lost) Request() ident.Request { return r.ID }
+
+// Request returns the request that the result is for.
+func (r Answered) Request() ident.Request { return r.ID }
+
+// Request returns the request that the result is for.
+func (r Refused) Request() ident.Request { return r.ID }
+
+// retryAfterOutage is when a caller comes back while the platform is down.
+const retryAfterOutage = 5 * time.Second
+
+// refuseUnreachable refuses a request because the table gave no answer. Only
+// for a first attempt does that say that the key has not run: an earlier
+// attempt may have been dispatched by another host.
+func refuseUnreachable(req Request) Refused {
+	code := result.EarlierUnknown
+	reason := "the platform's table can't be reached to see what became of earlier attempts"
+	if req.FirstAttempt {
+		code = result.PlatformDown
+		reason = "the platform's table can't be reached to claim the key"
+	}
+	return refuse(req.ID, code, reason, retryAfterOutage)
+}
+
+func refuse(id ident.Request, code result.Code, reason string, after time.Duration) Refused {
+	return Refused{ID: id, Err: &result.Error{Code: code, Reason: reason, RetryAfter: after}}
+}
+
+// judge says what a claim by someone else means for a request.
+func (s *System) judge(req Request, c Claim, row platform.Row) Result {
+	if c.Fingerprint != req.Fingerprint {
+		return refuse(req.ID, result.KeyMismatch, "the key was used with another body", 0)
+	}
+	if c.Answer != nil {
+		return Answered{ID: req.ID, Answer: *c.Answer}
+	}
+	if c.Holder == s.cfg.Host && c.Incarnation == s.cfg.Incarnation {
+		return Running{ID: req.ID, Claim: c, Reachable: true}
+	}
+	switch s.cfg.Liveness(c.Holder, c.Incarnation) {
+	case Alive:
+		return Running{ID: req.ID, Claim: c, Reachable: true}
+	case Unreachable:
+		return Running{ID: req.ID, Claim: c}
+	default:
+		return Lost{ID: req.ID, Claim: c, Version: row.Version}
+	}
+}
--- a/internal/system/system.go
+++ b/internal/system/system.go
@@ -37,28 +37,35 @@
 	CallGet CallKind = iota
 	CallList
 	CallCommit
+	// CallGetObject and CallPutObject ask the object store.
+	CallGetObject
+	CallPutObject
 )
 
-// Call asks for one operation of the platform's table.
+// Call asks for one operation of the platform's table or object store.
 type Call struct {
 	Owner Owner
 	// Token is the owner's own name for the call.
 	Token uint64
 	Kind  CallKind
-	// Key is the key of CallGet, and the prefix of CallList.
+	// Key is the key of CallGet, CallGetObject and CallPutObject, and the
+	// prefix of CallList.
 	Key string
 	// After and Limit belong to CallList.
 	After string
 	Limit int
 	// Txn belongs to CallCommit.
 	Txn platform.Txn
+	// Value belongs to CallPutObject.
+	Value []byte
 }
 
 // Reply is the result of a Call.
 type Reply struct {
 	Owner Owner
 	Token uint64
-	// Rows holds the row of CallGet or the rows of CallList.
+	// Rows holds the row of CallGet, the rows of CallList, or the key and value
+	// of CallGetObject.
 	Rows []platform.Row
 	// Version is the version that CallCommit gave its rows.
 	Version uint64
