--- /dev/null
+++ b/internal/control/core.go
@@ -0,0 +1,254 @@
+package control
+
+import (
+	"slices"
+	"time"
+
+	"github.com/trefoilchute/trefoilchute/internal/ident"
+	"github.com/trefoilchute/trefoilchute/internal/peer/peerpb"
+	"github.com/trefoilchute/trefoilchute/internal/resource"
+	"github.com/trefoilchute/trefoilchute/internal/result"
+	"github.com/trefoilchute/trefoilchute/internal/system"
+	"github.com/trefoilchute/trefoilchute/internal/system/claim"
+	"github.com/trefoilchute/trefoilchute/internal/system/configuration"
+	"github.com/trefoilchute/trefoilchute/internal/system/custody"
+	"github.com/trefoilchute/trefoilchute/internal/system/membership"
+	"github.com/trefoilchute/trefoilchute/internal/system/scheduling"
+)
+
+// Config is fixed for the life of a Core.
+type Config struct {
+	Self        ident.Host
+	Incarnation uint64
+	Domain      ident.Domain
+	// Address is where other hosts reach this one.
+	Address string
+	// Seed feeds every random choice.
+	Seed uint64
+	// Nonce returns a value that no other claim has.
+	Nonce func() string
+}
+
+// Core holds all control state of an entry host. It isn't safe for concurrent
+// use.
+type Core struct {
+	cfg    Config
+	now    time.Duration
+	wall   int64
+	out    system.Outbox
+	effect Effects
+
+	members       *membership.System
+	configuration *configuration.System
+	custody       *custody.System
+	scheduling    *scheduling.System
+	claims        *claim.System
+
+	snapshot    *resource.Snapshot
+	viewVersion uint64
+	watched     []resource.Endpoint
+	// gated holds what claims and keys need to know of the requests in custody.
+	gated map[ident.Request]custody.Arrival
+}
+
+// New returns a core that knows no other host and no configuration.
+func New(cfg Config) *Core {
+	c := &Core{cfg: cfg, gated: map[ident.Request]custody.Arrival{}}
+	c.members = membership.New(membership.Config{
+		Self: cfg.Self, Incarnation: cfg.Incarnation, Domain: cfg.Domain,
+		Address: cfg.Address, Seed: cfg.Seed,
+	})
+	c.configuration = configuration.New(configuration.Config{
+		Self: cfg.Self, Domain: cfg.Domain, Seed: cfg.Seed, View: c.members,
+	})
+	c.custody = custody.New(custody.Config{Self: cfg.Self, View: custodyView{c}})
+	c.scheduling = scheduling.New(scheduling.Config{
+		Self: cfg.Self, Domain: cfg.Domain, View: schedulingView{c}, Seed: cfg.Seed,
+	})
+	c.claims = claim.New(claim.Config{
+		Host: cfg.Self, Incarnation: cfg.Incarnation, Nonce: cfg.Nonce, Liveness: c.liveness,
+	})
+	return c
+}
+
+// Step takes in the events in order at a time that never falls; wall is the
+// time of day in milliseconds of Unix time. It returns what to do.
+func (c *Core) Step(now time.Duration, wall int64, events []Event) Effects {
+	c.now = max(c.now, now)
+	c.wall = wall
+	c.effect = Effects{}
+	c.noticePause()
+	for _, e := range events {
+		c.take(e)
+		c.settle()
+	}
+	c.tick()
+	c.settle()
+	c.effect.Sends = c.out.Sends
+	c.effect.Calls = c.out.Calls
+	c.out = system.Outbox{}
+	c.effect.Steps = c.scheduling.TakeSteps()
+	c.noteWatch()
+	return c.effect
+}
+
+// noticePause gives up every pool after this process stood still for longer
+// than the others wait for it: they may have taken its pools over.
+func (c *Core) noticePause() {
+	if c.members.Paused(c.now) {
+		c.scheduling.Abandon(c.now, &c.out)
+	}
+}
+
+// take applies one event.
+func (c *Core) take(e Event) {
+	switch e := e.(type) {
+	case Arrived:
+		c.arrive(e.Arrival)
+	case Gone:
+		c.gone(e.ID)
+	case Connected:
+		c.custody.Connected(c.now, e.ID, e.Attempt, &c.out)
+	case Unreachable:
+		c.custody.Unreachable(c.now, e.ID, e.Attempt, &c.out)
+	case FirstToken:
+		c.custody.Started(c.now, e.ID, e.After, &c.out)
+	case Ended:
+		c.ended(e)
+	case Received:
+		c.receive(e.Message)
+	case Replied:
+		c.replied(e.Reply)
+	case Observed:
+		c.scheduling.Observe(c.now, e.Pool, e.Event, &c.out)
+	case Listed:
+		c.members.Seeds(e.Hosts)
+	case Leave:
+		c.members.Leave(c.now, &c.out)
+	}
+}
+
+// arrive takes a request into custody, or refuses it before there is a
+// configuration.
+func (c *Core) arrive(a custody.Arrival) {
+	if c.snapshot == nil {
+		c.effect.Directives = append(c.effect.Directives, custody.Directive{
+			Kind: custody.Refuse, ID: a.ID,
+			Verdict: &result.Error{
+				Code: result.NotReady, RetryAfter: time.Second, Reason: "no configuration yet",
+			},
+		})
+		return
+	}
+	if a.Key != "" {
+		c.gated[a.ID] = a
+	}
+	c.custody.Arrive(c.now, a, &c.out)
+}
+
+// tick runs every system that is due.
+func (c *Core) tick() {
+	c.members.Tick(c.now, &c.out)
+	c.configuration.Tick(c.now, &c.out)
+	c.claims.Tick(c.now, &c.out)
+	c.custody.Tick(c.now, &c.out)
+	c.scheduling.Tick(c.now, &c.out)
+}
+
+// settle carries what one system decided to the others until nothing is left:
+// messages to the own host, results of claims, directives, a new
+// configuration, another view of the hosts.
+func (c *Core) settle() {
+	for again := true; again; {
+		again = c.deliverOwn()
+		again = c.settleClaims() || again
+		again = c.settleDirectives() || again
+		again = c.adoptSnapshot() || again
+		again = c.adoptView() || again
+	}
+}
+
+// deliverOwn delivers the messages that this host sent to itself.
+func (c *Core) deliverOwn() bool {
+	var own []*peerpb.Envelope
+	others := c.out.Sends[:0]
+	for _, send := range c.out.Sends {
+		send.Message.From = string(c.cfg.Self)
+		send.Message.Incarnation = c.cfg.Incarnation
+		if send.To == c.cfg.Self {
+			own = append(own, send.Message)
+		} else {
+			others = append(others, send)
+		}
+	}
+	c.out.Sends = others
+	for _, m := range own {
+		c.receive(m)
+	}
+	return len(own) > 0
+}
+
+// adoptSnapshot brings a new configuration into force.
+func (c *Core) adoptSnapshot() bool {
+	snap := c.configuration.Current()
+	if snap == nil || (c.snapshot != nil && snap.Revision <= c.snapshot.Revision) {
+		return false
+	}
+	c.snapshot = snap
+	c.effect.Snapshot = snap
+	c.members.SetRevision(snap.Revision)
+	c.scheduling.Configure(c.now, snap, &c.out)
+	return true
+}
+
+// adoptView lets the pools follow a change of the membership.
+func (c *Core) adoptView() bool {
+	if c.members.Version() == c.viewVersion {
+		return false
+	}
+	c.viewVersion = c.members.Version()
+	c.effect.Peers = c.peerAddresses()
+	c.scheduling.Reassign(c.now, &c.out)
+	return true
+}
+
+// noteWatch reports when other endpoints are to be watched.
+func (c *Core) noteWatch() {
+	list := c.scheduling.Endpoints()
+	if slices.Equal(list, c.watched) {
+		return
+	}
+	c.watched = list
+	c.effect.Watch = list
+	c.effect.WatchChanged = true
+}
+
+// NextWake returns when Step is due without an event.
+func (c *Core) NextWake() time.Duration {
+	next := c.now + maxSleep
+	take := func(at time.Duration, ok bool) {
+		if ok {
+			next = min(next, at)
+		}
+	}
+	take(c.members.NextWake())
+	take(c.configuration.NextWake())
+	take(c.claims.NextWake())
+	take(c.custody.NextWake(c.now))
+	take(c.scheduling.NextWake())
+	return max(next, c.now+minSleep)
+}
+
+const (
+	// minSleep bounds how often the loop wakes without events.
+	minSleep = 1 * time.Millisecond
+	// maxSleep bounds how long the loop sleeps.
+	maxSleep = 1 * time.Second
+)
+
+// Busy returns the number of requests waiting and dispatched, and of claims
+// whose answers the table has yet to take.
+func (c *Core) Busy() (waiting, dispatched, claims int) {
+	waiting, dispatched = c.custody.Counts()
+	return waiting, dispatched, c.claims.Pending()
+}
--- /dev/null
+++ b/internal/control/event.go
@@ -0,0 +1,121 @@
+// Package control composes the control systems of one entry host. Core is pure:
+// Step takes what happened and returns what to do. Loop is the one goroutine
+// that steps it and carries its effects out; all control state belongs to it.
+package control
+
+import (
+	"time"
+
+	"github.com/trefoilchute/trefoilchute/internal/ident"
+	"github.com/trefoilchute/trefoilchute/internal/peer/peerpb"
+	"github.com/trefoilchute/trefoilchute/internal/platform"
+	"github.com/trefoilchute/trefoilchute/internal/pool"
+	"github.com/trefoilchute/trefoilchute/internal/resource"
+	"github.com/trefoilchute/trefoilchute/internal/system"
+	"github.com/trefoilchute/trefoilchute/internal/system/claim"
+	"github.com/trefoilchute/trefoilchute/internal/system/custody"
+	"github.com/trefoilchute/trefoilchute/internal/system/scheduling"
+)
+
+// Event is something that happened. Its concrete types are in this file.
+type Event interface{ event() }
+
+// Arrived brings a caller's request.
+type Arrived struct{ Arrival custody.Arrival }
+
+// Gone says that a caller has left.
+type Gone struct{ ID ident.Request }
+
+// Connected says that the traffic side has a connection for a grant.
+type Connected struct {
+	ID      ident.Request
+	Attempt ident.Attempt
+}
+
+// Unreachable says that no connection to a granted endpoint could be made.
+type Unreachable struct {
+	ID      ident.Request
+	Attempt ident.Attempt
+}
+
+// FirstToken says that the first part of an answer came.
+type FirstToken struct {
+	ID ident.Request
+	// After is the time since dispatch.
+	After time.Duration
+}
+
+// Ended says that a dispatched request left its endpoint.
+type Ended struct {
+	ID  ident.Request
+	End custody.End
+	// Answer is kept with the claim of a non-idempotent request.
+	Answer claim.Answer
+}
+
+// Received brings a message of another host, or of this one to itself.
+type Received struct{ Message *peerpb.Envelope }
+
+// Replied brings the result of a platform call.
+type Replied struct{ Reply system.Reply }
+
+// Observed brings an endpoint's load report or cache events.
+type Observed struct {
+	Pool  ident.Pool
+	Event pool.Event
+}
+
+// Listed brings the platform's list of hosts.
+type Listed struct{ Hosts []platform.HostEntry }
+
+// Leave begins a planned stop: other hosts take the pools over.
+type Leave struct{}
+
+func (Arrived) event()     {}
+func (Gone) event()        {}
+func (Connected) event()   {}
+func (Unreachable) event() {}
+func (FirstToken) event()  {}
+func (Ended) event()       {}
+func (Received) event()    {}
+func (Replied) event()     {}
+func (Observed) event()    {}
+func (Listed) event()      {}
+func (Leave) event()       {}
+
+// Settled gives a request the answer that an earlier one with its key got.
+type Settled struct {
+	ID     ident.Request
+	Answer claim.Answer
+}
+
+// Join lets a request take part in the answer of an earlier one with its key.
+type Join struct {
+	ID ident.Request
+	// Custodian holds the answer of Request.
+	Custodian ident.Host
+	Request   ident.Request
+}
+
+// Effects is what one step asks for.
+type Effects struct {
+	// Sends goes to other hosts; messages to the own host were delivered.
+	Sends []system.Send
+	// Calls goes to the platform.
+	Calls []system.Call
+	// Directives, Settled and Joins go to the traffic side.
+	Directives []custody.Directive
+	Settled    []Settled
+	Joins      []Join
+	// Relays holds messages of joins, for the traffic side.
+	Relays []*peerpb.Envelope
+	// Snapshot is set when another configuration came into force.
+	Snapshot *resource.Snapshot
+	// Peers is set when the addresses of the other hosts changed.
+	Peers map[ident.Host]string
+	// Watch is set, with WatchChanged, when other endpoints are to be watched.
+	Watch        []resource.Endpoint
+	WatchChanged bool
+	// Steps holds the decisions of the pool schedulers, for traces and explain.
+	Steps []scheduling.Step
+}
--- /dev/null
+++ b/internal/control/route.go
@@ -0,0 +1,157 @@
+package control
+
+import (
+	"time"
+
+	"github.com/trefoilchute/trefoilchute/internal/ident"
+	"github.com/trefoilchute/trefoilchute/internal/peer/peerpb"
+	"github.com/trefoilchute/trefoilchute/internal/result"
+	"github.com/trefoilchute/trefoilchute/internal/system"
+	"github.com/trefoilchute/trefoilchute/internal/system/claim"
+	"github.com/trefoilchute/trefoilchute/internal/system/custody"
+)
+
+// receive gives a message to the systems it concerns.
+func (c *Core) receive(m *peerpb.Envelope) {
+	from := custody.Scheduler{Host: ident.Host(m.GetFrom()), Incarnation: m.GetIncarnation()}
+	switch body := m.GetBody().(type) {
+	case *peerpb.Envelope_Ping, *peerpb.Envelope_Ack, *peerpb.Envelope_PingReq:
+		c.members.Receive(c.now, m, &c.out)
+	case *peerpb.Envelope_ConfigOffer, *peerpb.Envelope_ConfigPull, *peerpb.Envelope_ConfigState:
+		c.configuration.Receive(c.now, m, &c.out)
+	case *peerpb.Envelope_Grant:
+		c.custody.Granted(c.now, from, body.Grant, &c.out)
+	case *peerpb.Envelope_Refuse:
+		c.custody.Refused(from, body.Refuse)
+	case *peerpb.Envelope_Accept:
+		c.custody.Accepted(from, body.Accept)
+	case *peerpb.Envelope_Spill:
+		c.custody.Spilled(c.now, from, body.Spill, &c.out)
+	case *peerpb.Envelope_TakeOver:
+		c.custody.TakeOver(c.now, from, body.TakeOver, c.scheduling.Suspects(), &c.out)
+	case *peerpb.Envelope_Join, *peerpb.Envelope_Part:
+		c.effect.Relays = append(c.effect.Relays, m)
+	default:
+		c.scheduling.Receive(c.now, from.Host, m, &c.out)
+	}
+}
+
+// replied gives the result of a platform call to the system that asked.
+func (c *Core) replied(r system.Reply) {
+	switch r.Owner {
+	case system.OwnerClaim:
+		c.claims.Reply(c.now, r, &c.out)
+	case system.OwnerConfiguration:
+		c.configuration.Reply(c.now, r, &c.out)
+	}
+}
+
+// gone withdraws a request whose caller has left.
+func (c *Core) gone(id ident.Request) {
+	c.custody.Gone(c.now, id, &c.out)
+}
+
+// ended takes a dispatched request out of custody and keeps the answer of a
+// non-idempotent one.
+func (c *Core) ended(e Ended) {
+	c.custody.Ended(c.now, e.ID, e.End, &c.out)
+	if a, ok := c.gated[e.ID]; ok && !a.Idempotent {
+		c.claims.Finish(c.now, e.ID, e.Answer, &c.out)
+	}
+	delete(c.gated, e.ID)
+}
+
+// settleDirectives acts on the directives that concern claims and keys and
+// passes the others on.
+func (c *Core) settleDirectives() bool {
+	list := c.custody.Take()
+	for _, d := range list {
+		switch d.Kind {
+		case custody.LookClaim:
+			c.claims.Look(c.now, claimRequest(c.gated[d.ID]), &c.out)
+		case custody.AcquireClaim:
+			at := claim.Placement{Endpoint: d.Endpoint, Attempt: d.Attempt}
+			c.claims.Acquire(c.now, c.wall, claimRequest(c.gated[d.ID]), at, &c.out)
+		case custody.ReleaseClaim:
+			c.claims.Release(c.now, d.ID, &c.out)
+		case custody.NoteKey:
+			c.noteKey(d.ID)
+		default:
+			c.passOn(d)
+		}
+	}
+	return len(list) > 0
+}
+
+// passOn gives a directive to the traffic side.
+func (c *Core) passOn(d custody.Directive) {
+	if d.Kind == custody.Refuse {
+		c.claims.Withdraw(c.now, d.ID, &c.out)
+		delete(c.gated, d.ID)
+	}
+	c.effect.Directives = append(c.effect.Directives, d)
+}
+
+// claimRequest returns what the claims need to know of a request.
+func claimRequest(a custody.Arrival) claim.Request {
+	return claim.Request{
+		ID: a.ID, Team: a.Team, Key: a.Key, Fingerprint: a.Fingerprint, FirstAttempt: a.FirstAttempt,
+	}
+}
+
+// settleClaims acts on the results of the claims.
+func (c *Core) settleClaims() bool {
+	list := c.claims.Take()
+	for _, r := range list {
+		c.settleClaim(r)
+	}
+	return len(list) > 0
+}
+
+// settleClaim acts on one result of a look-up or a claim.
+func (c *Core) settleClaim(r claim.Result) {
+	id := r.Request()
+	switch r := r.(type) {
+	case claim.Free:
+		c.custody.Checked(c.now, id, nil, &c.out)
+	case claim.Acquired:
+		c.custody.Claimed(c.now, id, nil, &c.out)
+	case claim.Answered:
+		c.leaveCustody(id)
+		c.effect.Settled = append(c.effect.Settled, Settled{ID: id, Answer: r.Answer})
+	case claim.Running:
+		c.joinClaim(id, r)
+	case claim.Lost:
+		c.verdict(id, result.New(result.OutcomeUnknown, "the host that ran this key has ended"))
+	case claim.Refused:
+		c.verdict(id, r.Err)
+	}
+}
+
+// joinClaim lets a request take part in the answer of the one that runs.
+func (c *Core) joinClaim(id ident.Request, r claim.Running) {
+	if !r.Reachable {
+		c.verdict(id, &result.Error{
+			Code: result.InProgress, RetryAfter: time.Second,
+			Reason: "a request with this key runs at a host that can't be reached",
+		})
+		return
+	}
+	c.leaveCustody(id)
+	c.effect.Joins = append(c.effect.Joins, Join{
+		ID: id, Custodian: r.Claim.Holder, Request: r.Claim.Request,
+	})
+}
+
+// leaveCustody takes a request out of custody whose answer comes from an
+// earlier one.
+func (c *Core) leaveCustody(id ident.Request) {
+	c.custody.Joined(c.now, id, &c.out)
+	delete(c.gated, id)
+}
+
+// verdict ends the look-up or the claim of a request with a final answer.
+func (c *Core) verdict(id ident.Request, v *result.Error) {
+	c.custody.Checked(c.now, id, v, &c.out)
+	c.custody.Claimed(c.now, id, v, &c.out)
+}
--- /dev/null
+++ b/internal/control/view.go
@@ -0,0 +1,127 @@
+package control
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/trefoilchute/trefoilchute/internal/ident"
+	"github.com/trefoilchute/trefoilchute/internal/rendezvous"
+	"github.com/trefoilchute/trefoilchute/internal/resource"
+	"github.com/trefoilchute/trefoilchute/internal/system/claim"
+	"github.com/trefoilchute/trefoilchute/internal/system/custody"
+	"github.com/trefoilchute/trefoilchute/internal/system/membership"
+)
+
+// custodyView shows custody the configuration and the membership.
+type custodyView struct{ core *Core }
+
+// Domains lists the domains with an active endpoint of the target: the own one
+// first, then the others in the order of their names.
+func (v custodyView) Domains(target string) []ident.Domain {
+	return v.core.domains(target)
+}
+
+// Scheduler returns the process that schedules a pool.
+func (v custodyView) Scheduler(p ident.Pool) (custody.Scheduler, bool) {
+	host, ok := v.core.scheduler(p)
+	if !ok {
+		return custody.Scheduler{}, false
+	}
+	m, ok := v.core.members.Member(host)
+	return custody.Scheduler{Host: host, Incarnation: m.Incarnation}, ok
+}
+
+// Endpoint returns a declared endpoint.
+func (v custodyView) Endpoint(name ident.Endpoint) (resource.Endpoint, bool) {
+	if v.core.snapshot == nil {
+		return resource.Endpoint{}, false
+	}
+	e, ok := v.core.snapshot.Endpoints[string(name)]
+	return e, ok
+}
+
+// schedulingView shows scheduling the configuration and the membership.
+type schedulingView struct{ core *Core }
+
+// Scheduler returns the host that schedules a pool.
+func (v schedulingView) Scheduler(p ident.Pool) (ident.Host, bool) {
+	return v.core.scheduler(p)
+}
+
+// Alive lists every host that may hold requests.
+func (v schedulingView) Alive() []ident.Host {
+	var list []ident.Host
+	for _, m := range v.core.members.Members() {
+		if m.State != membership.Dead {
+			list = append(list, m.Host)
+		}
+	}
+	return list
+}
+
+// Domains lists the domains with an active endpoint of the target.
+func (v schedulingView) Domains(target string) []ident.Domain {
+	return v.core.domains(target)
+}
+
+// scheduler returns the first host of the rendezvous hash of a pool over its
+// domain's live hosts.
+func (c *Core) scheduler(p ident.Pool) (ident.Host, bool) {
+	hosts := c.members.Alive(p.Domain)
+	if len(hosts) == 0 {
+		return "", false
+	}
+	return rendezvous.First(p.String(), hosts), true
+}
+
+// domains lists the domains that have an active endpoint of the target and a
+// live host, the own one first.
+func (c *Core) domains(target string) []ident.Domain {
+	if c.snapshot == nil {
+		return nil
+	}
+	set := map[ident.Domain]bool{}
+	for _, e := range c.snapshot.Endpoints {
+		if e.Target == target && e.State == resource.EndpointActive {
+			set[e.Domain] = true
+		}
+	}
+	own := set[c.cfg.Domain]
+	delete(set, c.cfg.Domain)
+	var list []ident.Domain
+	if own {
+		list = append(list, c.cfg.Domain)
+	}
+	for _, d := range slices.Sorted(maps.Keys(set)) {
+		if len(c.members.Alive(d)) > 0 {
+			list = append(list, d)
+		}
+	}
+	return list
+}
+
+// peerAddresses returns the addresses of the other hosts.
+func (c *Core) peerAddresses() map[ident.Host]string {
+	out := map[ident.Host]string{}
+	for _, m := range c.members.Members() {
+		if m.Host != c.cfg.Self && m.State != membership.Dead {
+			out[m.Host] = m.Address
+		}
+	}
+	return out
+}
+
+// liveness tells the claims what is known of a claim's holder.
+func (c *Core) liveness(host ident.Host, incarnation uint64) claim.Liveness {
+	m, ok := c.members.Member(host)
+	switch {
+	case !ok:
+		return claim.Unreachable
+	case m.Incarnation > incarnation:
+		return claim.Dead
+	case m.State == membership.Dead:
+		return claim.Unreachable
+	default:
+		return claim.Alive
+	}
+}
--- a/internal/endpoint/stream.go
+++ b/internal/endpoint/stream.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"encoding/json"
 	"io"
 	"strconv"
@@ -153,6 +154,14 @@
 	return Chunk{Data: data, Usage: head.Usage}, nil
 }
 
+// OnCancel closes the stream's connection when ctx ends. The returned function
+// ends that.
+func (s *Stream) OnCancel(ctx context.Context) func() {
+	conn := s.conn
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	return func() { stop() }
+}
+
 // Whole reports whether the end marker was read.
 func (s *Stream) Whole() bool {
 	return s.whole
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -34,6 +34,7 @@
 	OutcomeUnknown Code = 300
 	EndpointLost   Code = 301
 	AnswerCut      Code = 302
+	EndpointError  Code = 303
 	// EarlierUnknown speaks of the key: this attempt was not dispatched, an
 	// earlier one may have been.
 	EarlierUnknown   Code = 303
@@ -106,6 +107,7 @@
 	{AnswerCut, "answer_cut", http.StatusBadGateway, RanUnknown, "only if running twice is harmless", "The answer ended before its end marker and could not be resumed."},
 	{EarlierUnknown, "earlier_unknown", http.StatusServiceUnavailable, RanUnknown, "after Retry-After, with the same key", "This attempt was not run, but whether an earlier one with the same key was can't be seen now."},
 	{AnswerUnreadable, "answer_unreadable", http.StatusServiceUnavailable, RanYes, "after Retry-After, with the same key", "The request ran, but its kept answer can't be read now."},
+	{EndpointError, "endpoint_error", http.StatusBadGateway, RanUnknown, "only if running twice is harmless", "The endpoint answered with an error status."},
 	{BadRequest, "bad_request", http.StatusBadRequest, RanNo, "corrected", "The request is malformed."},
 	{Unauthorized, "unauthorized", http.StatusUnauthorized, RanNo, "with a valid key", "The bearer key names no team."},
 	{NoRoute, "no_route", http.StatusNotFound, RanNo, "corrected", "No route serves this path or model."},
--- a/internal/system/custody/custody.go
+++ b/internal/system/custody/custody.go
@@ -180,8 +180,13 @@
 	s.queue(now, r, out)
 }
 
-// Joined removes a request that takes part in another request's answer.
-func (s *System) Joined(id ident.Request) {
+// Joined removes a request whose answer comes from an earlier one with its key.
+func (s *System) Joined(now time.Duration, id ident.Request, out *system.Outbox) {
+	r := s.rows[id]
+	if r == nil || r.state == stateDispatched {
+		return
+	}
+	s.withdraw(now, r, out)
 	delete(s.rows, id)
 }
 
--- a/internal/system/custody/grant.go
+++ b/internal/system/custody/grant.go
@@ -39,7 +39,7 @@
 	}
 	if !r.Idempotent && !r.claimed {
 		r.state = stateClaiming
-		s.direct(Directive{Kind: AcquireClaim, ID: r.ID, Attempt: r.attempt})
+		s.direct(Directive{Kind: AcquireClaim, ID: r.ID, Endpoint: r.endpoint, Attempt: r.attempt})
 		return
 	}
 	s.connect(r)
--- a/internal/system/scheduling/step.go
+++ b/internal/system/scheduling/step.go
@@ -121,7 +121,7 @@
 	r := in.scheduler.Room()
 	m := &peerpb.PoolStatus{
 		Target: in.pool.Target, Domain: string(in.pool.Domain),
-		FreeSlots: int32(r.Free), LowestRank: int32(r.LowestRank),
+		FreeSlots: int32(r.FreeSlots), LowestRank: int32(r.LowestRank),
 	}
 	for _, w := range r.Wait {
 		m.WaitUs = append(m.WaitUs, w.Microseconds())
--- /dev/null
+++ b/internal/traffic/runner.go
@@ -0,0 +1,131 @@
+package traffic
+
+import (
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/trefoilchute/trefoilchute/internal/answer"
+	"github.com/trefoilchute/trefoilchute/internal/control"
+	"github.com/trefoilchute/trefoilchute/internal/endpoint"
+	"github.com/trefoilchute/trefoilchute/internal/ident"
+	"github.com/trefoilchute/trefoilchute/internal/peer/peerpb"
+	"github.com/trefoilchute/trefoilchute/internal/resource"
+	"github.com/trefoilchute/trefoilchute/internal/result"
+	"github.com/trefoilchute/trefoilchute/internal/system/custody"
+)
+
+// Runner runs the jobs of one host.
+type Runner struct {
+	post  func(control.Event)
+	conns *endpoint.Pool
+	jobs  jobs
+	group conc.WaitGroup
+}
+
+// NewRunner returns a runner that tells control what happens through post.
+func NewRunner(post func(control.Event)) *Runner {
+	return &Runner{
+		post:  post,
+		conns: endpoint.NewPool(),
+		jobs:  jobs{rows: map[ident.Request]*Job{}},
+	}
+}
+
+// Add makes a job known. It is to be called before control hears of the
+// request.
+func (r *Runner) Add(j *Job) {
+	r.jobs.put(j)
+}
+
+// Find returns the job of a request, or nil.
+func (r *Runner) Find(id ident.Request) *Job {
+	return r.jobs.get(id)
+}
+
+// Forget drops a job.
+func (r *Runner) Forget(id ident.Request) {
+	r.jobs.remove(id)
+}
+
+// Jobs returns the number of jobs known.
+func (r *Runner) Jobs() int {
+	return r.jobs.size()
+}
+
+// Wait waits for the running jobs and closes the connections.
+func (r *Runner) Wait() {
+	r.group.Wait()
+	r.conns.Close()
+}
+
+// Apply acts on a directive of control. It doesn't block.
+func (r *Runner) Apply(d custody.Directive) {
+	j := r.jobs.get(d.ID)
+	if j == nil {
+		return
+	}
+	switch d.Kind {
+	case custody.Connect:
+		r.group.Go(func() { r.connect(j, d) })
+	case custody.Commit:
+		j.commit <- d.Go
+	case custody.Refuse:
+		j.Answer.Finish(answer.Final{
+			Code: d.Verdict.Code, Reason: d.Verdict.Reason, RetryAfter: d.Verdict.RetryAfter,
+		})
+	case custody.CancelRun:
+		j.cancel()
+	}
+}
+
+// connect gets a connection for a grant, asks control to commit the dispatch
+// and runs the job.
+func (r *Runner) connect(j *Job, d custody.Directive) {
+	conn, err := r.conns.Get(d.Address)
+	if err != nil {
+		r.post(control.Unreachable{ID: j.ID, Attempt: d.Attempt})
+		return
+	}
+	r.post(control.Connected{ID: j.ID, Attempt: d.Attempt})
+	if !<-j.commit {
+		r.conns.Put(conn)
+		return
+	}
+	run := &run{runner: r, job: j, address: d.Address, attempt: d.Attempt, began: time.Now()}
+	if j.Type == resource.EndpointEngine {
+		run.engine(conn)
+		return
+	}
+	run.service(conn)
+}
+
+// run is one dispatched job.
+type run struct {
+	runner  *Runner
+	job     *Job
+	address string
+	attempt ident.Attempt
+	began   time.Time
+	// heard is when the last chunk came.
+	heard time.Time
+	end   custody.End
+}
+
+// finish ends the job: the answer first, so that the caller doesn't wait for
+// control, then the word to control.
+func (x *run) finish(phase peerpb.Report_Phase, f answer.Final) {
+	x.end.Phase = phase
+	x.end.Total = time.Since(x.began)
+	x.job.Answer.Finish(f)
+	x.runner.post(control.Ended{ID: x.job.ID, End: x.end, Answer: keptAnswer(x.job.Answer)})
+}
+
+// lost ends the job without a whole answer.
+func (x *run) lost(code result.Code, reason string) {
+	phase := peerpb.Report_PHASE_LOST
+	if x.job.ctx.Err() != nil {
+		phase = peerpb.Report_PHASE_CANCELED
+	}
+	x.finish(phase, answer.Final{Code: code, Reason: reason})
+}
--- /dev/null
+++ b/internal/traffic/service.go
@@ -0,0 +1,77 @@
+package traffic
+
+import (
+	"io"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+
+	"github.com/trefoilchute/trefoilchute/internal/answer"
+	"github.com/trefoilchute/trefoilchute/internal/endpoint"
+	"github.com/trefoilchute/trefoilchute/internal/peer/peerpb"
+	"github.com/trefoilchute/trefoilchute/internal/result"
+)
+
+const (
+	// serviceTimeout bounds the wait for a plain service's answer. A service
+	// can't be asked again for an answer, so it is longer than a deadline.
+	serviceTimeout = 60 * time.Second
+	// maxServiceAnswer bounds the answer of a plain service in bytes.
+	maxServiceAnswer = 8 << 20
+)
+
+// errAnswerTooLarge says that a plain service's answer is over the bound.
+var errAnswerTooLarge = errors.New("traffic: the service's answer is too large")
+
+// service sends the job to a plain service and reads its whole answer. After a
+// fault nothing is known: a service can't resume.
+func (x *run) service(conn *endpoint.Conn) {
+	defer x.closeOnCancel(conn)()
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(resp)
+	body, err := x.exchange(conn, resp)
+	if err != nil {
+		_ = conn.Close()
+		x.lost(result.OutcomeUnknown, err.Error())
+		return
+	}
+	closes := resp.ConnectionClose()
+	x.end.FirstToken = time.Since(x.began)
+	x.job.Answer.Append(body)
+	final := answer.Final{
+		Code: result.OK, Status: resp.StatusCode(),
+		ContentType: string(resp.Header.ContentType()),
+	}
+	_ = resp.CloseBodyStream()
+	if closes {
+		_ = conn.Close()
+	} else {
+		x.runner.conns.Put(conn)
+	}
+	x.finish(peerpb.Report_PHASE_FINISHED, final)
+}
+
+// exchange sends the request and reads the answer's body.
+func (x *run) exchange(conn *endpoint.Conn, resp *fasthttp.Response) ([]byte, error) {
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	x.fill(req)
+	if err := conn.Send(req); err != nil {
+		return nil, err
+	}
+	if err := conn.SetReadDeadline(time.Now().Add(serviceTimeout)); err != nil {
+		return nil, errors.Wrap(err, "traffic: read deadline")
+	}
+	if err := conn.Receive(resp); err != nil {
+		return nil, err
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.BodyStream(), maxServiceAnswer+1))
+	if err != nil {
+		return nil, errors.Wrap(err, "traffic: read")
+	}
+	if len(body) > maxServiceAnswer {
+		return nil, errAnswerTooLarge
+	}
+	return body, nil
+}
