Keep the membership of entry hosts by probes and gossip

Hosts of a domain probe along a ring with doubling offsets, ask others before they suspect, and let a suspect refute by a higher version. Contacts in other domains carry gossip and reachability, never suspicion. A paused host notices and rejoins.

Tests: go test ./internal/system/...

--- /dev/null
+++ b/internal/system/membership/member.go
@@ -0,0 +1,99 @@
+package membership
+
+import (
+	"github.com/trefoilchute/trefoilchute/internal/ident"
+	"github.com/trefoilchute/trefoilchute/internal/peer/peerpb"
+)
+
+// State is what is known of a host's life. Its values are those on the wire.
+type State uint32
+
+// States. Within one version of a host a larger state overrides a smaller one.
+const (
+	// Alive hosts take part.
+	Alive State = iota
+	// Suspect hosts failed a probe and have not refuted it yet. They still
+	// count as live.
+	Suspect
+	// Leaving hosts finish what they hold and take no new part.
+	Leaving
+	// Dead hosts failed to refute a suspicion in time, or have departed.
+	Dead
+)
+
+// String returns the state's name.
+func (s State) String() string {
+	names := [...]string{"alive", "suspect", "leaving", "dead"}
+	if int(s) >= len(names) {
+		return "unknown"
+	}
+	return names[s]
+}
+
+// Member is one host as this host knows it.
+type Member struct {
+	Host        ident.Host
+	Incarnation uint64
+	Domain      ident.Domain
+	// Address is where the host accepts links.
+	Address string
+	State   State
+	// Version orders what is said of one incarnation. Only the host itself
+	// raises it: to refute a suspicion, to leave, or for a new revision.
+	Version uint64
+	// Revision is the configuration in force at the host.
+	Revision uint64
+}
+
+// entry is a row of the member table.
+type entry struct {
+	Member
+	// changed is the gossip clock at the row's last change; introduced at the
+	// first of its incarnation. introduced <= changed.
+	changed    uint64
+	introduced uint64
+	// learnedFrom is the host that the last change came from.
+	learnedFrom ident.Host
+}
+
+// overrides reports whether claim a says more than claim b of the same host.
+func overrides(a, b *Member) bool {
+	if a.Incarnation != b.Incarnation {
+		return a.Incarnation > b.Incarnation
+	}
+	if a.Version != b.Version {
+		return a.Version > b.Version
+	}
+	return a.State > b.State
+}
+
+// toWire encodes a member. A brief entry leaves out what its receiver knows of
+// this incarnation already.
+func toWire(m *Member, brief bool) *peerpb.Member {
+	w := &peerpb.Member{
+		Host:        string(m.Host),
+		Incarnation: m.Incarnation,
+		State:       uint32(m.State),
+		Version:     m.Version,
+		Revision:    m.Revision,
+	}
+	if !brief {
+		w.Domain = string(m.Domain)
+		w.Address = m.Address
+	}
+	return w
+}
+
+// fromWire decodes a member. It returns false for one that can't be.
+func fromWire(w *peerpb.Member) (Member, bool) {
+	m := Member{
+		Host:        ident.Host(w.GetHost()),
+		Incarnation: w.GetIncarnation(),
+		Domain:      ident.Domain(w.GetDomain()),
+		Address:     w.GetAddress(),
+		State:       State(w.GetState()),
+		Version:     w.GetVersion(),
+		Revision:    w.GetRevision(),
+	}
+	return m, m.Host != "" && m.State <= Dead
+}
--- /dev/null
+++ b/internal/system/membership/probe.go
@@ -0,0 +1,206 @@
+package membership
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/trefoilchute/trefoilchute/internal/ident"
+	"github.com/trefoilchute/trefoilchute/internal/peer/peerpb"
+	"github.com/trefoilchute/trefoilchute/internal/system"
+)
+
+// probe is a ping that has not been answered.
+type probe struct {
+	target      ident.Host
+	incarnation uint64
+	sentAt      time.Duration
+	// through is the gossip clock that a direct answer acknowledges.
+	through uint64
+	// watch says that no answer makes the target suspect. Pings to contacts, to
+	// dead hosts and on another's behalf don't.
+	watch bool
+	// indirect says that others were asked.
+	indirect bool
+}
+
+// relay is a probe made on another host's behalf.
+type relay struct {
+	asker ident.Host
+	seq   uint64
+}
+
+// Tick does what is due: rounds of probes, timeouts, deaths.
+func (s *System) Tick(now time.Duration, out *system.Outbox) {
+	s.notePause(now)
+	s.lastTick = now
+	if !s.started {
+		s.started = true
+		s.nextProbe = now
+		s.nextContact = now
+	}
+	s.expireProbes(now, out)
+	s.expireSuspects(now)
+	s.forgetDead(now)
+	s.endRejoin(now)
+	if s.departed {
+		return
+	}
+	if now >= s.nextContact {
+		s.contactRound(now, out)
+		s.nextContact = now + ContactInterval
+	}
+	if now >= s.nextProbe {
+		s.probeRound(now, out)
+		s.nextProbe = now + ProbeInterval
+	}
+}
+
+// NextWake returns when Tick is next due.
+func (s *System) NextWake() time.Duration {
+	if !s.started {
+		return 0
+	}
+	wake := min(s.nextProbe, s.nextContact)
+	for _, p := range s.probes {
+		if p.watch && !p.indirect {
+			wake = min(wake, p.sentAt+AckTimeout)
+		} else {
+			wake = min(wake, p.sentAt+ProbeTimeout)
+		}
+	}
+	for _, by := range s.suspected {
+		wake = min(wake, by)
+	}
+	return wake
+}
+
+// probeRound pings the targets in the own domain, and a few hosts that might
+// have come back.
+func (s *System) probeRound(now time.Duration, out *system.Outbox) {
+	for _, host := range s.targets() {
+		s.ping(now, host, true, out)
+	}
+	hosts := s.unreached()
+	for range min(reachOutPerRound, len(hosts)) {
+		s.reachNext++
+		s.reachOut(now, hosts[s.reachNext%len(hosts)], out)
+	}
+}
+
+// contactRound pings the contacts in the other domains.
+func (s *System) contactRound(now time.Duration, out *system.Outbox) {
+	for _, domain := range s.Domains() {
+		if domain == s.cfg.Domain {
+			continue
+		}
+		s.misses[domain]++
+		for _, host := range s.contacts(domain) {
+			s.ping(now, host, false, out)
+		}
+	}
+}
+
+// ping probes a host and brings it what changed.
+func (s *System) ping(now time.Duration, host ident.Host, watch bool, out *system.Outbox) {
+	members, through := s.changesFor(host)
+	s.sendPing(now, &probe{target: host, through: through, watch: watch}, members, out)
+}
+
+// reachOut pings a host that is dead or only a seed. It tells the host no more
+// than who asks and what is said of it.
+func (s *System) reachOut(now time.Duration, host ident.Host, out *system.Outbox) {
+	members := []*peerpb.Member{toWire(&s.self().Member, false)}
+	if e, ok := s.table[host]; ok {
+		members = append(members, toWire(&e.Member, false))
+	}
+	s.sendPing(now, &probe{target: host}, members, out)
+}
+
+// sendPing notes a probe and sends its ping.
+func (s *System) sendPing(now time.Duration, p *probe, members []*peerpb.Member, out *system.Outbox) uint64 {
+	s.seq++
+	p.sentAt = now
+	if e, ok := s.table[p.target]; ok {
+		p.incarnation = e.Incarnation
+	}
+	s.probes[s.seq] = p
+	out.Send(p.target, ping(s.seq, members))
+	return s.seq
+}
+
+// expireProbes asks others about hosts that didn't answer in time, and
+// suspects those that didn't answer them either.
+func (s *System) expireProbes(now time.Duration, out *system.Outbox) {
+	for _, seq := range slices.Sorted(maps.Keys(s.probes)) {
+		p := s.probes[seq]
+		waited := now - p.sentAt
+		if waited >= ProbeTimeout {
+			delete(s.probes, seq)
+			delete(s.relays, seq)
+			if p.watch {
+				s.suspect(now, p)
+			}
+			continue
+		}
+		if p.watch && !p.indirect && waited >= AckTimeout {
+			p.indirect = true
+			for _, helper := range s.helpers(p.target) {
+				out.Send(helper, pingReq(seq, p.target))
+			}
+		}
+	}
+}
+
+// suspect notes that a host failed a probe, unless it has shown a new
+// incarnation since. A host that leaves stays leaving until it is dead.
+func (s *System) suspect(now time.Duration, p *probe) {
+	e, ok := s.table[p.target]
+	if !ok || e.Incarnation != p.incarnation || e.State == Dead {
+		return
+	}
+	if _, already := s.suspected[p.target]; already {
+		return
+	}
+	s.suspected[p.target] = now + SuspicionTimeout
+	if e.State == Alive {
+		m := e.Member
+		m.State = Suspect
+		s.replace(m, s.cfg.Self)
+	}
+}
+
+// expireSuspects declares the suspects dead whose time is over.
+func (s *System) expireSuspects(now time.Duration) {
+	for _, host := range slices.Sorted(maps.Keys(s.suspected)) {
+		if now < s.suspected[host] {
+			continue
+		}
+		delete(s.suspected, host)
+		m := s.table[host].Member
+		m.State = Dead
+		s.replace(m, s.cfg.Self)
+		s.noteDead(now, host)
+	}
+}
+
+// noteDead drops what is kept for a live host.
+func (s *System) noteDead(now time.Duration, host ident.Host) {
+	s.diedAt[host] = now
+	delete(s.suspected, host)
+	delete(s.acked, host)
+}
+
+// forgetDead drops the hosts that have been dead for ForgetAfter.
+func (s *System) forgetDead(now time.Duration) {
+	for host, at := range s.diedAt {
+		if now-at < ForgetAfter {
+			continue
+		}
+		delete(s.diedAt, host)
+		delete(s.table, host)
+		delete(s.seeds, host)
+		at, _ := slices.BinarySearch(s.order, host)
+		s.order = slices.Delete(s.order, at, at+1)
+	}
+}
--- /dev/null
+++ b/internal/system/membership/targets.go
@@ -0,0 +1,115 @@
+package membership
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/trefoilchute/trefoilchute/internal/ident"
+	"github.com/trefoilchute/trefoilchute/internal/rendezvous"
+)
+
+// ringPlace is a host's place on the ring of its domain. Places come from a
+// hash, so that hosts of one rack, which often have neighbouring names and
+// fail together, don't watch each other alone.
+type ringPlace struct {
+	hash uint64
+	host ident.Host
+}
+
+// compare orders places along the ring.
+func (p ringPlace) compare(q ringPlace) int {
+	if c := cmp.Compare(p.hash, q.hash); c != 0 {
+		return c
+	}
+	return cmp.Compare(p.host, q.host)
+}
+
+// targets returns the hosts of the own domain that this host probes: all
+// others in a small domain, else those at the ring offsets 1, 2, 4 and so on.
+func (s *System) targets() []ident.Host {
+	ring := s.ring()
+	own := slices.IndexFunc(ring, func(p ringPlace) bool { return p.host == s.cfg.Self })
+	step := func(offset int) int { return offset * 2 }
+	if len(ring) <= fullProbeSize {
+		step = func(offset int) int { return offset + 1 }
+	}
+	var targets []ident.Host
+	for offset := 1; offset < len(ring); offset = step(offset) {
+		targets = append(targets, ring[(own+offset)%len(ring)].host)
+	}
+	return targets
+}
+
+// ring returns this host and all others of its domain that are not dead.
+func (s *System) ring() []ringPlace {
+	var ring []ringPlace
+	for _, host := range s.order {
+		e := s.table[host]
+		if host == s.cfg.Self || e.Domain == s.cfg.Domain && e.State != Dead {
+			ring = append(ring, ringPlace{hash: xxhash.Sum64String(string(host)), host: host})
+		}
+	}
+	slices.SortFunc(ring, ringPlace.compare)
+	return ring
+}
+
+// contacts returns the hosts of another domain to ping in this round. After
+// rounds without an answer it moves on to others.
+func (s *System) contacts(domain ident.Domain) []ident.Host {
+	hosts := s.Alive(domain)
+	if len(hosts) <= contactsPerDomain {
+		return hosts
+	}
+	ranked := rendezvous.Pick(string(s.cfg.Self), hosts, len(hosts))
+	skip := s.misses[domain] / contactPatience * contactsPerDomain
+	picked := make([]ident.Host, 0, contactsPerDomain)
+	for i := range contactsPerDomain {
+		picked = append(picked, ranked[(skip+i)%len(ranked)])
+	}
+	return picked
+}
+
+// contactPatience is the number of unanswered rounds after which other
+// contacts are tried.
+const contactPatience = 2
+
+// helpers returns hosts to probe a target on this host's behalf: of the own
+// domain by preference, and of others when there are too few.
+func (s *System) helpers(target ident.Host) []ident.Host {
+	var near, far []ident.Host
+	for _, host := range s.order {
+		e := s.table[host]
+		switch {
+		case host == s.cfg.Self || host == target || e.State != Alive:
+		case e.Domain == s.cfg.Domain:
+			near = append(near, host)
+		case e.Domain != s.cfg.Domain:
+			far = append(far, host)
+		}
+	}
+	for _, list := range [][]ident.Host{near, far} {
+		s.rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	}
+	helpers := append(near, far...)
+	return helpers[:min(indirectProbes, len(helpers))]
+}
+
+// unreached returns the dead hosts, and the seeds that are no members yet,
+// sorted.
+func (s *System) unreached() []ident.Host {
+	var hosts []ident.Host
+	for _, host := range s.order {
+		if host != s.cfg.Self && s.table[host].State == Dead {
+			hosts = append(hosts, host)
+		}
+	}
+	for host := range s.seeds {
+		if _, known := s.table[host]; !known {
+			hosts = append(hosts, host)
+		}
+	}
+	slices.Sort(hosts)
+	return hosts
+}
