--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -46,7 +46,9 @@
 
 	snapshot    *resource.Snapshot
 	viewVersion uint64
-	watched     []resource.Endpoint
+	// paused says that the view of the hosts may be stale.
+	paused  bool
+	watched []resource.Endpoint
 	// gated holds what claims and keys need to know of the requests in custody.
 	gated map[ident.Request]custody.Arrival
 }
@@ -93,11 +95,17 @@
 }
 
 // noticePause gives up every pool after this process stood still for longer
-// than the others wait for it: they may have taken its pools over.
+// than the others wait for it: they may have taken its pools over. Nothing is
+// granted until the view is known to be fresh.
 func (c *Core) noticePause() {
-	if c.members.Paused(c.now) {
+	paused := c.members.Paused(c.now)
+	if paused && !c.paused {
 		c.scheduling.Abandon(c.now, &c.out)
 	}
+	if paused {
+		c.scheduling.Postpone(c.now)
+	}
+	c.paused = paused
 }
 
 // take applies one event.
@@ -125,6 +133,10 @@
 		c.members.Seeds(e.Hosts)
 	case Leave:
 		c.members.Leave(c.now, &c.out)
+	case Depart:
+		c.members.Depart(c.now, &c.out)
+	case inspection:
+		e.run(c)
 	}
 }
 
@@ -231,7 +243,7 @@
 			next = min(next, at)
 		}
 	}
-	take(c.members.NextWake())
+	take(c.members.NextWake(), true)
 	take(c.configuration.NextWake())
 	take(c.claims.NextWake())
 	take(c.custody.NextWake(c.now))
--- a/internal/control/event.go
+++ b/internal/control/event.go
@@ -71,6 +71,10 @@
 // Leave begins a planned stop: other hosts take the pools over.
 type Leave struct{}
 
+// Depart ends a planned stop: this host says that it is gone.
+type Depart struct{}
+
+func (Depart) event()      {}
 func (Arrived) event()     {}
 func (Gone) event()        {}
 func (Connected) event()   {}
--- /dev/null
+++ b/internal/control/loop.go
@@ -0,0 +1,218 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/conc"
+
+	"github.com/trefoilchute/trefoilchute/internal/ident"
+	"github.com/trefoilchute/trefoilchute/internal/peer/peerpb"
+	"github.com/trefoilchute/trefoilchute/internal/platform"
+	"github.com/trefoilchute/trefoilchute/internal/resource"
+	"github.com/trefoilchute/trefoilchute/internal/system"
+	"github.com/trefoilchute/trefoilchute/internal/system/claim"
+	"github.com/trefoilchute/trefoilchute/internal/system/custody"
+	"github.com/trefoilchute/trefoilchute/internal/system/scheduling"
+)
+
+const (
+	// mailboxSize is how many events may wait for the control goroutine before
+	// those who post are held up.
+	mailboxSize = 8192
+	// maxBatch bounds the events of one step.
+	maxBatch = 256
+	// maxCalls bounds the platform calls under way.
+	maxCalls = 64
+	// callTimeout bounds one platform call.
+	callTimeout = 2 * time.Second
+)
+
+// Traffic is what control asks of the traffic side. The methods don't block.
+type Traffic interface {
+	Apply(custody.Directive)
+	Settle(ident.Request, claim.Answer)
+	Join(Join)
+	Relay(*peerpb.Envelope)
+}
+
+// Ports connects the loop to the outside. The functions don't block.
+type Ports struct {
+	Table    platform.Table
+	Objects  platform.Objects
+	Send     func(ident.Host, *peerpb.Envelope) bool
+	SetPeers func(map[ident.Host]string)
+	Traffic  Traffic
+	// Configure is told of each configuration that comes into force.
+	Configure func(*resource.Snapshot)
+	// Watch is told which endpoints to watch.
+	Watch func([]resource.Endpoint)
+	// Record is told of the pool schedulers' steps and the directives of
+	// requests in custody, for traces and explain.
+	Record func([]scheduling.Step, []custody.Directive)
+}
+
+// Loop steps a core on one goroutine.
+type Loop struct {
+	core    *Core
+	ports   Ports
+	mailbox chan Event
+	started time.Time
+	calls   conc.WaitGroup
+	slots   chan struct{}
+}
+
+// NewLoop returns a loop that isn't running. Connect its ports before Run.
+func NewLoop(core *Core) *Loop {
+	return &Loop{
+		core:    core,
+		mailbox: make(chan Event, mailboxSize),
+		started: time.Now(),
+		slots:   make(chan struct{}, maxCalls),
+	}
+}
+
+// Connect sets the ports.
+func (l *Loop) Connect(p Ports) {
+	l.ports = p
+}
+
+// Now is control's clock: the monotonic time since the loop was made.
+func (l *Loop) Now() time.Duration {
+	return time.Since(l.started)
+}
+
+// Post hands an event to the control goroutine. It blocks while the mailbox is
+// full.
+func (l *Loop) Post(e Event) {
+	l.mailbox <- e
+}
+
+// Inspect runs a function on the control goroutine and waits for it. The
+// function must not keep what it is shown. It returns an error when ctx ends
+// first.
+func (l *Loop) Inspect(ctx context.Context, f func(*Core)) error {
+	done := make(chan struct{})
+	ask := inspection{run: func(c *Core) {
+		f(c)
+		close(done)
+	}}
+	select {
+	case l.mailbox <- ask:
+	case <-ctx.Done():
+		return errors.Wrap(ctx.Err(), "control: inspect")
+	}
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return errors.Wrap(ctx.Err(), "control: inspect")
+	}
+}
+
+// Run steps the core until ctx ends.
+func (l *Loop) Run(ctx context.Context) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			l.calls.Wait()
+			return
+		case e := <-l.mailbox:
+			l.step(l.batch(e))
+		case <-timer.C:
+			l.step(nil)
+		}
+		timer.Reset(l.core.NextWake() - l.Now())
+	}
+}
+
+// batch returns an event and those that wait behind it.
+func (l *Loop) batch(first Event) []Event {
+	events := []Event{first}
+	for len(events) < maxBatch {
+		select {
+		case e := <-l.mailbox:
+			events = append(events, e)
+		default:
+			return events
+		}
+	}
+	return events
+}
+
+// step runs the core once and carries its effects out.
+func (l *Loop) step(events []Event) {
+	effects := l.core.Step(l.Now(), time.Now().UnixMilli(), events)
+	if effects.Peers != nil {
+		l.ports.SetPeers(effects.Peers)
+	}
+	if effects.Snapshot != nil {
+		l.ports.Configure(effects.Snapshot)
+	}
+	if effects.WatchChanged {
+		l.ports.Watch(effects.Watch)
+	}
+	for _, send := range effects.Sends {
+		l.ports.Send(send.To, send.Message)
+	}
+	if len(effects.Steps) > 0 || len(effects.Directives) > 0 {
+		l.ports.Record(effects.Steps, effects.Directives)
+	}
+	l.instruct(effects)
+	for _, call := range effects.Calls {
+		l.calls.Go(func() { l.call(call) })
+	}
+}
+
+// instruct carries out what concerns the traffic side.
+func (l *Loop) instruct(effects Effects) {
+	for _, d := range effects.Directives {
+		l.ports.Traffic.Apply(d)
+	}
+	for _, s := range effects.Settled {
+		l.ports.Traffic.Settle(s.ID, s.Answer)
+	}
+	for _, j := range effects.Joins {
+		l.ports.Traffic.Join(j)
+	}
+	for _, m := range effects.Relays {
+		l.ports.Traffic.Relay(m)
+	}
+}
+
+// call makes one platform call and posts its reply.
+func (l *Loop) call(c system.Call) {
+	l.slots <- struct{}{}
+	defer func() { <-l.slots }()
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	reply := system.Reply{Owner: c.Owner, Token: c.Token}
+	switch c.Kind {
+	case system.CallGet:
+		var row platform.Row
+		row, reply.Err = l.ports.Table.Get(ctx, c.Key)
+		reply.Rows = []platform.Row{row}
+	case system.CallList:
+		reply.Rows, reply.Err = l.ports.Table.List(ctx, c.Key, c.After, c.Limit)
+	case system.CallCommit:
+		reply.Version, reply.Err = l.ports.Table.Commit(ctx, c.Txn)
+	case system.CallGetObject:
+		var value []byte
+		value, reply.Err = l.ports.Objects.GetObject(ctx, c.Key)
+		reply.Rows = []platform.Row{{Key: c.Key, Value: value}}
+	case system.CallPutObject:
+		reply.Err = l.ports.Objects.PutObject(ctx, c.Key, c.Value)
+	}
+	if reply.Err != nil {
+		reply.Rows = nil
+	}
+	l.Post(Replied{Reply: reply})
+}
+
+// inspection is an event that shows the core to a function.
+type inspection struct{ run func(*Core) }
+
+func (inspection) event() {}
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -69,9 +69,7 @@
 // close ends the exchange and counts its outcome.
 func (e *exchange) close(final *answer.Final) {
 	s := e.server
-	if !e.parsed.job.Keyed {
-		s.opts.Runner.Forget(e.parsed.job.ID)
-	}
+	s.opts.Runner.Release(e.parsed.job)
 	s.active.Add(-1)
 	now := s.opts.Now()
 	s.opts.Observe(Outcome{
--- a/internal/system/scheduling/scheduling.go
+++ b/internal/system/scheduling/scheduling.go
@@ -171,6 +171,15 @@
 	s.Reassign(now, out)
 }
 
+// Postpone holds back the start of pools in warm-up, while this host's view of
+// the others may be stale.
+func (s *System) Postpone(now time.Duration) {
+	for _, in := range s.instances {
+		in.warmUntil = now + warmUpLimit
+		in.awaited[s.cfg.Self] = true
+	}
+}
+
 // Tick runs what is due: ends of warm-up, timers of the schedulers, words to
 // other domains.
 func (s *System) Tick(now time.Duration, out *system.Outbox) {
--- a/internal/traffic/engine.go
+++ b/internal/traffic/engine.go
@@ -138,7 +138,7 @@
 	x.job.Answer.Append(chunk.Data)
 	if x.end.FirstToken == 0 {
 		x.end.FirstToken = time.Since(x.began)
-		x.runner.post(control.FirstToken{ID: x.job.ID, After: x.end.FirstToken})
+		x.runner.opts.Post(control.FirstToken{ID: x.job.ID, After: x.end.FirstToken})
 	}
 	if u := chunk.Usage; u != nil {
 		x.end.PromptTokens = u.PromptTokens
--- /dev/null
+++ b/internal/traffic/join.go
@@ -0,0 +1,157 @@
+package traffic
+
+import (
+	"time"
+
+	"github.com/trefoilchute/trefoilchute/internal/answer"
+	"github.com/trefoilchute/trefoilchute/internal/control"
+	"github.com/trefoilchute/trefoilchute/internal/ident"
+	"github.com/trefoilchute/trefoilchute/internal/peer/peerpb"
+	"github.com/trefoilchute/trefoilchute/internal/result"
+)
+
+const (
+	// joinRetry is how long a joiner waits for the next part before it asks
+	// again.
+	joinRetry = 2 * time.Second
+	// joinTries bounds the asking without any part coming.
+	joinTries = 4
+)
+
+// Join lets a job take part in the answer of an earlier request with its key,
+// here or at another host.
+func (r *Runner) Join(j control.Join) {
+	job := r.jobs.get(j.ID)
+	if job == nil {
+		return
+	}
+	if j.Custodian != r.opts.Self {
+		r.group.Go(func() { r.joinRemote(job, j) })
+		return
+	}
+	first := r.jobs.get(j.Request)
+	if first == nil {
+		job.Answer.Finish(noLongerKept())
+		return
+	}
+	r.group.Go(func() { follow(first.Answer, 0, job.Answer.Append, job.Answer.Finish) })
+}
+
+// noLongerKept ends a join whose answer was dropped to make room.
+func noLongerKept() answer.Final {
+	return answer.Final{
+		Code: result.KeyExpired, Reason: "the answer to this key is no longer kept",
+	}
+}
+
+// follow copies an answer from a part on until it ends.
+func follow(from *answer.Answer, i int, part func([]byte), end func(answer.Final) bool) {
+	for ; ; i++ {
+		v := from.At(i)
+		for !v.Has && v.Final == nil {
+			<-v.Changed
+			v = from.At(i)
+		}
+		if !v.Has {
+			end(*v.Final)
+			return
+		}
+		part(v.Part)
+	}
+}
+
+// joinRemote asks the custodian for the answer until it ends. Every try starts
+// at the first part that is missing.
+func (r *Runner) joinRemote(job *Job, j control.Join) {
+	for tries := 0; tries < joinTries; tries++ {
+		before := job.Answer.Len()
+		r.opts.Send(j.Custodian, peerpb.Wrap(&peerpb.Envelope_Join{Join: &peerpb.Join{
+			Request: string(j.Request), Joiner: string(job.ID), FromPart: int64(before),
+		}}))
+		if awaitEnd(job.Answer) {
+			return
+		}
+		if job.Answer.Len() > before {
+			tries = 0
+		}
+	}
+	job.Answer.Finish(answer.Final{
+		Code: result.OutcomeUnknown, Reason: "the host that runs this key can't be reached",
+	})
+}
+
+// awaitEnd waits until an answer has ended, which gives true, or has not grown
+// for joinRetry.
+func awaitEnd(a *answer.Answer) bool {
+	for {
+		v := a.At(a.Len())
+		if v.Has {
+			continue
+		}
+		if v.Final != nil {
+			return true
+		}
+		timer := time.NewTimer(joinRetry)
+		select {
+		case <-v.Changed:
+			timer.Stop()
+		case <-timer.C:
+			return false
+		}
+	}
+}
+
+// Relay takes a message of a join: a wish to join a request of this host, or a
+// part for a joiner here.
+func (r *Runner) Relay(m *peerpb.Envelope) {
+	switch body := m.GetBody().(type) {
+	case *peerpb.Envelope_Join:
+		to := ident.Host(m.GetFrom())
+		r.group.Go(func() { r.serveJoin(to, body.Join) })
+	case *peerpb.Envelope_Part:
+		r.takePart(body.Part)
+	}
+}
+
+// serveJoin sends an answer of this host to a joiner at another.
+func (r *Runner) serveJoin(to ident.Host, m *peerpb.Join) {
+	index := m.GetFromPart()
+	send := func(p *peerpb.Part) {
+		p.Joiner = m.GetJoiner()
+		p.Index = index
+		index++
+		r.opts.Send(to, peerpb.Wrap(&peerpb.Envelope_Part{Part: p}))
+	}
+	end := func(f answer.Final) bool {
+		send(&peerpb.Part{
+			Last: true, Code: int32(f.Code), Reason: f.Reason,
+			RetryAfterUs: f.RetryAfter.Microseconds(), Status: int32(f.Status),
+			ContentType: f.ContentType,
+		})
+		return true
+	}
+	job := r.jobs.get(ident.Request(m.GetRequest()))
+	if job == nil {
+		end(noLongerKept())
+		return
+	}
+	follow(job.Answer, int(index), func(b []byte) { send(&peerpb.Part{Data: b}) }, end)
+}
+
+// takePart adds a part to a joiner's answer. Parts that came already, or before
+// one that is missing, are dropped: the joiner asks again.
+func (r *Runner) takePart(m *peerpb.Part) {
+	job := r.jobs.get(ident.Request(m.GetJoiner()))
+	if job == nil || int(m.GetIndex()) != job.Answer.Len() {
+		return
+	}
+	if !m.GetLast() {
+		job.Answer.Append(m.GetData())
+		return
+	}
+	job.Answer.Finish(answer.Final{
+		Code: result.Code(m.GetCode()), Reason: m.GetReason(),
+		RetryAfter: time.Duration(m.GetRetryAfterUs()) * time.Microsecond,
+		Status:     int(m.GetStatus()), ContentType: m.GetContentType(),
+	})
+}
--- a/internal/traffic/runner.go
+++ b/internal/traffic/runner.go
@@ -15,18 +15,28 @@
 	"github.com/trefoilchute/trefoilchute/internal/system/custody"
 )
 
+// Options configures a Runner.
+type Options struct {
+	Self ident.Host
+	// Post hands an event to control.
+	Post func(control.Event)
+	// Send queues a message for another host.
+	Send func(ident.Host, *peerpb.Envelope) bool
+}
+
 // Runner runs the jobs of one host.
 type Runner struct {
-	post  func(control.Event)
-	conns *endpoint.Pool
-	jobs  jobs
-	group conc.WaitGroup
+	opts      Options
+	conns     *endpoint.Pool
+	jobs      jobs
+	retention retention
+	group     conc.WaitGroup
 }
 
-// NewRunner returns a runner that tells control what happens through post.
-func NewRunner(post func(control.Event)) *Runner {
+// NewRunner returns a runner without jobs.
+func NewRunner(opts Options) *Runner {
 	return &Runner{
-		post:  post,
+		opts:  opts,
 		conns: endpoint.NewPool(),
 		jobs:  jobs{rows: map[ident.Request]*Job{}},
 	}
@@ -43,11 +53,6 @@
 	return r.jobs.get(id)
 }
 
-// Forget drops a job.
-func (r *Runner) Forget(id ident.Request) {
-	r.jobs.remove(id)
-}
-
 // Jobs returns the number of jobs known.
 func (r *Runner) Jobs() int {
 	return r.jobs.size()
@@ -84,10 +89,10 @@
 func (r *Runner) connect(j *Job, d custody.Directive) {
 	conn, err := r.conns.Get(d.Address)
 	if err != nil {
-		r.post(control.Unreachable{ID: j.ID, Attempt: d.Attempt})
+		r.opts.Post(control.Unreachable{ID: j.ID, Attempt: d.Attempt})
 		return
 	}
-	r.post(control.Connected{ID: j.ID, Attempt: d.Attempt})
+	r.opts.Post(control.Connected{ID: j.ID, Attempt: d.Attempt})
 	if !<-j.commit {
 		r.conns.Put(conn)
 		return
@@ -118,7 +123,7 @@
 	x.end.Phase = phase
 	x.end.Total = time.Since(x.began)
 	x.job.Answer.Finish(f)
-	x.runner.post(control.Ended{ID: x.job.ID, End: x.end, Answer: keptAnswer(x.job.Answer)})
+	x.runner.opts.Post(control.Ended{ID: x.job.ID, End: x.end, Answer: keptAnswer(x.job.Answer)})
 }
 
 // lost ends the job without a whole answer.
