--- a/internal/resource/manifest.go
+++ b/internal/resource/manifest.go
@@ -194,3 +194,12 @@
 	}
 	return t.docs()
 }
+
+// Entries returns the manifest's keys and values of a resource.
+func Entries(kind Kind, spec Spec) []inifile.Entry {
+	t, ok := tables[kind]
+	if !ok {
+		return nil
+	}
+	return t.encode(spec)
+}
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -48,6 +48,7 @@
 	NotFound       Code = 502
 	WatchGone      Code = 503
 	StoreAmbiguous Code = 504
+	Lagging        Code = 505
 	Internal       Code = 599
 )
 
@@ -113,6 +114,7 @@
 	{NotFound, "not_found", http.StatusNotFound, RanNo, "corrected", "The resource or request is not known."},
 	{WatchGone, "watch_gone", http.StatusGone, RanNo, "from a fresh read", "The watch can't resume from that revision."},
 	{StoreAmbiguous, "store_ambiguous", http.StatusBadGateway, RanUnknown, "with the same change id", "The platform's answer to the change was lost and could not be settled."},
+	{Lagging, "lagging", http.StatusServiceUnavailable, RanNo, "not needed; wait for the revision", "The change is accepted, but not yet in force on every live host."},
 	{Internal, "internal", http.StatusInternalServerError, RanUnknown, "only if running twice is harmless", "An internal fault."},
 }
 
