--- /dev/null
+++ b/internal/control/status.go
@@ -0,0 +1,39 @@
+package control
+
+import (
+	"github.com/trefoilchute/trefoilchute/internal/ident"
+	"github.com/trefoilchute/trefoilchute/internal/peer/peerpb"
+	"github.com/trefoilchute/trefoilchute/internal/pool"
+	"github.com/trefoilchute/trefoilchute/internal/system/membership"
+)
+
+// Members returns every host that this one knows.
+func (c *Core) Members() []membership.Member {
+	return c.members.Members()
+}
+
+// PoolStatus is a pool as this host knows it.
+type PoolStatus struct {
+	Pool      ident.Pool
+	Scheduler ident.Host
+	// Detail is set at the host that schedules the pool.
+	Detail *pool.Status
+}
+
+// Pools returns every declared pool.
+func (c *Core) Pools() []PoolStatus {
+	if c.snapshot == nil {
+		return nil
+	}
+	var list []PoolStatus
+	for _, p := range c.scheduling.Declared() {
+		host, _ := c.scheduler(p)
+		list = append(list, PoolStatus{Pool: p, Scheduler: host, Detail: c.scheduling.Status(p)})
+	}
+	return list
+}
+
+// Suspects returns what is known of requests that crashed endpoints.
+func (c *Core) Suspects() []*peerpb.Suspect {
+	return c.scheduling.Suspects()
+}
--- /dev/null
+++ b/internal/host/backend.go
@@ -0,0 +1,149 @@
+package host
+
+import (
+	"context"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/trefoilchute/trefoilchute/internal/admin"
+	"github.com/trefoilchute/trefoilchute/internal/control"
+	"github.com/trefoilchute/trefoilchute/internal/ident"
+	"github.com/trefoilchute/trefoilchute/internal/pool"
+	"github.com/trefoilchute/trefoilchute/internal/resource"
+	"github.com/trefoilchute/trefoilchute/internal/system/membership"
+)
+
+// hostID is the name of an entry host; the package's own Host is its process.
+type hostID = ident.Host
+
+// inspectTimeout bounds one look at the control state.
+const inspectTimeout = 2 * time.Second
+
+// backend shows the host to the operators' interface.
+type backend struct {
+	host     *Host
+	snapshot atomic.Pointer[resource.Snapshot]
+}
+
+// Snapshot returns the resources in force.
+func (b *backend) Snapshot() *resource.Snapshot {
+	return b.snapshot.Load()
+}
+
+// inspect shows the core to a function; a host that is too busy shows nothing.
+func (b *backend) inspect(f func(*control.Core)) {
+	ctx, cancel := context.WithTimeout(context.Background(), inspectTimeout)
+	defer cancel()
+	_ = b.host.loop.Inspect(ctx, f)
+}
+
+// Hosts returns the entry hosts that this one knows.
+func (b *backend) Hosts() []admin.HostStatus {
+	var members []membership.Member
+	b.inspect(func(c *control.Core) { members = c.Members() })
+	list := make([]admin.HostStatus, 0, len(members))
+	for _, m := range members {
+		list = append(list, admin.HostStatus{
+			Host: m.Host, Domain: m.Domain, Address: m.Address, Incarnation: m.Incarnation,
+			State: admin.HostState(m.State.String()), Revision: m.Revision,
+		})
+	}
+	return list
+}
+
+// Pools returns every declared pool.
+func (b *backend) Pools() []admin.PoolStatus {
+	var pools []control.PoolStatus
+	b.inspect(func(c *control.Core) { pools = c.Pools() })
+	snap := b.Snapshot()
+	list := make([]admin.PoolStatus, 0, len(pools))
+	for _, p := range pools {
+		status := admin.PoolStatus{
+			Target: p.Pool.Target, Domain: p.Pool.Domain, Scheduler: p.Scheduler,
+			Known: p.Detail != nil,
+		}
+		if p.Detail != nil {
+			addDetail(&status, p.Detail, snap)
+		}
+		list = append(list, status)
+	}
+	return list
+}
+
+// addDetail fills in what only the scheduler's host knows.
+func addDetail(status *admin.PoolStatus, detail *pool.Status, snap *resource.Snapshot) {
+	status.Epoch = detail.Epoch
+	for _, t := range detail.Tiers {
+		for _, team := range t.Teams {
+			status.Queue = append(status.Queue, admin.QueueStatus{
+				Tier: tierName(snap, t.Rank), Team: team.Name, Waiting: team.Waiting,
+			})
+		}
+	}
+	for _, e := range detail.Endpoints {
+		status.Endpoints = append(status.Endpoints, endpointStatus(e, snap))
+	}
+}
+
+// endpointStatus returns the operators' view of an endpoint.
+func endpointStatus(e pool.EndpointStatus, snap *resource.Snapshot) admin.EndpointStatus {
+	return admin.EndpointStatus{
+		Endpoint: e.Name, State: snap.Endpoints[string(e.Name)].State,
+		Window: e.Window, InFlight: e.InFlight,
+		PrefillRate: e.PrefillRate, DecodeRate: e.DecodeRate,
+		Conditions: []admin.Condition{{
+			Name: "TakesWork", Holds: e.Reason == "", Reason: e.Reason,
+		}},
+	}
+}
+
+// tierName returns the name of the tier with a rank.
+func tierName(snap *resource.Snapshot, rank int) ident.Tier {
+	for _, t := range snap.Tiers {
+		if t.Rank == rank {
+			return t.Name
+		}
+	}
+	return ident.Tier(strconv.Itoa(rank))
+}
+
+// Quarantine returns the requests that crashed endpoints of this domain.
+func (b *backend) Quarantine() []admin.QuarantineStatus {
+	var list []admin.QuarantineStatus
+	b.inspect(func(c *control.Core) {
+		for _, x := range c.Suspects() {
+			list = append(list, admin.QuarantineStatus{
+				Domain: b.host.settings.Domain, KeyHash: x.GetKeyHash(),
+				Fingerprint: x.GetFingerprint(), Crashes: int(x.GetCrashes()),
+				Quarantined: x.GetQuarantined(),
+			})
+		}
+	})
+	return list
+}
+
+// Explain returns what happened to a request. A request that another host
+// accepted is named with that host.
+func (b *backend) Explain(_ context.Context, id ident.Request) []admin.Record {
+	own := b.host.settings.Host
+	var list []admin.Record
+	for _, r := range b.host.book.Find(id) {
+		record := admin.Record{
+			Time: r.Time, Host: own, Event: r.Event, Code: r.Code,
+			Endpoint: r.Endpoint, Reason: r.Reason,
+		}
+		if r.Code != 0 {
+			record.Name = r.Code.String()
+		}
+		list = append(list, record)
+	}
+	if accepted, _, ok := strings.Cut(string(id), "."); ok && hostID(accepted) != own {
+		list = append(list, admin.Record{
+			Time: time.Now(), Host: hostID(accepted), Event: "accepted_elsewhere",
+			Reason: "host " + accepted + " accepted this request: ask there",
+		})
+	}
+	return list
+}
--- /dev/null
+++ b/internal/host/record.go
@@ -0,0 +1,78 @@
+package host
+
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/trefoilchute/trefoilchute/internal/entry"
+	"github.com/trefoilchute/trefoilchute/internal/explain"
+	"github.com/trefoilchute/trefoilchute/internal/ident"
+	"github.com/trefoilchute/trefoilchute/internal/pool"
+	"github.com/trefoilchute/trefoilchute/internal/result"
+	"github.com/trefoilchute/trefoilchute/internal/system/custody"
+	"github.com/trefoilchute/trefoilchute/internal/system/scheduling"
+)
+
+// record keeps what schedulers and custody decided, for explain.
+func (h *Host) record(steps []scheduling.Step, directives []custody.Directive) {
+	now := time.Now()
+	for _, step := range steps {
+		for _, e := range step.Effects {
+			h.recordEffect(now, e)
+		}
+	}
+	for _, d := range directives {
+		h.recordDirective(now, d)
+	}
+}
+
+// recordEffect keeps one decision of a pool's scheduler.
+func (h *Host) recordEffect(now time.Time, e pool.Effect) {
+	switch e := e.(type) {
+	case pool.Grant:
+		h.note(e.ID, explain.Record{Time: now, Event: "placed", Endpoint: e.Endpoint, Reason: e.Why})
+	case pool.Refuse:
+		h.note(e.ID, explain.Record{Time: now, Event: "refused", Code: e.Code, Reason: e.Reason})
+	case pool.Spill:
+		h.note(e.ID, explain.Record{
+			Time: now, Event: "passed_on", Reason: "to domain " + string(e.Domain) + ": " + e.Reason,
+		})
+	}
+}
+
+// recordDirective keeps one decision of custody.
+func (h *Host) recordDirective(now time.Time, d custody.Directive) {
+	switch d.Kind {
+	case custody.Connect:
+		h.note(d.ID, explain.Record{Time: now, Event: "granted", Endpoint: d.Endpoint})
+	case custody.Commit:
+		if d.Go {
+			h.note(d.ID, explain.Record{Time: now, Event: "dispatched", Endpoint: d.Endpoint})
+		}
+	case custody.Refuse:
+		h.note(d.ID, explain.Record{
+			Time: now, Event: "final", Code: d.Verdict.Code, Reason: d.Verdict.Reason,
+		})
+	}
+}
+
+// note adds a record to the book.
+func (h *Host) note(id ident.Request, r explain.Record) {
+	h.book.Add(id, r)
+}
+
+// observe takes the final answer of a request.
+func (h *Host) observe(o entry.Outcome) {
+	h.note(o.ID, explain.Record{Time: time.Now(), Event: "answered", Code: o.Code})
+	line := h.log.WithFields(logrus.Fields{
+		"event": "answered", "request": o.ID, "team": o.Team, "tier": o.Tier,
+		"code": int(o.Code), "result": o.Code.String(), "in_time": o.InTime,
+		"first_token_ms": o.FirstToken.Milliseconds(), "total_ms": o.Total.Milliseconds(),
+	})
+	if o.Code == result.OK {
+		line.Debug()
+		return
+	}
+	line.Info()
+}
--- a/internal/system/scheduling/scheduling.go
+++ b/internal/system/scheduling/scheduling.go
@@ -116,15 +116,30 @@
 
 // declared lists the pools of this domain that have an endpoint.
 func (s *System) declared() []ident.Pool {
+	return slices.DeleteFunc(s.Declared(), func(p ident.Pool) bool {
+		return p.Domain != s.cfg.Domain
+	})
+}
+
+// Declared lists the pools of every domain that have an endpoint.
+func (s *System) Declared() []ident.Pool {
 	set := map[ident.Pool]bool{}
 	for _, e := range s.snapshot.Endpoints {
-		if e.Domain == s.cfg.Domain {
-			set[e.Pool()] = true
-		}
+		set[e.Pool()] = true
 	}
 	return sortPools(maps.Keys(set))
 }
 
+// Status describes a pool that is scheduled here, or returns nil.
+func (s *System) Status(p ident.Pool) *pool.Status {
+	in := s.instances[p]
+	if in == nil || in.scheduler == nil || in.movedAt > 0 {
+		return nil
+	}
+	status := in.scheduler.Status()
+	return &status
+}
+
 // owned lists the pools with a scheduler here.
 func (s *System) owned() []ident.Pool {
 	return sortPools(maps.Keys(s.instances))
