--- a/internal/peer/stats.go
+++ b/internal/peer/stats.go
@@ -31,8 +31,8 @@
 	return [...]string{"unknown_peer", "peer_down", "queue_full", "too_large", "link_broken", "closed"}[r]
 }
 
-// PeerStats counts what went between this host and one peer.
-type PeerStats struct {
+// HostStats counts what went between this host and one peer.
+type HostStats struct {
 	Connected        bool
 	MessagesSent     uint64
 	MessagesReceived uint64
@@ -47,7 +47,7 @@
 
 // Stats is a snapshot of a transport's counters.
 type Stats struct {
-	Peers map[ident.Host]PeerStats
+	Peers map[ident.Host]HostStats
 	// Refused counts connections that did not become links: a wrong secret, a
 	// malformed Hello, another host than expected, too many at once.
 	Refused uint64
@@ -59,7 +59,7 @@
 	Silent uint64
 }
 
-// counters is the live form of PeerStats.
+// counters is the live form of HostStats.
 type counters struct {
 	messagesSent     atomic.Uint64
 	messagesReceived atomic.Uint64
@@ -71,14 +71,14 @@
 }
 
 // snapshot reads the counters.
-func (c *counters) snapshot(connected bool) PeerStats {
+func (c *counters) snapshot(connected bool) HostStats {
 	drops := make(map[Reason]uint64)
 	for reason := range numReasons {
 		if n := c.drops[reason].Load(); n > 0 {
 			drops[reason] = n
 		}
 	}
-	return PeerStats{
+	return HostStats{
 		Connected:        connected,
 		MessagesSent:     c.messagesSent.Load(),
 		MessagesReceived: c.messagesReceived.Load(),
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -235,7 +235,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	stats := Stats{
-		Peers:        make(map[ident.Host]PeerStats, len(t.peers)),
+		Peers:        make(map[ident.Host]HostStats, len(t.peers)),
 		Refused:      t.refused.Load(),
 		Rejected:     t.rejected.Load(),
 		DialFailures: t.dialFailures.Load(),
--- a/internal/system/membership/targets.go
+++ b/internal/system/membership/targets.go
@@ -92,7 +92,7 @@
 	for _, list := range [][]ident.Host{near, far} {
 		s.rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
 	}
-	helpers := append(near, far...)
+	helpers := slices.Concat(near, far)
 	return helpers[:min(indirectProbes, len(helpers))]
 }
 
