--- a/internal/system/membership/membership.go
+++ b/internal/system/membership/membership.go
@@ -165,11 +165,17 @@
 		if host == "" || host == s.cfg.Self || e.Address == "" {
 			continue
 		}
-		s.seeds[host] = seed{domain: ident.Domain(e.Domain), address: e.Address}
+		named := seed{domain: ident.Domain(e.Domain), address: e.Address}
+		if s.seeds[host] != named {
+			s.seeds[host] = named
+			s.viewChanged()
+		}
 	}
 }
 
-// Addresses returns where each known host and each seed accepts links.
+// Addresses returns where each known host and each seed accepts links. Dead
+// hosts are among them: they are still tried now and then, so that the two
+// sides of a healed cut find each other.
 func (s *System) Addresses() map[ident.Host]string {
 	addresses := make(map[ident.Host]string, len(s.table)+len(s.seeds))
 	for host, sd := range s.seeds {
@@ -244,7 +250,8 @@
 }
 
 // Version grows whenever a host comes, dies, leaves, returns, or changes its
-// incarnation or address.
+// incarnation or address, and with each new seed. What Alive and Addresses
+// return doesn't change without it.
 func (s *System) Version() uint64 {
 	return s.viewVersion
 }
--- a/internal/system/membership/probe.go
+++ b/internal/system/membership/probe.go
@@ -56,10 +56,13 @@
 	}
 }
 
-// NextWake returns when Tick is next due.
-func (s *System) NextWake() time.Duration {
+// NextWake returns when Tick is next due; false when it never is.
+func (s *System) NextWake() (time.Duration, bool) {
+	if s.departed {
+		return 0, false
+	}
 	if !s.started {
-		return 0
+		return 0, true
 	}
 	wake := min(s.nextProbe, s.nextContact)
 	for _, p := range s.probes {
@@ -72,7 +75,7 @@
 	for _, by := range s.suspected {
 		wake = min(wake, by)
 	}
-	return wake
+	return wake, true
 }
 
 // probeRound pings the targets in the own domain, and a few hosts that might
