Serve one request end to end: entry hosts, endpoints, platform stand-in

Cause: the whole path had no wiring. Change: control (Core is pure, Loop its one goroutine), traffic, entry, watcher, host, and the commands entry and dev. Keys of idempotent requests aren't noted yet: a resend under such a key is a request of its own until the ledger is in.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -42,5 +42,16 @@
 
 // commands lists every command.
 func commands() []*cli.Command {
-	return []*cli.Command{}
+	return []*cli.Command{
+		entryCommand(),
+		devCommand(),
+		standinCommand(),
+		applyCommand(),
+		getCommand(),
+		watchCommand(),
+		drainCommand(),
+		explainCommand(),
+		settingsCommand(),
+		versionCommand(),
+	}
 }
--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -243,7 +243,7 @@
 			next = min(next, at)
 		}
 	}
-	take(c.members.NextWake(), true)
+	take(c.members.NextWake())
 	take(c.configuration.NextWake())
 	take(c.claims.NextWake())
 	take(c.custody.NextWake(c.now))
--- a/internal/control/route.go
+++ b/internal/control/route.go
@@ -155,3 +155,8 @@
 	c.custody.Checked(c.now, id, v, &c.out)
 	c.custody.Claimed(c.now, id, v, &c.out)
 }
+
+// noteKey looks up the earlier runs of an idempotent key.
+func (c *Core) noteKey(id ident.Request) {
+	c.custody.Checked(c.now, id, nil, &c.out)
+}
--- a/internal/host/backend.go
+++ b/internal/host/backend.go
@@ -75,12 +75,10 @@
 // addDetail fills in what only the scheduler's host knows.
 func addDetail(status *admin.PoolStatus, detail *pool.Status, snap *resource.Snapshot) {
 	status.Epoch = detail.Epoch
-	for _, t := range detail.Tiers {
-		for _, team := range t.Teams {
-			status.Queue = append(status.Queue, admin.QueueStatus{
-				Tier: tierName(snap, t.Rank), Team: team.Name, Waiting: team.Waiting,
-			})
-		}
+	for _, t := range detail.Queue {
+		status.Queue = append(status.Queue, admin.QueueStatus{
+			Tier: tierName(snap, t.Rank), Waiting: t.Waiting,
+		})
 	}
 	for _, e := range detail.Endpoints {
 		status.Endpoints = append(status.Endpoints, endpointStatus(e, snap))
@@ -92,7 +90,6 @@
 	return admin.EndpointStatus{
 		Endpoint: e.Name, State: snap.Endpoints[string(e.Name)].State,
 		Window: e.Window, InFlight: e.InFlight,
-		PrefillRate: e.PrefillRate, DecodeRate: e.DecodeRate,
 		Conditions: []admin.Condition{{
 			Name: "TakesWork", Holds: e.Reason == "", Reason: e.Reason,
 		}},
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -27,8 +27,13 @@
 )
 
 const (
-	// listInterval is the time between two looks at the platform's host list.
-	listInterval = 5 * time.Second
+	// listInterval is the time between two looks at the platform's host list,
+	// and firstListInterval that between the first ones, while hosts that start
+	// together don't know each other.
+	listInterval      = 5 * time.Second
+	firstListInterval = 500 * time.Millisecond
+	// firstLists is the number of the first looks.
+	firstLists = 10
 	// balancerDelay is how long a stopping host still takes new callers, while
 	// the balancer notices that it isn't ready.
 	balancerDelay = 2 * time.Second
@@ -58,6 +63,13 @@
 	entryListener net.Listener
 	adminListener net.Listener
 	group         conc.WaitGroup
+	// life ends with the process's work; end ends it.
+	life context.Context
+	end  context.CancelFunc
+	// assembled is closed when messages of other hosts can be taken.
+	assembled chan struct{}
+	// done is closed when Run has ended.
+	done chan struct{}
 }
 
 // New assembles a host and opens its listeners, but serves nothing yet.
@@ -68,14 +80,30 @@
 		log:         log.WithField("host", s.Host),
 		client:      platform.NewClient(s.Platform, platform.Options{}),
 		book:        explain.New(),
+		assembled:   make(chan struct{}),
+		done:        make(chan struct{}),
 	}
 	if err := h.listen(); err != nil {
 		return nil, err
 	}
+	h.life, h.end = context.WithCancel(context.Background())
 	if err := h.connectPeers(); err != nil {
+		h.end()
 		return nil, err
 	}
-	return h, h.assemble()
+	h.assemble()
+	close(h.assembled)
+	return h, nil
+}
+
+// Address is the address for callers.
+func (h *Host) Address() string {
+	return h.entryListener.Addr().String()
+}
+
+// Wait waits until Run has ended.
+func (h *Host) Wait() {
+	<-h.done
 }
 
 // listen opens the listeners for callers and operators.
@@ -97,15 +125,25 @@
 	h.peers, err = peer.New(peer.Options{
 		Host: h.settings.Host, Incarnation: h.incarnation, Domain: h.settings.Domain,
 		Listen: h.settings.PeerListen, Secret: []byte(h.settings.PeerSecret),
-		Deliver:   func(m *peerpb.Envelope) { h.loop.Post(control.Received{Message: m}) },
+		Deliver:   h.deliver,
 		Connected: h.connected,
 		Logger:    h.log,
 	})
-	return errors.Wrap(err, "host: peers")
+	if err != nil {
+		return errors.Wrap(err, "host: peers")
+	}
+	return errors.Wrap(h.peers.Start(h.life), "host: start peers")
+}
+
+// deliver hands a message of another host to control.
+func (h *Host) deliver(m *peerpb.Envelope) {
+	<-h.assembled
+	h.loop.Post(control.Received{Message: m})
 }
 
 // connected tells the membership of a host met at a seed address.
 func (h *Host) connected(c peer.Contact) {
+	<-h.assembled
 	if c.Address == "" {
 		return
 	}
@@ -115,10 +153,10 @@
 }
 
 // assemble makes the parts and connects them.
-func (h *Host) assemble() error {
+func (h *Host) assemble() {
 	h.core = control.New(control.Config{
 		Self: h.settings.Host, Incarnation: h.incarnation, Domain: h.settings.Domain,
-		Address: h.settings.PeerListen, Seed: seed(h.settings, h.incarnation), Nonce: nonce,
+		Address: h.peers.Addr(), Seed: seed(h.settings, h.incarnation), Nonce: nonce,
 	})
 	h.loop = control.NewLoop(h.core)
 	h.runner = traffic.NewRunner(traffic.Options{
@@ -137,7 +175,6 @@
 		Table: h.client, Objects: h.client, Send: h.send, SetPeers: h.peers.SetPeers,
 		Traffic: h.runner, Configure: h.configure, Watch: h.watcher.Set, Record: h.record,
 	})
-	return nil
 }
 
 // send queues a message for another host.
@@ -156,13 +193,10 @@
 
 // Run serves until ctx ends, then stops without cutting a request.
 func (h *Host) Run(ctx context.Context) error {
-	life, end := context.WithCancel(context.Background())
-	defer end()
-	if err := h.peers.Start(life); err != nil {
-		return errors.Wrap(err, "host: start peers")
-	}
-	h.group.Go(func() { h.loop.Run(life) })
-	h.group.Go(func() { h.followHostList(life) })
+	defer close(h.done)
+	defer h.end()
+	h.group.Go(func() { h.loop.Run(h.life) })
+	h.group.Go(func() { h.followHostList(h.life) })
 	failed := make(chan error, 2)
 	h.group.Go(func() { failed <- h.entry.Serve(h.entryListener) })
 	h.group.Go(func() { failed <- h.admin.Serve(h.adminListener) })
@@ -177,7 +211,7 @@
 		h.stop()
 	case err = <-failed:
 	}
-	end()
+	h.end()
 	h.peers.Close()
 	h.group.Wait()
 	h.client.Close()
@@ -235,10 +269,13 @@
 	for _, address := range h.settings.Seeds {
 		h.peers.Hint(address)
 	}
-	ticker := time.NewTicker(listInterval)
+	ticker := time.NewTicker(firstListInterval)
 	defer ticker.Stop()
-	for {
+	for looks := 1; ; looks++ {
 		h.exchangeHostList(ctx)
+		if looks == firstLists {
+			ticker.Reset(listInterval)
+		}
 		select {
 		case <-ctx.Done():
 			return
--- a/internal/system/scheduling/instance.go
+++ b/internal/system/scheduling/instance.go
@@ -40,7 +40,7 @@
 	// (custodian's reading - own clock at receipt), which is too small by the
 	// shortest network delay seen.
 	offsets map[ident.Host]time.Duration
-	// deadlines holds what is needed to serve and spill waiting requests.
+	// movedAt is when the pool went to another host; 0 while it is here.
 	movedAt time.Duration
 }
 
