Test the whole path across real processes

A platform stand-in, two endpoints and three entry hosts in two failure domains, each a process: a request enters at one host and is served by an endpoint whose pool another host schedules. Found on the way: addresses of seeds never reached the transport, so hosts did not meet; control now passes them on with each host list.

--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -131,6 +131,7 @@
 		c.scheduling.Observe(c.now, e.Pool, e.Event, &c.out)
 	case Listed:
 		c.members.Seeds(e.Hosts)
+		c.effect.Peers = c.peerAddresses()
 	case Leave:
 		c.members.Leave(c.now, &c.out)
 	case Depart:
--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -100,15 +100,11 @@
 	return list
 }
 
-// peerAddresses returns the addresses of the other hosts.
+// peerAddresses returns the addresses of the other hosts, known or seeds.
 func (c *Core) peerAddresses() map[ident.Host]string {
-	out := map[ident.Host]string{}
-	for _, m := range c.members.Members() {
-		if m.Host != c.cfg.Self && m.State != membership.Dead {
-			out[m.Host] = m.Address
-		}
-	}
-	return out
+	addresses := maps.Clone(c.members.Addresses())
+	delete(addresses, c.cfg.Self)
+	return addresses
 }
 
 // liveness tells the claims what is known of a claim's holder.
--- /dev/null
+++ b/test/process/deployment_test.go
@@ -0,0 +1,223 @@
+package process_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/onsi/gomega/gbytes"
+	"github.com/onsi/gomega/gexec"
+)
+
+// Limits of waiting. They are wide: a slow machine must not change a verdict.
+const (
+	startLimit  = 30 * time.Second
+	changeLimit = 60 * time.Second
+	stopLimit   = 30 * time.Second
+	poll        = 20 * time.Millisecond
+)
+
+// stillRunning is the exit code of a session that has not ended.
+const stillRunning = -1
+
+// key is the bearer key of the team of the tests; its SHA-256 is in the manifest.
+const key = "process-test-key"
+
+// deployment is a set of processes on loopback addresses.
+type deployment struct {
+	platform string
+	hosts    map[string]*entryProcess
+	dir      string
+}
+
+// entryProcess is one entry host's process.
+type entryProcess struct {
+	session *gexec.Session
+	caller  string
+	admin   string
+	peer    string
+}
+
+// start starts a process of the binary that is ended with the test.
+func start(args ...string) *gexec.Session {
+	session, err := gexec.Start(exec.Command(binary, args...), GinkgoWriter, GinkgoWriter)
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(func() { session.Kill().Wait(stopLimit) })
+	return session
+}
+
+// readyField returns a field of a process's ready line.
+func readyField(session *gexec.Session, name string) string {
+	output := func() string {
+		return string(session.Out.Contents()) + string(session.Err.Contents())
+	}
+	line := regexp.MustCompile(`(?m)^.*event=ready.*$`)
+	Eventually(func() string {
+		Expect(session.ExitCode()).To(Equal(stillRunning), output())
+		return output()
+	}, startLimit, poll).Should(MatchRegexp(line.String()))
+	field := regexp.MustCompile(`(?:^|\s)` + name + `="?([^"\s]+)"?`)
+	match := field.FindStringSubmatch(line.FindString(output()))
+	Expect(match).To(HaveLen(2), "field %s", name)
+	return match[1]
+}
+
+// newDeployment starts the platform's stand-in.
+func newDeployment() *deployment {
+	session := start("standin", "platform", "--listen", "127.0.0.1:0")
+	return &deployment{
+		platform: "http://" + readyField(session, "addr"),
+		hosts:    map[string]*entryProcess{},
+		dir:      GinkgoT().TempDir(),
+	}
+}
+
+// endpoint starts a model engine's stand-in and returns its address.
+func (d *deployment) endpoint(name string, extra ...string) string {
+	args := append([]string{
+		"standin", "endpoint", "--listen", "127.0.0.1:0", "--type", "engine",
+		"--name", name, "--model", "assistant",
+	}, extra...)
+	return readyField(start(args...), "addr")
+}
+
+// service starts a plain service's stand-in and returns its address.
+func (d *deployment) service(name string) string {
+	return readyField(start("standin", "endpoint", "--listen", "127.0.0.1:0",
+		"--type", "service", "--name", name), "addr")
+}
+
+// entry starts an entry host.
+func (d *deployment) entry(name, domain string) *entryProcess {
+	file := filepath.Join(d.dir, name+".ini")
+	ip := d.loopback()
+	text := fmt.Sprintf(`[host]
+name = %[1]s
+domain = %[2]s
+drain_grace = 20s
+
+[callers]
+listen = %[4]s:7070
+
+[admin]
+listen = %[4]s:7071
+
+[peer]
+listen = %[4]s:7072
+secret = a-secret-for-process-tests
+
+[platform]
+url = %[3]s
+
+[log]
+level = debug
+`, name, domain, d.platform, ip)
+	Expect(os.WriteFile(file, []byte(text), 0o600)).To(Succeed())
+	session := start("entry", "--settings", file)
+	p := &entryProcess{session: session}
+	p.caller = "http://" + readyField(session, "listen")
+	p.admin = "http://" + readyField(session, "admin_listen")
+	p.peer = readyField(session, "peer_listen")
+	d.hosts[name] = p
+	return p
+}
+
+// loopback returns an address of the loopback range for one host, so that hosts
+// can have the same ports without racing for free ones.
+func (d *deployment) loopback() string {
+	return fmt.Sprintf("127.77.%d.%d", os.Getpid()%250+1, len(d.hosts)+1)
+}
+
+// run runs a command to its end and returns what it printed.
+func run(args ...string) string {
+	session, err := gexec.Start(exec.Command(binary, args...), GinkgoWriter, GinkgoWriter)
+	Expect(err).NotTo(HaveOccurred())
+	Eventually(session, changeLimit, poll).Should(gexec.Exit())
+	Expect(session.ExitCode()).To(BeZero(), string(session.Err.Contents()))
+	return string(session.Out.Contents())
+}
+
+// apply applies a manifest through a host and waits until it is in force.
+func (d *deployment) apply(p *entryProcess, manifest string) {
+	file := filepath.Join(d.dir, "manifest.ini")
+	Expect(os.WriteFile(file, []byte(manifest), 0o600)).To(Succeed())
+	run("apply", "--host", p.admin, "-f", file, "--wait")
+}
+
+// awaitHosts waits until every host knows all others as alive.
+func (d *deployment) awaitHosts() {
+	for _, p := range d.hosts {
+		Eventually(func() int {
+			return strings.Count(run("get", "host", "--host", p.admin), " alive ")
+		}, changeLimit, poll).Should(Equal(len(d.hosts)))
+	}
+}
+
+// schedulerOf returns the name of the host that schedules a pool.
+func (d *deployment) schedulerOf(pool string) string {
+	line := regexp.MustCompile(`(?m)^pool ` + regexp.QuoteMeta(pool) + ` scheduler=(\S+)`)
+	var name string
+	Eventually(func() map[string]*entryProcess {
+		for _, p := range d.hosts {
+			if match := line.FindStringSubmatch(run("get", "pool", "--host", p.admin)); match != nil {
+				name = match[1]
+			}
+		}
+		return d.hosts
+	}, changeLimit, poll).Should(HaveKey(WithTransform(func(string) string { return name }, Not(BeEmpty()))))
+	return name
+}
+
+// answer is a caller's view of an answer.
+type answer struct {
+	status int
+	header http.Header
+	body   string
+}
+
+// chat sends a chat completion.
+func chat(p *entryProcess, body string, headers ...string) answer {
+	return send(p, "/v1/chat/completions", body, headers...)
+}
+
+// send sends a request with extra headers given as name, value pairs.
+func send(p *entryProcess, path, body string, headers ...string) answer {
+	req, err := http.NewRequest(http.MethodPost, p.caller+path, strings.NewReader(body))
+	Expect(err).NotTo(HaveOccurred())
+	req.Header.Set("Authorization", "Bearer "+key)
+	req.Header.Set("Content-Type", "application/json")
+	for i := 0; i < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
+	resp, err := http.DefaultClient.Do(req)
+	Expect(err).NotTo(HaveOccurred())
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	Expect(err).NotTo(HaveOccurred())
+	return answer{status: resp.StatusCode, header: resp.Header, body: string(text)}
+}
+
+// arrivals returns the stand-in's count of what it has read.
+func arrivals(address string) string {
+	resp, err := http.Get("http://" + address + "/standin/arrivals")
+	Expect(err).NotTo(HaveOccurred())
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	Expect(err).NotTo(HaveOccurred())
+	return string(text)
+}
+
+// stop asks a host to stop as planned and waits for its end.
+func (p *entryProcess) stop() {
+	p.session.Terminate()
+	Eventually(p.session, stopLimit, poll).Should(gexec.Exit(0))
+	Expect(p.session.Err).To(gbytes.Say("event=stopped"))
+}
