Give the stand-ins their switches, orders, reports and KV exchange

The engine now crashes on a marked request (connections cut, callers refused, a new incarnation on the same port after a delay), goes silent on the open connections, and sends late, crossed or truncated answers. Orders are fenced or not and respect the weight store's rate limit; the load report lags; cache events are late and have gaps. The plain service can be slow, late, or close a connection after it has booked.

Package conns holds what the three servers share: connections that can be cut or go silent, and a port that stays reserved while an engine is away, so that a restart can't fail because someone else got the port.

--- a/internal/standin/engine/incarnation.go
+++ b/internal/standin/engine/incarnation.go
@@ -4,24 +4,33 @@
 	"context"
 	"time"
 
+	"github.com/gofiber/fiber/v2"
 	"github.com/google/uuid"
+
+	"github.com/trefoilchute/trefoilchute/internal/standin/conns"
 )
 
 // maxRuns bounds the requests that an incarnation remembers for resumes.
 const maxRuns = 1 << 14
 
 // incarnation is one life of the engine, from its start to its crash. All that
-// it holds is lost with it. Its fields are guarded by the server's mutex, but
-// ctx and boot never change.
+// it holds is lost with it. The fields down to cancel never change; the others
+// are guarded by the server's mutex.
 type incarnation struct {
-	boot  string
-	start time.Time
+	boot     string
+	start    time.Time
+	listener *conns.Listener
+	app      *fiber.App
 	// ctx ends with the incarnation.
 	ctx    context.Context
 	cancel context.CancelFunc
-	model  *Model
-	runs   map[string]*run
-	jobs   map[uint64]*run
+
+	crashed bool
+	model   *Model
+	loads   loadHistory
+	cache   *cacheLog
+	runs    map[string]*run
+	jobs    map[uint64]*run
 	// order holds the ids of runs in order of arrival.
 	order   []string
 	lastJob uint64
@@ -29,18 +38,21 @@
 	wake chan struct{}
 }
 
-// newIncarnation returns an idle incarnation.
-func newIncarnation(speed Speed) *incarnation {
+// newIncarnation returns an idle incarnation on a listener.
+func newIncarnation(options Options, listener *conns.Listener) *incarnation {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &incarnation{
-		boot:   uuid.NewString(),
-		start:  time.Now(),
-		ctx:    ctx,
-		cancel: cancel,
-		model:  NewModel(speed),
-		runs:   map[string]*run{},
-		jobs:   map[uint64]*run{},
-		wake:   make(chan struct{}, 1),
+		boot:     uuid.NewString(),
+		start:    time.Now(),
+		listener: listener,
+		ctx:      ctx,
+		cancel:   cancel,
+		model:    NewModel(options.Speed),
+		loads:    loadHistory{lag: options.LoadLag},
+		cache:    newCacheLog(options.CacheLag, options.CacheLossPerMille),
+		runs:     map[string]*run{},
+		jobs:     map[uint64]*run{},
+		wake:     make(chan struct{}, 1),
 	}
 }
 
@@ -65,6 +77,7 @@
 		PromptTokens: r.promptSize,
 		OutputTokens: r.length,
 	})
+	i.recordLoad()
 	i.wakeDriver()
 }
 
@@ -87,6 +100,7 @@
 		i.model.Cancel(r.job)
 		delete(i.jobs, r.job)
 		r.signal()
+		i.recordLoad()
 	}
 	return true
 }
@@ -94,7 +108,8 @@
 // step brings the model up to now, passes its tokens on to the runs and says
 // whether one of them kills the engine.
 func (i *incarnation) step() (crash bool) {
-	for _, token := range i.model.Step(i.now()) {
+	tokens := i.model.Step(i.now())
+	for _, token := range tokens {
 		r := i.jobs[token.Job]
 		if r == nil {
 			continue
@@ -102,16 +117,56 @@
 		if r.crash {
 			return true
 		}
-		r.produced = token.Index + 1
-		r.cached = token.Cached
-		r.signal()
-		if token.Last {
-			delete(i.jobs, token.Job)
-		}
+		i.advance(r, token)
+	}
+	if len(tokens) > 0 {
+		i.recordLoad()
 	}
+	i.logCacheChanges()
 	return false
 }
 
+// advance passes one token on to its run.
+func (i *incarnation) advance(r *run, token Token) {
+	r.produced = token.Index + 1
+	r.cached = token.Cached
+	r.signal()
+	if token.Last {
+		delete(i.jobs, token.Job)
+	}
+}
+
+// recordLoad notes the load for the report.
+func (i *incarnation) recordLoad() {
+	running, waiting := i.model.Load()
+	i.loads.record(i.now(), running, waiting)
+}
+
+// logCacheChanges hands the cache's changes to the log.
+func (i *incarnation) logCacheChanges() {
+	now := i.now()
+	for _, change := range i.model.cacheChanges() {
+		i.cache.add(now, change)
+	}
+}
+
+// other returns a run that isn't the given one: the last one that came, or a
+// made-up one if there is none.
+func (i *incarnation) other(r *run) *run {
+	for n := len(i.order) - 1; n >= 0; n-- {
+		if known := i.runs[i.order[n]]; known != nil && known.id != r.id {
+			return known
+		}
+	}
+	return &run{
+		id:          "not-" + r.id,
+		model:       r.model,
+		created:     r.created,
+		fingerprint: ^r.fingerprint,
+		length:      r.length,
+	}
+}
+
 // wakeDriver makes the driver look at the model again.
 func (i *incarnation) wakeDriver() {
 	select {
--- a/internal/standin/engine/server.go
+++ b/internal/standin/engine/server.go
@@ -1,10 +1,8 @@
 package engine
 
 import (
-	"encoding/json"
+	"context"
 	"net"
-	"net/http"
-	"strconv"
 	"sync"
 	"time"
 
@@ -12,16 +10,7 @@
 	"github.com/pkg/errors"
 	"github.com/sourcegraph/conc"
 
-	"github.com/trefoilchute/trefoilchute/internal/engine"
-	"github.com/trefoilchute/trefoilchute/internal/prefix"
-)
-
-// Paths of the stand-in's own controls. Bodies are JSON.
-const (
-	// PathSwitch takes Switches by POST; they replace all switches.
-	PathSwitch = "/standin/switch"
-	// PathArrivals answers Arrivals.
-	PathArrivals = "/standin/arrivals"
+	"github.com/trefoilchute/trefoilchute/internal/standin/conns"
 )
 
 const (
@@ -35,43 +24,68 @@
 type Server struct {
 	options  Options
 	arrivals *arrivalLog
+	orders   *orderBook
+	// ctx ends at Close.
+	ctx    context.Context
+	cancel context.CancelFunc
+	// workers drive the models of all incarnations.
+	workers conc.WaitGroup
 
 	mu       sync.Mutex
 	current  *incarnation
-	app      *fiber.App
+	switches Switches
+	// lastName numbers the requests that come without an id.
 	lastName int
-	// workers are the drivers and the servers of all incarnations.
-	workers conc.WaitGroup
 }
 
 // New returns an engine that isn't running yet.
 func New(options Options) *Server {
-	return &Server{options: options.withDefaults(), arrivals: newArrivalLog()}
+	options = options.withDefaults()
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Server{
+		options:  options,
+		arrivals: newArrivalLog(),
+		orders:   newOrderBook(options),
+		ctx:      ctx,
+		cancel:   cancel,
+	}
 }
 
-// Serve runs the engine on a listener until Close is called.
+// Serve runs the engine on a listener until Close is called. After a crash it
+// listens on the same address again.
 func (s *Server) Serve(listener net.Listener) error {
-	s.mu.Lock()
-	inc := newIncarnation(s.options.Speed)
-	app := s.newApp(inc)
-	s.current, s.app = inc, app
-	s.mu.Unlock()
-	s.workers.Go(func() { s.drive(inc) })
-	return errors.Wrap(app.Listener(listener), "serve engine")
+	defer s.workers.Wait()
+	for {
+		inc := s.start(listener)
+		if inc == nil {
+			return errors.Wrap(listener.Close(), "close engine")
+		}
+		if err := conns.Serve(inc.app, inc.listener); err != nil {
+			return err
+		}
+		if s.ctx.Err() != nil {
+			return nil
+		}
+		next, err := s.restart(listener.Addr())
+		if next == nil {
+			return err
+		}
+		listener = next
+	}
 }
 
 // Close stops the engine. Streams have a second to end.
 func (s *Server) Close() error {
 	s.mu.Lock()
-	inc, app := s.current, s.app
+	s.cancel()
+	inc := s.current
 	s.mu.Unlock()
 	if inc == nil {
 		return nil
 	}
+	err := conns.Close(inc.app, inc.listener, closeGrace)
 	inc.cancel()
-	err := app.ShutdownWithTimeout(closeGrace)
-	s.workers.Wait()
-	return errors.Wrap(err, "close engine")
+	return err
 }
 
 // Arrivals returns the counts of requests so far.
@@ -79,143 +93,127 @@
 	return s.arrivals.snapshot()
 }
 
-// newApp returns the HTTP side of an incarnation.
-func (s *Server) newApp(inc *incarnation) *fiber.App {
-	app := fiber.New(fiber.Config{
-		DisableStartupMessage: true,
-		BodyLimit:             maxBody,
-		IdleTimeout:           idleTimeout,
-		Immutable:             true,
-	})
-	app.Use(func(c *fiber.Ctx) error {
-		c.Set(engine.HeaderBoot, inc.boot)
-		return c.Next()
-	})
-	h := &handler{server: s, inc: inc}
-	app.Post(engine.PathChat, h.chat)
-	app.Get(engine.PathResume+":id"+engine.SuffixStream, h.resume)
-	app.Delete(engine.PathResume+":id", h.cancel)
-	app.Get(engine.PathLoad, h.load)
-	app.Get(PathArrivals, h.arrivals)
-	return app
-}
-
-// drive steps the model whenever it has something to do.
-func (s *Server) drive(inc *incarnation) {
-	timer := time.NewTimer(0)
-	defer timer.Stop()
-	for {
-		s.mu.Lock()
-		inc.step()
-		next, busy := inc.model.Next()
-		s.mu.Unlock()
-		if busy {
-			timer.Reset(max(0, next-inc.now()))
-		} else {
-			timer.Stop()
-		}
-		select {
-		case <-timer.C:
-		case <-inc.wake:
-		case <-inc.ctx.Done():
-			return
-		}
+// Set replaces all switches.
+func (s *Server) Set(switches Switches) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.switches = switches
+	if s.current != nil {
+		s.current.model.SetSlow(switches.slowFactor())
 	}
 }
 
-// handler answers the calls to one incarnation.
-type handler struct {
-	server *Server
-	inc    *incarnation
+// Switches returns the switches as they stand now.
+func (s *Server) Switches() Switches {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.switches
 }
 
-// chat runs a chat completion.
-func (h *handler) chat(c *fiber.Ctx) error {
-	var request ChatRequest
-	if err := json.Unmarshal(c.Body(), &request); err != nil {
-		return sendFailure(c, http.StatusBadRequest, err.Error())
-	}
-	r := h.accept(c, &request)
-	if request.Stream {
-		return h.stream(c, r, 0)
+// Silence makes all connections that are open now go silent for good. New ones
+// work.
+func (s *Server) Silence() {
+	if inc := s.running(); inc != nil {
+		inc.listener.Silence()
 	}
-	return h.whole(c, r)
 }
 
-// accept counts a request and starts it.
-func (h *handler) accept(c *fiber.Ctx, request *ChatRequest) *run {
-	prompt := request.Prompt()
-	r := &run{
-		id:          c.Get(engine.HeaderRequest),
-		model:       request.Model,
-		created:     time.Now(),
-		fingerprint: Fingerprint(prompt),
-		promptSize:  prefix.Tokens(len(prompt)),
-		length:      request.Length(prompt),
-		changed:     make(chan struct{}),
+// Crash kills the engine: its connections are cut, callers are refused, and
+// after the restart delay a new incarnation starts that knows nothing.
+func (s *Server) Crash() {
+	if inc := s.running(); inc != nil {
+		s.crash(inc)
 	}
-	s := h.server
+}
+
+// running returns the current incarnation.
+func (s *Server) running() *incarnation {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if r.id == "" {
-		s.lastName++
-		r.id = "direct-" + strconv.Itoa(s.lastName)
-	}
-	s.arrivals.add(r.id, c.Get(engine.HeaderAttempt), prompt)
-	h.inc.submit(r, prefix.Hashes(prompt))
-	return r
+	return s.current
 }
 
-// resume streams the answer to a known request again.
-func (h *handler) resume(c *fiber.Ctx) error {
-	h.server.mu.Lock()
-	r := h.inc.runs[c.Params("id")]
-	h.server.mu.Unlock()
-	from := c.QueryInt("from")
-	if r == nil {
-		return sendFailure(c, http.StatusNotFound, "unknown request")
-	}
-	if from < 0 || from > r.length {
-		return sendFailure(c, http.StatusBadRequest, "no such sequence number")
+// start begins an incarnation. It returns nil after Close.
+func (s *Server) start(listener net.Listener) *incarnation {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ctx.Err() != nil {
+		return nil
 	}
-	return h.stream(c, r, from)
+	inc := newIncarnation(s.options, conns.Wrap(listener))
+	inc.app = s.newApp(inc)
+	inc.model.SetSlow(s.switches.slowFactor())
+	s.orders.reset(inc.boot)
+	s.current = inc
+	s.workers.Go(func() { s.drive(inc) })
+	return inc
 }
 
-// cancel ends a request early.
-func (h *handler) cancel(c *fiber.Ctx) error {
-	h.server.mu.Lock()
-	known := h.inc.abort(c.Params("id"))
-	h.server.mu.Unlock()
-	if !known {
-		return sendFailure(c, http.StatusNotFound, "unknown request")
+// restart waits for the restart delay and listens again. It returns nil after
+// Close.
+func (s *Server) restart(addr net.Addr) (net.Listener, error) {
+	release, err := conns.Hold(addr.(*net.TCPAddr))
+	if err != nil {
+		return nil, err
 	}
-	return c.SendStatus(http.StatusNoContent)
-}
-
-// load answers the load report.
-func (h *handler) load(c *fiber.Ctx) error {
-	h.server.mu.Lock()
-	running, waiting := h.inc.model.Load()
-	h.server.mu.Unlock()
-	return c.JSON(engine.Load{Running: running, Waiting: waiting})
-}
-
-// arrivals answers the counts of requests.
-func (h *handler) arrivals(c *fiber.Ctx) error {
-	return c.JSON(h.server.Arrivals())
+	defer release()
+	if !sleep(s.ctx, s.options.RestartDelay) {
+		return nil, nil
+	}
+	listener, err := net.Listen("tcp", addr.String())
+	return listener, errors.Wrap(err, "listen again")
 }
 
-// failure is the body of an answer that refuses a call.
-type failure struct {
-	Error failureReason `json:"error"`
+// crash ends an incarnation. Connections are cut before anything else, so that
+// no stream can still end in good order.
+func (s *Server) crash(inc *incarnation) {
+	s.mu.Lock()
+	first := !inc.crashed
+	inc.crashed = true
+	s.mu.Unlock()
+	if !first {
+		return
+	}
+	inc.listener.Cut()
+	inc.cancel()
+	_ = inc.listener.Close()
+	inc.listener.Cut()
 }
 
-// failureReason says why.
-type failureReason struct {
-	Message string `json:"message"`
+// drive steps the model whenever it has something to do.
+func (s *Server) drive(inc *incarnation) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for inc.ctx.Err() == nil {
+		s.mu.Lock()
+		crash := inc.step()
+		next, busy := inc.model.Next()
+		s.mu.Unlock()
+		if crash {
+			s.crash(inc)
+			return
+		}
+		timer.Stop()
+		if busy {
+			timer.Reset(max(0, next-inc.now()))
+		}
+		select {
+		case <-timer.C:
+		case <-inc.wake:
+		case <-inc.ctx.Done():
+		}
+	}
 }
 
-// sendFailure refuses a call.
-func sendFailure(c *fiber.Ctx, status int, reason string) error {
-	return c.Status(status).JSON(failure{Error: failureReason{Message: reason}})
+// newApp returns the HTTP side of an incarnation.
+func (s *Server) newApp(inc *incarnation) *fiber.App {
+	app := fiber.New(fiber.Config{
+		DisableStartupMessage: true,
+		BodyLimit:             maxBody,
+		IdleTimeout:           idleTimeout,
+		Immutable:             true,
+	})
+	h := &handler{server: s, inc: inc}
+	h.routes(app)
+	return app
 }
--- a/internal/standin/engine/stream.go
+++ b/internal/standin/engine/stream.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/gofiber/fiber/v2"
 	"github.com/pkg/errors"
@@ -56,24 +57,55 @@
 // stream sends the chunks of a run from a sequence number on as server-sent
 // events.
 func (h *handler) stream(c *fiber.Ctx, r *run, from int) error {
+	s := &stream{handler: h, run: r, next: from}
+	h.server.mu.Lock()
+	s.apply(h.server.switches.takeFaults())
+	h.server.mu.Unlock()
 	c.Set(fiber.HeaderContentType, "text/event-stream")
 	c.Set(fiber.HeaderCacheControl, "no-cache")
 	c.Context().Response.ImmediateHeaderFlush = true
-	c.Context().SetBodyStreamWriter(func(w *bufio.Writer) {
-		h.pump(w, r, from)
-	})
+	c.Context().SetBodyStreamWriter(s.pump)
 	return nil
 }
 
+// stream is one answer on its way to a caller.
+type stream struct {
+	handler *handler
+	run     *run
+	// next is the sequence number of the next chunk.
+	next int
+	late time.Duration
+	// middle is the sequence number from which a fault shows.
+	middle   int
+	truncate bool
+	// other is the run whose answer is sent from the middle on; nil: none.
+	other *run
+}
+
+// apply sets the faults of the stream. The caller holds the server's mutex.
+func (s *stream) apply(f faults) {
+	s.late = f.late
+	s.truncate = f.truncate
+	s.middle = (s.next + s.run.length) / 2
+	if f.cross {
+		s.other = s.handler.inc.other(s.run)
+	}
+}
+
 // pump writes chunks as they come, and the end marker after the last one. It
-// writes no end marker if the run was canceled, the engine died or the
-// connection broke.
-func (h *handler) pump(w *bufio.Writer, r *run, from int) {
-	next := from
+// writes no end marker if the run was canceled, the engine died, the connection
+// broke or the stream is to be truncated.
+func (s *stream) pump(w *bufio.Writer) {
+	if s.late > 0 && !sleep(s.handler.inc.ctx, s.late) {
+		return
+	}
 	for {
-		v := h.view(r)
-		for ; next < v.produced; next++ {
-			if writeChunk(w, r.chunk(next)) != nil {
+		v := s.handler.view(s.run)
+		for ; s.next < v.produced; s.next++ {
+			if s.truncate && s.next >= s.middle {
+				return
+			}
+			if writeChunk(w, s.chunk()) != nil {
 				return
 			}
 		}
@@ -83,14 +115,27 @@
 			}
 			return
 		}
-		if !h.await(v) {
+		if !s.handler.await(v) {
 			return
 		}
 	}
 }
 
+// chunk returns the next chunk.
+func (s *stream) chunk() engine.Chunk {
+	chunk := s.run.chunk(s.next)
+	if s.other != nil && s.next >= s.middle {
+		chunk.ID = s.other.id
+		chunk.Choices[0].Delta.Content = Word(s.other.fingerprint, s.next)
+	}
+	return chunk
+}
+
 // whole waits for the end of a run and sends its answer as one body.
 func (h *handler) whole(c *fiber.Ctx, r *run) error {
+	if late := h.server.Switches().Late; late > 0 && !sleep(h.inc.ctx, late) {
+		return sendFailure(c, http.StatusServiceUnavailable, "stopping")
+	}
 	v := h.view(r)
 	for !v.ended {
 		if !h.await(v) {
--- a/internal/standin/platform/server.go
+++ b/internal/standin/platform/server.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -12,6 +13,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/trefoilchute/trefoilchute/internal/platform"
+	"github.com/trefoilchute/trefoilchute/internal/standin/conns"
 )
 
 // Paths of the stand-in's own controls. Bodies are JSON.
@@ -25,6 +27,8 @@
 const (
 	maxBody     = 64 << 20
 	idleTimeout = time.Minute
+	// closeGrace bounds the time that calls have to end at Close.
+	closeGrace = time.Second
 	// refusedValue is the value of platform.HeaderRefused.
 	refusedValue = "before-effect"
 )
@@ -33,6 +37,10 @@
 type Server struct {
 	store *store
 	app   *fiber.App
+
+	mu       sync.Mutex
+	listener *conns.Listener
+	closed   bool
 }
 
 // New returns a server with empty services. Call Serve to answer calls.
@@ -52,7 +60,15 @@
 
 // Serve answers calls on a listener until Close is called.
 func (s *Server) Serve(listener net.Listener) error {
-	return errors.Wrap(s.app.Listener(listener), "serve platform")
+	wrapped := conns.Wrap(listener)
+	s.mu.Lock()
+	s.listener = wrapped
+	closed := s.closed
+	s.mu.Unlock()
+	if closed {
+		return wrapped.Close()
+	}
+	return conns.Serve(s.app, wrapped)
 }
 
 // Handler returns the HTTP handler for use without a listener.
@@ -62,7 +78,14 @@
 
 // Close stops the server. Calls in progress have a second to end.
 func (s *Server) Close() error {
-	return errors.Wrap(s.app.ShutdownWithTimeout(time.Second), "close platform")
+	s.mu.Lock()
+	s.closed = true
+	listener := s.listener
+	s.mu.Unlock()
+	if listener == nil {
+		return nil
+	}
+	return conns.Close(s.app, listener, closeGrace)
 }
 
 // Set replaces all switches.
@@ -116,24 +139,16 @@
 		}
 		time.Sleep(v.delay)
 		if v.drop {
-			closeUnanswered(c)
-			return nil
+			return conns.CloseUnanswered(c)
 		}
 		err := handler(c)
 		if v.lose {
-			closeUnanswered(c)
-			return nil
+			return conns.CloseUnanswered(c)
 		}
 		return err
 	}
 }
 
-// closeUnanswered closes the connection without an answer.
-func closeUnanswered(c *fiber.Ctx) {
-	c.Context().HijackSetNoResponse(true)
-	c.Context().Hijack(func(conn net.Conn) { _ = conn.Close() })
-}
-
 func (s *Server) getRow(c *fiber.Ctx) error {
 	row, err := s.store.get(c.Query("key"))
 	return send(c, row, err)
