Prove the platform client and its in-process fake

Cause: claims and configuration rest on telling a refused write from one whose answer was lost, and on no write being sent twice.

--- a/internal/platform/client_test.go
+++ b/internal/platform/client_test.go
@@ -1,8 +1,14 @@
 package platform_test
 
 import (
+	"bufio"
+	"context"
+	"io"
 	"net"
+	"net/http"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -28,6 +34,54 @@
 	return server, client
 }
 
+// scripted runs a server that reads requests and gives the answers in turn. It
+// closes a connection after the last answer, or instead of an empty one. It returns the address and the number of requests that were read.
+func scripted(t *testing.T, answers ...string) (addr string, read *atomic.Int32) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(func() { _ = listener.Close() })
+	read = &atomic.Int32{}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go answer(conn, read, answers)
+		}
+	}()
+	return listener.Addr().String(), read
+}
+
+// answer serves one connection of a scripted server.
+func answer(conn net.Conn, read *atomic.Int32, answers []string) {
+	defer func() { _ = conn.Close() }()
+	r := bufio.NewReader(conn)
+	for {
+		request, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, request.Body)
+		n := int(read.Add(1))
+		if n > len(answers) || answers[n-1] == "" {
+			return
+		}
+		_, _ = io.WriteString(conn, answers[n-1])
+		if n == len(answers) {
+			return
+		}
+	}
+}
+
+const emptyOK = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+
+var create = platform.Txn{
+	Conditions: []platform.Condition{{Key: "a/1"}},
+	Puts:       []platform.Put{{Key: "a/1", Value: []byte("one")}, {Key: "a/2", Value: []byte("two")}},
+}
+
 func TestClientWritesAndReadsRows(t *testing.T) {
 	g := NewWithT(t)
 	_, client := start(t, standin.Options{})
@@ -35,10 +89,6 @@
 
 	_, err := client.Get(ctx, "a/1")
 	g.Expect(err).To(MatchError(platform.ErrNotFound))
-	create := platform.Txn{
-		Conditions: []platform.Condition{{Key: "a/1"}},
-		Puts:       []platform.Put{{Key: "a/1", Value: []byte("one")}, {Key: "a/2", Value: []byte("two")}},
-	}
 	version, err := client.Commit(ctx, create)
 	g.Expect(err).NotTo(HaveOccurred())
 	_, err = client.Commit(ctx, create)
@@ -52,3 +102,150 @@
 	g.Expect(rows).To(HaveLen(1))
 	g.Expect(rows[0].Key).To(Equal("a/2"))
 }
+
+func TestClientTellsALostAnswerFromARefusal(t *testing.T) {
+	g := NewWithT(t)
+	server, client := start(t, standin.Options{})
+	ctx := t.Context()
+
+	server.Set(standin.Switches{Down: true})
+	_, err := client.Commit(ctx, create)
+	g.Expect(err).To(MatchError(platform.ErrUnavailable))
+
+	server.Set(standin.Switches{DropWrites: 1, LoseAnswers: 1})
+	_, err = client.Commit(ctx, create)
+	g.Expect(err).To(MatchError(platform.ErrAmbiguous))
+	_, err = client.Get(ctx, "a/1")
+	g.Expect(err).To(MatchError(platform.ErrNotFound), "the dropped write has no effect")
+
+	_, err = client.Commit(ctx, create)
+	g.Expect(err).To(MatchError(platform.ErrAmbiguous))
+	_, err = client.Get(ctx, "a/1")
+	g.Expect(err).NotTo(HaveOccurred(), "the write whose answer was lost has its effect")
+	g.Expect(server.Counters()).To(Equal(standin.Counters{Reads: 2, Writes: 3, Refused: 1, Lost: 2}))
+}
+
+func TestClientSaysHowLongTheWeightStoreIsLimited(t *testing.T) {
+	g := NewWithT(t)
+	_, client := start(t, standin.Options{WeightInterval: time.Hour})
+	_, err := client.Reserve(t.Context(), "m")
+	g.Expect(err).NotTo(HaveOccurred())
+	wait, err := client.Reserve(t.Context(), "m")
+	g.Expect(err).To(MatchError(platform.ErrLimited))
+	g.Expect(wait).To(And(BeNumerically(">", 0), BeNumerically("<=", time.Hour)))
+}
+
+// With the library's own repetition on (MaxIdemponentCallAttempts and
+// RetryIfErr unset), the calls by PUT and GET are read five times.
+func TestClientNeverRepeatsACall(t *testing.T) {
+	calls := map[string]func(*platform.Client) error{
+		"put": func(c *platform.Client) error { return c.PutObject(t.Context(), "k", []byte("v")) },
+		"commit": func(c *platform.Client) error {
+			_, err := c.Commit(t.Context(), create)
+			return err
+		},
+		"register": func(c *platform.Client) error { return c.Register(t.Context(), platform.HostEntry{}) },
+	}
+	for name, call := range calls {
+		t.Run(name+" on a new connection", func(t *testing.T) {
+			g := NewWithT(t)
+			addr, read := scripted(t)
+			client := platform.NewClient("http://"+addr, platform.Options{})
+			g.Expect(call(client)).To(MatchError(platform.ErrAmbiguous))
+			g.Expect(read.Load()).To(BeEquivalentTo(1))
+		})
+		t.Run(name+" on a kept connection", func(t *testing.T) {
+			g := NewWithT(t)
+			addr, read := scripted(t, emptyOK, "")
+			client := platform.NewClient("http://"+addr, platform.Options{})
+			g.Expect(client.PutObject(t.Context(), "first", nil)).To(Succeed())
+			g.Expect(call(client)).To(MatchError(platform.ErrAmbiguous))
+			g.Expect(read.Load()).To(BeEquivalentTo(2))
+		})
+	}
+	t.Run("get", func(t *testing.T) {
+		g := NewWithT(t)
+		addr, read := scripted(t)
+		_, err := platform.NewClient("http://"+addr, platform.Options{}).Get(t.Context(), "k")
+		g.Expect(err).To(MatchError(platform.ErrUnavailable))
+		g.Expect(read.Load()).To(BeEquivalentTo(1))
+	})
+}
+
+func TestClientClassifiesAnswers(t *testing.T) {
+	cases := map[string]struct {
+		answer string
+		write  error
+		read   error
+	}{
+		"refused before effect": {
+			"HTTP/1.1 503 Service Unavailable\r\n" + platform.HeaderRefused + ": yes\r\nContent-Length: 0\r\n\r\n",
+			platform.ErrUnavailable, platform.ErrUnavailable,
+		},
+		"503 from something between": {
+			"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n",
+			platform.ErrAmbiguous, platform.ErrUnavailable,
+		},
+		"500": {
+			"HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n",
+			platform.ErrAmbiguous, platform.ErrUnavailable,
+		},
+		"cut in the header": {"HTTP/1.1 200", platform.ErrAmbiguous, platform.ErrUnavailable},
+		"cut in the body": {
+			"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n{",
+			platform.ErrAmbiguous, platform.ErrUnavailable,
+		},
+		"unreadable body": {
+			"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n{",
+			platform.ErrAmbiguous, platform.ErrUnavailable,
+		},
+		"limited": {
+			"HTTP/1.1 429 Too Many Requests\r\nContent-Length: 0\r\n\r\n",
+			platform.ErrLimited, platform.ErrLimited,
+		},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			addr, _ := scripted(t, c.answer)
+			client := platform.NewClient("http://"+addr, platform.Options{Timeout: time.Second})
+			_, err := client.Commit(t.Context(), create)
+			g.Expect(err).To(MatchError(c.write))
+
+			addr, _ = scripted(t, c.answer)
+			client = platform.NewClient("http://"+addr, platform.Options{Timeout: time.Second})
+			_, err = client.Get(t.Context(), "k")
+			g.Expect(err).To(MatchError(c.read))
+		})
+	}
+}
+
+func TestClientRefusesWithoutSending(t *testing.T) {
+	g := NewWithT(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(listener.Close()).To(Succeed())
+	client := platform.NewClient("http://"+listener.Addr().String(), platform.Options{})
+	_, err = client.Commit(t.Context(), create)
+	g.Expect(err).To(MatchError(platform.ErrUnavailable), "nobody listens")
+
+	addr, read := scripted(t, emptyOK)
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	err = platform.NewClient("http://"+addr, platform.Options{}).PutObject(ended, "k", nil)
+	g.Expect(err).To(MatchError(platform.ErrUnavailable), "the context has ended")
+	g.Expect(read.Load()).To(BeZero())
+}
+
+func TestClientTimesOut(t *testing.T) {
+	g := NewWithT(t)
+	// Connections are taken by the kernel, but nothing reads or answers.
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = listener.Close() }()
+	client := platform.NewClient("http://"+listener.Addr().String(), platform.Options{Timeout: 20 * time.Millisecond})
+	_, err = client.Commit(t.Context(), create)
+	g.Expect(err).To(MatchError(platform.ErrAmbiguous))
+	_, err = client.Get(t.Context(), "k")
+	g.Expect(err).To(MatchError(platform.ErrUnavailable))
+}
