Admit jobs to the stand-in's batch only after they came

Cause: the server's driver can step the model late. A job that was submitted meanwhile was put into an iteration that had begun before it came.

Change: a waiting job keeps its time; an iteration takes only jobs that came before it began, and an idle engine starts with the first one.

Shown: with the time check off, TestModelAnswersEveryJobWhole, TestModelDoesNotDependOnHowOftenItIsStepped and TestModelSharesDecodingAndPrefersTheCache fail; with it go test -race ./internal/standin/engine -rapid.checks=2000 passes.

--- a/internal/standin/engine/model.go
+++ b/internal/standin/engine/model.go
@@ -60,6 +60,12 @@
 	Last bool
 }
 
+// queued is a job that waits for a slot.
+type queued struct {
+	job Job
+	at  time.Duration
+}
+
 // sequence is a job in the batch.
 type sequence struct {
 	job    Job
@@ -84,7 +90,7 @@
 	cache   *cache
 	changes []cacheChange
 	now     time.Duration
-	waiting []Job
+	waiting []queued
 	running []*sequence
 	// busy says that an iteration is under way, and end when it ends.
 	busy bool
@@ -104,10 +110,11 @@
 	m.slow = factor
 }
 
-// Submit adds a job at a time that is not before that of the last step.
+// Submit adds a job. A time before that of the last step or of the last job
+// counts as that time.
 func (m *Model) Submit(now time.Duration, job Job) {
 	m.now = max(m.now, now)
-	m.waiting = append(m.waiting, job)
+	m.waiting = append(m.waiting, queued{job: job, at: m.now})
 	if !m.busy {
 		m.begin(m.now)
 	}
@@ -115,8 +122,8 @@
 
 // Cancel removes a job. It does nothing if the job is not known.
 func (m *Model) Cancel(id uint64) {
-	for i, job := range m.waiting {
-		if job.ID == id {
+	for i, waiting := range m.waiting {
+		if waiting.job.ID == id {
 			m.waiting = append(m.waiting[:i], m.waiting[i+1:]...)
 			return
 		}
@@ -152,19 +159,26 @@
 	return len(m.running), len(m.waiting)
 }
 
-// begin starts an iteration if there is anything to do.
+// begin starts an iteration at a time, or as soon as there is anything to do.
 func (m *Model) begin(at time.Duration) {
-	m.admit()
+	if len(m.running) == 0 && len(m.waiting) > 0 {
+		at = max(at, m.waiting[0].at)
+	}
+	m.admit(at)
 	m.busy = len(m.running) > 0
 	if m.busy {
 		m.end = at + m.plan()
 	}
 }
 
-// admit moves waiting jobs into free slots, in order of arrival.
-func (m *Model) admit() {
+// admit moves the jobs that came before a time into free slots, in order of
+// arrival. An idle engine takes the job that comes first at once, by itself.
+func (m *Model) admit(at time.Duration) {
 	for len(m.waiting) > 0 && len(m.running) < m.speed.Slots {
-		job := m.waiting[0]
+		if len(m.running) > 0 && m.waiting[0].at >= at {
+			return
+		}
+		job := m.waiting[0].job
 		m.waiting = m.waiting[1:]
 		cached := m.cache.lookup(job.Prefix) * prefix.BlockTokens
 		// The last prompt token is always computed: it yields the first token.
