--- a/internal/resource/apply.go
+++ b/internal/resource/apply.go
@@ -174,8 +174,8 @@
 		}
 		txn.Puts = append(txn.Puts, put)
 	}
-	if revision > ChangesKept {
-		txn.Deletes = append(txn.Deletes, changeKey(revision-ChangesKept))
+	if revision > a.store.kept {
+		txn.Deletes = append(txn.Deletes, changeKey(revision-a.store.kept))
 	}
 	return txn, a.putRows(&txn, row)
 }
--- a/internal/resource/store.go
+++ b/internal/resource/store.go
@@ -35,11 +35,13 @@
 // of its own: any number may work on one table.
 type Store struct {
 	table platform.Table
+	// kept is how many changes are kept.
+	kept uint64
 }
 
 // NewStore returns a Store on the table.
 func NewStore(table platform.Table) *Store {
-	return &Store{table: table}
+	return &Store{table: table, kept: ChangesKept}
 }
 
 // Change is a wanted change of resources.
@@ -194,7 +196,8 @@
 // coded turns an error of the platform into one with a result code.
 func coded(err error) error {
 	var known *result.Error
-	if err == nil || errors.As(err, &known) {
+	var invalid *InvalidError
+	if err == nil || errors.As(err, &known) || errors.As(err, &invalid) {
 		return err
 	}
 	code := result.Internal
