Bound the life of claims by a guard row and a retry fence

Cause: an insert that the table applies late, after its request was refused, left a claim that nobody would ever finish; and without removal the table grows for ever, while a removed claim must not be made again.

Change: each insert is conditional on the host's guard row and, for keys that are version 7 UUIDs, on the fence row. Renewing the guard ends all inserts on their way, so that the read after it is final. Look, Acquire, Finish and Release lose or gain a time argument. key_expired no longer says 'not run', since the removed claim may have been of an earlier attempt. Ruled out: tombstones (a row for ever) and remembering nonces without bound.

With a guard off it fails: lost answer taken as success, as failure, inserts that ignore the claim, the guard row or the fence.

--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -112,7 +112,7 @@
 	{KeyRequired, "key_required", http.StatusBadRequest, RanNo, "with an idempotency key", "The route is not idempotent and needs an idempotency key."},
 	{KeyMismatch, "key_mismatch", http.StatusUnprocessableEntity, RanNo, "with a new key", "The idempotency key was used with another request."},
 	{TooLarge, "too_large", http.StatusRequestEntityTooLarge, RanNo, "smaller", "The request is larger than its route allows."},
-	{KeyExpired, "key_expired", http.StatusUnprocessableEntity, RanNo, "with a new key", "The idempotency key is older than the claims that are kept."},
+	{KeyExpired, "key_expired", http.StatusUnprocessableEntity, RanUnknown, "with a new key, if running twice is harmless", "The idempotency key is older than the claims that are kept: this attempt was not run, an earlier one may have been."},
 	{InProgress, "in_progress", http.StatusConflict, RanUnknown, "after Retry-After, with the same key", "A request with this key is running and can't be joined from here."},
 	{Conflict, "conflict", http.StatusConflict, RanNo, "after reading the newer revision", "The resource changed since the revision that the change names."},
 	{InvalidConfig, "invalid_config", http.StatusUnprocessableEntity, RanNo, "corrected", "The manifest or settings are not valid."},
--- a/internal/system/claim/claim.go
+++ b/internal/system/claim/claim.go
@@ -6,10 +6,14 @@
 // The invariant is: a request is dispatched only by a host that has read its
 // own nonce in the row, or was told by the table that its insert took effect.
 // The insert is conditional on there being no row, so that one host at most
-// sees that for one key.
+// sees that for one key. A claim that was never dispatched counts for nothing
+// at its own host, which removes it.
 package claim
 
 import (
+	"encoding/binary"
+	"encoding/hex"
+	"math/rand/v2"
 	"sort"
 	"time"
 
@@ -39,6 +43,31 @@
 	Nonce func() string
 	// Liveness looks the holder of a claim up in the membership's tables.
 	Liveness func(host ident.Host, incarnation uint64) Liveness
+	// Retention is how long after its creation a timed key can be sent again,
+	// and its claim is kept.
+	Retention time.Duration
+	// OpaqueRetention is how long the claim of another key is kept; 0: for
+	// ever. A resend after that runs again.
+	OpaqueRetention time.Duration
+}
+
+// DefaultRetention is the Retention of a deployment that states none.
+const DefaultRetention = 24 * time.Hour
+
+// nonceBytes is the length of a nonce before it is written in hex.
+const nonceBytes = 16
+
+// NewNonces returns a source of nonces from a seed. Processes need different
+// seeds.
+func NewNonces(seed [32]byte) func() string {
+	source := rand.NewChaCha8(seed)
+	return func() string {
+		var nonce []byte
+		for len(nonce) < nonceBytes {
+			nonce = binary.LittleEndian.AppendUint64(nonce, source.Uint64())
+		}
+		return hex.EncodeToString(nonce)
+	}
 }
 
 // Request is what the claims need to know of one request.
@@ -71,8 +100,13 @@
 	// held holds the claims of this host's requests by request and by row.
 	held    map[ident.Request]*held
 	heldRow map[string]*held
+	// unstored is the size in bytes of the answers that the table lacks.
+	unstored int
 	// discards holds the claims that are to be removed, by nonce.
 	discards map[string]*discard
+	guard    guard
+	fence    fence
+	sweep    sweep
 	results  []Result
 }
 
@@ -112,6 +146,9 @@
 
 // Tick sends the calls that are due and gives up those that took too long.
 func (s *System) Tick(now time.Duration, out *system.Outbox) {
+	s.guard.tick(s, now, out)
+	s.fence.tick(s, now, out)
+	s.sweep.tick(s, now, out)
 	for _, id := range sortedKeys(s.ops) {
 		s.ops[id].tick(s, now, out)
 	}
@@ -127,6 +164,9 @@
 // replies and new requests can bring work.
 func (s *System) NextWake() (time.Duration, bool) {
 	var wake earliest
+	wake.addTimer(s.guard.timer)
+	wake.addTimer(s.fence.timer)
+	wake.addTimer(s.sweep.timer)
 	for _, o := range s.ops {
 		wake.add(o.deadline)
 		wake.addTimer(o.timer)
--- a/internal/system/claim/discard.go
+++ b/internal/system/claim/discard.go
@@ -14,18 +14,32 @@
 type discard struct {
 	row   string
 	nonce string
+	// loose says that an insert sent under the guard's version may yet take
+	// effect: the guard is renewed before the row is read.
+	loose bool
+	guard uint64
+	// waiting says that the guard is being renewed.
+	waiting bool
 	// version is the row's version; 0 while it isn't known.
 	version uint64
 	tries   int
 	timer   timer
 }
 
-func (s *System) discard(_ time.Duration, d discard, out *system.Outbox) {
+func (s *System) discard(d discard, out *system.Outbox) {
 	s.discards[d.nonce] = &d
 	d.send(s, out)
 }
 
 func (d *discard) send(s *System, out *system.Outbox) {
+	if d.loose && s.guard.version == d.guard {
+		s.guard.renew(s, out)
+	}
+	d.waiting = d.loose && s.guard.version == 0
+	if d.waiting {
+		return
+	}
+	d.loose = false
 	if d.version == 0 {
 		s.call(d, system.Call{Kind: system.CallGet, Key: d.row}, out)
 		return
--- a/internal/system/claim/held.go
+++ b/internal/system/claim/held.go
@@ -7,13 +7,16 @@
 
 	"github.com/trefoilchute/trefoilchute/internal/ident"
 	"github.com/trefoilchute/trefoilchute/internal/platform"
+	"github.com/trefoilchute/trefoilchute/internal/result"
 	"github.com/trefoilchute/trefoilchute/internal/system"
 )
 
 // Bounds of keeping answers.
 const (
 	// maxInlineAnswer is the largest body, in bytes, kept in the row itself.
-	maxInlineAnswer = 16 << 10
+	maxInlineAnswer = 4 << 10
+	// maxUnstored bounds the bytes of all bodies that wait for the platform.
+	maxUnstored     = 16 << 20
 	storeFirstRetry = 100 * time.Millisecond
 	storeLastRetry  = 5 * time.Second
 )
@@ -25,6 +28,11 @@
 	row     string
 	claim   Claim
 	version uint64
+	// guard and loose are those of the insert.
+	guard uint64
+	loose bool
+	// adopted says that another process made the claim: it is never removed.
+	adopted bool
 	// answer is set by Finish. It is whole until it is stored.
 	answer *Answer
 	// objectStored says that the body is in the object store.
@@ -34,32 +42,44 @@
 }
 
 // Adopt takes the claim of a process that has ended, so that Finish keeps the
-// answer that was resumed from the endpoint.
+// answer that was resumed from the endpoint. Release gives it back.
 func (s *System) Adopt(req Request, lost Lost) {
-	h := &held{req: req, row: rowKey(req), claim: lost.Claim, version: lost.Version}
+	h := &held{req: req, row: rowKey(req), claim: lost.Claim, version: lost.Version, adopted: true}
 	s.held[req.ID] = h
 	s.heldRow[h.row] = h
 }
 
 // Finish keeps the final answer to a claimed request. Until the table has it,
 // a resend gets it from this host. A request that wasn't claimed is ignored.
-func (s *System) Finish(now time.Duration, id ident.Request, answer Answer, out *system.Outbox) {
+// When too many bodies wait for the platform, AnswerUnreadable is kept instead.
+func (s *System) Finish(id ident.Request, answer Answer, out *system.Outbox) {
 	h, ok := s.held[id]
 	if !ok || h.answer != nil {
 		return
 	}
+	if s.unstored+len(answer.Body) > maxUnstored {
+		answer = Answer{Code: result.AnswerUnreadable}
+	}
+	s.unstored += len(answer.Body)
 	h.answer = &answer
 	h.send(s, out)
 }
 
 // Release ends the claim of a request that was not dispatched and won't be.
-func (s *System) Release(now time.Duration, id ident.Request, out *system.Outbox) {
+func (s *System) Release(id ident.Request, out *system.Outbox) {
 	h, ok := s.held[id]
 	if !ok || h.answer != nil {
 		return
 	}
 	h.drop(s)
-	s.discard(now, discard{row: h.row, nonce: h.claim.Nonce, version: h.version}, out)
+	if h.adopted {
+		return
+	}
+	d := discard{row: h.row, nonce: h.claim.Nonce, guard: h.guard, loose: h.loose}
+	if !h.loose {
+		d.version = h.version
+	}
+	s.discard(d, out)
 }
 
 // Answer returns the final answer of a request that this host claimed and that
@@ -125,6 +145,9 @@
 
 // drop forgets the claim.
 func (h *held) drop(s *System) {
+	if h.answer != nil {
+		s.unstored -= len(h.answer.Body)
+	}
 	delete(s.held, h.req.ID)
 	if s.heldRow[h.row] == h {
 		delete(s.heldRow, h.row)
--- a/internal/system/claim/result.go
+++ b/internal/system/claim/result.go
@@ -96,10 +96,7 @@
 	if c.Answer != nil {
 		return Answered{ID: req.ID, Answer: *c.Answer}
 	}
-	if c.Holder == s.cfg.Host && c.Incarnation == s.cfg.Incarnation {
-		return Running{ID: req.ID, Claim: c, Reachable: true}
-	}
-	switch s.cfg.Liveness(c.Holder, c.Incarnation) {
+	switch s.liveness(c) {
 	case Alive:
 		return Running{ID: req.ID, Claim: c, Reachable: true}
 	case Unreachable:
@@ -108,3 +105,14 @@
 		return Lost{ID: req.ID, Claim: c, Version: row.Version}
 	}
 }
+
+// liveness returns what is known of the claim's holder.
+func (s *System) liveness(c Claim) Liveness {
+	if c.Holder != s.cfg.Host {
+		return s.cfg.Liveness(c.Holder, c.Incarnation)
+	}
+	if c.Incarnation == s.cfg.Incarnation {
+		return Alive
+	}
+	return Dead
+}
--- a/internal/system/claim/row.go
+++ b/internal/system/claim/row.go
@@ -4,7 +4,11 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"fmt"
+	"strconv"
+	"strings"
 
+	"github.com/google/uuid"
 	"github.com/pkg/errors"
 
 	"github.com/trefoilchute/trefoilchute/internal/ident"
@@ -13,6 +17,9 @@
 
 // Prefixes of the rows and objects of claims.
 const (
+	// PrefixTimed holds the claims under keys that are version 7 UUIDs. The
+	// rows sort by the creation times of the keys.
+	PrefixTimed = "claim/timed/"
 	// PrefixOpaque holds the claims under keys that tell no creation time.
 	PrefixOpaque = "claim/opaque/"
 	// PrefixAnswer holds answers in the object store.
@@ -78,5 +85,44 @@
 	h.Write([]byte(req.Team))
 	h.Write([]byte{0})
 	h.Write([]byte(req.Key))
-	return PrefixOpaque + hex.EncodeToString(h.Sum(nil))
+	hash := hex.EncodeToString(h.Sum(nil))
+	if ms, ok := keyTime(req.Key); ok {
+		return fmt.Sprintf("%s%0*x-%s", PrefixTimed, timeDigits, ms, hash)
+	}
+	return PrefixOpaque + hash
+}
+
+// A version 7 UUID begins with its creation time: 48 bits of milliseconds.
+const (
+	uuidLength = 36
+	uuidTimed  = 7
+	timeBytes  = 6
+	timeDigits = 2 * timeBytes
+)
+
+// keyTime returns the creation time, in milliseconds of Unix time, of a key
+// that is a version 7 UUID in its usual form. Other keys have none.
+func keyTime(key string) (int64, bool) {
+	if len(key) != uuidLength {
+		return 0, false
+	}
+	id, err := uuid.Parse(key)
+	if err != nil || id.Version() != uuidTimed || id.Variant() != uuid.RFC4122 {
+		return 0, false
+	}
+	var ms int64
+	for _, b := range id[:timeBytes] {
+		ms = ms<<8 | int64(b)
+	}
+	return ms, true
+}
+
+// rowTime returns the creation time of the key behind a timed row.
+func rowTime(row string) (int64, bool) {
+	rest, ok := strings.CutPrefix(row, PrefixTimed)
+	if !ok || len(rest) < timeDigits {
+		return 0, false
+	}
+	ms, err := strconv.ParseInt(rest[:timeDigits], 16, 64)
+	return ms, err == nil
 }
