--- /dev/null
+++ b/internal/pool/blocks/cache.go
@@ -0,0 +1,80 @@
+package blocks
+
+// cache is a list of blocks by their last use, in an array of nodes.
+type cache struct {
+	limit int
+	at    map[uint64]int32
+	nodes []node
+	free  []int32
+}
+
+// node is a block in the ring of uses; node 0 is the ring's end: its next is
+// the block used last, its previous the one used least recently.
+type node struct {
+	block          uint64
+	next, previous int32
+}
+
+func newCache() *cache {
+	return &cache{at: map[uint64]int32{}, nodes: make([]node, 1)}
+}
+
+func (c *cache) size() int { return len(c.at) }
+
+// use makes a block the most recently used and says whether it is new.
+func (c *cache) use(block uint64) bool {
+	i, known := c.at[block]
+	if known {
+		c.unlink(i)
+	} else {
+		i = c.allocate(block)
+	}
+	c.link(i)
+	return !known
+}
+
+// drop removes a block and says whether it was there.
+func (c *cache) drop(block uint64) bool {
+	i, known := c.at[block]
+	if !known {
+		return false
+	}
+	c.unlink(i)
+	delete(c.at, block)
+	c.free = append(c.free, i)
+	return true
+}
+
+// dropOldest removes the least recently used block and returns it.
+func (c *cache) dropOldest() uint64 {
+	block := c.nodes[c.nodes[0].previous].block
+	c.drop(block)
+	return block
+}
+
+func (c *cache) allocate(block uint64) int32 {
+	var i int32
+	if n := len(c.free); n > 0 {
+		i = c.free[n-1]
+		c.free = c.free[:n-1]
+	} else {
+		i = int32(len(c.nodes))
+		c.nodes = append(c.nodes, node{})
+	}
+	c.nodes[i].block = block
+	c.at[block] = i
+	return i
+}
+
+func (c *cache) unlink(i int32) {
+	n := c.nodes[i]
+	c.nodes[n.previous].next = n.next
+	c.nodes[n.next].previous = n.previous
+}
+
+func (c *cache) link(i int32) {
+	first := c.nodes[0].next
+	c.nodes[i].previous, c.nodes[i].next = 0, first
+	c.nodes[first].previous = i
+	c.nodes[0].next = i
+}
--- a/internal/pool/endpoint.go
+++ b/internal/pool/endpoint.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/trefoilchute/trefoilchute/internal/ident"
+	"github.com/trefoilchute/trefoilchute/internal/pool/speed"
 	"github.com/trefoilchute/trefoilchute/internal/resource"
 )
 
@@ -13,17 +14,37 @@
 // still has requests in flight.
 type endpoint struct {
 	resource.Endpoint
+	// number is the endpoint's number in the prefix index.
+	number int32
 	// declared is false once the endpoint is gone from the configuration.
 	declared bool
 	// inFlight counts the attempts that hold a slot.
 	inFlight int
-	// closedUntil bars new grants after a failure.
+	// pending is the number of prompt tokens granted and not yet prefilled.
+	pending int
+	// closedUntil bars new grants after a failure; failures counts those
+	// without a whole answer between them.
 	closedUntil time.Duration
+	failures    int
+	// reopen wakes the scheduler when the endpoint may get work again.
+	reopen timer
+	// isolating says that the endpoint is kept for a suspect.
+	isolating bool
+	speed     speed.Endpoint
+	window    window
+	// trust is the part of the expected cached tokens that the engine finds.
+	trust float64
+	load  reportedLoad
 }
 
 // slots is the number of requests that the endpoint may have now.
 func (e *endpoint) slots() int {
-	return e.Slots
+	return min(e.Slots, e.window.size()) - e.load.foreign
+}
+
+// free is the number of requests that the endpoint may get now.
+func (e *endpoint) free() int {
+	return e.slots() - e.inFlight
 }
 
 // takesWork says whether the endpoint may get grants at all.
@@ -31,38 +52,70 @@
 	return e.declared && e.State != resource.EndpointDrain && now >= e.closedUntil
 }
 
+// update takes in the endpoint's declaration. Learned speeds stand unless the
+// declared ones changed.
+func (e *endpoint) update(d resource.Endpoint) {
+	if !e.declared || e.PrefillRate != d.PrefillRate || e.DecodeRate != d.DecodeRate {
+		e.speed = speed.NewEndpoint(d.PrefillRate, d.DecodeRate)
+	}
+	if !e.declared {
+		e.trust = 1
+	}
+	e.window.limit(d.Slots)
+	e.Endpoint = d
+	e.declared = true
+}
+
 // endpointTable holds the endpoints sorted by name.
 type endpointTable struct {
 	rows   []*endpoint
 	byName map[ident.Endpoint]*endpoint
+	// numbers is one more than the largest number given; unused ones are in
+	// spare.
+	numbers int32
+	spare   []int32
+	// mean caches average until averageUntil.
+	mean         averageSpeed
+	averageUntil time.Duration
 }
 
 func newEndpointTable() *endpointTable {
 	return &endpointTable{byName: map[ident.Endpoint]*endpoint{}}
 }
 
-func (t *endpointTable) configure(pool ident.Pool, declared []resource.Endpoint) {
+// configure updates the rows and returns the numbers of those removed.
+func (t *endpointTable) configure(pool ident.Pool, declared []resource.Endpoint) []int32 {
+	was := map[ident.Endpoint]bool{}
 	for _, e := range t.rows {
-		e.declared = false
+		was[e.Name] = e.declared
 	}
+	named := map[ident.Endpoint]bool{}
 	for _, d := range declared {
-		if d.Pool() != pool {
-			continue
+		if d.Pool() == pool {
+			t.get(d.Name).update(d)
+			named[d.Name] = true
 		}
-		t.get(d.Name).update(d)
 	}
+	for _, e := range t.rows {
+		e.declared = named[e.Name]
+	}
+	t.averageUntil = 0
+	return t.sweep()
+}
+
+// sweep removes undeclared rows without requests.
+func (t *endpointTable) sweep() []int32 {
+	var removed []int32
 	t.rows = slices.DeleteFunc(t.rows, func(e *endpoint) bool {
 		gone := !e.declared && e.inFlight == 0
 		if gone {
 			delete(t.byName, e.Name)
+			removed = append(removed, e.number)
 		}
 		return gone
 	})
-}
-
-func (e *endpoint) update(d resource.Endpoint) {
-	e.Endpoint = d
-	e.declared = true
+	t.spare = append(t.spare, removed...)
+	return removed
 }
 
 // get returns the row of a name and makes it, undeclared, if needed.
@@ -70,7 +123,7 @@
 	if e := t.byName[name]; e != nil {
 		return e
 	}
-	e := &endpoint{Endpoint: resource.Endpoint{Name: name}}
+	e := &endpoint{Endpoint: resource.Endpoint{Name: name}, number: t.newNumber(), speed: speed.NewEndpoint(0, 0)}
 	t.byName[name] = e
 	i, _ := slices.BinarySearchFunc(t.rows, name, func(e *endpoint, n ident.Endpoint) int {
 		return cmp.Compare(e.Name, n)
@@ -78,3 +131,45 @@
 	t.rows = slices.Insert(t.rows, i, e)
 	return e
 }
+
+func (t *endpointTable) newNumber() int32 {
+	if n := len(t.spare); n > 0 {
+		out := t.spare[n-1]
+		t.spare = t.spare[:n-1]
+		return out
+	}
+	t.numbers++
+	return t.numbers - 1
+}
+
+// plainService says whether the pool's endpoints are plain services.
+func (t *endpointTable) plainService() bool {
+	return len(t.rows) > 0 && t.rows[0].Type == resource.EndpointService
+}
+
+// averageSpeed is the time for one token on an average endpoint.
+type averageSpeed struct {
+	prefill, decode time.Duration
+}
+
+// averageLife is how long a computed average is used.
+const averageLife = time.Second
+
+// average returns the mean time for a token over the endpoints, weighted by
+// their slots.
+func (t *endpointTable) average(now time.Duration) averageSpeed {
+	if now < t.averageUntil {
+		return t.mean
+	}
+	var prefill, decode, weight float64
+	for _, e := range t.rows {
+		w := float64(max(1, e.Slots))
+		weight += w
+		prefill += w * float64(e.speed.Prefill(now, 1))
+		decode += w * float64(e.speed.Decode(now, 1, e.Slots))
+	}
+	weight = max(weight, 1)
+	t.mean = averageSpeed{time.Duration(prefill / weight), time.Duration(decode / weight)}
+	t.averageUntil = now + averageLife
+	return t.mean
+}
--- a/internal/pool/intake.go
+++ b/internal/pool/intake.go
@@ -6,14 +6,13 @@
 	"time"
 
 	"github.com/trefoilchute/trefoilchute/internal/ident"
+	"github.com/trefoilchute/trefoilchute/internal/prefix"
 	"github.com/trefoilchute/trefoilchute/internal/result"
 )
 
 const (
 	// retryWithoutEndpoint is the Retry-After while no endpoint takes work.
 	retryWithoutEndpoint = 2 * time.Second
-	// unreachableClosed bars an endpoint that took no connection.
-	unreachableClosed = time.Second
 )
 
 // take applies one event to the tables.
@@ -27,8 +26,14 @@
 		s.started(e)
 	case Declined:
 		s.declined(e)
+	case FirstToken:
+		s.firstToken(e)
 	case Finished:
 		s.finished(e)
+	case LoadReport:
+		s.loadReport(e)
+	case CacheEvent:
+		s.cacheEvent(e)
 	case Configure:
 		s.configure(e)
 	case Restore:
@@ -45,7 +50,9 @@
 		return
 	}
 	s.sequence++
-	row := &request{Request: r, sequence: s.sequence, arrived: s.now, cost: s.costOf(r)}
+	row := &request{Request: r, sequence: s.sequence, arrived: s.now}
+	row.mean, row.cautious = s.outputs(&r)
+	row.cost = s.costOf(row)
 	if refusal := s.admit(row); refusal != nil {
 		s.emit(*refusal)
 		return
@@ -54,35 +61,6 @@
 	s.enqueue(row)
 }
 
-// costOf estimates the slot time of a request.
-func (s *Scheduler) costOf(r Request) time.Duration {
-	tokens := r.PromptTokens + r.MaxTokens
-	return time.Duration(tokens+1) * time.Millisecond
-}
-
-// admit returns the refusal of a request that can't wait, or nil.
-func (s *Scheduler) admit(r *request) *Refuse {
-	if r.Deadline <= s.now {
-		return s.refusal(r, result.Expired, 0, "the deadline passed before the request arrived")
-	}
-	if !s.anyEndpoint() {
-		return s.refusal(r, result.NoEndpoint, retryWithoutEndpoint, "no endpoint of the pool takes work")
-	}
-	return s.admitToQueue(r)
-}
-
-func (s *Scheduler) admitToQueue(r *request) *Refuse {
-	t := s.teams.get(r.Team)
-	if t.MaxQueued > 0 && t.waiting >= t.MaxQueued {
-		return s.refusal(r, result.TeamLimit, retryWithoutEndpoint, "the team has its most requests waiting")
-	}
-	limit := s.tiers.byRank[r.Rank].MaxQueued
-	if limit > 0 && s.queue.tier(r.Rank).size >= limit {
-		return s.refusal(r, result.QueueFull, retryWithoutEndpoint, "the tier has its most requests waiting")
-	}
-	return nil
-}
-
 func (s *Scheduler) anyEndpoint() bool {
 	return slices.ContainsFunc(s.endpoints.rows, func(e *endpoint) bool {
 		return e.takesWork(s.now)
@@ -97,22 +75,23 @@
 func (s *Scheduler) enqueue(r *request) {
 	r.phase, r.attempt = phaseQueued, nil
 	s.queue.push(r, s.teams.get(r.Team))
-	s.timers.set(&r.timer, r.Deadline, func() { s.expire(r) })
-}
-
-// dequeue takes a row out of the queue.
-func (s *Scheduler) dequeue(r *request) {
-	s.queue.remove(r)
+	s.watch(r)
+}
+
+// withdraw takes a waiting row out of the queue or the held ones. It does
+// nothing to a row that doesn't wait.
+func (s *Scheduler) withdraw(r *request) {
+	switch r.phase {
+	case phaseQueued:
+		s.queue.remove(r)
+	case phaseHeld:
+		s.queue.unhold(r)
+	default:
+		return
+	}
 	s.timers.stop(&r.timer)
 }
 
-// expire refuses a queued request whose deadline has passed.
-func (s *Scheduler) expire(r *request) {
-	s.queue.remove(r)
-	delete(s.requests, r.ID)
-	s.emit(*s.refusal(r, result.Expired, 0, "the deadline passed in the queue"))
-}
-
 // cancel withdraws a request. What is granted keeps its slot until the
 // custodian reports or the grant lapses.
 func (s *Scheduler) cancel(id ident.Request) {
@@ -120,9 +99,7 @@
 	if r == nil || r.phase == phaseRunning {
 		return
 	}
-	if r.phase == phaseQueued {
-		s.dequeue(r)
-	}
+	s.withdraw(r)
 	delete(s.requests, id)
 }
 
@@ -136,13 +113,16 @@
 	a.started, a.startedAt, a.void = true, s.now, false
 	s.timers.stop(&a.timer)
 	s.hold(a)
-	r := s.requests[e.ID]
+	s.forgetWaiting(e.ID, a)
+}
+
+// forgetWaiting makes a request that runs under an attempt wait no more.
+func (s *Scheduler) forgetWaiting(id ident.Request, a *attempt) {
+	r := s.requests[id]
 	if r == nil {
 		return
 	}
-	if r.phase == phaseQueued {
-		s.dequeue(r)
-	}
+	s.withdraw(r)
 	r.phase, r.attempt = phaseRunning, a
 }
 
@@ -153,7 +133,7 @@
 		return
 	}
 	if e.Unreachable {
-		a.endpoint.closedUntil = s.now + unreachableClosed
+		s.endpointFailed(a.endpoint)
 	}
 	s.settle(a)
 	r := s.requests[e.ID]
@@ -173,11 +153,10 @@
 	if a == nil {
 		return
 	}
+	s.learn(a, e)
 	s.settle(a)
-	if r := s.requests[e.ID]; r != nil && (r.attempt == a || r.phase == phaseQueued) {
-		if r.phase == phaseQueued {
-			s.dequeue(r)
-		}
+	if r := s.requests[e.ID]; r != nil {
+		s.withdraw(r)
 		delete(s.requests, e.ID)
 	}
 }
@@ -186,7 +165,12 @@
 func (s *Scheduler) configure(e Configure) {
 	s.tiers.configure(e.Tiers)
 	s.teams.configure(e.Teams)
-	s.endpoints.configure(s.config.Pool, e.Endpoints)
+	for _, number := range s.endpoints.configure(s.config.Pool, e.Endpoints) {
+		s.blocks.Remove(number)
+	}
+	for _, row := range s.endpoints.rows {
+		s.blocks.Resize(row.number, row.CacheTokens/prefix.BlockTokens)
+	}
 }
 
 // restore takes over what one host holds.
@@ -221,8 +205,8 @@
 		s.sequence++
 		row = &request{Request: r.Request, sequence: s.sequence, arrived: s.now - r.Age}
 		s.requests[row.ID] = row
-	} else if row.phase == phaseQueued {
-		s.dequeue(row)
+	} else {
+		s.withdraw(row)
 	}
 	row.phase, row.attempt = phaseRunning, a
 }
--- /dev/null
+++ b/internal/pool/learn.go
@@ -0,0 +1,55 @@
+package pool
+
+import "github.com/trefoilchute/trefoilchute/internal/resource"
+
+// firstToken learns the prefill speed.
+func (s *Scheduler) firstToken(e FirstToken) {
+	a := s.attempts.find(e.ID, e.Attempt)
+	if a == nil || a.firstSeen {
+		return
+	}
+	if a.holds {
+		a.endpoint.pending -= a.uncached
+	}
+	a.firstSeen = true
+	if a.endpoint.Type == resource.EndpointService {
+		return
+	}
+	a.endpoint.speed.SawPrefill(s.now, a.ahead, e.After-dispatchTime)
+	a.endpoint.window.saw(s.now, a.endpoint.speed.Pace(s.now))
+}
+
+// learn takes in what a finished request tells of its endpoint's speed and
+// cache and of the length of answers.
+func (s *Scheduler) learn(a *attempt, f Finished) {
+	e := a.endpoint
+	if f.Outcome == OutcomeLost {
+		s.endpointFailed(e)
+		return
+	}
+	others := float64(a.others+e.inFlight-1) / 2
+	if e.Type == resource.EndpointService {
+		e.speed.SawDecode(s.now, serviceTokens, f.Total, others)
+	} else if f.FirstToken > 0 {
+		e.speed.SawDecode(s.now, f.OutputTokens, f.Total-f.FirstToken, others)
+		s.sawCached(a, f.CachedTokens)
+	}
+	e.window.saw(s.now, e.speed.Pace(s.now))
+	if f.Outcome != OutcomeWhole {
+		return
+	}
+	e.failures = 0
+	if e.Type == resource.EndpointEngine {
+		s.lengths.Saw(a.request.Team, a.request.MaxTokens, f.OutputTokens)
+	}
+}
+
+// loadReport compares an endpoint's report with the ledger.
+func (s *Scheduler) loadReport(r LoadReport) {
+	e := s.endpoints.byName[r.Endpoint]
+	if e == nil {
+		return
+	}
+	e.load.note(s.now, e.inFlight)
+	e.load.report(r)
+}
--- a/internal/pool/ledger.go
+++ b/internal/pool/ledger.go
@@ -9,6 +9,10 @@
 	}
 	a.holds = true
 	a.endpoint.inFlight++
+	a.endpoint.load.note(s.now, a.endpoint.inFlight)
+	if !a.firstSeen {
+		a.endpoint.pending += a.uncached
+	}
 	s.teams.get(a.request.Team).inFlight++
 }
 
@@ -19,6 +23,9 @@
 	}
 	a.holds = false
 	a.endpoint.inFlight--
+	if !a.firstSeen {
+		a.endpoint.pending -= a.uncached
+	}
 	s.teams.get(a.request.Team).inFlight--
 }
 
@@ -30,14 +37,20 @@
 }
 
 // issue grants a queued request a slot of an endpoint.
-func (s *Scheduler) issue(r *request, e *endpoint, why string) {
+func (s *Scheduler) issue(r *request, p placement) {
+	e := p.endpoint
 	s.lastAttempt++
 	a := &attempt{
 		id:       ident.Attempt(s.lastAttempt),
 		request:  r.Request,
 		endpoint: e,
 		granted:  s.now,
+		cached:   p.cached,
+		uncached: max(0, r.PromptTokens-p.cached),
+		others:   e.inFlight,
 	}
+	a.ahead = e.pending + a.uncached
+	s.blocks.Store(e.number, r.Prefix)
 	s.attempts.put(a)
 	s.hold(a)
 	r.phase, r.attempt = phaseGranted, a
@@ -49,7 +62,7 @@
 		Endpoint: e.Name,
 		Attempt:  a.id,
 		Expires:  expires,
-		Why:      why,
+		Why:      p.reason,
 	})
 }
 
--- /dev/null
+++ b/internal/pool/place.go
@@ -0,0 +1,207 @@
+package pool
+
+import (
+	"fmt"
+	"time"
+)
+
+// candidate is an endpoint looked at for a request.
+type candidate struct {
+	endpoint *endpoint
+	// cached is the number of prompt tokens expected in the endpoint's cache;
+	// best the most on any endpoint of the pool that takes work.
+	cached, best int
+	estimate     estimate
+}
+
+// filter says why a candidate can't take a request now; empty if it can.
+type filter interface {
+	filter(s *Scheduler, r *request, c *candidate) string
+}
+
+// scorer returns what placing a request on a candidate costs, as time.
+type scorer interface {
+	score(s *Scheduler, r *request, c *candidate) time.Duration
+}
+
+// reserver says why a request may not take one of the last free slots of the
+// pool; empty if it may.
+type reserver interface {
+	reserve(s *Scheduler, r *request) string
+}
+
+// The plugins in the order in which they run.
+var (
+	filters   = []filter{slotFilter{}, deadlineFilter{}}
+	scorers   = []scorer{finishScore{}, neighbourScore{}, prefixScore{}}
+	reservers = []reserver{longWorkReserve{}}
+)
+
+// Reasons of filters and reservers.
+const (
+	reasonFull     = "every slot is in use"
+	reasonTooLate  = "it would end after its deadline there"
+	reasonReserved = "the last slots are kept from long work"
+	reasonHome     = "it waits for the endpoint that has its prefix cached"
+)
+
+// placement is the result of looking for an endpoint.
+type placement struct {
+	// endpoint is nil if there is none now.
+	endpoint *endpoint
+	cached   int
+	estimate estimate
+	// reason says why the endpoint was chosen, or why there is none.
+	reason string
+	// room says that some endpoint had a free slot.
+	room bool
+}
+
+// place finds the endpoint with the least score.
+func (s *Scheduler) place(r *request) placement {
+	for _, p := range reservers {
+		if reason := p.reserve(s, r); reason != "" {
+			return placement{reason: reason, room: true}
+		}
+	}
+	s.matchPrefix(r)
+	best := s.bestCached(r)
+	out := placement{reason: reasonFull}
+	var least time.Duration
+	for _, e := range s.endpoints.rows {
+		if e.free() <= 0 || !e.takesWork(s.now) || e.isolating {
+			continue
+		}
+		out.room = true
+		c := s.candidate(r, e, best)
+		if reason := rejected(s, r, &c); reason != "" {
+			if out.endpoint == nil {
+				out.reason = reason
+			}
+			continue
+		}
+		cost := totalScore(s, r, &c)
+		if out.endpoint == nil || cost < least {
+			least = cost
+			out.endpoint, out.cached, out.estimate = e, c.cached, c.estimate
+		}
+	}
+	if s.holdForPrefix(r, &out, best) {
+		return placement{reason: reasonHome, room: true}
+	}
+	out.explain(best)
+	return out
+}
+
+func (p *placement) explain(best int) {
+	if p.endpoint == nil {
+		return
+	}
+	p.reason = fmt.Sprintf("least time: %v expected, %d of %d cached prompt tokens there, %d in flight",
+		p.estimate.total.Round(time.Millisecond), p.cached, best, p.endpoint.inFlight)
+}
+
+func rejected(s *Scheduler, r *request, c *candidate) string {
+	for _, p := range filters {
+		if reason := p.filter(s, r, c); reason != "" {
+			return reason
+		}
+	}
+	return ""
+}
+
+func totalScore(s *Scheduler, r *request, c *candidate) time.Duration {
+	var sum time.Duration
+	for _, p := range scorers {
+		sum += p.score(s, r, c)
+	}
+	return sum
+}
+
+func (s *Scheduler) candidate(r *request, e *endpoint, best int) candidate {
+	cached := s.cachedOn(r, e)
+	return candidate{
+		endpoint: e,
+		cached:   cached,
+		best:     best,
+		estimate: s.estimateOn(e, r, cached, e.inFlight, e.pending),
+	}
+}
+
+// slotFilter wants a free slot.
+type slotFilter struct{}
+
+func (slotFilter) filter(_ *Scheduler, _ *request, c *candidate) string {
+	if c.endpoint.free() <= 0 {
+		return reasonFull
+	}
+	return ""
+}
+
+// deadlineFilter wants the whole answer in time.
+type deadlineFilter struct{}
+
+func (deadlineFilter) filter(s *Scheduler, r *request, c *candidate) string {
+	if s.now+c.estimate.cautious > r.Deadline {
+		return reasonTooLate
+	}
+	return ""
+}
+
+// finishScore is the expected time to the whole answer.
+type finishScore struct{}
+
+func (finishScore) score(_ *Scheduler, _ *request, c *candidate) time.Duration {
+	return c.estimate.total
+}
+
+// neighbourScore is the time that the prefill takes from the requests that
+// are in flight on the endpoint.
+type neighbourScore struct{}
+
+// neighbourShare is the part of a prefill's time that each neighbour loses.
+const neighbourShare = 0.5
+
+func (neighbourScore) score(s *Scheduler, r *request, c *candidate) time.Duration {
+	prefill := c.endpoint.speed.Prefill(s.now, r.PromptTokens-c.cached)
+	return time.Duration(neighbourShare * float64(prefill) * float64(c.endpoint.inFlight))
+}
+
+// prefixScore is a penalty for prefilling again what another endpoint has
+// cached.
+type prefixScore struct{}
+
+// prefixPenalty weighs a token that is prefilled again.
+const prefixPenalty = 4
+
+func (prefixScore) score(s *Scheduler, _ *request, c *candidate) time.Duration {
+	return prefixPenalty * c.endpoint.speed.Prefill(s.now, c.best-c.cached)
+}
+
+// longWorkReserve keeps the last free slots of the pool from long work below
+// the highest tier, so that short and high requests find a slot soon.
+type longWorkReserve struct{}
+
+const (
+	// longWork is from which expected slot time on a request is long.
+	longWork = 8 * time.Second
+	// reservedPart is the part of the pool's slots that long work leaves free.
+	reservedPart = 0.05
+)
+
+func (longWorkReserve) reserve(s *Scheduler, r *request) string {
+	if r.Rank == 0 || r.cost < longWork {
+		return ""
+	}
+	slots, free := 0, 0
+	for _, e := range s.endpoints.rows {
+		if e.takesWork(s.now) {
+			slots += e.slots()
+			free += max(0, e.free())
+		}
+	}
+	if slots > 1 && float64(free) <= reservedPart*float64(slots) {
+		return reasonReserved
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/pool/prefix.go
@@ -0,0 +1,91 @@
+package pool
+
+import (
+	"time"
+
+	"github.com/trefoilchute/trefoilchute/internal/prefix"
+)
+
+const (
+	// trustWeight is the weight of an answer in the trust in an endpoint's
+	// modelled cache.
+	trustWeight = 0.1
+	// minSaving is the number of cached tokens from which on a request waits
+	// for the endpoint that has them.
+	minSaving = 2 * prefix.BlockTokens
+	// holdPerPrefill is how long a request waits for its cached prefix, in
+	// times of the prefill that it saves, and maxHold the most.
+	holdPerPrefill = 10
+	maxHold        = 4 * time.Second
+	// holdSlack is the part of the time left that a request may spend on
+	// waiting for its prefix.
+	holdSlack = 0.25
+)
+
+// matchPrefix fills s.matched for a request, by endpoint number.
+func (s *Scheduler) matchPrefix(r *request) {
+	n := int(s.endpoints.numbers)
+	if cap(s.matched) < n {
+		s.matched = make([]int, n)
+	}
+	s.matched = s.matched[:n]
+	s.blocks.Match(r.Prefix, s.matched)
+}
+
+// cachedOn returns the prompt tokens expected in an endpoint's cache, after
+// matchPrefix.
+func (s *Scheduler) cachedOn(r *request, e *endpoint) int {
+	tokens := min(s.matched[e.number]*prefix.BlockTokens, r.PromptTokens)
+	return int(float64(tokens) * e.trust)
+}
+
+// bestCached returns the most cached tokens on any endpoint that takes work.
+func (s *Scheduler) bestCached(r *request) int {
+	best := 0
+	for _, e := range s.endpoints.rows {
+		if e.takesWork(s.now) && !e.isolating {
+			best = max(best, s.cachedOn(r, e))
+		}
+	}
+	return best
+}
+
+// holdForPrefix says whether a request better waits for a slot of the endpoint
+// that has its prefix than take the placement found.
+func (s *Scheduler) holdForPrefix(r *request, p *placement, best int) bool {
+	if p.endpoint == nil || best-p.cached < minSaving {
+		return false
+	}
+	if r.heldSince == 0 {
+		return s.holdTime(r, p, best) > 0
+	}
+	return s.now < r.heldUntil
+}
+
+// holdTime is how long a request may wait for its prefix: in proportion to
+// the prefill that this saves, within the time that it can spare.
+func (s *Scheduler) holdTime(r *request, p *placement, best int) time.Duration {
+	saved := p.endpoint.speed.Prefill(s.now, best-p.cached)
+	spare := r.Deadline - s.now - p.estimate.cautious
+	return min(holdPerPrefill*saved, time.Duration(holdSlack*float64(spare)), maxHold)
+}
+
+// cacheEvent corrects the modelled cache.
+func (s *Scheduler) cacheEvent(e CacheEvent) {
+	row := s.endpoints.byName[e.Endpoint]
+	if row == nil {
+		return
+	}
+	s.blocks.Evict(row.number, e.Evicted)
+	s.blocks.Store(row.number, e.Stored)
+}
+
+// sawCached corrects the trust in the modelled cache by what the engine found.
+func (s *Scheduler) sawCached(a *attempt, found int) {
+	if a.cached < minSaving {
+		return
+	}
+	ratio := min(1, float64(found)/float64(a.cached))
+	a.endpoint.trust += trustWeight * (ratio - a.endpoint.trust)
+	a.endpoint.trust = max(a.endpoint.trust, 0.2)
+}
--- a/internal/pool/queue.go
+++ b/internal/pool/queue.go
@@ -15,7 +15,6 @@
 type queue struct {
 	// tiers is sorted by rank, highest tier first.
 	tiers []*tierQueue
-	size  int
 }
 
 // tierQueue is the queue of one tier.
@@ -27,6 +26,9 @@
 	// ready holds the teams with waiting requests by start tag.
 	ready teamHeap
 	size  int
+	// held are the requests chosen that wait for the right endpoint, in the
+	// order in which they were chosen.
+	held []*request
 	// backlog is the sum of the costs waiting.
 	backlog time.Duration
 }
@@ -73,7 +75,6 @@
 	of.waiting++
 	t.size++
 	t.backlog += r.cost
-	q.size++
 	if tq.index == 0 {
 		heap.Push(&t.ready, tq)
 	}
@@ -87,7 +88,6 @@
 	tq.team.waiting--
 	t.size--
 	t.backlog -= r.cost
-	q.size--
 	if len(tq.requests) == 0 && tq.index > 0 {
 		heap.Remove(&t.ready, tq.index-1)
 	}
@@ -104,6 +104,23 @@
 	}
 }
 
+// hold takes a request out of its team's heap to wait for its endpoint.
+func (t *tierQueue) hold(r *request) {
+	t.held = append(t.held, r)
+	t.size++
+	t.backlog += r.cost
+	t.teams[r.Team].team.waiting++
+}
+
+// unhold takes out a held request.
+func (q *queue) unhold(r *request) {
+	t := q.tier(r.Rank)
+	t.held = slices.DeleteFunc(t.held, func(h *request) bool { return h == r })
+	t.size--
+	t.backlog -= r.cost
+	t.teams[r.Team].team.waiting--
+}
+
 // head returns the team's request with the earliest deadline.
 func (tq *teamQueue) head() *request {
 	return tq.requests[0]
@@ -125,6 +142,13 @@
 	}
 }
 
+// putBackUnless returns a team to the heap unless it is set aside.
+func (t *tierQueue) putBackUnless(tq *teamQueue, aside []*teamQueue) {
+	if !slices.Contains(aside, tq) {
+		t.putBack(tq)
+	}
+}
+
 // teamHeap orders teams by start tag, then by name.
 type teamHeap []*teamQueue
 
@@ -187,3 +211,13 @@
 	*h = (*h)[:last]
 	return r
 }
+
+// last returns the waiting request that a tier would serve last: of the team
+// with the largest start tag, a leaf of its heap.
+func (t *tierQueue) last() *request {
+	if len(t.ready) == 0 {
+		return t.held[len(t.held)-1]
+	}
+	tq := t.ready[len(t.ready)-1]
+	return tq.requests[len(tq.requests)-1]
+}
--- a/internal/pool/scheduler.go
+++ b/internal/pool/scheduler.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/trefoilchute/trefoilchute/internal/ident"
+	"github.com/trefoilchute/trefoilchute/internal/pool/blocks"
+	"github.com/trefoilchute/trefoilchute/internal/pool/speed"
 )
 
 // Scheduler decides for one pool. It isn't safe for concurrent use: one
@@ -29,6 +31,11 @@
 	attempts  *attemptTable
 	queue     *queue
 	timers    *timers
+	lengths   *speed.Lengths
+	blocks    *blocks.Index
+	heldTimer timer
+	// matched is scratch space of matchPrefix.
+	matched []int
 
 	sequence    uint64
 	lastAttempt uint64
@@ -45,6 +52,8 @@
 		requests:    map[ident.Request]*request{},
 		attempts:    newAttemptTable(),
 		timers:      &timers{},
+		lengths:     speed.NewLengths(),
+		blocks:      blocks.NewIndex(),
 		lastAttempt: c.Epoch << attemptBits,
 	}
 	s.queue = newQueue()
--- a/internal/pool/table.go
+++ b/internal/pool/table.go
@@ -25,6 +25,8 @@
 
 const (
 	phaseQueued phase = iota
+	// phaseHeld is chosen and waits for the right endpoint.
+	phaseHeld
 	phaseGranted
 	phaseRunning
 )
@@ -40,6 +42,11 @@
 	attempt *attempt
 	// cost is the estimated slot time on an endpoint of average speed.
 	cost time.Duration
+	// mean and cautious are the tokens expected to be generated.
+	mean, cautious float64
+	// heldSince and heldUntil bound the wait for the right endpoint; 0 while
+	// not held.
+	heldSince, heldUntil time.Duration
 	// position is the index in the team's heap while queued.
 	position int
 	timer    timer
@@ -54,6 +61,14 @@
 	// startedAt is the dispatch time; meaningful once started.
 	startedAt time.Duration
 	started   bool
+	// cached is the part of the prompt expected in the endpoint's cache and
+	// uncached the part counted as pending until the first token.
+	cached, uncached int
+	// ahead is the number of tokens to prefill up to the end of this prompt,
+	// and others the number of requests in flight beside it, at the grant.
+	ahead, others int
+	// firstSeen says that the first token came.
+	firstSeen bool
 	// holds says that the attempt counts in its endpoint's in-flight number.
 	holds bool
 	// void says that the grant's lifetime is over without a report.
