Bound what waits for prefill at an endpoint

Cause: engines take prompts as they come; 7,000 to 30,000 tokens of low tiers were pending before the highest tier's prompts, which then were held until too late (seen by printing each refusal of the highest tier). Change: a prompt is granted only while at most 1 s of prefill would be pending, or nothing is; the deadline is held against the cautious estimate in proportion to the prefill at stake; endpoints without a free slot are listed once a step.

--- a/internal/pool/grant.go
+++ b/internal/pool/grant.go
@@ -4,7 +4,7 @@
 
 const (
 	// maxHeld is the most requests of a tier that wait for their endpoint.
-	maxHeld = 64
+	maxHeld = 16
 	// maxLook is the most teams of a tier looked at in one step without a
 	// grant.
 	maxLook = 16
@@ -13,24 +13,25 @@
 // grant gives free slots to waiting requests: strict tiers, in a tier the
 // team that is furthest behind its share, in a team the earliest deadline.
 func (s *Scheduler) grant() {
+	s.findOpen()
+	if len(s.open) == 0 {
+		return
+	}
 	for _, t := range s.queue.tiers {
-		if !s.anyRoom() {
-			return
-		}
 		s.grantHeld(t)
 		s.grantTier(t)
 	}
 	s.wakeForHeld()
 }
 
-// anyRoom says whether any endpoint has a free slot.
-func (s *Scheduler) anyRoom() bool {
+// findOpen lists the endpoints that can get a request now.
+func (s *Scheduler) findOpen() {
+	s.open = s.open[:0]
 	for _, e := range s.endpoints.rows {
 		if e.free() > 0 && e.takesWork(s.now) && !e.isolating {
-			return true
+			s.open = append(s.open, e)
 		}
 	}
-	return false
 }
 
 // grantHeld serves the requests that wait for the right endpoint.
--- a/internal/pool/place.go
+++ b/internal/pool/place.go
@@ -32,7 +32,7 @@
 
 // The plugins in the order in which they run.
 var (
-	filters   = []filter{slotFilter{}, deadlineFilter{}}
+	filters   = []filter{prefillFilter{}, deadlineFilter{}}
 	scorers   = []scorer{finishScore{}, neighbourScore{}, prefixScore{}}
 	reservers = []reserver{longWorkReserve{}}
 )
@@ -40,6 +40,7 @@
 // Reasons of filters and reservers.
 const (
 	reasonFull     = "every slot is in use"
+	reasonPrefill  = "too much is waiting for prefill there"
 	reasonTooLate  = "it would end after its deadline there"
 	reasonReserved = "the last slots are kept from long work"
 	reasonHome     = "it waits for the endpoint that has its prefix cached"
@@ -68,8 +69,8 @@
 	best := s.bestCached(r)
 	out := placement{reason: reasonFull}
 	var least time.Duration
-	for _, e := range s.endpoints.rows {
-		if e.free() <= 0 || !e.takesWork(s.now) || e.isolating {
+	for _, e := range s.open {
+		if e.free() <= 0 {
 			continue
 		}
 		out.room = true
@@ -128,21 +129,37 @@
 	}
 }
 
-// slotFilter wants a free slot.
-type slotFilter struct{}
+// prefillFilter bounds what waits for prefill at an endpoint: engines take
+// prompts as they come, so that a high request would wait behind low ones.
+type prefillFilter struct{}
+
+// prefillWindow bounds the expected prefill time pending at an endpoint; a
+// longer prompt needs an endpoint with none pending.
+const prefillWindow = time.Second
 
-func (slotFilter) filter(_ *Scheduler, _ *request, c *candidate) string {
-	if c.endpoint.free() <= 0 {
-		return reasonFull
+func (prefillFilter) filter(s *Scheduler, r *request, c *candidate) string {
+	e := c.endpoint
+	if e.pending == 0 {
+		return ""
+	}
+	if e.speed.Prefill(s.now, e.pending+r.PromptTokens-c.cached) > prefillWindow {
+		return reasonPrefill
 	}
 	return ""
 }
 
-// deadlineFilter wants the whole answer in time.
+// deadlineFilter wants the whole answer in time. The more prefill is at stake,
+// the surer it has to be.
 type deadlineFilter struct{}
 
+// surePrefill is the number of prompt tokens from which on the cautious
+// estimate is held against the deadline; below, a part of it.
+const surePrefill = 2000
+
 func (deadlineFilter) filter(s *Scheduler, r *request, c *candidate) string {
-	if s.now+c.estimate.cautious > r.Deadline {
+	stake := min(1, float64(r.PromptTokens-c.cached)/surePrefill)
+	margin := stake * float64(c.estimate.cautious-c.estimate.total)
+	if s.now+c.estimate.total+time.Duration(margin) > r.Deadline {
 		return reasonTooLate
 	}
 	return ""
--- a/internal/pool/scheduler.go
+++ b/internal/pool/scheduler.go
@@ -34,6 +34,8 @@
 	lengths   *speed.Lengths
 	blocks    *blocks.Index
 	heldTimer timer
+	// open is scratch space of grant: the endpoints with a free slot.
+	open []*endpoint
 	// matched is scratch space of matchPrefix.
 	matched []int
 
