--- a/internal/cli/standin.go
+++ b/internal/cli/standin.go
@@ -12,6 +12,7 @@
 	"github.com/sourcegraph/conc"
 	"github.com/urfave/cli/v3"
 
+	platformclient "github.com/trefoilchute/trefoilchute/internal/platform"
 	"github.com/trefoilchute/trefoilchute/internal/resource"
 	"github.com/trefoilchute/trefoilchute/internal/result"
 	"github.com/trefoilchute/trefoilchute/internal/standin/engine"
@@ -35,6 +36,7 @@
 	flagCacheLoss    = "cache-loss"
 	flagLoadTime     = "load-time"
 	flagRestartDelay = "restart-delay"
+	flagPlatform     = "platform"
 	flagDelay        = "delay"
 	flagHostLag      = "host-lag"
 	flagHostMaxAge   = "host-max-age"
@@ -103,6 +105,7 @@
 			&cli.IntFlag{Name: flagCacheLoss, Usage: "cache events lost, per mille"},
 			&cli.DurationFlag{Name: flagLoadTime, Value: time.Second, Usage: "how long it takes to load a model"},
 			&cli.DurationFlag{Name: flagRestartDelay, Value: engine.DefaultRestartDelay, Usage: "how long a crashed engine stays away"},
+			&cli.StringFlag{Name: flagPlatform, Usage: "base `URL` of the platform whose weight store an engine asks before it loads; empty: none"},
 			&cli.DurationFlag{Name: flagDelay, Usage: "time that a service takes for a call"},
 		},
 		Action: runEndpoint,
@@ -134,7 +137,7 @@
 	if fencing != resource.FencingEnforced && fencing != resource.FencingIgnored {
 		return engine.Options{}, result.New(result.BadRequest, "unknown fencing "+string(fencing))
 	}
-	return engine.Options{
+	options := engine.Options{
 		Name:  cmd.String(flagName),
 		Model: cmd.String(flagModel),
 		Speed: engine.Speed{
@@ -149,7 +152,11 @@
 		Fencing:           fencing,
 		LoadTime:          cmd.Duration(flagLoadTime),
 		RestartDelay:      cmd.Duration(flagRestartDelay),
-	}, nil
+	}
+	if url := cmd.String(flagPlatform); url != "" {
+		options.Weights = platformclient.NewClient(url, platformclient.Options{})
+	}
+	return options, nil
 }
 
 // runStandin runs a stand-in until the process is told to stop.
--- a/internal/standin/engine/model_test.go
+++ b/internal/standin/engine/model_test.go
@@ -171,7 +171,7 @@
 		{at: 10 * time.Second, job: again, cancel: -1},
 	}, seldom)
 	g.Expect(first(tokens, 1)).To(BeNumerically("~", 800*time.Millisecond, time.Microsecond))
-	g.Expect(first(tokens, 2)-10*time.Second).To(BeNumerically("~", 250*time.Microsecond, time.Microsecond))
+	g.Expect(first(tokens, 2) - 10*time.Second).To(BeNumerically("~", 250*time.Microsecond, time.Microsecond))
 	g.Expect(tokens[1].Cached).To(Equal(50*prefix.BlockTokens - 1))
 
 	var arrivals []arrival
