--- a/internal/standin/engine/answer.go
+++ b/internal/standin/engine/answer.go
@@ -2,11 +2,11 @@
 
 import (
 	"encoding/binary"
-	"encoding/json"
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/pkg/errors"
+
+	"github.com/trefoilchute/trefoilchute/internal/engine"
 )
 
 const (
@@ -26,9 +26,9 @@
 
 // ChatRequest is the part of a chat completion's body that the engine reads.
 type ChatRequest struct {
-	Model    string    `json:"model"`
-	Messages []Message `json:"messages"`
-	Stream   bool      `json:"stream"`
+	Model    string           `json:"model"`
+	Messages []engine.Message `json:"messages"`
+	Stream   bool             `json:"stream"`
 	// MaxTokens bounds the answer; 0: no bound.
 	MaxTokens int `json:"max_tokens"`
 	// OutputTokens is the wanted length of the answer before MaxTokens; 0: the
@@ -36,43 +36,9 @@
 	OutputTokens int `json:"x_output_tokens"`
 }
 
-// Message is one message of a chat.
-type Message struct {
-	Role    string  `json:"role"`
-	Content Content `json:"content"`
-}
-
-// Content is the text of a message. In JSON it is a string, or a list of parts
-// of which those with a text count.
-type Content string
-
-// UnmarshalJSON reads both forms.
-func (c *Content) UnmarshalJSON(data []byte) error {
-	var text string
-	if json.Unmarshal(data, &text) == nil {
-		*c = Content(text)
-		return nil
-	}
-	var parts []struct {
-		Text string `json:"text"`
-	}
-	if err := json.Unmarshal(data, &parts); err != nil {
-		return errors.Wrap(err, "message content")
-	}
-	for _, part := range parts {
-		*c += Content(part.Text)
-	}
-	return nil
-}
-
-// Prompt returns the text of all messages, one after the other without a
-// separator. Prefix hashes and token counts are taken from it.
+// Prompt returns the text that prefix hashes and token counts are taken from.
 func (r *ChatRequest) Prompt() []byte {
-	var prompt []byte
-	for _, message := range r.Messages {
-		prompt = append(prompt, message.Content...)
-	}
-	return prompt
+	return engine.Prompt(r.Messages)
 }
 
 // Length returns the number of tokens of the answer; at least 1.
--- a/internal/standin/engine/server_test.go
+++ b/internal/standin/engine/server_test.go
@@ -93,7 +93,7 @@
 		Model:        "m",
 		Stream:       true,
 		OutputTokens: tokens,
-		Messages:     []engine.Message{{Role: "user", Content: engine.Content(prompt)}},
+		Messages:     []api.Message{{Role: "user", Content: api.Content(prompt)}},
 	}
 }
 
