List the stand-in table's rows without a scan

The list of a prefix sorted all keys of the table, which would have been measured as the platform's time once there are thousands of rows. The keys are now kept in order.

--- a/internal/standin/platform/table.go
+++ b/internal/standin/platform/table.go
@@ -6,7 +6,7 @@
 
 import (
 	"bytes"
-	"sort"
+	"slices"
 	"strings"
 
 	"github.com/trefoilchute/trefoilchute/internal/platform"
@@ -15,6 +15,8 @@
 // table is a transactional table. It is not safe for concurrent use.
 type table struct {
 	rows map[string]platform.Row
+	// keys holds the keys of the rows in order.
+	keys []string
 	// version is the version of the last applied transaction.
 	version uint64
 }
@@ -36,18 +38,15 @@
 // list returns copies of up to limit rows with the prefix and a key after the
 // given one, in key order. A limit of 0 or less means no limit.
 func (t *table) list(prefix, after string, limit int) []platform.Row {
-	var keys []string
-	for key := range t.rows {
-		if strings.HasPrefix(key, prefix) && key > after {
-			keys = append(keys, key)
-		}
-	}
-	sort.Strings(keys)
-	if limit > 0 && len(keys) > limit {
-		keys = keys[:limit]
+	rows := []platform.Row{}
+	start, found := slices.BinarySearch(t.keys, max(prefix, after))
+	if found && after >= prefix {
+		start++
 	}
-	rows := make([]platform.Row, 0, len(keys))
-	for _, key := range keys {
+	for _, key := range t.keys[start:] {
+		if !strings.HasPrefix(key, prefix) || (limit > 0 && len(rows) == limit) {
+			break
+		}
 		rows = append(rows, copyRow(t.rows[key]))
 	}
 	return rows
@@ -62,18 +61,33 @@
 	}
 	t.version++
 	for _, key := range txn.Deletes {
-		delete(t.rows, key)
+		t.remove(key)
 	}
 	for _, put := range txn.Puts {
-		t.rows[put.Key] = platform.Row{
-			Key:     put.Key,
-			Value:   bytes.Clone(put.Value),
-			Version: t.version,
-		}
+		t.put(platform.Row{Key: put.Key, Value: bytes.Clone(put.Value), Version: t.version})
 	}
 	return t.version, nil
 }
 
+// put adds or replaces a row.
+func (t *table) put(row platform.Row) {
+	if _, ok := t.rows[row.Key]; !ok {
+		i, _ := slices.BinarySearch(t.keys, row.Key)
+		t.keys = slices.Insert(t.keys, i, row.Key)
+	}
+	t.rows[row.Key] = row
+}
+
+// remove deletes a row if it exists.
+func (t *table) remove(key string) {
+	if _, ok := t.rows[key]; !ok {
+		return
+	}
+	i, _ := slices.BinarySearch(t.keys, key)
+	t.keys = slices.Delete(t.keys, i, i+1)
+	delete(t.rows, key)
+}
+
 // copyRow returns a row that shares no memory with the table.
 func copyRow(row platform.Row) platform.Row {
 	row.Value = bytes.Clone(row.Value)
