--- a/internal/resource/layout.go
+++ b/internal/resource/layout.go
@@ -28,8 +28,8 @@
 	ChangeID string `json:"change_id"`
 }
 
-// ResourceRow is the value of a row under ResourcePrefix.
-type ResourceRow struct {
+// SpecRow is the value of a row under ResourcePrefix.
+type SpecRow struct {
 	// Changed is the revision of the resource's last change.
 	Changed uint64 `json:"changed"`
 	// Spec is the resource as JSON.
@@ -93,7 +93,7 @@
 	if !ok {
 		return Item{}, 0, errors.Wrapf(errEncoding, "row key %q", row.Key)
 	}
-	var value ResourceRow
+	var value SpecRow
 	if err := json.Unmarshal(row.Value, &value); err != nil {
 		return Item{}, 0, errors.Wrapf(err, "resource: row %q", row.Key)
 	}
@@ -107,6 +107,6 @@
 	if err != nil {
 		return platform.Put{}, errors.Wrap(err, "resource: encode row")
 	}
-	value, err := json.Marshal(ResourceRow{Changed: changed, Spec: spec})
+	value, err := json.Marshal(SpecRow{Changed: changed, Spec: spec})
 	return platform.Put{Key: resourceKey(item.Kind, item.Name), Value: value}, errors.Wrap(err, "resource: encode row")
 }
--- a/internal/resource/resource_test.go
+++ b/internal/resource/resource_test.go
@@ -1,6 +1,8 @@
 package resource
 
 import (
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 
@@ -198,3 +200,32 @@
 	}
 	return m.Items
 }
+
+// TestPage holds docs/MANIFEST-KEYS.md to the code.
+func TestPage(t *testing.T) {
+	page, err := os.ReadFile("../../docs/MANIFEST-KEYS.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if string(page) != Markdown() {
+		t.Error("docs/MANIFEST-KEYS.md is not up to date; run go generate ./...")
+	}
+}
+
+// TestSamples checks that each sample manifest is valid by itself.
+func TestSamples(t *testing.T) {
+	files, err := filepath.Glob("../../samples/*.ini")
+	if err != nil || len(files) == 0 {
+		t.Fatal("no samples", err)
+	}
+	for _, file := range files {
+		data, err := os.ReadFile(file)
+		if err != nil {
+			t.Fatal(err)
+		}
+		g := NewWithT(t)
+		m, err := ParseManifest(file, data)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(Validate(NewSnapshot().With(1, m.Items))).To(BeEmpty(), file)
+	}
+}
--- /dev/null
+++ b/internal/settings/markdown.go
@@ -0,0 +1,54 @@
+package settings
+
+import (
+	"strings"
+
+	"github.com/trefoilchute/trefoilchute/internal/inifile"
+)
+
+//go:generate go run ./gen ../../docs/SETTINGS.md
+
+// markdownHead starts the page of settings.
+const markdownHead = `# Settings
+
+Generated from ` + "`internal/settings`" + ` by ` + "`go generate ./...`" + `; a test holds it to the code.
+
+An entry host's process reads one INI file at its start: ` + "`trefoilchute entry --settings FILE`" + `. A change
+needs a restart. ` + "`trefoilchute settings check FILE`" + ` says what is wrong with a file, with line, section, key
+and what was expected. Reading is strict: an unknown section or key, a key that stands twice, a value
+without its unit or out of its range is an error, and the process doesn't start. A value ends with its
+line; comments stand on lines of their own and start with ` + "`#` or `;`" + `. Addresses are IP addresses, never
+names. What concerns the whole deployment is no setting but a resource, see [RESOURCES.md](RESOURCES.md).
+`
+
+// markdownExample ends the page; a test parses it.
+const markdownExample = `[host]
+name = entry-a1
+domain = a
+
+[callers]
+listen = 10.1.0.11:7070
+
+[admin]
+listen = 10.1.0.11:7071
+token = replace-this-token
+
+[peer]
+listen = 10.1.0.11:7072
+secret = replace-this-secret
+
+[platform]
+url = http://10.1.0.9:7000
+`
+
+// Markdown returns the documentation page of the settings.
+func Markdown() string {
+	var b strings.Builder
+	b.WriteString(markdownHead)
+	for _, section := range Docs() {
+		b.WriteString("\n## [" + section.Name + "]\n\n")
+		b.WriteString(inifile.Markdown(section.Keys))
+	}
+	b.WriteString("\n## Example\n\n```ini\n" + markdownExample + "```\n")
+	return b.String()
+}
