--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -44,7 +44,7 @@
 		"time without unit": {"domain = a", "domain = a\ndrain_grace = 30", "s.ini:4: [host] drain_grace: expected a time with its unit"},
 		"bad seed":          {"secret", "seeds = 10.0.0.1:1, host:2\nsecret", "[peer] seeds: expected IP addresses and ports"},
 		"short secret":      {"replace-this-secret", "short", "[peer] secret: expected 16 to 256 printable characters"},
-		"level":             {"[platform]", "[log]\nlevel = loud\n[platform]", "[log] level: expected one of error, warn, info, debug"},
+		"level":             {"[platform]", "[log]\nlevel = loud\n[platform]", "[log] level: expected one of error, warning, info, debug"},
 		"no token":          {"token = replace-this-token", "", "[admin] token: expected a token where admin listens beyond loopback"},
 		"any peer address":  {"10.1.0.11:7072", "0.0.0.0:7072", "[peer] listen: expected an address that other hosts can dial"},
 		"same address":      {"10.1.0.11:7072", "10.1.0.11:7070", "expected three addresses that differ"},
