--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -34,6 +34,11 @@
 	OutcomeUnknown Code = 300
 	EndpointLost   Code = 301
 	AnswerCut      Code = 302
+	EndpointError  Code = 303
+	// EarlierUnknown speaks of the key: this attempt was not dispatched, an
+	// earlier one may have been.
+	EarlierUnknown   Code = 303
+	AnswerUnreadable Code = 304
 
 	BadRequest     Code = 400
 	Unauthorized   Code = 401
@@ -101,13 +106,16 @@
 	{OutcomeUnknown, "outcome_unknown", http.StatusBadGateway, RanUnknown, "only if running twice is harmless", "The request may have run."},
 	{EndpointLost, "endpoint_lost", http.StatusBadGateway, RanUnknown, "only if running twice is harmless", "The endpoint was lost while it ran the request."},
 	{AnswerCut, "answer_cut", http.StatusBadGateway, RanUnknown, "only if running twice is harmless", "The answer ended before its end marker and could not be resumed."},
+	{EarlierUnknown, "earlier_unknown", http.StatusServiceUnavailable, RanUnknown, "after Retry-After, with the same key", "This attempt was not run, but whether an earlier one with the same key was can't be seen now."},
+	{AnswerUnreadable, "answer_unreadable", http.StatusServiceUnavailable, RanYes, "after Retry-After, with the same key", "The request ran, but its kept answer can't be read now."},
+	{EndpointError, "endpoint_error", http.StatusBadGateway, RanUnknown, "only if running twice is harmless", "The endpoint answered with an error status."},
 	{BadRequest, "bad_request", http.StatusBadRequest, RanNo, "corrected", "The request is malformed."},
 	{Unauthorized, "unauthorized", http.StatusUnauthorized, RanNo, "with a valid key", "The bearer key names no team."},
 	{NoRoute, "no_route", http.StatusNotFound, RanNo, "corrected", "No route serves this path or model."},
 	{KeyRequired, "key_required", http.StatusBadRequest, RanNo, "with an idempotency key", "The route is not idempotent and needs an idempotency key."},
 	{KeyMismatch, "key_mismatch", http.StatusUnprocessableEntity, RanNo, "with a new key", "The idempotency key was used with another request."},
 	{TooLarge, "too_large", http.StatusRequestEntityTooLarge, RanNo, "smaller", "The request is larger than its route allows."},
-	{KeyExpired, "key_expired", http.StatusUnprocessableEntity, RanNo, "with a new key", "The idempotency key is older than the claims that are kept."},
+	{KeyExpired, "key_expired", http.StatusUnprocessableEntity, RanUnknown, "with a new key, if running twice is harmless", "The idempotency key is older than the claims that are kept: this attempt was not run, an earlier one may have been."},
 	{InProgress, "in_progress", http.StatusConflict, RanUnknown, "after Retry-After, with the same key", "A request with this key is running and can't be joined from here."},
 	{Conflict, "conflict", http.StatusConflict, RanNo, "after reading the newer revision", "The resource changed since the revision that the change names."},
 	{InvalidConfig, "invalid_config", http.StatusUnprocessableEntity, RanNo, "corrected", "The manifest or settings are not valid."},
