--- /dev/null
+++ b/internal/logs/event.go
@@ -0,0 +1,95 @@
+package logs
+
+import (
+	"strings"
+)
+
+//go:generate go run ./gen ../../docs/LOGS.md
+
+// Event names what a log line or a record of explain is about.
+type Event string
+
+// Events of a host's life.
+const (
+	Ready                Event = "ready"
+	Stopping             Event = "stopping"
+	Stopped              Event = "stopped"
+	CallersCut           Event = "callers_cut"
+	AdminShutdown        Event = "admin_shutdown"
+	ConfigurationInForce Event = "configuration_in_force"
+	HostList             Event = "host_list"
+)
+
+// Events of a request.
+const (
+	Placed            Event = "placed"
+	Granted           Event = "granted"
+	Dispatched        Event = "dispatched"
+	Refused           Event = "refused"
+	PassedOn          Event = "passed_on"
+	Final             Event = "final"
+	Answered          Event = "answered"
+	AcceptedElsewhere Event = "accepted_elsewhere"
+)
+
+// Events of the report's buckets.
+const (
+	BucketsWritten Event = "buckets_written"
+	BucketsLate    Event = "buckets_late"
+)
+
+// Info describes an event for the documentation.
+type Info struct {
+	Event Event
+	// Meaning is one sentence.
+	Meaning string
+}
+
+// Table lists every event once.
+var Table = []Info{
+	{Ready, "The process has opened its addresses; /readyz says when it has a configuration."},
+	{Stopping, "A planned stop has begun: readiness is off."},
+	{Stopped, "The process ends."},
+	{CallersCut, "A planned stop reached its limit with callers still connected."},
+	{AdminShutdown, "The operators' interface didn't close in time."},
+	{ConfigurationInForce, "A revision came into force at this host."},
+	{HostList, "The platform's host list couldn't be read or written."},
+	{Placed, "A pool's scheduler gave the request a slot of an endpoint; the reason says why there."},
+	{Granted, "The host that holds the request heard of its slot."},
+	{Dispatched, "The request was sent to the endpoint."},
+	{Refused, "A pool's scheduler refused the request; code and reason say why."},
+	{PassedOn, "A pool's scheduler passed the request to another failure domain."},
+	{Final, "The request's answer is a refusal; code and reason say why."},
+	{Answered, "The caller has the final answer."},
+	{AcceptedElsewhere, "Another host accepted the request and knows more."},
+	{BucketsWritten, "Buckets of the burn report were written to the object store."},
+	{BucketsLate, "Buckets of the burn report couldn't be written and are kept for another attempt."},
+}
+
+// markdownHead starts the page of log events.
+const markdownHead = `# Log events
+
+Generated from ` + "`internal/logs`" + ` by ` + "`go generate ./...`" + `; a test holds it to the code.
+
+Each event is one line of key=value pairs on the standard error stream:
+
+` + "```" + `
+time="2026-12-04T03:00:00.000000Z" level=info event=ready domain=a host=entry-a1 listen="10.1.0.11:7070"
+` + "```" + `
+
+` + "`code` and `result`" + ` are a result code's number and name, see [RESULT-CODES.md](RESULT-CODES.md); keys that end
+in ` + "`_ms`" + ` are milliseconds. The events of a request are also the records that ` + "`trefoilchute explain`" + ` prints.
+
+| Event | Meaning |
+| --- | --- |
+`
+
+// Markdown returns the documentation page of the events.
+func Markdown() string {
+	var b strings.Builder
+	b.WriteString(markdownHead)
+	for _, info := range Table {
+		b.WriteString("| `" + string(info.Event) + "` | " + info.Meaning + " |\n")
+	}
+	return b.String()
+}
--- /dev/null
+++ b/internal/logs/gen/main.go
@@ -0,0 +1,17 @@
+// Command gen writes the page of log events to the file that its argument
+// names.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/trefoilchute/trefoilchute/internal/logs"
+)
+
+func main() {
+	if err := os.WriteFile(os.Args[1], []byte(logs.Markdown()), 0o644); err != nil {
+		_, _ = fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
