Count what a host does by OpenTelemetry

Change: metrics counts answers, goodput by tier, refusals by code, prefill tokens as cached, useful or wasted, waits, gaps and platform calls, and serves them for scraping; docs/METRICS.md is generated from the table, and a test compares the table with the names that are scraped.

--- /dev/null
+++ b/internal/metrics/gen/main.go
@@ -0,0 +1,17 @@
+// Command gen writes the page of metrics to the file that its argument
+// names.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/trefoilchute/trefoilchute/internal/metrics"
+)
+
+func main() {
+	if err := os.WriteFile(os.Args[1], []byte(metrics.Markdown()), 0o644); err != nil {
+		_, _ = fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/internal/metrics/instruments.go
@@ -0,0 +1,96 @@
+package metrics
+
+import (
+	"context"
+	"maps"
+	"slices"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+)
+
+// instruments holds the metrics that are recorded as things happen.
+type instruments struct {
+	requests, goodput, refusals     metric.Int64Counter
+	prefill, output, platformCalls  metric.Int64Counter
+	duration, queueWait, firstToken metric.Float64Histogram
+	tokenGap, platformTime          metric.Float64Histogram
+}
+
+// builder makes instruments from Table and keeps the first error.
+type builder struct {
+	meter metric.Meter
+	err   error
+}
+
+func (b *builder) note(err error) {
+	if b.err == nil {
+		b.err = err
+	}
+}
+
+func (b *builder) counter(name string) metric.Int64Counter {
+	info := lookup(name)
+	c, err := b.meter.Int64Counter(name, metric.WithUnit(info.Unit), metric.WithDescription(info.Meaning))
+	b.note(err)
+	return c
+}
+
+func (b *builder) histogram(name string, bounds []float64) metric.Float64Histogram {
+	info := lookup(name)
+	h, err := b.meter.Float64Histogram(name, metric.WithUnit(info.Unit), metric.WithDescription(info.Meaning),
+		metric.WithExplicitBucketBoundaries(bounds...))
+	b.note(err)
+	return h
+}
+
+func (b *builder) gauge(name string) metric.Int64ObservableGauge {
+	info := lookup(name)
+	g, err := b.meter.Int64ObservableGauge(name, metric.WithUnit(info.Unit), metric.WithDescription(info.Meaning))
+	b.note(err)
+	return g
+}
+
+// instruments makes the metrics that are recorded as things happen.
+func (b *builder) instruments() instruments {
+	return instruments{
+		requests:      b.counter(nameRequests),
+		goodput:       b.counter(nameGoodput),
+		refusals:      b.counter(nameRefusals),
+		prefill:       b.counter(namePrefill),
+		output:        b.counter(nameOutput),
+		platformCalls: b.counter(namePlatformCalls),
+		duration:      b.histogram(nameDuration, requestBounds),
+		queueWait:     b.histogram(nameQueueWait, requestBounds),
+		firstToken:    b.histogram(nameFirstToken, requestBounds),
+		tokenGap:      b.histogram(nameTokenGap, gapBounds),
+		platformTime:  b.histogram(namePlatformTime, callBounds),
+	}
+}
+
+// observe makes the gauges, which ask status at each scrape.
+func (b *builder) observe(status func() Status) {
+	revision := b.gauge(nameRevision)
+	members := b.gauge(nameMembers)
+	waiting := b.gauge(nameWaiting)
+	inFlight := b.gauge(nameInFlight)
+	if b.err != nil {
+		return
+	}
+	_, err := b.meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
+		s := status()
+		o.ObserveInt64(revision, int64(s.Revision))
+		o.ObserveInt64(inFlight, int64(s.InFlight))
+		observeEach(o, members, labelState, s.Members)
+		observeEach(o, waiting, labelTier, s.Waiting)
+		return nil
+	}, revision, members, waiting, inFlight)
+	b.note(err)
+}
+
+// observeEach observes a gauge for each value of a label.
+func observeEach[K ~string](o metric.Observer, gauge metric.Int64ObservableGauge, label string, counts map[K]int) {
+	for _, key := range slices.Sorted(maps.Keys(counts)) {
+		o.ObserveInt64(gauge, int64(counts[key]), metric.WithAttributes(attribute.String(label, string(key))))
+	}
+}
--- /dev/null
+++ b/internal/metrics/metrics.go
@@ -0,0 +1,162 @@
+// Package metrics counts what a host does by OpenTelemetry and serves it for
+// scraping. docs/METRICS.md lists the names.
+package metrics
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.opentelemetry.io/otel/attribute"
+	exporter "go.opentelemetry.io/otel/exporters/prometheus"
+	"go.opentelemetry.io/otel/metric"
+	sdk "go.opentelemetry.io/otel/sdk/metric"
+
+	"github.com/trefoilchute/trefoilchute/internal/ident"
+	"github.com/trefoilchute/trefoilchute/internal/result"
+)
+
+// scope names the instrumentation scope.
+const scope = "github.com/trefoilchute/trefoilchute"
+
+// Bounds of histogram buckets in seconds.
+var (
+	requestBounds = []float64{0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.38, 0.5, 1, 2, 5, 10, 30, 60, 300}
+	gapBounds     = []float64{0.005, 0.01, 0.02, 0.03, 0.045, 0.06, 0.08, 0.12, 0.25, 0.5, 1, 5}
+	callBounds    = []float64{0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1, 2, 5}
+)
+
+// Status is what a host is like at the moment of a scrape.
+type Status struct {
+	// Revision is the revision in force; 0 while there is none.
+	Revision uint64
+	// Members counts the entry hosts by state.
+	Members map[string]int
+	// Waiting counts the requests in the pools that this host schedules.
+	Waiting map[ident.Tier]int
+	// InFlight counts the requests at endpoints for callers of this host.
+	InFlight int
+}
+
+// Metrics holds a host's metrics. It is safe for concurrent use.
+type Metrics struct {
+	registry *prometheus.Registry
+	provider *sdk.MeterProvider
+	set      instruments
+	// labels holds the prepared label sets, so that recording doesn't build one
+	// each time.
+	labels sync.Map
+}
+
+// New returns metrics that ask status at each scrape.
+func New(status func() Status) (*Metrics, error) {
+	registry := prometheus.NewRegistry()
+	reader, err := exporter.New(
+		exporter.WithRegisterer(registry), exporter.WithoutScopeInfo(), exporter.WithoutTargetInfo())
+	if err != nil {
+		return nil, errors.Wrap(err, "metrics")
+	}
+	m := &Metrics{registry: registry, provider: sdk.NewMeterProvider(sdk.WithReader(reader))}
+	b := &builder{meter: m.provider.Meter(scope)}
+	m.set = b.instruments()
+	b.observe(status)
+	return m, errors.Wrap(b.err, "metrics")
+}
+
+// Handler serves the metrics for scraping.
+func (m *Metrics) Handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+}
+
+// Close releases the metrics.
+func (m *Metrics) Close(ctx context.Context) error {
+	return errors.Wrap(m.provider.Shutdown(ctx), "metrics")
+}
+
+// Answer is one request's final answer.
+type Answer struct {
+	Tier ident.Tier
+	Code result.Code
+	// InTime says that the whole answer came before the deadline.
+	InTime bool
+	// QueueWait is the time from arrival to dispatch; 0 if not dispatched.
+	QueueWait time.Duration
+	// FirstToken is the time from arrival to the first token; 0 if none came.
+	FirstToken time.Duration
+	// Total is the time from arrival to the end.
+	Total time.Duration
+}
+
+// Answered counts a final answer.
+func (m *Metrics) Answered(a *Answer) {
+	ctx := context.Background()
+	byTier := m.by(labelTier, string(a.Tier))
+	byCode := m.by(labelTier, string(a.Tier), labelCode, a.Code.String())
+	m.set.requests.Add(ctx, 1, byCode)
+	if a.Code == result.OK {
+		m.set.duration.Record(ctx, a.Total.Seconds(), byTier)
+	}
+	if a.Code == result.OK && a.InTime {
+		m.set.goodput.Add(ctx, 1, byTier)
+	}
+	if info, ok := result.Lookup(a.Code); ok && info.Ran == result.RanNo {
+		m.set.refusals.Add(ctx, 1, byCode)
+	}
+	if a.QueueWait > 0 {
+		m.set.queueWait.Record(ctx, a.QueueWait.Seconds(), byTier)
+	}
+	if a.FirstToken > 0 {
+		m.set.firstToken.Record(ctx, a.FirstToken.Seconds(), byTier)
+	}
+}
+
+// TokenGap counts the time between two parts of an answer.
+func (m *Metrics) TokenGap(tier ident.Tier, gap time.Duration) {
+	m.set.tokenGap.Record(context.Background(), gap.Seconds(), m.by(labelTier, string(tier)))
+}
+
+// Values of the label kind of the prefill counter.
+const (
+	prefillCached = "cached"
+	prefillUseful = "useful"
+	prefillWasted = "wasted"
+)
+
+// Tokens counts the tokens of a dispatched request that has ended: those of
+// its prompt, the part of them that was cached, and those generated. The
+// computed part of the prompt counts as wasted unless the answer was whole and
+// in time.
+func (m *Metrics) Tokens(tier ident.Tier, prompt, cached, output int, good bool) {
+	ctx := context.Background()
+	computed := prefillWasted
+	if good {
+		computed = prefillUseful
+	}
+	cached = min(cached, prompt)
+	m.set.prefill.Add(ctx, int64(cached), m.by(labelTier, string(tier), labelKind, prefillCached))
+	m.set.prefill.Add(ctx, int64(prompt-cached), m.by(labelTier, string(tier), labelKind, computed))
+	m.set.output.Add(ctx, int64(output), m.by(labelTier, string(tier)))
+}
+
+// labelKey identifies a prepared label set of one or two labels.
+type labelKey [4]string
+
+// by returns the option for label pairs.
+func (m *Metrics) by(pairs ...string) metric.MeasurementOption {
+	var key labelKey
+	copy(key[:], pairs)
+	if option, ok := m.labels.Load(key); ok {
+		return option.(metric.MeasurementOption)
+	}
+	var attributes []attribute.KeyValue
+	for i := 0; i < len(pairs); i += 2 {
+		attributes = append(attributes, attribute.String(pairs[i], pairs[i+1]))
+	}
+	option := metric.WithAttributeSet(attribute.NewSet(attributes...))
+	m.labels.Store(key, option)
+	return option
+}
--- /dev/null
+++ b/internal/metrics/metrics_test.go
@@ -0,0 +1,111 @@
+package metrics
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/pkg/errors"
+
+	"github.com/trefoilchute/trefoilchute/internal/ident"
+	"github.com/trefoilchute/trefoilchute/internal/platform"
+	"github.com/trefoilchute/trefoilchute/internal/result"
+)
+
+// failingTable fails each call with its error.
+type failingTable struct{ err error }
+
+func (f failingTable) Get(context.Context, string) (platform.Row, error) {
+	return platform.Row{}, f.err
+}
+
+func (f failingTable) List(context.Context, string, string, int) ([]platform.Row, error) {
+	return nil, f.err
+}
+
+func (f failingTable) Commit(context.Context, platform.Txn) (uint64, error) { return 0, f.err }
+
+// record records each metric at least once.
+func record(t *testing.T) *Metrics {
+	t.Helper()
+	m, err := New(func() Status {
+		return Status{
+			Revision: 7, InFlight: 2, Members: map[string]int{"alive": 3},
+			Waiting: map[ident.Tier]int{"urgent": 5},
+		}
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	good := Answer{
+		Tier: "urgent", Code: result.OK, InTime: true,
+		QueueWait: time.Millisecond, FirstToken: time.Second, Total: 2 * time.Second,
+	}
+	late := good
+	late.InTime = false
+	m.Answered(&good)
+	m.Answered(&late)
+	m.Answered(&Answer{Tier: "urgent", Code: result.ShedTier})
+	m.Answered(&Answer{Tier: "urgent", Code: result.OutcomeUnknown})
+	m.TokenGap("urgent", time.Millisecond)
+	m.Tokens("urgent", 100, 30, 10, true)
+	m.Tokens("urgent", 100, 0, 0, false)
+	_, _ = m.Table(failingTable{errors.Wrap(platform.ErrAmbiguous, "lost")}).Commit(t.Context(), platform.Txn{})
+	return m
+}
+
+// TestPage holds docs/METRICS.md to the code, and the code's names to what is
+// scraped.
+func TestPage(t *testing.T) {
+	g := NewWithT(t)
+	page, err := os.ReadFile("../../docs/METRICS.md")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(string(page)).To(Equal(Markdown()), "run go generate ./...")
+	families, err := record(t).registry.Gather()
+	g.Expect(err).NotTo(HaveOccurred())
+	var scraped, listed []string
+	for _, family := range families {
+		scraped = append(scraped, family.GetName())
+	}
+	for _, info := range Table {
+		listed = append(listed, info.scraped())
+	}
+	g.Expect(scraped).To(ConsistOf(listed))
+}
+
+func TestScrape(t *testing.T) {
+	g := NewWithT(t)
+	recorder := httptest.NewRecorder()
+	record(t).Handler().ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+	for _, line := range []string{
+		`trefoilchute_requests_total{code="ok",tier="urgent"} 2`,
+		`trefoilchute_goodput_total{tier="urgent"} 1`,
+		`trefoilchute_refusals_total{code="shed_tier",tier="urgent"} 1`,
+		`trefoilchute_first_token_seconds_count{tier="urgent"} 2`,
+		`trefoilchute_prefill_total{kind="cached",tier="urgent"} 30`,
+		`trefoilchute_prefill_total{kind="useful",tier="urgent"} 70`,
+		`trefoilchute_prefill_total{kind="wasted",tier="urgent"} 100`,
+		`trefoilchute_platform_calls_total{operation="table_commit",outcome="ambiguous"} 1`,
+		`trefoilchute_configuration_revision 7`,
+		`trefoilchute_membership_hosts{state="alive"} 3`,
+		`trefoilchute_queue_waiting{tier="urgent"} 5`,
+	} {
+		g.Expect(recorder.Body.String()).To(ContainSubstring(line + "\n"))
+	}
+	g.Expect(recorder.Body.String()).NotTo(ContainSubstring(`refusals_total{code="outcome_unknown"`))
+}
+
+func BenchmarkTokenGap(b *testing.B) {
+	m, err := New(func() Status { return Status{} })
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		m.TokenGap("urgent", time.Millisecond)
+	}
+}
--- /dev/null
+++ b/internal/metrics/table.go
@@ -0,0 +1,132 @@
+package metrics
+
+import (
+	"fmt"
+	"strings"
+)
+
+//go:generate go run ./gen ../../docs/METRICS.md
+
+// kind is the kind of a metric.
+type kind string
+
+// Kinds of metrics.
+const (
+	kindCounter   kind = "counter"
+	kindHistogram kind = "histogram"
+	kindGauge     kind = "gauge"
+)
+
+// Units, as OpenTelemetry writes them.
+const (
+	unitSeconds  = "s"
+	unitRequests = "{request}"
+	unitTokens   = "{token}"
+	unitHosts    = "{host}"
+	unitCalls    = "{call}"
+	unitRevision = "{revision}"
+)
+
+// Names of the metrics.
+const (
+	nameRequests      = "trefoilchute.requests"
+	nameGoodput       = "trefoilchute.goodput"
+	nameRefusals      = "trefoilchute.refusals"
+	nameDuration      = "trefoilchute.request.duration"
+	nameQueueWait     = "trefoilchute.queue.wait"
+	nameFirstToken    = "trefoilchute.first_token"
+	nameTokenGap      = "trefoilchute.token_gap"
+	namePrefill       = "trefoilchute.prefill"
+	nameOutput        = "trefoilchute.output"
+	nameWaiting       = "trefoilchute.queue.waiting"
+	nameInFlight      = "trefoilchute.in_flight"
+	nameMembers       = "trefoilchute.membership.hosts"
+	nameRevision      = "trefoilchute.configuration.revision"
+	namePlatformCalls = "trefoilchute.platform.calls"
+	namePlatformTime  = "trefoilchute.platform.duration"
+)
+
+// Labels of the metrics.
+const (
+	labelTier      = "tier"
+	labelCode      = "code"
+	labelKind      = "kind"
+	labelState     = "state"
+	labelOperation = "operation"
+	labelOutcome   = "outcome"
+)
+
+// Info describes a metric for the documentation.
+type Info struct {
+	// Name is the OpenTelemetry name.
+	Name    string
+	Kind    kind
+	Unit    string
+	Labels  []string
+	Meaning string
+}
+
+// Table lists every metric once.
+var Table = []Info{
+	{nameRequests, kindCounter, unitRequests, []string{labelTier, labelCode}, "Requests with a final answer, by the result code's name."},
+	{nameGoodput, kindCounter, unitRequests, []string{labelTier}, "Requests answered whole and in time."},
+	{nameRefusals, kindCounter, unitRequests, []string{labelTier, labelCode}, "Requests refused as not run, by the result code's name."},
+	{nameDuration, kindHistogram, unitSeconds, []string{labelTier}, "Time from arrival to the end of a whole answer."},
+	{nameQueueWait, kindHistogram, unitSeconds, []string{labelTier}, "Time from arrival to dispatch."},
+	{nameFirstToken, kindHistogram, unitSeconds, []string{labelTier}, "Time from arrival to the first token."},
+	{nameTokenGap, kindHistogram, unitSeconds, []string{labelTier}, "Time between two parts of an answer."},
+	{namePrefill, kindCounter, unitTokens, []string{labelTier, labelKind}, "Prompt tokens of dispatched requests: cached (found in the prefix cache), useful (computed for an answer that was whole and in time) or wasted (computed for one that wasn't)."},
+	{nameOutput, kindCounter, unitTokens, []string{labelTier}, "Tokens generated."},
+	{nameWaiting, kindGauge, unitRequests, []string{labelTier}, "Requests waiting in the pools that this host schedules."},
+	{nameInFlight, kindGauge, unitRequests, nil, "Requests at endpoints for callers of this host."},
+	{nameMembers, kindGauge, unitHosts, []string{labelState}, "Entry hosts by the state that membership sees them in."},
+	{nameRevision, kindGauge, unitRevision, nil, "Revision of the configuration in force at this host; 0 while it has none."},
+	{namePlatformCalls, kindCounter, unitCalls, []string{labelOperation, labelOutcome}, "Calls of the platform's services: ok, conflict, not_found, unavailable, ambiguous, limited or other."},
+	{namePlatformTime, kindHistogram, unitSeconds, []string{labelOperation}, "Time of the calls of the platform's services."},
+}
+
+// lookup returns the description of a metric that must be in Table.
+func lookup(name string) Info {
+	for _, info := range Table {
+		if info.Name == name {
+			return info
+		}
+	}
+	panic("metrics: not in Table: " + name)
+}
+
+// scraped returns the metric's name as it is scraped.
+func (i Info) scraped() string {
+	name := strings.ReplaceAll(i.Name, ".", "_")
+	if i.Unit == unitSeconds {
+		name += "_seconds"
+	}
+	if i.Kind == kindCounter {
+		name += "_total"
+	}
+	return name
+}
+
+// markdownHead starts the page of metrics.
+const markdownHead = `# Metrics
+
+Generated from ` + "`internal/metrics`" + ` by ` + "`go generate ./...`" + `; a test holds it to what is scraped.
+
+Each entry host serves its own metrics at ` + "`GET /metrics`" + ` in the Prometheus text format. A histogram has the
+usual ` + "`_bucket`, `_sum` and `_count`" + ` series. The label ` + "`tier`" + ` is empty for a request that was refused before its
+tier was known. By team there is the burn report, see [operators/burn-report.md](operators/burn-report.md).
+
+| Name | Kind | Unit | Labels | Meaning |
+| --- | --- | --- | --- | --- |
+`
+
+// Markdown returns the documentation page of Table.
+func Markdown() string {
+	var b strings.Builder
+	b.WriteString(markdownHead)
+	for _, info := range Table {
+		labels := strings.Join(info.Labels, ", ")
+		_, _ = fmt.Fprintf(&b, "| `%s` | %s | %s | %s | %s |\n", info.scraped(), info.Kind, info.Unit, labels, info.Meaning)
+	}
+	return b.String()
+}
