Send orders to endpoints under a fenced lease

One host of a failure domain at a time holds the lease and sends the declared orders; effects and their results are typed, conditions say per order how far it got and why. Where an endpoint ignores fencing numbers a new holder waits until no earlier order can have effect, then reads the state, then orders. A lost answer is settled by the state; the same id is sent again, another order is not sent before the lost one can't take effect any more. At rest there is no lease and no write.

Each guard off fails it: no wait for the earlier holder, no check of the lease at sending, a holder that counts too long a term, a lost answer taken as a rejection.

--- /dev/null
+++ b/internal/system/order/sim_test.go
@@ -0,0 +1,424 @@
+package order
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/pkg/errors"
+	"pgregory.net/rapid"
+
+	"github.com/trefoilchute/trefoilchute/internal/engine"
+	"github.com/trefoilchute/trefoilchute/internal/ident"
+	"github.com/trefoilchute/trefoilchute/internal/platform"
+	"github.com/trefoilchute/trefoilchute/internal/resource"
+	"github.com/trefoilchute/trefoilchute/internal/system"
+)
+
+const (
+	simTerm    = 12 * time.Second
+	simLongest = 20 * time.Second
+	simSteps   = 400
+)
+
+// faults switches guards off, to show that the oracle needs them.
+type faults struct {
+	// longest is what the hosts take for LongestOrder.
+	longest time.Duration
+	// late sends orders also after their lease has ended.
+	late bool
+	// forgetful reports a lost answer as a rejection.
+	forgetful bool
+	// longTerm has one host count a longer term than its row states.
+	longTerm bool
+}
+
+// delivery is an order on its way to an engine.
+type delivery struct {
+	holder string
+	engine *fakeEngine
+	order  engine.Order
+	sentAt time.Duration
+}
+
+// fakeEngine takes orders as a real one would, and keeps what it took.
+type fakeEngine struct {
+	name     string
+	enforced bool
+	state    engine.State
+	known    map[string]bool
+	taken    []delivery
+}
+
+func (f *fakeEngine) take(d delivery) Outcome {
+	if f.known[d.order.ID] {
+		return Taken
+	}
+	if f.enforced && d.order.Fence < f.state.Fence {
+		return Stale
+	}
+	f.known[d.order.ID] = true
+	f.taken = append(f.taken, d)
+	f.state.LastOrder = d.order.ID
+	if f.enforced {
+		f.state.Fence = d.order.Fence
+	}
+	switch resource.OrderAction(d.order.Action) {
+	case resource.OrderSetRole:
+		f.state.Role = d.order.Value
+	case resource.OrderLoadModel:
+		f.state.Models = append(slices.Clone(f.state.Models), d.order.Value)
+	}
+	return Taken
+}
+
+type simHost struct {
+	name string
+	sys  *System
+	// paused is until when the host does nothing.
+	paused time.Duration
+	// calls, effects and replies wait for the host or the world.
+	calls   []system.Call
+	effects []Effect
+}
+
+type sim struct {
+	pick       func(n int) int
+	faults     faults
+	now        time.Duration
+	rows       map[string]platform.Row
+	version    uint64
+	hosts      []*simHost
+	engines    map[ident.Endpoint]*fakeEngine
+	late       []func()
+	deliveries []delivery
+	snapshot   *resource.Snapshot
+	down       bool
+	sent       int
+	violations []string
+}
+
+func newSim(pick func(n int) int, f faults) *sim {
+	m := &sim{
+		pick: pick, faults: f, rows: map[string]platform.Row{},
+		engines: map[ident.Endpoint]*fakeEngine{}, snapshot: resource.NewSnapshot(),
+	}
+	for name, fencing := range map[string]resource.Fencing{
+		"strict": resource.FencingEnforced, "loose": resource.FencingIgnored,
+	} {
+		m.engines[ident.Endpoint(name)] = &fakeEngine{
+			name: name, enforced: fencing == resource.FencingEnforced, known: map[string]bool{},
+		}
+		m.snapshot.Endpoints[name] = resource.Endpoint{
+			Name: ident.Endpoint(name), Type: resource.EndpointEngine, Fencing: fencing,
+		}
+	}
+	m.declare("prefill")
+	for i := range 3 {
+		name := fmt.Sprint("h", i)
+		term := simTerm
+		if f.longTerm && i == 0 {
+			term *= 10
+		}
+		h := &simHost{name: name, sys: New(Config{
+			Host: ident.Host(name), Incarnation: 1, Term: term, LongestOrder: f.longest,
+		})}
+		h.sys.Configure(m.snapshot)
+		h.sys.Own(true)
+		m.hosts = append(m.hosts, h)
+	}
+	return m
+}
+
+// declare asks both engines for a role and a model.
+func (m *sim) declare(role string) {
+	next := *m.snapshot
+	next.Orders = map[string]resource.Order{}
+	for name := range m.engines {
+		next.Orders["role-"+string(name)] = resource.Order{
+			Name: "role-" + string(name), Endpoint: name, Action: resource.OrderSetRole, Value: role,
+		}
+		next.Orders["model-"+string(name)] = resource.Order{
+			Name: "model-" + string(name), Endpoint: name, Action: resource.OrderLoadModel, Value: "m",
+		}
+	}
+	m.snapshot = &next
+	for _, h := range m.hosts {
+		h.sys.Configure(m.snapshot)
+	}
+}
+
+func (m *sim) on(h *simHost, f func(out *system.Outbox)) {
+	var out system.Outbox
+	f(&out)
+	h.calls = append(h.calls, out.Calls...)
+	h.effects = append(h.effects, h.sys.Take()...)
+}
+
+func (m *sim) awake(h *simHost) bool { return m.now >= h.paused }
+
+func (m *sim) step() {
+	h := m.hosts[m.pick(len(m.hosts))]
+	switch m.pick(16) {
+	case 0, 1:
+		m.advance(time.Duration(1+m.pick(6)) * time.Second)
+	case 2, 3, 4:
+		if m.awake(h) {
+			m.on(h, func(out *system.Outbox) { h.sys.Tick(m.now, out) })
+		}
+	case 5, 6, 7, 8:
+		m.commit(h, m.pick(10))
+	case 9, 10, 11, 12:
+		m.act(h, m.pick(10))
+	case 13:
+		m.arrive()
+	case 14:
+		if len(m.late) > 0 {
+			m.late[0]()
+			m.late = m.late[1:]
+		}
+	default:
+		m.rare(h)
+	}
+}
+
+// rare pauses a host, takes the platform down or up, or changes what is wanted.
+func (m *sim) rare(h *simHost) {
+	switch m.pick(4) {
+	case 0:
+		h.paused = m.now + time.Duration(m.pick(90))*time.Second
+	case 1:
+		m.down = !m.down
+	case 2:
+		m.declare([]string{"prefill", "decode"}[m.pick(2)])
+	case 3:
+		h.sys.Own(m.pick(3) > 0)
+	}
+}
+
+// commit gives a host's oldest platform call its fate.
+func (m *sim) commit(h *simHost, fate int) {
+	if len(h.calls) == 0 || !m.awake(h) {
+		return
+	}
+	c := h.calls[0]
+	h.calls = h.calls[1:]
+	r := system.Reply{Token: c.Token, Err: platform.ErrAmbiguous}
+	switch {
+	case m.down || fate == 0:
+		r.Err = platform.ErrUnavailable
+	case fate == 1:
+		m.late = append(m.late, func() { m.table(c) })
+	case fate == 2:
+		m.table(c)
+	default:
+		r = m.table(c)
+	}
+	m.on(h, func(out *system.Outbox) { h.sys.Reply(m.now, r, out) })
+}
+
+// table applies a platform call.
+func (m *sim) table(c system.Call) system.Reply {
+	r := system.Reply{Token: c.Token}
+	if c.Kind == system.CallGet {
+		row, ok := m.rows[c.Key]
+		if !ok {
+			r.Err = platform.ErrNotFound
+		}
+		r.Rows = []platform.Row{row}
+		return r
+	}
+	condition := c.Txn.Conditions[0]
+	if m.rows[condition.Key].Version != condition.Version {
+		r.Err = platform.ErrConflict
+		return r
+	}
+	m.version++
+	value := string(c.Txn.Puts[0].Value)
+	if m.faults.longTerm {
+		value = strings.Replace(value, `"term_ms":120000`, `"term_ms":12000`, 1)
+	}
+	m.rows[condition.Key] = platform.Row{Key: condition.Key, Value: []byte(value), Version: m.version}
+	r.Version = m.version
+	return r
+}
+
+// act carries out a host's oldest effect.
+func (m *sim) act(h *simHost, fate int) {
+	if len(h.effects) == 0 || !m.awake(h) {
+		return
+	}
+	effect := h.effects[0]
+	h.effects = h.effects[1:]
+	var e Event
+	switch effect := effect.(type) {
+	case ReadState:
+		r := StateRead{Token: effect.Token, State: m.engines[effect.Endpoint].state}
+		if fate == 0 {
+			r.Err = errors.New("no answer")
+		}
+		e = r
+	case ReserveWeights:
+		e = WeightsReserved{Token: effect.Token, Wait: time.Duration(fate%2) * time.Second}
+	case SendOrder:
+		e = m.send(h, effect, fate)
+	}
+	m.on(h, func(out *system.Outbox) { h.sys.Event(m.now, e, out) })
+}
+
+// send puts an order on its way and holds it to the promise that no two
+// hosts' orders are on their way to an engine that ignores fencing numbers. A
+// second copy of an order that the engine took has no effect.
+func (m *sim) send(h *simHost, s SendOrder, fate int) Event {
+	if m.now >= s.NotAfter && !m.faults.late {
+		return Done{Token: s.Token, Outcome: Unsent}
+	}
+	d := delivery{holder: h.name, engine: m.engines[s.Endpoint], order: s.Order, sentAt: m.now}
+	m.sent++
+	for _, other := range m.deliveries {
+		effective := other.engine == d.engine && !d.engine.known[other.order.ID]
+		if effective && other.holder != d.holder && !d.engine.enforced {
+			m.violations = append(m.violations, "two holders' orders in flight")
+		}
+	}
+	outcome := Lost
+	switch {
+	case fate < 5:
+		outcome = d.engine.take(d)
+	case fate < 8:
+		m.deliveries = append(m.deliveries, d)
+	}
+	if outcome == Lost && m.faults.forgetful {
+		outcome = Rejected
+	}
+	return Done{Token: s.Token, Outcome: outcome}
+}
+
+// arrive lets one order on its way take effect.
+func (m *sim) arrive() {
+	if len(m.deliveries) > 0 {
+		i := m.pick(len(m.deliveries))
+		d := m.deliveries[i]
+		m.deliveries = slices.Delete(m.deliveries, i, i+1)
+		d.engine.take(d)
+	}
+}
+
+// advance lets time pass, and the orders arrive that have been on their way
+// for longest.
+func (m *sim) advance(by time.Duration) {
+	m.now += by
+	m.deliveries = slices.DeleteFunc(m.deliveries, func(d delivery) bool {
+		due := m.now >= d.sentAt+simLongest
+		if due {
+			d.engine.take(d)
+		}
+		return due
+	})
+}
+
+// check holds what the engines took to the promises.
+func (m *sim) check() {
+	for _, f := range m.engines {
+		holders := map[uint64]string{}
+		var last delivery
+		for _, d := range f.taken {
+			if holder, ok := holders[d.order.Fence]; ok && holder != d.holder {
+				m.violations = append(m.violations, "two holders with one fencing number")
+			}
+			holders[d.order.Fence] = d.holder
+			if d.order.Fence < last.order.Fence {
+				m.violations = append(m.violations, "an older fencing number after a newer one at "+f.name)
+			}
+			if d.holder == last.holder && d.order.Fence == last.order.Fence && d.sentAt < last.sentAt {
+				m.violations = append(m.violations, "an earlier order after a later one")
+			}
+			last = d
+		}
+	}
+}
+
+// pass lets a number of seconds pass in which all calls and effects succeed,
+// unless the platform is down.
+func (m *sim) pass(seconds int) {
+	for range seconds {
+		m.advance(time.Second)
+		for _, h := range m.hosts {
+			m.on(h, func(out *system.Outbox) { h.sys.Tick(m.now, out) })
+			for len(h.calls)+len(h.effects) > 0 {
+				m.commit(h, 9)
+				m.act(h, 2)
+			}
+		}
+	}
+}
+
+// settle lets everything work and holds the engines to what is declared.
+func (m *sim) settle() {
+	m.down = false
+	m.late = nil
+	for i, h := range m.hosts {
+		h.paused = 0
+		h.sys.Own(i == 0)
+	}
+	m.pass(400)
+	for _, f := range m.engines {
+		want := m.snapshot.Orders["role-"+f.name].Value
+		if f.state.Role != want || !slices.Contains(f.state.Models, "m") {
+			m.violations = append(m.violations, "not as declared in the end: "+f.name)
+		}
+	}
+	for _, c := range m.hosts[0].sys.Conditions() {
+		if c.Status != Applied || c.Foreign != "" {
+			m.violations = append(m.violations, fmt.Sprintf("condition %+v", c))
+		}
+	}
+}
+
+func (m *sim) run() []string {
+	for range simSteps {
+		m.step()
+	}
+	m.settle()
+	m.check()
+	return m.violations
+}
+
+func TestOrdersUnderFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		pick := func(n int) int { return rapid.IntRange(0, n-1).Draw(t, "choice") }
+		if violations := newSim(pick, faults{longest: simLongest}).run(); len(violations) > 0 {
+			t.Fatal(violations)
+		}
+	})
+}
+
+// TestOracleNeedsEachGuard shows that the run above fails when a guard is off.
+func TestOracleNeedsEachGuard(t *testing.T) {
+	naive := map[string]struct {
+		faults faults
+		want   string
+		// first is the first seed to try.
+		first uint64
+	}{
+		"a new holder doesn't wait":          {faults{longest: 0}, "two holders' orders in flight", 0},
+		"the lease isn't checked at sending": {faults{longest: simLongest, late: true}, "an older fencing number after a newer one", 2100},
+		"a lost answer is a rejection":       {faults{longest: simLongest, forgetful: true}, "an earlier order after a later one", 600},
+		"a holder counts too long a term":    {faults{longest: simLongest, longTerm: true}, "an older fencing number after a newer one", 0},
+	}
+	for name, version := range naive {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			var found string
+			for seed := version.first; seed < version.first+2000 && !strings.Contains(found, version.want); seed++ {
+				source := rand.New(rand.NewPCG(seed, 0))
+				found = strings.Join(newSim(source.IntN, version.faults).run(), "; ")
+			}
+			g.Expect(found).To(ContainSubstring(version.want))
+		})
+	}
+}
