--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -53,5 +53,7 @@
 		explainCommand(),
 		settingsCommand(),
 		versionCommand(),
+		loadCommand(),
+		measureCommand(),
 	}
 }
--- a/internal/cli/dev.go
+++ b/internal/cli/dev.go
@@ -8,6 +8,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/trefoilchute/trefoilchute/internal/dev"
+	"github.com/trefoilchute/trefoilchute/internal/logs"
 )
 
 // devCommand runs a small deployment for a first look.
@@ -25,7 +26,7 @@
 			&cli.StringFlag{Name: "log-level", Value: "warning", Usage: "logrus `LEVEL`"},
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
-			log, err := newLogger(c.Root().ErrWriter, c.String("log-level"))
+			log, err := logs.New(c.Root().ErrWriter, c.String("log-level"))
 			if err != nil {
 				return err
 			}
--- a/internal/cli/entry.go
+++ b/internal/cli/entry.go
@@ -9,6 +9,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/trefoilchute/trefoilchute/internal/host"
+	"github.com/trefoilchute/trefoilchute/internal/logs"
 	"github.com/trefoilchute/trefoilchute/internal/settings"
 )
 
@@ -30,7 +31,7 @@
 	if err != nil {
 		return err
 	}
-	log, err := newLogger(c.Root().ErrWriter, s.LogLevel)
+	log, err := logs.New(c.Root().ErrWriter, s.LogLevel)
 	if err != nil {
 		return err
 	}
--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -13,6 +13,7 @@
 	"github.com/trefoilchute/trefoilchute/internal/system/configuration"
 	"github.com/trefoilchute/trefoilchute/internal/system/custody"
 	"github.com/trefoilchute/trefoilchute/internal/system/membership"
+	"github.com/trefoilchute/trefoilchute/internal/system/order"
 	"github.com/trefoilchute/trefoilchute/internal/system/scheduling"
 )
 
@@ -43,6 +44,7 @@
 	custody       *custody.System
 	scheduling    *scheduling.System
 	claims        *claim.System
+	orders        *order.System
 
 	snapshot    *resource.Snapshot
 	viewVersion uint64
@@ -70,6 +72,10 @@
 	c.claims = claim.New(claim.Config{
 		Host: cfg.Self, Incarnation: cfg.Incarnation, Nonce: cfg.Nonce, Liveness: c.liveness,
 	})
+	c.orders = order.New(order.Config{
+		Domain: cfg.Domain, Host: cfg.Self, Incarnation: cfg.Incarnation,
+		Term: order.DefaultTerm, LongestOrder: order.DefaultLongestOrder,
+	})
 	return c
 }
 
@@ -90,6 +96,7 @@
 	c.effect.Calls = c.out.Calls
 	c.out = system.Outbox{}
 	c.effect.Steps = c.scheduling.TakeSteps()
+	c.effect.Orders = c.orders.Take()
 	c.noteWatch()
 	return c.effect
 }
@@ -134,6 +141,8 @@
 		c.effect.Peers = c.peerAddresses()
 	case Leave:
 		c.members.Leave(c.now, &c.out)
+	case Ordered:
+		c.orders.Event(c.now, e.Event, &c.out)
 	case Depart:
 		c.members.Depart(c.now, &c.out)
 	case inspection:
@@ -163,7 +172,10 @@
 func (c *Core) tick() {
 	c.members.Tick(c.now, &c.out)
 	c.configuration.Tick(c.now, &c.out)
+	c.claims.Sweep(c.now, c.wall, c.sweeps())
 	c.claims.Tick(c.now, &c.out)
+	c.orders.Own(c.sendsOrders())
+	c.orders.Tick(c.now, &c.out)
 	c.custody.Tick(c.now, &c.out)
 	c.scheduling.Tick(c.now, &c.out)
 }
@@ -211,6 +223,7 @@
 	c.effect.Snapshot = snap
 	c.members.SetRevision(snap.Revision)
 	c.scheduling.Configure(c.now, snap, &c.out)
+	c.orders.Configure(snap)
 	return true
 }
 
@@ -247,6 +260,7 @@
 	take(c.members.NextWake(), true)
 	take(c.configuration.NextWake())
 	take(c.claims.NextWake())
+	take(c.orders.NextWake())
 	take(c.custody.NextWake(c.now))
 	take(c.scheduling.NextWake())
 	return max(next, c.now+minSleep)
--- a/internal/control/event.go
+++ b/internal/control/event.go
@@ -14,6 +14,7 @@
 	"github.com/trefoilchute/trefoilchute/internal/system"
 	"github.com/trefoilchute/trefoilchute/internal/system/claim"
 	"github.com/trefoilchute/trefoilchute/internal/system/custody"
+	"github.com/trefoilchute/trefoilchute/internal/system/order"
 	"github.com/trefoilchute/trefoilchute/internal/system/scheduling"
 )
 
@@ -65,6 +66,9 @@
 	Event pool.Event
 }
 
+// Ordered brings the result of an effect of the orders.
+type Ordered struct{ Event order.Event }
+
 // Listed brings the platform's list of hosts.
 type Listed struct{ Hosts []platform.HostEntry }
 
@@ -84,6 +88,7 @@
 func (Received) event()    {}
 func (Replied) event()     {}
 func (Observed) event()    {}
+func (Ordered) event()     {}
 func (Listed) event()      {}
 func (Leave) event()       {}
 
@@ -120,6 +125,8 @@
 	// Watch is set, with WatchChanged, when other endpoints are to be watched.
 	Watch        []resource.Endpoint
 	WatchChanged bool
+	// Orders asks for exchanges with endpoints about orders.
+	Orders []order.Effect
 	// Steps holds the decisions of the pool schedulers, for traces and explain.
 	Steps []scheduling.Step
 }
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -14,6 +14,7 @@
 	"github.com/trefoilchute/trefoilchute/internal/system"
 	"github.com/trefoilchute/trefoilchute/internal/system/claim"
 	"github.com/trefoilchute/trefoilchute/internal/system/custody"
+	"github.com/trefoilchute/trefoilchute/internal/system/order"
 	"github.com/trefoilchute/trefoilchute/internal/system/scheduling"
 )
 
@@ -46,6 +47,9 @@
 	Traffic  Traffic
 	// Configure is told of each configuration that comes into force.
 	Configure func(*resource.Snapshot)
+	// Order makes an exchange with an endpoint about an order, and posts its
+	// result as Ordered.
+	Order func(order.Effect)
 	// Watch is told which endpoints to watch.
 	Watch func([]resource.Endpoint)
 	// Record is told of the pool schedulers' steps and the directives of
@@ -162,6 +166,9 @@
 		l.ports.Record(effects.Steps, effects.Directives)
 	}
 	l.instruct(effects)
+	for _, e := range effects.Orders {
+		l.ports.Order(e)
+	}
 	for _, call := range effects.Calls {
 		l.calls.Go(func() { l.call(call) })
 	}
--- a/internal/control/route.go
+++ b/internal/control/route.go
@@ -41,6 +41,8 @@
 	switch r.Owner {
 	case system.OwnerClaim:
 		c.claims.Reply(c.now, r, &c.out)
+	case system.OwnerOrder:
+		c.orders.Reply(c.now, r, &c.out)
 	case system.OwnerConfiguration:
 		c.configuration.Reply(c.now, r, &c.out)
 	}
--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -4,7 +4,9 @@
 	"github.com/trefoilchute/trefoilchute/internal/ident"
 	"github.com/trefoilchute/trefoilchute/internal/peer/peerpb"
 	"github.com/trefoilchute/trefoilchute/internal/pool"
+	"github.com/trefoilchute/trefoilchute/internal/system/configuration"
 	"github.com/trefoilchute/trefoilchute/internal/system/membership"
+	"github.com/trefoilchute/trefoilchute/internal/system/order"
 )
 
 // Members returns every host that this one knows.
@@ -37,3 +39,14 @@
 func (c *Core) Suspects() []*peerpb.Suspect {
 	return c.scheduling.Suspects()
 }
+
+// Orders returns the condition of every declared order of this domain, as this
+// host knows it.
+func (c *Core) Orders() []order.Condition {
+	return c.orders.Conditions()
+}
+
+// Configuration tells where the configuration in force comes from.
+func (c *Core) Configuration() configuration.Status {
+	return c.configuration.Status()
+}
--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -131,3 +131,30 @@
 		return claim.Alive
 	}
 }
+
+// Duties that one host does for others.
+const (
+	// dutyOrders is sending orders to the domain's endpoints.
+	dutyOrders = "orders"
+	// dutySweep is removing the rows of old claims, for all domains.
+	dutySweep = "sweep"
+)
+
+// sendsOrders reports whether this host is the one to send its domain's orders.
+func (c *Core) sendsOrders() bool {
+	return c.owns(dutyOrders, c.members.Alive(c.cfg.Domain))
+}
+
+// sweeps reports whether this host is the one to remove old claims.
+func (c *Core) sweeps() bool {
+	var hosts []ident.Host
+	for _, d := range c.members.Domains() {
+		hosts = append(hosts, c.members.Alive(d)...)
+	}
+	return c.owns(dutySweep, hosts)
+}
+
+// owns reports whether a duty that one of the hosts has is this host's.
+func (c *Core) owns(duty string, hosts []ident.Host) bool {
+	return !c.paused && len(hosts) > 0 && rendezvous.First(duty, hosts) == c.cfg.Self
+}
--- a/internal/endpoint/conn.go
+++ b/internal/endpoint/conn.go
@@ -5,6 +5,7 @@
 
 import (
 	"bufio"
+	"io"
 	"net"
 	"sync"
 	"time"
@@ -55,6 +56,30 @@
 	return errors.Wrap(resp.Read(c.r), "endpoint: receive")
 }
 
+// maxAnswer bounds an answer that is read whole, in bytes.
+const maxAnswer = 8 << 20
+
+// errTooLarge says that an answer is over the bound.
+var errTooLarge = errors.New("endpoint: the answer is too large")
+
+// ReadAll reads an answer's header into resp and returns its whole body.
+func (c *Conn) ReadAll(resp *fasthttp.Response, timeout time.Duration) ([]byte, error) {
+	if err := c.SetReadDeadline(time.Now().Add(timeout)); err != nil {
+		return nil, errors.Wrap(err, "endpoint: read deadline")
+	}
+	if err := c.Receive(resp); err != nil {
+		return nil, err
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.BodyStream(), maxAnswer+1))
+	if err != nil {
+		return nil, errors.Wrap(err, "endpoint: read")
+	}
+	if len(body) > maxAnswer {
+		return nil, errTooLarge
+	}
+	return body, errors.Wrap(resp.CloseBodyStream(), "endpoint: read")
+}
+
 // Pool keeps connections to endpoints. It is safe for concurrent use.
 type Pool struct {
 	mu   sync.Mutex
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -72,11 +72,18 @@
 	s.opts.Runner.Release(e.parsed.job)
 	s.active.Add(-1)
 	now := s.opts.Now()
-	s.opts.Observe(Outcome{
+	o := Outcome{
 		ID: e.parsed.job.ID, Tier: e.parsed.tier, Team: e.parsed.arrival.Team,
 		Code: final.Code, InTime: final.Code == result.OK && now <= e.parsed.arrival.Deadline,
 		FirstToken: e.first, Total: now - e.came,
-	})
+	}
+	if run := e.parsed.job.Run(); run != nil {
+		o.QueueWait = now - e.came - time.Since(run.Began)
+		o.PromptTokens = run.End.PromptTokens
+		o.CachedTokens = run.End.CachedTokens
+		o.OutputTokens = run.End.OutputTokens
+	}
+	s.opts.Observe(o)
 }
 
 // stream writes the answer as server-sent events while it comes. A whole answer
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -76,6 +76,7 @@
 	p.arrival = custody.Arrival{ID: p.job.ID, Rank: tier.Rank, Team: team.Name}
 	p.job.Type = kind
 	p.job.Path = path
+	p.job.Tier = tier.Name
 	body := bytes.Clone(c.Body())
 	if err := p.readBody(c, x, body); err != nil {
 		return nil, err
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -4,10 +4,12 @@
 
 import (
 	"net"
+	"net/http"
 	"sync/atomic"
 	"time"
 
 	"github.com/gofiber/fiber/v2"
+	"github.com/gofiber/fiber/v2/middleware/adaptor"
 	"github.com/pkg/errors"
 
 	"github.com/trefoilchute/trefoilchute/internal/control"
@@ -38,6 +40,8 @@
 	Now func() time.Duration
 	// Observe is told of each final answer.
 	Observe func(Outcome)
+	// Metrics serves scrapes.
+	Metrics http.Handler
 }
 
 // Outcome is one request's final answer, for metrics and reports.
@@ -52,6 +56,13 @@
 	// where no part came.
 	FirstToken time.Duration
 	Total      time.Duration
+	// QueueWait is the time to the dispatch; 0 where there was none.
+	QueueWait time.Duration
+	// Tokens of the prompt, of its part that the endpoint had cached, and of
+	// the answer.
+	PromptTokens int
+	CachedTokens int
+	OutputTokens int
 }
 
 // Server serves callers.
@@ -76,6 +87,7 @@
 	})
 	s.app.Get("/healthz", func(c *fiber.Ctx) error { return c.SendString("ok\n") })
 	s.app.Get("/readyz", s.ready)
+	s.app.Get("/metrics", adaptor.HTTPHandler(opts.Metrics))
 	s.app.All("/*", s.serve)
 	return s
 }
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/trefoilchute/trefoilchute/internal/ident"
+	"github.com/trefoilchute/trefoilchute/internal/logs"
 	"github.com/trefoilchute/trefoilchute/internal/result"
 )
 
@@ -20,7 +21,7 @@
 // Record is one thing that happened to a request.
 type Record struct {
 	Time     time.Time
-	Event    string
+	Event    logs.Event
 	Code     result.Code
 	Endpoint ident.Endpoint
 	Reason   string
--- a/internal/host/backend.go
+++ b/internal/host/backend.go
@@ -10,6 +10,8 @@
 	"github.com/trefoilchute/trefoilchute/internal/admin"
 	"github.com/trefoilchute/trefoilchute/internal/control"
 	"github.com/trefoilchute/trefoilchute/internal/ident"
+	"github.com/trefoilchute/trefoilchute/internal/logs"
+	"github.com/trefoilchute/trefoilchute/internal/metrics"
 	"github.com/trefoilchute/trefoilchute/internal/pool"
 	"github.com/trefoilchute/trefoilchute/internal/resource"
 	"github.com/trefoilchute/trefoilchute/internal/system/membership"
@@ -128,7 +130,7 @@
 	var list []admin.Record
 	for _, r := range b.host.book.Find(id) {
 		record := admin.Record{
-			Time: r.Time, Host: own, Event: r.Event, Code: r.Code,
+			Time: r.Time, Host: own, Event: string(r.Event), Code: r.Code,
 			Endpoint: r.Endpoint, Reason: r.Reason,
 		}
 		if r.Code != 0 {
@@ -138,9 +140,34 @@
 	}
 	if accepted, _, ok := strings.Cut(string(id), "."); ok && hostID(accepted) != own {
 		list = append(list, admin.Record{
-			Time: time.Now(), Host: hostID(accepted), Event: "accepted_elsewhere",
+			Time: time.Now(), Host: hostID(accepted), Event: string(logs.AcceptedElsewhere),
 			Reason: "host " + accepted + " accepted this request: ask there",
 		})
 	}
 	return list
 }
+
+// metrics returns what the host is like at the moment of a scrape.
+func (b *backend) metrics() metrics.Status {
+	out := metrics.Status{Members: map[string]int{}, Waiting: map[ident.Tier]int{}}
+	snap := b.Snapshot()
+	if snap == nil {
+		return out
+	}
+	out.Revision = snap.Revision
+	b.inspect(func(c *control.Core) {
+		for _, m := range c.Members() {
+			out.Members[m.State.String()]++
+		}
+		for _, p := range c.Pools() {
+			if p.Detail == nil {
+				continue
+			}
+			for _, q := range p.Detail.Queue {
+				out.Waiting[tierName(snap, q.Rank)] += q.Waiting
+			}
+		}
+		_, out.InFlight, _ = c.Busy()
+	})
+	return out
+}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -17,6 +17,9 @@
 	"github.com/trefoilchute/trefoilchute/internal/control"
 	"github.com/trefoilchute/trefoilchute/internal/entry"
 	"github.com/trefoilchute/trefoilchute/internal/explain"
+	"github.com/trefoilchute/trefoilchute/internal/logs"
+	"github.com/trefoilchute/trefoilchute/internal/metrics"
+	"github.com/trefoilchute/trefoilchute/internal/ordering"
 	"github.com/trefoilchute/trefoilchute/internal/peer"
 	"github.com/trefoilchute/trefoilchute/internal/peer/peerpb"
 	"github.com/trefoilchute/trefoilchute/internal/platform"
@@ -57,6 +60,8 @@
 	entry   *entry.Server
 	admin   *admin.Server
 	watcher *watcher.Watcher
+	orders  *ordering.Executor
+	metrics *metrics.Metrics
 	book    *explain.Book
 	backend *backend
 
@@ -91,7 +96,10 @@
 		h.end()
 		return nil, err
 	}
-	h.assemble()
+	if err := h.assemble(); err != nil {
+		h.end()
+		return nil, err
+	}
 	close(h.assembled)
 	return h, nil
 }
@@ -153,28 +161,36 @@
 }
 
 // assemble makes the parts and connects them.
-func (h *Host) assemble() {
+func (h *Host) assemble() error {
 	h.core = control.New(control.Config{
 		Self: h.settings.Host, Incarnation: h.incarnation, Domain: h.settings.Domain,
 		Address: h.peers.Addr(), Seed: seed(h.settings, h.incarnation), Nonce: nonce,
 	})
 	h.loop = control.NewLoop(h.core)
 	h.runner = traffic.NewRunner(traffic.Options{
-		Self: h.settings.Host, Post: h.loop.Post, Send: h.send,
+		Self: h.settings.Host, Post: h.loop.Post, Send: h.send, Gap: h.gap,
 	})
 	h.watcher = watcher.New(h.loop.Post)
+	h.orders = ordering.New(h.loop.Post, h.loop.Now, h.client)
+	h.backend = &backend{host: h}
+	var err error
+	if h.metrics, err = metrics.New(h.backend.metrics); err != nil {
+		return errors.Wrap(err, "host: metrics")
+	}
 	h.entry = entry.New(entry.Options{
 		Host: h.settings.Host, Incarnation: h.incarnation, Post: h.loop.Post,
 		Runner: h.runner, Now: h.loop.Now, Observe: h.observe,
+		Metrics: h.metrics.Handler(),
 	})
-	h.backend = &backend{host: h}
 	h.admin = admin.New(h.backend, admin.Options{
 		Store: resource.NewStore(h.client), Token: h.settings.AdminToken,
 	})
 	h.loop.Connect(control.Ports{
-		Table: h.client, Objects: h.client, Send: h.send, SetPeers: h.peers.SetPeers,
+		Table: h.metrics.Table(h.client), Objects: h.metrics.Objects(h.client), Send: h.send, SetPeers: h.peers.SetPeers,
 		Traffic: h.runner, Configure: h.configure, Watch: h.watcher.Set, Record: h.record,
+		Order: h.orders.Do,
 	})
+	return nil
 }
 
 // send queues a message for another host.
@@ -186,9 +202,7 @@
 func (h *Host) configure(snap *resource.Snapshot) {
 	h.backend.snapshot.Store(snap)
 	h.entry.Configure(snap)
-	h.log.WithFields(logrus.Fields{
-		"event": "configuration_in_force", "revision": snap.Revision,
-	}).Info()
+	logs.With(h.log, logs.ConfigurationInForce).WithField("revision", snap.Revision).Info()
 }
 
 // Run serves until ctx ends, then stops without cutting a request.
@@ -200,8 +214,8 @@
 	failed := make(chan error, 2)
 	h.group.Go(func() { failed <- h.entry.Serve(h.entryListener) })
 	h.group.Go(func() { failed <- h.admin.Serve(h.adminListener) })
-	h.log.WithFields(logrus.Fields{
-		"event": "ready", "listen": h.entryListener.Addr().String(),
+	logs.With(h.log, logs.Ready).WithFields(logrus.Fields{
+		"listen":       h.entryListener.Addr().String(),
 		"admin_listen": h.adminListener.Addr().String(), "peer_listen": h.peers.Addr(),
 		"domain": h.settings.Domain, "incarnation": h.incarnation,
 	}).Info()
@@ -215,14 +229,14 @@
 	h.peers.Close()
 	h.group.Wait()
 	h.client.Close()
-	h.log.WithField("event", "stopped").Info()
+	logs.With(h.log, logs.Stopped).Info()
 	return err
 }
 
 // stop ends the service without cutting a request: readiness off, the pools to
 // other hosts, what waits and runs to its end, then out of the membership.
 func (h *Host) stop() {
-	h.log.WithField("event", "stopping").Info()
+	logs.With(h.log, logs.Stopping).Info()
 	limit := time.Now().Add(h.settings.DrainGrace)
 	h.entry.Drain()
 	h.loop.Post(control.Leave{})
@@ -233,16 +247,17 @@
 	ctx, cancel := context.WithDeadline(context.Background(), limit.Add(balancerDelay))
 	defer cancel()
 	if err := h.admin.Shutdown(ctx); err != nil {
-		h.log.WithFields(logrus.Fields{"event": "admin_shutdown", "error": err}).Warn()
+		logs.With(h.log, logs.AdminShutdown).WithError(err).Warn()
 	}
 	select {
 	case <-shut:
 	case <-ctx.Done():
-		h.log.WithField("event", "callers_cut").Warn()
+		logs.With(h.log, logs.CallersCut).Warn()
 	}
 	h.loop.Post(control.Depart{})
 	_ = h.loop.Inspect(ctx, func(*control.Core) {})
 	h.watcher.Close()
+	h.orders.Wait()
 	h.runner.Wait()
 }
 
@@ -291,12 +306,12 @@
 		Host: string(h.settings.Host), Domain: string(h.settings.Domain), Address: h.peers.Addr(),
 	}
 	if err := h.client.Register(ctx, own); err != nil {
-		h.log.WithFields(logrus.Fields{"event": "host_list", "error": err}).Debug()
+		logs.With(h.log, logs.HostList).WithError(err).Debug()
 		return
 	}
 	list, err := h.client.ListHosts(ctx)
 	if err != nil {
-		h.log.WithFields(logrus.Fields{"event": "host_list", "error": err}).Debug()
+		logs.With(h.log, logs.HostList).WithError(err).Debug()
 		return
 	}
 	h.loop.Post(control.Listed{Hosts: list})
--- a/internal/host/record.go
+++ b/internal/host/record.go
@@ -8,6 +8,8 @@
 	"github.com/trefoilchute/trefoilchute/internal/entry"
 	"github.com/trefoilchute/trefoilchute/internal/explain"
 	"github.com/trefoilchute/trefoilchute/internal/ident"
+	"github.com/trefoilchute/trefoilchute/internal/logs"
+	"github.com/trefoilchute/trefoilchute/internal/metrics"
 	"github.com/trefoilchute/trefoilchute/internal/pool"
 	"github.com/trefoilchute/trefoilchute/internal/result"
 	"github.com/trefoilchute/trefoilchute/internal/system/custody"
@@ -31,12 +33,12 @@
 func (h *Host) recordEffect(now time.Time, e pool.Effect) {
 	switch e := e.(type) {
 	case pool.Grant:
-		h.note(e.ID, explain.Record{Time: now, Event: "placed", Endpoint: e.Endpoint, Reason: e.Why})
+		h.note(e.ID, explain.Record{Time: now, Event: logs.Placed, Endpoint: e.Endpoint, Reason: e.Why})
 	case pool.Refuse:
-		h.note(e.ID, explain.Record{Time: now, Event: "refused", Code: e.Code, Reason: e.Reason})
+		h.note(e.ID, explain.Record{Time: now, Event: logs.Refused, Code: e.Code, Reason: e.Reason})
 	case pool.Spill:
 		h.note(e.ID, explain.Record{
-			Time: now, Event: "passed_on", Reason: "to domain " + string(e.Domain) + ": " + e.Reason,
+			Time: now, Event: logs.PassedOn, Reason: "to domain " + string(e.Domain) + ": " + e.Reason,
 		})
 	}
 }
@@ -45,14 +47,14 @@
 func (h *Host) recordDirective(now time.Time, d custody.Directive) {
 	switch d.Kind {
 	case custody.Connect:
-		h.note(d.ID, explain.Record{Time: now, Event: "granted", Endpoint: d.Endpoint})
+		h.note(d.ID, explain.Record{Time: now, Event: logs.Granted, Endpoint: d.Endpoint})
 	case custody.Commit:
 		if d.Go {
-			h.note(d.ID, explain.Record{Time: now, Event: "dispatched", Endpoint: d.Endpoint})
+			h.note(d.ID, explain.Record{Time: now, Event: logs.Dispatched, Endpoint: d.Endpoint})
 		}
 	case custody.Refuse:
 		h.note(d.ID, explain.Record{
-			Time: now, Event: "final", Code: d.Verdict.Code, Reason: d.Verdict.Reason,
+			Time: now, Event: logs.Final, Code: d.Verdict.Code, Reason: d.Verdict.Reason,
 		})
 	}
 }
@@ -62,11 +64,23 @@
 	h.book.Add(id, r)
 }
 
+// gap counts the time between two parts of an answer.
+func (h *Host) gap(tier ident.Tier, d time.Duration) {
+	h.metrics.TokenGap(tier, d)
+}
+
 // observe takes the final answer of a request.
 func (h *Host) observe(o entry.Outcome) {
-	h.note(o.ID, explain.Record{Time: time.Now(), Event: "answered", Code: o.Code})
-	line := h.log.WithFields(logrus.Fields{
-		"event": "answered", "request": o.ID, "team": o.Team, "tier": o.Tier,
+	h.note(o.ID, explain.Record{Time: time.Now(), Event: logs.Answered, Code: o.Code})
+	h.metrics.Answered(&metrics.Answer{
+		Tier: o.Tier, Code: o.Code, InTime: o.InTime,
+		QueueWait: o.QueueWait, FirstToken: o.FirstToken, Total: o.Total,
+	})
+	if o.QueueWait > 0 {
+		h.metrics.Tokens(o.Tier, o.PromptTokens, o.CachedTokens, o.OutputTokens, o.InTime)
+	}
+	line := logs.With(h.log, logs.Answered).WithFields(logrus.Fields{
+		"request": o.ID, "team": o.Team, "tier": o.Tier,
 		"code": int(o.Code), "result": o.Code.String(), "in_time": o.InTime,
 		"first_token_ms": o.FirstToken.Milliseconds(), "total_ms": o.Total.Milliseconds(),
 	})
--- a/internal/traffic/engine.go
+++ b/internal/traffic/engine.go
@@ -134,11 +134,14 @@
 
 // part adds a chunk to the answer.
 func (x *run) part(chunk endpoint.Chunk) {
+	last := x.heard
 	x.heard = time.Now()
 	x.job.Answer.Append(chunk.Data)
 	if x.end.FirstToken == 0 {
-		x.end.FirstToken = time.Since(x.began)
+		x.end.FirstToken = x.heard.Sub(x.began)
 		x.runner.opts.Post(control.FirstToken{ID: x.job.ID, After: x.end.FirstToken})
+	} else {
+		x.runner.opts.Gap(x.job.Tier, x.heard.Sub(last))
 	}
 	if u := chunk.Usage; u != nil {
 		x.end.PromptTokens = u.PromptTokens
--- a/internal/traffic/job.go
+++ b/internal/traffic/job.go
@@ -7,10 +7,13 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
+	"time"
 
 	"github.com/trefoilchute/trefoilchute/internal/answer"
 	"github.com/trefoilchute/trefoilchute/internal/ident"
 	"github.com/trefoilchute/trefoilchute/internal/resource"
+	"github.com/trefoilchute/trefoilchute/internal/system/custody"
 )
 
 // Job is a caller's request on the traffic side.
@@ -23,14 +26,30 @@
 	ContentType string
 	Body        []byte
 	Answer      *answer.Answer
+	// Tier is the request's tier.
+	Tier ident.Tier
 	// Keyed says that a resend may ask for the answer.
 	Keyed bool
 
 	commit chan bool
+	run    atomic.Pointer[Run]
 	ctx    context.Context
 	cancel context.CancelFunc
 }
 
+// Run is what became of a job that was dispatched.
+type Run struct {
+	// Began is when the dispatch was committed.
+	Began time.Time
+	End   custody.End
+}
+
+// Run returns what became of the job, or nil if it wasn't dispatched or hasn't
+// ended.
+func (j *Job) Run() *Run {
+	return j.run.Load()
+}
+
 // NewJob returns a job with an empty answer.
 func NewJob(id ident.Request) *Job {
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/traffic/runner.go
+++ b/internal/traffic/runner.go
@@ -22,6 +22,8 @@
 	Post func(control.Event)
 	// Send queues a message for another host.
 	Send func(ident.Host, *peerpb.Envelope) bool
+	// Gap is told of the time between two parts of an answer.
+	Gap func(ident.Tier, time.Duration)
 }
 
 // Runner runs the jobs of one host.
@@ -122,6 +124,7 @@
 func (x *run) finish(phase peerpb.Report_Phase, f answer.Final) {
 	x.end.Phase = phase
 	x.end.Total = time.Since(x.began)
+	x.job.run.Store(&Run{Began: x.began, End: x.end})
 	x.job.Answer.Finish(f)
 	x.runner.opts.Post(control.Ended{ID: x.job.ID, End: x.end, Answer: keptAnswer(x.job.Answer)})
 }
--- a/internal/traffic/service.go
+++ b/internal/traffic/service.go
@@ -1,10 +1,8 @@
 package traffic
 
 import (
-	"io"
 	"time"
 
-	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
 	"github.com/trefoilchute/trefoilchute/internal/answer"
@@ -13,16 +11,9 @@
 	"github.com/trefoilchute/trefoilchute/internal/result"
 )
 
-const (
-	// serviceTimeout bounds the wait for a plain service's answer. A service
-	// can't be asked again for an answer, so it is longer than a deadline.
-	serviceTimeout = 60 * time.Second
-	// maxServiceAnswer bounds the answer of a plain service in bytes.
-	maxServiceAnswer = 8 << 20
-)
-
-// errAnswerTooLarge says that a plain service's answer is over the bound.
-var errAnswerTooLarge = errors.New("traffic: the service's answer is too large")
+// serviceTimeout bounds the wait for a plain service's answer. A service can't be
+// asked again for an answer, so it is longer than a deadline.
+const serviceTimeout = 60 * time.Second
 
 // service sends the job to a plain service and reads its whole answer. After a
 // fault nothing is known: a service can't resume.
@@ -43,7 +34,6 @@
 		Code: result.OK, Status: resp.StatusCode(),
 		ContentType: string(resp.Header.ContentType()),
 	}
-	_ = resp.CloseBodyStream()
 	if closes {
 		_ = conn.Close()
 	} else {
@@ -60,18 +50,5 @@
 	if err := conn.Send(req); err != nil {
 		return nil, err
 	}
-	if err := conn.SetReadDeadline(time.Now().Add(serviceTimeout)); err != nil {
-		return nil, errors.Wrap(err, "traffic: read deadline")
-	}
-	if err := conn.Receive(resp); err != nil {
-		return nil, err
-	}
-	body, err := io.ReadAll(io.LimitReader(resp.BodyStream(), maxServiceAnswer+1))
-	if err != nil {
-		return nil, errors.Wrap(err, "traffic: read")
-	}
-	if len(body) > maxServiceAnswer {
-		return nil, errAnswerTooLarge
-	}
-	return body, nil
+	return conn.ReadAll(resp, serviceTimeout)
 }
