Check the promises under drawn failures on a virtual clock

Six cores in three domains are stepped with fakes for links, table, endpoints and callers. rapid draws up to four overlapping failures (kill and replacement, freeze, cut, platform down or cut off, answers lost, endpoints down) and requests that are sent again elsewhere. The oracle: no request is dispatched twice, no key of a non-idempotent request runs twice, nothing that ran is answered as not run, every caller whose host lives gets one final answer, and all is served when the failures are over.

--- /dev/null
+++ b/internal/control/promise_test.go
@@ -0,0 +1,137 @@
+package control
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/trefoilchute/trefoilchute/internal/ident"
+	"github.com/trefoilchute/trefoilchute/internal/result"
+	"github.com/trefoilchute/trefoilchute/internal/system/custody"
+)
+
+// settleTime is enough for the hosts to meet and take their pools over.
+const settleTime = 5 * time.Second
+
+// chat is a request to the model.
+func chat() custody.Arrival {
+	return custody.Arrival{
+		Team: "clerks", Target: "model", PromptTokens: 100, MaxTokens: 10, Idempotent: true,
+	}
+}
+
+// oneTime is a request that may run once.
+func oneTime(key string) custody.Arrival {
+	return custody.Arrival{Team: "clerks", Target: "orders", Key: key, KeyHash: 1, Fingerprint: 1}
+}
+
+var hostNames = []ident.Host{"a1", "a2", "b1", "b2", "c1", "c2"}
+
+// TestServesWithoutFailures checks the world itself: all is answered whole.
+func TestServesWithoutFailures(t *testing.T) {
+	g := NewWithT(t)
+	w := newWorld(1)
+	w.runUntil(settleTime)
+	for i := range 60 {
+		w.send(hostNames[i%6], chat(), time.Minute)
+		w.send(hostNames[i%6], oneTime(fmt.Sprint("key", i/3)), time.Minute)
+		w.runUntil(w.now + 50*time.Millisecond)
+	}
+	w.runUntil(w.now + giveUp)
+	g.Expect(w.faults()).To(BeEmpty())
+	g.Expect(w.outcomes).To(Equal(map[result.Code]int{result.OK: 120}))
+}
+
+// failure is something that goes wrong for a time.
+type failure struct {
+	name  string
+	begin func(*world, ident.Host)
+	end   func(*world, ident.Host)
+}
+
+var failures = []failure{
+	{"kill", (*world).kill, (*world).replace},
+	{"freeze", (*world).freeze, (*world).thaw},
+	{"cut", func(w *world, h ident.Host) { w.split(w.hosts[h].domain, true) },
+		func(w *world, h ident.Host) { w.split(w.hosts[h].domain, false) }},
+	{"platform down", func(w *world, _ ident.Host) { w.table.down = true },
+		func(w *world, _ ident.Host) { w.table.down = false }},
+	{"platform cut off", func(w *world, h ident.Host) { w.table.cut = map[ident.Domain]bool{w.hosts[h].domain: true} },
+		func(w *world, _ ident.Host) { w.table.cut = nil }},
+	{"answers lost", func(w *world, _ ident.Host) { w.table.lossy = 0.5 },
+		func(w *world, _ ident.Host) { w.table.lossy = 0 }},
+	{"endpoints down", func(w *world, h ident.Host) { w.setDown(w.hosts[h].domain, true) },
+		func(w *world, h ident.Host) { w.setDown(w.hosts[h].domain, false) }},
+}
+
+// replace starts a dead host's successor of the same name.
+func (w *world) replace(name ident.Host) {
+	if w.hosts[name].dead {
+		w.boot(name, w.hosts[name].domain, uint64(w.now.Milliseconds())+2)
+	}
+}
+
+// setDown takes the endpoints of a domain down or up.
+func (w *world) setDown(d ident.Domain, down bool) {
+	for _, e := range w.endpoints {
+		if e.domain == d {
+			e.down = down
+		}
+	}
+}
+
+// TestPromisesUnderFailures draws failures that overlap and requests that are
+// sent again elsewhere, and checks what must always hold.
+func TestPromisesUnderFailures(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		w := newWorld(rapid.Uint64().Draw(rt, "seed"))
+		w.runUntil(settleTime)
+		for range rapid.IntRange(1, 4).Draw(rt, "failures") {
+			f := rapid.SampledFrom(failures).Draw(rt, "failure")
+			host := rapid.SampledFrom(hostNames).Draw(rt, "host")
+			begin := settleTime + drawTime(rt, "begin", 6*time.Second)
+			end := begin + drawTime(rt, "length", 12*time.Second)
+			w.at(begin, func() { f.begin(w, host) })
+			w.at(end, func() { f.end(w, host) })
+		}
+		for i := range rapid.IntRange(10, 40).Draw(rt, "requests") {
+			at := settleTime + drawTime(rt, "at", 12*time.Second)
+			host := rapid.SampledFrom(hostNames).Draw(rt, "to")
+			a := chat()
+			if rapid.Bool().Draw(rt, "once") {
+				a = oneTime(fmt.Sprint("key", i/3))
+				a.FirstAttempt = i%3 == 0
+			}
+			w.at(at, func() { w.send(host, a, 30*time.Second) })
+		}
+		w.runUntil(settleTime + giveUp)
+		w.checkRecovered(rt)
+		if faults := w.faults(); len(faults) > 0 {
+			rt.Fatalf("%v", faults)
+		}
+	})
+}
+
+// checkRecovered checks that every host serves whole answers when all failures
+// are over.
+func (w *world) checkRecovered(rt *rapid.T) {
+	var sent []*request
+	for _, host := range hostNames {
+		sent = append(sent, w.send(host, chat(), time.Minute))
+		sent = append(sent, w.send(host, oneTime("after "+string(host)), time.Minute))
+	}
+	w.runUntil(w.now + giveUp)
+	for _, r := range sent {
+		if r.code != result.OK {
+			rt.Fatalf("after all failures %s was answered %s", r.arrival.ID, r.code)
+		}
+	}
+}
+
+// drawTime draws a time in whole milliseconds.
+func drawTime(rt *rapid.T, label string, most time.Duration) time.Duration {
+	return time.Duration(rapid.IntRange(0, int(most.Milliseconds())).Draw(rt, label)) * time.Millisecond
+}
