Start a pool anew when custodians have seen a higher epoch

Cause: rapid with late messages: a host took another for dead, scheduled its pool with epoch 2 and gave it back. The first host, which never stopped, went on with epoch 1, and custodians refused its grants for ever. Ruled out: the clock offsets of grants (they recover with the next message). Change: submissions and reports carry the highest epoch seen; a scheduler below it takes over anew. A waiting request is told again every 2 s, without its prefix, in case its scheduler lost it. Messages that are lost or late, callers that leave and runs of drawn length are drawn as failures too.

--- a/internal/control/promise_test.go
+++ b/internal/control/promise_test.go
@@ -63,6 +63,10 @@
 		func(w *world, _ ident.Host) { w.table.cut = nil }},
 	{"answers lost", func(w *world, _ ident.Host) { w.table.lossy = 0.5 },
 		func(w *world, _ ident.Host) { w.table.lossy = 0 }},
+	{"messages lost", func(w *world, _ ident.Host) { w.loss = 0.3 },
+		func(w *world, _ ident.Host) { w.loss = 0 }},
+	{"messages late", func(w *world, _ ident.Host) { w.lag = 0.3 },
+		func(w *world, _ ident.Host) { w.lag = 0 }},
 	{"endpoints down", func(w *world, h ident.Host) { w.setDown(w.hosts[h].domain, true) },
 		func(w *world, h ident.Host) { w.setDown(w.hosts[h].domain, false) }},
 }
@@ -105,7 +109,12 @@
 				a = oneTime(fmt.Sprint("key", i/3))
 				a.FirstAttempt = i%3 == 0
 			}
-			w.at(at, func() { w.send(host, a, 30*time.Second) })
+			within := 500*time.Millisecond + drawTime(rt, "within", 20*time.Second)
+			leaves := at + drawTime(rt, "leaves", 20*time.Second)
+			w.at(at, func() {
+				r := w.send(host, a, within)
+				w.at(leaves, func() { w.leave(r) })
+			})
 		}
 		w.runUntil(settleTime + giveUp)
 		w.checkRecovered(rt)
@@ -115,6 +124,13 @@
 	})
 }
 
+// leave lets a caller close its connection.
+func (w *world) leave(r *request) {
+	if r.finals == 0 && !r.lost {
+		w.post(r.host, Gone{ID: r.arrival.ID}, 0)
+	}
+}
+
 // checkRecovered checks that every host serves whole answers when all failures
 // are over.
 func (w *world) checkRecovered(rt *rapid.T) {
@@ -126,7 +142,7 @@
 	w.runUntil(w.now + giveUp)
 	for _, r := range sent {
 		if r.code != result.OK {
-			rt.Fatalf("after all failures %s was answered %s", r.arrival.ID, r.code)
+			rt.Fatalf("after all failures %s was answered %s, target %s", r.arrival.ID, r.code, r.arrival.Target)
 		}
 	}
 }
--- a/internal/control/world_test.go
+++ b/internal/control/world_test.go
@@ -26,7 +26,9 @@
 	linkDelay  = 2 * time.Millisecond
 	callDelay  = 5 * time.Millisecond
 	lostDelay  = 2 * time.Second
-	runTime    = 400 * time.Millisecond
+	runLeast   = 50 * time.Millisecond
+	runMost    = 3 * time.Second
+	lagMost    = 4 * time.Second
 	giveUp     = 90 * time.Second
 	wakeAtMost = 200 * time.Millisecond
 )
@@ -41,7 +43,9 @@
 	hosts  map[ident.Host]*machine
 	table  table
 	// cut holds the pairs of domains that can't reach each other, both ways.
-	cut       map[[2]ident.Domain]bool
+	cut map[[2]ident.Domain]bool
+	// loss and lag are the shares of messages that are lost and late.
+	loss, lag float64
 	endpoints map[ident.Endpoint]*endpoint
 	requests  map[ident.Request]*request
 	// outcomes counts final answers by code, for the report of a run.
@@ -212,8 +216,18 @@
 	if !ok || w.cut[[2]ident.Domain{w.hosts[from].domain, to.domain}] {
 		return
 	}
-	m := Received{Message: peerpb.Clone(send.Message)}
-	w.post(send.To, m, linkDelay+time.Duration(w.rng.IntN(2000))*time.Microsecond)
+	delay := linkDelay + w.random(linkDelay)
+	if w.rng.Float64() < w.lag {
+		delay += w.random(lagMost)
+	}
+	if w.rng.Float64() >= w.loss {
+		w.post(send.To, Received{Message: peerpb.Clone(send.Message)}, delay)
+	}
+}
+
+// random returns a time below most.
+func (w *world) random(most time.Duration) time.Duration {
+	return time.Duration(w.rng.Int64N(int64(most)))
 }
 
 // direct plays the traffic side.
@@ -242,6 +256,7 @@
 	e.runs[d.ID]++
 	e.last = w.now
 	m := w.hosts[host]
+	runTime := runLeast + w.random(runMost)
 	w.at(w.now+runTime, func() {
 		if m.dead {
 			return
--- a/internal/system/custody/custody.go
+++ b/internal/system/custody/custody.go
@@ -18,6 +18,9 @@
 	// acceptTimeout is how long a submitted request waits for the scheduler's
 	// word before it is submitted again.
 	acceptTimeout = 250 * time.Millisecond
+	// refreshInterval is how often a scheduler is told again of a request that
+	// waits there.
+	refreshInterval = 2 * time.Second
 	// holdingsInterval is the time between two reports of everything held.
 	holdingsInterval = 2 * time.Second
 	// tickInterval is the time between two looks at the waiting requests.
@@ -223,7 +226,17 @@
 	r.scheduler = sched
 	r.accepted = false
 	r.submittedAt = now
-	out.Send(sched.Host, peerpb.Wrap(&peerpb.Envelope_Submit{Submit: r.submission(now)}))
+	m := r.submission(now, s.epochs[r.pool])
+	out.Send(sched.Host, peerpb.Wrap(&peerpb.Envelope_Submit{Submit: m}))
+}
+
+// refresh tells the scheduler of a request that it has confirmed before, in case
+// it has lost it since. The prefix is left out: it only helps placement.
+func (s *System) refresh(now time.Duration, r *row, out *system.Outbox) {
+	r.submittedAt = now
+	m := r.submission(now, s.epochs[r.pool])
+	m.Prefix = nil
+	out.Send(r.scheduler.Host, peerpb.Wrap(&peerpb.Envelope_Submit{Submit: m}))
 }
 
 // refuse ends a request that was not dispatched.
--- a/internal/system/custody/grant.go
+++ b/internal/system/custody/grant.go
@@ -26,7 +26,7 @@
 	r := s.rows[ident.Request(g.GetRequest())]
 	stale := g.GetEpoch() < s.epochs[pool]
 	if r == nil || r.state != stateQueued || r.scheduler != from || r.pool != pool || stale {
-		s.declineForeign(now, from, g, out)
+		s.declineForeign(now, from, pool, g, out)
 		return
 	}
 	s.epochs[pool] = g.GetEpoch()
@@ -46,11 +46,11 @@
 }
 
 // declineForeign returns a grant that no request here can use.
-func (s *System) declineForeign(now time.Duration, from Scheduler, g *peerpb.Grant, out *system.Outbox) {
+func (s *System) declineForeign(now time.Duration, from Scheduler, pool ident.Pool, g *peerpb.Grant, out *system.Outbox) {
 	out.Send(from.Host, peerpb.Wrap(&peerpb.Envelope_Report{Report: &peerpb.Report{
 		Request: g.GetRequest(), Target: g.GetTarget(), Domain: g.GetDomain(),
 		Endpoint: g.GetEndpoint(), Attempt: g.GetAttempt(),
-		Phase: peerpb.Report_PHASE_DECLINED, ClockUs: now.Microseconds(),
+		Phase: peerpb.Report_PHASE_DECLINED, ClockUs: now.Microseconds(), Epoch: s.epochs[pool],
 	}}))
 }
 
--- a/internal/system/custody/message.go
+++ b/internal/system/custody/message.go
@@ -11,8 +11,9 @@
 	"github.com/trefoilchute/trefoilchute/internal/system"
 )
 
-// submission returns the request as its scheduler needs it.
-func (r *row) submission(now time.Duration) *peerpb.Submit {
+// submission returns the request as its scheduler needs it. epoch is the highest
+// that was seen of its pool.
+func (r *row) submission(now time.Duration, epoch uint64) *peerpb.Submit {
 	return &peerpb.Submit{
 		Request: string(r.ID), Target: r.pool.Target, Domain: string(r.pool.Domain),
 		TierRank: int32(r.Rank), Team: string(r.Team),
@@ -20,13 +21,14 @@
 		DeadlineUs: (r.Deadline - now).Microseconds(),
 		Prefix:     r.Prefix, KeyHash: r.KeyHash, Fingerprint: r.Fingerprint,
 		Idempotent: r.Idempotent, Spilled: r.spilled, ClockUs: now.Microseconds(),
+		Epoch: epoch,
 	}
 }
 
 // running returns a dispatched request as its scheduler needs it. The prefix is
 // left out: placement has used it.
 func (r *row) running(now time.Duration) *peerpb.Running {
-	request := r.submission(now)
+	request := r.submission(now, 0)
 	request.Prefix = nil
 	return &peerpb.Running{
 		Request: request, Endpoint: string(r.endpoint), Attempt: uint64(r.attempt),
@@ -43,6 +45,7 @@
 	m.Endpoint = string(r.endpoint)
 	m.Attempt = uint64(r.attempt)
 	m.ClockUs = now.Microseconds()
+	m.Epoch = s.epochs[r.pool]
 	to := r.scheduler
 	if sched, ok := s.cfg.View.Scheduler(r.pool); ok {
 		to = sched
--- a/internal/system/custody/tick.go
+++ b/internal/system/custody/tick.go
@@ -60,6 +60,10 @@
 	unanswered := !r.accepted && now-r.submittedAt >= acceptTimeout
 	if !ok || moved || unanswered {
 		s.submit(now, r, out)
+		return
+	}
+	if now-r.submittedAt >= refreshInterval {
+		s.refresh(now, r, out)
 	}
 }
 
@@ -123,7 +127,7 @@
 			r.scheduler = from
 			r.accepted = false
 			r.submittedAt = now
-			h.Waiting = append(h.Waiting, r.submission(now))
+			h.Waiting = append(h.Waiting, r.submission(now, s.epochs[r.pool]))
 		}
 	}
 	out.Send(from.Host, peerpb.Wrap(&peerpb.Envelope_Holdings{Holdings: h}))
--- a/internal/system/scheduling/receive.go
+++ b/internal/system/scheduling/receive.go
@@ -37,7 +37,7 @@
 	if s.snapshot == nil || p.Domain != s.cfg.Domain {
 		return
 	}
-	in := s.own(now, p, out)
+	in := s.supersede(now, s.own(now, p, out), m.GetEpoch(), out)
 	in.readClock(now, from, m.GetClockUs())
 	in.queue(pool.Arrive{Request: request(now, from, m)})
 	s.accept(from, m, in, out)
@@ -79,6 +79,7 @@
 	if in == nil {
 		return
 	}
+	in = s.supersede(now, in, m.GetEpoch(), out)
 	in.readClock(now, from, m.GetClockUs())
 	key := runningKey{ident.Request(m.GetRequest()), ident.Attempt(m.GetAttempt())}
 	switch m.GetPhase() {
@@ -131,8 +132,8 @@
 	if in == nil {
 		return
 	}
+	in = s.supersede(now, in, m.GetEpoch(), out)
 	in.readClock(now, from, m.GetClockUs())
-	in.seenEpoch = max(in.seenEpoch, m.GetEpoch())
 	restore := pool.Restore{Host: from}
 	listed := map[runningKey]bool{}
 	for _, r := range m.GetRunning() {
--- a/internal/system/scheduling/scheduling.go
+++ b/internal/system/scheduling/scheduling.go
@@ -151,6 +151,22 @@
 		in.movedAt = 0
 		return in
 	}
+	return s.takeOver(now, p, out)
+}
+
+// supersede looks at the highest epoch that a custodian has seen. Another host
+// that scheduled the pool in between had a higher epoch than a scheduler that
+// never stopped here: custodians refuse this one's grants, so it starts anew.
+func (s *System) supersede(now time.Duration, in *instance, epoch uint64, out *system.Outbox) *instance {
+	if in.scheduler != nil && epoch > in.epoch {
+		in = s.takeOver(now, in.pool, out)
+	}
+	in.seenEpoch = max(in.seenEpoch, epoch)
+	return in
+}
+
+// takeOver starts a pool with a warm-up, in which the hosts tell what they hold.
+func (s *System) takeOver(now time.Duration, p ident.Pool, out *system.Outbox) *instance {
 	in := newInstance(now, p, s.cfg.View.Alive())
 	s.instances[p] = in
 	for _, h := range in.awaitedHosts() {
