Hold the single transition to drawn orders of events

Cause: with single guards of custody switched off, the promises under failures still passed: the guards stand behind each other. Change: custody alone is driven by 150 drawn events, wanted and stray, a run. Not caught, and no promise: a grant of a process that the request was not submitted to.

--- /dev/null
+++ b/internal/system/custody/custody_test.go
@@ -0,0 +1,196 @@
+package custody
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/trefoilchute/trefoilchute/internal/ident"
+	"github.com/trefoilchute/trefoilchute/internal/peer/peerpb"
+	"github.com/trefoilchute/trefoilchute/internal/resource"
+	"github.com/trefoilchute/trefoilchute/internal/result"
+	"github.com/trefoilchute/trefoilchute/internal/system"
+)
+
+// view is a configuration and membership that a test changes.
+type view struct {
+	scheduler Scheduler
+	has       bool
+	state     resource.EndpointState
+}
+
+func (v *view) Domains(string) []ident.Domain { return []ident.Domain{"a"} }
+
+func (v *view) Scheduler(ident.Pool) (Scheduler, bool) { return v.scheduler, v.has }
+
+func (v *view) Endpoint(name ident.Endpoint) (resource.Endpoint, bool) {
+	return resource.Endpoint{Name: name, Address: "127.0.0.1:1", State: v.state}, true
+}
+
+// schedulers are the processes that may send grants.
+var schedulers = []Scheduler{{"one", 1}, {"one", 2}, {"two", 1}}
+
+// ids are the requests of a run.
+var ids = []ident.Request{"r0", "r1", "r2", "r3", "r4", "r5", "r6", "r7"}
+
+// book counts what custody has directed for each request.
+type book struct {
+	dispatched map[ident.Request]int
+	refused    map[ident.Request]int
+	// expires holds when each grant ends, and latest the last one of a request.
+	expires map[ident.Attempt]time.Duration
+	latest  map[ident.Request]ident.Attempt
+	// connected is the attempt of the connection just reported, or 0.
+	connected ident.Attempt
+}
+
+// read takes the directives of a step. It fails where one breaks a promise.
+func (b *book) read(rt *rapid.T, s *System, v *view, now time.Duration) {
+	for _, d := range s.Take() {
+		switch {
+		case d.Kind == Commit && d.Go:
+			b.dispatched[d.ID]++
+			if v.state != resource.EndpointActive {
+				rt.Fatalf("%s dispatched to an endpoint that is to leave", d.ID)
+			}
+			if d.Attempt != b.connected || now >= b.expires[d.Attempt] {
+				rt.Fatalf("%s dispatched at %s on a connection for grant %d, which ends at %s",
+					d.ID, now, b.connected, b.expires[d.Attempt])
+			}
+		case d.Kind == Refuse:
+			b.refused[d.ID]++
+		}
+		if b.dispatched[d.ID] > 1 || b.refused[d.ID] > 1 || b.dispatched[d.ID]+b.refused[d.ID] > 1 {
+			rt.Fatalf("%s dispatched %d times and refused %d times",
+				d.ID, b.dispatched[d.ID], b.refused[d.ID])
+		}
+	}
+}
+
+// grantLife is the life of the grants of a run.
+const grantLife = 1500 * time.Millisecond
+
+// mix lists the events to draw from, the frequent ones several times: 0 time
+// passes, 1 a grant, 2 a connection, 3 no connection, 4 a claim, 5 a look-up,
+// 6 a refusal, 7 a new scheduler, 8 a change of the endpoint, 9 the caller left, 10 a pause
+// of the process.
+var mix = []int{0, 0, 1, 1, 1, 1, 1, 1, 2, 2, 2, 2, 2, 2, 3, 4, 4, 4, 5, 6, 7, 8, 8, 9, 10}
+
+// TestOneTransition draws any order of events, wanted and stray, and checks that
+// no request is dispatched twice, or dispatched and refused as not run, or
+// dispatched on an expired grant or to an endpoint that is to leave.
+func TestOneTransition(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		v := &view{scheduler: schedulers[0], has: true, state: resource.EndpointActive}
+		s := New(Config{Self: "self", View: v})
+		b := &book{
+			dispatched: map[ident.Request]int{}, refused: map[ident.Request]int{},
+			expires: map[ident.Attempt]time.Duration{}, latest: map[ident.Request]ident.Attempt{},
+		}
+		var now time.Duration
+		var out system.Outbox
+		for i, id := range ids {
+			s.Arrive(now, Arrival{ID: id, Target: "m", Key: "k", Idempotent: i > 2, Deadline: time.Minute}, &out)
+		}
+		for _, id := range ids {
+			s.Checked(now, id, nil, &out)
+		}
+		for range 150 {
+			id := rapid.SampledFrom(ids).Draw(rt, "id")
+			attempt := b.latest[id]
+			if rapid.IntRange(0, 5).Draw(rt, "old") == 0 {
+				attempt = ident.Attempt(rapid.IntRange(0, len(b.expires)).Draw(rt, "attempt"))
+			}
+			b.connected = 0
+			from := v.scheduler
+			if rapid.IntRange(0, 5).Draw(rt, "stray") == 0 {
+				from = rapid.SampledFrom(schedulers).Draw(rt, "from")
+			}
+			switch rapid.SampledFrom(mix).Draw(rt, "event") {
+			case 0:
+				now += time.Duration(rapid.IntRange(1, 1000).Draw(rt, "pass")) * time.Millisecond
+				s.Tick(now, &out)
+			case 1:
+				attempt = ident.Attempt(len(b.expires) + 1)
+				b.latest[id] = attempt
+				b.expires[attempt] = now + grantLife
+				s.Granted(now, from, &peerpb.Grant{
+					Request: string(id), Target: "m", Domain: "a", Endpoint: "e", Attempt: uint64(attempt),
+					Epoch: 1, ExpiresAtUs: (now + grantLife).Microseconds(),
+				}, &out)
+			case 2:
+				b.connected = attempt
+				s.Connected(now, id, attempt, &out)
+			case 3:
+				s.Unreachable(now, id, attempt, &out)
+			case 4:
+				s.Claimed(now, id, verdict(rt), &out)
+			case 5:
+				s.Checked(now, id, verdict(rt), &out)
+			case 6:
+				s.Refused(from, &peerpb.Refuse{Request: string(id), Code: int32(result.ShedTier)})
+			case 7:
+				v.scheduler = from
+				s.TakeOver(now, from, &peerpb.TakeOver{Target: "m", Domain: "a"}, nil, &out)
+			case 8:
+				v.state = rapid.SampledFrom([]resource.EndpointState{
+					resource.EndpointActive, resource.EndpointDrain,
+				}).Draw(rt, "state")
+			case 9:
+				s.Gone(now, id, &out)
+			case 10:
+				now += time.Duration(rapid.IntRange(1, 2000).Draw(rt, "pause")) * time.Millisecond
+			}
+			b.read(rt, s, v, now)
+		}
+	})
+}
+
+// verdict draws the result of a look-up or claim: mostly none.
+func verdict(rt *rapid.T) *result.Error {
+	if rapid.IntRange(0, 9).Draw(rt, "verdict") > 0 {
+		return nil
+	}
+	return result.New(result.PlatformDown, "drawn")
+}
+
+// TestResubmits checks that a request whose submission or scheduler is lost is
+// submitted again, and that a refusal of the old scheduler doesn't count then.
+func TestResubmits(t *testing.T) {
+	v := &view{scheduler: schedulers[0], has: true, state: resource.EndpointActive}
+	s := New(Config{Self: "self", View: v})
+	var out system.Outbox
+	s.Arrive(0, Arrival{ID: "r", Target: "m", Idempotent: true, Deadline: time.Minute}, &out)
+	steps := []struct {
+		name   string
+		change func()
+		at     time.Duration
+		to     []ident.Host
+	}{
+		{"nothing yet", func() {}, 100 * time.Millisecond, nil},
+		{"no answer", func() {}, acceptTimeout, []ident.Host{"one"}},
+		{"accepted", func() { s.Accepted(schedulers[0], &peerpb.Accept{Request: "r"}) }, time.Second, nil},
+		{"told again", func() {}, acceptTimeout + refreshInterval, []ident.Host{"one"}},
+		{"restarted", func() { v.scheduler = schedulers[1] }, 3 * time.Second, []ident.Host{"one"}},
+		{"moved", func() { v.scheduler = schedulers[2] }, 4 * time.Second, []ident.Host{"one", "two"}},
+	}
+	for _, step := range steps {
+		out = system.Outbox{}
+		step.change()
+		s.Tick(step.at, &out)
+		var to []ident.Host
+		for _, send := range out.Sends {
+			if send.Message.GetHoldings() == nil {
+				to = append(to, send.To)
+			}
+		}
+		if len(to) != len(step.to) || (len(to) > 0 && to[len(to)-1] != step.to[len(to)-1]) {
+			t.Errorf("%s: sent to %v, want %v", step.name, to, step.to)
+		}
+	}
+	s.Refused(schedulers[0], &peerpb.Refuse{Request: "r", Code: int32(result.ShedTier)})
+	if waiting, _ := s.Counts(); waiting != 1 {
+		t.Errorf("the old scheduler's refusal counted")
+	}
+}
