Shed by expected wait, from the lowest tier up

Change: a meter of what arrives and drains; a request whose expected wait is too long is refused at once, after all that waits below it; lower tiers get nothing while requests above them were not looked at; a waiting request is given up on when even a busy endpoint can't answer it in time.

--- a/internal/pool/admit.go
+++ b/internal/pool/admit.go
@@ -7,6 +7,10 @@
 	"github.com/trefoilchute/trefoilchute/internal/result"
 )
 
+// patienceAboveOthers is how many times longer than it can wait a request's
+// expected wait has to be before lower tiers are shed for it and it itself.
+const patienceAboveOthers = 3
+
 // admit returns the refusal of a request that can't wait, or nil.
 func (s *Scheduler) admit(r *request) *Refuse {
 	if r.Deadline <= s.now {
@@ -20,11 +24,11 @@
 		return s.refusal(r, result.DeadlineTooNear, s.retryAfter(r.Rank),
 			fmt.Sprintf("the fastest endpoint needs about %v", total.Round(time.Millisecond)))
 	}
-	return s.admitToQueue(r)
+	return s.admitToQueue(r, total)
 }
 
 // admitToQueue holds the request against the declared limits.
-func (s *Scheduler) admitToQueue(r *request) *Refuse {
+func (s *Scheduler) admitToQueue(r *request, total time.Duration) *Refuse {
 	t := s.teams.get(r.Team)
 	if t.MaxQueued > 0 && t.waiting >= t.MaxQueued {
 		return s.refusal(r, result.TeamLimit, s.retryAfter(r.Rank), "the team has its most requests waiting")
@@ -33,5 +37,21 @@
 	if limit > 0 && s.queue.tier(r.Rank).size >= limit && !s.displace(r.Rank) {
 		return s.refusal(r, result.QueueFull, s.retryAfter(r.Rank), "the tier has its most requests waiting")
 	}
-	return nil
+	return s.admitForRoom(r, total)
+}
+
+// admitForRoom refuses a request that would wait longer than it can. What
+// waits in lower tiers is shed before it.
+func (s *Scheduler) admitForRoom(r *request, total time.Duration) *Refuse {
+	wait := s.teamWait(r)
+	patience := 1.0
+	if s.queue.waitsBelow(r.Rank) {
+		patience = patienceAboveOthers
+	}
+	if wait <= time.Duration(patience*float64(r.Deadline-s.now-total)) {
+		return nil
+	}
+	s.shedBelow(r.Rank)
+	return s.refusal(r, result.ShedTier, s.retryAfter(r.Rank),
+		fmt.Sprintf("the expected wait is %v", wait.Round(time.Millisecond)))
 }
--- a/internal/pool/estimate.go
+++ b/internal/pool/estimate.go
@@ -61,6 +61,22 @@
 	return best, found
 }
 
+// busy estimates the least time that a request needs on any endpoint that may
+// take it, beside a full window.
+func (s *Scheduler) busy(r *request) (time.Duration, bool) {
+	best, found := time.Duration(0), false
+	for _, e := range s.endpoints.rows {
+		if !e.takesWork(s.now) {
+			continue
+		}
+		total := s.estimateOn(e, r, r.PromptTokens, max(0, e.slots()-1), 0).total
+		if !found || total < best {
+			best, found = total, true
+		}
+	}
+	return best, found
+}
+
 // costOf estimates the slot time of a request on an endpoint of average speed
 // with a full window.
 func (s *Scheduler) costOf(r *request) time.Duration {
--- a/internal/pool/grant.go
+++ b/internal/pool/grant.go
@@ -19,7 +19,9 @@
 	}
 	for _, t := range s.queue.tiers {
 		s.grantHeld(t)
-		s.grantTier(t)
+		if !s.grantTier(t) {
+			break
+		}
 	}
 	s.wakeForHeld()
 }
@@ -49,13 +51,17 @@
 }
 
 // grantTier serves one tier until nothing more fits. Teams that can't be
-// served now are set aside and go back at the end.
-func (s *Scheduler) grantTier(t *tierQueue) {
+// served now are set aside and go back at the end. It returns false if
+// requests remain that were not looked at: what is free may be theirs, so that
+// lower tiers get nothing.
+func (s *Scheduler) grantTier(t *tierQueue) bool {
 	var aside []*teamQueue
 	look := maxLook
+	whole := false
 	for look > 0 {
 		tq := t.popTeam()
 		if tq == nil {
+			whole = true
 			break
 		}
 		if tq.team.atLimit() {
@@ -82,6 +88,7 @@
 	for _, tq := range aside {
 		t.putBack(tq)
 	}
+	return whole
 }
 
 // choose takes a request out of the queue and books it to its team's share.
--- a/internal/pool/hopeless.go
+++ b/internal/pool/hopeless.go
@@ -14,7 +14,7 @@
 // more, as far as is known now.
 func (s *Scheduler) watch(r *request) {
 	at := r.Deadline
-	if total, ok := s.fastest(r); ok {
+	if total, ok := s.busy(r); ok {
 		at = min(at, r.Deadline-total)
 	}
 	s.timers.set(&r.timer, max(at, s.now+recheck), func() { s.hopeless(r) })
@@ -24,7 +24,7 @@
 // more. Speeds may have been learned since the time was set, so that the
 // request may have to be looked at again.
 func (s *Scheduler) hopeless(r *request) {
-	total, ok := s.fastest(r)
+	total, ok := s.busy(r)
 	if ok && s.now+total < r.Deadline {
 		s.watch(r)
 		return
--- a/internal/pool/intake.go
+++ b/internal/pool/intake.go
@@ -53,6 +53,7 @@
 	row := &request{Request: r, sequence: s.sequence, arrived: s.now}
 	row.mean, row.cautious = s.outputs(&r)
 	row.cost = s.costOf(row)
+	s.meter.arrive(r.Rank, row.cost)
 	if refusal := s.admit(row); refusal != nil {
 		s.emit(*refusal)
 		return
--- a/internal/pool/ledger.go
+++ b/internal/pool/ledger.go
@@ -53,6 +53,7 @@
 	s.blocks.Store(e.number, r.Prefix)
 	s.attempts.put(a)
 	s.hold(a)
+	s.meter.grant(r.cost)
 	r.phase, r.attempt = phaseGranted, a
 	expires := s.now + GrantLifetime
 	s.timers.set(&a.timer, expires+GrantMargin, func() { s.lapse(a) })
--- a/internal/pool/queue.go
+++ b/internal/pool/queue.go
@@ -29,8 +29,10 @@
 	// held are the requests chosen that wait for the right endpoint, in the
 	// order in which they were chosen.
 	held []*request
-	// backlog is the sum of the costs waiting.
+	// backlog is the sum of the costs waiting, held ones included.
 	backlog time.Duration
+	// weight is the sum of the weights of the teams with queued requests.
+	weight float64
 }
 
 // teamQueue is one team's part of a tier's queue.
@@ -42,6 +44,8 @@
 	// index is the place in the tier's heap plus one; 0 when not in it.
 	index    int
 	requests requestHeap
+	// backlog is the sum of the costs waiting.
+	backlog time.Duration
 }
 
 func newQueue() *queue {
@@ -70,8 +74,10 @@
 	}
 	if len(tq.requests) == 0 {
 		tq.start = max(tq.start, t.virtual)
+		t.weight += of.weight()
 	}
 	heap.Push(&tq.requests, r)
+	tq.backlog += r.cost
 	of.waiting++
 	t.size++
 	t.backlog += r.cost
@@ -85,6 +91,10 @@
 	t := q.tier(r.Rank)
 	tq := t.teams[r.Team]
 	heap.Remove(&tq.requests, r.position)
+	tq.backlog -= r.cost
+	if len(tq.requests) == 0 {
+		t.weight -= tq.team.weight()
+	}
 	tq.team.waiting--
 	t.size--
 	t.backlog -= r.cost
@@ -104,6 +114,28 @@
 	}
 }
 
+// shareTime is the slot time that the tier serves until a new request of a team
+// is through, if every team with queued requests gets its share.
+func (t *tierQueue) shareTime(r *request, of *team) time.Duration {
+	backlog, weight := r.cost, t.weight
+	if tq := t.teams[r.Team]; tq != nil && len(tq.requests) > 0 {
+		backlog += tq.backlog
+	} else {
+		weight += of.weight()
+	}
+	return time.Duration(float64(backlog) * weight / of.weight())
+}
+
+// waiting says whether any request waits that no endpoint was chosen for.
+func (q *queue) waiting() bool {
+	return slices.ContainsFunc(q.tiers, func(t *tierQueue) bool { return len(t.ready) > 0 })
+}
+
+// waitsBelow says whether a request of a tier below rank waits.
+func (q *queue) waitsBelow(rank int) bool {
+	return slices.ContainsFunc(q.tiers, func(t *tierQueue) bool { return t.rank > rank && t.size > 0 })
+}
+
 // hold takes a request out of its team's heap to wait for its endpoint.
 func (t *tierQueue) hold(r *request) {
 	t.held = append(t.held, r)
--- a/internal/pool/scheduler.go
+++ b/internal/pool/scheduler.go
@@ -33,6 +33,7 @@
 	timers    *timers
 	lengths   *speed.Lengths
 	blocks    *blocks.Index
+	meter     meter
 	heldTimer timer
 	// open is scratch space of grant: the endpoints with a free slot.
 	open []*endpoint
@@ -56,6 +57,7 @@
 		timers:      &timers{},
 		lengths:     speed.NewLengths(),
 		blocks:      blocks.NewIndex(),
+		meter:       newMeter(),
 		lastAttempt: c.Epoch << attemptBits,
 	}
 	s.queue = newQueue()
@@ -68,6 +70,7 @@
 func (s *Scheduler) Step(now time.Duration, events []Event) []Effect {
 	s.now = max(s.now, now)
 	s.out = nil
+	s.meter.roll(s.now, s.queue.waiting())
 	for _, e := range events {
 		s.take(e)
 	}
--- a/internal/pool/shed.go
+++ b/internal/pool/shed.go
@@ -6,10 +6,13 @@
 	"github.com/trefoilchute/trefoilchute/internal/result"
 )
 
-// minRetryAfter and maxRetryAfter bound what a refused caller is told.
 const (
+	// minRetryAfter and maxRetryAfter bound what a refused caller is told.
 	minRetryAfter = time.Second
 	maxRetryAfter = time.Minute
+	// leastDrain is the part of the pool's capacity that a tier is taken to
+	// get at least, however much arrives above it.
+	leastDrain = 0.1
 )
 
 // displace sheds one request of the lowest tier below rank that waits, so that
@@ -31,25 +34,61 @@
 	return false
 }
 
+// shedBelow sheds all that waits in tiers below rank, from the lowest up: no
+// request is shed for want of room while one of a lower tier waits.
+func (s *Scheduler) shedBelow(rank int) {
+	for s.displace(rank) {
+	}
+}
+
 // retryAfter is when a request of a rank can be expected to find room.
 func (s *Scheduler) retryAfter(rank int) time.Duration {
 	return min(max(s.expectedWait(rank), minRetryAfter), maxRetryAfter)
 }
 
-// expectedWait is the time until what waits at a rank or above is served, by
-// the pool's slots.
+// expectedWait is the time until what waits at a rank or above is served, at
+// the rate that the pool drains and tiers above leave over.
 func (s *Scheduler) expectedWait(rank int) time.Duration {
-	var backlog time.Duration
+	return s.drainTime(rank, s.backlogAbove(rank)+s.queue.tier(rank).backlog)
+}
+
+// teamWait is the time until a new request of a team is served: a team that is
+// within its share does not wait for the other teams' backlog.
+func (s *Scheduler) teamWait(r *request) time.Duration {
+	t := s.queue.tier(r.Rank)
+	own := t.backlog
+	if share := t.shareTime(r, s.teams.get(r.Team)); share < own {
+		own = share
+	}
+	return s.drainTime(r.Rank, s.backlogAbove(r.Rank)+own)
+}
+
+func (s *Scheduler) backlogAbove(rank int) time.Duration {
+	var sum time.Duration
 	for _, t := range s.queue.tiers {
-		if t.rank <= rank {
-			backlog += t.backlog
+		if t.rank < rank {
+			sum += t.backlog
 		}
 	}
-	slots := 0
+	return sum
+}
+
+func (s *Scheduler) drainTime(rank int, backlog time.Duration) time.Duration {
+	if backlog == 0 {
+		return 0
+	}
+	capacity := max(s.meter.capacity(s.slots()), 1)
+	left := max(capacity-s.meter.above(s.queue.tiers, rank), leastDrain*capacity)
+	return time.Duration(backlog.Seconds() / left * float64(time.Second))
+}
+
+// slots is the number of requests that the pool may have at endpoints.
+func (s *Scheduler) slots() int {
+	sum := 0
 	for _, e := range s.endpoints.rows {
 		if e.takesWork(s.now) {
-			slots += e.slots()
+			sum += max(0, e.slots())
 		}
 	}
-	return backlog / time.Duration(max(1, slots))
+	return sum
 }
