Isolate and quarantine suspects; spill to other domains; status

Cause: one request that crashes each endpoint that runs it would take the domain's endpoints one by one, also under new keys; and a domain that is full shed a tier while another domain had room. Change: what is in flight on an endpoint that is lost becomes suspect, by key and by body; suspects run alone, one at a time; the second crash quarantines; running whole clears. A body that has never run whole runs once at a time. A request without room is passed to a domain that has room or lower tiers, before anything is shed for it. Status and Room for operators and other domains. Spilling has no test yet.

--- a/internal/fleet/run.go
+++ b/internal/fleet/run.go
@@ -63,11 +63,10 @@
 
 // caller is the custodian's side of one request.
 type caller struct {
-	item    Item
-	work    *work
-	engine  *engine
-	done    bool
-	granted bool
+	item   Item
+	work   *work
+	engine *engine
+	done   bool
 }
 
 // planned is something that will happen.
--- a/internal/pool/admit.go
+++ b/internal/pool/admit.go
@@ -11,47 +11,83 @@
 // expected wait has to be before lower tiers are shed for it and it itself.
 const patienceAboveOthers = 3
 
-// admit returns the refusal of a request that can't wait, or nil.
-func (s *Scheduler) admit(r *request) *Refuse {
-	if r.Deadline <= s.now {
-		return s.refusal(r, result.Expired, 0, "the deadline passed before the request arrived")
-	}
+// admit says whether a request may wait. If not, it has been refused or passed
+// to another domain.
+func (s *Scheduler) admit(r *request) bool {
 	total, ok := s.fastest(r)
-	if !ok {
-		return s.refusal(r, result.NoEndpoint, retryWithoutEndpoint, "no endpoint of the pool takes work")
-	}
-	if s.now+total > r.Deadline {
-		return s.refusal(r, result.DeadlineTooNear, s.retryAfter(r.Rank),
+	x := s.suspects.find(r.KeyHash, r.Fingerprint)
+	switch {
+	case x != nil && x.Quarantined:
+		s.emit(*s.quarantined(r))
+	case r.Deadline <= s.now:
+		s.refuse(r, result.Expired, "the deadline passed before the request arrived")
+	case !ok:
+		s.spillOr(r, result.NoEndpoint, "no endpoint of the pool takes work")
+	case s.now+total > r.Deadline:
+		s.refuse(r, result.DeadlineTooNear,
 			fmt.Sprintf("the fastest endpoint needs about %v", total.Round(time.Millisecond)))
+	default:
+		return s.admitToQueue(r, total)
 	}
-	return s.admitToQueue(r, total)
+	return false
 }
 
-// admitToQueue holds the request against the declared limits.
-func (s *Scheduler) admitToQueue(r *request, total time.Duration) *Refuse {
+// spillOr passes a request to another domain or refuses it.
+func (s *Scheduler) spillOr(r *request, code result.Code, reason string) {
+	if !s.spill(r, reason) {
+		s.refuse(r, code, reason)
+	}
+}
+
+// admitToQueue holds the request against the declared limits and the expected
+// wait.
+func (s *Scheduler) admitToQueue(r *request, total time.Duration) bool {
 	t := s.teams.get(r.Team)
+	limit := s.tiers.byRank[r.Rank].MaxQueued
 	if t.MaxQueued > 0 && t.waiting >= t.MaxQueued {
-		return s.refusal(r, result.TeamLimit, s.retryAfter(r.Rank), "the team has its most requests waiting")
+		s.refuse(r, result.TeamLimit, "the team has its most requests waiting")
+		return false
 	}
-	limit := s.tiers.byRank[r.Rank].MaxQueued
-	if limit > 0 && s.queue.tier(r.Rank).size >= limit && !s.displace(r.Rank) {
-		return s.refusal(r, result.QueueFull, s.retryAfter(r.Rank), "the tier has its most requests waiting")
+	if limit > 0 && s.queue.tier(r.Rank).size >= limit {
+		return s.admitToFull(r)
 	}
 	return s.admitForRoom(r, total)
 }
 
+// admitToFull finds room for a request whose tier has its most requests
+// waiting: in another domain, or in place of one of a lower tier.
+func (s *Scheduler) admitToFull(r *request) bool {
+	const reason = "the tier has its most requests waiting"
+	if s.spill(r, reason) {
+		return false
+	}
+	if s.displace(r.Rank) {
+		return true
+	}
+	s.refuse(r, result.QueueFull, reason)
+	return false
+}
+
 // admitForRoom refuses a request that would wait longer than it can. What
 // waits in lower tiers is shed before it.
-func (s *Scheduler) admitForRoom(r *request, total time.Duration) *Refuse {
+func (s *Scheduler) admitForRoom(r *request, total time.Duration) bool {
 	wait := s.teamWait(r)
 	patience := 1.0
 	if s.queue.waitsBelow(r.Rank) {
 		patience = patienceAboveOthers
 	}
-	if wait <= time.Duration(patience*float64(r.Deadline-s.now-total)) {
-		return nil
+	spare := r.Deadline - s.now - total
+	if wait <= spare {
+		return true
+	}
+	reason := fmt.Sprintf("the expected wait is %v", wait.Round(time.Millisecond))
+	if s.spill(r, reason) {
+		return false
+	}
+	if wait <= time.Duration(patience*float64(spare)) {
+		return true
 	}
 	s.shedBelow(r.Rank)
-	return s.refusal(r, result.ShedTier, s.retryAfter(r.Rank),
-		fmt.Sprintf("the expected wait is %v", wait.Round(time.Millisecond)))
+	s.refuse(r, result.ShedTier, reason)
+	return false
 }
--- a/internal/pool/grant.go
+++ b/internal/pool/grant.go
@@ -40,6 +40,10 @@
 func (s *Scheduler) grantHeld(t *tierQueue) {
 	for i := 0; i < len(t.held); {
 		r := t.held[i]
+		if s.bodies.busy(r) {
+			s.park(r)
+			continue
+		}
 		p := s.place(r)
 		if p.endpoint == nil {
 			i++
@@ -69,6 +73,11 @@
 			continue
 		}
 		r := tq.head()
+		if s.bodies.busy(r) {
+			s.park(r)
+			t.putBack(tq)
+			continue
+		}
 		p := s.place(r)
 		if p.endpoint != nil {
 			s.choose(r, tq)
--- a/internal/pool/intake.go
+++ b/internal/pool/intake.go
@@ -10,11 +10,6 @@
 	"github.com/trefoilchute/trefoilchute/internal/result"
 )
 
-const (
-	// retryWithoutEndpoint is the Retry-After while no endpoint takes work.
-	retryWithoutEndpoint = 2 * time.Second
-)
-
 // take applies one event to the tables.
 func (s *Scheduler) take(e Event) {
 	switch e := e.(type) {
@@ -38,6 +33,10 @@
 		s.configure(e)
 	case Restore:
 		s.restore(e)
+	case Remote:
+		s.remotes.update(e)
+	case Suspects:
+		s.learnSuspects(e.List)
 	case HostLost:
 		s.hostLost(e.Host)
 	}
@@ -54,20 +53,13 @@
 	row.mean, row.cautious = s.outputs(&r)
 	row.cost = s.costOf(row)
 	s.meter.arrive(r.Rank, row.cost)
-	if refusal := s.admit(row); refusal != nil {
-		s.emit(*refusal)
+	if !s.admit(row) {
 		return
 	}
 	s.requests[r.ID] = row
 	s.enqueue(row)
 }
 
-func (s *Scheduler) anyEndpoint() bool {
-	return slices.ContainsFunc(s.endpoints.rows, func(e *endpoint) bool {
-		return e.takesWork(s.now)
-	})
-}
-
 func (s *Scheduler) refusal(r *request, code result.Code, after time.Duration, reason string) *Refuse {
 	return &Refuse{ID: r.ID, Host: r.Host, Code: code, RetryAfter: after, Reason: reason}
 }
@@ -77,6 +69,11 @@
 	r.phase, r.attempt = phaseQueued, nil
 	s.queue.push(r, s.teams.get(r.Team))
 	s.watch(r)
+	if s.suspects.find(r.KeyHash, r.Fingerprint) != nil {
+		s.queue.remove(r)
+		r.phase = phaseIsolated
+		s.isolation.add(r)
+	}
 }
 
 // withdraw takes a waiting row out of the queue or the held ones. It does
@@ -87,6 +84,10 @@
 		s.queue.remove(r)
 	case phaseHeld:
 		s.queue.unhold(r)
+	case phaseParked:
+		s.bodies.unpark(r)
+	case phaseIsolated:
+		s.isolation.remove(r)
 	default:
 		return
 	}
@@ -156,6 +157,9 @@
 	}
 	s.learn(a, e)
 	s.settle(a)
+	if e.Outcome == OutcomeWhole {
+		s.clearSuspect(a.request)
+	}
 	if r := s.requests[e.ID]; r != nil {
 		s.withdraw(r)
 		delete(s.requests, e.ID)
--- /dev/null
+++ b/internal/pool/isolate.go
@@ -0,0 +1,100 @@
+package pool
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/trefoilchute/trefoilchute/internal/result"
+)
+
+// isolation runs suspects one at a time, each alone on an endpoint, so that a
+// crash tells which request it was.
+type isolation struct {
+	// waiting is sorted by tier, deadline and arrival.
+	waiting []*request
+	// endpoint is being emptied for, or runs, a suspect; nil if none.
+	endpoint *endpoint
+	// attempt is the suspect's attempt; nil while the endpoint empties.
+	attempt *attempt
+}
+
+func (i *isolation) add(r *request) {
+	at, _ := slices.BinarySearchFunc(i.waiting, r, compareUrgency)
+	i.waiting = slices.Insert(i.waiting, at, r)
+}
+
+func (i *isolation) remove(r *request) {
+	i.waiting = slices.DeleteFunc(i.waiting, func(x *request) bool { return x == r })
+}
+
+func compareUrgency(a, b *request) int {
+	return cmp.Or(
+		cmp.Compare(a.Rank, b.Rank),
+		cmp.Compare(a.Deadline, b.Deadline),
+		cmp.Compare(a.sequence, b.sequence),
+	)
+}
+
+// release gives the endpoint back to the others.
+func (i *isolation) release() {
+	if i.endpoint != nil {
+		i.endpoint.isolating = false
+	}
+	i.endpoint, i.attempt = nil, nil
+}
+
+// isolate grants the next suspect an endpoint of its own, or empties one.
+func (s *Scheduler) isolate() {
+	i := &s.isolation
+	if i.attempt != nil {
+		return
+	}
+	if len(i.waiting) == 0 {
+		i.release()
+		return
+	}
+	r := i.waiting[0]
+	if i.endpoint == nil || !i.endpoint.takesWork(s.now) {
+		i.release()
+		i.endpoint = s.emptiest(r)
+	}
+	if i.endpoint == nil {
+		return
+	}
+	i.endpoint.isolating = true
+	if i.endpoint.inFlight > 0 || i.endpoint.slots() < 1 {
+		return
+	}
+	s.withdraw(r)
+	s.issueIsolated(r, i.endpoint)
+}
+
+// emptiest returns the endpoint with the fewest requests in flight that can
+// answer a request in time.
+func (s *Scheduler) emptiest(r *request) *endpoint {
+	var best *endpoint
+	for _, e := range s.endpoints.rows {
+		if !e.takesWork(s.now) || s.now+s.estimateOn(e, r, 0, 0, 0).total > r.Deadline {
+			continue
+		}
+		if best == nil || e.inFlight < best.inFlight {
+			best = e
+		}
+	}
+	return best
+}
+
+func (s *Scheduler) issueIsolated(r *request, e *endpoint) {
+	s.matchPrefix(r)
+	s.issue(r, placement{
+		endpoint: e,
+		cached:   s.cachedOn(r, e),
+		reason:   "alone, because an endpoint crashed that ran it",
+		isolated: true,
+	})
+	s.isolation.attempt = r.attempt
+}
+
+func (s *Scheduler) quarantined(r *request) *Refuse {
+	return s.refusal(r, result.Quarantined, 0, "endpoints that ran this request crashed")
+}
--- a/internal/pool/learn.go
+++ b/internal/pool/learn.go
@@ -24,6 +24,7 @@
 func (s *Scheduler) learn(a *attempt, f Finished) {
 	e := a.endpoint
 	if f.Outcome == OutcomeLost {
+		s.crashed(e)
 		s.endpointFailed(e)
 		return
 	}
@@ -39,6 +40,7 @@
 		return
 	}
 	e.failures = 0
+	s.bodies.prove(a.request.Fingerprint)
 	if e.Type == resource.EndpointEngine {
 		s.lengths.Saw(a.request.Team, a.request.MaxTokens, f.OutputTokens)
 	}
--- a/internal/pool/ledger.go
+++ b/internal/pool/ledger.go
@@ -13,6 +13,10 @@
 	if !a.firstSeen {
 		a.endpoint.pending += a.uncached
 	}
+	s.running[a.request.Rank]++
+	if a.request.Fingerprint != 0 {
+		s.bodies.get(a.request.Fingerprint).inFlight++
+	}
 	s.teams.get(a.request.Team).inFlight++
 }
 
@@ -26,6 +30,14 @@
 	if !a.firstSeen {
 		a.endpoint.pending -= a.uncached
 	}
+	s.running[a.request.Rank]--
+	if a.request.Fingerprint != 0 {
+		s.bodies.get(a.request.Fingerprint).inFlight--
+		s.bodyEnded(a.request.Fingerprint)
+	}
+	if s.isolation.attempt == a {
+		s.isolation.release()
+	}
 	s.teams.get(a.request.Team).inFlight--
 }
 
@@ -63,6 +75,7 @@
 		Endpoint: e.Name,
 		Attempt:  a.id,
 		Expires:  expires,
+		Isolated: p.isolated,
 		Why:      p.reason,
 	})
 }
--- a/internal/pool/place.go
+++ b/internal/pool/place.go
@@ -54,6 +54,8 @@
 	estimate estimate
 	// reason says why the endpoint was chosen, or why there is none.
 	reason string
+	// isolated says that the endpoint is the request's alone.
+	isolated bool
 	// room says that some endpoint had a free slot.
 	room bool
 }
--- a/internal/pool/queue.go
+++ b/internal/pool/queue.go
@@ -253,3 +253,10 @@
 	tq := t.ready[len(t.ready)-1]
 	return tq.requests[len(tq.requests)-1]
 }
+
+// sortedTeams returns the teams with queued requests by name.
+func (t *tierQueue) sortedTeams() []*teamQueue {
+	out := slices.Clone(t.ready)
+	slices.SortFunc(out, func(a, b *teamQueue) int { return cmp.Compare(a.team.Name, b.team.Name) })
+	return out
+}
--- a/internal/pool/scheduler.go
+++ b/internal/pool/scheduler.go
@@ -14,8 +14,8 @@
 // The tables hold the entities; the systems run over them in the fixed order
 // of Step. Invariants between steps:
 //
-//   - a request row is either in the queue, or isolated, or has an attempt
-//     that is not settled;
+//   - a request row is in exactly one place: in the queue, held, parked behind
+//     its body, waiting to run alone, or with an attempt that is not settled;
 //   - the in-flight count of an endpoint equals the number of its attempts
 //     that hold a slot;
 //   - a request that was refused, spilled, canceled or finished has no row.
@@ -34,6 +34,12 @@
 	lengths   *speed.Lengths
 	blocks    *blocks.Index
 	meter     meter
+	suspects  *suspectTable
+	isolation isolation
+	bodies    *bodyTable
+	remotes   remoteTable
+	// running counts the attempts that hold a slot by rank.
+	running   map[int]int
 	heldTimer timer
 	// open is scratch space of grant: the endpoints with a free slot.
 	open []*endpoint
@@ -58,6 +64,9 @@
 		lengths:     speed.NewLengths(),
 		blocks:      blocks.NewIndex(),
 		meter:       newMeter(),
+		suspects:    newSuspectTable(),
+		bodies:      newBodyTable(),
+		running:     map[int]int{},
 		lastAttempt: c.Epoch << attemptBits,
 	}
 	s.queue = newQueue()
@@ -75,6 +84,7 @@
 		s.take(e)
 	}
 	s.runTimers()
+	s.isolate()
 	s.grant()
 	return s.out
 }
--- a/internal/pool/shed.go
+++ b/internal/pool/shed.go
@@ -28,7 +28,7 @@
 		}
 		r := t.last()
 		s.drop(r)
-		s.refuse(r, result.ShedTier, "a request of a higher tier took its place")
+		s.spillOr(r, result.ShedTier, "a request of a higher tier took its place")
 		return true
 	}
 	return false
--- a/internal/pool/status.go
+++ b/internal/pool/status.go
@@ -9,25 +9,55 @@
 
 // Status is what an operator sees of a pool.
 type Status struct {
-	Pool      ident.Pool
-	Epoch     uint64
-	Queue     []QueueStatus
+	Pool  ident.Pool
+	Epoch uint64
+	// Queue is sorted by rank.
+	Queue []QueueStatus
+	// Endpoints is sorted by name.
 	Endpoints []EndpointStatus
+	// Suspects are in the order in which they were found.
+	Suspects []Suspect
+	// Isolated is the number of requests that wait to run alone.
+	Isolated int
+	// Remotes are the domains with which requests can be exchanged, by name.
+	Remotes []Remote
 }
 
 // QueueStatus is one tier's queue.
 type QueueStatus struct {
-	Rank    int
-	Waiting int
+	Rank int
+	// Waiting counts queued and held requests; Held those chosen that wait for
+	// the right endpoint.
+	Waiting, Held int
+	// Wait is the expected time in queue.
+	Wait time.Duration
+	// Teams is sorted by name and holds the teams with queued requests.
+	Teams []TeamStatus
+}
+
+// TeamStatus is one team's part of a tier's queue.
+type TeamStatus struct {
+	Team     ident.Team
+	Queued   int
+	InFlight int
+	// Reason says why the team gets nothing now; empty if it does.
+	Reason string
 }
 
 // EndpointStatus is one endpoint as the scheduler sees it.
 type EndpointStatus struct {
 	Name     ident.Endpoint
 	InFlight int
-	// Window is the number of requests that the endpoint may have now.
-	Window   int
-	Draining bool
+	// Window is the number of requests that the endpoint may have now; Foreign
+	// the number that others are thought to have there.
+	Window, Foreign int
+	// PendingTokens are prompt tokens granted and not yet prefilled.
+	PendingTokens int
+	// PrefillRate and DecodeRate are learned speeds in tokens (calls, for a
+	// plain service) per second; Pace is how many times slower the endpoint is
+	// just now.
+	PrefillRate, DecodeRate, Pace float64
+	Draining                      bool
 	// Reason says why the endpoint gets no work; empty if it does.
 	Reason string
 }
@@ -42,25 +72,52 @@
 	Wait []time.Duration
 }
 
-// Status describes the pool for operators, sorted by rank and name.
+// Status describes the pool for operators.
 func (s *Scheduler) Status() Status {
-	out := Status{Pool: s.config.Pool, Epoch: s.config.Epoch}
+	out := Status{
+		Pool:     s.config.Pool,
+		Epoch:    s.config.Epoch,
+		Isolated: len(s.isolation.waiting),
+	}
 	for _, t := range s.queue.tiers {
-		out.Queue = append(out.Queue, QueueStatus{Rank: t.rank, Waiting: t.size})
+		out.Queue = append(out.Queue, s.queueStatus(t))
 	}
 	for _, e := range s.endpoints.rows {
 		out.Endpoints = append(out.Endpoints, s.endpointStatus(e))
 	}
+	for _, x := range s.suspects.rows {
+		out.Suspects = append(out.Suspects, x.Suspect)
+	}
+	for _, x := range s.remotes.rows {
+		out.Remotes = append(out.Remotes, *x)
+	}
+	return out
+}
+
+func (s *Scheduler) queueStatus(t *tierQueue) QueueStatus {
+	out := QueueStatus{Rank: t.rank, Waiting: t.size, Held: len(t.held), Wait: s.expectedWait(t.rank)}
+	for _, tq := range t.sortedTeams() {
+		team := TeamStatus{Team: tq.team.Name, Queued: len(tq.requests), InFlight: tq.team.inFlight}
+		if tq.team.atLimit() {
+			team.Reason = "the team has its most requests in flight"
+		}
+		out.Teams = append(out.Teams, team)
+	}
 	return out
 }
 
 func (s *Scheduler) endpointStatus(e *endpoint) EndpointStatus {
 	return EndpointStatus{
-		Name:     e.Name,
-		InFlight: e.inFlight,
-		Window:   e.slots(),
-		Draining: e.State == resource.EndpointDrain,
-		Reason:   s.closedReason(e),
+		Name:          e.Name,
+		InFlight:      e.inFlight,
+		Window:        e.slots(),
+		Foreign:       e.load.foreign,
+		PendingTokens: e.pending,
+		PrefillRate:   e.speed.PrefillRate(),
+		DecodeRate:    e.speed.DecodeRate(),
+		Pace:          e.speed.Pace(s.now),
+		Draining:      e.State == resource.EndpointDrain,
+		Reason:        s.closedReason(e),
 	}
 }
 
@@ -71,9 +128,15 @@
 	case e.State == resource.EndpointDrain:
 		return "draining"
 	case s.now < e.closedUntil:
-		return "closed after a failure"
-	case e.inFlight >= e.slots():
-		return "every slot is in use"
+		return "closed for a while after it was lost or took no connection"
+	case e.isolating:
+		return "kept for a request that is suspected of crashing endpoints"
+	case e.free() <= 0 && e.window.size() < e.Slots:
+		return "its window was narrowed because it is slow"
+	case e.free() <= 0:
+		return reasonFull
+	case e.speed.Prefill(s.now, e.pending) > prefillWindow:
+		return reasonPrefill
 	}
 	return ""
 }
@@ -82,15 +145,17 @@
 func (s *Scheduler) Room() Room {
 	var out Room
 	for _, e := range s.endpoints.rows {
-		if e.takesWork(s.now) {
-			out.FreeSlots += max(0, e.slots()-e.inFlight)
+		if e.takesWork(s.now) && !e.isolating {
+			out.FreeSlots += max(0, e.free())
 		}
 	}
 	for _, t := range s.queue.tiers {
-		if t.size > 0 {
+		if t.size > 0 || s.running[t.rank] > 0 {
 			out.LowestRank = t.rank
 		}
-		out.Wait = append(out.Wait, 0)
+		for len(out.Wait) <= t.rank {
+			out.Wait = append(out.Wait, s.expectedWait(len(out.Wait)))
+		}
 	}
 	return out
 }
--- a/internal/pool/table.go
+++ b/internal/pool/table.go
@@ -1,6 +1,8 @@
 package pool
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/trefoilchute/trefoilchute/internal/ident"
@@ -27,6 +29,10 @@
 	phaseQueued phase = iota
 	// phaseHeld is chosen and waits for the right endpoint.
 	phaseHeld
+	// phaseParked waits for a request with the same body to end.
+	phaseParked
+	// phaseIsolated waits to run alone.
+	phaseIsolated
 	phaseGranted
 	phaseRunning
 )
@@ -52,6 +58,11 @@
 	timer    timer
 }
 
+// waits says whether the request has no attempt.
+func (r *request) waits() bool {
+	return r.phase < phaseGranted
+}
+
 // attempt is the row of one grant and of what came of it.
 type attempt struct {
 	id       ident.Attempt
@@ -69,6 +80,8 @@
 	ahead, others int
 	// firstSeen says that the first token came.
 	firstSeen bool
+	// blamed says that a crash of the endpoint was counted against it.
+	blamed bool
 	// holds says that the attempt counts in its endpoint's in-flight number.
 	holds bool
 	// void says that the grant's lifetime is over without a report.
@@ -100,6 +113,21 @@
 	t.rows[attemptKey{a.request.ID, a.id}] = a
 }
 
+// on returns the attempts that hold a slot of an endpoint, in the order of
+// their grants.
+func (t *attemptTable) on(e *endpoint) []*attempt {
+	var out []*attempt
+	for _, a := range t.rows {
+		if a.endpoint == e && a.holds {
+			out = append(out, a)
+		}
+	}
+	slices.SortFunc(out, func(a, b *attempt) int {
+		return cmp.Or(cmp.Compare(a.granted, b.granted), cmp.Compare(a.request.ID, b.request.ID))
+	})
+	return out
+}
+
 func (t *attemptTable) remove(a *attempt) {
 	delete(t.rows, attemptKey{a.request.ID, a.id})
 }
