--- a/internal/pool/scheduler.go
+++ b/internal/pool/scheduler.go
@@ -14,8 +14,8 @@
 // The tables hold the entities; the systems run over them in the fixed order
 // of Step. Invariants between steps:
 //
-//   - a request row is either in the queue, or isolated, or has an attempt
-//     that is not settled;
+//   - a request row is in exactly one place: in the queue, held, parked behind
+//     its body, waiting to run alone, or with an attempt that is not settled;
 //   - the in-flight count of an endpoint equals the number of its attempts
 //     that hold a slot;
 //   - a request that was refused, spilled, canceled or finished has no row.
@@ -33,9 +33,24 @@
 	timers    *timers
 	lengths   *speed.Lengths
 	blocks    *blocks.Index
-	heldTimer timer
+	meter     meter
+	suspects  *suspectTable
+	isolation isolation
+	bodies    *bodyTable
+	remotes   remoteTable
+	// running counts the attempts that hold a slot by rank.
+	running    map[int]int
+	sweepTimer timer
+	// fresh are the requests to hold against all open endpoints in this step.
+	fresh []*request
 	// open is scratch space of grant: the endpoints with a free slot.
-	open []*endpoint
+	// changed are those among them that have changed since the last step.
+	open, changed []*endpoint
+	// totalSlots and totalFree sum the slots of the endpoints that take work,
+	// and those that are free, as of the start of the step and its grants.
+	totalSlots, totalFree int
+	// scratch is the candidate that is looked at.
+	scratch candidate
 	// matched is scratch space of matchPrefix.
 	matched []int
 
@@ -56,6 +71,10 @@
 		timers:      &timers{},
 		lengths:     speed.NewLengths(),
 		blocks:      blocks.NewIndex(),
+		meter:       newMeter(),
+		suspects:    newSuspectTable(),
+		bodies:      newBodyTable(),
+		running:     map[int]int{},
 		lastAttempt: c.Epoch << attemptBits,
 	}
 	s.queue = newQueue()
@@ -68,10 +87,13 @@
 func (s *Scheduler) Step(now time.Duration, events []Event) []Effect {
 	s.now = max(s.now, now)
 	s.out = nil
+	s.meter.roll(s.now, s.queue.waiting())
 	for _, e := range events {
 		s.take(e)
 	}
 	s.runTimers()
+	s.isolate()
+	s.countSlots()
 	s.grant()
 	return s.out
 }
--- a/internal/pool/table.go
+++ b/internal/pool/table.go
@@ -1,6 +1,8 @@
 package pool
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/trefoilchute/trefoilchute/internal/ident"
@@ -27,6 +29,10 @@
 	phaseQueued phase = iota
 	// phaseHeld is chosen and waits for the right endpoint.
 	phaseHeld
+	// phaseParked waits for a request with the same body to end.
+	phaseParked
+	// phaseIsolated waits to run alone.
+	phaseIsolated
 	phaseGranted
 	phaseRunning
 )
@@ -44,14 +50,22 @@
 	cost time.Duration
 	// mean and cautious are the tokens expected to be generated.
 	mean, cautious float64
-	// heldSince and heldUntil bound the wait for the right endpoint; 0 while
-	// not held.
-	heldSince, heldUntil time.Duration
+	// best is the most prompt tokens cached at any endpoint when the request
+	// was queued.
+	best int
+	// heldUntil ends the wait for the endpoint with the prefix; 0: no wait yet.
+	heldUntil time.Duration
+	holdTimer timer
 	// position is the index in the team's heap while queued.
 	position int
 	timer    timer
 }
 
+// waits says whether the request has no attempt.
+func (r *request) waits() bool {
+	return r.phase < phaseGranted
+}
+
 // attempt is the row of one grant and of what came of it.
 type attempt struct {
 	id       ident.Attempt
@@ -69,6 +83,8 @@
 	ahead, others int
 	// firstSeen says that the first token came.
 	firstSeen bool
+	// blamed says that a crash of the endpoint was counted against it.
+	blamed bool
 	// holds says that the attempt counts in its endpoint's in-flight number.
 	holds bool
 	// void says that the grant's lifetime is over without a report.
@@ -100,6 +116,21 @@
 	t.rows[attemptKey{a.request.ID, a.id}] = a
 }
 
+// on returns the attempts that hold a slot of an endpoint, in the order of
+// their grants.
+func (t *attemptTable) on(e *endpoint) []*attempt {
+	var out []*attempt
+	for _, a := range t.rows {
+		if a.endpoint == e && a.holds {
+			out = append(out, a)
+		}
+	}
+	slices.SortFunc(out, func(a, b *attempt) int {
+		return cmp.Or(cmp.Compare(a.granted, b.granted), cmp.Compare(a.request.ID, b.request.ID))
+	})
+	return out
+}
+
 func (t *attemptTable) remove(a *attempt) {
 	delete(t.rows, attemptKey{a.request.ID, a.id})
 }
