Let nothing reach a crashed incarnation of the stand-in engine

Cause: a connection whose accept raced with the crash stayed open to the dead incarnation, which would have answered every later request on it with an empty stream; and an order in progress could have changed the state of the next incarnation. Found by reading, not by a failing run.

Change: a killed listener resets what it still accepts; an order checks its incarnation when it takes effect.

Shown: with the check in Accept off, TestKilledListenerServesNobody fails; both tests pass with go test -race ./internal/standin/... .

--- a/internal/standin/conns/conns.go
+++ b/internal/standin/conns/conns.go
@@ -20,6 +20,8 @@
 
 	mu   sync.Mutex
 	open map[*conn]struct{}
+	// killed says that no connection is to be served any more.
+	killed bool
 }
 
 // Wrap returns a Listener around another one.
@@ -36,6 +38,10 @@
 	c := &conn{Conn: inner, listener: l}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.killed {
+		c.reset()
+		return nil, net.ErrClosed
+	}
 	l.open[c] = struct{}{}
 	return c, nil
 }
@@ -57,15 +63,17 @@
 	}
 }
 
-// Cut resets every open connection, silent ones too.
-func (l *Listener) Cut() {
+// Kill stops accepting and resets every open connection, silent ones too.
+func (l *Listener) Kill() {
 	l.mu.Lock()
+	l.killed = true
 	open := l.open
 	l.open = map[*conn]struct{}{}
 	l.mu.Unlock()
 	for c := range open {
 		c.reset()
 	}
+	_ = l.Close()
 }
 
 // forget drops a connection that was closed.
@@ -83,7 +91,7 @@
 }
 
 // Read reads from the peer. On a silent connection it drops what comes and
-// waits until the connection is cut.
+// waits until the listener is killed.
 func (c *conn) Read(p []byte) (int, error) {
 	for {
 		n, err := c.Conn.Read(p)
@@ -144,7 +152,7 @@
 	// listener is closed here too.
 	err := listener.Close()
 	shutdown := app.ShutdownWithTimeout(grace)
-	listener.Cut()
+	listener.Kill()
 	if err == nil && !errors.Is(shutdown, context.DeadlineExceeded) {
 		err = shutdown
 	}
--- a/internal/standin/conns/conns_test.go
+++ b/internal/standin/conns/conns_test.go
@@ -31,7 +31,7 @@
 	g.Expect(again.Close()).To(Succeed())
 }
 
-func TestCutResetsSilentConnections(t *testing.T) {
+func TestKillResetsSilentConnections(t *testing.T) {
 	g := NewWithT(t)
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	g.Expect(err).NotTo(HaveOccurred())
@@ -48,7 +48,28 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(n).To(Equal(len("lost")))
 	g.Expect(served.Close()).To(Succeed())
-	listener.Cut()
+	listener.Kill()
 	_, err = peer.Read(make([]byte, 1))
 	g.Expect(err).To(MatchError(ContainSubstring("reset")), "neither data nor an orderly end before")
 }
+
+// raceListener accepts one connection only after it was closed, as a listener
+// can whose Accept and Close race.
+type raceListener struct {
+	net.Listener
+	conn net.Conn
+}
+
+func (l *raceListener) Accept() (net.Conn, error) { return l.conn, nil }
+func (l *raceListener) Close() error              { return nil }
+
+func TestKilledListenerServesNobody(t *testing.T) {
+	g := NewWithT(t)
+	near, far := net.Pipe()
+	listener := conns.Wrap(&raceListener{conn: near})
+	listener.Kill()
+	_, err := listener.Accept()
+	g.Expect(err).To(MatchError(net.ErrClosed))
+	_, err = far.Read(make([]byte, 1))
+	g.Expect(err).To(HaveOccurred())
+}
--- a/internal/standin/engine/orders.go
+++ b/internal/standin/engine/orders.go
@@ -70,7 +70,8 @@
 	return copyState(b.state)
 }
 
-// take carries out an order and returns the state after it. An order that took
+// take carries out an order to the incarnation with the context and returns the
+// state after it. An order that took
 // effect before gets the state that it got then.
 func (b *orderBook) take(ctx context.Context, order engine.Order) (engine.State, error) {
 	b.turn.Lock()
@@ -84,7 +85,7 @@
 	if err := b.load(ctx, order); err != nil {
 		return engine.State{}, err
 	}
-	return b.apply(order), nil
+	return b.apply(ctx, order)
 }
 
 // find returns the state after an order that took effect before.
@@ -135,10 +136,14 @@
 	return nil
 }
 
-// apply changes the state as the order says.
-func (b *orderBook) apply(order engine.Order) engine.State {
+// apply changes the state as the order says. An order to an incarnation that
+// has ended doesn't change the state of the next one.
+func (b *orderBook) apply(ctx context.Context, order engine.Order) (engine.State, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if ctx.Err() != nil {
+		return engine.State{}, errStopped
+	}
 	switch resource.OrderAction(order.Action) {
 	case resource.OrderLoadModel:
 		b.state.Models = appendNew(b.state.Models, order.Value)
@@ -151,7 +156,7 @@
 	}
 	b.state.LastOrder = order.ID
 	b.done[order.ID] = copyState(b.state)
-	return b.done[order.ID]
+	return b.done[order.ID], nil
 }
 
 // appendNew adds a value unless it is there already.
--- a/internal/standin/engine/server.go
+++ b/internal/standin/engine/server.go
@@ -174,10 +174,8 @@
 	if !first {
 		return
 	}
-	inc.listener.Cut()
+	inc.listener.Kill()
 	inc.cancel()
-	_ = inc.listener.Close()
-	inc.listener.Cut()
 }
 
 // drive steps the model whenever it has something to do.
