--- a/internal/standin/load/load_test.go
+++ b/internal/standin/load/load_test.go
@@ -11,6 +11,7 @@
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
+	"github.com/trefoilchute/trefoilchute/internal/entry"
 	"github.com/trefoilchute/trefoilchute/internal/standin/engine"
 )
 
@@ -148,9 +149,9 @@
 	app := fiber.New(fiber.Config{DisableStartupMessage: true})
 	app.Use(func(c *fiber.Ctx) error {
 		g.Expect(c.Get("Authorization")).To(Equal("Bearer k"))
-		g.Expect(c.Get(headerTier)).To(Equal("low"))
-		g.Expect(c.Get(headerDeadline)).To(Equal("60000"))
-		c.Set(headerCode, "200")
+		g.Expect(c.Get(entry.HeaderTier)).To(Equal("low"))
+		g.Expect(c.Get(entry.HeaderDeadline)).To(Equal("60000"))
+		c.Set(entry.HeaderCode, "200")
 		return c.SendStatus(http.StatusTooManyRequests)
 	})
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/standin/load/sender.go
+++ b/internal/standin/load/sender.go
@@ -14,6 +14,7 @@
 	"github.com/valyala/fasthttp"
 
 	api "github.com/trefoilchute/trefoilchute/internal/engine"
+	"github.com/trefoilchute/trefoilchute/internal/entry"
 	"github.com/trefoilchute/trefoilchute/internal/standin/engine"
 )
 
@@ -107,7 +108,7 @@
 		return outcome{kind: refused, reason: refusal(response)}
 	}
 	id := p.id
-	if own := response.Header.Peek(headerRequest); len(own) > 0 {
+	if own := response.Header.Peek(api.HeaderRequest); len(own) > 0 {
 		id = string(own)
 	}
 	return receive(response.BodyStream(), begin, id, &p.request)
@@ -124,15 +125,15 @@
 	request.SetRequestURI(p.base + api.PathChat)
 	request.SetBodyRaw(body)
 	if p.lane == LaneDirect {
-		request.Header.Set(headerRequest, p.id)
+		request.Header.Set(api.HeaderRequest, p.id)
 		return nil
 	}
-	request.Header.Set(headerDeadline, strconv.FormatInt(s.deadline.Milliseconds(), 10))
+	request.Header.Set(entry.HeaderDeadline, strconv.FormatInt(s.deadline.Milliseconds(), 10))
 	if p.key != "" {
 		request.Header.Set("Authorization", "Bearer "+p.key)
 	}
 	if p.tier != "" {
-		request.Header.Set(headerTier, p.tier)
+		request.Header.Set(entry.HeaderTier, p.tier)
 	}
 	return nil
 }
@@ -140,7 +141,7 @@
 // refusal names the result code of an answer with an error status, or the
 // status if there is no code.
 func refusal(response *fasthttp.Response) string {
-	if code := response.Header.Peek(headerCode); len(code) > 0 {
+	if code := response.Header.Peek(entry.HeaderCode); len(code) > 0 {
 		return string(code)
 	}
 	return "status " + strconv.Itoa(response.StatusCode())
