Tell an answer that ends with an error event from one that is cut

In a trial with a crashing engine the load tool counted the entry host's own error events (301) as cut answers. They say what happened and are no fault of the path; they are now counted as erred, and only answers without any end are cut. Shown: go test -race ./internal/standin/load ./internal/cli passes.

--- a/internal/standin/load/load_test.go
+++ b/internal/standin/load/load_test.go
@@ -167,6 +167,21 @@
 	g.Expect(report.Goodput(LaneEntry)).To(BeZero())
 }
 
+func TestErrorEventIsNoCut(t *testing.T) {
+	g := NewWithT(t)
+	const chunk = `data: {"id":"r1","choices":[{"delta":{"content":"bafijo"}}]}` + "\n\n"
+	request := engine.ChatRequest{OutputTokens: 2}
+	end := func(stream string) outcome {
+		return receive(strings.NewReader(stream), time.Now(), "r1", &request)
+	}
+	lost := end(chunk + `data: {"error":{"code":301,"ran":"unknown"}}` + "\n\n")
+	g.Expect([]any{lost.kind, lost.reason}).To(Equal([]any{erred, "301"}))
+	g.Expect(end(chunk).kind).To(Equal(cut))
+	g.Expect(end(chunk + "data: {\n\n").kind).To(Equal(cut))
+	g.Expect(end(chunk + "data: [DONE]\n\n").kind).To(Equal(wrong))
+	g.Expect(end(strings.ReplaceAll(chunk, "r1", "r2")).kind).To(Equal(wrong))
+}
+
 func TestRunBoundsWhatIsUnderWay(t *testing.T) {
 	g := NewWithT(t)
 	server, base := start(t)
--- a/internal/standin/load/report.go
+++ b/internal/standin/load/report.go
@@ -163,9 +163,9 @@
 // writeTally writes the counts of a group and the reasons of what went wrong.
 func (r *Report) writeTally(out *lineWriter, g group) {
 	t := r.tallies[g]
-	out.printf("event=answers lane=%s tier=%q offered=%d whole=%d in_time=%d goodput=%.4f refused=%d cut=%d wrong=%d failed=%d unsent=%d\n",
+	out.printf("event=answers lane=%s tier=%q offered=%d whole=%d in_time=%d goodput=%.4f refused=%d erred=%d cut=%d wrong=%d failed=%d unsent=%d\n",
 		g.lane, g.tier, t.offered, t.ends[whole], t.inTime, share(t.inTime, t.offered),
-		t.ends[refused], t.ends[cut], t.ends[wrong], t.ends[failed], t.ends[unsent])
+		t.ends[refused], t.ends[erred], t.ends[cut], t.ends[wrong], t.ends[failed], t.ends[unsent])
 	for _, reason := range slices.Sorted(maps.Keys(t.reasons)) {
 		out.printf("event=not_whole lane=%s tier=%q count=%d reason=%q\n", g.lane, g.tier, t.reasons[reason], reason)
 	}
--- a/internal/standin/load/sender.go
+++ b/internal/standin/load/sender.go
@@ -15,6 +15,7 @@
 
 	api "github.com/trefoilchute/trefoilchute/internal/engine"
 	"github.com/trefoilchute/trefoilchute/internal/entry"
+	"github.com/trefoilchute/trefoilchute/internal/result"
 	"github.com/trefoilchute/trefoilchute/internal/standin/engine"
 )
 
@@ -39,7 +40,9 @@
 	whole kind = iota
 	// refused is an answer with an error status.
 	refused
-	// cut is an answer without its end marker.
+	// erred is an answer that ends with an error event.
+	erred
+	// cut is an answer that ends with neither an end marker nor an error event.
 	cut
 	// wrong is an answer that isn't the one to its own request.
 	wrong
@@ -52,7 +55,7 @@
 
 // String returns the kind's name.
 func (k kind) String() string {
-	return [...]string{"whole", "refused", "cut", "wrong", "failed", "unsent"}[k]
+	return [...]string{"whole", "refused", "erred", "cut", "wrong", "failed", "unsent"}[k]
 }
 
 // outcome is what came of one request.
@@ -166,18 +169,12 @@
 			o.kind = judge(text.String(), request)
 			return o
 		}
-		var chunk api.Chunk
-		if err := json.Unmarshal(data, &chunk); err != nil || len(chunk.Choices) == 0 {
-			o.kind, o.reason = cut, string(data)
-			return o
-		}
-		if id == "" {
-			id = chunk.ID
-		}
-		if chunk.ID != id {
-			o.kind, o.reason = wrong, "chunk of "+chunk.ID+" in the answer to "+id
+		chunk, end, reason := readEvent(data, id)
+		if chunk == nil {
+			o.kind, o.reason = end, reason
 			return o
 		}
+		id = chunk.ID
 		text.WriteString(chunk.Choices[0].Delta.Content)
 		if last.IsZero() {
 			o.firstToken = now.Sub(begin)
@@ -188,6 +185,33 @@
 	}
 }
 
+// event is the data of an event: a chunk or an error.
+type event struct {
+	api.Chunk
+	Error *struct {
+		Code result.Code `json:"code"`
+	} `json:"error"`
+}
+
+// readEvent returns the chunk of an event if it is one of the answer with the
+// id; an empty id stands for any. Otherwise it says how the answer ends and why.
+func readEvent(data []byte, id string) (chunk *api.Chunk, end kind, reason string) {
+	var e event
+	err := json.Unmarshal(data, &e)
+	switch {
+	case err != nil:
+		return nil, cut, err.Error()
+	case e.Error != nil:
+		return nil, erred, strconv.Itoa(int(e.Error.Code))
+	case len(e.Choices) == 0:
+		return nil, cut, "chunk without a choice"
+	case id != "" && e.ID != id:
+		return nil, wrong, "chunk of another request"
+	default:
+		return &e.Chunk, whole, ""
+	}
+}
+
 // nextEvent returns the data of the next server-sent event.
 func nextEvent(lines *bufio.Reader) ([]byte, error) {
 	for {
