Free the stand-in engine's port before it is held for the restart

Cause: a crashed engine's process sometimes ended with 'hold: address already in use'. Accept returns before Close has closed the socket, so the bind of the holding socket could come too early. Ruled out: left-over connections; they are reset, and share the port anyway.

Change: Serve returns only after the listener's socket is closed.

--- a/internal/standin/conns/conns.go
+++ b/internal/standin/conns/conns.go
@@ -46,7 +46,8 @@
 	return c, nil
 }
 
-// Close stops accepting. Further calls do nothing.
+// Close stops accepting. Further calls do nothing but wait until the first one
+// has closed the socket.
 func (l *Listener) Close() error {
 	var err error
 	l.closeOnce.Do(func() { err = l.Listener.Close() })
@@ -136,8 +137,11 @@
 }
 
 // Serve runs an HTTP application on the listener until the listener is closed.
+// The listener's port is free when it returns.
 func Serve(app *fiber.App, listener *Listener) error {
 	err := app.Listener(listener)
+	// Accept ends before the socket is closed.
+	_ = listener.Close()
 	if errors.Is(err, net.ErrClosed) {
 		return nil
 	}
--- a/internal/standin/engine/server_test.go
+++ b/internal/standin/engine/server_test.go
@@ -272,6 +272,24 @@
 		Expect(server.Arrivals().Requests).To(Equal(map[string]int{"bystander": 1, "r1": 1, "r2": 1}))
 	})
 
+	It("comes back on its port after every crash", func() {
+		server, addr := start(engine.Options{Speed: fast, RestartDelay: time.Millisecond})
+		boots := map[string]bool{}
+		for range 100 {
+			var state api.State
+			Eventually(func() error {
+				reply, err := call(http.MethodGet, addr, api.PathState, "", nil)
+				if err != nil {
+					return err
+				}
+				return json.NewDecoder(reply.body).Decode(&state)
+			}).WithTimeout(10 * time.Second).Should(Succeed())
+			boots[state.Boot] = true
+			server.Crash()
+		}
+		Expect(boots).To(HaveLen(100))
+	})
+
 	It("refuses connections while it is away", func() {
 		server, addr := start(engine.Options{Speed: fast, RestartDelay: never})
 		get(addr, api.PathState, nil)
