--- a/internal/standin/load/load_test.go
+++ b/internal/standin/load/load_test.go
@@ -11,6 +11,7 @@
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
+	"github.com/trefoilchute/trefoilchute/internal/entry"
 	"github.com/trefoilchute/trefoilchute/internal/standin/engine"
 )
 
@@ -148,9 +149,9 @@
 	app := fiber.New(fiber.Config{DisableStartupMessage: true})
 	app.Use(func(c *fiber.Ctx) error {
 		g.Expect(c.Get("Authorization")).To(Equal("Bearer k"))
-		g.Expect(c.Get(headerTier)).To(Equal("low"))
-		g.Expect(c.Get(headerDeadline)).To(Equal("60000"))
-		c.Set(headerCode, "200")
+		g.Expect(c.Get(entry.HeaderTier)).To(Equal("low"))
+		g.Expect(c.Get(entry.HeaderDeadline)).To(Equal("60000"))
+		c.Set(entry.HeaderCode, "200")
 		return c.SendStatus(http.StatusTooManyRequests)
 	})
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -166,6 +167,21 @@
 	g.Expect(report.Goodput(LaneEntry)).To(BeZero())
 }
 
+func TestErrorEventIsNoCut(t *testing.T) {
+	g := NewWithT(t)
+	const chunk = `data: {"id":"r1","choices":[{"delta":{"content":"bafijo"}}]}` + "\n\n"
+	request := engine.ChatRequest{OutputTokens: 2}
+	end := func(stream string) outcome {
+		return receive(strings.NewReader(stream), time.Now(), "r1", &request)
+	}
+	lost := end(chunk + `data: {"error":{"code":301,"ran":"unknown"}}` + "\n\n")
+	g.Expect([]any{lost.kind, lost.reason}).To(Equal([]any{erred, "301"}))
+	g.Expect(end(chunk).kind).To(Equal(cut))
+	g.Expect(end(chunk + "data: {\n\n").kind).To(Equal(cut))
+	g.Expect(end(chunk + "data: [DONE]\n\n").kind).To(Equal(wrong))
+	g.Expect(end(strings.ReplaceAll(chunk, "r1", "r2")).kind).To(Equal(wrong))
+}
+
 func TestRunBoundsWhatIsUnderWay(t *testing.T) {
 	g := NewWithT(t)
 	server, base := start(t)
