Report service-level burn by tier and team

Cause: the counts must outlive every host, and the report must say what it lacks.

Stretches that a host left out or that can't be read are listed as missing.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -16,6 +16,7 @@
 
 	"github.com/trefoilchute/trefoilchute/internal/ident"
 	"github.com/trefoilchute/trefoilchute/internal/inifile"
+	"github.com/trefoilchute/trefoilchute/internal/report"
 	"github.com/trefoilchute/trefoilchute/internal/resource"
 	"github.com/trefoilchute/trefoilchute/internal/result"
 )
@@ -41,6 +42,8 @@
 type Options struct {
 	// Store is where changes are made.
 	Store *resource.Store
+	// Reports works out burn reports; nil: there are none.
+	Reports *report.Reader
 	// Token is the bearer token that operators must send; empty: none.
 	Token string
 	// ApplyTimeout bounds one change; 0 stands for DefaultApplyTimeout.
@@ -98,6 +101,7 @@
 	s.app.Get("/v1/status/pools", func(c *fiber.Ctx) error { return c.JSON(s.backend.Pools()) })
 	s.app.Get("/v1/status/quarantine", func(c *fiber.Ctx) error { return c.JSON(s.backend.Quarantine()) })
 	s.app.Get("/v1/explain/:id", s.explain)
+	s.app.Get("/v1/report/burn", s.burn)
 }
 
 // Serve answers on the listener until Shutdown.
--- a/internal/admin/admin_suite_test.go
+++ b/internal/admin/admin_suite_test.go
@@ -83,6 +83,19 @@
 	t.down = down
 }
 
+// noObjects is an object store that is down.
+type noObjects struct{}
+
+func (noObjects) PutObject(context.Context, string, []byte) error { return platform.ErrUnavailable }
+
+func (noObjects) GetObject(context.Context, string) ([]byte, error) {
+	return nil, platform.ErrUnavailable
+}
+
+func (noObjects) ListObjects(context.Context, string) ([]string, error) {
+	return nil, platform.ErrUnavailable
+}
+
 // fakeHost is a Backend whose state the test sets.
 type fakeHost struct {
 	mu       sync.Mutex
--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -12,6 +12,7 @@
 	"github.com/trefoilchute/trefoilchute/internal/admin"
 	"github.com/trefoilchute/trefoilchute/internal/inifile"
 	"github.com/trefoilchute/trefoilchute/internal/platform"
+	"github.com/trefoilchute/trefoilchute/internal/report"
 	"github.com/trefoilchute/trefoilchute/internal/resource"
 	"github.com/trefoilchute/trefoilchute/internal/result"
 )
@@ -165,6 +166,22 @@
 		Expect(err).To(haveCode(result.NotFound))
 	})
 
+	It("reports the burn while the object store is down", func() {
+		apply(manifest + "[objective high]\ntier = high\ngoodput = 0.99")
+		adopt()
+		collector := report.NewCollector("h1", 1, time.Now())
+		base := serve(admin.New(host, admin.Options{Store: store, Reports: report.NewReader(collector, noObjects{})}))
+		text, err := admin.NewClient(base, "").Burn(ctx, "text")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(text)).To(ContainSubstring("PARTIAL"))
+		Expect(string(text)).To(ContainSubstring("99.00%"))
+		html, err := admin.NewClient(base, "").Burn(ctx, "html")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(html)).To(ContainSubstring("<svg"))
+		_, err = client.Burn(ctx, "text")
+		Expect(err).To(haveCode(result.NotFound))
+	})
+
 	Describe("a watch", func() {
 		var (
 			events  chan admin.WatchEvent
--- a/internal/admin/client.go
+++ b/internal/admin/client.go
@@ -129,6 +129,11 @@
 	return records, err
 }
 
+// Burn returns the service-level burn report as "text", "html" or "json".
+func (c *Client) Burn(ctx context.Context, format string) ([]byte, error) {
+	return c.call(ctx, fasthttp.MethodGet, "/v1/report/burn", url.Values{queryFormat: {format}}, nil)
+}
+
 // Wait returns when a revision is in force on all live hosts, or after the
 // timeout, which the server bounds at 30 s.
 func (c *Client) Wait(ctx context.Context, revision uint64, timeout time.Duration) (WaitStatus, error) {
--- a/internal/admin/handlers.go
+++ b/internal/admin/handlers.go
@@ -26,6 +26,8 @@
 	queryKind     = "kind"
 	queryAfter    = "after"
 	formatINI     = "ini"
+	formatText    = "text"
+	formatHTML    = "html"
 )
 
 func itoa(n int) string { return strconv.Itoa(n) }
@@ -221,3 +223,41 @@
 	status.InForce = len(hosts) > 0 && len(status.Lagging) == 0
 	return status
 }
+
+// reportTimeout bounds the reading of a report's counts; what isn't read by
+// then is listed as missing.
+const reportTimeout = 20 * time.Second
+
+// burn answers the service-level burn report.
+func (s *Server) burn(c *fiber.Ctx) error {
+	snapshot, err := s.snapshot()
+	if err != nil {
+		return err
+	}
+	if s.options.Reports == nil {
+		return result.New(result.NotFound, "this host makes no reports")
+	}
+	ctx, cancel := context.WithTimeout(c.UserContext(), reportTimeout)
+	defer cancel()
+	r := s.options.Reports.Report(ctx, time.Now(), snapshot, s.writing())
+	switch c.Query(queryFormat) {
+	case formatText:
+		c.Type("txt", "utf-8")
+		return r.WriteText(c)
+	case formatHTML:
+		c.Type("html", "utf-8")
+		return r.WriteHTML(c)
+	}
+	return c.JSON(r)
+}
+
+// writing returns the hosts that write the counts of reports now.
+func (s *Server) writing() []ident.Host {
+	var list []ident.Host
+	for _, host := range s.backend.Hosts() {
+		if host.State == HostAlive || host.State == HostSuspect {
+			list = append(list, host.Host)
+		}
+	}
+	return list
+}
--- a/internal/cli/admin_test.go
+++ b/internal/cli/admin_test.go
@@ -55,7 +55,7 @@
 	root := &cli.Command{
 		Name: "trefoilchute", Writer: &out, ErrWriter: &out,
 		Commands: []*cli.Command{
-			applyCommand(), getCommand(), watchCommand(), drainCommand(), explainCommand(), settingsCommand(), versionCommand(),
+			applyCommand(), getCommand(), watchCommand(), drainCommand(), explainCommand(), settingsCommand(), versionCommand(), reportCommand(),
 		},
 	}
 	err := root.Run(t.Context(), append([]string{"trefoilchute"}, args...))
@@ -124,6 +124,7 @@
 		"no INI form":   {[]string{"get", "host", "-o", "ini", "--host", host}, "bad_request (400)"},
 		"no kind":       {[]string{"get", "--host", host}, "bad_request (400): usage: trefoilchute get KIND [NAME]"},
 		"not reachable": {[]string{"get", "host", "--host", "http://127.0.0.1:1"}, "not_ready (207): http://127.0.0.1:1"},
+		"no report":     {[]string{"report", "burn", "--host", host}, "not_found (502): this host makes no reports"},
 		"bad settings":  {[]string{"settings", "check", bad}, "invalid_config (501): " + bad + ":1: [tier a] expected one of the sections"},
 	}
 	for name, c := range cases {
