--- a/internal/report/report_test.go
+++ b/internal/report/report_test.go
@@ -89,8 +89,8 @@
 }
 
 // hostOf returns a collector and writer of a host that starts now.
-func hostOf(name ident.Host, incarnation uint64, objects platform.Objects) (*Collector, *Writer) {
-	collector := NewCollector(name, incarnation, time.Now())
+func hostOf(name ident.Host, objects platform.Objects) (*Collector, *Writer) {
+	collector := NewCollector(name, 1, time.Now())
 	collector.Configure(snapshot())
 	log := logrus.New()
 	log.SetOutput(io.Discard)
@@ -108,7 +108,7 @@
 		defer cancel()
 		died, die := context.WithCancel(ctx)
 		for i := range 3 {
-			collector, writer := hostOf(ident.Host(fmt.Sprint("h", i)), 1, objects)
+			collector, writer := hostOf(ident.Host(fmt.Sprint("h", i)), objects)
 			life := ctx
 			if i == 0 {
 				life = died
@@ -126,7 +126,7 @@
 		time.Sleep(time.Hour + 30*time.Second)
 		die()
 		time.Sleep(time.Hour + time.Minute)
-		collector, _ := hostOf("h3", 1, objects)
+		collector, _ := hostOf("h3", objects)
 		r := NewReader(collector, objects).Report(ctx, time.Now(), snapshot(), []ident.Host{"h1", "h2"})
 		g.Expect(r.Missing).To(BeEmpty())
 		g.Expect(r.Hosts).To(Equal(4))
@@ -153,8 +153,8 @@
 		objects := &memoryObjects{rows: map[string][]byte{}}
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
-		one, writerOne := hostOf("h1", 1, objects)
-		two, writerTwo := hostOf("h2", 1, objects)
+		one, writerOne := hostOf("h1", objects)
+		two, writerTwo := hostOf("h2", objects)
 		go writerOne.Run(ctx)
 		go writerTwo.Run(ctx)
 		live := []ident.Host{"h1", "h2"}
@@ -206,10 +206,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		objects := &memoryObjects{rows: map[string][]byte{}}
-		collector, writer := hostOf("h1", 1, objects)
+		collector, writer := hostOf("h1", objects)
 		collector.Add(time.Now(), answer("billing", result.OK))
 		writer.Finish(t.Context())
-		other, _ := hostOf("h2", 1, objects)
+		other, _ := hostOf("h2", objects)
 		time.Sleep(2 * time.Minute)
 		r := NewReader(other, objects).Report(t.Context(), time.Now(), snapshot(), nil)
 		g.Expect(r.Lines[0].Burns[0].Total).To(Equal(uint64(1)))
