Let a service's route have no tokens

Cause: get prints the route of a service as it is, with max_tokens = 0, and apply refused that.

Change: 0 is taken; an engine's route must have at least 1.

Conclusion: the test of resource passes with a case for it.

--- a/internal/resource/fields.go
+++ b/internal/resource/fields.go
@@ -91,7 +91,7 @@
 		func(r *Route) *bool { return &r.Idempotent }),
 	inifile.Size("max_body", "Largest request body.", minBody, maxBody,
 		func(r *Route) *int { return &r.MaxBody }).Optional("1MiB"),
-	inifile.Int("max_tokens", "tokens", "Most tokens generated for one request.", 1, maxTokens,
+	inifile.Int("max_tokens", "tokens", "Most tokens generated for one request; at least 1 for an engine.", 0, maxTokens,
 		func(r *Route) *int { return &r.MaxTokens }).Optional("1024"),
 }
 
--- a/internal/resource/resource_test.go
+++ b/internal/resource/resource_test.go
@@ -115,6 +115,7 @@
 		"types on a path":   {"[endpoint x]\naddress = 127.0.0.1:9002\ndomain = a\ntarget = s\ntype = service\nslots = 1\n[route x]\npath = /v1/chat/completions\ntarget = s\ntype = service\nidempotent = no", "type: expected the type of the path's other routes, engine"},
 		"route twice":       {"[route x]\npath = /v1/chat/completions\nmodel = small\ntarget = small\ntype = engine\nidempotent = no", "path: expected a value that no other route has"},
 		"model missing":     {"[route x]\npath = /x\ntarget = small\ntype = engine\nidempotent = no", "model: expected the model of an engine's route"},
+		"no tokens":         {"[route x]\npath = /x\nmodel = small\ntarget = small\ntype = engine\nidempotent = no\nmax_tokens = 0", "max_tokens: expected at least 1 on an engine's route"},
 		"objective twice":   {"[objective x]\ntier = urgent\ngoodput = 0.9", "tier: expected a value that no other objective has"},
 		"endpoint of order": {"[order x]\nendpoint = none\naction = set_role\nvalue = decode", "test.ini:2: [order x] endpoint: expected the name of a declared endpoint of type engine"},
 		"orders cross":      {"[order x]\nendpoint = gpu-1\naction = set_role\nvalue = a\n[order y]\nendpoint = gpu-1\naction = set_role\nvalue = b", "action: expected a value that no other order has; x has it"},
--- a/internal/resource/validate.go
+++ b/internal/resource/validate.go
@@ -137,6 +137,9 @@
 	if route.Type == EndpointEngine && route.Model == "" {
 		v.add(KindRoute, name, "model", "the model of an engine's route", "")
 	}
+	if route.Type == EndpointEngine && route.MaxTokens < 1 {
+		v.add(KindRoute, name, "max_tokens", "at least 1 on an engine's route", strconv.Itoa(route.MaxTokens))
+	}
 	if route.Type == EndpointService && route.Model != "" {
 		v.add(KindRoute, name, "model", "no model on a service's route", route.Model)
 	}
