--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -32,6 +33,18 @@
 	}))
 }
 
+// TestSamples checks that each sample of settings is valid.
+func TestSamples(t *testing.T) {
+	files, err := filepath.Glob("../../samples/settings/*.ini")
+	if err != nil || len(files) == 0 {
+		t.Fatal("no samples", err)
+	}
+	for _, file := range files {
+		_, err := Read(file)
+		NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	}
+}
+
 func TestProblems(t *testing.T) {
 	cases := map[string]struct{ old, replacement, want string }{
 		"unknown section":   {"[admin]", "[boss]", "s.ini:8: [boss] expected one of the sections host, callers,"},
