Watch status as well as resources

Cause: operators follow the state of endpoints and hosts, not only what is declared.

Change: a watch of host, pool or quarantine tells the status and then each change of a state or condition. The client's Watch takes a Watcher.

Found on the way: the test's watches of one spec shared a variable, a data race in the test itself; each watch now has its own channels.

--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -186,15 +186,20 @@
 		var (
 			events  chan admin.WatchEvent
 			reached chan uint64
+			told    chan admin.StatusEvent
 			ended   chan error
 		)
 		watch := func(kind string, after *uint64) {
-			events = make(chan admin.WatchEvent, 100)
-			reached = make(chan uint64, 100)
-			ended = make(chan error, 1)
-			tell := func(e admin.WatchEvent) { events <- e }
-			reach := func(r uint64) { reached <- r }
-			go func() { ended <- client.Watch(ctx, kind, after, tell, reach) }()
+			toEvents, toReached := make(chan admin.WatchEvent, 100), make(chan uint64, 100)
+			toStatus, toEnded := make(chan admin.StatusEvent, 100), make(chan error, 1)
+			events, reached, told, ended = toEvents, toReached, toStatus, toEnded
+			w := admin.Watcher{
+				Change:  func(e admin.WatchEvent) { toEvents <- e },
+				Reached: func(r uint64) { toReached <- r },
+				Status:  func(e admin.StatusEvent) { toStatus <- e },
+			}
+			watcher := client
+			go func() { toEnded <- watcher.Watch(context.Background(), kind, after, w) }()
 		}
 
 		It("resumes from a revision and goes on with what comes", func() {
@@ -217,6 +222,27 @@
 			Eventually(ended).Should(Receive(haveCode(result.Stopping)))
 		})
 
+		It("tells the changes of status, not of ages", func() {
+			one := admin.HostStatus{Host: "h1", State: admin.HostAlive, HeartbeatAgeMillis: 1}
+			two := admin.HostStatus{Host: "h2", State: admin.HostAlive}
+			host.setHosts(one, two)
+			watch("host", nil)
+			Eventually(told).Should(Receive(HaveField("Name", "h1")))
+			Eventually(told).Should(Receive(HaveField("Name", "h2")))
+			one.HeartbeatAgeMillis = 2
+			two.State = admin.HostSuspect
+			host.setHosts(one, two)
+			var event admin.StatusEvent
+			Eventually(told).Should(Receive(&event))
+			Expect(event.Host.State).To(Equal(admin.HostSuspect))
+			host.setHosts(two)
+			Eventually(told).Should(Receive(Equal(admin.StatusEvent{Kind: "host", Name: "h1", Gone: true})))
+			Expect(told).NotTo(Receive())
+			after := uint64(1)
+			watch("pool", &after)
+			Eventually(ended).Should(Receive(haveCode(result.BadRequest)))
+		})
+
 		It("says when it can't resume", func() {
 			for range 3 {
 				apply(manifest)
--- a/internal/admin/client.go
+++ b/internal/admin/client.go
@@ -146,11 +146,20 @@
 	return status, err
 }
 
-// Watch calls tell with each change of a kind ("" for all kinds) after a
-// revision (nil: from now on), and reached with each revision up to which
-// everything was told. It returns when the context ends or the watch can't go
-// on.
-func (c *Client) Watch(ctx context.Context, kind string, after *uint64, tell func(WatchEvent), reached func(uint64)) error {
+// Watcher is told what a watch finds. A nil function is not called.
+type Watcher struct {
+	// Change is told of each change of a resource.
+	Change func(WatchEvent)
+	// Reached is told of each revision up to which all changes were told.
+	Reached func(uint64)
+	// Status is told of each change of status.
+	Status func(StatusEvent)
+}
+
+// Watch follows a kind of resources ("" for all kinds) after a revision (nil:
+// from now on), or a kind of status. It returns when the context ends or the
+// watch can't go on.
+func (c *Client) Watch(ctx context.Context, kind string, after *uint64, w Watcher) error {
 	query := url.Values{queryKind: {kind}}
 	if after != nil {
 		query.Set(queryAfter, strconv.FormatUint(*after, 10))
@@ -164,11 +173,11 @@
 	if response.StatusCode() != fasthttp.StatusOK {
 		return answerError(response)
 	}
-	return readEvents(ctx, response.BodyStream(), tell, reached)
+	return readEvents(ctx, response.BodyStream(), &w)
 }
 
 // readEvents reads server-sent events until the stream or the context ends.
-func readEvents(ctx context.Context, body io.Reader, tell func(WatchEvent), reached func(uint64)) error {
+func readEvents(ctx context.Context, body io.Reader, w *Watcher) error {
 	lines := bufio.NewScanner(body)
 	lines.Buffer(nil, inifile.MaxSize)
 	name := ""
@@ -181,17 +190,8 @@
 		if !ok {
 			continue
 		}
-		if name == eventError {
-			return decodeError([]byte(data))
-		}
-		var event WatchEvent
-		if err := json.Unmarshal([]byte(data), &event); err != nil {
-			return errors.Wrap(err, "admin: watch event")
-		}
-		if name == eventChange {
-			tell(event)
-		} else {
-			reached(event.Revision)
+		if err := w.take(name, []byte(data)); err != nil {
+			return err
 		}
 	}
 	if ctx.Err() != nil {
@@ -200,6 +200,37 @@
 	return errors.Wrap(errUnreachable, "the watch was cut")
 }
 
+// take tells one event. An error event is returned as its error.
+func (w *Watcher) take(name string, data []byte) error {
+	switch name {
+	case eventError:
+		return decodeError(data)
+	case eventStatus:
+		return tell(data, w.Status)
+	case eventChange:
+		return tell(data, w.Change)
+	case eventRevision:
+		return tell(data, func(event WatchEvent) {
+			if w.Reached != nil {
+				w.Reached(event.Revision)
+			}
+		})
+	}
+	return nil
+}
+
+// tell decodes an event and tells it.
+func tell[T any](data []byte, to func(T)) error {
+	var event T
+	if err := json.Unmarshal(data, &event); err != nil {
+		return errors.Wrap(err, "admin: watch event")
+	}
+	if to != nil {
+		to(event)
+	}
+	return nil
+}
+
 // errUnreachable says that no whole answer came.
 var errUnreachable = errors.New("the host can't be reached")
 
--- a/internal/admin/watch.go
+++ b/internal/admin/watch.go
@@ -30,10 +30,13 @@
 	last *resource.Snapshot
 }
 
-// watch streams the changes of a kind as server-sent events. With the
-// parameter "after" it starts with the changes after that revision; without it
+// watch streams the changes of a kind as server-sent events. For resources, with the
+// parameter "after", it starts with the changes after that revision; without it
 // with the changes from now on. It ends with an error event if it can't go on.
 func (s *Server) watch(c *fiber.Ctx) error {
+	if kind := c.Query(queryKind); isStatus(kind) {
+		return s.watchStatus(c, kind)
+	}
 	kind := resource.Kind(c.Query(queryKind))
 	if kind != "" && !slices.Contains(resource.Kinds, kind) {
 		return result.New(result.NotFound, "no kind "+string(kind))
