Count burn by five minutes, and add buckets up as they are read

Change: rows by tier and team without the minute; the windows end on full periods; the reader adds each bucket to sums and drops it.

Windows are up to five minutes older for it.

--- a/internal/report/bucket.go
+++ b/internal/report/bucket.go
@@ -1,5 +1,5 @@
 // Package report is the service-level burn report. Each host counts its final
-// answers by minute, tier and team and keeps the counts in the object store, so
+// answers by period, tier and team and keeps the counts in the object store, so
 // that they outlive it; any host reads the counts of all hosts and works out
 // how fast each tier and team burns its error budget.
 package report
@@ -16,9 +16,9 @@
 )
 
 const (
-	// minute is the resolution of the counts.
+	// minute is the time between two writes of a bucket.
 	minute = time.Minute
-	// period is the time that one bucket covers.
+	// period is the time that one bucket covers, and the resolution of reports.
 	period = 5 * time.Minute
 	// keyPrefix starts the object keys "burn/<period>/<host>.<incarnation>".
 	keyPrefix = "burn/"
@@ -55,11 +55,9 @@
 	c.GapGood += other.GapGood
 }
 
-// Row is the counts of one minute, tier and team.
+// Row is the counts of one tier and team.
 type Row struct {
-	_ struct{} `cbor:",toarray"`
-	// Minute is the minute within the bucket, from 0.
-	Minute int
+	_      struct{} `cbor:",toarray"`
 	Tier   ident.Tier
 	Team   ident.Team
 	Counts Counts
@@ -76,7 +74,7 @@
 	// those from From on and before Through.
 	From    int
 	Through int
-	// Rows is sorted by minute, tier and team. A minute without answers has none.
+	// Rows is sorted by tier and team.
 	Rows []Row
 }
 
@@ -126,7 +124,7 @@
 		return nil, errors.Wrap(errBucket, key)
 	}
 	for i := range b.Rows {
-		if row := &b.Rows[i]; row.Minute < b.From || row.Minute >= b.Through || !row.Counts.plausible() {
+		if !b.Rows[i].Counts.plausible() {
 			return nil, errors.Wrap(errBucket, key)
 		}
 	}
--- a/internal/report/burn.go
+++ b/internal/report/burn.go
@@ -17,8 +17,8 @@
 	shortWindow   = 5 * time.Minute
 	middleWindow  = time.Hour
 	longestWindow = 6 * time.Hour
-	// settleTime is how far before now the windows end, so that every host has
-	// had time to write its last minute.
+	// settleTime is the least time between the end of the windows and now, so
+	// that every host has had time to write.
 	settleTime = minute
 	// fastBurn over the short and the middle window spends 2 % of a budget of
 	// 30 days in an hour; slowBurn over the middle and the longest window spends
@@ -100,76 +100,32 @@
 
 // Input is what a report is worked out from.
 type Input struct {
-	Now        time.Time
 	Objectives []resource.Objective
-	Buckets    []Bucket
+	Sums       *Sums
 	// Live lists the hosts that are expected to have written up to now.
 	Live []ident.Host
 	// Unread lists what couldn't be read.
 	Unread []Missing
 }
 
-// lineKey identifies a line.
-type lineKey struct {
-	tier ident.Tier
-	team ident.Team
-}
-
 // Compute works the report out. It is a pure function of its input.
 func Compute(in *Input) *Report {
-	end := in.Now.UTC().Truncate(minute).Add(-settleTime)
-	sums := sum(in.Buckets, end)
-	r := &Report{End: end, Hosts: len(writers(in.Buckets))}
+	r := &Report{End: in.Sums.end, Hosts: len(in.Sums.covered)}
 	objectives := slices.SortedFunc(slices.Values(in.Objectives), func(a, b resource.Objective) int {
 		return cmp.Compare(a.Tier, b.Tier)
 	})
 	for i := range objectives {
-		r.Lines = append(r.Lines, lines(&objectives[i], sums, end)...)
+		r.Lines = append(r.Lines, lines(&objectives[i], in.Sums)...)
 	}
-	r.Missing = append(slices.Clone(in.Unread), gaps(in, end)...)
+	r.Missing = append(slices.Clone(in.Unread), gaps(in)...)
 	return r
 }
 
-// byMinute holds a line's counts by minutes before the end, 0 for the last.
-type byMinute map[int]*Counts
-
-// sumsByLine holds the counts of each line.
-type sumsByLine map[lineKey]byMinute
-
-// sum adds up the rows of the longest window, for each team and whole tier.
-func sum(buckets []Bucket, end time.Time) sumsByLine {
-	sums := sumsByLine{}
-	for i := range buckets {
-		start := buckets[i].start()
-		for j := range buckets[i].Rows {
-			row := &buckets[i].Rows[j]
-			at := start.Add(time.Duration(row.Minute) * minute)
-			before := int(end.Sub(at)/minute) - 1
-			if !at.Before(end) || before >= int(longestWindow/minute) {
-				continue
-			}
-			sums.add(lineKey{tier: row.Tier}, before, &row.Counts)
-			sums.add(lineKey{tier: row.Tier, team: row.Team}, before, &row.Counts)
-		}
-	}
-	return sums
-}
-
-func (s sumsByLine) add(key lineKey, before int, counts *Counts) {
-	if s[key] == nil {
-		s[key] = byMinute{}
-	}
-	if s[key][before] == nil {
-		s[key][before] = &Counts{}
-	}
-	s[key][before].add(counts)
-}
-
 // lines returns the line of an objective's tier and those of its teams.
-func lines(objective *resource.Objective, sums sumsByLine, end time.Time) []Line {
-	keys := slices.SortedFunc(maps.Keys(sums), func(a, b lineKey) int { return cmp.Compare(a.team, b.team) })
+func lines(objective *resource.Objective, sums *Sums) []Line {
+	keys := slices.SortedFunc(maps.Keys(sums.lines), func(a, b lineKey) int { return cmp.Compare(a.team, b.team) })
 	whole := line(objective, lineKey{tier: objective.Tier}, sums)
-	whole.Series = series(objective, sums[lineKey{tier: objective.Tier}], end)
+	whole.Series = series(objective, sums.line(lineKey{tier: objective.Tier}), sums.end)
 	list := []Line{whole}
 	for _, key := range keys {
 		if key.tier == objective.Tier && key.team != "" {
@@ -180,10 +136,10 @@
 }
 
 // line works out one line.
-func line(objective *resource.Objective, key lineKey, sums sumsByLine) Line {
+func line(objective *resource.Objective, key lineKey, sums *Sums) Line {
 	l := Line{Tier: key.tier, Team: key.team, Objective: objective.Goodput}
 	for _, window := range windows {
-		counts := sums[key].between(0, int(window/minute))
+		counts := sums.line(key).last(int(window / period))
 		l.Burns = append(l.Burns, Burn{
 			Window: window, Total: counts.Total, Good: counts.Good, Rate: rate(&counts, objective),
 			FirstToken: share(counts.FirstGood, counts.First), TokenGap: share(counts.GapGood, counts.Gap),
@@ -193,18 +149,6 @@
 	return l
 }
 
-// between adds up the minutes from low up to but not including high, counted
-// back from the end.
-func (m byMinute) between(low, high int) Counts {
-	var total Counts
-	for before, counts := range m {
-		if before >= low && before < high {
-			total.add(counts)
-		}
-	}
-	return total
-}
-
 // rate returns the burn rate of counts; 0 without answers.
 func rate(c *Counts, objective *resource.Objective) float64 {
 	allowed := 1 - objective.Goodput
@@ -238,13 +182,12 @@
 }
 
 // series returns the burn rate by period, oldest first.
-func series(objective *resource.Objective, counts byMinute, end time.Time) []Point {
-	minutes := int(period / minute)
-	points := make([]Point, 0, longestWindow/period)
-	for high := int(longestWindow / minute); high > 0; high -= minutes {
-		c := counts.between(high-minutes, high)
+func series(objective *resource.Objective, counts *byPeriod, end time.Time) []Point {
+	points := make([]Point, 0, periodsShown)
+	for before := periodsShown - 1; before >= 0; before-- {
+		c := &counts[before]
 		points = append(points, Point{
-			Time: end.Add(-time.Duration(high) * minute), Rate: rate(&c, objective), Known: c.Total > 0,
+			Time: end.Add(-time.Duration(before+1) * period), Rate: rate(c, objective), Known: c.Total > 0,
 		})
 	}
 	return points
--- a/internal/report/collector.go
+++ b/internal/report/collector.go
@@ -35,18 +35,12 @@
 	return !mistake && a.Code != result.CallerGone
 }
 
-// minuteKey identifies the counts of one minute, tier and team.
-type minuteKey struct {
-	minute int
-	tier   ident.Tier
-	team   ident.Team
-}
-
 // openPeriod is one period in the collector.
 type openPeriod struct {
-	start  time.Time
+	start time.Time
+	// from is the first minute that is counted.
 	from   int
-	counts map[minuteKey]*Counts
+	counts map[lineKey]*Counts
 	// written is the number of minutes that were written; -1: none.
 	written int
 }
@@ -87,7 +81,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	p := c.current(now)
-	key := minuteKey{minute: max(p.from, int(now.Sub(p.start)/minute)), tier: a.Tier, team: a.Team}
+	key := lineKey{tier: a.Tier, team: a.Team}
 	counts := p.counts[key]
 	if counts == nil {
 		counts = &Counts{}
@@ -143,14 +137,13 @@
 // open adds a period of which the minutes from one on are counted, and drops
 // the oldest beyond those that are kept.
 func (c *Collector) open(start time.Time, from int) {
-	c.periods = append(c.periods, &openPeriod{start: start, from: from, counts: map[minuteKey]*Counts{}, written: -1})
+	c.periods = append(c.periods, &openPeriod{start: start, from: from, counts: map[lineKey]*Counts{}, written: -1})
 	if len(c.periods) > periodsKept {
 		c.periods = slices.Delete(c.periods, 0, len(c.periods)-periodsKept)
 	}
 }
 
-// Buckets returns what was counted in the minutes that ended before now, for
-// each period that is kept.
+// Buckets returns what was counted until now, for each period that is kept.
 func (c *Collector) Buckets(now time.Time) []Bucket {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -187,7 +180,8 @@
 	}
 }
 
-// bucket returns the minutes of a period that ended before now.
+// bucket returns a period's counts. It covers the minutes that ended before
+// now; the answers of the present minute are counted in it, too.
 func (c *Collector) bucket(p *openPeriod, now time.Time) Bucket {
 	ended := int(now.Sub(p.start) / minute)
 	b := Bucket{
@@ -195,12 +189,10 @@
 		From: p.from, Through: max(p.from, min(ended, int(period/minute))),
 	}
 	for key, counts := range p.counts {
-		if key.minute < b.Through {
-			b.Rows = append(b.Rows, Row{Minute: key.minute, Tier: key.tier, Team: key.team, Counts: *counts})
-		}
+		b.Rows = append(b.Rows, Row{Tier: key.tier, Team: key.team, Counts: *counts})
 	}
 	slices.SortFunc(b.Rows, func(x, y Row) int {
-		return cmp.Or(cmp.Compare(x.Minute, y.Minute), cmp.Compare(x.Tier, y.Tier), cmp.Compare(x.Team, y.Team))
+		return cmp.Or(cmp.Compare(x.Tier, y.Tier), cmp.Compare(x.Team, y.Team))
 	})
 	return b
 }
--- a/internal/report/gaps.go
+++ b/internal/report/gaps.go
@@ -1,7 +1,6 @@
 package report
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -15,37 +14,25 @@
 	reasonNone      = "nothing written by this live host"
 )
 
-// writers returns the buckets of each host process in order of time.
-func writers(buckets []Bucket) map[string][]*Bucket {
-	byWriter := map[string][]*Bucket{}
-	for i := range buckets {
-		byWriter[buckets[i].writer()] = append(byWriter[buckets[i].writer()], &buckets[i])
-	}
-	for _, list := range byWriter {
-		slices.SortFunc(list, func(a, b *Bucket) int { return cmp.Compare(a.Start, b.Start) })
-	}
-	return byWriter
-}
-
 // gaps returns the stretches of the longest window that a host process left
 // out between two of its buckets, and those at the end of live hosts. Where
 // something couldn't be read, a gap may be the same thing said again; it is
 // then left out.
-func gaps(in *Input, end time.Time) []Missing {
+func gaps(in *Input) []Missing {
+	end := in.Sums.end
 	begin := end.Add(-longestWindow)
-	byWriter := writers(in.Buckets)
 	last := map[ident.Host]time.Time{}
 	var list []Missing
-	for _, writer := range slices.Sorted(maps.Keys(byWriter)) {
-		buckets := byWriter[writer]
-		host := buckets[0].Host
-		reached := buckets[0].from()
-		for _, b := range buckets {
-			list = appendGap(list, host, reached, b.from(), reasonUnwritten, begin, end)
-			reached = b.through()
+	for _, writer := range slices.Sorted(maps.Keys(in.Sums.covered)) {
+		c := in.Sums.covered[writer]
+		spans := slices.SortedFunc(slices.Values(c.spans), func(a, b span) int { return a.from.Compare(b.from) })
+		reached := spans[0].from
+		for _, s := range spans {
+			list = appendGap(list, c.host, reached, s.from, reasonUnwritten, begin, end)
+			reached = s.through
 		}
-		if reached.After(last[host]) {
-			last[host] = reached
+		if reached.After(last[c.host]) {
+			last[c.host] = reached
 		}
 	}
 	for _, host := range in.Live {
--- a/internal/report/reader.go
+++ b/internal/report/reader.go
@@ -33,40 +33,33 @@
 // to have written. What can't be read until the context ends is listed as
 // missing; the report is made from the rest.
 func (r *Reader) Report(ctx context.Context, now time.Time, snapshot *resource.Snapshot, live []ident.Host) *Report {
-	in := &Input{Now: now, Live: live}
+	in := &Input{Live: live, Sums: NewSums(now)}
 	for _, name := range snapshot.Names(resource.KindObjective) {
 		in.Objectives = append(in.Objectives, snapshot.Objectives[name])
 	}
-	own := r.collector.Buckets(now)
-	gathering := &gathering{buckets: map[string]Bucket{}}
-	r.gather(ctx, now, gathering)
-	for i := range own {
-		gathering.buckets[own[i].key()] = own[i]
+	gathering := &gathering{sums: in.Sums, own: map[string]bool{}}
+	for _, bucket := range r.collector.Buckets(now) {
+		gathering.own[bucket.key()] = true
+		in.Sums.Add(&bucket)
 	}
+	r.gather(ctx, gathering)
 	in.Unread = gathering.missing()
-	for _, bucket := range gathering.buckets {
-		in.Buckets = append(in.Buckets, bucket)
-	}
-	slices.SortFunc(in.Buckets, func(a, b Bucket) int {
-		if a.key() < b.key() {
-			return -1
-		}
-		return 1
-	})
 	return Compute(in)
 }
 
 // gathering collects what the readers find. It is safe for concurrent use.
 type gathering struct {
-	mu      sync.Mutex
-	buckets map[string]Bucket
-	unread  []Missing
+	// own holds the keys of the answering host's buckets, which needn't be read.
+	own    map[string]bool
+	mu     sync.Mutex
+	sums   *Sums
+	unread []Missing
 }
 
 func (g *gathering) add(b *Bucket) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.buckets[b.key()] = *b
+	g.sums.Add(b)
 }
 
 func (g *gathering) fail(host ident.Host, start time.Time, err error) {
@@ -115,10 +108,10 @@
 }
 
 // gather reads every bucket of the longest window.
-func (r *Reader) gather(ctx context.Context, now time.Time, g *gathering) {
+func (r *Reader) gather(ctx context.Context, g *gathering) {
 	workers := pool.New().WithMaxGoroutines(readers)
-	first := now.Add(-longestWindow - settleTime - minute).UTC().Truncate(period)
-	for start := first; !start.After(now); start = start.Add(period) {
+	end := g.sums.end
+	for start := end.Add(-longestWindow); start.Before(end); start = start.Add(period) {
 		workers.Go(func() { r.gatherPeriod(ctx, start, g) })
 	}
 	workers.Wait()
@@ -132,6 +125,9 @@
 		return
 	}
 	for _, key := range keys {
+		if g.own[key] {
+			continue
+		}
 		bucket, err := r.read(ctx, key)
 		if err != nil {
 			g.fail(hostOfKey(key), start, err)
