--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -97,7 +97,7 @@
 	s.app.Get("/v1/watch", s.watch)
 	s.app.Get("/v1/resources/:kind", s.list)
 	s.app.Get("/v1/resources/:kind/:name", s.list)
-	s.app.Get("/v1/status/hosts", func(c *fiber.Ctx) error { return c.JSON(s.backend.Hosts()) })
+	s.app.Get("/v1/status/hosts", func(c *fiber.Ctx) error { return c.JSON(s.hosts()) })
 	s.app.Get("/v1/status/pools", func(c *fiber.Ctx) error { return c.JSON(s.backend.Pools()) })
 	s.app.Get("/v1/status/quarantine", func(c *fiber.Ctx) error { return c.JSON(s.backend.Quarantine()) })
 	s.app.Get("/v1/explain/:id", s.explain)
--- a/internal/admin/handlers.go
+++ b/internal/admin/handlers.go
@@ -211,6 +211,15 @@
 	}
 }
 
+// hosts returns the entry hosts with the condition of their revision.
+func (s *Server) hosts() []HostStatus {
+	own := uint64(0)
+	if snapshot := s.backend.Snapshot(); snapshot != nil {
+		own = snapshot.Revision
+	}
+	return withLag(s.backend.Hosts(), own)
+}
+
 // waitStatus says which live hosts have a revision.
 func (s *Server) waitStatus(revision uint64) WaitStatus {
 	status := WaitStatus{Revision: revision}
--- a/internal/admin/view.go
+++ b/internal/admin/view.go
@@ -9,16 +9,6 @@
 	"github.com/trefoilchute/trefoilchute/internal/result"
 )
 
-// Condition says whether something holds of a host, a pool or an endpoint, and
-// why.
-type Condition struct {
-	// Name is the condition in one CamelCase word, as in "Ready".
-	Name string `json:"name"`
-	// Holds is the state that is wanted when true.
-	Holds  bool   `json:"holds"`
-	Reason string `json:"reason,omitempty"`
-}
-
 // HostState is a host's state as membership sees it.
 type HostState string
 
--- a/internal/admin/watchstatus.go
+++ b/internal/admin/watchstatus.go
@@ -112,7 +112,7 @@
 	add := func(event StatusEvent) { events[event.Name] = event }
 	switch kind {
 	case StatusHost:
-		for _, host := range s.backend.Hosts() {
+		for _, host := range s.hosts() {
 			add(StatusEvent{Kind: kind, Name: string(host.Host), Host: &host})
 		}
 	case StatusPool:
--- a/internal/resource/store.go
+++ b/internal/resource/store.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"math/rand/v2"
 	"time"
 
@@ -187,7 +188,8 @@
 // could not be found out whether the change was made.
 func (s *Store) Apply(ctx context.Context, change Change) (Applied, error) {
 	if change.ID == "" || len(change.ID) > maxChangeID || len(change.Items) > MaxChangeItems {
-		return Applied{}, result.New(result.InvalidConfig, "a change needs an id of up to 128 bytes and at most 1000 resources")
+		reason := fmt.Sprintf("a change needs an id of up to %d bytes and at most %d resources", maxChangeID, MaxChangeItems)
+		return Applied{}, result.New(result.InvalidConfig, reason)
 	}
 	a := &application{store: s, change: change, sum: sumItems(change.Items)}
 	return a.run(ctx)
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -8,6 +8,9 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+	"github.com/pkg/errors"
+
+	"github.com/trefoilchute/trefoilchute/internal/inifile"
 )
 
 // TestPage holds docs/SETTINGS.md to the code.
@@ -70,3 +73,22 @@
 		})
 	}
 }
+
+func FuzzSettings(f *testing.F) {
+	f.Add([]byte(markdownExample))
+	f.Add([]byte("[host]\nname = a.b\n[host.a]\ndomain = %(name)s"))
+	f.Add([]byte("[peer]\nseeds = 10.0.0.1:1, [::1]:2\n"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		entry, err := Parse("fuzz.ini", data)
+		if err != nil {
+			var problems inifile.Problems
+			if !errors.As(err, &problems) || len(problems) == 0 {
+				t.Fatalf("not a list of problems: %v", err)
+			}
+			return
+		}
+		if entry.Host == "" || entry.PeerSecret == "" || !inifile.ValidAddress(entry.PeerListen) || entry.DrainGrace <= 0 {
+			t.Fatalf("accepted: %+v", entry)
+		}
+	})
+}
