Bound a watch by silence instead of its whole time

Cause: the client's timeout of 20 s bounded a watch's whole answer, so that each watch ended after 20 s although heartbeats came. Seen in a trial of watch host; the tests' watches were shorter.

Change: a watch has a client of its own without a bound on the answer, whose connections fail when nothing has come for 20 s.

--- a/internal/admin/client.go
+++ b/internal/admin/client.go
@@ -33,20 +33,27 @@
 	base  string
 	token string
 	http  *fasthttp.Client
+	// watches has no bound on the time of an answer; its connections fail when
+	// they fall silent.
+	watches *fasthttp.Client
 }
 
 // NewClient returns a Client of the host at a base URL, with the operators'
 // token or "" for none.
 func NewClient(base, token string) *Client {
-	return &Client{
-		base:  strings.TrimSuffix(base, "/"),
-		token: token,
-		http: &fasthttp.Client{
-			MaxIdemponentCallAttempts: 1,
-			RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
-			ReadTimeout:               callTimeout,
-			StreamResponseBody:        true,
-		},
+	calls := neverRepeating()
+	calls.ReadTimeout = callTimeout
+	watches := neverRepeating()
+	watches.Dial = dialWatch
+	watches.StreamResponseBody = true
+	return &Client{base: strings.TrimSuffix(base, "/"), token: token, http: calls, watches: watches}
+}
+
+// neverRepeating returns an HTTP client that sends each call once at most.
+func neverRepeating() *fasthttp.Client {
+	return &fasthttp.Client{
+		MaxIdemponentCallAttempts: 1,
+		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 	}
 }
 
@@ -164,7 +171,9 @@
 	if after != nil {
 		query.Set(queryAfter, strconv.FormatUint(*after, 10))
 	}
-	response, err := c.send(ctx, fasthttp.MethodGet, "/v1/watch", query, nil, silenceTimeout)
+	request := c.request(fasthttp.MethodGet, "/v1/watch", query, nil)
+	defer fasthttp.ReleaseRequest(request)
+	response, err := c.do(c.watches, request)
 	if err != nil {
 		return err
 	}
@@ -244,39 +253,40 @@
 
 // call sends one request and returns the body of its answer.
 func (c *Client) call(ctx context.Context, method, path string, query url.Values, body []byte) ([]byte, error) {
-	response, err := c.send(ctx, method, path, query, body, callTimeout)
+	request := c.request(method, path, query, body)
+	defer fasthttp.ReleaseRequest(request)
+	timeout := callTimeout
+	if deadline, ok := ctx.Deadline(); ok {
+		timeout = min(timeout, time.Until(deadline))
+	}
+	request.SetTimeout(timeout)
+	response, err := c.do(c.http, request)
 	if err != nil {
 		return nil, err
 	}
 	defer fasthttp.ReleaseResponse(response)
-	defer func() { _ = response.CloseBodyStream() }()
 	if response.StatusCode() != fasthttp.StatusOK {
 		return nil, answerError(response)
 	}
-	data, err := readBody(response)
-	if err != nil {
-		return nil, errors.Wrap(errUnreachable, err.Error())
-	}
-	return data, nil
+	return bytes.Clone(response.Body()), nil
 }
 
-// send sends one request and returns the head of its answer, whose body may
-// still be on its way. The caller releases the response.
-func (c *Client) send(ctx context.Context, method, path string, query url.Values, body []byte, timeout time.Duration) (*fasthttp.Response, error) {
+// request builds a request; the caller releases it.
+func (c *Client) request(method, path string, query url.Values, body []byte) *fasthttp.Request {
 	request := fasthttp.AcquireRequest()
-	defer fasthttp.ReleaseRequest(request)
 	request.SetRequestURI(c.base + path + "?" + query.Encode())
 	request.Header.SetMethod(method)
 	request.SetBody(body)
 	if c.token != "" {
 		request.Header.Set(fasthttp.HeaderAuthorization, "Bearer "+c.token)
 	}
-	if deadline, ok := ctx.Deadline(); ok {
-		timeout = min(timeout, time.Until(deadline))
-	}
-	request.SetTimeout(timeout)
+	return request
+}
+
+// do sends a request and returns its answer; the caller releases it.
+func (c *Client) do(client *fasthttp.Client, request *fasthttp.Request) (*fasthttp.Response, error) {
 	response := fasthttp.AcquireResponse()
-	if err := c.http.Do(request, response); err != nil {
+	if err := client.Do(request, response); err != nil {
 		fasthttp.ReleaseResponse(response)
 		return nil, errors.Wrapf(errUnreachable, "%s: %v", c.base, err)
 	}
@@ -286,7 +296,7 @@
 // readBody reads the whole body of an answer.
 func readBody(response *fasthttp.Response) ([]byte, error) {
 	if response.BodyStream() == nil {
-		return bytes.Clone(response.Body()), nil
+		return response.Body(), nil
 	}
 	return io.ReadAll(response.BodyStream())
 }
--- a/internal/admin/condition.go
+++ b/internal/admin/condition.go
@@ -68,7 +68,7 @@
 func (f *HostFacts) platformReason() string {
 	since := "never answered"
 	if f.SincePlatform >= 0 {
-		since = fmt.Sprintf("no answer for %s", f.SincePlatform.Truncate(time.Minute))
+		since = fmt.Sprintf("no answer for %d min", f.SincePlatform/time.Minute)
 	}
 	if f.PlatformError == nil {
 		return since
--- a/internal/admin/condition_test.go
+++ b/internal/admin/condition_test.go
@@ -25,7 +25,7 @@
 	stopping := HostFacts{Revision: 3, Source: "h2", PlatformError: errors.New("timeout"), SincePlatform: 200 * time.Second, Stopping: true}
 	g.Expect(stopping.Conditions()).To(Equal([]Condition{
 		{Name: ConditionConfigured, Holds: true, Reason: "from h2"},
-		{Name: ConditionPlatformReachable, Reason: "no answer for 3m0s: timeout"},
+		{Name: ConditionPlatformReachable, Reason: "no answer for 3 min: timeout"},
 		{Name: ConditionServing, Reason: "planned stop"},
 	}))
 }
