Make the cost of claims and orders independent of what is at rest

Cause: each step sorted every claim that runs, and each event of one endpoint stepped all of them; the states were read all at once. Change: the claims whose answers are being stored have a table of their own, an event steps its own endpoint, and reads of state are spread over 15 s.

--- a/internal/system/claim/claim.go
+++ b/internal/system/claim/claim.go
@@ -100,6 +100,8 @@
 	// held holds the claims of this host's requests by request and by row.
 	held    map[ident.Request]*held
 	heldRow map[string]*held
+	// storing holds those of held whose answer the table lacks.
+	storing map[ident.Request]*held
 	// unstored is the size in bytes of the answers that the table lacks.
 	unstored int
 	// discards holds the claims that are to be removed, by nonce.
@@ -123,6 +125,7 @@
 		ops:      map[ident.Request]*op{},
 		held:     map[ident.Request]*held{},
 		heldRow:  map[string]*held{},
+		storing:  map[ident.Request]*held{},
 		discards: map[string]*discard{},
 	}
 }
@@ -152,8 +155,8 @@
 	for _, id := range sortedKeys(s.ops) {
 		s.ops[id].tick(s, now, out)
 	}
-	for _, id := range sortedKeys(s.held) {
-		s.held[id].tick(s, now, out)
+	for _, id := range sortedKeys(s.storing) {
+		s.storing[id].tick(s, now, out)
 	}
 	for _, nonce := range sortedKeys(s.discards) {
 		s.discards[nonce].tick(s, now, out)
@@ -171,7 +174,7 @@
 		wake.add(o.deadline)
 		wake.addTimer(o.timer)
 	}
-	for _, h := range s.held {
+	for _, h := range s.storing {
 		wake.addTimer(h.timer)
 	}
 	for _, d := range s.discards {
@@ -183,13 +186,7 @@
 // Pending returns how many answers and removals the table has yet to take. A
 // planned stop waits until it is 0.
 func (s *System) Pending() int {
-	n := len(s.discards)
-	for _, h := range s.held {
-		if h.answer != nil {
-			n++
-		}
-	}
-	return n
+	return len(s.discards) + len(s.storing)
 }
 
 // call sends a call on behalf of c and returns its token.
--- a/internal/system/claim/held.go
+++ b/internal/system/claim/held.go
@@ -62,6 +62,7 @@
 	}
 	s.unstored += len(answer.Body)
 	h.answer = &answer
+	s.storing[id] = h
 	h.send(s, out)
 }
 
@@ -149,6 +150,7 @@
 		s.unstored -= len(h.answer.Body)
 	}
 	delete(s.held, h.req.ID)
+	delete(s.storing, h.req.ID)
 	if s.heldRow[h.row] == h {
 		delete(s.heldRow, h.row)
 	}
--- a/internal/system/order/endpoint.go
+++ b/internal/system/order/endpoint.go
@@ -6,6 +6,8 @@
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/trefoilchute/trefoilchute/internal/engine"
 	"github.com/trefoilchute/trefoilchute/internal/ident"
 	"github.com/trefoilchute/trefoilchute/internal/resource"
@@ -14,8 +16,11 @@
 
 // Bounds of one endpoint's steps.
 const (
-	// refreshInterval is the time between reads of a state that is as declared.
+	// refreshInterval is the least time between reads of a state that is as
+	// declared; refreshSpread is the most that is added to it, so that the
+	// endpoints aren't all read at once.
 	refreshInterval = time.Minute
+	refreshSpread   = 15 * time.Second
 	// settleInterval is the time between reads while an order isn't settled.
 	settleInterval = time.Second
 	firstRetry     = time.Second
@@ -38,6 +43,7 @@
 	name    ident.Endpoint
 	address string
 	fencing resource.Fencing
+	refresh time.Duration
 	// orders are those to apply, by name; overruled maps the others to the
 	// order that rules them out.
 	orders    []resource.Order
@@ -89,6 +95,8 @@
 		e.name = declared.Name
 		e.address = declared.Address
 		e.fencing = declared.Fencing
+		spread := xxhash.Sum64String(string(e.name)) % uint64(refreshSpread)
+		e.refresh = refreshInterval + time.Duration(spread)
 	}
 	kept, overruled := resolve(orders)
 	if !slices.Equal(kept, e.orders) {
@@ -143,7 +151,7 @@
 	if e.busy || now < e.notBefore || (!s.mine && e.unsettled == nil) {
 		return
 	}
-	if !e.fresh || now >= e.readFrom+refreshInterval {
+	if !e.fresh || now >= e.readFrom+e.refresh {
 		e.read(s, now)
 		return
 	}
@@ -155,7 +163,7 @@
 	}
 	if !ok {
 		e.report("", Applied, AsDeclared, "")
-		e.notBefore = e.readFrom + refreshInterval
+		e.notBefore = e.readFrom + e.refresh
 		return
 	}
 	e.prepare(s, now, o)
--- a/internal/system/order/order.go
+++ b/internal/system/order/order.go
@@ -118,8 +118,7 @@
 		}
 		e.step(s, now)
 	}
-	s.wantLease(now, out)
-	s.lease.Tick(now, out)
+	s.tickLease(now, out)
 }
 
 // Reply brings the result of a platform call.
@@ -136,7 +135,8 @@
 	}
 	delete(s.effects, e.event())
 	target.event(s, now, e)
-	s.Tick(now, out)
+	target.step(s, now)
+	s.tickLease(now, out)
 }
 
 // Take returns the effects since the last Take, in order.
@@ -159,10 +159,10 @@
 	return wake, set
 }
 
-// wantLease holds the lease while there are orders to send, and gives it up
+// tickLease holds the lease while there are orders to send, and gives it up
 // when nothing that was sent can have an effect any more. At rest there is no
 // lease and no write.
-func (s *System) wantLease(now time.Duration, out *system.Outbox) {
+func (s *System) tickLease(now time.Duration, out *system.Outbox) {
 	work, quiet := false, true
 	for _, e := range s.endpoints {
 		work = work || e.wantsLease()
@@ -174,6 +174,7 @@
 	if !want && held && now >= grant.Quiet {
 		s.lease.Yield(now, out)
 	}
+	s.lease.Tick(now, out)
 }
 
 // emit puts an effect for an endpoint into the outbox. The function builds it
--- a/internal/system/order/sim_test.go
+++ b/internal/system/order/sim_test.go
@@ -162,47 +162,65 @@
 func (m *sim) awake(h *simHost) bool { return m.now >= h.paused }
 
 func (m *sim) step() {
-	h := m.hosts[m.pick(len(m.hosts))]
-	switch m.pick(16) {
+	switch m.pick(12) {
 	case 0, 1:
 		m.advance(time.Duration(1+m.pick(6)) * time.Second)
-	case 2, 3, 4:
-		if m.awake(h) {
-			m.on(h, func(out *system.Outbox) { h.sys.Tick(m.now, out) })
+	case 2, 3:
+		for _, h := range m.hosts {
+			if m.awake(h) {
+				m.on(h, func(out *system.Outbox) { h.sys.Tick(m.now, out) })
+			}
+		}
+	case 4, 5, 6:
+		if h := m.one(func(h *simHost) bool { return len(h.calls) > 0 }); h != nil {
+			m.commit(h, m.pick(10))
 		}
-	case 5, 6, 7, 8:
-		m.commit(h, m.pick(10))
-	case 9, 10, 11, 12:
-		m.act(h, m.pick(10))
-	case 13:
+	case 7, 8, 9:
+		if h := m.one(func(h *simHost) bool { return len(h.effects) > 0 }); h != nil {
+			m.act(h, m.pick(10))
+		}
+	case 10:
 		m.arrive()
-	case 14:
 		if len(m.late) > 0 {
 			m.late[0]()
 			m.late = m.late[1:]
 		}
 	default:
-		m.rare(h)
+		m.rare(m.hosts[m.pick(len(m.hosts))])
 	}
 }
 
+// one picks a host that is awake and has something to do, or returns nil.
+func (m *sim) one(has func(h *simHost) bool) *simHost {
+	var able []*simHost
+	for _, h := range m.hosts {
+		if m.awake(h) && has(h) {
+			able = append(able, h)
+		}
+	}
+	if len(able) == 0 {
+		return nil
+	}
+	return able[m.pick(len(able))]
+}
+
 // rare pauses a host, takes the platform down or up, or changes what is wanted.
 func (m *sim) rare(h *simHost) {
-	switch m.pick(4) {
-	case 0:
+	switch m.pick(8) {
+	case 0, 1, 2:
 		h.paused = m.now + time.Duration(m.pick(90))*time.Second
-	case 1:
+	case 3:
 		m.down = !m.down
-	case 2:
+	case 4, 5, 6:
 		m.declare([]string{"prefill", "decode"}[m.pick(2)])
-	case 3:
+	case 7:
 		h.sys.Own(m.pick(3) > 0)
 	}
 }
 
 // commit gives a host's oldest platform call its fate.
 func (m *sim) commit(h *simHost, fate int) {
-	if len(h.calls) == 0 || !m.awake(h) {
+	if len(h.calls) == 0 {
 		return
 	}
 	c := h.calls[0]
@@ -249,7 +267,7 @@
 
 // act carries out a host's oldest effect.
 func (m *sim) act(h *simHost, fate int) {
-	if len(h.effects) == 0 || !m.awake(h) {
+	if len(h.effects) == 0 {
 		return
 	}
 	effect := h.effects[0]
@@ -402,19 +420,15 @@
 	naive := map[string]struct {
 		faults faults
 		want   string
-		// first is the first seed to try.
-		first uint64
 	}{
-		"a new holder doesn't wait":          {faults{longest: 0}, "two holders' orders in flight", 0},
-		"the lease isn't checked at sending": {faults{longest: simLongest, late: true}, "an older fencing number after a newer one", 2100},
-		"a lost answer is a rejection":       {faults{longest: simLongest, forgetful: true}, "an earlier order after a later one", 600},
-		"a holder counts too long a term":    {faults{longest: simLongest, longTerm: true}, "an older fencing number after a newer one", 0},
+		"a new holder doesn't wait":    {faults{longest: 0}, "two holders' orders in flight"},
+		"a lost answer is a rejection": {faults{longest: simLongest, forgetful: true}, "an earlier order after a later one"},
 	}
 	for name, version := range naive {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
 			var found string
-			for seed := version.first; seed < version.first+2000 && !strings.Contains(found, version.want); seed++ {
+			for seed := uint64(0); seed < 2000 && !strings.Contains(found, version.want); seed++ {
 				source := rand.New(rand.NewPCG(seed, 0))
 				found = strings.Join(newSim(source.IntN, version.faults).run(), "; ")
 			}
@@ -422,3 +436,53 @@
 		})
 	}
 }
+
+// TestPausedHolder pauses a holder that has decided on an order until another
+// host has taken over and sent its own.
+func TestPausedHolder(t *testing.T) {
+	versions := map[string]struct {
+		faults faults
+		broken bool
+	}{
+		"":                                   {faults{longest: simLongest}, false},
+		"the lease isn't checked at sending": {faults{longest: simLongest, late: true}, true},
+		"the holder counts too long a term":  {faults{longest: simLongest, longTerm: true}, true},
+	}
+	for name, version := range versions {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			m := newSim(func(int) int { return 0 }, version.faults)
+			paused := m.hosts[0]
+			m.untilSend(paused)
+			m.hosts = m.hosts[1:]
+			m.pass(60)
+			g.Expect(m.engines["loose"].taken).NotTo(BeEmpty())
+			m.act(paused, 2)
+			m.check()
+			if version.broken {
+				g.Expect(m.violations).To(ContainElement(ContainSubstring("an older fencing number")))
+			} else {
+				g.Expect(m.violations).To(BeEmpty())
+			}
+		})
+	}
+}
+
+// untilSend goes on with one host alone until its next effect is an order to
+// the engine that ignores fencing numbers.
+func (m *sim) untilSend(h *simHost) {
+	for range 100 {
+		m.advance(time.Second)
+		m.on(h, func(out *system.Outbox) { h.sys.Tick(m.now, out) })
+		for len(h.calls)+len(h.effects) > 0 {
+			m.commit(h, 9)
+			if len(h.effects) == 0 {
+				continue
+			}
+			if send, ok := h.effects[0].(SendOrder); ok && send.Endpoint == "loose" {
+				return
+			}
+			m.act(h, 2)
+		}
+	}
+}
