--- a/internal/system/order/order.go
+++ b/internal/system/order/order.go
@@ -46,6 +46,8 @@
 	mine      bool
 	orders    map[string]resource.Order
 	endpoints map[ident.Endpoint]*endpoint
+	// names holds the keys of endpoints in order.
+	names     []ident.Endpoint
 	nextToken uint64
 	// effects finds the endpoint that an effect was for.
 	effects map[uint64]*endpoint
@@ -101,6 +103,7 @@
 		}
 		e.configure(snapshot.Endpoints[string(name)], lists[name])
 	}
+	s.names = sortedKeys(s.endpoints)
 }
 
 // Own says whether this host is the one to send the failure domain's orders.
@@ -110,14 +113,19 @@
 
 // Tick goes on with every endpoint that something is due for.
 func (s *System) Tick(now time.Duration, out *system.Outbox) {
-	for _, name := range sortedKeys(s.endpoints) {
+	done := 0
+	for _, name := range s.names {
 		e := s.endpoints[name]
 		if len(e.orders) == 0 && e.unsettled == nil && !e.busy {
 			delete(s.endpoints, name)
+			done++
 			continue
 		}
 		e.step(s, now)
 	}
+	if done > 0 {
+		s.names = sortedKeys(s.endpoints)
+	}
 	s.tickLease(now, out)
 }
 
