--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -38,6 +38,7 @@
 	// earlier one may have been.
 	EarlierUnknown   Code = 303
 	AnswerUnreadable Code = 304
+	EndpointError    Code = 305
 
 	BadRequest     Code = 400
 	Unauthorized   Code = 401
@@ -52,6 +53,7 @@
 	NotFound       Code = 502
 	WatchGone      Code = 503
 	StoreAmbiguous Code = 504
+	Lagging        Code = 505
 	Internal       Code = 599
 )
 
@@ -106,6 +108,7 @@
 	{AnswerCut, "answer_cut", http.StatusBadGateway, RanUnknown, "only if running twice is harmless", "The answer ended before its end marker and could not be resumed."},
 	{EarlierUnknown, "earlier_unknown", http.StatusServiceUnavailable, RanUnknown, "after Retry-After, with the same key", "This attempt was not run, but whether an earlier one with the same key was can't be seen now."},
 	{AnswerUnreadable, "answer_unreadable", http.StatusServiceUnavailable, RanYes, "after Retry-After, with the same key", "The request ran, but its kept answer can't be read now."},
+	{EndpointError, "endpoint_error", http.StatusBadGateway, RanUnknown, "only if running twice is harmless", "The endpoint answered with an error status."},
 	{BadRequest, "bad_request", http.StatusBadRequest, RanNo, "corrected", "The request is malformed."},
 	{Unauthorized, "unauthorized", http.StatusUnauthorized, RanNo, "with a valid key", "The bearer key names no team."},
 	{NoRoute, "no_route", http.StatusNotFound, RanNo, "corrected", "No route serves this path or model."},
@@ -119,6 +122,7 @@
 	{NotFound, "not_found", http.StatusNotFound, RanNo, "corrected", "The resource or request is not known."},
 	{WatchGone, "watch_gone", http.StatusGone, RanNo, "from a fresh read", "The watch can't resume from that revision."},
 	{StoreAmbiguous, "store_ambiguous", http.StatusBadGateway, RanUnknown, "with the same change id", "The platform's answer to the change was lost and could not be settled."},
+	{Lagging, "lagging", http.StatusServiceUnavailable, RanNo, "not needed; wait for the revision", "The change is accepted, but not yet in force on every live host."},
 	{Internal, "internal", http.StatusInternalServerError, RanUnknown, "only if running twice is harmless", "An internal fault."},
 }
 
