--- a/internal/system/claim/claim.go
+++ b/internal/system/claim/claim.go
@@ -44,7 +44,7 @@
 	// Liveness looks the holder of a claim up in the membership's tables.
 	Liveness func(host ident.Host, incarnation uint64) Liveness
 	// Retention is how long after its creation a timed key can be sent again,
-	// and its claim is kept.
+	// and its claim is kept; 0: DefaultRetention.
 	Retention time.Duration
 	// OpaqueRetention is how long the claim of another key is kept; 0: for
 	// ever. A resend after that runs again.
@@ -74,7 +74,8 @@
 type Request struct {
 	ID   ident.Request
 	Team ident.Team
-	// Key is the caller's idempotency key; keys of different teams differ.
+	// Key is the caller's idempotency key as it was sent, without the team. A
+	// version 7 UUID is known by its form.
 	Key string
 	// Fingerprint is the hash of the body.
 	Fingerprint uint64
@@ -119,6 +120,9 @@
 
 // New returns a System without claims.
 func New(cfg Config) *System {
+	if cfg.Retention == 0 {
+		cfg.Retention = DefaultRetention
+	}
 	return &System{
 		cfg:      cfg,
 		calls:    map[uint64]caller{},
--- a/internal/system/order/condition.go
+++ b/internal/system/order/condition.go
@@ -33,6 +33,9 @@
 	WeightStoreLimited Reason = "WeightStoreLimited"
 	// Sent: the endpoint has yet to answer or to show the effect.
 	Sent Reason = "Sent"
+	// NotSent: the endpoint took no connection or no order, or the lease ended
+	// before the order was sent.
+	NotSent Reason = "NotSent"
 	// AnswerLost: an order's answer was lost; it may yet take effect.
 	AnswerLost Reason = "AnswerLost"
 	// Unreachable: the endpoint's state can't be read.
--- a/internal/system/order/endpoint.go
+++ b/internal/system/order/endpoint.go
@@ -25,6 +25,7 @@
 	settleInterval = time.Second
 	firstRetry     = time.Second
 	lastRetry      = 30 * time.Second
+	maxDoublings   = 5
 	// maxRaise bounds how far an endpoint can raise the fencing number.
 	maxRaise = 1 << 20
 	// foreignShown is how long a foreign order stays in the conditions.
@@ -64,7 +65,10 @@
 	busy        bool
 	awaitsLease bool
 	notBefore   time.Duration
-	tries       int
+	// tries counts the orders in a row that did not lead to the state that is
+	// declared; unread, the reads that failed in a row.
+	tries  int
+	unread int
 
 	// current is the order that status, reason and detail are about; empty if
 	// they are about all orders.
@@ -162,6 +166,7 @@
 		return
 	}
 	if !ok {
+		e.tries = 0
 		e.report("", Applied, AsDeclared, "")
 		e.notBefore = e.readFrom + e.refresh
 		return
@@ -272,14 +277,15 @@
 		e.state = nil
 		e.fresh = false
 		e.report("", Failed, Unreachable, r.Err.Error())
-		e.retry(now)
+		e.wait(now, e.unread)
+		e.unread++
 		e.expire()
 		return
 	}
 	before := e.state
 	e.state = &r.State
 	e.fresh = true
-	e.tries = 0
+	e.unread = 0
 	e.notBefore = now
 	e.watch(now, before)
 	if u := e.unsettled; u != nil && r.State.LastOrder == u.id {
@@ -345,8 +351,8 @@
 		e.retry(now)
 	case Unsent:
 		e.unsettled = e.lostBefore()
-		e.report(name, Waiting, NoLease, d.Detail)
-		e.notBefore = now
+		e.report(name, Waiting, NotSent, d.Detail)
+		e.retry(now)
 	case Stale:
 		e.unsettled = e.lostBefore()
 		s.lease.Doubt(now)
@@ -386,9 +392,13 @@
 	}
 }
 
-// retry goes on after a wait that doubles with each failure in a row.
+// retry goes on after a wait that grows with each order in a row that failed.
 func (e *endpoint) retry(now time.Duration) {
-	wait := firstRetry << min(e.tries, 5)
+	e.wait(now, e.tries)
 	e.tries++
-	e.notBefore = now + min(wait, lastRetry)
+}
+
+// wait goes on after a wait that doubles with each failure before.
+func (e *endpoint) wait(now time.Duration, failures int) {
+	e.notBefore = now + min(firstRetry<<min(failures, maxDoublings), lastRetry)
 }
--- a/internal/system/order/order_test.go
+++ b/internal/system/order/order_test.go
@@ -116,3 +116,22 @@
 	g.Expect(m.condition("gone").Reason).To(Equal(NoEndpoint))
 	g.Expect(m.condition("role-loose").Status).To(Equal(Applied))
 }
+
+func TestFailingOrdersAreSentLessAndLess(t *testing.T) {
+	for outcome, reason := range map[Outcome]Reason{
+		Rejected: RejectedByEndpoint, Unsent: NotSent, Stale: StaleFence, Lost: AnswerLost,
+	} {
+		g := NewWithT(t)
+		m, _ := single()
+		m.faults.answer = &outcome
+		m.pass(600)
+		g.Expect(m.sent).To(BeNumerically("<", 2*40), "%d: two endpoints, each 30 s at last", outcome)
+		g.Expect(m.sent).To(BeNumerically(">", 2*4), "%d", outcome)
+		seen := map[Reason]bool{}
+		for range 60 {
+			m.pass(1)
+			seen[m.condition("model-strict").Reason] = true
+		}
+		g.Expect(seen).To(HaveKey(reason))
+	}
+}
--- a/internal/system/order/sim_test.go
+++ b/internal/system/order/sim_test.go
@@ -33,6 +33,8 @@
 	late bool
 	// forgetful reports a lost answer as a rejection.
 	forgetful bool
+	// answer is what every order gets; nil: what the fate says.
+	answer *Outcome
 	// longTerm has one host count a longer term than its row states.
 	longTerm bool
 }
@@ -297,6 +299,9 @@
 	}
 	d := delivery{holder: h.name, engine: m.engines[s.Endpoint], order: s.Order, sentAt: m.now}
 	m.sent++
+	if m.faults.answer != nil {
+		return Done{Token: s.Token, Outcome: *m.faults.answer}
+	}
 	for _, other := range m.deliveries {
 		effective := other.engine == d.engine && !d.engine.known[other.order.ID]
 		if effective && other.holder != d.holder && !d.engine.enforced {
