--- a/internal/system/claim/cost_test.go
+++ b/internal/system/claim/cost_test.go
@@ -68,6 +68,8 @@
 	g.Expect(resend("1")).To(Equal(cost{reads: 1}), "resend")
 	g.Expect(resend("2")).To(Equal(cost{reads: 1, objects: 1}), "resend, large answer")
 	g.Expect(resend("9")).To(Equal(cost{reads: 1}), "refused before its grant")
+	table.rows[RowFence] = platform.Row{Key: RowFence, Value: []byte("0"), Version: 1 << 20}
+	g.Expect(run("4", 10, false)).To(Equal(cost{reads: 4, commits: 3}), "first insert after the fence moved")
 	released := count(false, func() {
 		s.Acquire(0, 0, request("9"), Placement{}, &out)
 		settle(s, table, &out)
--- a/internal/system/claim/op.go
+++ b/internal/system/claim/op.go
@@ -345,11 +345,16 @@
 	o.discard(s, out)
 }
 
-// retry sends the phase's call after a wait, or gives up.
+// retry sends the phase's call again, at first at once and then after a wait,
+// or gives up.
 func (o *op) retry(s *System, now time.Duration, p phase, out *system.Outbox) {
 	o.phase = p
 	o.tries++
-	wait := backoff(opFirstRetry, opLastRetry, o.tries-1)
+	if o.tries == 1 {
+		o.send(s, out)
+		return
+	}
+	wait := backoff(opFirstRetry, opLastRetry, o.tries-2)
 	if o.tries >= opTries || now+wait >= o.deadline {
 		o.giveUp(s, out)
 		return
--- a/internal/system/claim/sim_test.go
+++ b/internal/system/claim/sim_test.go
@@ -507,3 +507,46 @@
 		g.Expect(m.dispatches[key]).To(Equal(dispatches))
 	}
 }
+
+// TestDeathAtEachStep ends the claimer after each step of a request, with the
+// calls on their way done later or never, and sends the key again elsewhere.
+func TestDeathAtEachStep(t *testing.T) {
+	for step := 0; ; step++ {
+		whole := false
+		for _, late := range []bool{true, false} {
+			g := NewWithT(t)
+			m := newSim(func(int) int { return 0 }, faults{})
+			actions := []func(){
+				func() { m.look(m.hosts[0], simKeys[0]) },
+				m.deliver, m.deliver, m.deliver, m.deliver, m.deliver,
+				m.grant, m.deliver, m.deliver, m.dispatch, m.finish, m.deliver, m.deliver,
+			}
+			whole = step == len(actions)
+			for _, action := range actions[:step] {
+				action()
+				m.collect()
+			}
+			m.kill()
+			if !late {
+				m.calls = nil
+			}
+			m.heal()
+			m.look(m.hosts[1], simKeys[0])
+			for _, r := range m.heal() {
+				g.Expect(r).To(Or(BeAssignableToTypeOf(Free{}), BeAssignableToTypeOf(Lost{}), BeAssignableToTypeOf(Answered{})))
+				_, free := r.(Free)
+				g.Expect(free && m.dispatches[simKeys[0]] > 0).To(BeFalse(), "step %d", step)
+				if whole {
+					g.Expect(r).To(BeAssignableToTypeOf(Answered{}))
+				}
+			}
+			m.grant()
+			m.heal()
+			m.dispatch()
+			g.Expect(m.violations).To(BeEmpty(), "step %d", step)
+		}
+		if whole {
+			return
+		}
+	}
+}
