Keep a wrong clock from moving the fence by sweeping again and again

Cause: the bound of a move held for one pass; a host that became the sweeper anew began a pass at once. Tests for the bound of opaque claims and of unstored answers.

--- a/internal/system/claim/claim_test.go
+++ b/internal/system/claim/claim_test.go
@@ -205,3 +205,70 @@
 		g.Expect(refused.Err.RetryAfter).To(BeNumerically(">", 0))
 	}
 }
+
+// TestWrongClockMovesTheFenceSlowly lets a host whose clock is a day ahead
+// become the sweeper again and again.
+func TestWrongClockMovesTheFenceSlowly(t *testing.T) {
+	g := NewWithT(t)
+	f := newFakeTable()
+	right, ahead := testSystem("a", Alive), testSystem("b", Alive)
+	var out system.Outbox
+	right.Sweep(0, simWall, true)
+	right.passUntil(time.Minute, f, &out)
+	fence := func() int64 {
+		at, _ := fenceTime(system.Reply{Rows: []platform.Row{f.rows[RowFence]}})
+		return at
+	}
+	start := fence()
+	g.Expect(start).To(Equal(simWall - DefaultRetention.Milliseconds()))
+	const day, hour = 24 * time.Hour, time.Hour
+	for now := time.Minute; now < hour; now += time.Minute {
+		wall := simWall + (now + day).Milliseconds()
+		ahead.Sweep(now, wall, true)
+		ahead.passUntil(now+time.Minute, f, &out)
+		ahead.Sweep(now, wall, false)
+	}
+	moved := time.Duration(fence()-start) * time.Millisecond
+	g.Expect(moved).To(BeNumerically(">", hour))
+	g.Expect(moved).To(BeNumerically("<=", 2*hour))
+}
+
+func TestOpaqueClaimsEndWithTheirBound(t *testing.T) {
+	for bound, kept := range map[time.Duration]int{0: 3 * sweepPage, time.Hour: 10} {
+		g := NewWithT(t)
+		f := newFakeTable()
+		s := testSystem("a", Alive)
+		s.cfg.OpaqueRetention = bound
+		for i := range 3 * sweepPage {
+			created := simWall
+			if i%(3*sweepPage/10) != 0 {
+				created -= 2 * time.Hour.Milliseconds()
+			}
+			key := rowKey(Request{Key: strconv.Itoa(i)})
+			claim := Claim{Nonce: "n", Holder: "a", Request: "r", Created: created}
+			f.rows[key] = platform.Row{Key: key, Value: claim.encode(), Version: uint64(i + 1)}
+		}
+		var out system.Outbox
+		s.Sweep(0, simWall, true)
+		s.passUntil(time.Minute, f, &out)
+		delete(f.rows, RowFence)
+		g.Expect(f.rows).To(HaveLen(kept))
+	}
+}
+
+func TestUnstoredAnswersAreBounded(t *testing.T) {
+	g := NewWithT(t)
+	f := newFakeTable()
+	s := testSystem("a", Alive)
+	var out system.Outbox
+	for _, id := range []ident.Request{"r1", "r2"} {
+		s.Acquire(0, 0, Request{ID: id, Key: string(id)}, Placement{}, &out)
+		settle(s, f, &out)
+	}
+	s.Finish("r1", Answer{Code: result.OK, Body: make([]byte, maxUnstored)}, &out)
+	s.Finish("r2", Answer{Code: result.OK, Body: []byte("x")}, &out)
+	kept, _ := s.Answer("r2")
+	g.Expect(kept.Code).To(Equal(result.AnswerUnreadable))
+	settle(s, f, &out)
+	g.Expect(s.unstored).To(BeZero())
+}
--- a/internal/system/claim/sweep.go
+++ b/internal/system/claim/sweep.go
@@ -51,6 +51,8 @@
 	at      int64
 	version uint64
 	target  int64
+	// nextMove is when this host may move the fence again.
+	nextMove time.Duration
 	// after is the last opaque row seen in this pass.
 	after string
 	// following and wait are the phase after a page, and the time until then.
@@ -141,7 +143,7 @@
 	w.at = at
 	w.version = r.Rows[0].Version
 	w.target = min(wanted, at+fenceCatchUp*fenceStep.Milliseconds())
-	if w.target-at < fenceStep.Milliseconds() {
+	if w.target-at < fenceStep.Milliseconds() || now < w.nextMove {
 		w.next(now, sweepTimed, sweepInterval)
 		return
 	}
@@ -158,6 +160,7 @@
 	}
 	w.at = w.target
 	w.version = r.Version
+	w.nextMove = now + fenceStep
 	s.fence.learn(s, w.at, w.version, out)
 	w.next(now, sweepTimed, sweepInterval)
 }
