--- a/internal/system/order/endpoint.go
+++ b/internal/system/order/endpoint.go
@@ -6,6 +6,8 @@
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/trefoilchute/trefoilchute/internal/engine"
 	"github.com/trefoilchute/trefoilchute/internal/ident"
 	"github.com/trefoilchute/trefoilchute/internal/resource"
@@ -14,12 +16,16 @@
 
 // Bounds of one endpoint's steps.
 const (
-	// refreshInterval is the time between reads of a state that is as declared.
+	// refreshInterval is the least time between reads of a state that is as
+	// declared; refreshSpread is the most that is added to it, so that the
+	// endpoints aren't all read at once.
 	refreshInterval = time.Minute
+	refreshSpread   = 15 * time.Second
 	// settleInterval is the time between reads while an order isn't settled.
 	settleInterval = time.Second
 	firstRetry     = time.Second
 	lastRetry      = 30 * time.Second
+	maxDoublings   = 5
 	// maxRaise bounds how far an endpoint can raise the fencing number.
 	maxRaise = 1 << 20
 	// foreignShown is how long a foreign order stays in the conditions.
@@ -38,6 +44,7 @@
 	name    ident.Endpoint
 	address string
 	fencing resource.Fencing
+	refresh time.Duration
 	// orders are those to apply, by name; overruled maps the others to the
 	// order that rules them out.
 	orders    []resource.Order
@@ -58,7 +65,10 @@
 	busy        bool
 	awaitsLease bool
 	notBefore   time.Duration
-	tries       int
+	// tries counts the orders in a row that did not lead to the state that is
+	// declared; unread, the reads that failed in a row.
+	tries  int
+	unread int
 
 	// current is the order that status, reason and detail are about; empty if
 	// they are about all orders.
@@ -89,6 +99,8 @@
 		e.name = declared.Name
 		e.address = declared.Address
 		e.fencing = declared.Fencing
+		spread := xxhash.Sum64String(string(e.name)) % uint64(refreshSpread)
+		e.refresh = refreshInterval + time.Duration(spread)
 	}
 	kept, overruled := resolve(orders)
 	if !slices.Equal(kept, e.orders) {
@@ -143,7 +155,7 @@
 	if e.busy || now < e.notBefore || (!s.mine && e.unsettled == nil) {
 		return
 	}
-	if !e.fresh || now >= e.readFrom+refreshInterval {
+	if !e.fresh || now >= e.readFrom+e.refresh {
 		e.read(s, now)
 		return
 	}
@@ -154,8 +166,9 @@
 		return
 	}
 	if !ok {
+		e.tries = 0
 		e.report("", Applied, AsDeclared, "")
-		e.notBefore = e.readFrom + refreshInterval
+		e.notBefore = e.readFrom + e.refresh
 		return
 	}
 	e.prepare(s, now, o)
@@ -264,14 +277,15 @@
 		e.state = nil
 		e.fresh = false
 		e.report("", Failed, Unreachable, r.Err.Error())
-		e.retry(now)
+		e.wait(now, e.unread)
+		e.unread++
 		e.expire()
 		return
 	}
 	before := e.state
 	e.state = &r.State
 	e.fresh = true
-	e.tries = 0
+	e.unread = 0
 	e.notBefore = now
 	e.watch(now, before)
 	if u := e.unsettled; u != nil && r.State.LastOrder == u.id {
@@ -337,8 +351,8 @@
 		e.retry(now)
 	case Unsent:
 		e.unsettled = e.lostBefore()
-		e.report(name, Waiting, NoLease, d.Detail)
-		e.notBefore = now
+		e.report(name, Waiting, NotSent, d.Detail)
+		e.retry(now)
 	case Stale:
 		e.unsettled = e.lostBefore()
 		s.lease.Doubt(now)
@@ -378,9 +392,13 @@
 	}
 }
 
-// retry goes on after a wait that doubles with each failure in a row.
+// retry goes on after a wait that grows with each order in a row that failed.
 func (e *endpoint) retry(now time.Duration) {
-	wait := firstRetry << min(e.tries, 5)
+	e.wait(now, e.tries)
 	e.tries++
-	e.notBefore = now + min(wait, lastRetry)
+}
+
+// wait goes on after a wait that doubles with each failure before.
+func (e *endpoint) wait(now time.Duration, failures int) {
+	e.notBefore = now + min(firstRetry<<min(failures, maxDoublings), lastRetry)
 }
