--- a/internal/system/configuration/configuration.go
+++ b/internal/system/configuration/configuration.go
@@ -181,11 +181,11 @@
 	return wake, true
 }
 
-// adopt brings a newer configuration into force and offers it to others. It
-// returns false, and changes nothing, for one that isn't newer.
-func (s *System) adopt(now time.Duration, next *resource.Snapshot, source string, out *system.Outbox) bool {
+// adopt brings a newer configuration into force and offers it to others. One
+// that isn't newer changes nothing.
+func (s *System) adopt(now time.Duration, next *resource.Snapshot, source string, out *system.Outbox) {
 	if next.Revision <= s.revision() {
-		return false
+		return
 	}
 	s.current = next
 	s.history.add(next)
@@ -197,5 +197,4 @@
 		}
 	}
 	s.offer(out)
-	return true
 }
--- a/internal/system/configuration_test.go
+++ b/internal/system/configuration_test.go
@@ -84,7 +84,7 @@
 	c.store = resource.NewStore(c.fake)
 	c.members = newFleetOf(seed, hosts, domains, func(i int, s *membership.System) process {
 		p := &configProcess{members: s, configuration: configuration.New(configuration.Config{
-			Self: hostName(i), Domain: domainOf(i, domains), Seed: uint64(i), View: s,
+			Self: hostName(i), Domain: domainName(i, domains), Seed: uint64(i), View: s,
 		})}
 		c.procs[hostName(i)] = p
 		return p
--- a/internal/system/fleet_test.go
+++ b/internal/system/fleet_test.go
@@ -57,7 +57,11 @@
 	// frozen hosts handle nothing; what comes waits for them.
 	frozen  bool
 	waiting []*event
-	wakeAt  time.Duration
+	// timed says that a timer is under way, for wakeAt.
+	timed  bool
+	wakeAt time.Duration
+	// spins counts the timers in a row that came at the same instant.
+	spins int
 
 	sentMessages, sentBytes uint64
 }
@@ -115,10 +119,10 @@
 func (f *fleet) schedule(host ident.Host) {
 	m := f.machines[host]
 	wake := max(m.NextWake(), f.now)
-	if m.wakeAt > f.now && m.wakeAt <= wake {
+	if m.timed && m.wakeAt <= wake {
 		return
 	}
-	m.wakeAt = wake
+	m.timed, m.wakeAt = true, wake
 	f.push(&event{at: wake, host: host})
 }
 
@@ -162,20 +166,45 @@
 	case e.reply != nil:
 		m.Reply(f.now, *e.reply, &out)
 	default:
-		m.wakeAt = 0
-		m.Tick(f.now, &out)
+		f.tick(e.host, m, &out)
 	}
 	f.emit(e.host, &out)
 	f.schedule(e.host)
 }
 
+// tick runs a timer, and fails a process that asks for the same instant again
+// and again.
+func (f *fleet) tick(host ident.Host, m *machine, out *system.Outbox) {
+	if m.spins++; f.now > m.wakeAt {
+		m.spins = 0
+	}
+	if m.spins > 1000 {
+		panic(fmt.Sprintf("%s wakes again and again at %v", host, f.now))
+	}
+	m.timed = false
+	m.Tick(f.now, out)
+	if m.NextWake() > f.now {
+		m.spins = 0
+	}
+}
+
+// step runs something on a host, as an event from outside would.
+func (f *fleet) step(host ident.Host, do func(out *system.Outbox)) {
+	var out system.Outbox
+	do(&out)
+	f.emit(host, &out)
+	f.schedule(host)
+}
+
 // emit carries out the effects of a step of a host.
 func (f *fleet) emit(host ident.Host, out *system.Outbox) {
 	m := f.machines[host]
 	for _, send := range out.Sends {
 		env := proto.Clone(send.Message).(*peerpb.Envelope)
-		m.sentMessages++
-		m.sentBytes += uint64(proto.Size(env) + frameBytes)
+		if send.To != host {
+			m.sentMessages++
+			m.sentBytes += uint64(proto.Size(env) + frameBytes)
+		}
 		env.From = string(host)
 		env.Incarnation = m.boot
 		if f.machines[send.To] == nil || f.cut(host, send.To) {
--- a/internal/system/membership/membership.go
+++ b/internal/system/membership/membership.go
@@ -101,7 +101,9 @@
 	// those that other systems act on.
 	gossipClock uint64
 	viewVersion uint64
-	live        map[ident.Domain][]ident.Host
+	// live and domains answer Alive and Domains until the view changes.
+	live    map[ident.Domain][]ident.Host
+	domains []ident.Domain
 
 	// acked holds, for each host, the gossip clock up to which it has
 	// acknowledged changes.
@@ -243,17 +245,22 @@
 }
 
 // Domains returns the failure domains that have hosts that are not dead,
-// sorted.
+// sorted. The caller must not change the slice.
 func (s *System) Domains() []ident.Domain {
-	var domains []ident.Domain
+	if s.domains != nil {
+		return s.domains
+	}
+	s.domains = []ident.Domain{}
 	for _, host := range s.order {
 		e := s.table[host]
-		if e.State != Dead && !slices.Contains(domains, e.Domain) {
-			domains = append(domains, e.Domain)
+		if e.State == Dead {
+			continue
+		}
+		if at, found := slices.BinarySearch(s.domains, e.Domain); !found {
+			s.domains = slices.Insert(s.domains, at, e.Domain)
 		}
 	}
-	slices.Sort(domains)
-	return domains
+	return s.domains
 }
 
 // Reachable reports whether a host of the domain answered lately. The own
@@ -339,4 +346,5 @@
 	s.viewVersion++
 	s.urgent = true
 	clear(s.live)
+	s.domains = nil
 }
--- a/internal/system/membership_test.go
+++ b/internal/system/membership_test.go
@@ -50,10 +50,10 @@
 	return m
 }
 
-func (m *members) domain(i int) ident.Domain { return domainOf(i, m.domains) }
+func (m *members) domain(i int) ident.Domain { return domainName(i, m.domains) }
 
-// domainOf returns the domain of host i among a number of domains.
-func domainOf(i, domains int) ident.Domain {
+// domainName returns the domain of host i among a number of domains.
+func domainName(i, domains int) ident.Domain {
 	return ident.Domain(fmt.Sprintf("domain-%d", i%domains))
 }
 
