--- a/internal/system/membership/probe.go
+++ b/internal/system/membership/probe.go
@@ -48,7 +48,9 @@
 		return
 	}
 	if s.urgent {
-		s.nextProbe = min(s.nextProbe, max(now+urgentDelay, s.lastRound+urgentInterval))
+		at := max(now+urgentDelay, s.lastRound+urgentInterval)
+		s.nextProbe = min(s.nextProbe, at)
+		s.nextContact = min(s.nextContact, at)
 	}
 	if now >= s.nextContact {
 		s.contactRound(now, out)
