Keep endpoints free of long low prompts; narrow windows by the pace

Change: at most half of the endpoints prefill long prompts of lower tiers; a window is narrowed no further than the endpoint's part of its speed; the highest tier spends less of its time on waiting for its prefix than others; the deadline is held against a surer estimate.

--- a/internal/pool/grant.go
+++ b/internal/pool/grant.go
@@ -181,7 +181,7 @@
 // that others can have these. It returns false if too many are held.
 func (s *Scheduler) keep(r *request, p placement) bool {
 	t := s.queue.tier(r.Rank)
-	if len(t.held) >= maxHeld || p.reason == reasonReserved {
+	if len(t.held) >= maxHeld {
 		return false
 	}
 	s.claim(r)
--- a/internal/pool/ledger.go
+++ b/internal/pool/ledger.go
@@ -68,6 +68,9 @@
 	s.hold(a)
 	s.meter.grant(r.cost)
 	s.totalFree--
+	if s.longPrefill(a.uncached) {
+		s.longPrefills++
+	}
 	r.phase, r.attempt = phaseGranted, a
 	expires := s.now + GrantLifetime
 	s.timers.set(&a.timer, expires+GrantMargin, func() { s.lapse(a) })
--- a/internal/pool/place.go
+++ b/internal/pool/place.go
@@ -34,7 +34,7 @@
 var (
 	filters   = []filter{prefillFilter{}, deadlineFilter{}}
 	scorers   = []scorer{finishScore{}, neighbourScore{}, prefixScore{}}
-	reservers = []reserver{longWorkReserve{}}
+	reservers = []reserver{longWorkReserve{}, longPrefillReserve{}}
 )
 
 // Reasons of filters and reservers.
@@ -42,6 +42,7 @@
 	reasonFull     = "every slot is in use"
 	reasonPrefill  = "too much is waiting for prefill there"
 	reasonTooLate  = "it would end after its deadline there"
+	reasonPrefills = "enough endpoints are busy with long prompts"
 	reasonReserved = "the last slots are kept from long work"
 	reasonHome     = "it waits for the endpoint that has its prefix cached"
 )
@@ -159,7 +160,7 @@
 
 // surePrefill is the number of prompt tokens from which on the cautious
 // estimate is held against the deadline; below, a part of it.
-const surePrefill = 2000
+const surePrefill = 1000
 
 func (deadlineFilter) filter(s *Scheduler, r *request, c *candidate) string {
 	stake := min(1, float64(r.PromptTokens-c.cached)/surePrefill)
@@ -220,3 +221,27 @@
 	}
 	return ""
 }
+
+// longPrefillReserve keeps endpoints free of the long prompts of lower tiers,
+// behind which a high request would wait for its first token.
+type longPrefillReserve struct{}
+
+// longPrefillPart is the part of the pool's endpoints that may prefill long
+// prompts of lower tiers at once; one always may.
+const longPrefillPart = 0.5
+
+func (longPrefillReserve) reserve(s *Scheduler, r *request) string {
+	if r.Rank == 0 || !s.longPrefill(r.PromptTokens-r.best) {
+		return ""
+	}
+	if s.longPrefills >= max(1, int(longPrefillPart*float64(s.working))) {
+		return reasonPrefills
+	}
+	return ""
+}
+
+// longPrefill says whether the prefill of tokens takes longer than an
+// endpoint's prefill window, on average.
+func (s *Scheduler) longPrefill(tokens int) bool {
+	return time.Duration(tokens)*s.endpoints.average(s.now).prefill > prefillWindow
+}
--- a/internal/pool/prefix.go
+++ b/internal/pool/prefix.go
@@ -16,10 +16,11 @@
 	// holdPerPrefill is how long a request waits for its cached prefix, in
 	// times of the prefill that it saves, and maxHold the most.
 	holdPerPrefill = 10
-	maxHold        = 4 * time.Second
+	maxHold        = 8 * time.Second
 	// holdSlack is the part of the time left that a request may spend on
-	// waiting for its prefix.
-	holdSlack = 0.25
+	// waiting for its prefix; in the highest tier it is topHoldSlack.
+	holdSlack    = 0.4
+	topHoldSlack = 0.15
 	// fewEndpoints is up to how many endpoints each cache is looked up, instead
 	// of the index of all.
 	fewEndpoints = 4
@@ -86,7 +87,7 @@
 func (s *Scheduler) holdTime(r *request, p *placement) time.Duration {
 	saved := p.endpoint.speed.Prefill(s.now, r.best-p.cached)
 	spare := r.Deadline - s.now - p.estimate.cautious
-	return min(holdPerPrefill*saved, time.Duration(holdSlack*float64(spare)), maxHold)
+	return min(holdPerPrefill*saved, time.Duration(r.holdSlack()*float64(spare)), maxHold)
 }
 
 // cacheEvent corrects the modelled cache.
@@ -114,5 +115,12 @@
 func (s *Scheduler) holdLimit(r *request) time.Duration {
 	total, _ := s.fastest(r)
 	spare := r.Deadline - s.now - total
-	return max(0, min(time.Duration(holdSlack*float64(spare)), maxHold))
+	return max(0, min(time.Duration(r.holdSlack()*float64(spare)), maxHold))
+}
+
+func (r *request) holdSlack() float64 {
+	if r.Rank == 0 {
+		return topHoldSlack
+	}
+	return holdSlack
 }
--- a/internal/pool/scheduler.go
+++ b/internal/pool/scheduler.go
@@ -49,6 +49,9 @@
 	// totalSlots and totalFree sum the slots of the endpoints that take work,
 	// and those that are free, as of the start of the step and its grants.
 	totalSlots, totalFree int
+	// working is the number of those endpoints, and longPrefills the number
+	// among them that have long prompts to prefill.
+	working, longPrefills int
 	// scratch is the candidate that is looked at.
 	scratch candidate
 	// matched is scratch space of matchPrefix.
--- a/internal/pool/shed.go
+++ b/internal/pool/shed.go
@@ -84,11 +84,15 @@
 
 // countSlots sums up the slots of the endpoints that take work.
 func (s *Scheduler) countSlots() {
-	s.totalSlots, s.totalFree = 0, 0
+	s.totalSlots, s.totalFree, s.working, s.longPrefills = 0, 0, 0, 0
 	for _, e := range s.endpoints.rows {
 		if e.takesWork(s.now) {
 			s.totalSlots += max(0, e.slots())
 			s.totalFree += max(0, e.free())
+			s.working++
+			if s.longPrefill(e.pending) {
+				s.longPrefills++
+			}
 		}
 	}
 }
--- a/internal/pool/speed/length.go
+++ b/internal/pool/speed/length.go
@@ -66,7 +66,7 @@
 	bound = knownBound(bound)
 	f := l.find(team, bits.Len(uint(bound)))
 	mean = f.mean * float64(bound)
-	cautious = min(1, f.mean+1.5*f.deviation) * float64(bound)
+	cautious = min(1, f.mean+2*f.deviation) * float64(bound)
 	return mean, max(mean, cautious)
 }
 
--- a/internal/pool/window.go
+++ b/internal/pool/window.go
@@ -16,7 +16,7 @@
 )
 
 // window bounds an endpoint's requests in flight. It shrinks by a factor while
-// the endpoint is slow and grows back by one for each window of work done at
+// the endpoint is slow, down to its part of the speed, and grows back by one for each window of work done at
 // speed, so that probing is bounded by the work that went well.
 type window struct {
 	width  float64
@@ -43,7 +43,7 @@
 	switch {
 	case pace >= shrinkPace && now-w.shrunk >= shrinkEvery:
 		w.shrunk = now
-		w.width = max(1, w.width*shrinkFactor)
+		w.width = max(1, float64(w.most)/pace, w.width*shrinkFactor)
 	case pace <= growPace:
 		w.width = min(float64(w.most), w.width+1/max(1, w.width))
 	}
