--- a/internal/cli/measure.go
+++ b/internal/cli/measure.go
@@ -1,9 +1,11 @@
 package cli
 
 import (
+	"compress/gzip"
 	"context"
 	"fmt"
 	"io"
+	"os"
 	"slices"
 	"text/tabwriter"
 	"time"
@@ -23,7 +25,7 @@
 	return &cli.Command{
 		Name:     "measure",
 		Usage:    "measure the scheduler in simulated time",
-		Commands: []*cli.Command{measurePolicyCommand()},
+		Commands: []*cli.Command{measurePolicyCommand(), measureTraceCommand()},
 	}
 }
 
@@ -44,10 +46,57 @@
 	}
 }
 
-func measurePolicies(c *cli.Command) error {
+func measureTraceCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "trace",
+		Usage:     "record a run with faults and a poison request as a compressed trace",
+		ArgsUsage: "FILE",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "deployment", Value: "utility", Usage: "utility, factory or large"},
+			&cli.FloatFlag{Name: "load", Value: 1.5, Usage: "load relative to the capacity"},
+			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "seed of the workload"},
+			&cli.DurationFlag{Name: "length", Value: 20 * time.Second, Usage: "simulated time of arrivals"},
+		},
+		Action: func(_ context.Context, c *cli.Command) error {
+			return measureTrace(c)
+		},
+	}
+}
+
+func measureTrace(c *cli.Command) error {
+	if c.Args().Len() != 1 {
+		return errors.New("measure trace takes one file to write")
+	}
+	d, err := deployment(c)
+	if err != nil {
+		return err
+	}
+	f, err := os.Create(c.Args().First())
+	if err != nil {
+		return errors.Wrap(err, "create the trace")
+	}
+	z := gzip.NewWriter(f)
+	if _, err := fleet.Record(z, d, c.Uint64("seed"), c.Float("load"), c.Duration("length")); err != nil {
+		return err
+	}
+	if err := z.Close(); err != nil {
+		return errors.Wrap(err, "write the trace")
+	}
+	return errors.Wrap(f.Close(), "write the trace")
+}
+
+func deployment(c *cli.Command) (fleet.Deployment, error) {
 	d, ok := fleet.Deployments()[c.String("deployment")]
 	if !ok {
-		return errors.Errorf("no deployment %q: expected utility, factory or large", c.String("deployment"))
+		return d, errors.Errorf("no deployment %q: expected utility, factory or large", c.String("deployment"))
+	}
+	return d, nil
+}
+
+func measurePolicies(c *cli.Command) error {
+	d, err := deployment(c)
+	if err != nil {
+		return err
 	}
 	if c.Int("seeds") < 1 {
 		return errors.New("--seeds must be at least 1")
--- a/internal/fleet/run.go
+++ b/internal/fleet/run.go
@@ -111,7 +111,7 @@
 func (r *Run) plan() {
 	var end time.Duration
 	for _, item := range r.items {
-		end = max(end, item.Request.Deadline)
+		end = max(end, item.At)
 		r.at(item.At, func() { r.arrive(item) })
 	}
 	for _, name := range r.names {
--- a/internal/pool/queue.go
+++ b/internal/pool/queue.go
@@ -183,13 +183,6 @@
 	}
 }
 
-// putBackUnless returns a team to the heap unless it is set aside.
-func (t *tierQueue) putBackUnless(tq *teamQueue, aside []*teamQueue) {
-	if !slices.Contains(aside, tq) {
-		t.putBack(tq)
-	}
-}
-
 // teamHeap orders teams by start tag, then by name.
 type teamHeap []*teamQueue
 
