Hold the deadline against the learned error of the estimate

Cause: 3 to 4 % of the prefill went to answers that came too late. Change: the factor that one request in twenty exceeds its estimate by is learned from finished requests and replaces the length's deviation.

--- a/internal/pool/estimate.go
+++ b/internal/pool/estimate.go
@@ -38,10 +38,11 @@
 		prompt = 0
 	}
 	first := dispatchTime + e.speed.Prefill(s.now, prompt)
+	total := first + e.speed.Decode(s.now, r.mean, others)
 	return estimate{
 		first:    first,
-		total:    first + e.speed.Decode(s.now, r.mean, others),
-		cautious: first + e.speed.Decode(s.now, r.cautious, others),
+		total:    total,
+		cautious: time.Duration(float64(total) * s.surprise.Factor()),
 	}
 }
 
--- a/internal/pool/learn.go
+++ b/internal/pool/learn.go
@@ -29,6 +29,9 @@
 		s.endpointFailed(e)
 		return
 	}
+	if f.Outcome == OutcomeWhole || s.now >= a.request.Deadline {
+		s.surprise.Saw(a.expected, f.Total, f.Outcome != OutcomeWhole)
+	}
 	others := float64(a.others+e.inFlight-1) / 2
 	if e.Type == resource.EndpointService {
 		e.speed.SawDecode(s.now, serviceTokens, f.Total, others)
--- a/internal/pool/ledger.go
+++ b/internal/pool/ledger.go
@@ -61,6 +61,7 @@
 		cached:   p.cached,
 		uncached: max(0, r.PromptTokens-p.cached),
 		others:   e.inFlight,
+		expected: p.estimate.total,
 	}
 	a.ahead = e.pending + a.uncached
 	s.blocks.Store(e.number, r.Prefix)
--- a/internal/pool/scheduler.go
+++ b/internal/pool/scheduler.go
@@ -32,6 +32,7 @@
 	queue     *queue
 	timers    *timers
 	lengths   *speed.Lengths
+	surprise  speed.Surprise
 	blocks    *blocks.Index
 	meter     meter
 	suspects  *suspectTable
@@ -73,6 +74,7 @@
 		attempts:    newAttemptTable(),
 		timers:      &timers{},
 		lengths:     speed.NewLengths(),
+		surprise:    speed.NewSurprise(),
 		blocks:      blocks.NewIndex(),
 		meter:       newMeter(),
 		suspects:    newSuspectTable(),
--- a/internal/pool/table.go
+++ b/internal/pool/table.go
@@ -81,6 +81,8 @@
 	// ahead is the number of tokens to prefill up to the end of this prompt,
 	// and others the number of requests in flight beside it, at the grant.
 	ahead, others int
+	// expected is the time that the request was expected to take.
+	expected time.Duration
 	// firstSeen says that the first token came.
 	firstSeen bool
 	// blamed says that a crash of the endpoint was counted against it.
