Join resends of idempotent requests through the key ledger

Cause: a resend under a key was a request of its own. Change: control steps the key ledger; a resend joins the first run, here or at its custodian.

--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -12,6 +12,7 @@
 	"github.com/trefoilchute/trefoilchute/internal/system/claim"
 	"github.com/trefoilchute/trefoilchute/internal/system/configuration"
 	"github.com/trefoilchute/trefoilchute/internal/system/custody"
+	"github.com/trefoilchute/trefoilchute/internal/system/keyledger"
 	"github.com/trefoilchute/trefoilchute/internal/system/membership"
 	"github.com/trefoilchute/trefoilchute/internal/system/order"
 	"github.com/trefoilchute/trefoilchute/internal/system/scheduling"
@@ -45,6 +46,7 @@
 	scheduling    *scheduling.System
 	claims        *claim.System
 	orders        *order.System
+	keys          *keyledger.System
 
 	snapshot    *resource.Snapshot
 	viewVersion uint64
@@ -72,6 +74,7 @@
 	c.claims = claim.New(claim.Config{
 		Host: cfg.Self, Incarnation: cfg.Incarnation, Nonce: cfg.Nonce, Liveness: c.liveness,
 	})
+	c.keys = keyledger.New(keyledger.Config{Self: cfg.Self, View: c.members})
 	c.orders = order.New(order.Config{
 		Domain: cfg.Domain, Host: cfg.Self, Incarnation: cfg.Incarnation,
 		Term: order.DefaultTerm, LongestOrder: order.DefaultLongestOrder,
@@ -174,6 +177,7 @@
 	c.configuration.Tick(c.now, &c.out)
 	c.claims.Sweep(c.now, c.wall, c.sweeps())
 	c.claims.Tick(c.now, &c.out)
+	c.keys.Tick(c.now, &c.out)
 	c.orders.Own(c.sendsOrders())
 	c.orders.Tick(c.now, &c.out)
 	c.custody.Tick(c.now, &c.out)
@@ -187,6 +191,7 @@
 	for again := true; again; {
 		again = c.deliverOwn()
 		again = c.settleClaims() || again
+		again = c.settleKeys() || again
 		again = c.settleDirectives() || again
 		again = c.adoptSnapshot() || again
 		again = c.adoptView() || again
@@ -260,6 +265,7 @@
 	take(c.members.NextWake(), true)
 	take(c.configuration.NextWake())
 	take(c.claims.NextWake())
+	take(c.keys.NextWake())
 	take(c.orders.NextWake())
 	take(c.custody.NextWake(c.now))
 	take(c.scheduling.NextWake())
--- a/internal/control/promise_test.go
+++ b/internal/control/promise_test.go
@@ -11,6 +11,7 @@
 	"github.com/trefoilchute/trefoilchute/internal/ident"
 	"github.com/trefoilchute/trefoilchute/internal/result"
 	"github.com/trefoilchute/trefoilchute/internal/system/custody"
+	"github.com/trefoilchute/trefoilchute/internal/system/keyledger"
 )
 
 // settleTime is enough for the hosts to meet and take their pools over.
@@ -94,36 +95,69 @@
 		w := newWorld(rapid.Uint64().Draw(rt, "seed"))
 		w.runUntil(settleTime)
 		for range rapid.IntRange(1, 4).Draw(rt, "failures") {
-			f := rapid.SampledFrom(failures).Draw(rt, "failure")
-			host := rapid.SampledFrom(hostNames).Draw(rt, "host")
-			begin := settleTime + drawTime(rt, "begin", 6*time.Second)
-			end := begin + drawTime(rt, "length", 12*time.Second)
-			w.at(begin, func() { f.begin(w, host) })
-			w.at(end, func() { f.end(w, host) })
+			w.drawFailure(rt)
 		}
 		for i := range rapid.IntRange(10, 40).Draw(rt, "requests") {
-			at := settleTime + drawTime(rt, "at", 12*time.Second)
-			host := rapid.SampledFrom(hostNames).Draw(rt, "to")
 			a := chat()
 			if rapid.Bool().Draw(rt, "once") {
 				a = oneTime(fmt.Sprint("key", i/3))
 				a.FirstAttempt = i%3 == 0
 			}
-			within := 500*time.Millisecond + drawTime(rt, "within", 20*time.Second)
-			leaves := at + drawTime(rt, "leaves", 20*time.Second)
-			w.at(at, func() {
-				r := w.send(host, a, within)
-				w.at(leaves, func() { w.leave(r) })
-			})
+			w.drawRequest(rt, a)
 		}
-		w.runUntil(settleTime + giveUp)
-		w.checkRecovered(rt)
-		if faults := w.faults(); len(faults) > 0 {
-			rt.Fatalf("%v", faults)
+		w.check(rt)
+	})
+}
+
+// TestIdempotentKeysUnderOneFailure draws one failure and resends of requests
+// with keys. The ledger in memory promises to survive that much: no key runs
+// twice.
+func TestIdempotentKeysUnderOneFailure(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		w := newWorld(rapid.Uint64().Draw(rt, "seed"))
+		w.runUntil(settleTime + keyledger.HealTime)
+		w.drawFailure(rt)
+		for i := range rapid.IntRange(10, 40).Draw(rt, "requests") {
+			a := chat()
+			a.Key = fmt.Sprint("key", i/3)
+			a.Fingerprint = 1
+			w.drawRequest(rt, a)
 		}
+		w.check(rt)
+	})
+}
+
+// drawFailure plans a failure.
+func (w *world) drawFailure(rt *rapid.T) {
+	f := rapid.SampledFrom(failures).Draw(rt, "failure")
+	host := rapid.SampledFrom(hostNames).Draw(rt, "host")
+	begin := w.now + drawTime(rt, "begin", 6*time.Second)
+	end := begin + drawTime(rt, "length", 12*time.Second)
+	w.at(begin, func() { f.begin(w, host) })
+	w.at(end, func() { f.end(w, host) })
+}
+
+// drawRequest plans a request and the moment when its caller leaves.
+func (w *world) drawRequest(rt *rapid.T, a custody.Arrival) {
+	at := w.now + drawTime(rt, "at", 12*time.Second)
+	host := rapid.SampledFrom(hostNames).Draw(rt, "to")
+	within := 500*time.Millisecond + drawTime(rt, "within", 20*time.Second)
+	leaves := at + drawTime(rt, "leaves", 20*time.Second)
+	w.at(at, func() {
+		r := w.send(host, a, within)
+		w.at(leaves, func() { w.leave(r) })
 	})
 }
 
+// check lets all end and checks the promises.
+func (w *world) check(rt *rapid.T) {
+	w.runUntil(w.now + giveUp)
+	w.checkRecovered(rt)
+	if faults := w.faults(); len(faults) > 0 {
+		rt.Fatalf("%v", faults)
+	}
+}
+
 // leave lets a caller close its connection.
 func (w *world) leave(r *request) {
 	if r.finals == 0 && !r.lost {
--- a/internal/control/route.go
+++ b/internal/control/route.go
@@ -29,6 +29,8 @@
 		c.custody.Spilled(c.now, from, body.Spill, &c.out)
 	case *peerpb.Envelope_TakeOver:
 		c.custody.TakeOver(c.now, from, body.TakeOver, c.scheduling.Suspects(), &c.out)
+	case *peerpb.Envelope_KeyNote, *peerpb.Envelope_KeyAnswer:
+		c.keys.Receive(c.now, m, &c.out)
 	case *peerpb.Envelope_Join, *peerpb.Envelope_Part:
 		c.effect.Relays = append(c.effect.Relays, m)
 	default:
@@ -57,7 +59,12 @@
 // non-idempotent one.
 func (c *Core) ended(e Ended) {
 	c.custody.Ended(c.now, e.ID, e.End, &c.out)
-	if a, ok := c.gated[e.ID]; ok && !a.Idempotent {
+	a, ok := c.gated[e.ID]
+	switch {
+	case !ok:
+	case a.Idempotent:
+		c.keys.Finished(c.now, e.ID)
+	default:
 		c.claims.Finish(e.ID, e.Answer, &c.out)
 	}
 	delete(c.gated, e.ID)
@@ -89,6 +96,7 @@
 func (c *Core) passOn(d custody.Directive) {
 	if d.Kind == custody.Refuse {
 		c.claims.Withdraw(d.ID, &c.out)
+		c.keys.Release(c.now, d.ID, &c.out)
 		delete(c.gated, d.ID)
 	}
 	c.effect.Directives = append(c.effect.Directives, d)
@@ -157,8 +165,3 @@
 	c.custody.Checked(c.now, id, v, &c.out)
 	c.custody.Claimed(c.now, id, v, &c.out)
 }
-
-// noteKey looks up the earlier runs of an idempotent key.
-func (c *Core) noteKey(id ident.Request) {
-	c.custody.Checked(c.now, id, nil, &c.out)
-}
--- a/internal/pool/intake.go
+++ b/internal/pool/intake.go
@@ -94,6 +94,7 @@
 	default:
 		return
 	}
+	r.phase = phaseOut
 	s.timers.stop(&r.timer)
 	s.timers.stop(&r.holdTimer)
 }
--- a/internal/pool/table.go
+++ b/internal/pool/table.go
@@ -35,6 +35,8 @@
 	phaseIsolated
 	phaseGranted
 	phaseRunning
+	// phaseOut has left the tables of those that wait.
+	phaseOut
 )
 
 // request is the row of a request that waits or has an unsettled attempt.
