--- a/internal/cli/standin.go
+++ b/internal/cli/standin.go
@@ -28,6 +28,7 @@
 	flagModel        = "model"
 	flagPrefillRate  = "prefill-rate"
 	flagDecodeRate   = "decode-rate"
+	flagBatchCost    = "batch-cost"
 	flagSlots        = "slots"
 	flagCacheTokens  = "cache-tokens"
 	flagFencing      = "fencing"
@@ -97,6 +98,7 @@
 			&cli.StringFlag{Name: flagModel, Usage: "the model that an engine has loaded"},
 			&cli.FloatFlag{Name: flagPrefillRate, Value: engine.DefaultPrefillRate, Usage: "prompt tokens per second"},
 			&cli.FloatFlag{Name: flagDecodeRate, Value: engine.DefaultDecodeRate, Usage: "tokens per second of a request that runs alone"},
+			&cli.FloatFlag{Name: flagBatchCost, Value: engine.DefaultBatchCost, Usage: "added time per token for each further request of a batch, as a share of that of one alone"},
 			&cli.IntFlag{Name: flagSlots, Value: engine.DefaultSlots, Usage: "most requests in one batch"},
 			&cli.IntFlag{Name: flagCacheTokens, Value: engine.DefaultCacheTokens, Usage: "size of the prefix cache in tokens"},
 			&cli.StringFlag{Name: flagFencing, Value: string(resource.FencingEnforced), Usage: "enforced or ignored"},
@@ -143,6 +145,7 @@
 		Speed: engine.Speed{
 			PrefillRate: cmd.Float(flagPrefillRate),
 			DecodeRate:  cmd.Float(flagDecodeRate),
+			BatchCost:   cmd.Float(flagBatchCost),
 			Slots:       cmd.Int(flagSlots),
 			CacheTokens: cmd.Int(flagCacheTokens),
 		},
--- a/internal/platform/client_test.go
+++ b/internal/platform/client_test.go
@@ -122,7 +122,10 @@
 	g.Expect(err).To(MatchError(platform.ErrAmbiguous))
 	_, err = client.Get(ctx, "a/1")
 	g.Expect(err).NotTo(HaveOccurred(), "the write whose answer was lost has its effect")
-	g.Expect(server.Counters()).To(Equal(standin.Counters{Reads: 2, Writes: 3, Refused: 1, Lost: 2}))
+	g.Expect(server.Counters()).To(Equal(standin.Counters{
+		Reads: 2, Writes: 3, Refused: 1, Lost: 2,
+		Operations: map[standin.Operation]uint64{standin.OperationGet: 2, standin.OperationCommit: 3},
+	}))
 }
 
 func TestClientSaysHowLongTheWeightStoreIsLimited(t *testing.T) {
--- a/internal/standin/platform/fake.go
+++ b/internal/standin/platform/fake.go
@@ -47,7 +47,7 @@
 
 // Get implements platform.Table.
 func (f *Fake) Get(ctx context.Context, key string) (platform.Row, error) {
-	if err := f.read(ctx); err != nil {
+	if err := f.read(ctx, OperationGet); err != nil {
 		return platform.Row{}, err
 	}
 	return f.store.get(key)
@@ -55,7 +55,7 @@
 
 // List implements platform.Table.
 func (f *Fake) List(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
-	if err := f.read(ctx); err != nil {
+	if err := f.read(ctx, OperationList); err != nil {
 		return nil, err
 	}
 	return f.store.list(prefix, after, limit), nil
@@ -64,7 +64,7 @@
 // Commit implements platform.Table.
 func (f *Fake) Commit(ctx context.Context, txn platform.Txn) (uint64, error) {
 	var version uint64
-	err := f.write(ctx, func() error {
+	err := f.write(ctx, OperationCommit, func() error {
 		var err error
 		version, err = f.store.commit(txn)
 		return err
@@ -77,7 +77,7 @@
 
 // PutObject implements platform.Objects.
 func (f *Fake) PutObject(ctx context.Context, key string, value []byte) error {
-	return f.write(ctx, func() error {
+	return f.write(ctx, OperationPutObject, func() error {
 		f.store.putObject(key, value)
 		return nil
 	})
@@ -85,7 +85,7 @@
 
 // GetObject implements platform.Objects.
 func (f *Fake) GetObject(ctx context.Context, key string) ([]byte, error) {
-	if err := f.read(ctx); err != nil {
+	if err := f.read(ctx, OperationGetObject); err != nil {
 		return nil, err
 	}
 	return f.store.getObject(key)
@@ -93,7 +93,7 @@
 
 // ListObjects implements platform.Objects.
 func (f *Fake) ListObjects(ctx context.Context, prefix string) ([]string, error) {
-	if err := f.read(ctx); err != nil {
+	if err := f.read(ctx, OperationListObjects); err != nil {
 		return nil, err
 	}
 	return f.store.listObjects(prefix), nil
@@ -103,7 +103,7 @@
 // together.
 func (f *Fake) Reserve(ctx context.Context, _ string) (time.Duration, error) {
 	var wait time.Duration
-	err := f.write(ctx, func() error {
+	err := f.write(ctx, OperationReserve, func() error {
 		var err error
 		wait, err = f.store.reserve(time.Now())
 		return err
@@ -113,7 +113,7 @@
 
 // ListHosts implements platform.Hosts.
 func (f *Fake) ListHosts(ctx context.Context) ([]platform.HostEntry, error) {
-	if err := f.read(ctx); err != nil {
+	if err := f.read(ctx, OperationListHosts); err != nil {
 		return nil, err
 	}
 	return f.store.listHosts(time.Now()), nil
@@ -121,18 +121,18 @@
 
 // Register implements platform.Hosts.
 func (f *Fake) Register(ctx context.Context, entry platform.HostEntry) error {
-	return f.write(ctx, func() error {
+	return f.write(ctx, OperationRegister, func() error {
 		f.store.register(entry, time.Now())
 		return nil
 	})
 }
 
 // read applies the switches to a call without effect.
-func (f *Fake) read(ctx context.Context) error {
+func (f *Fake) read(ctx context.Context, operation Operation) error {
 	if err := ctx.Err(); err != nil {
 		return errors.Wrap(platform.ErrUnavailable, err.Error())
 	}
-	v := f.store.admitRead(time.Now())
+	v := f.store.admitRead(operation, time.Now())
 	if v.err != nil {
 		return v.err
 	}
@@ -144,11 +144,11 @@
 
 // write applies the switches to a call with an effect. An effect whose caller
 // has timed out still happens, at the time of the timeout.
-func (f *Fake) write(ctx context.Context, effect func() error) error {
+func (f *Fake) write(ctx context.Context, operation Operation, effect func() error) error {
 	if err := ctx.Err(); err != nil {
 		return errors.Wrap(platform.ErrUnavailable, err.Error())
 	}
-	v := f.store.admitWrite(time.Now())
+	v := f.store.admitWrite(operation, time.Now())
 	if v.err != nil {
 		return v.err
 	}
--- a/internal/standin/platform/options.go
+++ b/internal/standin/platform/options.go
@@ -33,10 +33,28 @@
 	DropWrites int `json:"drop_writes"`
 }
 
+// Operation names a kind of call.
+type Operation string
+
+// Operations of the services.
+const (
+	OperationGet         Operation = "get"
+	OperationList        Operation = "list"
+	OperationCommit      Operation = "commit"
+	OperationGetObject   Operation = "get_object"
+	OperationPutObject   Operation = "put_object"
+	OperationListObjects Operation = "list_objects"
+	OperationReserve     Operation = "reserve"
+	OperationListHosts   Operation = "list_hosts"
+	OperationRegister    Operation = "register"
+)
+
 // Counters count calls since the start. They include calls that failed.
 type Counters struct {
 	Reads  uint64 `json:"reads"`
 	Writes uint64 `json:"writes"`
+	// Operations counts the calls of each operation.
+	Operations map[Operation]uint64 `json:"operations"`
 	// Conflicts counts transactions whose conditions didn't hold.
 	Conflicts uint64 `json:"conflicts"`
 	// Refused counts calls that were refused because the platform was down.
--- a/internal/standin/platform/server.go
+++ b/internal/standin/platform/server.go
@@ -105,23 +105,23 @@
 
 // routes registers every path.
 func (s *Server) routes() {
-	s.app.Get(platform.PathRow, s.reading(s.getRow))
-	s.app.Get(platform.PathRows, s.reading(s.listRows))
-	s.app.Post(platform.PathCommit, s.writing(s.commit))
-	s.app.Get(platform.PathObject, s.reading(s.getObject))
-	s.app.Put(platform.PathObject, s.writing(s.putObject))
-	s.app.Get(platform.PathObjectKeys, s.reading(s.listObjects))
-	s.app.Post(platform.PathReserve, s.writing(s.reserve))
-	s.app.Get(platform.PathHosts, s.reading(s.listHosts))
-	s.app.Post(platform.PathHosts, s.writing(s.register))
+	s.app.Get(platform.PathRow, s.reading(OperationGet, s.getRow))
+	s.app.Get(platform.PathRows, s.reading(OperationList, s.listRows))
+	s.app.Post(platform.PathCommit, s.writing(OperationCommit, s.commit))
+	s.app.Get(platform.PathObject, s.reading(OperationGetObject, s.getObject))
+	s.app.Put(platform.PathObject, s.writing(OperationPutObject, s.putObject))
+	s.app.Get(platform.PathObjectKeys, s.reading(OperationListObjects, s.listObjects))
+	s.app.Post(platform.PathReserve, s.writing(OperationReserve, s.reserve))
+	s.app.Get(platform.PathHosts, s.reading(OperationListHosts, s.listHosts))
+	s.app.Post(platform.PathHosts, s.writing(OperationRegister, s.register))
 	s.app.Post(PathSwitch, s.postSwitches)
 	s.app.Get(PathCounters, s.getCounters)
 }
 
 // reading applies the switches for reads to a handler.
-func (s *Server) reading(handler fiber.Handler) fiber.Handler {
+func (s *Server) reading(operation Operation, handler fiber.Handler) fiber.Handler {
 	return func(c *fiber.Ctx) error {
-		v := s.store.admitRead(time.Now())
+		v := s.store.admitRead(operation, time.Now())
 		if v.err != nil {
 			return sendError(c, v.err)
 		}
@@ -131,9 +131,9 @@
 }
 
 // writing applies the switches for writes to a handler.
-func (s *Server) writing(handler fiber.Handler) fiber.Handler {
+func (s *Server) writing(operation Operation, handler fiber.Handler) fiber.Handler {
 	return func(c *fiber.Ctx) error {
-		v := s.store.admitWrite(time.Now())
+		v := s.store.admitWrite(operation, time.Now())
 		if v.err != nil {
 			return sendError(c, v.err)
 		}
--- a/internal/standin/platform/store.go
+++ b/internal/standin/platform/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"maps"
 	"sort"
 	"strings"
 	"sync"
@@ -30,12 +31,13 @@
 // newStore returns an empty store.
 func newStore(options Options) *store {
 	return &store{
-		options: options,
-		table:   newTable(),
-		objects: map[string][]byte{},
-		hosts:   newHostList(options.HostLag, options.HostMaxAge),
-		reads:   newBucket(options.ReadsPerSecond),
-		writes:  newBucket(options.WritesPerSecond),
+		options:  options,
+		counters: Counters{Operations: map[Operation]uint64{}},
+		table:    newTable(),
+		objects:  map[string][]byte{},
+		hosts:    newHostList(options.HostLag, options.HostMaxAge),
+		reads:    newBucket(options.ReadsPerSecond),
+		writes:   newBucket(options.WritesPerSecond),
 	}
 }
 
@@ -52,18 +54,20 @@
 }
 
 // admitRead counts a read and returns what the switches do to it.
-func (s *store) admitRead(now time.Time) verdict {
+func (s *store) admitRead(operation Operation, now time.Time) verdict {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.counters.Reads++
+	s.counters.Operations[operation]++
 	return s.admit(s.reads, now)
 }
 
 // admitWrite counts a write and returns what the switches do to it.
-func (s *store) admitWrite(now time.Time) verdict {
+func (s *store) admitWrite(operation Operation, now time.Time) verdict {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.counters.Writes++
+	s.counters.Operations[operation]++
 	v := s.admit(s.writes, now)
 	if v.err != nil {
 		return v
@@ -197,5 +201,7 @@
 func (s *store) currentCounters() Counters {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.counters
+	counters := s.counters
+	counters.Operations = maps.Clone(counters.Operations)
+	return counters
 }
