Drop the platform client's kept connections after one has failed

Cause: open connections can go silent for good while new ones work. Each kept connection then cost a call its whole timeout, one after the other: with four kept connections four calls failed.

Change: a call that got no answer closes the idle connections. The platform stand-in can let its connections go silent too.

Shown: without the change TestClientLosesOneCallToSilentConnections fails (the call after the first failure times out as well); with it go test -race -count=3 ./internal/platform passed 6 times out of 6.

--- a/internal/platform/client_test.go
+++ b/internal/platform/client_test.go
@@ -6,11 +6,13 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
+	"github.com/sourcegraph/conc"
 
 	"github.com/trefoilchute/trefoilchute/internal/platform"
 	standin "github.com/trefoilchute/trefoilchute/internal/standin/platform"
@@ -252,3 +254,74 @@
 	_, err = client.Get(t.Context(), "k")
 	g.Expect(err).To(MatchError(platform.ErrUnavailable))
 }
+
+func TestClientLeavesASilentPlatformConnection(t *testing.T) {
+	g := NewWithT(t)
+	server, client := start(t, standin.Options{})
+	_, err := client.Commit(t.Context(), create)
+	g.Expect(err).NotTo(HaveOccurred())
+	server.Silence()
+	hasty, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+	defer cancel()
+	_, err = client.Get(hasty, "a/1")
+	g.Expect(err).To(MatchError(platform.ErrUnavailable))
+	_, err = client.Get(t.Context(), "a/1")
+	g.Expect(err).NotTo(HaveOccurred())
+}
+
+// silentPool is a server whose first connections answer one call each, all at
+// once when the last one was read, and then go silent. Later ones answer every
+// call.
+func silentPool(t *testing.T, silent int) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		var first []net.Conn
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			t.Cleanup(func() { _ = conn.Close() })
+			if len(first) == silent {
+				go answer(conn, &atomic.Int32{}, slices.Repeat([]string{emptyOK}, 100))
+				continue
+			}
+			first = append(first, conn)
+			_, _ = http.ReadRequest(bufio.NewReader(conn))
+			if len(first) < silent {
+				continue
+			}
+			for _, c := range first {
+				_, _ = io.WriteString(c, emptyOK)
+			}
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// Without the drop of kept connections every one of them costs a timeout.
+func TestClientLosesOneCallToSilentConnections(t *testing.T) {
+	g := NewWithT(t)
+	const silent = 4
+	client := platform.NewClient("http://"+silentPool(t, silent), platform.Options{Timeout: time.Minute})
+	var calls conc.WaitGroup
+	var failures atomic.Int32
+	for range silent {
+		calls.Go(func() {
+			if client.PutObject(t.Context(), "k", nil) != nil {
+				failures.Add(1)
+			}
+		})
+	}
+	calls.Wait()
+	g.Expect(failures.Load()).To(BeZero())
+	hasty, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+	defer cancel()
+	g.Expect(client.PutObject(hasty, "k", nil)).To(MatchError(platform.ErrAmbiguous))
+	for range silent {
+		g.Expect(client.PutObject(t.Context(), "k", nil)).To(Succeed())
+	}
+}
--- a/internal/platform/exchange.go
+++ b/internal/platform/exchange.go
@@ -53,6 +53,9 @@
 	request.URI().SetQueryString(call.query.Encode())
 	request.SetBodyRaw(call.body)
 	if err := c.http.DoDeadline(request, response, c.deadline(ctx)); err != nil {
+		// The kept connections may have gone silent or been closed together with
+		// this one; each of them would cost another call.
+		c.http.CloseIdleConnections()
 		return call.transportError(err)
 	}
 	return call.answer(response, decode)
--- a/internal/standin/platform/server.go
+++ b/internal/standin/platform/server.go
@@ -20,6 +20,8 @@
 const (
 	// PathSwitch takes Switches by POST; they replace all switches.
 	PathSwitch = "/standin/switch"
+	// PathSilence calls Server.Silence by POST. Its own answer is lost too.
+	PathSilence = "/standin/silence"
 	// PathCounters answers Counters.
 	PathCounters = "/standin/counters"
 )
@@ -93,6 +95,17 @@
 	s.store.setSwitches(switches)
 }
 
+// Silence makes all connections that are open now go silent for good. New ones
+// work.
+func (s *Server) Silence() {
+	s.mu.Lock()
+	listener := s.listener
+	s.mu.Unlock()
+	if listener != nil {
+		listener.Silence()
+	}
+}
+
 // Switches returns the switches as they stand now.
 func (s *Server) Switches() Switches {
 	return s.store.currentSwitches()
@@ -115,6 +128,7 @@
 	s.app.Get(platform.PathHosts, s.reading(OperationListHosts, s.listHosts))
 	s.app.Post(platform.PathHosts, s.writing(OperationRegister, s.register))
 	s.app.Post(PathSwitch, s.postSwitches)
+	s.app.Post(PathSilence, s.postSilence)
 	s.app.Get(PathCounters, s.getCounters)
 }
 
@@ -216,6 +230,11 @@
 	return c.JSON(switches)
 }
 
+func (s *Server) postSilence(c *fiber.Ctx) error {
+	s.Silence()
+	return c.SendStatus(http.StatusNoContent)
+}
+
 func (s *Server) getCounters(c *fiber.Ctx) error {
 	return c.JSON(s.Counters())
 }
