--- a/internal/pool/ledger.go
+++ b/internal/pool/ledger.go
@@ -13,6 +13,10 @@
 	if !a.firstSeen {
 		a.endpoint.pending += a.uncached
 	}
+	s.running[a.request.Rank]++
+	if a.request.Fingerprint != 0 {
+		s.bodies.get(a.request.Fingerprint).inFlight++
+	}
 	s.teams.get(a.request.Team).inFlight++
 }
 
@@ -23,9 +27,18 @@
 	}
 	a.holds = false
 	a.endpoint.inFlight--
+	a.endpoint.changed = true
 	if !a.firstSeen {
 		a.endpoint.pending -= a.uncached
 	}
+	s.running[a.request.Rank]--
+	if a.request.Fingerprint != 0 {
+		s.bodies.get(a.request.Fingerprint).inFlight--
+		s.bodyEnded(a.request.Fingerprint)
+	}
+	if s.isolation.attempt == a {
+		s.isolation.release()
+	}
 	s.teams.get(a.request.Team).inFlight--
 }
 
@@ -53,6 +66,8 @@
 	s.blocks.Store(e.number, r.Prefix)
 	s.attempts.put(a)
 	s.hold(a)
+	s.meter.grant(r.cost)
+	s.totalFree--
 	r.phase, r.attempt = phaseGranted, a
 	expires := s.now + GrantLifetime
 	s.timers.set(&a.timer, expires+GrantMargin, func() { s.lapse(a) })
@@ -62,6 +77,7 @@
 		Endpoint: e.Name,
 		Attempt:  a.id,
 		Expires:  expires,
+		Isolated: p.isolated,
 		Why:      p.reason,
 	})
 }
--- a/internal/system/claim/claim.go
+++ b/internal/system/claim/claim.go
@@ -44,7 +44,7 @@
 	// Liveness looks the holder of a claim up in the membership's tables.
 	Liveness func(host ident.Host, incarnation uint64) Liveness
 	// Retention is how long after its creation a timed key can be sent again,
-	// and its claim is kept.
+	// and its claim is kept; 0: DefaultRetention.
 	Retention time.Duration
 	// OpaqueRetention is how long the claim of another key is kept; 0: for
 	// ever. A resend after that runs again.
@@ -74,7 +74,8 @@
 type Request struct {
 	ID   ident.Request
 	Team ident.Team
-	// Key is the caller's idempotency key; keys of different teams differ.
+	// Key is the caller's idempotency key as it was sent, without the team. A
+	// version 7 UUID is known by its form.
 	Key string
 	// Fingerprint is the hash of the body.
 	Fingerprint uint64
@@ -100,6 +101,8 @@
 	// held holds the claims of this host's requests by request and by row.
 	held    map[ident.Request]*held
 	heldRow map[string]*held
+	// storing holds those of held whose answer the table lacks.
+	storing map[ident.Request]*held
 	// unstored is the size in bytes of the answers that the table lacks.
 	unstored int
 	// discards holds the claims that are to be removed, by nonce.
@@ -117,12 +120,16 @@
 
 // New returns a System without claims.
 func New(cfg Config) *System {
+	if cfg.Retention == 0 {
+		cfg.Retention = DefaultRetention
+	}
 	return &System{
 		cfg:      cfg,
 		calls:    map[uint64]caller{},
 		ops:      map[ident.Request]*op{},
 		held:     map[ident.Request]*held{},
 		heldRow:  map[string]*held{},
+		storing:  map[ident.Request]*held{},
 		discards: map[string]*discard{},
 	}
 }
@@ -152,8 +159,8 @@
 	for _, id := range sortedKeys(s.ops) {
 		s.ops[id].tick(s, now, out)
 	}
-	for _, id := range sortedKeys(s.held) {
-		s.held[id].tick(s, now, out)
+	for _, id := range sortedKeys(s.storing) {
+		s.storing[id].tick(s, now, out)
 	}
 	for _, nonce := range sortedKeys(s.discards) {
 		s.discards[nonce].tick(s, now, out)
@@ -171,7 +178,7 @@
 		wake.add(o.deadline)
 		wake.addTimer(o.timer)
 	}
-	for _, h := range s.held {
+	for _, h := range s.storing {
 		wake.addTimer(h.timer)
 	}
 	for _, d := range s.discards {
@@ -183,13 +190,7 @@
 // Pending returns how many answers and removals the table has yet to take. A
 // planned stop waits until it is 0.
 func (s *System) Pending() int {
-	n := len(s.discards)
-	for _, h := range s.held {
-		if h.answer != nil {
-			n++
-		}
-	}
-	return n
+	return len(s.discards) + len(s.storing)
 }
 
 // call sends a call on behalf of c and returns its token.
--- a/internal/system/order/order.go
+++ b/internal/system/order/order.go
@@ -46,6 +46,8 @@
 	mine      bool
 	orders    map[string]resource.Order
 	endpoints map[ident.Endpoint]*endpoint
+	// names holds the keys of endpoints in order.
+	names     []ident.Endpoint
 	nextToken uint64
 	// effects finds the endpoint that an effect was for.
 	effects map[uint64]*endpoint
@@ -101,6 +103,7 @@
 		}
 		e.configure(snapshot.Endpoints[string(name)], lists[name])
 	}
+	s.names = sortedKeys(s.endpoints)
 }
 
 // Own says whether this host is the one to send the failure domain's orders.
@@ -110,16 +113,20 @@
 
 // Tick goes on with every endpoint that something is due for.
 func (s *System) Tick(now time.Duration, out *system.Outbox) {
-	for _, name := range sortedKeys(s.endpoints) {
+	done := 0
+	for _, name := range s.names {
 		e := s.endpoints[name]
 		if len(e.orders) == 0 && e.unsettled == nil && !e.busy {
 			delete(s.endpoints, name)
+			done++
 			continue
 		}
 		e.step(s, now)
 	}
-	s.wantLease(now, out)
-	s.lease.Tick(now, out)
+	if done > 0 {
+		s.names = sortedKeys(s.endpoints)
+	}
+	s.tickLease(now, out)
 }
 
 // Reply brings the result of a platform call.
@@ -136,7 +143,8 @@
 	}
 	delete(s.effects, e.event())
 	target.event(s, now, e)
-	s.Tick(now, out)
+	target.step(s, now)
+	s.tickLease(now, out)
 }
 
 // Take returns the effects since the last Take, in order.
@@ -159,10 +167,10 @@
 	return wake, set
 }
 
-// wantLease holds the lease while there are orders to send, and gives it up
+// tickLease holds the lease while there are orders to send, and gives it up
 // when nothing that was sent can have an effect any more. At rest there is no
 // lease and no write.
-func (s *System) wantLease(now time.Duration, out *system.Outbox) {
+func (s *System) tickLease(now time.Duration, out *system.Outbox) {
 	work, quiet := false, true
 	for _, e := range s.endpoints {
 		work = work || e.wantsLease()
@@ -174,6 +182,7 @@
 	if !want && held && now >= grant.Quiet {
 		s.lease.Yield(now, out)
 	}
+	s.lease.Tick(now, out)
 }
 
 // emit puts an effect for an endpoint into the outbox. The function builds it
