--- a/internal/pool/ledger.go
+++ b/internal/pool/ledger.go
@@ -61,6 +61,7 @@
 		cached:   p.cached,
 		uncached: max(0, r.PromptTokens-p.cached),
 		others:   e.inFlight,
+		expected: p.estimate.total,
 	}
 	a.ahead = e.pending + a.uncached
 	s.blocks.Store(e.number, r.Prefix)
@@ -68,6 +69,9 @@
 	s.hold(a)
 	s.meter.grant(r.cost)
 	s.totalFree--
+	if s.longPrefill(a.uncached) {
+		s.longPrefills++
+	}
 	r.phase, r.attempt = phaseGranted, a
 	expires := s.now + GrantLifetime
 	s.timers.set(&a.timer, expires+GrantMargin, func() { s.lapse(a) })
--- a/internal/pool/scheduler.go
+++ b/internal/pool/scheduler.go
@@ -32,6 +32,7 @@
 	queue     *queue
 	timers    *timers
 	lengths   *speed.Lengths
+	surprise  speed.Surprise
 	blocks    *blocks.Index
 	meter     meter
 	suspects  *suspectTable
@@ -49,6 +50,9 @@
 	// totalSlots and totalFree sum the slots of the endpoints that take work,
 	// and those that are free, as of the start of the step and its grants.
 	totalSlots, totalFree int
+	// working is the number of those endpoints, and longPrefills the number
+	// among them that have long prompts to prefill.
+	working, longPrefills int
 	// scratch is the candidate that is looked at.
 	scratch candidate
 	// matched is scratch space of matchPrefix.
@@ -70,6 +74,7 @@
 		attempts:    newAttemptTable(),
 		timers:      &timers{},
 		lengths:     speed.NewLengths(),
+		surprise:    speed.NewSurprise(),
 		blocks:      blocks.NewIndex(),
 		meter:       newMeter(),
 		suspects:    newSuspectTable(),
