Give urgent requests a chance while there is room; mend stale fresh rows

Cause: at 0.7 times the capacity the middle tier lost 7 % to requests that had waited for their prefix until the caution forbade every endpoint, beside free ones. Ruled out: too few slots (a fast endpoint had 4 of 16 in use). A fault met on the way: a request that arrived and was withdrawn in one step stayed in the list of new ones and was granted, which ended in a panic; a waiting row that is taken out now says so, and a test brings both events in one step (it panics without the change). Change: a request becomes urgent when the time left is its cautious estimate; while the pool has room to spare it then takes any endpoint that can be expected to answer in time.

--- a/internal/pool/hopeless.go
+++ b/internal/pool/hopeless.go
@@ -10,14 +10,41 @@
 // be answered in time.
 const recheck = 50 * time.Millisecond
 
-// watch sets the time at which a waiting request can't be answered in time any
-// more, as far as is known now.
+// watch sets the time at which a waiting request becomes urgent, or if it is,
+// the time at which it can't be answered in time any more, as far as is known
+// now.
 func (s *Scheduler) watch(r *request) {
-	at := r.Deadline
-	if total, ok := s.busy(r); ok {
-		at = min(at, r.Deadline-total)
+	total, ok := s.busy(r)
+	if !ok {
+		s.timers.set(&r.timer, r.Deadline, func() { s.hopeless(r) })
+		return
 	}
-	s.timers.set(&r.timer, max(at, s.now+recheck), func() { s.hopeless(r) })
+	cautious := time.Duration(float64(total) * s.surprise.Factor())
+	if !r.urgent && s.now < r.Deadline-cautious {
+		s.timers.set(&r.timer, r.Deadline-cautious, func() { s.urge(r) })
+		return
+	}
+	r.urgent = true
+	s.timers.set(&r.timer, max(r.Deadline-total, r.recheck), func() { s.hopeless(r) })
+}
+
+// sparePart is the free part of the pool's slots from which on it has room to
+// spare, if no more requests wait than it has endpoints.
+const sparePart = 0.25
+
+// spare says whether the pool has room to spare, so that a prefill which may be
+// in vain takes nothing from others.
+func (s *Scheduler) spare() bool {
+	return s.queue.size() <= s.working && float64(s.totalFree) >= sparePart*float64(s.totalSlots)
+}
+
+// urge makes a request urgent: while the pool has room to spare it takes any
+// endpoint that can be expected to answer in time, with no caution left and no
+// wait for its prefix.
+func (s *Scheduler) urge(r *request) {
+	r.urgent = true
+	s.fresh = append(s.fresh, r)
+	s.watch(r)
 }
 
 // hopeless refuses a waiting request that no endpoint can answer in time any
@@ -26,6 +53,7 @@
 func (s *Scheduler) hopeless(r *request) {
 	total, ok := s.busy(r)
 	if ok && s.now+total < r.Deadline {
+		r.recheck = s.now + recheck
 		s.watch(r)
 		return
 	}
--- a/internal/pool/intake.go
+++ b/internal/pool/intake.go
@@ -96,6 +96,7 @@
 	}
 	s.timers.stop(&r.timer)
 	s.timers.stop(&r.holdTimer)
+	r.phase = phaseGone
 }
 
 // cancel withdraws a request. What is granted keeps its slot until the
--- a/internal/pool/place.go
+++ b/internal/pool/place.go
@@ -184,7 +184,10 @@
 
 func (deadlineFilter) filter(s *Scheduler, r *request, c *candidate) string {
 	stake := min(1, float64(r.PromptTokens-c.cached)/surePrefill)
-	if r.Rank == 0 {
+	switch {
+	case r.urgent && s.spare():
+		stake = 0
+	case r.Rank == 0:
 		stake *= topStake
 	}
 	margin := stake * float64(c.estimate.cautious-c.estimate.total)
--- a/internal/pool/scheduler_test.go
+++ b/internal/pool/scheduler_test.go
@@ -104,6 +104,14 @@
 	g.Expect(out[0].ID).To(Equal(late.ID))
 }
 
+func TestCanceledInTheStepOfItsArrival(t *testing.T) {
+	g := NewWithT(t)
+	s := newTestScheduler(testEndpoint("e", 1))
+	out := s.Step(0, []Event{Arrive{testRequest("r", 0)}, Cancel{ID: "r"}})
+	g.Expect(out).To(BeEmpty())
+	g.Expect(s.endpoints.rows[0].inFlight).To(BeZero())
+}
+
 func TestUnknownAttemptsAreTolerated(t *testing.T) {
 	g := NewWithT(t)
 	s := newTestScheduler(testEndpoint("e", 1))
--- a/internal/pool/table.go
+++ b/internal/pool/table.go
@@ -35,6 +35,8 @@
 	phaseIsolated
 	phaseGranted
 	phaseRunning
+	// phaseGone has been taken out from where it waited.
+	phaseGone
 )
 
 // request is the row of a request that waits or has an unsettled attempt.
@@ -53,6 +55,10 @@
 	// best is the most prompt tokens cached at any endpoint when the request
 	// was queued.
 	best int
+	// recheck is the earliest time at which it may be found hopeless.
+	recheck time.Duration
+	// urgent says that there is no time left for caution.
+	urgent bool
 	// heldUntil ends the wait for the endpoint with the prefix; 0: no wait yet.
 	heldUntil time.Duration
 	holdTimer timer
