--- a/internal/control/promise_test.go
+++ b/internal/control/promise_test.go
@@ -176,7 +176,7 @@
 	w.runUntil(w.now + giveUp)
 	for _, r := range sent {
 		if r.code != result.OK {
-			rt.Fatalf("after all failures %s was answered %s, target %s", r.arrival.ID, r.code, r.arrival.Target)
+			rt.Fatalf("after all failures %s was answered %s %s\n%s", r.arrival.ID, r.code, r.arrival.Target, w.dump(""))
 		}
 	}
 }
--- a/internal/pool/intake.go
+++ b/internal/pool/intake.go
@@ -94,9 +94,9 @@
 	default:
 		return
 	}
-	r.phase = phaseOut
 	s.timers.stop(&r.timer)
 	s.timers.stop(&r.holdTimer)
+	r.phase = phaseGone
 }
 
 // cancel withdraws a request. What is granted keeps its slot until the
