Tell a custodian's incarnations apart; ask custodians that fall silent

Cause:: a host was killed and replaced under its name within 12 ms while a request of it ran. The pool's scheduler kept the request in its ledger for ever, and others with the same body waited for it until their deadline. Ruled out: learned speeds (the status showed none out of range). Change: the scheduler keeps custodians by incarnation; a later one means that the earlier is lost, and its clock offset is not carried over (it would have made grants last too long on the new clock). A lost custodian's request no longer holds back others with its body. A custodian of whose dispatched request nothing was heard for 6 s is asked for what it holds.

--- a/internal/control/promise_test.go
+++ b/internal/control/promise_test.go
@@ -176,7 +176,8 @@
 	w.runUntil(w.now + giveUp)
 	for _, r := range sent {
 		if r.code != result.OK {
-			rt.Fatalf("after all failures %s was answered %s %s\n%s", r.arrival.ID, r.code, r.arrival.Target, w.dump(""))
+			rt.Fatalf("after all failures %s to %s was answered %s: %s",
+				r.arrival.ID, r.arrival.Target, r.code, r.body)
 		}
 	}
 }
--- a/internal/control/route.go
+++ b/internal/control/route.go
@@ -9,6 +9,7 @@
 	"github.com/trefoilchute/trefoilchute/internal/system"
 	"github.com/trefoilchute/trefoilchute/internal/system/claim"
 	"github.com/trefoilchute/trefoilchute/internal/system/custody"
+	"github.com/trefoilchute/trefoilchute/internal/system/scheduling"
 )
 
 // receive gives a message to the systems it concerns.
@@ -34,7 +35,7 @@
 	case *peerpb.Envelope_Join, *peerpb.Envelope_Part:
 		c.effect.Relays = append(c.effect.Relays, m)
 	default:
-		c.scheduling.Receive(c.now, from.Host, m, &c.out)
+		c.scheduling.Receive(c.now, scheduling.Process(from), m, &c.out)
 	}
 }
 
--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -59,6 +59,12 @@
 	return list
 }
 
+// Incarnation returns the latest incarnation of a host.
+func (v schedulingView) Incarnation(h ident.Host) uint64 {
+	m, _ := v.core.members.Member(h)
+	return m.Incarnation
+}
+
 // Domains lists the domains with an active endpoint of the target.
 func (v schedulingView) Domains(target string) []ident.Domain {
 	return v.core.domains(target)
--- a/internal/control/world_test.go
+++ b/internal/control/world_test.go
@@ -244,7 +244,7 @@
 			w.run(host, d)
 		}
 	case custody.Refuse:
-		w.final(d.ID, d.Verdict.Code, "")
+		w.final(d.ID, d.Verdict.Code, d.Verdict.Reason)
 	case custody.CancelRun:
 		w.post(host, Ended{ID: d.ID, End: custody.End{Phase: peerpb.Report_PHASE_CANCELED}}, linkDelay)
 	}
--- a/internal/pool/intake.go
+++ b/internal/pool/intake.go
@@ -222,7 +222,8 @@
 }
 
 // hostLost drops what waits for a dead custodian. Its running requests keep
-// their slots until their deadline, since nobody will report their end.
+// their slots until their deadline, since nobody will report their end; others
+// with the same body need not wait for that.
 func (s *Scheduler) hostLost(h ident.Host) {
 	var lost []*request
 	for _, r := range s.requests {
@@ -242,6 +243,7 @@
 		return
 	}
 	a := r.attempt
+	s.releaseBody(a)
 	s.timers.set(&a.timer, max(s.now, r.Deadline), func() {
 		s.settle(a)
 		delete(s.requests, r.ID)
--- a/internal/pool/ledger.go
+++ b/internal/pool/ledger.go
@@ -14,10 +14,25 @@
 		a.endpoint.pending += a.uncached
 	}
 	s.running[a.request.Rank]++
-	if a.request.Fingerprint != 0 {
+	s.holdBody(a)
+	s.teams.get(a.request.Team).inFlight++
+}
+
+// holdBody counts an attempt as in flight with its body.
+func (s *Scheduler) holdBody(a *attempt) {
+	if a.request.Fingerprint != 0 && !a.holdsBody {
+		a.holdsBody = true
 		s.bodies.get(a.request.Fingerprint).inFlight++
 	}
-	s.teams.get(a.request.Team).inFlight++
+}
+
+// releaseBody lets those go on that wait for an attempt's body.
+func (s *Scheduler) releaseBody(a *attempt) {
+	if a.holdsBody {
+		a.holdsBody = false
+		s.bodies.get(a.request.Fingerprint).inFlight--
+		s.bodyEnded(a.request.Fingerprint)
+	}
 }
 
 // release takes an attempt out of the in-flight numbers.
@@ -32,10 +47,7 @@
 		a.endpoint.pending -= a.uncached
 	}
 	s.running[a.request.Rank]--
-	if a.request.Fingerprint != 0 {
-		s.bodies.get(a.request.Fingerprint).inFlight--
-		s.bodyEnded(a.request.Fingerprint)
-	}
+	s.releaseBody(a)
 	if s.isolation.attempt == a {
 		s.isolation.release()
 	}
--- a/internal/pool/table.go
+++ b/internal/pool/table.go
@@ -95,6 +95,8 @@
 	blamed bool
 	// holds says that the attempt counts in its endpoint's in-flight number.
 	holds bool
+	// holdsBody says that it counts as in flight with its body.
+	holdsBody bool
 	// void says that the grant's lifetime is over without a report.
 	void  bool
 	timer timer
--- a/internal/system/scheduling/instance.go
+++ b/internal/system/scheduling/instance.go
@@ -22,6 +22,17 @@
 	heard time.Duration
 }
 
+// custodian is a process that holds requests of the pool.
+type custodian struct {
+	incarnation uint64
+	// offset turns this host's clock into the custodian's: the largest of
+	// (custodian's reading - own clock at receipt), which is too small by the
+	// shortest network delay seen.
+	offset time.Duration
+	// askedAt is when the custodian was last asked for what it holds.
+	askedAt time.Duration
+}
+
 // instance is one pool scheduled here.
 type instance struct {
 	pool ident.Pool
@@ -36,10 +47,8 @@
 	// pending holds the events for the next step.
 	pending []pool.Event
 	running map[runningKey]runningRow
-	// offsets turns this host's clock into a custodian's: the largest of
-	// (custodian's reading - own clock at receipt), which is too small by the
-	// shortest network delay seen.
-	offsets map[ident.Host]time.Duration
+	// custodians holds the processes that were heard of, by host.
+	custodians map[ident.Host]custodian
 	// movedAt is when the pool went to another host; 0 while it is here.
 	movedAt time.Duration
 }
@@ -47,11 +56,11 @@
 // newInstance returns a pool in warm-up.
 func newInstance(now time.Duration, p ident.Pool, hosts []ident.Host) *instance {
 	in := &instance{
-		pool:      p,
-		warmUntil: now + warmUpLimit,
-		awaited:   map[ident.Host]bool{},
-		running:   map[runningKey]runningRow{},
-		offsets:   map[ident.Host]time.Duration{},
+		pool:       p,
+		warmUntil:  now + warmUpLimit,
+		awaited:    map[ident.Host]bool{},
+		running:    map[runningKey]runningRow{},
+		custodians: map[ident.Host]custodian{},
 	}
 	for _, h := range hosts {
 		in.awaited[h] = true
@@ -84,13 +93,13 @@
 
 // hosts lists the custodians heard of.
 func (in *instance) hosts() []ident.Host {
-	return slices.Sorted(maps.Keys(in.offsets))
+	return slices.Sorted(maps.Keys(in.custodians))
 }
 
-// forgetHost drops what is known of a dead custodian.
-func (in *instance) forgetHost(h ident.Host) {
-	delete(in.offsets, h)
-	delete(in.awaited, h)
+// loseHost drops what is known of a dead custodian.
+func (in *instance) loseHost(h ident.Host) {
+	in.queue(pool.HostLost{Host: h})
+	delete(in.custodians, h)
 	for key, row := range in.running {
 		if row.host == h {
 			delete(in.running, key)
@@ -98,12 +107,25 @@
 	}
 }
 
-// readClock takes a custodian's clock reading.
-func (in *instance) readClock(now time.Duration, h ident.Host, clockMicros int64) {
+// hear takes the clock reading of a custodian's message. The first message of a
+// later incarnation says that the earlier one is dead. It returns false for a
+// message of an earlier incarnation, which is to be ignored.
+func (in *instance) hear(now time.Duration, from Process, clockMicros int64) bool {
+	c, known := in.custodians[from.Host]
+	if known && from.Incarnation < c.incarnation {
+		return false
+	}
 	offset := time.Duration(clockMicros)*time.Microsecond - now
-	if old, ok := in.offsets[h]; !ok || offset > old {
-		in.offsets[h] = offset
+	if known && from.Incarnation > c.incarnation {
+		in.loseHost(from.Host)
+		known = false
 	}
+	if !known || offset > c.offset {
+		in.custodians[from.Host] = custodian{
+			incarnation: from.Incarnation, offset: offset, askedAt: c.askedAt,
+		}
+	}
+	return true
 }
 
 // noteRunning records that a dispatched request was heard of.
@@ -111,6 +133,26 @@
 	in.running[key] = runningRow{host: h, heard: now}
 }
 
+// silentHosts lists the custodians of dispatched requests that were not heard of
+// for longer than their regular word takes. Each is listed again only after the
+// same time.
+func (in *instance) silentHosts(now time.Duration) []ident.Host {
+	var silent []ident.Host
+	for _, row := range in.running {
+		c := in.custodians[row.host]
+		if now-row.heard > silentLimit && now-c.askedAt > silentLimit && !slices.Contains(silent, row.host) {
+			silent = append(silent, row.host)
+		}
+	}
+	slices.Sort(silent)
+	for _, h := range silent {
+		c := in.custodians[h]
+		c.askedAt = now
+		in.custodians[h] = c
+	}
+	return silent
+}
+
 // missing returns, in order, the dispatched requests of a host that its
 // complete list doesn't name and that were last heard of too long ago for
 // their report to be under way.
--- a/internal/system/scheduling/receive.go
+++ b/internal/system/scheduling/receive.go
@@ -13,7 +13,7 @@
 
 // Receive takes one message of a custodian. Messages that aren't for a pool
 // scheduler are ignored.
-func (s *System) Receive(now time.Duration, from ident.Host, m *peerpb.Envelope, out *system.Outbox) {
+func (s *System) Receive(now time.Duration, from Process, m *peerpb.Envelope, out *system.Outbox) {
 	switch body := m.GetBody().(type) {
 	case *peerpb.Envelope_Submit:
 		s.submit(now, from, body.Submit, out)
@@ -32,15 +32,17 @@
 
 // submit queues a request. Hosts may disagree for a moment on who schedules a
 // pool; whoever is asked serves, since only custodians dispatch.
-func (s *System) submit(now time.Duration, from ident.Host, m *peerpb.Submit, out *system.Outbox) {
+func (s *System) submit(now time.Duration, from Process, m *peerpb.Submit, out *system.Outbox) {
 	p := ident.Pool{Target: m.GetTarget(), Domain: ident.Domain(m.GetDomain())}
 	if s.snapshot == nil || p.Domain != s.cfg.Domain {
 		return
 	}
 	in := s.supersede(now, s.own(now, p, out), m.GetEpoch(), out)
-	in.readClock(now, from, m.GetClockUs())
-	in.queue(pool.Arrive{Request: request(now, from, m)})
-	s.accept(from, m, in, out)
+	if !in.hear(now, from, m.GetClockUs()) {
+		return
+	}
+	in.queue(pool.Arrive{Request: request(now, from.Host, m)})
+	s.accept(from.Host, m, in, out)
 	s.step(now, in, out)
 }
 
@@ -74,20 +76,22 @@
 }
 
 // report takes what became of a grant.
-func (s *System) report(now time.Duration, from ident.Host, m *peerpb.Report, out *system.Outbox) {
+func (s *System) report(now time.Duration, from Process, m *peerpb.Report, out *system.Outbox) {
 	in := s.instances[ident.Pool{Target: m.GetTarget(), Domain: ident.Domain(m.GetDomain())}]
 	if in == nil {
 		return
 	}
 	in = s.supersede(now, in, m.GetEpoch(), out)
-	in.readClock(now, from, m.GetClockUs())
+	if !in.hear(now, from, m.GetClockUs()) {
+		return
+	}
 	key := runningKey{ident.Request(m.GetRequest()), ident.Attempt(m.GetAttempt())}
 	switch m.GetPhase() {
 	case peerpb.Report_PHASE_STARTED:
-		in.noteRunning(now, from, key)
+		in.noteRunning(now, from.Host, key)
 		in.queue(pool.Started{ID: key.request, Attempt: key.attempt})
 	case peerpb.Report_PHASE_FIRST_TOKEN:
-		in.noteRunning(now, from, key)
+		in.noteRunning(now, from.Host, key)
 		in.queue(pool.FirstToken{
 			ID: key.request, Attempt: key.attempt, After: micros(m.GetFirstTokenUs()),
 		})
@@ -127,35 +131,37 @@
 
 // holdings takes what a host holds: the answer to a take-over, or the regular
 // word on what runs, which mends a ledger after lost reports.
-func (s *System) holdings(now time.Duration, from ident.Host, m *peerpb.Holdings, out *system.Outbox) {
+func (s *System) holdings(now time.Duration, from Process, m *peerpb.Holdings, out *system.Outbox) {
 	in := s.instances[ident.Pool{Target: m.GetTarget(), Domain: ident.Domain(m.GetDomain())}]
 	if in == nil {
 		return
 	}
 	in = s.supersede(now, in, m.GetEpoch(), out)
-	in.readClock(now, from, m.GetClockUs())
-	restore := pool.Restore{Host: from}
+	if !in.hear(now, from, m.GetClockUs()) {
+		return
+	}
+	restore := pool.Restore{Host: from.Host}
 	listed := map[runningKey]bool{}
 	for _, r := range m.GetRunning() {
 		key := runningKey{ident.Request(r.GetRequest().GetRequest()), ident.Attempt(r.GetAttempt())}
 		listed[key] = true
-		in.noteRunning(now, from, key)
+		in.noteRunning(now, from.Host, key)
 		restore.Running = append(restore.Running, pool.Running{
-			Request: request(now, from, r.GetRequest()), Endpoint: ident.Endpoint(r.GetEndpoint()),
+			Request: request(now, from.Host, r.GetRequest()), Endpoint: ident.Endpoint(r.GetEndpoint()),
 			Attempt: key.attempt, Age: micros(r.GetAgeUs()),
 		})
 	}
 	for _, w := range m.GetWaiting() {
-		restore.Waiting = append(restore.Waiting, request(now, from, w))
-		s.accept(from, w, in, out)
+		restore.Waiting = append(restore.Waiting, request(now, from.Host, w))
+		s.accept(from.Host, w, in, out)
 	}
 	in.queue(restore)
-	for _, key := range in.missing(now, from, listed) {
+	for _, key := range in.missing(now, from.Host, listed) {
 		delete(in.running, key)
 		in.queue(pool.Finished{ID: key.request, Attempt: key.attempt, Outcome: pool.OutcomeCanceled})
 	}
 	if m.GetTakeOver() {
-		delete(in.awaited, from)
+		delete(in.awaited, from.Host)
 	}
 	s.learnSuspects(now, m.GetSuspects(), out)
 	s.step(now, in, out)
--- a/internal/system/scheduling/scheduling.go
+++ b/internal/system/scheduling/scheduling.go
@@ -27,16 +27,27 @@
 	// custodian's holdings before its slot is freed; it covers messages under
 	// way.
 	missingGrace = 3 * time.Second
+	// silentLimit is how long a dispatched request may go without a word of its
+	// custodian before that is asked: its last report may be lost.
+	silentLimit = 2 * missingGrace
 	// statusInterval is the time between two words to other domains.
 	statusInterval = 500 * time.Millisecond
 )
 
+// Process is one run of a host's process.
+type Process struct {
+	Host        ident.Host
+	Incarnation uint64
+}
+
 // View is what scheduling needs to know of the membership.
 type View interface {
 	// Scheduler returns the host that schedules a pool now.
 	Scheduler(pool ident.Pool) (ident.Host, bool)
 	// Alive lists the live hosts, leaving ones included: they may hold requests.
 	Alive() []ident.Host
+	// Incarnation returns the latest incarnation of a host.
+	Incarnation(ident.Host) uint64
 	// Domains lists the failure domains with an active endpoint of the target.
 	Domains(target string) []ident.Domain
 }
@@ -169,12 +180,17 @@
 func (s *System) takeOver(now time.Duration, p ident.Pool, out *system.Outbox) *instance {
 	in := newInstance(now, p, s.cfg.View.Alive())
 	s.instances[p] = in
-	for _, h := range in.awaitedHosts() {
+	ask(p, in.awaitedHosts(), out)
+	return in
+}
+
+// ask asks hosts for what they hold of a pool.
+func ask(p ident.Pool, hosts []ident.Host, out *system.Outbox) {
+	for _, h := range hosts {
 		out.Send(h, peerpb.Wrap(&peerpb.Envelope_TakeOver{TakeOver: &peerpb.TakeOver{
 			Target: p.Target, Domain: string(p.Domain),
 		}}))
 	}
-	return in
 }
 
 // reviewHosts drops what dead hosts had, and the pool itself some time after it
@@ -182,9 +198,10 @@
 func (s *System) reviewHosts(now time.Duration, in *instance, out *system.Outbox) {
 	alive := s.cfg.View.Alive()
 	for _, h := range in.hosts() {
-		if !slices.Contains(alive, h) {
-			in.forgetHost(h)
-			in.queue(pool.HostLost{Host: h})
+		restarted := s.cfg.View.Incarnation(h) > in.custodians[h].incarnation
+		if restarted || !slices.Contains(alive, h) {
+			delete(in.awaited, h)
+			in.loseHost(h)
 		}
 	}
 	s.step(now, in, out)
@@ -220,6 +237,7 @@
 			delete(s.instances, p)
 			continue
 		}
+		ask(p, in.silentHosts(now), out)
 		s.step(now, in, out)
 	}
 	if now >= s.statusAt {
--- a/internal/system/scheduling/step.go
+++ b/internal/system/scheduling/step.go
@@ -79,7 +79,7 @@
 	return &peerpb.Grant{
 		Request: string(e.ID), Target: in.pool.Target, Domain: string(in.pool.Domain),
 		Endpoint: string(e.Endpoint), Attempt: uint64(e.Attempt), Epoch: in.epoch,
-		ExpiresAtUs: (e.Expires + in.offsets[e.Host]).Microseconds(),
+		ExpiresAtUs: (e.Expires + in.custodians[e.Host].offset).Microseconds(),
 		Isolated:    e.Isolated, Why: e.Why,
 	}
 }
