--- a/internal/fleet/run.go
+++ b/internal/fleet/run.go
@@ -63,11 +63,10 @@
 
 // caller is the custodian's side of one request.
 type caller struct {
-	item    Item
-	work    *work
-	engine  *engine
-	done    bool
-	granted bool
+	item   Item
+	work   *work
+	engine *engine
+	done   bool
 }
 
 // planned is something that will happen.
@@ -112,7 +111,7 @@
 func (r *Run) plan() {
 	var end time.Duration
 	for _, item := range r.items {
-		end = max(end, item.Request.Deadline)
+		end = max(end, item.At)
 		r.at(item.At, func() { r.arrive(item) })
 	}
 	for _, name := range r.names {
--- a/internal/pool/learn.go
+++ b/internal/pool/learn.go
@@ -12,6 +12,7 @@
 		a.endpoint.pending -= a.uncached
 	}
 	a.firstSeen = true
+	a.endpoint.changed = true
 	if a.endpoint.Type == resource.EndpointService {
 		return
 	}
@@ -24,9 +25,13 @@
 func (s *Scheduler) learn(a *attempt, f Finished) {
 	e := a.endpoint
 	if f.Outcome == OutcomeLost {
+		s.crashed(e)
 		s.endpointFailed(e)
 		return
 	}
+	if f.Outcome == OutcomeWhole || s.now >= a.request.Deadline {
+		s.surprise.Saw(a.expected, f.Total, f.Outcome != OutcomeWhole)
+	}
 	others := float64(a.others+e.inFlight-1) / 2
 	if e.Type == resource.EndpointService {
 		e.speed.SawDecode(s.now, serviceTokens, f.Total, others)
@@ -39,6 +44,7 @@
 		return
 	}
 	e.failures = 0
+	s.bodies.prove(a.request.Fingerprint)
 	if e.Type == resource.EndpointEngine {
 		s.lengths.Saw(a.request.Team, a.request.MaxTokens, f.OutputTokens)
 	}
@@ -52,4 +58,5 @@
 	}
 	e.load.note(s.now, e.inFlight)
 	e.load.report(r)
+	e.changed = true
 }
--- a/internal/pool/place.go
+++ b/internal/pool/place.go
@@ -32,9 +32,9 @@
 
 // The plugins in the order in which they run.
 var (
-	filters   = []filter{prefillFilter{}, deadlineFilter{}}
+	filters   = []filter{topSlotFilter{}, prefillFilter{}, deadlineFilter{}}
 	scorers   = []scorer{finishScore{}, neighbourScore{}, prefixScore{}}
-	reservers = []reserver{longWorkReserve{}}
+	reservers = []reserver{longWorkReserve{}, longPrefillReserve{}}
 )
 
 // Reasons of filters and reservers.
@@ -42,6 +42,7 @@
 	reasonFull     = "every slot is in use"
 	reasonPrefill  = "too much is waiting for prefill there"
 	reasonTooLate  = "it would end after its deadline there"
+	reasonPrefills = "enough endpoints are busy with long prompts"
 	reasonReserved = "the last slots are kept from long work"
 	reasonHome     = "it waits for the endpoint that has its prefix cached"
 )
@@ -54,43 +55,46 @@
 	estimate estimate
 	// reason says why the endpoint was chosen, or why there is none.
 	reason string
+	// hold is how long the request may wait for its prefix instead.
+	hold time.Duration
+	// isolated says that the endpoint is the request's alone.
+	isolated bool
 	// room says that some endpoint had a free slot.
 	room bool
 }
 
-// place finds the endpoint with the least score.
-func (s *Scheduler) place(r *request) placement {
+// place finds the endpoint with the least score among some open ones.
+func (s *Scheduler) place(r *request, among []*endpoint) placement {
 	for _, p := range reservers {
 		if reason := p.reserve(s, r); reason != "" {
 			return placement{reason: reason, room: true}
 		}
 	}
-	s.matchPrefix(r)
-	best := s.bestCached(r)
+	s.matchAmong(r, among)
 	out := placement{reason: reasonFull}
 	var least time.Duration
-	for _, e := range s.open {
+	for _, e := range among {
 		if e.free() <= 0 {
 			continue
 		}
 		out.room = true
-		c := s.candidate(r, e, best)
-		if reason := rejected(s, r, &c); reason != "" {
+		c := s.candidate(r, e)
+		if reason := rejected(s, r, c); reason != "" {
 			if out.endpoint == nil {
 				out.reason = reason
 			}
 			continue
 		}
-		cost := totalScore(s, r, &c)
+		cost := totalScore(s, r, c)
 		if out.endpoint == nil || cost < least {
 			least = cost
 			out.endpoint, out.cached, out.estimate = e, c.cached, c.estimate
 		}
 	}
-	if s.holdForPrefix(r, &out, best) {
-		return placement{reason: reasonHome, room: true}
+	if hold := s.holdForPrefix(r, &out); hold > 0 {
+		return placement{reason: reasonHome, room: true, hold: hold}
 	}
-	out.explain(best)
+	out.explain(r.best)
 	return out
 }
 
@@ -119,14 +123,33 @@
 	return sum
 }
 
-func (s *Scheduler) candidate(r *request, e *endpoint, best int) candidate {
+// candidate fills the scratch candidate.
+func (s *Scheduler) candidate(r *request, e *endpoint) *candidate {
 	cached := s.cachedOn(r, e)
-	return candidate{
+	s.scratch = candidate{
 		endpoint: e,
 		cached:   cached,
-		best:     best,
+		best:     max(r.best, cached),
 		estimate: s.estimateOn(e, r, cached, e.inFlight, e.pending),
 	}
+	return &s.scratch
+}
+
+// topSlotFilter keeps a few slots of each endpoint for the highest tier: short
+// requests with a near deadline else wait for long ones to end.
+type topSlotFilter struct{}
+
+// slotsPerTopSlot is the number of slots of an endpoint for each one kept.
+const slotsPerTopSlot = 8
+
+func (topSlotFilter) filter(s *Scheduler, r *request, c *candidate) string {
+	if r.Rank == 0 || s.meter.arrivals[0] == 0 {
+		return ""
+	}
+	if c.endpoint.free() <= c.endpoint.slots()/slotsPerTopSlot {
+		return reasonReserved
+	}
+	return ""
 }
 
 // prefillFilter bounds what waits for prefill at an endpoint: engines take
@@ -154,10 +177,19 @@
 
 // surePrefill is the number of prompt tokens from which on the cautious
 // estimate is held against the deadline; below, a part of it.
-const surePrefill = 2000
+const surePrefill = 1000
+
+// topStake lowers that part for the highest tier, which is worth a try.
+const topStake = 0.25
 
 func (deadlineFilter) filter(s *Scheduler, r *request, c *candidate) string {
 	stake := min(1, float64(r.PromptTokens-c.cached)/surePrefill)
+	switch {
+	case r.urgent && s.spare():
+		stake = 0
+	case r.Rank == 0:
+		stake *= topStake
+	}
 	margin := stake * float64(c.estimate.cautious-c.estimate.total)
 	if s.now+c.estimate.total+time.Duration(margin) > r.Deadline {
 		return reasonTooLate
@@ -210,15 +242,32 @@
 	if r.Rank == 0 || r.cost < longWork {
 		return ""
 	}
-	slots, free := 0, 0
-	for _, e := range s.endpoints.rows {
-		if e.takesWork(s.now) {
-			slots += e.slots()
-			free += max(0, e.free())
-		}
-	}
-	if slots > 1 && float64(free) <= reservedPart*float64(slots) {
+	if s.totalSlots > 1 && float64(s.totalFree) <= reservedPart*float64(s.totalSlots) {
 		return reasonReserved
 	}
 	return ""
 }
+
+// longPrefillReserve keeps endpoints free of the long prompts of lower tiers,
+// behind which a high request would wait for its first token.
+type longPrefillReserve struct{}
+
+// longPrefillPart is the part of the pool's endpoints that may prefill long
+// prompts of lower tiers at once; one always may.
+const longPrefillPart = 0.5
+
+func (longPrefillReserve) reserve(s *Scheduler, r *request) string {
+	if r.Rank == 0 || !s.longPrefill(r.PromptTokens-r.best) {
+		return ""
+	}
+	if s.longPrefills >= max(1, int(longPrefillPart*float64(s.working))) {
+		return reasonPrefills
+	}
+	return ""
+}
+
+// longPrefill says whether the prefill of tokens takes longer than an
+// endpoint's prefill window, on average.
+func (s *Scheduler) longPrefill(tokens int) bool {
+	return time.Duration(tokens)*s.endpoints.average(s.now).prefill > prefillWindow
+}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -2,11 +2,15 @@
 
 import (
 	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
+	"github.com/pkg/errors"
+
+	"github.com/trefoilchute/trefoilchute/internal/inifile"
 )
 
 // TestPage holds docs/SETTINGS.md to the code.
@@ -32,6 +36,18 @@
 	}))
 }
 
+// TestSamples checks that each sample of settings is valid.
+func TestSamples(t *testing.T) {
+	files, err := filepath.Glob("../../samples/settings/*.ini")
+	if err != nil || len(files) == 0 {
+		t.Fatal("no samples", err)
+	}
+	for _, file := range files {
+		_, err := Read(file)
+		NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	}
+}
+
 func TestProblems(t *testing.T) {
 	cases := map[string]struct{ old, replacement, want string }{
 		"unknown section":   {"[admin]", "[boss]", "s.ini:8: [boss] expected one of the sections host, callers,"},
@@ -57,3 +73,22 @@
 		})
 	}
 }
+
+func FuzzSettings(f *testing.F) {
+	f.Add([]byte(markdownExample))
+	f.Add([]byte("[host]\nname = a.b\n[host.a]\ndomain = %(name)s"))
+	f.Add([]byte("[peer]\nseeds = 10.0.0.1:1, [::1]:2\n"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		entry, err := Parse("fuzz.ini", data)
+		if err != nil {
+			var problems inifile.Problems
+			if !errors.As(err, &problems) || len(problems) == 0 {
+				t.Fatalf("not a list of problems: %v", err)
+			}
+			return
+		}
+		if entry.Host == "" || entry.PeerSecret == "" || !inifile.ValidAddress(entry.PeerListen) || entry.DrainGrace <= 0 {
+			t.Fatalf("accepted: %+v", entry)
+		}
+	})
+}
