Record traces, report burn, tell conditions and orders in status

Change: the entry host writes a trace of its pool schedulers' steps where its settings ask for one; 'replay' compares the decisions. Burn buckets are counted and written; status shows the host's conditions, queues by team, learned speeds and orders. Sweeping claims moves to another host each hour. A pool's scheduler is stepped only for events or a due timer. A claim whose holder is dead gets the answer that the request may have run.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -51,9 +51,11 @@
 		watchCommand(),
 		drainCommand(),
 		explainCommand(),
+		reportCommand(),
 		settingsCommand(),
 		versionCommand(),
 		loadCommand(),
 		measureCommand(),
+		replayCommand(),
 	}
 }
--- a/internal/cli/entry.go
+++ b/internal/cli/entry.go
@@ -29,7 +29,7 @@
 func runEntry(ctx context.Context, c *cli.Command) error {
 	s, err := settings.Read(c.String("settings"))
 	if err != nil {
-		return err
+		return coded(err)
 	}
 	log, err := logs.New(c.Root().ErrWriter, s.LogLevel)
 	if err != nil {
--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -50,6 +50,7 @@
 
 	snapshot    *resource.Snapshot
 	viewVersion uint64
+	duties      duties
 	// paused says that the view of the hosts may be stale.
 	paused  bool
 	watched []resource.Endpoint
@@ -175,10 +176,11 @@
 func (c *Core) tick() {
 	c.members.Tick(c.now, &c.out)
 	c.configuration.Tick(c.now, &c.out)
-	c.claims.Sweep(c.now, c.wall, c.sweeps())
+	c.reviewDuties()
+	c.claims.Sweep(c.now, c.wall, c.duties.sweep)
 	c.claims.Tick(c.now, &c.out)
 	c.keys.Tick(c.now, &c.out)
-	c.orders.Own(c.sendsOrders())
+	c.orders.Own(c.duties.orders)
 	c.orders.Tick(c.now, &c.out)
 	c.custody.Tick(c.now, &c.out)
 	c.scheduling.Tick(c.now, &c.out)
--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"strconv"
 
 	"github.com/trefoilchute/trefoilchute/internal/ident"
 	"github.com/trefoilchute/trefoilchute/internal/rendezvous"
@@ -123,7 +124,9 @@
 	return addresses
 }
 
-// liveness tells the claims what is known of a claim's holder.
+// liveness tells the claims what is known of a claim's holder. A holder that is
+// only cut off may count as dead: all that follows is the answer that the request
+// may have run.
 func (c *Core) liveness(host ident.Host, incarnation uint64) claim.Liveness {
 	m, ok := c.members.Member(host)
 	switch {
@@ -132,7 +135,7 @@
 	case m.Incarnation > incarnation:
 		return claim.Dead
 	case m.State == membership.Dead:
-		return claim.Unreachable
+		return claim.Dead
 	default:
 		return claim.Alive
 	}
@@ -146,18 +149,35 @@
 	dutySweep = "sweep"
 )
 
-// sendsOrders reports whether this host is the one to send its domain's orders.
-func (c *Core) sendsOrders() bool {
-	return c.owns(dutyOrders, c.members.Alive(c.cfg.Domain))
+// hourMillis is an hour in milliseconds. Sweeping costs its host more than its
+// share of the network, so it goes to another host each hour.
+const hourMillis = 60 * 60 * 1000
+
+// duties are those of this host.
+type duties struct {
+	version uint64
+	hour    int64
+	paused  bool
+	orders  bool
+	sweep   bool
 }
 
-// sweeps reports whether this host is the one to remove old claims.
-func (c *Core) sweeps() bool {
-	var hosts []ident.Host
-	for _, d := range c.members.Domains() {
-		hosts = append(hosts, c.members.Alive(d)...)
+// reviewDuties finds the own duties anew when the hosts or the hour changed.
+func (c *Core) reviewDuties() {
+	hour := c.wall / hourMillis
+	d := &c.duties
+	if d.version == c.members.Version() && d.hour == hour && d.paused == c.paused {
+		return
+	}
+	var all []ident.Host
+	for _, domain := range c.members.Domains() {
+		all = append(all, c.members.Alive(domain)...)
+	}
+	*d = duties{
+		version: c.members.Version(), hour: hour, paused: c.paused,
+		orders: c.owns(dutyOrders, c.members.Alive(c.cfg.Domain)),
+		sweep:  c.owns(dutySweep+strconv.FormatInt(hour, 10), all),
 	}
-	return c.owns(dutySweep, hosts)
 }
 
 // owns reports whether a duty that one of the hosts has is this host's.
--- a/internal/dev/sample.go
+++ b/internal/dev/sample.go
@@ -24,6 +24,10 @@
 		item(resource.KindTier, "standard", resource.Tier{
 			Name: "standard", Rank: 1, Deadline: time.Minute, MaxQueued: 500,
 		}),
+		item(resource.KindObjective, "urgent", resource.Objective{
+			Name: "urgent", Tier: "urgent", Goodput: 0.99,
+			FirstToken: 380 * time.Millisecond, TokenGap: 45 * time.Millisecond,
+		}),
 		item(resource.KindTeam, "demo", resource.Team{
 			Name: "demo", Tier: "urgent", Weight: 1, KeySHA256: []string{keySum(Key)},
 		}),
--- a/internal/host/backend.go
+++ b/internal/host/backend.go
@@ -14,7 +14,9 @@
 	"github.com/trefoilchute/trefoilchute/internal/metrics"
 	"github.com/trefoilchute/trefoilchute/internal/pool"
 	"github.com/trefoilchute/trefoilchute/internal/resource"
+	"github.com/trefoilchute/trefoilchute/internal/system/configuration"
 	"github.com/trefoilchute/trefoilchute/internal/system/membership"
+	"github.com/trefoilchute/trefoilchute/internal/system/order"
 )
 
 // hostID is the name of an entry host; the package's own Host is its process.
@@ -44,21 +46,45 @@
 // Hosts returns the entry hosts that this one knows.
 func (b *backend) Hosts() []admin.HostStatus {
 	var members []membership.Member
-	b.inspect(func(c *control.Core) { members = c.Members() })
+	var facts admin.HostFacts
+	b.inspect(func(c *control.Core) {
+		members = c.Members()
+		facts = hostFacts(b.host.loop.Now(), c.Configuration())
+	})
+	facts.Stopping = b.host.stopping.Load()
 	list := make([]admin.HostStatus, 0, len(members))
 	for _, m := range members {
-		list = append(list, admin.HostStatus{
+		status := admin.HostStatus{
 			Host: m.Host, Domain: m.Domain, Address: m.Address, Incarnation: m.Incarnation,
 			State: admin.HostState(m.State.String()), Revision: m.Revision,
-		})
+		}
+		if m.Host == b.host.settings.Host {
+			status.Conditions = facts.Conditions()
+		}
+		list = append(list, status)
 	}
 	return list
 }
 
+// hostFacts returns what the conditions of this host follow from.
+func hostFacts(now time.Duration, c configuration.Status) admin.HostFacts {
+	facts := admin.HostFacts{
+		Revision: c.Revision, Source: c.Source, PlatformError: c.LastError, SincePlatform: -1,
+	}
+	if c.Contacted {
+		facts.SincePlatform = now - c.LastContact
+	}
+	return facts
+}
+
 // Pools returns every declared pool.
 func (b *backend) Pools() []admin.PoolStatus {
 	var pools []control.PoolStatus
-	b.inspect(func(c *control.Core) { pools = c.Pools() })
+	var orders []order.Condition
+	b.inspect(func(c *control.Core) {
+		pools = c.Pools()
+		orders = c.Orders()
+	})
 	snap := b.Snapshot()
 	list := make([]admin.PoolStatus, 0, len(pools))
 	for _, p := range pools {
@@ -67,7 +93,7 @@
 			Known: p.Detail != nil,
 		}
 		if p.Detail != nil {
-			addDetail(&status, p.Detail, snap)
+			addDetail(&status, p.Detail, snap, orders)
 		}
 		list = append(list, status)
 	}
@@ -75,29 +101,51 @@
 }
 
 // addDetail fills in what only the scheduler's host knows.
-func addDetail(status *admin.PoolStatus, detail *pool.Status, snap *resource.Snapshot) {
+func addDetail(status *admin.PoolStatus, detail *pool.Status, snap *resource.Snapshot, orders []order.Condition) {
 	status.Epoch = detail.Epoch
-	for _, t := range detail.Queue {
-		status.Queue = append(status.Queue, admin.QueueStatus{
-			Tier: tierName(snap, t.Rank), Waiting: t.Waiting,
-		})
+	for _, q := range detail.Queue {
+		tier := tierName(snap, q.Rank)
+		for _, t := range q.Teams {
+			status.Queue = append(status.Queue, admin.QueueStatus{
+				Tier: tier, Team: t.Team, Waiting: t.Queued,
+			})
+		}
 	}
-	for _, e := range detail.Endpoints {
-		status.Endpoints = append(status.Endpoints, endpointStatus(e, snap))
+	for i := range detail.Endpoints {
+		e := endpointStatus(&detail.Endpoints[i], snap)
+		e.Orders = ordersOf(e.Endpoint, snap, orders)
+		status.Endpoints = append(status.Endpoints, e)
 	}
 }
 
 // endpointStatus returns the operators' view of an endpoint.
-func endpointStatus(e pool.EndpointStatus, snap *resource.Snapshot) admin.EndpointStatus {
+func endpointStatus(e *pool.EndpointStatus, snap *resource.Snapshot) admin.EndpointStatus {
 	return admin.EndpointStatus{
 		Endpoint: e.Name, State: snap.Endpoints[string(e.Name)].State,
 		Window: e.Window, InFlight: e.InFlight,
+		PrefillRate: e.PrefillRate, DecodeRate: e.DecodeRate,
 		Conditions: []admin.Condition{{
 			Name: "TakesWork", Holds: e.Reason == "", Reason: e.Reason,
 		}},
 	}
 }
 
+// ordersOf returns the orders to an endpoint, as this host knows them.
+func ordersOf(name ident.Endpoint, snap *resource.Snapshot, orders []order.Condition) []admin.OrderStatus {
+	var list []admin.OrderStatus
+	for _, c := range orders {
+		if c.Endpoint != name {
+			continue
+		}
+		declared := snap.Orders[c.Order]
+		list = append(list, admin.OrderStatus{
+			Name: c.Order, Action: declared.Action, Value: declared.Value,
+			State: string(c.Status), Reason: strings.TrimSpace(string(c.Reason) + " " + c.Detail),
+		})
+	}
+	return list
+}
+
 // tierName returns the name of the tier with a rank.
 func tierName(snap *resource.Snapshot, rank int) ident.Tier {
 	for _, t := range snap.Tiers {
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -7,6 +7,7 @@
 	"encoding/binary"
 	"encoding/hex"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -23,6 +24,7 @@
 	"github.com/trefoilchute/trefoilchute/internal/peer"
 	"github.com/trefoilchute/trefoilchute/internal/peer/peerpb"
 	"github.com/trefoilchute/trefoilchute/internal/platform"
+	"github.com/trefoilchute/trefoilchute/internal/report"
 	"github.com/trefoilchute/trefoilchute/internal/resource"
 	"github.com/trefoilchute/trefoilchute/internal/settings"
 	"github.com/trefoilchute/trefoilchute/internal/traffic"
@@ -62,6 +64,9 @@
 	watcher *watcher.Watcher
 	orders  *ordering.Executor
 	metrics *metrics.Metrics
+	burn    *report.Collector
+	buckets *report.Writer
+	trace   *traceFile
 	book    *explain.Book
 	backend *backend
 
@@ -71,6 +76,8 @@
 	// life ends with the process's work; end ends it.
 	life context.Context
 	end  context.CancelFunc
+	// stopping says that a planned stop has begun.
+	stopping atomic.Bool
 	// assembled is closed when messages of other hosts can be taken.
 	assembled chan struct{}
 	// done is closed when Run has ended.
@@ -182,11 +189,18 @@
 		Runner: h.runner, Now: h.loop.Now, Observe: h.observe,
 		Metrics: h.metrics.Handler(),
 	})
+	if h.trace, err = openTrace(h.settings.Trace); err != nil {
+		return err
+	}
+	table, objects := h.metrics.Table(h.client), h.metrics.Objects(h.client)
+	h.burn = report.NewCollector(h.settings.Host, h.incarnation, time.Now())
+	h.buckets = report.NewWriter(h.burn, objects, h.log)
 	h.admin = admin.New(h.backend, admin.Options{
-		Store: resource.NewStore(h.client), Token: h.settings.AdminToken,
+		Store: resource.NewStore(table), Token: h.settings.AdminToken,
+		Reports: report.NewReader(h.burn, objects),
 	})
 	h.loop.Connect(control.Ports{
-		Table: h.metrics.Table(h.client), Objects: h.metrics.Objects(h.client), Send: h.send, SetPeers: h.peers.SetPeers,
+		Table: table, Objects: objects, Send: h.send, SetPeers: h.peers.SetPeers,
 		Traffic: h.runner, Configure: h.configure, Watch: h.watcher.Set, Record: h.record,
 		Order: h.orders.Do,
 	})
@@ -201,6 +215,7 @@
 // configure brings a configuration into force on the traffic side.
 func (h *Host) configure(snap *resource.Snapshot) {
 	h.backend.snapshot.Store(snap)
+	h.burn.Configure(snap)
 	h.entry.Configure(snap)
 	logs.With(h.log, logs.ConfigurationInForce).WithField("revision", snap.Revision).Info()
 }
@@ -211,6 +226,7 @@
 	defer h.end()
 	h.group.Go(func() { h.loop.Run(h.life) })
 	h.group.Go(func() { h.followHostList(h.life) })
+	h.group.Go(func() { h.buckets.Run(h.life) })
 	failed := make(chan error, 2)
 	h.group.Go(func() { failed <- h.entry.Serve(h.entryListener) })
 	h.group.Go(func() { failed <- h.admin.Serve(h.adminListener) })
@@ -229,6 +245,7 @@
 	h.peers.Close()
 	h.group.Wait()
 	h.client.Close()
+	h.trace.close()
 	logs.With(h.log, logs.Stopped).Info()
 	return err
 }
@@ -238,6 +255,7 @@
 func (h *Host) stop() {
 	logs.With(h.log, logs.Stopping).Info()
 	limit := time.Now().Add(h.settings.DrainGrace)
+	h.stopping.Store(true)
 	h.entry.Drain()
 	h.loop.Post(control.Leave{})
 	time.Sleep(min(balancerDelay, h.settings.DrainGrace))
@@ -254,6 +272,7 @@
 	case <-ctx.Done():
 		logs.With(h.log, logs.CallersCut).Warn()
 	}
+	h.buckets.Finish(ctx)
 	h.loop.Post(control.Depart{})
 	_ = h.loop.Inspect(ctx, func(*control.Core) {})
 	h.watcher.Close()
--- a/internal/host/record.go
+++ b/internal/host/record.go
@@ -11,14 +11,20 @@
 	"github.com/trefoilchute/trefoilchute/internal/logs"
 	"github.com/trefoilchute/trefoilchute/internal/metrics"
 	"github.com/trefoilchute/trefoilchute/internal/pool"
+	"github.com/trefoilchute/trefoilchute/internal/report"
 	"github.com/trefoilchute/trefoilchute/internal/result"
 	"github.com/trefoilchute/trefoilchute/internal/system/custody"
 	"github.com/trefoilchute/trefoilchute/internal/system/scheduling"
 )
 
-// record keeps what schedulers and custody decided, for explain.
+// record keeps what schedulers and custody decided, for explain and the trace.
 func (h *Host) record(steps []scheduling.Step, directives []custody.Directive) {
 	now := time.Now()
+	if err := h.trace.record(steps); err != nil {
+		logs.With(h.log, logs.TraceBroken).WithError(err).Error()
+		h.trace.close()
+		h.trace = nil
+	}
 	for _, step := range steps {
 		for _, e := range step.Effects {
 			h.recordEffect(now, e)
@@ -76,6 +82,10 @@
 		Tier: o.Tier, Code: o.Code, InTime: o.InTime,
 		QueueWait: o.QueueWait, FirstToken: o.FirstToken, Total: o.Total,
 	})
+	h.burn.Add(time.Now(), &report.Answer{
+		Tier: o.Tier, Team: o.Team, Code: o.Code, InTime: o.InTime,
+		FirstToken: o.FirstToken, TokenGap: meanGap(&o),
+	})
 	if o.QueueWait > 0 {
 		h.metrics.Tokens(o.Tier, o.PromptTokens, o.CachedTokens, o.OutputTokens, o.InTime)
 	}
@@ -90,3 +100,12 @@
 	}
 	line.Info()
 }
+
+// meanGap returns the mean time between the tokens of an answer; 0 where there
+// were fewer than two.
+func meanGap(o *entry.Outcome) time.Duration {
+	if o.OutputTokens < 2 || o.FirstToken == 0 {
+		return 0
+	}
+	return (o.Total - o.FirstToken) / time.Duration(o.OutputTokens-1)
+}
--- a/internal/logs/event.go
+++ b/internal/logs/event.go
@@ -18,6 +18,7 @@
 	AdminShutdown        Event = "admin_shutdown"
 	ConfigurationInForce Event = "configuration_in_force"
 	HostList             Event = "host_list"
+	TraceBroken          Event = "trace_broken"
 )
 
 // Events of a request.
@@ -53,6 +54,7 @@
 	{CallersCut, "A planned stop reached its limit with callers still connected."},
 	{AdminShutdown, "The operators' interface didn't close in time."},
 	{ConfigurationInForce, "A revision came into force at this host."},
+	{TraceBroken, "The trace of decisions couldn't be written; it ends here."},
 	{HostList, "The platform's host list couldn't be read or written."},
 	{Placed, "A pool's scheduler gave the request a slot of an endpoint; the reason says why there."},
 	{Granted, "The host that holds the request heard of its slot."},
--- a/internal/system/custody/custody.go
+++ b/internal/system/custody/custody.go
@@ -59,7 +59,8 @@
 	Deadline time.Duration
 	// Prefix holds the chained block hashes of the prompt.
 	Prefix []uint64
-	// Key is "team/key" of a caller's idempotency key; empty without one.
+	// Key is the caller's idempotency key; empty without one. KeyHash is the
+	// hash of the team and the key.
 	Key         string
 	KeyHash     uint64
 	Fingerprint uint64
--- a/internal/system/scheduling/instance.go
+++ b/internal/system/scheduling/instance.go
@@ -39,6 +39,7 @@
 	// scheduler is nil during warm-up: nothing is granted before what runs
 	// already is known.
 	scheduler *pool.Scheduler
+	config    pool.Config
 	epoch     uint64
 	seenEpoch uint64
 	warmUntil time.Duration
--- a/internal/system/scheduling/scheduling.go
+++ b/internal/system/scheduling/scheduling.go
@@ -74,8 +74,8 @@
 
 // Step records one call of a pool's scheduler, for traces and explain.
 type Step struct {
-	Pool    ident.Pool
-	Epoch   uint64
+	// Config tells which scheduler it was.
+	Config  pool.Config
 	Now     time.Duration
 	Events  []pool.Event
 	Effects []pool.Effect
--- a/internal/system/scheduling/step.go
+++ b/internal/system/scheduling/step.go
@@ -19,14 +19,12 @@
 		s.start(in)
 	}
 	events := in.pending
-	in.pending = nil
-	effects := in.scheduler.Step(now, events)
-	if len(events) == 0 && len(effects) == 0 {
+	if wake, ok := in.scheduler.NextWake(); len(events) == 0 && (!ok || wake > now) {
 		return
 	}
-	s.steps = append(s.steps, Step{
-		Pool: in.pool, Epoch: in.epoch, Now: now, Events: events, Effects: effects,
-	})
+	in.pending = nil
+	effects := in.scheduler.Step(now, events)
+	s.steps = append(s.steps, Step{Config: in.config, Now: now, Events: events, Effects: effects})
 	for _, e := range effects {
 		s.send(in, e, out)
 	}
@@ -37,7 +35,8 @@
 func (s *System) start(in *instance) {
 	in.epoch = in.seenEpoch + 1
 	in.awaited = nil
-	in.scheduler = pool.New(pool.Config{Pool: in.pool, Epoch: in.epoch, Seed: s.cfg.Seed})
+	in.config = pool.Config{Pool: in.pool, Epoch: in.epoch, Seed: s.cfg.Seed}
+	in.scheduler = pool.New(in.config)
 	first := []pool.Event{configure(s.snapshot, in.pool)}
 	if list := s.suspectList(); len(list) > 0 {
 		first = append(first, pool.Suspects{List: list})
--- a/test/process/deployment_test.go
+++ b/test/process/deployment_test.go
@@ -120,7 +120,8 @@
 
 [log]
 level = debug
-`, name, domain, d.platform, ip)
+trace = %[5]s
+`, name, domain, d.platform, ip, d.trace(name))
 	Expect(os.WriteFile(file, []byte(text), 0o600)).To(Succeed())
 	session := start("entry", "--settings", file)
 	p := &entryProcess{session: session}
@@ -130,6 +131,11 @@
 	d.hosts[name] = p
 }
 
+// trace returns the file of a host's trace.
+func (d *deployment) trace(name string) string {
+	return filepath.Join(d.dir, name+".trace")
+}
+
 // loopback returns an address of the loopback range for one host, so that hosts
 // can have the same ports without racing for free ones.
 func (d *deployment) loopback() string {
--- a/test/process/failure_test.go
+++ b/test/process/failure_test.go
@@ -136,6 +136,7 @@
 				Expect(strings.Count(r.body, `"seq":`)).To(Equal(150))
 			}
 			delete(d.hosts, name)
+			Expect(run("replay", d.trace(name))).To(ContainSubstring("steps"))
 		}
 		Expect(chat(d.hosts["entry-3"], fmt.Sprintf(longChat, 999)).status).To(Equal(200))
 	})
