--- /dev/null
+++ b/internal/naive/naive.go
@@ -0,0 +1,275 @@
+// Package naive is the pool scheduler's policy written in the plainest way:
+// every table is a slice in order of arrival, everything is found by a scan,
+// and no result is kept that can be worked out again. It is slow. Its decisions
+// are the pool scheduler's to the byte, but for the reasons in words; a
+// differential test holds both against each other. The numbers of the policy
+// and what is learned (packages rules, speed, window and meter) are shared.
+package naive
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/trefoilchute/trefoilchute/internal/ident"
+	"github.com/trefoilchute/trefoilchute/internal/pool"
+	"github.com/trefoilchute/trefoilchute/internal/pool/meter"
+	"github.com/trefoilchute/trefoilchute/internal/pool/rules"
+	"github.com/trefoilchute/trefoilchute/internal/pool/speed"
+	"github.com/trefoilchute/trefoilchute/internal/pool/window"
+	"github.com/trefoilchute/trefoilchute/internal/resource"
+	"github.com/trefoilchute/trefoilchute/internal/result"
+)
+
+// Scheduler is the naive scheduler of one pool.
+type Scheduler struct {
+	config    pool.Config
+	now       time.Duration
+	out       []pool.Effect
+	tiers     []resource.Tier
+	teams     []resource.Team
+	endpoints []*endpoint
+	requests  []*request
+	attempts  []*attempt
+	suspects  []*suspect
+	remotes   []pool.Remote
+	alarms    []alarm
+	shares    []*share
+	proven    []uint64
+	fresh     []*request
+
+	lengths  *speed.Lengths
+	surprise speed.Surprise
+	meter    meter.Meter
+
+	isolated      *endpoint
+	isolatedAlone *attempt
+
+	average             averageSpeed
+	averageUntil        time.Duration
+	totals              totals
+	sequence, attempted uint64
+	held, parked        uint64
+}
+
+// state is where a request stands.
+type state int
+
+const (
+	queued state = iota
+	held
+	parked
+	isolated
+	granted
+	running
+	gone
+)
+
+type request struct {
+	pool.Request
+	sequence uint64
+	state    state
+	attempt  *attempt
+	cost     time.Duration
+	mean     float64
+	best     int
+	urgent   bool
+	recheck  time.Duration
+	// heldUntil ends the wait for the prefix; order is when it was held or
+	// parked.
+	heldUntil time.Duration
+	order     uint64
+}
+
+type attempt struct {
+	id        ident.Attempt
+	request   pool.Request
+	endpoint  *endpoint
+	granted   time.Duration
+	started   bool
+	cached    int
+	uncached  int
+	ahead     int
+	others    int
+	expected  time.Duration
+	firstSeen bool
+	blamed    bool
+	holds     bool
+}
+
+type endpoint struct {
+	resource.Endpoint
+	declared    bool
+	closedUntil time.Duration
+	failures    int
+	changed     bool
+	speed       speed.Endpoint
+	window      window.Window
+	load        window.Reported
+	trust       float64
+	// cache holds blocks, the least recently used first.
+	cache []uint64
+}
+
+type suspect struct {
+	pool.Suspect
+}
+
+// share is the start-time fair queueing of one team in one tier.
+type share struct {
+	rank  int
+	team  ident.Team
+	start float64
+	// virtual is set on the row with no team: the tier's virtual time.
+	virtual float64
+}
+
+// alarm is something to do later; of is what it belongs to: one alarm of a kind
+// for each.
+type alarm struct {
+	at       time.Duration
+	sequence uint64
+	of       any
+	kind     string
+	do       func()
+}
+
+type totals struct {
+	slots, free, working, longPrefills int
+}
+
+type averageSpeed struct {
+	prefill, decode time.Duration
+}
+
+// New returns a naive scheduler.
+func New(c pool.Config) *Scheduler {
+	return &Scheduler{
+		config:    c,
+		lengths:   speed.NewLengths(),
+		surprise:  speed.NewSurprise(),
+		meter:     meter.New(),
+		attempted: c.Epoch << rules.AttemptBits,
+	}
+}
+
+// Step does what the pool scheduler's Step does.
+func (s *Scheduler) Step(now time.Duration, events []pool.Event) []pool.Effect {
+	s.now = max(s.now, now)
+	s.out = nil
+	s.meter.Roll(s.now, len(s.in(queued)) > 0)
+	for _, e := range events {
+		s.take(e)
+	}
+	s.runAlarms()
+	s.isolate()
+	s.countTotals()
+	s.grant()
+	return s.out
+}
+
+// set starts an alarm in place of the one of the same kind.
+func (s *Scheduler) set(of any, kind string, at time.Duration, do func()) {
+	s.stop(of, kind)
+	s.sequence++
+	s.alarms = append(s.alarms, alarm{at, s.sequence, of, kind, do})
+}
+
+func (s *Scheduler) stop(of any, kind string) {
+	s.alarms = slices.DeleteFunc(s.alarms, func(a alarm) bool { return a.of == of && a.kind == kind })
+}
+
+func (s *Scheduler) runAlarms() {
+	for len(s.alarms) > 0 {
+		first := slices.MinFunc(s.alarms, func(a, b alarm) int {
+			return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.sequence, b.sequence))
+		})
+		if first.at > s.now {
+			return
+		}
+		s.stop(first.of, first.kind)
+		first.do()
+	}
+}
+
+// in returns the requests in a state, in order of arrival.
+func (s *Scheduler) in(x state) []*request {
+	var out []*request
+	for _, r := range s.requests {
+		if r.state == x {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+// inTier returns the requests of a rank that are queued or held.
+func (s *Scheduler) inTier(rank int) []*request {
+	var out []*request
+	for _, r := range s.requests {
+		if r.Rank == rank && (r.state == queued || r.state == held) {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+// ranks returns the ranks of all requests, highest tier first.
+func (s *Scheduler) ranks() []int {
+	var out []int
+	for _, r := range s.requests {
+		out = append(out, r.Rank)
+	}
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
+func (s *Scheduler) find(id ident.Request) *request {
+	for _, r := range s.requests {
+		if r.ID == id {
+			return r
+		}
+	}
+	return nil
+}
+
+func (s *Scheduler) findAttempt(id ident.Request, a ident.Attempt) *attempt {
+	for _, x := range s.attempts {
+		if x.request.ID == id && x.id == a {
+			return x
+		}
+	}
+	return nil
+}
+
+func (s *Scheduler) removeRequest(r *request) {
+	s.requests = slices.DeleteFunc(s.requests, func(x *request) bool { return x == r })
+}
+
+func (s *Scheduler) removeAttempt(a *attempt) {
+	s.attempts = slices.DeleteFunc(s.attempts, func(x *attempt) bool { return x == a })
+}
+
+func (s *Scheduler) team(name ident.Team) resource.Team {
+	for _, t := range s.teams {
+		if t.Name == name {
+			return t
+		}
+	}
+	return resource.Team{Name: name}
+}
+
+func weight(t resource.Team) float64 {
+	if t.Weight > 0 {
+		return t.Weight
+	}
+	return 1
+}
+
+func (s *Scheduler) refuse(r *request, code result.Code) {
+	s.out = append(s.out, pool.Refuse{ID: r.ID, Host: r.Host, Code: code, RetryAfter: s.retryAfter(r.Rank)})
+}
+
+func (s *Scheduler) refuseQuarantined(r *request) {
+	s.out = append(s.out, pool.Refuse{ID: r.ID, Host: r.Host, Code: result.Quarantined})
+}
--- /dev/null
+++ b/internal/naive/policy.go
@@ -0,0 +1,357 @@
+package naive
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/trefoilchute/trefoilchute/internal/ident"
+	"github.com/trefoilchute/trefoilchute/internal/pool"
+	"github.com/trefoilchute/trefoilchute/internal/pool/rules"
+	"github.com/trefoilchute/trefoilchute/internal/prefix"
+	"github.com/trefoilchute/trefoilchute/internal/resource"
+	"github.com/trefoilchute/trefoilchute/internal/result"
+)
+
+func (s *Scheduler) plainService() bool {
+	return len(s.endpoints) > 0 && s.endpoints[0].Type == resource.EndpointService
+}
+
+func (s *Scheduler) takesWork(e *endpoint) bool {
+	return e.declared && e.State != resource.EndpointDrain && s.now >= e.closedUntil
+}
+
+func slots(e *endpoint) int {
+	return min(e.Slots, e.window.Size()) - e.load.Foreign
+}
+
+func (s *Scheduler) free(e *endpoint) int {
+	return slots(e) - s.inFlight(e)
+}
+
+func (s *Scheduler) averageSpeed() averageSpeed {
+	if s.now < s.averageUntil {
+		return s.average
+	}
+	var prefill, decode, sum float64
+	for _, e := range s.endpoints {
+		w := float64(max(1, e.Slots))
+		sum += w
+		prefill += w * float64(e.speed.Prefill(s.now, 1))
+		decode += w * float64(e.speed.Decode(s.now, 1, e.Slots))
+	}
+	sum = max(sum, 1)
+	s.average = averageSpeed{time.Duration(prefill / sum), time.Duration(decode / sum)}
+	s.averageUntil = s.now + rules.AverageLife
+	return s.average
+}
+
+// estimate returns the time to the whole answer.
+func (s *Scheduler) estimate(e *endpoint, r *request, cached, others, pending int) time.Duration {
+	prompt := max(0, r.PromptTokens-cached) + pending
+	if e.Type == resource.EndpointService {
+		prompt = 0
+	}
+	return rules.DispatchTime + e.speed.Prefill(s.now, prompt) + e.speed.Decode(s.now, r.mean, others)
+}
+
+// least returns the least estimate over the endpoints that take work, with the
+// whole prompt cached and as many others as given.
+func (s *Scheduler) least(r *request, others func(*endpoint) int) (time.Duration, bool) {
+	best, found := time.Duration(0), false
+	for _, e := range s.endpoints {
+		if !s.takesWork(e) {
+			continue
+		}
+		total := s.estimate(e, r, r.PromptTokens, others(e), 0)
+		if !found || total < best {
+			best, found = total, true
+		}
+	}
+	return best, found
+}
+
+func (s *Scheduler) fastest(r *request) (time.Duration, bool) {
+	return s.least(r, func(*endpoint) int { return 0 })
+}
+
+func (s *Scheduler) busy(r *request) (time.Duration, bool) {
+	return s.least(r, func(e *endpoint) int { return max(0, slots(e)-1) })
+}
+
+func (s *Scheduler) cautious(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * s.surprise.Factor())
+}
+
+func (s *Scheduler) watch(r *request) {
+	total, ok := s.busy(r)
+	switch {
+	case !ok:
+		s.set(r, "deadline", r.Deadline, func() { s.hopeless(r) })
+	case !r.urgent && s.now < r.Deadline-s.cautious(total):
+		s.set(r, "deadline", r.Deadline-s.cautious(total), func() {
+			r.urgent = true
+			s.fresh = append(s.fresh, r)
+			s.watch(r)
+		})
+	default:
+		r.urgent = true
+		s.set(r, "deadline", max(r.Deadline-total, r.recheck), func() { s.hopeless(r) })
+	}
+}
+
+func (s *Scheduler) hopeless(r *request) {
+	total, ok := s.busy(r)
+	if ok && s.now+total < r.Deadline {
+		r.recheck = s.now + rules.Recheck
+		s.watch(r)
+		return
+	}
+	s.drop(r)
+	switch {
+	case s.now >= r.Deadline:
+		s.refuse(r, result.Expired)
+	case !ok:
+		s.refuse(r, result.NoEndpoint)
+	default:
+		s.refuse(r, result.DeadlineTooNear)
+	}
+}
+
+func (s *Scheduler) admit(r *request) bool {
+	total, ok := s.fastest(r)
+	x := s.suspect(r.Request)
+	switch {
+	case x != nil && x.Quarantined:
+		s.refuseQuarantined(r)
+	case r.Deadline <= s.now:
+		s.refuse(r, result.Expired)
+	case !ok:
+		s.spillOr(r, result.NoEndpoint)
+	case s.now+total > r.Deadline:
+		s.refuse(r, result.DeadlineTooNear)
+	default:
+		return s.admitToQueue(r, total)
+	}
+	return false
+}
+
+func (s *Scheduler) admitToQueue(r *request, total time.Duration) bool {
+	waiting := 0
+	for _, x := range s.requests {
+		if x.Team == r.Team && (x.state == queued || x.state == held) {
+			waiting++
+		}
+	}
+	if most := s.team(r.Team).MaxQueued; most > 0 && waiting >= most {
+		s.refuse(r, result.TeamLimit)
+		return false
+	}
+	for _, t := range s.tiers {
+		if t.Rank == r.Rank && t.MaxQueued > 0 && len(s.inTier(r.Rank)) >= t.MaxQueued {
+			return s.admitToFull(r)
+		}
+	}
+	return s.admitForRoom(r, total)
+}
+
+func (s *Scheduler) admitToFull(r *request) bool {
+	if s.spill(r) {
+		return false
+	}
+	below := s.below(r.Rank)
+	if len(below) == 0 {
+		s.refuse(r, result.QueueFull)
+		return false
+	}
+	s.yield(below[0])
+	return true
+}
+
+// below returns what waits in lower tiers, the lowest tier and latest deadline
+// first.
+func (s *Scheduler) below(rank int) []*request {
+	var out []*request
+	for _, x := range s.ranks() {
+		if x > rank {
+			out = append(out, s.inTier(x)...)
+		}
+	}
+	slices.SortFunc(out, func(a, b *request) int { return compareUrgency(b, a) })
+	return out
+}
+
+func compareUrgency(a, b *request) int {
+	return cmp.Or(
+		cmp.Compare(a.Rank, b.Rank),
+		cmp.Compare(a.Deadline, b.Deadline),
+		cmp.Compare(a.sequence, b.sequence),
+	)
+}
+
+func (s *Scheduler) yield(r *request) {
+	s.drop(r)
+	s.spillOr(r, result.ShedTier)
+}
+
+func (s *Scheduler) admitForRoom(r *request, total time.Duration) bool {
+	wait := s.teamWait(r)
+	spare := r.Deadline - s.now - total
+	if wait <= spare {
+		return true
+	}
+	if s.spill(r) {
+		return false
+	}
+	below := s.below(r.Rank)
+	if len(below) > 0 && wait <= time.Duration(rules.PatienceAboveOthers*float64(spare)) {
+		return true
+	}
+	for _, x := range below {
+		s.yield(x)
+	}
+	s.refuse(r, result.ShedTier)
+	return false
+}
+
+// teamWait is the expected wait of a new request.
+func (s *Scheduler) teamWait(r *request) time.Duration {
+	var above, tier, own time.Duration
+	sum := 0.0
+	for _, x := range s.ranks() {
+		if x < r.Rank {
+			above += cost(s.inTier(x))
+		}
+	}
+	tier = cost(s.inTier(r.Rank))
+	active := s.activeTeams(r.Rank)
+	for _, t := range active {
+		sum += weight(s.team(t))
+	}
+	own = r.cost
+	if slices.Contains(active, r.Team) {
+		own += cost(s.teamQueue(r.Rank, r.Team))
+	} else {
+		sum += weight(s.team(r.Team))
+	}
+	share := time.Duration(float64(own) * sum / weight(s.team(r.Team)))
+	return s.drainTime(r.Rank, above+min(tier, share))
+}
+
+func cost(list []*request) time.Duration {
+	var sum time.Duration
+	for _, r := range list {
+		sum += r.cost
+	}
+	return sum
+}
+
+// teamQueue returns a team's queued requests, earliest deadline first.
+func (s *Scheduler) teamQueue(rank int, team ident.Team) []*request {
+	var out []*request
+	for _, r := range s.in(queued) {
+		if r.Rank == rank && r.Team == team {
+			out = append(out, r)
+		}
+	}
+	slices.SortFunc(out, compareUrgency)
+	return out
+}
+
+// activeTeams returns the teams with queued requests by name.
+func (s *Scheduler) activeTeams(rank int) []ident.Team {
+	var out []ident.Team
+	for _, r := range s.in(queued) {
+		if r.Rank == rank {
+			out = append(out, r.Team)
+		}
+	}
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
+func (s *Scheduler) retryAfter(rank int) time.Duration {
+	var sum time.Duration
+	for _, x := range s.ranks() {
+		if x <= rank {
+			sum += cost(s.inTier(x))
+		}
+	}
+	return min(max(s.drainTime(rank, sum), rules.MinRetryAfter), rules.MaxRetryAfter)
+}
+
+func (s *Scheduler) drainTime(rank int, backlog time.Duration) time.Duration {
+	if backlog == 0 {
+		return 0
+	}
+	capacity := max(s.meter.Capacity(s.totals.slots), 1)
+	left := max(capacity-s.meter.Above(rank), rules.LeastDrain*capacity)
+	return time.Duration(backlog.Seconds() / left * float64(time.Second))
+}
+
+func (s *Scheduler) spill(r *request) bool {
+	if r.Spilled {
+		return false
+	}
+	best := -1
+	for i, x := range s.remotes {
+		room := x.Free > 0 || (x.LowestRank > r.Rank && r.Rank < len(x.Wait) &&
+			s.now+x.Wait[r.Rank]+r.cost < r.Deadline)
+		if room && (best < 0 || x.Free > s.remotes[best].Free) {
+			best = i
+		}
+	}
+	if best < 0 {
+		return false
+	}
+	s.remotes[best].Free--
+	s.out = append(s.out, pool.Spill{ID: r.ID, Host: r.Host, Domain: s.remotes[best].Domain})
+	return true
+}
+
+func (s *Scheduler) spillOr(r *request, code result.Code) {
+	if !s.spill(r) {
+		s.refuse(r, code)
+	}
+}
+
+func (s *Scheduler) cachedOn(r *request, e *endpoint) int {
+	n := 0
+	for n < len(r.Prefix) && slices.Contains(e.cache, r.Prefix[n]) {
+		n++
+	}
+	return int(float64(min(n*prefix.BlockTokens, r.PromptTokens)) * e.trust)
+}
+
+func (s *Scheduler) bestCached(r *request) int {
+	best := 0
+	for _, e := range s.endpoints {
+		if s.takesWork(e) {
+			best = max(best, s.cachedOn(r, e))
+		}
+	}
+	return best
+}
+
+func (s *Scheduler) countTotals() {
+	s.totals = totals{}
+	for _, e := range s.endpoints {
+		if s.takesWork(e) {
+			s.totals.slots += max(0, slots(e))
+			s.totals.free += max(0, s.free(e))
+			s.totals.working++
+			if s.longPrefill(s.pending(e)) {
+				s.totals.longPrefills++
+			}
+		}
+	}
+}
+
+func (s *Scheduler) longPrefill(tokens int) bool {
+	return time.Duration(tokens)*s.averageSpeed().prefill > rules.PrefillWindow
+}
+
+func (s *Scheduler) spare() bool {
+	waiting := len(s.in(queued)) + len(s.in(held))
+	return waiting <= s.totals.working && float64(s.totals.free) >= rules.SparePart*float64(s.totals.slots)
+}
--- a/internal/pool/admit.go
+++ b/internal/pool/admit.go
@@ -4,13 +4,10 @@
 	"fmt"
 	"time"
 
+	"github.com/trefoilchute/trefoilchute/internal/pool/rules"
 	"github.com/trefoilchute/trefoilchute/internal/result"
 )
 
-// patienceAboveOthers is how many times longer than it can wait a request's
-// expected wait has to be before lower tiers are shed for it and it itself.
-const patienceAboveOthers = 3
-
 // admit says whether a request may wait. If not, it has been refused or passed
 // to another domain.
 func (s *Scheduler) admit(r *request) bool {
@@ -74,7 +71,7 @@
 	wait := s.teamWait(r)
 	patience := 1.0
 	if s.queue.waitsBelow(r.Rank) {
-		patience = patienceAboveOthers
+		patience = rules.PatienceAboveOthers
 	}
 	spare := r.Deadline - s.now - total
 	if wait <= spare {
--- a/internal/pool/body.go
+++ b/internal/pool/body.go
@@ -1,9 +1,10 @@
 package pool
 
-import "slices"
+import (
+	"slices"
 
-// maxProven bounds the bodies that are remembered to have run whole.
-const maxProven = 8192
+	"github.com/trefoilchute/trefoilchute/internal/pool/rules"
+)
 
 // body is the row of a request body that is in flight or that others like it
 // wait for. While no request with a body has run whole, one runs at a time: a
@@ -57,13 +58,13 @@
 		return
 	}
 	t.proven[fingerprint] = true
-	if len(t.ring) < maxProven {
+	if len(t.ring) < rules.MaxProven {
 		t.ring = append(t.ring, fingerprint)
 		return
 	}
 	delete(t.proven, t.ring[t.next])
 	t.ring[t.next] = fingerprint
-	t.next = (t.next + 1) % maxProven
+	t.next = (t.next + 1) % rules.MaxProven
 }
 
 func (t *bodyTable) park(r *request) {
--- a/internal/pool/endpoint.go
+++ b/internal/pool/endpoint.go
@@ -6,7 +6,9 @@
 	"time"
 
 	"github.com/trefoilchute/trefoilchute/internal/ident"
+	"github.com/trefoilchute/trefoilchute/internal/pool/rules"
 	"github.com/trefoilchute/trefoilchute/internal/pool/speed"
+	"github.com/trefoilchute/trefoilchute/internal/pool/window"
 	"github.com/trefoilchute/trefoilchute/internal/resource"
 )
 
@@ -34,15 +36,15 @@
 	// isolating says that the endpoint is kept for a suspect.
 	isolating bool
 	speed     speed.Endpoint
-	window    window
+	window    window.Window
 	// trust is the part of the expected cached tokens that the engine finds.
 	trust float64
-	load  reportedLoad
+	load  window.Reported
 }
 
 // slots is the number of requests that the endpoint may have now.
 func (e *endpoint) slots() int {
-	return min(e.Slots, e.window.size()) - e.load.foreign
+	return min(e.Slots, e.window.Size()) - e.load.Foreign
 }
 
 // free is the number of requests that the endpoint may get now.
@@ -64,7 +66,7 @@
 	if !e.declared {
 		e.trust = 1
 	}
-	e.window.limit(d.Slots)
+	e.window.Limit(d.Slots)
 	e.Endpoint = d
 	e.changed = true
 	e.declared = true
@@ -146,6 +148,13 @@
 	return t.numbers - 1
 }
 
+// anyActive says whether an endpoint is declared that doesn't leave.
+func (t *endpointTable) anyActive() bool {
+	return slices.ContainsFunc(t.rows, func(e *endpoint) bool {
+		return e.declared && e.State != resource.EndpointDrain
+	})
+}
+
 // plainService says whether the pool's endpoints are plain services.
 func (t *endpointTable) plainService() bool {
 	return len(t.rows) > 0 && t.rows[0].Type == resource.EndpointService
@@ -156,9 +165,6 @@
 	prefill, decode time.Duration
 }
 
-// averageLife is how long a computed average is used.
-const averageLife = time.Second
-
 // average returns the mean time for a token over the endpoints, weighted by
 // their slots.
 func (t *endpointTable) average(now time.Duration) averageSpeed {
@@ -174,6 +180,6 @@
 	}
 	weight = max(weight, 1)
 	t.mean = averageSpeed{time.Duration(prefill / weight), time.Duration(decode / weight)}
-	t.averageUntil = now + averageLife
+	t.averageUntil = now + rules.AverageLife
 	return t.mean
 }
--- a/internal/pool/estimate.go
+++ b/internal/pool/estimate.go
@@ -3,12 +3,11 @@
 import (
 	"time"
 
+	"github.com/trefoilchute/trefoilchute/internal/pool/rules"
 	"github.com/trefoilchute/trefoilchute/internal/resource"
 )
 
 const (
-	// dispatchTime is allowed for messages between grant and first byte.
-	dispatchTime = 20 * time.Millisecond
 	// serviceTokens stands for the work of a call to a plain service, whose
 	// speed is learned in calls per second.
 	serviceTokens = 1
@@ -37,7 +36,7 @@
 	if e.Type == resource.EndpointService {
 		prompt = 0
 	}
-	first := dispatchTime + e.speed.Prefill(s.now, prompt)
+	first := rules.DispatchTime + e.speed.Prefill(s.now, prompt)
 	total := first + e.speed.Decode(s.now, r.mean, others)
 	return estimate{
 		first:    first,
@@ -81,6 +80,9 @@
 // costOf estimates the slot time of a request on an endpoint of average speed
 // with a full window.
 func (s *Scheduler) costOf(r *request) time.Duration {
+	if s.endpoints.plainService() {
+		return s.endpoints.average(s.now).decode
+	}
 	average := s.endpoints.average(s.now)
 	return average.prefill*time.Duration(r.PromptTokens) + time.Duration(float64(average.decode)*r.mean)
 }
--- a/internal/pool/failure.go
+++ b/internal/pool/failure.go
@@ -1,12 +1,7 @@
 package pool
 
-import "time"
-
-const (
-	// firstClosed is how long an endpoint is closed after a failure; it
-	// doubles with each further one up to lastClosed.
-	firstClosed = time.Second
-	lastClosed  = 16 * time.Second
+import (
+	"github.com/trefoilchute/trefoilchute/internal/pool/rules"
 )
 
 // endpointFailed closes an endpoint for a while after it was lost or took no
@@ -16,10 +11,10 @@
 	if s.now < e.closedUntil {
 		return
 	}
-	closed := min(firstClosed<<min(e.failures, 8), lastClosed)
+	closed := min(rules.FirstClosed<<min(e.failures, 8), rules.LastClosed)
 	e.failures++
 	e.closedUntil = s.now + closed
-	e.window.restart()
+	e.window.Restart()
 	s.blocks.Clear(e.number)
 	s.timers.set(&e.reopen, e.closedUntil, func() { e.changed = true })
 }
--- a/internal/pool/grant.go
+++ b/internal/pool/grant.go
@@ -3,18 +3,8 @@
 import (
 	"cmp"
 	"slices"
-	"time"
-)
 
-const (
-	// maxHeld is the most requests of a tier that wait for their endpoint.
-	maxHeld = 16
-	// maxLook is the most teams of a tier looked at in one step without a
-	// grant.
-	maxLook = 16
-	// sweepEvery is the time after which every waiting request is held against
-	// every open endpoint again, because estimates change with time.
-	sweepEvery = 250 * time.Millisecond
+	"github.com/trefoilchute/trefoilchute/internal/pool/rules"
 )
 
 // grant gives free slots to waiting requests: strict tiers, in a tier the team
@@ -31,7 +21,7 @@
 	}
 	s.grantFresh()
 	if len(s.open) > 0 && s.queue.size() > 0 && s.sweepTimer.index == 0 {
-		s.timers.set(&s.sweepTimer, s.now+sweepEvery, s.sweep)
+		s.timers.set(&s.sweepTimer, s.now+rules.SweepEvery, s.sweep)
 	}
 }
 
@@ -123,7 +113,7 @@
 func (s *Scheduler) grantTier(t *tierQueue, among []*endpoint) bool {
 	var aside []*teamQueue
 	whole := false
-	for look := maxLook; look > 0; {
+	for look := rules.MaxLook; look > 0; {
 		tq := t.popTeam()
 		if tq == nil {
 			whole = true
@@ -181,7 +171,7 @@
 // that others can have these. It returns false if too many are held.
 func (s *Scheduler) keep(r *request, p placement) bool {
 	t := s.queue.tier(r.Rank)
-	if len(t.held) >= maxHeld {
+	if len(t.held) >= rules.MaxHeld {
 		return false
 	}
 	s.claim(r)
--- a/internal/pool/hopeless.go
+++ b/internal/pool/hopeless.go
@@ -3,13 +3,10 @@
 import (
 	"time"
 
+	"github.com/trefoilchute/trefoilchute/internal/pool/rules"
 	"github.com/trefoilchute/trefoilchute/internal/result"
 )
 
-// recheck is the least time between two looks at whether a request can still
-// be answered in time.
-const recheck = 50 * time.Millisecond
-
 // watch sets the time at which a waiting request becomes urgent, or if it is,
 // the time at which it can't be answered in time any more, as far as is known
 // now.
@@ -28,14 +25,10 @@
 	s.timers.set(&r.timer, max(r.Deadline-total, r.recheck), func() { s.hopeless(r) })
 }
 
-// sparePart is the free part of the pool's slots from which on it has room to
-// spare, if no more requests wait than it has endpoints.
-const sparePart = 0.25
-
 // spare says whether the pool has room to spare, so that a prefill which may be
 // in vain takes nothing from others.
 func (s *Scheduler) spare() bool {
-	return s.queue.size() <= s.working && float64(s.totalFree) >= sparePart*float64(s.totalSlots)
+	return s.queue.size() <= s.working && float64(s.totalFree) >= rules.SparePart*float64(s.totalSlots)
 }
 
 // urge makes a request urgent: while the pool has room to spare it takes any
@@ -53,7 +46,7 @@
 func (s *Scheduler) hopeless(r *request) {
 	total, ok := s.busy(r)
 	if ok && s.now+total < r.Deadline {
-		r.recheck = s.now + recheck
+		r.recheck = s.now + rules.Recheck
 		s.watch(r)
 		return
 	}
--- a/internal/pool/intake.go
+++ b/internal/pool/intake.go
@@ -52,7 +52,7 @@
 	row := &request{Request: r, sequence: s.sequence, arrived: s.now}
 	row.mean, row.cautious = s.outputs(&r)
 	row.cost = s.costOf(row)
-	s.meter.arrive(r.Rank, row.cost)
+	s.meter.Arrive(r.Rank, row.cost)
 	if !s.admit(row) {
 		return
 	}
@@ -66,17 +66,18 @@
 
 // enqueue puts a row into the queue and watches its deadline.
 func (s *Scheduler) enqueue(r *request) {
-	r.phase, r.attempt = phaseQueued, nil
-	s.matchPrefix(r)
-	r.best = s.bestCached(r)
-	s.queue.push(r, s.teams.get(r.Team))
+	r.attempt = nil
 	s.watch(r)
-	s.fresh = append(s.fresh, r)
 	if s.suspects.find(r.KeyHash, r.Fingerprint) != nil {
-		s.queue.remove(r)
 		r.phase = phaseIsolated
 		s.isolation.add(r)
+		return
 	}
+	r.phase = phaseQueued
+	s.matchPrefix(r)
+	r.best = s.bestCached(r)
+	s.queue.push(r, s.teams.get(r.Team))
+	s.fresh = append(s.fresh, r)
 }
 
 // withdraw takes a waiting row out of the queue or the held ones. It does
@@ -175,12 +176,36 @@
 func (s *Scheduler) configure(e Configure) {
 	s.tiers.configure(e.Tiers)
 	s.teams.configure(e.Teams)
+	s.queue.reweigh()
 	for _, number := range s.endpoints.configure(s.config.Pool, e.Endpoints) {
 		s.blocks.Remove(number)
 	}
 	for _, row := range s.endpoints.rows {
 		s.blocks.Resize(row.number, row.CacheTokens/prefix.BlockTokens)
 	}
+	if !s.endpoints.anyActive() {
+		s.refuseAll()
+	}
+}
+
+// refuseAll gives up on all that waits, when the last endpoint leaves.
+func (s *Scheduler) refuseAll() {
+	for _, r := range s.waiting() {
+		s.drop(r)
+		s.spillOr(r, result.NoEndpoint, "the last endpoint of the pool leaves")
+	}
+}
+
+// waiting returns the requests that wait, in the order of their arrival.
+func (s *Scheduler) waiting() []*request {
+	var out []*request
+	for _, r := range s.requests {
+		if r.waits() {
+			out = append(out, r)
+		}
+	}
+	slices.SortFunc(out, func(a, b *request) int { return cmp.Compare(a.sequence, b.sequence) })
+	return out
 }
 
 // restore takes over what one host holds.
--- a/internal/pool/learn.go
+++ b/internal/pool/learn.go
@@ -1,6 +1,9 @@
 package pool
 
-import "github.com/trefoilchute/trefoilchute/internal/resource"
+import (
+	"github.com/trefoilchute/trefoilchute/internal/pool/rules"
+	"github.com/trefoilchute/trefoilchute/internal/resource"
+)
 
 // firstToken learns the prefill speed.
 func (s *Scheduler) firstToken(e FirstToken) {
@@ -16,8 +19,8 @@
 	if a.endpoint.Type == resource.EndpointService {
 		return
 	}
-	a.endpoint.speed.SawPrefill(s.now, a.ahead, e.After-dispatchTime)
-	a.endpoint.window.saw(s.now, a.endpoint.speed.Pace(s.now))
+	a.endpoint.speed.SawPrefill(s.now, a.ahead, e.After-rules.DispatchTime)
+	a.endpoint.window.Saw(s.now, a.endpoint.speed.Pace(s.now))
 }
 
 // learn takes in what a finished request tells of its endpoint's speed and
@@ -34,12 +37,12 @@
 	}
 	others := float64(a.others+e.inFlight-1) / 2
 	if e.Type == resource.EndpointService {
-		e.speed.SawDecode(s.now, serviceTokens, f.Total, others)
+		e.speed.SawCall(s.now, f.Total, others)
 	} else if f.FirstToken > 0 {
 		e.speed.SawDecode(s.now, f.OutputTokens, f.Total-f.FirstToken, others)
 		s.sawCached(a, f.CachedTokens)
 	}
-	e.window.saw(s.now, e.speed.Pace(s.now))
+	e.window.Saw(s.now, e.speed.Pace(s.now))
 	if f.Outcome != OutcomeWhole {
 		return
 	}
@@ -56,7 +59,7 @@
 	if e == nil {
 		return
 	}
-	e.load.note(s.now, e.inFlight)
-	e.load.report(r)
+	e.load.Note(s.now, e.inFlight)
+	e.load.Report(r.Running+r.Waiting, r.Age)
 	e.changed = true
 }
--- a/internal/pool/ledger.go
+++ b/internal/pool/ledger.go
@@ -1,6 +1,9 @@
 package pool
 
-import "github.com/trefoilchute/trefoilchute/internal/ident"
+import (
+	"github.com/trefoilchute/trefoilchute/internal/ident"
+	"github.com/trefoilchute/trefoilchute/internal/pool/rules"
+)
 
 // hold counts an attempt in its endpoint's and team's in-flight numbers.
 func (s *Scheduler) hold(a *attempt) {
@@ -9,7 +12,7 @@
 	}
 	a.holds = true
 	a.endpoint.inFlight++
-	a.endpoint.load.note(s.now, a.endpoint.inFlight)
+	a.endpoint.load.Note(s.now, a.endpoint.inFlight)
 	if !a.firstSeen {
 		a.endpoint.pending += a.uncached
 	}
@@ -67,14 +70,14 @@
 	s.blocks.Store(e.number, r.Prefix)
 	s.attempts.put(a)
 	s.hold(a)
-	s.meter.grant(r.cost)
+	s.meter.Grant(r.cost)
 	s.totalFree--
 	if s.longPrefill(a.uncached) {
 		s.longPrefills++
 	}
 	r.phase, r.attempt = phaseGranted, a
-	expires := s.now + GrantLifetime
-	s.timers.set(&a.timer, expires+GrantMargin, func() { s.lapse(a) })
+	expires := s.now + rules.GrantLifetime
+	s.timers.set(&a.timer, expires+rules.GrantMargin, func() { s.lapse(a) })
 	s.emit(Grant{
 		ID:       r.ID,
 		Host:     r.Host,
@@ -92,7 +95,7 @@
 func (s *Scheduler) lapse(a *attempt) {
 	a.void = true
 	s.release(a)
-	s.timers.set(&a.timer, s.now+attemptMemory, func() { s.attempts.remove(a) })
+	s.timers.set(&a.timer, s.now+rules.AttemptMemory, func() { s.attempts.remove(a) })
 	if r := s.requests[a.request.ID]; r != nil && r.attempt == a {
 		if r.Deadline <= s.now {
 			delete(s.requests, r.ID)
--- a/internal/pool/meter.go
+++ b/internal/pool/meter/meter.go
@@ -1,7 +1,10 @@
-package pool
+// Package meter measures what arrives at a pool and how fast it drains.
+package meter
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -19,9 +22,9 @@
 	minUse = 0.3
 )
 
-// meter measures, in slot time per time, what arrives by rank and what is
+// Meter measures, in slot time per time, what arrives by rank and what is
 // granted while requests wait.
-type meter struct {
+type Meter struct {
 	start   time.Duration
 	arrived map[int]float64
 	granted float64
@@ -33,13 +36,14 @@
 	drain    float64
 }
 
-func newMeter() meter {
-	return meter{arrived: map[int]float64{}, arrivals: map[int]float64{}}
+// New returns a meter that has measured nothing.
+func New() Meter {
+	return Meter{arrived: map[int]float64{}, arrivals: map[int]float64{}}
 }
 
-// roll closes the buckets that are over. waiting says whether requests wait
+// Roll closes the buckets that are over. waiting says whether requests wait
 // now; it is called at the start of each step.
-func (m *meter) roll(now time.Duration, waiting bool) {
+func (m *Meter) Roll(now time.Duration, waiting bool) {
 	buckets := int((now - m.start) / meterBucket)
 	if buckets > 0 {
 		m.close(buckets)
@@ -50,7 +54,7 @@
 }
 
 // close books a bucket and the empty ones after it.
-func (m *meter) close(buckets int) {
+func (m *Meter) close(buckets int) {
 	span := meterBucket.Seconds() * float64(buckets)
 	keep := math.Pow(1-arrivalWeight, float64(buckets))
 	for rank := range m.arrivals {
@@ -67,32 +71,40 @@
 	m.granted = 0
 }
 
-func (m *meter) arrive(rank int, cost time.Duration) {
+// Arrive counts a request of a rank by its expected slot time.
+func (m *Meter) Arrive(rank int, cost time.Duration) {
 	m.arrived[rank] += cost.Seconds()
 	if _, known := m.arrivals[rank]; !known {
 		m.arrivals[rank] = 0
 	}
 }
 
-func (m *meter) grant(cost time.Duration) {
+// Grant counts a grant by its expected slot time.
+func (m *Meter) Grant(cost time.Duration) {
 	m.granted += cost.Seconds()
 }
 
-// capacity is the rate at which the pool can serve, given its slots.
-func (m *meter) capacity(slots int) float64 {
+// Capacity is the rate at which the pool can serve, given its slots.
+func (m *Meter) Capacity(slots int) float64 {
 	if m.drain == 0 {
 		return firstUse * float64(slots)
 	}
 	return min(max(m.drain, minUse*float64(slots)), float64(slots))
 }
 
-// above sums the rates that arrive at ranks above one, in order of the ranks.
-func (m *meter) above(ranks []*tierQueue, rank int) float64 {
+// Above sums the rates that arrive at ranks above one, in order of the ranks.
+func (m *Meter) Above(rank int) float64 {
 	sum := 0.0
-	for _, t := range ranks {
-		if t.rank < rank {
-			sum += m.arrivals[t.rank]
+	for _, x := range slices.Sorted(maps.Keys(m.arrivals)) {
+		if x < rank {
+			sum += m.arrivals[x]
 		}
 	}
 	return sum
 }
+
+// Arrives says whether requests of a rank have arrived.
+// Arrive counts a request of a rank by its expected slot time.
+func (m *Meter) Arrives(rank int) bool {
+	return m.arrivals[rank] > 0
+}
--- a/internal/pool/place.go
+++ b/internal/pool/place.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"time"
+
+	"github.com/trefoilchute/trefoilchute/internal/pool/rules"
 )
 
 // candidate is an endpoint looked at for a request.
@@ -139,14 +141,11 @@
 // requests with a near deadline else wait for long ones to end.
 type topSlotFilter struct{}
 
-// slotsPerTopSlot is the number of slots of an endpoint for each one kept.
-const slotsPerTopSlot = 8
-
 func (topSlotFilter) filter(s *Scheduler, r *request, c *candidate) string {
-	if r.Rank == 0 || s.meter.arrivals[0] == 0 {
+	if r.Rank == 0 || !s.meter.Arrives(0) {
 		return ""
 	}
-	if c.endpoint.free() <= c.endpoint.slots()/slotsPerTopSlot {
+	if c.endpoint.free() <= c.endpoint.slots()/rules.SlotsPerTopSlot {
 		return reasonReserved
 	}
 	return ""
@@ -156,16 +155,12 @@
 // prompts as they come, so that a high request would wait behind low ones.
 type prefillFilter struct{}
 
-// prefillWindow bounds the expected prefill time pending at an endpoint; a
-// longer prompt needs an endpoint with none pending.
-const prefillWindow = time.Second
-
 func (prefillFilter) filter(s *Scheduler, r *request, c *candidate) string {
 	e := c.endpoint
 	if e.pending == 0 {
 		return ""
 	}
-	if e.speed.Prefill(s.now, e.pending+r.PromptTokens-c.cached) > prefillWindow {
+	if e.speed.Prefill(s.now, e.pending+r.PromptTokens-c.cached) > rules.PrefillWindow {
 		return reasonPrefill
 	}
 	return ""
@@ -175,20 +170,13 @@
 // the surer it has to be.
 type deadlineFilter struct{}
 
-// surePrefill is the number of prompt tokens from which on the cautious
-// estimate is held against the deadline; below, a part of it.
-const surePrefill = 1000
-
-// topStake lowers that part for the highest tier, which is worth a try.
-const topStake = 0.25
-
 func (deadlineFilter) filter(s *Scheduler, r *request, c *candidate) string {
-	stake := min(1, float64(r.PromptTokens-c.cached)/surePrefill)
+	stake := min(1, float64(r.PromptTokens-c.cached)/rules.SurePrefill)
 	switch {
 	case r.urgent && s.spare():
 		stake = 0
 	case r.Rank == 0:
-		stake *= topStake
+		stake *= rules.TopStake
 	}
 	margin := stake * float64(c.estimate.cautious-c.estimate.total)
 	if s.now+c.estimate.total+time.Duration(margin) > r.Deadline {
@@ -208,41 +196,28 @@
 // are in flight on the endpoint.
 type neighbourScore struct{}
 
-// neighbourShare is the part of a prefill's time that each neighbour loses.
-const neighbourShare = 0.5
-
 func (neighbourScore) score(s *Scheduler, r *request, c *candidate) time.Duration {
 	prefill := c.endpoint.speed.Prefill(s.now, r.PromptTokens-c.cached)
-	return time.Duration(neighbourShare * float64(prefill) * float64(c.endpoint.inFlight))
+	return time.Duration(rules.NeighbourShare * float64(prefill) * float64(c.endpoint.inFlight))
 }
 
 // prefixScore is a penalty for prefilling again what another endpoint has
 // cached.
 type prefixScore struct{}
 
-// prefixPenalty weighs a token that is prefilled again.
-const prefixPenalty = 4
-
 func (prefixScore) score(s *Scheduler, _ *request, c *candidate) time.Duration {
-	return prefixPenalty * c.endpoint.speed.Prefill(s.now, c.best-c.cached)
+	return rules.PrefixPenalty * c.endpoint.speed.Prefill(s.now, c.best-c.cached)
 }
 
 // longWorkReserve keeps the last free slots of the pool from long work below
 // the highest tier, so that short and high requests find a slot soon.
 type longWorkReserve struct{}
 
-const (
-	// longWork is from which expected slot time on a request is long.
-	longWork = 8 * time.Second
-	// reservedPart is the part of the pool's slots that long work leaves free.
-	reservedPart = 0.05
-)
-
 func (longWorkReserve) reserve(s *Scheduler, r *request) string {
-	if r.Rank == 0 || r.cost < longWork {
+	if r.Rank == 0 || r.cost < rules.LongWork {
 		return ""
 	}
-	if s.totalSlots > 1 && float64(s.totalFree) <= reservedPart*float64(s.totalSlots) {
+	if s.totalSlots > 1 && float64(s.totalFree) <= rules.ReservedPart*float64(s.totalSlots) {
 		return reasonReserved
 	}
 	return ""
@@ -252,15 +227,11 @@
 // behind which a high request would wait for its first token.
 type longPrefillReserve struct{}
 
-// longPrefillPart is the part of the pool's endpoints that may prefill long
-// prompts of lower tiers at once; one always may.
-const longPrefillPart = 0.5
-
 func (longPrefillReserve) reserve(s *Scheduler, r *request) string {
 	if r.Rank == 0 || !s.longPrefill(r.PromptTokens-r.best) {
 		return ""
 	}
-	if s.longPrefills >= max(1, int(longPrefillPart*float64(s.working))) {
+	if s.longPrefills >= max(1, int(rules.LongPrefillPart*float64(s.working))) {
 		return reasonPrefills
 	}
 	return ""
@@ -269,5 +240,5 @@
 // longPrefill says whether the prefill of tokens takes longer than an
 // endpoint's prefill window, on average.
 func (s *Scheduler) longPrefill(tokens int) bool {
-	return time.Duration(tokens)*s.endpoints.average(s.now).prefill > prefillWindow
+	return time.Duration(tokens)*s.endpoints.average(s.now).prefill > rules.PrefillWindow
 }
--- a/internal/pool/prefix.go
+++ b/internal/pool/prefix.go
@@ -3,24 +3,11 @@
 import (
 	"time"
 
+	"github.com/trefoilchute/trefoilchute/internal/pool/rules"
 	"github.com/trefoilchute/trefoilchute/internal/prefix"
 )
 
 const (
-	// trustWeight is the weight of an answer in the trust in an endpoint's
-	// modelled cache.
-	trustWeight = 0.1
-	// minSaving is the number of cached tokens from which on a request waits
-	// for the endpoint that has them.
-	minSaving = 2 * prefix.BlockTokens
-	// holdPerPrefill is how long a request waits for its cached prefix, in
-	// times of the prefill that it saves, and maxHold the most.
-	holdPerPrefill = 10
-	maxHold        = 15 * time.Second
-	// holdSlack is the part of the time left that a request may spend on
-	// waiting for its prefix; in the highest tier it is topHoldSlack.
-	holdSlack    = 0.5
-	topHoldSlack = 0.15
 	// fewEndpoints is up to how many endpoints each cache is looked up, instead
 	// of the index of all.
 	fewEndpoints = 4
@@ -28,12 +15,17 @@
 
 // matchPrefix fills s.matched for a request, by endpoint number.
 func (s *Scheduler) matchPrefix(r *request) {
+	s.growMatched()
+	s.blocks.Match(r.Prefix, s.matched)
+}
+
+// growMatched makes room in s.matched for every endpoint.
+func (s *Scheduler) growMatched() {
 	n := int(s.endpoints.numbers)
 	if cap(s.matched) < n {
 		s.matched = make([]int, n)
 	}
 	s.matched = s.matched[:n]
-	s.blocks.Match(r.Prefix, s.matched)
 }
 
 // cachedOn returns the prompt tokens expected in an endpoint's cache, after
@@ -60,6 +52,7 @@
 		s.matchPrefix(r)
 		return
 	}
+	s.growMatched()
 	for _, e := range among {
 		s.matched[e.number] = s.blocks.Held(e.number, r.Prefix)
 	}
@@ -73,7 +66,7 @@
 	}
 	s.matchPrefix(r)
 	r.best = s.bestCached(r)
-	if r.best-p.cached < minSaving {
+	if r.best-p.cached < rules.MinSaving {
 		return 0
 	}
 	if r.heldUntil > 0 {
@@ -87,7 +80,7 @@
 func (s *Scheduler) holdTime(r *request, p *placement) time.Duration {
 	saved := p.endpoint.speed.Prefill(s.now, r.best-p.cached)
 	spare := r.Deadline - s.now - p.estimate.cautious
-	return min(holdPerPrefill*saved, time.Duration(r.holdSlack()*float64(spare)), maxHold)
+	return min(rules.HoldPerPrefill*saved, time.Duration(r.holdSlack()*float64(spare)), rules.MaxHold)
 }
 
 // cacheEvent corrects the modelled cache.
@@ -102,12 +95,12 @@
 
 // sawCached corrects the trust in the modelled cache by what the engine found.
 func (s *Scheduler) sawCached(a *attempt, found int) {
-	if a.cached < minSaving {
+	if a.cached < rules.MinSaving {
 		return
 	}
 	ratio := min(1, float64(found)/float64(a.cached))
-	a.endpoint.trust += trustWeight * (ratio - a.endpoint.trust)
-	a.endpoint.trust = max(a.endpoint.trust, 0.2)
+	a.endpoint.trust += rules.TrustWeight * (ratio - a.endpoint.trust)
+	a.endpoint.trust = max(a.endpoint.trust, rules.MinTrust)
 }
 
 // holdLimit bounds the wait for the endpoint with the prefix of a request that
@@ -115,12 +108,12 @@
 func (s *Scheduler) holdLimit(r *request) time.Duration {
 	total, _ := s.fastest(r)
 	spare := r.Deadline - s.now - total
-	return max(0, min(time.Duration(r.holdSlack()*float64(spare)), maxHold))
+	return max(0, min(time.Duration(r.holdSlack()*float64(spare)), rules.MaxHold))
 }
 
 func (r *request) holdSlack() float64 {
 	if r.Rank == 0 {
-		return topHoldSlack
+		return rules.TopHoldSlack
 	}
-	return holdSlack
+	return rules.HoldSlack
 }
--- a/internal/pool/queue.go
+++ b/internal/pool/queue.go
@@ -246,14 +246,36 @@
 	return r
 }
 
-// last returns the waiting request that a tier would serve last: of the team
-// with the largest start tag, a leaf of its heap.
+// all returns the tier's waiting requests, held ones included, in no order.
+func (t *tierQueue) all() []*request {
+	out := slices.Clone(t.held)
+	for _, tq := range t.ready {
+		out = append(out, tq.requests...)
+	}
+	return out
+}
+
+// last returns the waiting request with the latest deadline. It looks at all,
+// but it is needed only when the tier's queue is full.
 func (t *tierQueue) last() *request {
-	if len(t.ready) == 0 {
-		return t.held[len(t.held)-1]
+	return slices.MaxFunc(t.all(), compareUrgency)
+}
+
+// byDeadline returns the tier's waiting requests, latest deadline first.
+func (t *tierQueue) byDeadline() []*request {
+	out := t.all()
+	slices.SortFunc(out, func(a, b *request) int { return compareUrgency(b, a) })
+	return out
+}
+
+// reweigh sums up the weights anew, after teams were configured.
+func (q *queue) reweigh() {
+	for _, t := range q.tiers {
+		t.weight = 0
+		for _, tq := range t.sortedTeams() {
+			t.weight += tq.team.weight()
+		}
 	}
-	tq := t.ready[len(t.ready)-1]
-	return tq.requests[len(tq.requests)-1]
 }
 
 // sortedTeams returns the teams with queued requests by name.
--- /dev/null
+++ b/internal/pool/rules/rules.go
@@ -0,0 +1,125 @@
+// Package rules holds the numbers of the scheduling policy, which the scheduler
+// and the naive scheduler that it is tested against share.
+package rules
+
+import (
+	"time"
+
+	"github.com/trefoilchute/trefoilchute/internal/prefix"
+)
+
+// Grants and the ledger.
+const (
+	// GrantLifetime is how long a custodian may use a grant.
+	GrantLifetime = 1500 * time.Millisecond
+	// GrantMargin is how long after its end a grant that nobody reported on
+	// still holds its slot: the report of a late use may be on its way.
+	GrantMargin = 500 * time.Millisecond
+	// AttemptMemory is how long the row of a void grant is kept, so that a
+	// report that comes later still finds its endpoint.
+	AttemptMemory = 2 * time.Minute
+	// AttemptBits is the room for attempts in one epoch.
+	AttemptBits = 20
+)
+
+// Estimates.
+const (
+	// DispatchTime is allowed for messages between grant and first byte.
+	DispatchTime = 20 * time.Millisecond
+	// AverageLife is how long a computed average speed is used.
+	AverageLife = time.Second
+	// Recheck is the least time between two looks at whether a request can
+	// still be answered in time.
+	Recheck = 50 * time.Millisecond
+)
+
+// The order of granting.
+const (
+	// MaxHeld is the most requests of a tier that wait for their endpoint.
+	MaxHeld = 16
+	// MaxLook is the most teams of a tier looked at in one step without a
+	// grant.
+	MaxLook = 16
+	// SweepEvery is the time after which every waiting request is held against
+	// every open endpoint again, because estimates change with time.
+	SweepEvery = 250 * time.Millisecond
+)
+
+// Filters, scores and reserves.
+const (
+	// SlotsPerTopSlot is the number of slots of an endpoint for each one kept
+	// for the highest tier.
+	SlotsPerTopSlot = 8
+	// PrefillWindow bounds the expected prefill time pending at an endpoint; a
+	// longer prompt needs an endpoint with none pending.
+	PrefillWindow = time.Second
+	// SurePrefill is the number of prompt tokens from which on the cautious
+	// estimate is held against the deadline; below, a part of it.
+	SurePrefill = 1000
+	// TopStake lowers that part for the highest tier, which is worth a try.
+	TopStake = 0.25
+	// SparePart is the free part of the pool's slots from which on it has room
+	// to spare, if no more requests wait than it has endpoints.
+	SparePart = 0.25
+	// NeighbourShare is the part of a prefill's time that each neighbour loses.
+	NeighbourShare = 0.5
+	// PrefixPenalty weighs a token that is prefilled again.
+	PrefixPenalty = 4
+	// LongWork is from which expected slot time on a request is long.
+	LongWork = 8 * time.Second
+	// ReservedPart is the part of the pool's slots that long work below the
+	// highest tier leaves free.
+	ReservedPart = 0.05
+	// LongPrefillPart is the part of the pool's endpoints that may prefill long
+	// prompts of lower tiers at once; one always may.
+	LongPrefillPart = 0.5
+)
+
+// Cached prefixes.
+const (
+	// TrustWeight is the weight of an answer in the trust in an endpoint's
+	// modelled cache, and MinTrust bounds that from below.
+	TrustWeight = 0.1
+	MinTrust    = 0.2
+	// MinSaving is the number of cached tokens from which on a request waits
+	// for the endpoint that has them.
+	MinSaving = 2 * prefix.BlockTokens
+	// HoldPerPrefill is how long a request waits for its cached prefix, in
+	// times of the prefill that it saves, and MaxHold the most.
+	HoldPerPrefill = 10
+	MaxHold        = 15 * time.Second
+	// HoldSlack is the part of the time left that a request may spend on
+	// waiting for its prefix; in the highest tier it is TopHoldSlack.
+	HoldSlack    = 0.5
+	TopHoldSlack = 0.15
+)
+
+// Shedding.
+const (
+	// PatienceAboveOthers is how many times longer than it can wait a request's
+	// expected wait has to be before lower tiers are shed for it and it itself.
+	PatienceAboveOthers = 3
+	// MinRetryAfter and MaxRetryAfter bound what a refused caller is told.
+	MinRetryAfter = time.Second
+	MaxRetryAfter = time.Minute
+	// LeastDrain is the part of the pool's capacity that a tier is taken to get
+	// at least, however much arrives above it.
+	LeastDrain = 0.1
+)
+
+// Failures and suspects.
+const (
+	// FirstClosed is how long an endpoint is closed after a failure; it doubles
+	// with each further one up to LastClosed.
+	FirstClosed = time.Second
+	LastClosed  = 16 * time.Second
+	// CrashesToQuarantine is how many endpoints a request may have been lost
+	// with.
+	CrashesToQuarantine = 2
+	// SuspectMemory and QuarantineMemory are how long a suspect and a
+	// quarantined request are remembered after the last crash.
+	SuspectMemory    = 15 * time.Minute
+	QuarantineMemory = 24 * time.Hour
+	// MaxProven bounds the bodies that are remembered to have run whole.
+	MaxProven = 8192
+)
--- a/internal/pool/scheduler.go
+++ b/internal/pool/scheduler.go
@@ -5,6 +5,8 @@
 
 	"github.com/trefoilchute/trefoilchute/internal/ident"
 	"github.com/trefoilchute/trefoilchute/internal/pool/blocks"
+	"github.com/trefoilchute/trefoilchute/internal/pool/meter"
+	"github.com/trefoilchute/trefoilchute/internal/pool/rules"
 	"github.com/trefoilchute/trefoilchute/internal/pool/speed"
 )
 
@@ -34,7 +36,7 @@
 	lengths   *speed.Lengths
 	surprise  speed.Surprise
 	blocks    *blocks.Index
-	meter     meter
+	meter     meter.Meter
 	suspects  *suspectTable
 	isolation isolation
 	bodies    *bodyTable
@@ -76,11 +78,11 @@
 		lengths:     speed.NewLengths(),
 		surprise:    speed.NewSurprise(),
 		blocks:      blocks.NewIndex(),
-		meter:       newMeter(),
+		meter:       meter.New(),
 		suspects:    newSuspectTable(),
 		bodies:      newBodyTable(),
 		running:     map[int]int{},
-		lastAttempt: c.Epoch << attemptBits,
+		lastAttempt: c.Epoch << rules.AttemptBits,
 	}
 	s.queue = newQueue()
 	return s
@@ -92,7 +94,7 @@
 func (s *Scheduler) Step(now time.Duration, events []Event) []Effect {
 	s.now = max(s.now, now)
 	s.out = nil
-	s.meter.roll(s.now, s.queue.waiting())
+	s.meter.Roll(s.now, s.queue.waiting())
 	for _, e := range events {
 		s.take(e)
 	}
--- a/internal/pool/scheduler_test.go
+++ b/internal/pool/scheduler_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/trefoilchute/trefoilchute/internal/ident"
+	"github.com/trefoilchute/trefoilchute/internal/pool/rules"
 	"github.com/trefoilchute/trefoilchute/internal/resource"
 	"github.com/trefoilchute/trefoilchute/internal/result"
 )
@@ -80,9 +81,9 @@
 	g := NewWithT(t)
 	s := newTestScheduler(testEndpoint("e", 1))
 	first := grants(s.Step(0, []Event{Arrive{testRequest("r", 0)}}))[0]
-	s.Step(GrantLifetime, nil)
+	s.Step(rules.GrantLifetime, nil)
 	g.Expect(s.endpoints.rows[0].inFlight).To(Equal(1), "the slot is kept for the margin")
-	second := grants(s.Step(GrantLifetime+GrantMargin, nil))
+	second := grants(s.Step(rules.GrantLifetime+rules.GrantMargin, nil))
 	g.Expect(second).To(HaveLen(1), "the request is granted anew")
 	s.Step(3*time.Second, []Event{Started{ID: "r", Attempt: first.Attempt}})
 	g.Expect(s.endpoints.rows[0].inFlight).To(Equal(2), "the late start runs beside the second grant")
--- a/internal/pool/shed.go
+++ b/internal/pool/shed.go
@@ -1,35 +1,25 @@
 package pool
 
 import (
+	"slices"
 	"time"
 
+	"github.com/trefoilchute/trefoilchute/internal/pool/rules"
 	"github.com/trefoilchute/trefoilchute/internal/result"
 )
 
-const (
-	// minRetryAfter and maxRetryAfter bound what a refused caller is told.
-	minRetryAfter = time.Second
-	maxRetryAfter = time.Minute
-	// leastDrain is the part of the pool's capacity that a tier is taken to
-	// get at least, however much arrives above it.
-	leastDrain = 0.1
-)
-
-// displace sheds one request of the lowest tier below rank that waits, so that
-// one of rank can wait in its place. It returns false if none waits.
+// displace sheds the request with the latest deadline of the lowest tier below
+// rank that waits, so that one of rank can wait in its place. It returns false
+// if none waits.
 func (s *Scheduler) displace(rank int) bool {
-	for i := len(s.queue.tiers) - 1; i >= 0; i-- {
-		t := s.queue.tiers[i]
+	for _, t := range slices.Backward(s.queue.tiers) {
 		if t.rank <= rank {
 			return false
 		}
-		if t.size == 0 {
-			continue
+		if t.size > 0 {
+			s.yield(t.last())
+			return true
 		}
-		r := t.last()
-		s.drop(r)
-		s.spillOr(r, result.ShedTier, "a request of a higher tier took its place")
-		return true
 	}
 	return false
 }
@@ -37,13 +27,25 @@
 // shedBelow sheds all that waits in tiers below rank, from the lowest up: no
 // request is shed for want of room while one of a lower tier waits.
 func (s *Scheduler) shedBelow(rank int) {
-	for s.displace(rank) {
+	for _, t := range slices.Backward(s.queue.tiers) {
+		if t.rank <= rank {
+			return
+		}
+		for _, r := range t.byDeadline() {
+			s.yield(r)
+		}
 	}
 }
 
+// yield takes a waiting request out for one of a higher tier.
+func (s *Scheduler) yield(r *request) {
+	s.drop(r)
+	s.spillOr(r, result.ShedTier, "a request of a higher tier took its place")
+}
+
 // retryAfter is when a request of a rank can be expected to find room.
 func (s *Scheduler) retryAfter(rank int) time.Duration {
-	return min(max(s.expectedWait(rank), minRetryAfter), maxRetryAfter)
+	return min(max(s.expectedWait(rank), rules.MinRetryAfter), rules.MaxRetryAfter)
 }
 
 // expectedWait is the time until what waits at a rank or above is served, at
@@ -77,8 +79,8 @@
 	if backlog == 0 {
 		return 0
 	}
-	capacity := max(s.meter.capacity(s.totalSlots), 1)
-	left := max(capacity-s.meter.above(s.queue.tiers, rank), leastDrain*capacity)
+	capacity := max(s.meter.Capacity(s.totalSlots), 1)
+	left := max(capacity-s.meter.Above(rank), rules.LeastDrain*capacity)
 	return time.Duration(backlog.Seconds() / left * float64(time.Second))
 }
 
--- a/internal/pool/speed/speed.go
+++ b/internal/pool/speed/speed.go
@@ -101,6 +101,16 @@
 	e.decode = e.learn(e.decode, rate)
 }
 
+// SawCall takes in that a call to a plain service took a time beside others.
+func (e *Endpoint) SawCall(now time.Duration, took time.Duration, others float64) {
+	if took <= 0 {
+		return
+	}
+	rate := (1 + batchSlope*others) / took.Seconds()
+	e.see(now, e.decode/rate)
+	e.decode = e.learn(e.decode, rate)
+}
+
 // see moves the pace towards a sample.
 func (e *Endpoint) see(now time.Duration, ratio float64) {
 	ratio = min(max(ratio, minRatio), maxRatio)
--- a/internal/pool/status.go
+++ b/internal/pool/status.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/trefoilchute/trefoilchute/internal/ident"
+	"github.com/trefoilchute/trefoilchute/internal/pool/rules"
 	"github.com/trefoilchute/trefoilchute/internal/resource"
 )
 
@@ -111,7 +112,7 @@
 		Name:          e.Name,
 		InFlight:      e.inFlight,
 		Window:        e.slots(),
-		Foreign:       e.load.foreign,
+		Foreign:       e.load.Foreign,
 		PendingTokens: e.pending,
 		PrefillRate:   e.speed.PrefillRate(),
 		DecodeRate:    e.speed.DecodeRate(),
@@ -131,11 +132,11 @@
 		return "closed for a while after it was lost or took no connection"
 	case e.isolating:
 		return "kept for a request that is suspected of crashing endpoints"
-	case e.free() <= 0 && e.window.size() < e.Slots:
+	case e.free() <= 0 && e.window.Size() < e.Slots:
 		return "its window was narrowed because it is slow"
 	case e.free() <= 0:
 		return reasonFull
-	case e.speed.Prefill(s.now, e.pending) > prefillWindow:
+	case e.speed.Prefill(s.now, e.pending) > rules.PrefillWindow:
 		return reasonPrefill
 	}
 	return ""
--- a/internal/pool/suspect.go
+++ b/internal/pool/suspect.go
@@ -1,19 +1,9 @@
 package pool
 
 import (
-	"cmp"
 	"slices"
-	"time"
-)
 
-const (
-	// crashesToQuarantine is how many endpoints a request may have been lost
-	// with.
-	crashesToQuarantine = 2
-	// suspectMemory and quarantineMemory are how long a suspect and a
-	// quarantined request are remembered after the last crash.
-	suspectMemory    = 15 * time.Minute
-	quarantineMemory = 24 * time.Hour
+	"github.com/trefoilchute/trefoilchute/internal/pool/rules"
 )
 
 // suspect is the row of a request that was in flight on an endpoint that
@@ -105,16 +95,16 @@
 		s.suspects.add(x)
 	}
 	x.Crashes++
-	x.Quarantined = x.Quarantined || x.Crashes >= crashesToQuarantine
+	x.Quarantined = x.Quarantined || x.Crashes >= rules.CrashesToQuarantine
 	s.remember(x)
 	return x
 }
 
 // remember keeps a suspect for its time.
 func (s *Scheduler) remember(x *suspect) {
-	keep := suspectMemory
+	keep := rules.SuspectMemory
 	if x.Quarantined {
-		keep = quarantineMemory
+		keep = rules.QuarantineMemory
 	}
 	s.timers.set(&x.timer, s.now+keep, func() { s.suspects.remove(x) })
 }
@@ -164,14 +154,7 @@
 // sortOutSuspects moves the waiting requests to where their suspicion, new or
 // taken back, wants them.
 func (s *Scheduler) sortOutSuspects() {
-	var waiting []*request
-	for _, r := range s.requests {
-		if r.waits() {
-			waiting = append(waiting, r)
-		}
-	}
-	slices.SortFunc(waiting, func(a, b *request) int { return cmp.Compare(a.sequence, b.sequence) })
-	for _, r := range waiting {
+	for _, r := range s.waiting() {
 		s.sortOut(r)
 	}
 }
@@ -180,11 +163,11 @@
 	x := s.suspects.find(r.KeyHash, r.Fingerprint)
 	isolated := r.phase == phaseIsolated
 	switch {
-	case x == nil && isolated, x != nil && !isolated:
-		s.withdraw(r)
-		s.enqueue(r)
 	case x != nil && x.Quarantined:
 		s.drop(r)
 		s.emit(*s.quarantined(r))
+	case x == nil && isolated, x != nil && !isolated:
+		s.withdraw(r)
+		s.enqueue(r)
 	}
 }
--- a/internal/pool/suspect_test.go
+++ b/internal/pool/suspect_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/trefoilchute/trefoilchute/internal/ident"
+	"github.com/trefoilchute/trefoilchute/internal/pool/rules"
 	"github.com/trefoilchute/trefoilchute/internal/result"
 )
 
@@ -52,7 +53,7 @@
 		})
 		crashes += runGrants(s, now, out, poison)
 	}
-	g.Expect(crashes).To(Equal(crashesToQuarantine))
+	g.Expect(crashes).To(Equal(rules.CrashesToQuarantine))
 	out := refusals(s.Step(time.Hour-time.Second, []Event{arriveBody("again", 1, 7)}))
 	g.Expect(out).To(HaveLen(1))
 	g.Expect(out[0].Code).To(Equal(result.Quarantined))
@@ -97,5 +98,5 @@
 	crashes := runGrants(s, 0, out, func(ident.Request) bool { return true })
 	out = s.Step(time.Minute, nil)
 	crashes += runGrants(s, time.Minute, out, func(ident.Request) bool { return true })
-	g.Expect(crashes).To(Equal(crashesToQuarantine))
+	g.Expect(crashes).To(Equal(rules.CrashesToQuarantine))
 }
--- a/internal/pool/table.go
+++ b/internal/pool/table.go
@@ -6,21 +6,12 @@
 	"time"
 
 	"github.com/trefoilchute/trefoilchute/internal/ident"
+	"github.com/trefoilchute/trefoilchute/internal/pool/rules"
 	"github.com/trefoilchute/trefoilchute/internal/resource"
 )
 
-const (
-	// GrantLifetime is how long a custodian may use a grant.
-	GrantLifetime = 1500 * time.Millisecond
-	// GrantMargin is how long after its end a grant that nobody reported on
-	// still holds its slot: the report of a late use may be on its way.
-	GrantMargin = 500 * time.Millisecond
-	// attemptMemory is how long the row of a void grant is kept, so that a
-	// report that comes later still finds its endpoint.
-	attemptMemory = 2 * time.Minute
-	// attemptBits is the room for attempts in one epoch.
-	attemptBits = 20
-)
+// GrantLifetime is how long a custodian may use a grant.
+const GrantLifetime = rules.GrantLifetime
 
 // phase is where a request stands.
 type phase int
--- a/internal/pool/window.go
+++ b/internal/pool/window/window.go
@@ -1,4 +1,6 @@
-package pool
+// Package window bounds the requests in flight at an endpoint and compares its
+// load reports with the own ledger.
+package window
 
 import "time"
 
@@ -15,17 +17,17 @@
 	reportPeriod = 4 * time.Second
 )
 
-// window bounds an endpoint's requests in flight. It shrinks by a factor while
+// Window bounds an endpoint's requests in flight. It shrinks by a factor while
 // the endpoint is slow, down to its part of the speed, and grows back by one for each window of work done at
 // speed, so that probing is bounded by the work that went well.
-type window struct {
+type Window struct {
 	width  float64
 	most   int
 	shrunk time.Duration
 }
 
-// limit sets the most that the window may be. A new window starts there.
-func (w *window) limit(slots int) {
+// Limit sets the most that the window may be. A new window starts there.
+func (w *Window) Limit(slots int) {
 	if w.most == 0 {
 		w.width = float64(slots)
 	}
@@ -36,10 +38,11 @@
 	w.width = min(w.width, float64(slots))
 }
 
-func (w *window) size() int { return int(w.width) }
+// Size returns the number of requests that the endpoint may have.
+func (w *Window) Size() int { return int(w.width) }
 
-// saw adapts the window to the pace after a sample.
-func (w *window) saw(now time.Duration, pace float64) {
+// Saw adapts the window to the pace after a sample.
+func (w *Window) Saw(now time.Duration, pace float64) {
 	switch {
 	case pace >= shrinkPace && now-w.shrunk >= shrinkEvery:
 		w.shrunk = now
@@ -49,33 +52,34 @@
 	}
 }
 
-// restart closes the window to one request, after a crash.
-func (w *window) restart() {
+// Restart closes the window to one request, after a crash.
+func (w *Window) Restart() {
 	w.width = min(1, float64(w.most))
 }
 
-// reportedLoad compares an endpoint's lagging load reports with the own
+// Reported compares an endpoint's lagging load reports with the own
 // ledger: what the endpoint reports beyond anything that the ledger had in
 // the time of the report is others' work.
-type reportedLoad struct {
-	foreign int
+type Reported struct {
+	// Foreign is the number of requests that others have at the endpoint.
+	Foreign int
 	// peak and before are the ledger's peaks of this period and the last.
 	peak, before int
 	since        time.Duration
 }
 
-// note takes in the ledger's number in flight.
-func (l *reportedLoad) note(now time.Duration, inFlight int) {
+// Note takes in the ledger's number in flight.
+func (l *Reported) Note(now time.Duration, inFlight int) {
 	if now-l.since >= reportPeriod {
 		l.before, l.peak, l.since = l.peak, inFlight, now
 	}
 	l.peak = max(l.peak, inFlight)
 }
 
-// report takes in a report. One that is too old to compare says nothing.
-func (l *reportedLoad) report(r LoadReport) {
-	if r.Age > reportPeriod {
+// Report takes in a report of running and waiting requests. One that is too old to compare says nothing.
+func (l *Reported) Report(load int, age time.Duration) {
+	if age > reportPeriod {
 		return
 	}
-	l.foreign = max(0, r.Running+r.Waiting-max(l.peak, l.before))
+	l.Foreign = max(0, load-max(l.peak, l.before))
 }
