Let requests wait for their prefix by the endpoint, not sixteen a tier

Change: four requests for each endpoint may wait for their prefix in a tier, and are looked at when their endpoint changes or their wait is over; a request that finds no place among them takes the endpoint that is free.

--- a/internal/naive/events.go
+++ b/internal/naive/events.go
@@ -70,7 +70,7 @@
 		r.state = isolated
 		return
 	}
-	r.best = s.bestCached(r)
+	s.findHome(r)
 	x := s.share(r.Rank, r.Team)
 	if len(s.teamQueue(r.Rank, r.Team)) == 0 {
 		x.start = max(x.start, s.share(r.Rank, "").virtual)
--- a/internal/naive/grant.go
+++ b/internal/naive/grant.go
@@ -68,6 +68,10 @@
 
 func (s *Scheduler) grantHeld(rank int, among []*endpoint) {
 	for _, r := range s.heldIn(rank) {
+		waits := r.heldForHome && s.now < r.heldUntil && !(r.urgent && s.spare())
+		if waits && !slices.Contains(among, r.home) {
+			continue
+		}
 		if s.bodyBusy(r) {
 			s.park(r)
 			continue
@@ -80,6 +84,17 @@
 	}
 }
 
+// homeHeld counts the held requests of a rank that were held for their prefix.
+func (s *Scheduler) homeHeld(rank int) int {
+	n := 0
+	for _, r := range s.heldIn(rank) {
+		if r.heldForHome {
+			n++
+		}
+	}
+	return n
+}
+
 func (s *Scheduler) atLimit(name ident.Team) bool {
 	n := 0
 	for _, a := range s.attempts {
@@ -177,7 +192,8 @@
 }
 
 func (s *Scheduler) keep(r *request, p place) bool {
-	if len(s.heldIn(r.Rank)) >= rules.MaxHeld {
+	r.heldForHome = p.hold > 0
+	if !r.heldForHome && len(s.heldIn(r.Rank))-s.homeHeld(r.Rank) >= rules.MaxHeld {
 		return false
 	}
 	s.claim(r)
@@ -269,10 +285,13 @@
 	if p.endpoint == nil || (r.urgent && s.spare()) {
 		return 0
 	}
-	r.best = s.bestCached(r)
+	s.findHome(r)
 	if r.best-p.cached < rules.MinSaving {
 		return 0
 	}
+	if r.state == queued && s.homeHeld(r.Rank) >= rules.HomeHeldPerEndpoint*s.totals.working {
+		return 0
+	}
 	if r.heldUntil > 0 {
 		return max(0, r.heldUntil-s.now)
 	}
--- a/internal/naive/naive.go
+++ b/internal/naive/naive.go
@@ -73,8 +73,11 @@
 	cost     time.Duration
 	mean     float64
 	best     int
-	urgent   bool
-	recheck  time.Duration
+	home     *endpoint
+	// heldForHome says that it was held to wait for home.
+	heldForHome bool
+	urgent      bool
+	recheck     time.Duration
 	// heldUntil ends the wait for the prefix; order is when it was held or
 	// parked.
 	heldUntil time.Duration
--- a/internal/naive/policy.go
+++ b/internal/naive/policy.go
@@ -323,14 +323,13 @@
 	return int(float64(min(n*prefix.BlockTokens, r.PromptTokens)) * e.trust)
 }
 
-func (s *Scheduler) bestCached(r *request) int {
-	best := 0
+func (s *Scheduler) findHome(r *request) {
+	r.best, r.home = 0, nil
 	for _, e := range s.endpoints {
-		if s.takesWork(e) {
-			best = max(best, s.cachedOn(r, e))
+		if cached := s.cachedOn(r, e); s.takesWork(e) && cached > r.best {
+			r.best, r.home = cached, e
 		}
 	}
-	return best
 }
 
 func (s *Scheduler) countTotals() {
--- a/internal/pool/endpoint.go
+++ b/internal/pool/endpoint.go
@@ -52,6 +52,12 @@
 	return e.slots() - e.inFlight
 }
 
+// keptSlots is the number of slots kept for the highest tier while it sends
+// requests: short requests with a near deadline else wait for long ones to end.
+func (e *endpoint) keptSlots() int {
+	return e.slots() / rules.SlotsPerTopSlot
+}
+
 // takesWork says whether the endpoint may get grants at all.
 func (e *endpoint) takesWork(now time.Duration) bool {
 	return e.declared && e.State != resource.EndpointDrain && now >= e.closedUntil
--- a/internal/pool/grant.go
+++ b/internal/pool/grant.go
@@ -92,6 +92,10 @@
 func (s *Scheduler) grantHeld(t *tierQueue, among []*endpoint) {
 	for i := 0; i < len(t.held); {
 		r := t.held[i]
+		if s.waitsForHome(r) && !slices.Contains(among, r.home) {
+			i++
+			continue
+		}
 		if s.bodies.busy(r) {
 			s.park(r)
 			continue
@@ -171,7 +175,8 @@
 // that others can have these. It returns false if too many are held.
 func (s *Scheduler) keep(r *request, p placement) bool {
 	t := s.queue.tier(r.Rank)
-	if len(t.held) >= rules.MaxHeld {
+	r.heldForHome = p.hold > 0
+	if !r.heldForHome && len(t.held)-t.homeHeld >= rules.MaxHeld {
 		return false
 	}
 	s.claim(r)
--- a/internal/pool/intake.go
+++ b/internal/pool/intake.go
@@ -75,7 +75,7 @@
 	}
 	r.phase = phaseQueued
 	s.matchPrefix(r)
-	r.best = s.bestCached(r)
+	s.findHome(r)
 	s.queue.push(r, s.teams.get(r.Team))
 	s.fresh = append(s.fresh, r)
 }
--- a/internal/pool/place.go
+++ b/internal/pool/place.go
@@ -34,7 +34,7 @@
 
 // The plugins in the order in which they run.
 var (
-	filters   = []filter{topSlotFilter{}, prefillFilter{}, deadlineFilter{}}
+	filters   = []filter{prefillFilter{}, deadlineFilter{}}
 	scorers   = []scorer{finishScore{}, neighbourScore{}, prefixScore{}}
 	reservers = []reserver{longWorkReserve{}, longPrefillReserve{}}
 )
@@ -74,12 +74,17 @@
 	}
 	s.matchAmong(r, among)
 	out := placement{reason: reasonFull}
+	below := r.Rank > 0 && s.meter.Arrives(0)
 	var least time.Duration
 	for _, e := range among {
-		if e.free() <= 0 {
+		free := e.free()
+		if free <= 0 {
 			continue
 		}
 		out.room = true
+		if below && free <= e.keptSlots() {
+			continue
+		}
 		c := s.candidate(r, e)
 		if reason := rejected(s, r, c); reason != "" {
 			if out.endpoint == nil {
@@ -137,20 +142,6 @@
 	return &s.scratch
 }
 
-// topSlotFilter keeps a few slots of each endpoint for the highest tier: short
-// requests with a near deadline else wait for long ones to end.
-type topSlotFilter struct{}
-
-func (topSlotFilter) filter(s *Scheduler, r *request, c *candidate) string {
-	if r.Rank == 0 || !s.meter.Arrives(0) {
-		return ""
-	}
-	if c.endpoint.free() <= c.endpoint.slots()/rules.SlotsPerTopSlot {
-		return reasonReserved
-	}
-	return ""
-}
-
 // prefillFilter bounds what waits for prefill at an endpoint: engines take
 // prompts as they come, so that a high request would wait behind low ones.
 type prefillFilter struct{}
--- a/internal/pool/prefix.go
+++ b/internal/pool/prefix.go
@@ -35,15 +35,24 @@
 	return int(float64(tokens) * e.trust)
 }
 
-// bestCached returns the most cached tokens on any endpoint that takes work.
-func (s *Scheduler) bestCached(r *request) int {
-	best := 0
+// findHome finds the endpoint that takes work and has the most of a prompt
+// cached, after matchPrefix.
+func (s *Scheduler) findHome(r *request) {
+	r.best, r.home = 0, nil
 	for _, e := range s.endpoints.rows {
-		if s.matched[e.number] > 0 && e.takesWork(s.now) {
-			best = max(best, s.cachedOn(r, e))
+		if s.matched[e.number] == 0 || !e.takesWork(s.now) {
+			continue
+		}
+		if cached := s.cachedOn(r, e); cached > r.best {
+			r.best, r.home = cached, e
 		}
 	}
-	return best
+}
+
+// waitsForHome says whether a held request is to have no other endpoint than
+// its home yet.
+func (s *Scheduler) waitsForHome(r *request) bool {
+	return r.heldForHome && s.now < r.heldUntil && !(r.urgent && s.spare())
 }
 
 // matchAmong fills s.matched for a request and some endpoints.
@@ -65,10 +74,13 @@
 		return 0
 	}
 	s.matchPrefix(r)
-	r.best = s.bestCached(r)
+	s.findHome(r)
 	if r.best-p.cached < rules.MinSaving {
 		return 0
 	}
+	if r.phase == phaseQueued && s.queue.tier(r.Rank).homeHeld >= rules.HomeHeldPerEndpoint*s.working {
+		return 0
+	}
 	if r.heldUntil > 0 {
 		return max(0, r.heldUntil-s.now)
 	}
--- a/internal/pool/queue.go
+++ b/internal/pool/queue.go
@@ -29,6 +29,8 @@
 	// held are the requests chosen that wait for the right endpoint, in the
 	// order in which they were chosen.
 	held []*request
+	// homeHeld counts those that were held for the endpoint with their prefix.
+	homeHeld int
 	// backlog is the sum of the costs waiting, held ones included.
 	backlog time.Duration
 	// weight is the sum of the weights of the teams with queued requests.
@@ -148,6 +150,9 @@
 // hold takes a request out of its team's heap to wait for its endpoint.
 func (t *tierQueue) hold(r *request) {
 	t.held = append(t.held, r)
+	if r.heldForHome {
+		t.homeHeld++
+	}
 	t.size++
 	t.backlog += r.cost
 	t.teams[r.Team].team.waiting++
@@ -157,6 +162,9 @@
 func (q *queue) unhold(r *request) {
 	t := q.tier(r.Rank)
 	t.held = slices.DeleteFunc(t.held, func(h *request) bool { return h == r })
+	if r.heldForHome {
+		t.homeHeld--
+	}
 	t.size--
 	t.backlog -= r.cost
 	t.teams[r.Team].team.waiting--
--- a/internal/pool/rules/rules.go
+++ b/internal/pool/rules/rules.go
@@ -35,8 +35,12 @@
 
 // The order of granting.
 const (
-	// MaxHeld is the most requests of a tier that wait for their endpoint.
+	// MaxHeld is the most requests of a tier that wait for any endpoint that
+	// suits them.
 	MaxHeld = 16
+	// HomeHeldPerEndpoint is the most requests of a tier, for each endpoint of
+	// the pool, that wait for the endpoint that has their prefix.
+	HomeHeldPerEndpoint = 4
 	// MaxLook is the most teams of a tier looked at in one step without a
 	// grant.
 	MaxLook = 16
--- a/internal/pool/table.go
+++ b/internal/pool/table.go
@@ -43,9 +43,12 @@
 	cost time.Duration
 	// mean and cautious are the tokens expected to be generated.
 	mean, cautious float64
-	// best is the most prompt tokens cached at any endpoint when the request
-	// was queued.
+	// best is the most prompt tokens cached at any endpoint when last looked.
 	best int
+	// home is the endpoint that has them; nil if none has any. heldForHome says
+	// that the request was held to wait for it.
+	home        *endpoint
+	heldForHome bool
 	// recheck is the earliest time at which it may be found hopeless.
 	recheck time.Duration
 	// urgent says that there is no time left for caution.
