--- a/internal/pool/queue.go
+++ b/internal/pool/queue.go
@@ -29,6 +29,8 @@
 	// held are the requests chosen that wait for the right endpoint, in the
 	// order in which they were chosen.
 	held []*request
+	// homeHeld counts those that were held for the endpoint with their prefix.
+	homeHeld int
 	// backlog is the sum of the costs waiting, held ones included.
 	backlog time.Duration
 	// weight is the sum of the weights of the teams with queued requests.
@@ -148,6 +150,9 @@
 // hold takes a request out of its team's heap to wait for its endpoint.
 func (t *tierQueue) hold(r *request) {
 	t.held = append(t.held, r)
+	if r.heldForHome {
+		t.homeHeld++
+	}
 	t.size++
 	t.backlog += r.cost
 	t.teams[r.Team].team.waiting++
@@ -157,6 +162,9 @@
 func (q *queue) unhold(r *request) {
 	t := q.tier(r.Rank)
 	t.held = slices.DeleteFunc(t.held, func(h *request) bool { return h == r })
+	if r.heldForHome {
+		t.homeHeld--
+	}
 	t.size--
 	t.backlog -= r.cost
 	t.teams[r.Team].team.waiting--
@@ -246,14 +254,36 @@
 	return r
 }
 
-// last returns the waiting request that a tier would serve last: of the team
-// with the largest start tag, a leaf of its heap.
+// all returns the tier's waiting requests, held ones included, in no order.
+func (t *tierQueue) all() []*request {
+	out := slices.Clone(t.held)
+	for _, tq := range t.ready {
+		out = append(out, tq.requests...)
+	}
+	return out
+}
+
+// last returns the waiting request with the latest deadline. It looks at all,
+// but it is needed only when the tier's queue is full.
 func (t *tierQueue) last() *request {
-	if len(t.ready) == 0 {
-		return t.held[len(t.held)-1]
+	return slices.MaxFunc(t.all(), compareUrgency)
+}
+
+// byDeadline returns the tier's waiting requests, latest deadline first.
+func (t *tierQueue) byDeadline() []*request {
+	out := t.all()
+	slices.SortFunc(out, func(a, b *request) int { return compareUrgency(b, a) })
+	return out
+}
+
+// reweigh sums up the weights anew, after teams were configured.
+func (q *queue) reweigh() {
+	for _, t := range q.tiers {
+		t.weight = 0
+		for _, tq := range t.sortedTeams() {
+			t.weight += tq.team.weight()
+		}
 	}
-	tq := t.ready[len(t.ready)-1]
-	return tq.requests[len(tq.requests)-1]
 }
 
 // sortedTeams returns the teams with queued requests by name.
