--- a/internal/system/configuration_test.go
+++ b/internal/system/configuration_test.go
@@ -76,6 +76,8 @@
 	// reads counts the calls; cutOff hosts get no replies.
 	reads  int
 	cutOff map[ident.Host]bool
+	// listed, when set, is called after rows were read.
+	listed func()
 }
 
 func newConfigs(seed uint64, hosts, domains int) *configs {
@@ -110,6 +112,9 @@
 		reply.Rows, reply.Err = append(reply.Rows, row), err
 	case system.CallList:
 		reply.Rows, reply.Err = c.fake.List(ctx, call.Key, call.After, call.Limit)
+		if c.listed != nil {
+			c.listed()
+		}
 	default:
 		panic("configuration doesn't write")
 	}
@@ -212,6 +217,20 @@
 	g.Expect(p.configuration.Status().Rejected).To(Equal(uint64(3)))
 }
 
+// TestChangeDuringAReadIsReadAgain accepts a change after the rows were read
+// and before the revision is confirmed.
+func TestChangeDuringAReadIsReadAgain(t *testing.T) {
+	g := NewWithT(t)
+	c := newConfigs(1, 1, 1)
+	c.apply(g, "first", 2)
+	c.listed = func() {
+		c.listed = nil
+		c.apply(g, "second", 3)
+	}
+	c.until(g, 18*time.Second, "change", c.inForce(2))
+	g.Expect(c.procs[hostName(0)].configuration.Current()).To(Equal(c.snapshot(g)))
+}
+
 // TestConfigurationNeverReverts draws faults, outages and changes; the revision
 // in force at a host never falls, and soon after the last fault the last
 // revision is in force everywhere.
