Pass on a member whole until its receiver is known to have it

At 350 hosts one host lacked one member for good: a member that changed between two pings moved behind the receiver's progress and was then passed on without its domain and address, which the receiver can't take in. Progress now tells the changes acknowledged from the last time when all were. TestGossipLosesNobody failed before (64 of 192 members arrived) and passes.

--- a/internal/system/membership/gossip.go
+++ b/internal/system/membership/gossip.go
@@ -8,38 +8,53 @@
 	"github.com/trefoilchute/trefoilchute/internal/peer/peerpb"
 )
 
+// progress is what a host has acknowledged of the table's changes.
+//
+// Invariant: whole <= through.
+type progress struct {
+	// through is the gossip clock up to which it has every change that did not
+	// give way to a later one.
+	through uint64
+	// whole is the gossip clock of the last time when it had every change. A
+	// row that was introduced by then is known to it; one that was introduced
+	// by through may not be, if the row changed again before it was sent.
+	whole uint64
+}
+
 // changesFor returns what changed since the host last acknowledged a ping,
-// oldest first and at most maxGossip, and the gossip clock that its
+// oldest first and at most maxGossip, and the progress that its
 // acknowledgement will stand for. What was learned from the host itself is
 // left out.
-func (s *System) changesFor(host ident.Host) ([]*peerpb.Member, uint64) {
+func (s *System) changesFor(host ident.Host) ([]*peerpb.Member, progress) {
 	acked := s.acked[host]
-	if acked == s.gossipClock {
+	if acked.whole == s.gossipClock {
 		return nil, acked
 	}
-	var changed []*entry
-	for _, name := range s.order {
-		if e := s.table[name]; e.changed > acked {
-			changed = append(changed, e)
-		}
-	}
-	slices.SortFunc(changed, func(a, b *entry) int { return cmp.Compare(a.changed, b.changed) })
-	through := s.gossipClock
 	var members []*peerpb.Member
-	for _, e := range changed {
+	for _, e := range s.changedAfter(acked.through) {
 		if e.learnedFrom == host {
 			continue
 		}
 		if len(members) == maxGossip {
-			break
+			return members, acked
 		}
-		members = append(members, toWire(&e.Member, acked >= e.introduced))
-		through = e.changed
+		members = append(members, toWire(&e.Member, acked.whole >= e.introduced))
+		acked.through = e.changed
 	}
-	if len(members) < maxGossip {
-		through = s.gossipClock
+	return members, progress{through: s.gossipClock, whole: s.gossipClock}
+}
+
+// changedAfter returns the rows that changed after a gossip clock, oldest
+// change first.
+func (s *System) changedAfter(clock uint64) []*entry {
+	var changed []*entry
+	for _, name := range s.order {
+		if e := s.table[name]; e.changed > clock {
+			changed = append(changed, e)
+		}
 	}
-	return members, through
+	slices.SortFunc(changed, func(a, b *entry) int { return cmp.Compare(a.changed, b.changed) })
+	return changed
 }
 
 // whole returns the whole table, for a host that has just started.
--- a/internal/system/membership/membership.go
+++ b/internal/system/membership/membership.go
@@ -105,9 +105,8 @@
 	live    map[ident.Domain][]ident.Host
 	domains []ident.Domain
 
-	// acked holds, for each host, the gossip clock up to which it has
-	// acknowledged changes.
-	acked map[ident.Host]uint64
+	// acked holds what each host has acknowledged.
+	acked map[ident.Host]progress
 	// seeds are hosts that the platform's list names, whether known or not.
 	seeds map[ident.Host]seed
 	// reachNext walks over the dead hosts and seeds.
@@ -155,7 +154,7 @@
 		rand:      rand.New(rand.NewPCG(cfg.Seed, cfg.Incarnation)),
 		table:     map[ident.Host]*entry{},
 		live:      map[ident.Domain][]ident.Host{},
-		acked:     map[ident.Host]uint64{},
+		acked:     map[ident.Host]progress{},
 		seeds:     map[ident.Host]seed{},
 		probes:    map[uint64]*probe{},
 		relays:    map[uint64]relay{},
--- a/internal/system/membership/probe.go
+++ b/internal/system/membership/probe.go
@@ -16,8 +16,8 @@
 	target      ident.Host
 	incarnation uint64
 	sentAt      time.Duration
-	// through is the gossip clock that a direct answer acknowledges.
-	through uint64
+	// carried is the progress that a direct answer acknowledges.
+	carried progress
 	// watch says that no answer makes the target suspect. Pings to contacts, to
 	// dead hosts and on another's behalf don't.
 	watch bool
@@ -121,13 +121,13 @@
 // suspect that it is one, that it may refute it.
 func (s *System) ping(now time.Duration, host ident.Host, watch, gossip bool, out *system.Outbox) {
 	var members []*peerpb.Member
-	through := s.acked[host]
+	carried := s.acked[host]
 	if gossip {
-		members, through = s.changesFor(host)
+		members, carried = s.changesFor(host)
 	} else if e := s.table[host]; e.State == Suspect {
 		members = append(members, toWire(&e.Member, false))
 	}
-	s.sendPing(now, &probe{target: host, through: through, watch: watch}, members, out)
+	s.sendPing(now, &probe{target: host, carried: carried, watch: watch}, members, out)
 }
 
 // reachOut pings a host that is dead or only a seed. It tells the host no more
--- a/internal/system/membership/receive.go
+++ b/internal/system/membership/receive.go
@@ -79,7 +79,11 @@
 		return
 	}
 	if env.GetIncarnation() == p.incarnation && e.Incarnation == p.incarnation {
-		s.acked[p.target] = max(s.acked[p.target], p.through)
+		acked := s.acked[p.target]
+		s.acked[p.target] = progress{
+			through: max(acked.through, p.carried.through),
+			whole:   max(acked.whole, p.carried.whole),
+		}
 	}
 	s.heard[e.Domain] = now
 	s.misses[e.Domain] = 0
