Close four ways in which a key could run twice

Each was found by TestAtMostOneFirst (random schedules on a virtual clock): - A copy of a note was refused by a holder that held the key for a run which then gave way; the copy is now repeated until it is confirmed. - A first attempt was taken as proof 0.3 s into a cut that the other side had not noticed.

go test ./internal/system/... passes.

--- a/internal/system/keyledger/hosts.go
+++ b/internal/system/keyledger/hosts.go
@@ -44,12 +44,18 @@
 	// unsureUntil is when this host has heard what it may have missed by a
 	// start, a pause or a cut.
 	unsureUntil time.Duration
-	cut         bool
+	// cut says that a failure domain can't be reached, cutSince since when.
+	cut      bool
+	cutSince time.Duration
 }
 
 // update follows the view and returns whether the hosts have changed.
 func (h *hostSets) update(now time.Duration, view View) bool {
-	h.cut = !allReachable(now, view)
+	wasCut := h.cut
+	h.cut = view.Fresh() || view.Minority() || !allReachable(now, view)
+	if !wasCut {
+		h.cutSince = now
+	}
 	switch {
 	case h.cut:
 		h.unsureUntil = now + HealTime
@@ -110,6 +116,17 @@
 	return true
 }
 
+// domainCutOff reports whether this host's whole domain, and not this host
+// alone, is on one side of a cut that the other side has noticed too. Only
+// hosts of its own domain could take this host for dead; when it has lost none
+// of them, none has.
+func (h *hostSets) domainCutOff(now time.Duration, view View) bool {
+	if !h.cut || view.Fresh() || now-h.cutSince < CutAgreement {
+		return false
+	}
+	return view.Intact(h.cutSince - membership.ReachTimeout - membership.DeathTimeout)
+}
+
 // holders returns the current holders of a key.
 func (h *hostSets) holders(key string) []holder {
 	if h.current == nil {
--- a/internal/system/keyledger/ledger.go
+++ b/internal/system/keyledger/ledger.go
@@ -43,13 +43,16 @@
 	// notices it in its own round of pings.
 	HealTime = 10 * time.Second
 	// AttemptTimeout is the wait for the holders after which a caller's first
-	// attempt is taken as proof.
-	AttemptTimeout = 300 * time.Millisecond
-	// ProofTimeout is the wait for the holders of any other attempt. It is
-	// longer than a dead holder stays undetected.
+	// attempt is proof enough, where it is one.
+	AttemptTimeout = 250 * time.Millisecond
+	// ProofTimeout is the wait for the holders otherwise. It is longer than a
+	// dead holder stays undetected.
 	ProofTimeout = 8 * time.Second
 	// CutTimeout is the wait while a failure domain can't be reached.
 	CutTimeout = 500 * time.Millisecond
+	// CutAgreement is the time after which the other side of a cut has noticed
+	// it as well.
+	CutAgreement = 2 * membership.ContactInterval
 	// ContestTimeout is the wait for another run of the key to give way.
 	ContestTimeout = time.Second
 	// MaxNotes is the most keys that a host holds, and the most runs whose
@@ -64,7 +67,7 @@
 	// sweepInterval and sweepBatch spread the work of a change of the hosts.
 	sweepInterval = 10 * time.Millisecond
 	sweepBatch    = 256
-	// sweepAgain is the time to the next walk when a holder didn't confirm.
+	// sweepAgain is the time to the next try with holders that didn't confirm.
 	sweepAgain = time.Second
 	// sweepSlack is the number of entries of gone notes that are put up with.
 	sweepSlack = 1024
@@ -80,6 +83,15 @@
 	Domains() []ident.Domain
 	// Reachable reports whether a host of the domain answered lately.
 	Reachable(now time.Duration, domain ident.Domain) bool
+	// Fresh reports whether no other host has been heard although there should
+	// be some.
+	Fresh() bool
+	// Minority reports whether this host may be on the smaller side of a cut
+	// within the only failure domain.
+	Minority() bool
+	// Intact reports whether no host of the own domain has been lost since a
+	// time, nor is suspect.
+	Intact(since time.Duration) bool
 	// Paused reports whether the own view may be stale.
 	Paused(now time.Duration) bool
 }
@@ -141,9 +153,9 @@
 	// Held is the number of keys held for others, Runs that of runs whose
 	// custodian this host is.
 	Held, Runs, Pending int
-	// Conflicts counts runs that turned out to be second after they were told
-	// First.
-	Conflicts uint64
+	// Refused counts notes of known runs that a holder didn't take, because it
+	// held the key for another run.
+	Refused uint64
 }
 
 // System is the key ledger of one host.
@@ -155,18 +167,18 @@
 	notes   map[string]*note
 	runs    map[ident.Request]*run
 	pending map[ident.Request]*question
-	// asked finds the request that a sequence number belongs to.
-	asked map[uint64]ident.Request
+	// asked finds the question, run or note that a sequence number belongs to.
+	asked map[uint64]entryRef
 	// order lists the pending requests in the order of their arrival.
 	order   []ident.Request
 	results []Result
 
-	hosts     hostSets
-	expiry    expiryQueue
-	refresh   expiryQueue
-	sweep     sweep
-	seq       uint64
-	conflicts uint64
+	hosts   hostSets
+	expiry  expiryQueue
+	refresh expiryQueue
+	sweep   sweep
+	seq     uint64
+	refused uint64
 }
 
 // New returns an empty ledger.
@@ -176,7 +188,7 @@
 		notes:   map[string]*note{},
 		runs:    map[ident.Request]*run{},
 		pending: map[ident.Request]*question{},
-		asked:   map[uint64]ident.Request{},
+		asked:   map[uint64]entryRef{},
 	}
 }
 
@@ -216,10 +228,10 @@
 		}
 	}
 	for _, q := range s.pending {
-		take(q.wake())
+		take(q.nextSend)
 	}
-	if s.sweep.active() {
-		take(s.sweep.next)
+	if at, ok := s.sweep.wake(s.hosts.cut); ok {
+		take(at)
 	}
 	if at, ok := s.expiry.first(); ok {
 		take(at)
@@ -240,6 +252,6 @@
 // Stats returns the counters.
 func (s *System) Stats() Stats {
 	return Stats{
-		Held: len(s.notes), Runs: len(s.runs), Pending: len(s.pending), Conflicts: s.conflicts,
+		Held: len(s.notes), Runs: len(s.runs), Pending: len(s.pending), Refused: s.refused,
 	}
 }
--- a/internal/system/keyledger/note.go
+++ b/internal/system/keyledger/note.go
@@ -15,7 +15,10 @@
 	custodian   ident.Host
 	fingerprint uint64
 	expires     time.Duration
-	// holders are those that the note is known to be at, this host included.
+	// seq is that of the copies to other holders; 0 before the first.
+	seq uint64
+	// holders are the other holders that have confirmed a copy, or were asked
+	// by the run's custodian itself.
 	holders []holder
 }
 
@@ -90,10 +93,16 @@
 func (s *System) release(m *peerpb.KeyNote) {
 	held := s.notes[m.GetKey()]
 	if held != nil && held.request == ident.Request(m.GetRequest()) {
-		delete(s.notes, m.GetKey())
+		s.drop(held)
 	}
 }
 
+// drop forgets a note.
+func (s *System) drop(n *note) {
+	delete(s.notes, n.key)
+	delete(s.asked, n.seq)
+}
+
 // expire drops the notes, and the finished runs, whose retention is over.
 func (s *System) expire(now time.Duration) {
 	for {
@@ -109,7 +118,7 @@
 			continue
 		}
 		if n := s.notes[ref.key]; n != nil && now >= n.expires {
-			delete(s.notes, ref.key)
+			s.drop(n)
 		}
 	}
 }
--- a/internal/system/keyledger/run.go
+++ b/internal/system/keyledger/run.go
@@ -17,8 +17,10 @@
 	// finished runs are forgotten after Retention; others never.
 	finished bool
 	expires  time.Duration
-	// holders are those that have confirmed the note.
+	// holders are those that have confirmed the note, touched all that were
+	// asked for it.
 	holders []holder
+	touched []holder
 }
 
 // question is a run that waits for its holders.
@@ -27,22 +29,15 @@
 	seq     uint64
 	asked   time.Duration
 	holders []holder
+	// touched are all holders that were ever asked.
+	touched []holder
 	answers map[holder]*peerpb.KeyAnswer
 	// nextSend is when the holders that haven't answered are asked again.
 	nextSend time.Duration
-	deadline time.Duration
 	// contested is when another run of the key was first met.
 	contested time.Duration
 }
 
-// wake returns when the question is next to be looked at.
-func (q *question) wake() time.Duration {
-	if q.contested != 0 {
-		return min(q.nextSend, q.contested+ContestTimeout)
-	}
-	return min(q.nextSend, q.deadline)
-}
-
 // Note asks the holders of a key to note a run. The Result comes with Take. A
 // run whose key another run of this host has already won or asked for is
 // treated like any other resend.
@@ -55,7 +50,7 @@
 	s.seq++
 	q := &question{Run: r, seq: s.seq, asked: now}
 	s.pending[r.Request] = q
-	s.asked[q.seq] = r.Request
+	s.asked[q.seq] = entryRef{request: r.Request}
 	s.order = append(s.order, r.Request)
 	s.ask(now, q, out)
 }
@@ -70,6 +65,9 @@
 		if a := old[h]; a != nil {
 			q.answers[h] = a
 		}
+		if !slices.Contains(q.touched, h) {
+			q.touched = append(q.touched, h)
+		}
 	}
 	s.send(now, q, out)
 }
@@ -78,7 +76,6 @@
 // would know of another.
 func (s *System) send(now time.Duration, q *question, out *system.Outbox) {
 	q.nextSend = now + resendInterval
-	q.deadline = q.asked + s.patience(q)
 	for _, h := range q.holders {
 		if a := q.answers[h]; a == nil || !a.First || !a.Settled {
 			out.Send(h.host, noteOf(q.seq, &q.Run, ""))
@@ -86,18 +83,33 @@
 	}
 }
 
-// patience returns how long a question may take.
-func (s *System) patience(q *question) time.Duration {
+// overdue reports whether a question that its holders have left open has taken
+// its time.
+func (s *System) overdue(now time.Duration, q *question) bool {
+	waited := now - q.asked
 	switch {
-	case q.FirstAttempt:
-		return AttemptTimeout
-	case s.hosts.cut:
-		return CutTimeout
+	case q.FirstAttempt && s.attemptProves(now, q):
+		return waited >= AttemptTimeout
+	case s.hosts.cut && !q.FirstAttempt:
+		return waited >= CutTimeout
 	default:
-		return ProofTimeout
+		return waited >= ProofTimeout
 	}
 }
 
+// attemptProves reports whether the caller's word that the key is new suffices
+// without all holders. A later attempt must then find the note, or be told
+// that it can't be found out: either another host has noted the run, or the
+// whole domain is cut off and the other side knows it.
+func (s *System) attemptProves(now time.Duration, q *question) bool {
+	for _, h := range q.holders {
+		if h.host != s.cfg.Self && q.answers[h].GetFirst() {
+			return true
+		}
+	}
+	return s.hosts.domainCutOff(now, s.cfg.View)
+}
+
 // noteOf returns the message that notes a run. The custodian is empty when the
 // sender is it.
 func noteOf(seq uint64, r *Run, custodian ident.Host) *peerpb.Envelope {
@@ -109,29 +121,35 @@
 
 // onAnswer takes a holder's answer.
 func (s *System) onAnswer(now time.Duration, from holder, m *peerpb.KeyAnswer, out *system.Outbox) {
-	request, ok := s.asked[m.GetSeq()]
+	ref, ok := s.asked[m.GetSeq()]
 	if !ok {
 		return
 	}
-	if q, open := s.pending[request]; open {
+	if q, open := s.pending[ref.request]; open {
 		if slices.Contains(q.holders, from) {
 			q.answers[from] = m
 			s.judge(now, q, out)
 		}
 		return
 	}
-	s.confirm(s.runs[request], from, m)
+	if r := s.runs[ref.request]; r != nil {
+		r.holders = s.confirm(r.holders, from, m)
+	}
+	if n := s.notes[ref.key]; n != nil {
+		n.holders = s.confirm(n.holders, from, m)
+	}
 }
 
-// confirm notes that a holder has the note of a run that was told First, or
-// counts that it has another's.
-func (s *System) confirm(r *run, from holder, m *peerpb.KeyAnswer) {
+// confirm adds a holder that has noted a run, or counts that it holds the key
+// for another.
+func (s *System) confirm(holders []holder, from holder, m *peerpb.KeyAnswer) []holder {
 	switch {
-	case m.GetFirst() && !slices.Contains(r.holders, from):
-		r.holders = append(r.holders, from)
+	case m.GetFirst() && !slices.Contains(holders, from):
+		return append(holders, from)
 	case m.GetRequest() != "":
-		s.conflicts++
+		s.refused++
 	}
+	return holders
 }
 
 // judge ends a question when its answers allow it.
@@ -162,7 +180,7 @@
 		}, out)
 	case other == nil && len(q.holders) > 0 && firsts == len(q.holders) && settled:
 		s.finish(now, q, Result{Outcome: First}, out)
-	case other == nil && now >= q.deadline:
+	case other == nil && s.overdue(now, q):
 		s.expireQuestion(now, q, out)
 	}
 }
@@ -194,7 +212,7 @@
 // expireQuestion ends a question that the holders have left open: by the
 // caller's word that the key is new, or unproven.
 func (s *System) expireQuestion(now time.Duration, q *question, out *system.Outbox) {
-	if q.FirstAttempt {
+	if q.FirstAttempt && s.attemptProves(now, q) {
 		s.finish(now, q, Result{Outcome: First, ByAttempt: true}, out)
 		return
 	}
@@ -217,10 +235,10 @@
 	s.results = append(s.results, result)
 	if result.Outcome != First {
 		delete(s.asked, q.seq)
-		s.takeBack(&q.Run, q.holders, out)
+		s.takeBack(&q.Run, q.touched, out)
 		return
 	}
-	s.runs[q.Request] = &run{Run: q.Run, seq: q.seq, holders: s.answered(q)}
+	s.runs[q.Request] = &run{Run: q.Run, seq: q.seq, holders: s.answered(q), touched: q.touched}
 	s.sweep.add(entryRef{request: q.Request})
 	s.refresh.push(now+RefreshInterval, entryRef{request: q.Request})
 	if result.ByAttempt {
@@ -256,19 +274,13 @@
 		delete(s.pending, request)
 		delete(s.asked, q.seq)
 		s.order = slices.DeleteFunc(s.order, func(r ident.Request) bool { return r == request })
-		s.takeBack(&q.Run, q.holders, out)
+		s.takeBack(&q.Run, q.touched, out)
 		return
 	}
 	if r, ok := s.runs[request]; ok && !r.finished {
 		delete(s.runs, request)
 		delete(s.asked, r.seq)
-		holders := s.hosts.holders(r.Key)
-		for _, h := range r.holders {
-			if !slices.Contains(holders, h) {
-				holders = append(holders, h)
-			}
-		}
-		s.takeBack(&r.Run, holders, out)
+		s.takeBack(&r.Run, slices.Concat(r.touched, r.holders), out)
 	}
 }
 
--- a/internal/system/keyledger/sweep.go
+++ b/internal/system/keyledger/sweep.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/trefoilchute/trefoilchute/internal/peer/peerpb"
 	"github.com/trefoilchute/trefoilchute/internal/system"
 )
 
@@ -17,8 +18,10 @@
 	at   int
 	on   bool
 	next time.Duration
-	// again says that some holder has still to confirm.
-	again bool
+	// again lists the entries that some holder has still to confirm; they are
+	// tried again at againAt.
+	again   []entryRef
+	againAt time.Duration
 }
 
 // add appends an entry.
@@ -26,26 +29,35 @@
 	w.entries = append(w.entries, ref)
 }
 
-// active reports whether a walk is under way.
-func (w *sweep) active() bool {
-	return w.on
+// wake returns when the walk goes on or holders are tried again. During a cut
+// they are not: its end begins a walk.
+func (w *sweep) wake(cut bool) (time.Duration, bool) {
+	if w.on {
+		return w.next, true
+	}
+	return w.againAt, len(w.again) > 0 && !cut
 }
 
 // startSweep begins a walk, or begins it anew.
 func (s *System) startSweep(now time.Duration) {
 	s.sweep.on = true
 	s.sweep.at = 0
-	s.sweep.again = false
+	s.sweep.again = nil
 	s.sweep.next = now
 }
 
-// sweepSome does the next batch of the walk.
+// sweepSome does the next batch of the walk, or tries again what no holder has
+// confirmed.
 func (s *System) sweepSome(now time.Duration, out *system.Outbox) {
 	w := &s.sweep
 	if !w.on && len(w.entries) > 2*(len(s.notes)+len(s.runs))+sweepSlack {
 		s.startSweep(now)
 	}
-	if !w.on || now < w.next {
+	if at, ok := w.wake(s.hosts.cut); !ok || now < at {
+		return
+	}
+	if !w.on {
+		s.bringAgain(now, out)
 		return
 	}
 	w.next = now + sweepInterval
@@ -59,57 +71,55 @@
 	w.at = len(kept)
 	w.entries = append(kept, w.entries[end:]...)
 	if w.at == len(w.entries) {
-		s.endSweep(now)
+		w.on = false
+		w.againAt = now + sweepAgain
 	}
 }
 
-// endSweep ends the walk. When a holder has still to confirm, another follows;
-// during a cut it waits for the cut's end.
-func (s *System) endSweep(now time.Duration) {
-	again := s.sweep.again && !s.hosts.cut
-	s.sweep.on = false
-	if again {
-		s.startSweep(now)
-		s.sweep.next = now + sweepAgain
+// bringAgain brings once more what some holder has still to confirm.
+func (s *System) bringAgain(now time.Duration, out *system.Outbox) {
+	again := s.sweep.again
+	s.sweep.again = nil
+	s.sweep.againAt = now + sweepAgain
+	for _, ref := range again {
+		s.bring(ref, out)
 	}
 }
 
 // bring brings one entry to the holders that are new to it. It returns false
 // when the entry is gone.
 func (s *System) bring(ref entryRef, out *system.Outbox) bool {
-	if ref.request != "" {
-		r := s.runs[ref.request]
-		if r != nil {
-			s.bringRun(r, out)
-		}
-		return r != nil
+	if r := s.runs[ref.request]; r != nil {
+		s.bringTo(ref, r.holders, noteOf(r.seq, &r.Run, ""), r.Key, out)
+		return true
 	}
 	n := s.notes[ref.key]
-	if n != nil {
-		s.bringNote(n, out)
+	if n == nil {
+		return false
 	}
-	return n != nil
-}
-
-// bringRun asks the holders that haven't confirmed a run to note it.
-func (s *System) bringRun(r *run, out *system.Outbox) {
-	for _, h := range s.hosts.holders(r.Key) {
-		if !slices.Contains(r.holders, h) {
-			s.sweep.again = true
-			out.Send(h.host, noteOf(r.seq, &r.Run, ""))
-		}
+	if n.seq == 0 {
+		s.seq++
+		n.seq = s.seq
+		s.asked[n.seq] = ref
 	}
+	copied := Run{Key: n.key, Request: n.request, Fingerprint: n.fingerprint}
+	s.bringTo(ref, n.holders, noteOf(n.seq, &copied, n.custodian), n.key, out)
+	return true
 }
 
-// bringNote copies a note to the other holders that are new to its key, in
-// case its custodian is lost.
-func (s *System) bringNote(n *note, out *system.Outbox) {
-	holders := s.hosts.holders(n.key)
-	for _, h := range holders {
-		if h.host != s.cfg.Self && !slices.Contains(n.holders, h) {
-			copied := Run{Key: n.key, Request: n.request, Fingerprint: n.fingerprint}
-			out.Send(h.host, noteOf(0, &copied, n.custodian))
+// bringTo sends a note to the holders of its key that have not confirmed it. A
+// holder may refuse at first, because another run that will give way is asking
+// for the key.
+func (s *System) bringTo(ref entryRef, confirmed []holder, note *peerpb.Envelope, key string, out *system.Outbox) {
+	missing := false
+	for _, h := range s.hosts.holders(key) {
+		own := ref.key != "" && h.host == s.cfg.Self
+		if !own && !slices.Contains(confirmed, h) {
+			missing = true
+			out.Send(h.host, note)
 		}
 	}
-	n.holders = holders
+	if missing {
+		s.sweep.again = append(s.sweep.again, ref)
+	}
 }
--- a/internal/system/membership/membership.go
+++ b/internal/system/membership/membership.go
@@ -117,6 +117,8 @@
 	relays    map[uint64]relay
 	suspected map[ident.Host]time.Duration
 	diedAt    map[ident.Host]time.Duration
+	// lost holds the dead hosts that did not announce their departure.
+	lost map[ident.Host]bool
 	// heard is when a host of another domain last answered; misses counts the
 	// rounds since.
 	heard  map[ident.Domain]time.Duration
@@ -160,6 +162,7 @@
 		relays:    map[uint64]relay{},
 		suspected: map[ident.Host]time.Duration{},
 		diedAt:    map[ident.Host]time.Duration{},
+		lost:      map[ident.Host]bool{},
 		heard:     map[ident.Domain]time.Duration{},
 		misses:    map[ident.Domain]int{},
 		fresh:     true,
--- a/internal/system/membership/pause.go
+++ b/internal/system/membership/pause.go
@@ -61,6 +61,36 @@
 	return s.pauses
 }
 
+// Fresh reports whether no other host has answered since the start, although
+// the platform's list named some.
+func (s *System) Fresh() bool {
+	return s.fresh && len(s.seeds) > 0
+}
+
+// Intact reports whether no host of the own domain has died or departed since a
+// time, nor is suspect.
+func (s *System) Intact(since time.Duration) bool {
+	if len(s.suspected) > 0 {
+		return false
+	}
+	for host, at := range s.diedAt {
+		if at >= since && s.table[host].Domain == s.cfg.Domain {
+			return false
+		}
+	}
+	return true
+}
+
+// Minority reports whether this host may be on the smaller side of a cut that
+// nothing else tells it of: its failure domain is the only one, and at least
+// half of the hosts were lost without a word.
+func (s *System) Minority() bool {
+	if len(s.lost) == 0 || len(s.Domains()) > 1 {
+		return false
+	}
+	return len(s.lost) >= len(s.ring())
+}
+
 // Superseded reports whether a later incarnation of this host has been seen.
 // The process should stop.
 func (s *System) Superseded() bool {
--- a/internal/system/membership/probe.go
+++ b/internal/system/membership/probe.go
@@ -204,6 +204,7 @@
 		m.State = Dead
 		s.replace(m, s.cfg.Self)
 		s.noteDead(now, host)
+		s.lost[host] = true
 	}
 }
 
@@ -221,6 +222,7 @@
 			continue
 		}
 		delete(s.diedAt, host)
+		delete(s.lost, host)
 		delete(s.table, host)
 		delete(s.seeds, host)
 		at, _ := slices.BinarySearch(s.order, host)
--- a/internal/system/membership/receive.go
+++ b/internal/system/membership/receive.go
@@ -128,12 +128,20 @@
 		}
 		m.Domain, m.Address = e.Domain, e.Address
 	}
+	// Only the host itself raises the version: a death under the known one is
+	// the others' verdict.
+	verdict := known && e.Incarnation == m.Incarnation && e.Version == m.Version
 	if known {
 		s.replace(m, from)
 	} else {
 		s.insert(m, from)
 	}
 	s.noteState(now, &m)
+	if verdict && m.State == Dead {
+		s.lost[m.Host] = true
+	} else {
+		delete(s.lost, m.Host)
+	}
 }
 
 // noteState starts or stops the suspicion of a host after its row changed.
