--- a/internal/system/membership/membership.go
+++ b/internal/system/membership/membership.go
@@ -105,9 +105,8 @@
 	live    map[ident.Domain][]ident.Host
 	domains []ident.Domain
 
-	// acked holds, for each host, the gossip clock up to which it has
-	// acknowledged changes.
-	acked map[ident.Host]uint64
+	// acked holds what each host has acknowledged.
+	acked map[ident.Host]progress
 	// seeds are hosts that the platform's list names, whether known or not.
 	seeds map[ident.Host]seed
 	// reachNext walks over the dead hosts and seeds.
@@ -118,6 +117,8 @@
 	relays    map[uint64]relay
 	suspected map[ident.Host]time.Duration
 	diedAt    map[ident.Host]time.Duration
+	// lost holds the dead hosts that did not announce their departure.
+	lost map[ident.Host]bool
 	// heard is when a host of another domain last answered; misses counts the
 	// rounds since.
 	heard  map[ident.Domain]time.Duration
@@ -155,12 +156,13 @@
 		rand:      rand.New(rand.NewPCG(cfg.Seed, cfg.Incarnation)),
 		table:     map[ident.Host]*entry{},
 		live:      map[ident.Domain][]ident.Host{},
-		acked:     map[ident.Host]uint64{},
+		acked:     map[ident.Host]progress{},
 		seeds:     map[ident.Host]seed{},
 		probes:    map[uint64]*probe{},
 		relays:    map[uint64]relay{},
 		suspected: map[ident.Host]time.Duration{},
 		diedAt:    map[ident.Host]time.Duration{},
+		lost:      map[ident.Host]bool{},
 		heard:     map[ident.Domain]time.Duration{},
 		misses:    map[ident.Domain]int{},
 		fresh:     true,
