Adopt an accepted change at the host that made it; prove poison and drain

Cause: a change accepted right before an outage of the platform reached no host until the outage ended: hosts learned of changes by reading the table only. Measured: two new process specs pass (a poison request costs two crashes in a domain of three endpoints over eight sendings under new keys; an endpoint drained right before an outage gets nothing more).

--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -145,6 +145,8 @@
 		c.effect.Peers = c.peerAddresses()
 	case Leave:
 		c.members.Leave(c.now, &c.out)
+	case Changed:
+		c.configuration.Adopt(c.now, e.Snapshot, &c.out)
 	case Ordered:
 		c.orders.Event(c.now, e.Event, &c.out)
 	case Depart:
--- a/internal/control/event.go
+++ b/internal/control/event.go
@@ -72,6 +72,9 @@
 // Listed brings the platform's list of hosts.
 type Listed struct{ Hosts []platform.HostEntry }
 
+// Changed brings the configuration that a change made at this host has led to.
+type Changed struct{ Snapshot *resource.Snapshot }
+
 // Leave begins a planned stop: other hosts take the pools over.
 type Leave struct{}
 
@@ -89,6 +92,7 @@
 func (Replied) event()     {}
 func (Observed) event()    {}
 func (Ordered) event()     {}
+func (Changed) event()     {}
 func (Listed) event()      {}
 func (Leave) event()       {}
 
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -195,8 +195,10 @@
 	table, objects := h.metrics.Table(h.client), h.metrics.Objects(h.client)
 	h.burn = report.NewCollector(h.settings.Host, h.incarnation, time.Now())
 	h.buckets = report.NewWriter(h.burn, objects, h.log)
+	store := resource.NewStore(table)
+	store.Notify(func(snap *resource.Snapshot) { h.loop.Post(control.Changed{Snapshot: snap}) })
 	h.admin = admin.New(h.backend, admin.Options{
-		Store: resource.NewStore(table), Token: h.settings.AdminToken,
+		Store: store, Token: h.settings.AdminToken,
 		Reports: report.NewReader(h.burn, objects),
 	})
 	h.loop.Connect(control.Ports{
--- a/internal/resource/store.go
+++ b/internal/resource/store.go
@@ -38,11 +38,19 @@
 	table platform.Table
 	// kept is how many changes are kept.
 	kept uint64
+	// committed is told of each snapshot that a commit of this Store has made.
+	committed func(*Snapshot)
 }
 
 // NewStore returns a Store on the table.
 func NewStore(table platform.Table) *Store {
-	return &Store{table: table, kept: ChangesKept}
+	return &Store{table: table, kept: ChangesKept, committed: func(*Snapshot) {}}
+}
+
+// Notify sets a function that is told of each snapshot that a commit of this
+// Store has made. It is to be called before the Store is used.
+func (s *Store) Notify(committed func(*Snapshot)) {
+	s.committed = committed
 }
 
 // Change is a wanted change of resources.
--- a/internal/system/configuration/configuration.go
+++ b/internal/system/configuration/configuration.go
@@ -70,9 +70,13 @@
 	View View
 }
 
-// SourcePlatform is the source of a configuration read from the table. Other
-// sources are host names.
-const SourcePlatform = "platform"
+// Sources of a configuration beside host names.
+const (
+	// SourcePlatform is a configuration read from the table.
+	SourcePlatform = "platform"
+	// SourceOperator is a configuration that a change made at this host led to.
+	SourceOperator = "operator"
+)
 
 // Status tells operators where the configuration in force comes from.
 type Status struct {
@@ -181,6 +185,12 @@
 	return wake, true
 }
 
+// Adopt takes a configuration that a change made at this host has led to. So it
+// spreads even if the platform can't be read right after the change.
+func (s *System) Adopt(now time.Duration, next *resource.Snapshot, out *system.Outbox) {
+	s.adopt(now, next, SourceOperator, out)
+}
+
 // adopt brings a newer configuration into force and offers it to others. One
 // that isn't newer changes nothing.
 func (s *System) adopt(now time.Duration, next *resource.Snapshot, source string, out *system.Outbox) {
--- a/test/process/failure_test.go
+++ b/test/process/failure_test.go
@@ -171,3 +171,52 @@
 		d.awaitHosts()
 	})
 })
+
+var _ = Describe("a request that crashes endpoints", func() {
+	It("costs at most two crashes in a domain, under whatever keys it is sent", func() {
+		d := newDeployment()
+		engines := []string{d.endpoint("engine-1"), d.endpoint("engine-2"), d.endpoint("engine-3")}
+		for _, name := range []string{"entry-1", "entry-2"} {
+			d.entry(name, "zone-a")
+		}
+		d.awaitHosts()
+		d.apply(d.hosts["entry-1"], manifest(
+			engineEndpoint("engine-1", "zone-a", engines[0]),
+			engineEndpoint("engine-2", "zone-a", engines[1]),
+			engineEndpoint("engine-3", "zone-a", engines[2])))
+		for _, e := range engines {
+			toggle("http://"+e, `{"crash_marker":"poison"}`)
+		}
+		poison := `{"model":"assistant","max_tokens":4,"messages":[{"role":"user","content":"poison"}]}`
+		var codes []int
+		for i := range 8 {
+			host := d.hosts[[]string{"entry-1", "entry-2"}[i%2]]
+			codes = append(codes, errorCode(chat(host, poison, "Idempotency-Key", fmt.Sprint("key-", i)).body))
+		}
+		Expect(codes).To(Equal([]int{301, 301, 209, 209, 209, 209, 209, 209}))
+		Expect(run("get", "quarantine", "--host", d.hosts["entry-2"].admin)).To(ContainSubstring("quarantined"))
+		Eventually(func() string {
+			return chat(d.hosts["entry-1"], fmt.Sprintf(longChat, 1)).body
+		}, changeLimit, poll).Should(HaveSuffix("data: [DONE]\n\n"), "others are served")
+	})
+})
+
+var _ = Describe("an endpoint that is to leave", func() {
+	It("gets no new work once the change is in force, though the platform went down at once", func() {
+		d, services := fleet()
+		run("drain", "endpoint", "--host", d.hosts["entry-2"].admin, "service-1")
+		toggle(d.platform, `{"down":true}`)
+		Eventually(func() string {
+			return run("get", "--host", d.hosts["entry-1"].admin, "endpoint", "service-1")
+		}, changeLimit, poll).Should(ContainSubstring("drain"), "the other hosts hear of it")
+		toggle(d.platform, `{"down":false}`)
+		before := bookings(services[0])
+		for i := range 6 {
+			name := []string{"entry-1", "entry-2", "entry-3"}[i%3]
+			got := send(d.hosts[name], "/orders", order, "Idempotency-Key", fmt.Sprint("leave-", i))
+			Expect(got.status).To(Equal(200), got.body)
+		}
+		Expect(bookings(services[0])).To(Equal(before))
+		Expect(bookings(services[1])).To(Equal(6))
+	})
+})
