Check under drawn failures that a leaving endpoint gets no new work

Bound: 8 s after the change. Cuts and outages of the platform are left out: a host that no news can reach can't know, see docs/PROOFS.md.

--- a/internal/control/promise_test.go
+++ b/internal/control/promise_test.go
@@ -1,7 +1,9 @@
 package control
 
 import (
+	"context"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -9,6 +11,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/trefoilchute/trefoilchute/internal/ident"
+	"github.com/trefoilchute/trefoilchute/internal/resource"
 	"github.com/trefoilchute/trefoilchute/internal/result"
 	"github.com/trefoilchute/trefoilchute/internal/system/custody"
 	"github.com/trefoilchute/trefoilchute/internal/system/keyledger"
@@ -129,7 +132,12 @@
 
 // drawFailure plans a failure.
 func (w *world) drawFailure(rt *rapid.T) {
-	f := rapid.SampledFrom(failures).Draw(rt, "failure")
+	w.drawFailureOf(rt, failures)
+}
+
+// drawFailureOf plans one of the given failures.
+func (w *world) drawFailureOf(rt *rapid.T, among []failure) {
+	f := rapid.SampledFrom(among).Draw(rt, "failure")
 	host := rapid.SampledFrom(hostNames).Draw(rt, "host")
 	begin := w.now + drawTime(rt, "begin", 6*time.Second)
 	end := begin + drawTime(rt, "length", 12*time.Second)
@@ -186,3 +194,53 @@
 func drawTime(rt *rapid.T, label string, most time.Duration) time.Duration {
 	return time.Duration(rapid.IntRange(0, int(most.Milliseconds())).Draw(rt, label)) * time.Millisecond
 }
+
+// leaveBound is the stated time after which an endpoint that is to leave gets no
+// new work: a poll of the revision, its spread, and the life of a grant, each
+// with room for lost and late messages.
+const leaveBound = 8 * time.Second
+
+// TestLeavingUnderFailures draws failures that leave the hosts in reach of the
+// platform or of each other, and checks that an endpoint that is to leave gets no
+// new work after the bound, also where the change came while a host was frozen.
+func TestLeavingUnderFailures(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		w := newWorld(rapid.Uint64().Draw(rt, "seed"))
+		w.runUntil(settleTime)
+		for range rapid.IntRange(1, 3).Draw(rt, "failures") {
+			w.drawFailureOf(rt, withoutCuts())
+		}
+		changed := w.now + drawTime(rt, "changed", 8*time.Second)
+		w.at(changed, func() { w.drain("engine-a1") })
+		for range 80 {
+			w.drawRequest(rt, chat())
+		}
+		for i := range 40 {
+			w.at(changed+time.Duration(i)*500*time.Millisecond, func() {
+				w.send(hostNames[i%2], chat(), 20*time.Second)
+			})
+		}
+		w.check(rt)
+		if last := w.endpoints["engine-a1"].last; last > changed+leaveBound {
+			rt.Fatalf("new work %s after the change", last-changed)
+		}
+	})
+}
+
+// withoutCuts lists the failures that cut no host off from all news.
+func withoutCuts() []failure {
+	return slices.DeleteFunc(slices.Clone(failures), func(f failure) bool {
+		return f.name == "cut" || f.name == "platform down" || f.name == "platform cut off"
+	})
+}
+
+// drain declares that an endpoint is to leave.
+func (w *world) drain(name string) {
+	snap, err := resource.NewStore(&w.table).Load(context.Background())
+	if err != nil {
+		panic(err)
+	}
+	e := snap.Endpoints[name]
+	e.State = resource.EndpointDrain
+	w.apply(resource.Item{Kind: resource.KindEndpoint, Name: name, Spec: e})
+}
