Resume the answer of a dead custodian's request for a resend

Cause: a resend whose first run's custodian had died got outcome_unknown, though the engine had the answer. Change: control has the traffic side ask the target's engines for the first request's stream; an engine that doesn't know the request says so, and nothing is run. The claim of a request that may run once is adopted with a whole answer. A join whose custodian falls silent turns into the same. Plain services can't be asked again: there the answer stays outcome_unknown.

--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -56,11 +56,15 @@
 	watched []resource.Endpoint
 	// gated holds what claims and keys need to know of the requests in custody.
 	gated map[ident.Request]custody.Arrival
+	// adopted holds the claims of dead holders whose answers are being rescued.
+	adopted map[ident.Request]adoption
 }
 
 // New returns a core that knows no other host and no configuration.
 func New(cfg Config) *Core {
-	c := &Core{cfg: cfg, gated: map[ident.Request]custody.Arrival{}}
+	c := &Core{
+		cfg: cfg, gated: map[ident.Request]custody.Arrival{}, adopted: map[ident.Request]adoption{},
+	}
 	c.members = membership.New(membership.Config{
 		Self: cfg.Self, Incarnation: cfg.Incarnation, Domain: cfg.Domain,
 		Address: cfg.Address, Seed: cfg.Seed,
@@ -145,6 +149,10 @@
 		c.effect.Peers = c.peerAddresses()
 	case Leave:
 		c.members.Leave(c.now, &c.out)
+	case JoinLost:
+		c.rescue(e.Join.ID, e.Join.Request, e.Join.Target)
+	case Rescued:
+		c.rescued(e)
 	case Changed:
 		c.configuration.Adopt(c.now, e.Snapshot, &c.out)
 	case Ordered:
--- a/internal/control/event.go
+++ b/internal/control/event.go
@@ -72,6 +72,15 @@
 // Listed brings the platform's list of hosts.
 type Listed struct{ Hosts []platform.HostEntry }
 
+// JoinLost says that the custodian of a join doesn't answer.
+type JoinLost struct{ Join Join }
+
+// Rescued ends a Rescue. Code is result.OK for a whole answer.
+type Rescued struct {
+	ID     ident.Request
+	Answer claim.Answer
+}
+
 // Changed brings the configuration that a change made at this host has led to.
 type Changed struct{ Snapshot *resource.Snapshot }
 
@@ -93,6 +102,8 @@
 func (Observed) event()    {}
 func (Ordered) event()     {}
 func (Changed) event()     {}
+func (JoinLost) event()    {}
+func (Rescued) event()     {}
 func (Listed) event()      {}
 func (Leave) event()       {}
 
@@ -108,6 +119,18 @@
 	// Custodian holds the answer of Request.
 	Custodian ident.Host
 	Request   ident.Request
+	// Target is the model or plain service of both.
+	Target string
+}
+
+// Rescue lets a request read the answer of an earlier one with its key, whose
+// custodian is lost, from the endpoint that runs or ran it. It never starts a
+// run: an endpoint that doesn't know the request says so.
+type Rescue struct {
+	ID      ident.Request
+	Request ident.Request
+	// Addresses are the endpoints to ask, in order.
+	Addresses []string
 }
 
 // Effects is what one step asks for.
@@ -120,6 +143,7 @@
 	Directives []custody.Directive
 	Settled    []Settled
 	Joins      []Join
+	Rescues    []Rescue
 	// Relays holds messages of joins, for the traffic side.
 	Relays []*peerpb.Envelope
 	// Snapshot is set when another configuration came into force.
--- a/internal/control/keys.go
+++ b/internal/control/keys.go
@@ -7,6 +7,7 @@
 	"github.com/trefoilchute/trefoilchute/internal/result"
 	"github.com/trefoilchute/trefoilchute/internal/system/custody"
 	"github.com/trefoilchute/trefoilchute/internal/system/keyledger"
+	"github.com/trefoilchute/trefoilchute/internal/system/membership"
 )
 
 // unprovenRetry is the time to come back for a request whose key could not be
@@ -67,7 +68,11 @@
 		return
 	}
 	c.leaveCustody(r.Request)
+	if m, known := c.members.Member(r.Custodian); known && m.State == membership.Dead {
+		c.rescue(r.Request, r.Original, a.Target)
+		return
+	}
 	c.effect.Joins = append(c.effect.Joins, Join{
-		ID: r.Request, Custodian: r.Custodian, Request: r.Original,
+		ID: r.Request, Custodian: r.Custodian, Request: r.Original, Target: a.Target,
 	})
 }
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -35,6 +35,7 @@
 	Apply(custody.Directive)
 	Settle(ident.Request, claim.Answer)
 	Join(Join)
+	Rescue(Rescue)
 	Relay(*peerpb.Envelope)
 }
 
@@ -185,6 +186,9 @@
 	for _, j := range effects.Joins {
 		l.ports.Traffic.Join(j)
 	}
+	for _, r := range effects.Rescues {
+		l.ports.Traffic.Rescue(r)
+	}
 	for _, m := range effects.Relays {
 		l.ports.Traffic.Relay(m)
 	}
--- a/internal/control/promise_test.go
+++ b/internal/control/promise_test.go
@@ -59,20 +59,41 @@
 var failures = []failure{
 	{"kill", (*world).kill, (*world).replace},
 	{"freeze", (*world).freeze, (*world).thaw},
-	{"cut", func(w *world, h ident.Host) { w.split(w.hosts[h].domain, true) },
-		func(w *world, h ident.Host) { w.split(w.hosts[h].domain, false) }},
-	{"platform down", func(w *world, _ ident.Host) { w.table.down = true },
-		func(w *world, _ ident.Host) { w.table.down = false }},
-	{"platform cut off", func(w *world, h ident.Host) { w.table.cut = map[ident.Domain]bool{w.hosts[h].domain: true} },
-		func(w *world, _ ident.Host) { w.table.cut = nil }},
-	{"answers lost", func(w *world, _ ident.Host) { w.table.lossy = 0.5 },
-		func(w *world, _ ident.Host) { w.table.lossy = 0 }},
-	{"messages lost", func(w *world, _ ident.Host) { w.loss = 0.3 },
-		func(w *world, _ ident.Host) { w.loss = 0 }},
-	{"messages late", func(w *world, _ ident.Host) { w.lag = 0.3 },
-		func(w *world, _ ident.Host) { w.lag = 0 }},
-	{"endpoints down", func(w *world, h ident.Host) { w.setDown(w.hosts[h].domain, true) },
-		func(w *world, h ident.Host) { w.setDown(w.hosts[h].domain, false) }},
+	{
+		"cut",
+		func(w *world, h ident.Host) { w.split(w.hosts[h].domain, true) },
+		func(w *world, h ident.Host) { w.split(w.hosts[h].domain, false) },
+	},
+	{
+		"platform down",
+		func(w *world, _ ident.Host) { w.table.down = true },
+		func(w *world, _ ident.Host) { w.table.down = false },
+	},
+	{
+		"platform cut off",
+		func(w *world, h ident.Host) { w.table.cut = map[ident.Domain]bool{w.hosts[h].domain: true} },
+		func(w *world, _ ident.Host) { w.table.cut = nil },
+	},
+	{
+		"answers lost",
+		func(w *world, _ ident.Host) { w.table.lossy = 0.5 },
+		func(w *world, _ ident.Host) { w.table.lossy = 0 },
+	},
+	{
+		"messages lost",
+		func(w *world, _ ident.Host) { w.loss = 0.3 },
+		func(w *world, _ ident.Host) { w.loss = 0 },
+	},
+	{
+		"messages late",
+		func(w *world, _ ident.Host) { w.lag = 0.3 },
+		func(w *world, _ ident.Host) { w.lag = 0 },
+	},
+	{
+		"endpoints down",
+		func(w *world, h ident.Host) { w.setDown(w.hosts[h].domain, true) },
+		func(w *world, h ident.Host) { w.setDown(w.hosts[h].domain, false) },
+	},
 }
 
 // replace starts a dead host's successor of the same name.
--- a/internal/control/route.go
+++ b/internal/control/route.go
@@ -133,7 +133,7 @@
 	case claim.Running:
 		c.joinClaim(id, r)
 	case claim.Lost:
-		c.verdict(id, result.New(result.OutcomeUnknown, "the host that ran this key has ended"))
+		c.rescueClaim(r)
 	case claim.Refused:
 		c.verdict(id, r.Err)
 	}
@@ -148,9 +148,10 @@
 		})
 		return
 	}
+	target := c.gated[id].Target
 	c.leaveCustody(id)
 	c.effect.Joins = append(c.effect.Joins, Join{
-		ID: id, Custodian: r.Claim.Holder, Request: r.Claim.Request,
+		ID: id, Custodian: r.Claim.Holder, Request: r.Claim.Request, Target: target,
 	})
 }
 
--- a/internal/control/world_test.go
+++ b/internal/control/world_test.go
@@ -206,6 +206,9 @@
 	for _, j := range effects.Joins {
 		w.join(j)
 	}
+	for _, r := range effects.Rescues {
+		w.rescue(name, r)
+	}
 	next := m.core.NextWake() + m.started
 	w.schedule(max(w.now+time.Millisecond, min(next, w.now+wakeAtMost)), name)
 }
@@ -283,12 +286,26 @@
 		return
 	}
 	if first == nil || w.hosts[first.host].dead || w.now > w.requests[j.ID].sent+giveUp/2 {
-		w.final(j.ID, result.OutcomeUnknown, "")
+		w.post(w.requests[j.ID].host, JoinLost{Join: j}, 0)
 		return
 	}
 	w.at(w.now+50*time.Millisecond, func() { w.join(j) })
 }
 
+// rescue lets a request read another's answer from its endpoint.
+func (w *world) rescue(host ident.Host, r Rescue) {
+	answer := claim.Answer{Code: result.OutcomeUnknown}
+	for _, e := range w.endpoints {
+		if e.runs[r.Request] > 0 && !e.down {
+			answer = claim.Answer{Code: result.OK, Body: []byte("run of " + string(r.Request))}
+		}
+	}
+	w.at(w.now+runMost, func() {
+		w.final(r.ID, answer.Code, string(answer.Body))
+		w.post(host, Rescued{ID: r.ID, Answer: answer}, 0)
+	})
+}
+
 // send lets a caller send a request to a host.
 func (w *world) send(host ident.Host, a custody.Arrival, within time.Duration) *request {
 	w.count++
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -261,8 +261,11 @@
 	h.entry.Drain()
 	h.loop.Post(control.Leave{})
 	time.Sleep(min(balancerDelay, h.settings.DrainGrace))
-	shut := make(chan error, 1)
-	h.group.Go(func() { shut <- h.entry.Shutdown() })
+	shut := make(chan struct{})
+	h.group.Go(func() {
+		defer close(shut)
+		_ = h.entry.Shutdown()
+	})
 	h.awaitIdle(limit)
 	ctx, cancel := context.WithDeadline(context.Background(), limit.Add(balancerDelay))
 	defer cancel()
--- a/internal/traffic/engine.go
+++ b/internal/traffic/engine.go
@@ -183,13 +183,13 @@
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
 	req.Header.SetMethod(fasthttp.MethodGet)
-	req.SetRequestURI(engine.PathResume + string(x.job.ID) + engine.SuffixStream + "?from=" + strconv.Itoa(from))
+	req.SetRequestURI(engine.PathResume + string(x.request) + engine.SuffixStream + "?from=" + strconv.Itoa(from))
 	req.SetHost(x.address)
 	if err := conn.Send(req); err != nil {
 		_ = conn.Close()
 		return nil, err
 	}
-	stream, err := endpoint.Open(conn, x.job.ID, from, headerTimeout)
+	stream, err := endpoint.Open(conn, x.request, from, headerTimeout)
 	if err != nil {
 		_ = conn.Close()
 	}
--- a/internal/traffic/join.go
+++ b/internal/traffic/join.go
@@ -15,7 +15,7 @@
 	// again.
 	joinRetry = 2 * time.Second
 	// joinTries bounds the asking without any part coming.
-	joinTries = 4
+	joinTries = 2
 )
 
 // Join lets a job take part in the answer of an earlier request with its key,
@@ -75,9 +75,7 @@
 			tries = 0
 		}
 	}
-	job.Answer.Finish(answer.Final{
-		Code: result.OutcomeUnknown, Reason: "the host that runs this key can't be reached",
-	})
+	r.opts.Post(control.JoinLost{Join: j})
 }
 
 // awaitEnd waits until an answer has ended, which gives true, or has not grown
--- a/internal/traffic/runner.go
+++ b/internal/traffic/runner.go
@@ -99,7 +99,9 @@
 		r.conns.Put(conn)
 		return
 	}
-	run := &run{runner: r, job: j, address: d.Address, attempt: d.Attempt, began: time.Now()}
+	run := &run{
+		runner: r, job: j, request: j.ID, address: d.Address, attempt: d.Attempt, began: time.Now(),
+	}
 	if j.Type == resource.EndpointEngine {
 		run.engine(conn)
 		return
@@ -109,8 +111,11 @@
 
 // run is one dispatched job.
 type run struct {
-	runner  *Runner
-	job     *Job
+	runner *Runner
+	job    *Job
+	// request is the request that the endpoint knows: the job's own, or an earlier
+	// one with its key.
+	request ident.Request
 	address string
 	attempt ident.Attempt
 	began   time.Time
--- a/test/process/deployment_test.go
+++ b/test/process/deployment_test.go
@@ -82,12 +82,9 @@
 }
 
 // endpoint starts a model engine's stand-in and returns its address.
-func (d *deployment) endpoint(name string, extra ...string) string {
-	args := append([]string{
-		"standin", "endpoint", "--listen", "127.0.0.1:0", "--type", "engine",
-		"--name", name, "--model", "assistant",
-	}, extra...)
-	return readyField(start(args...), "addr")
+func (d *deployment) endpoint(name string) string {
+	return readyField(start("standin", "endpoint", "--listen", "127.0.0.1:0",
+		"--type", "engine", "--name", name, "--model", "assistant"), "addr")
 }
 
 // service starts a plain service's stand-in and returns its address.
@@ -244,6 +241,15 @@
 	return string(text)
 }
 
+// arrived returns how often a stand-in has read each request.
+func arrived(address string) map[string]int {
+	var counted struct {
+		Requests map[string]int `json:"requests"`
+	}
+	Expect(json.Unmarshal([]byte(arrivals(address)), &counted)).To(Succeed())
+	return counted.Requests
+}
+
 // bookings returns the number of bookings a plain service has made.
 func bookings(address string) int {
 	var counted struct {
--- a/test/process/failure_test.go
+++ b/test/process/failure_test.go
@@ -109,6 +109,32 @@
 	})
 })
 
+var _ = Describe("a host that dies in the middle of an answer", func() {
+	It("costs a resend with the key no second run: the answer is resumed", func() {
+		d := newDeployment()
+		engine := d.endpoint("engine-1")
+		for _, name := range []string{"entry-1", "entry-2", "entry-3"} {
+			d.entry(name, "zone-a")
+		}
+		d.awaitHosts()
+		d.apply(d.hosts["entry-1"], manifest(engineEndpoint("engine-1", "zone-a", engine)))
+		body := fmt.Sprintf(longChat, 7)
+		cut := make(chan error, 1)
+		go func() {
+			_, err := trySend(d.hosts["entry-1"], "/v1/chat/completions", body, "Idempotency-Key", "summary-7")
+			cut <- err
+		}()
+		Eventually(func() int { return len(arrived(engine)) }, changeLimit, poll).Should(Equal(1))
+		d.hosts["entry-1"].session.Kill()
+		Eventually(cut, changeLimit, poll).Should(Receive(HaveOccurred()))
+
+		again := chat(d.hosts["entry-2"], body, "Idempotency-Key", "summary-7")
+		Expect(again.body).To(HaveSuffix("data: [DONE]\n\n"), again.body)
+		Expect(strings.Count(again.body, `"seq":`)).To(Equal(150))
+		Expect(arrived(engine)).To(HaveLen(1))
+	})
+})
+
 var _ = Describe("a planned stop", func() {
 	It("cuts no stream, host after host", func() {
 		d, _ := fleet()
