--- a/internal/fleet/result.go
+++ b/internal/fleet/result.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"fmt"
 	"slices"
 
 	"github.com/trefoilchute/trefoilchute/internal/pool"
@@ -123,3 +124,9 @@
 	r.tier(w.request.Rank).Lost++
 	r.settlePrefill(w, false)
 }
+
+// String returns the figures that two runs can be compared by.
+func (r Result) String() string {
+	return fmt.Sprintf("tiers=%+v prefilled=%d late=%d again=%d crashes=%d refusals=%v",
+		r.Tiers, r.Prefilled, r.WastedLate, r.WastedAgain, r.Crashes, r.Refusals)
+}
--- a/internal/naive/differential_test.go
+++ b/internal/naive/differential_test.go
@@ -14,6 +14,7 @@
 	"github.com/trefoilchute/trefoilchute/internal/pool"
 	"github.com/trefoilchute/trefoilchute/internal/replay"
 	"github.com/trefoilchute/trefoilchute/internal/resource"
+	"github.com/trefoilchute/trefoilchute/internal/result"
 )
 
 // TestMain fixes the seed, so that each run has the same verdict; the flags
@@ -39,6 +40,7 @@
 	waiting []ident.Request
 	granted []pool.Grant
 	running []pool.Grant
+	ranks   map[ident.Request]int
 }
 
 var testPool = ident.Pool{Target: "m", Domain: "d"}
@@ -79,10 +81,12 @@
 	for i := range rapid.Uint64Range(0, 12).Draw(w.t, "blocks") {
 		prefix = append(prefix, family<<8|i)
 	}
+	id := ident.Request(fmt.Sprintf("r%04d", w.next))
+	w.ranks[id] = rapid.IntRange(0, 2).Draw(w.t, "rank")
 	return pool.Request{
-		ID:           ident.Request(fmt.Sprintf("r%04d", w.next)),
+		ID:           id,
 		Host:         ident.Host(rapid.SampledFrom([]string{"h0", "h1"}).Draw(w.t, "host")),
-		Rank:         rapid.IntRange(0, 2).Draw(w.t, "rank"),
+		Rank:         w.ranks[id],
 		Team:         team(rapid.IntRange(0, 3).Draw(w.t, "team")),
 		PromptTokens: 64*len(prefix) + rapid.SampledFrom([]int{1, 50, 4000, 20000}).Draw(w.t, "prompt"),
 		MaxTokens:    rapid.SampledFrom([]int{0, 16, 200, 2000}).Draw(w.t, "max"),
@@ -218,6 +222,7 @@
 	want := bare(w.naive.Step(w.now, events))
 	got := bare(w.pool.Step(w.now, events))
 	NewWithT(w.t).Expect(got).To(Equal(want), "at %v after %+v", w.now, events)
+	w.checkTiers(events, got)
 	for _, e := range got {
 		if g, ok := e.(pool.Grant); ok {
 			w.granted = append(w.granted, g)
@@ -225,6 +230,26 @@
 	}
 }
 
+// checkTiers wants no request shed for want of room while one of a lower tier
+// waits. With more than one event in a step, the later ones may bring one, and
+// so may timers, which an empty step before has fired.
+func (w *world) checkTiers(events []pool.Event, effects []pool.Effect) {
+	if len(events) != 1 {
+		return
+	}
+	for _, e := range effects {
+		r, ok := e.(pool.Refuse)
+		if !ok || (r.Code != result.ShedTier && r.Code != result.QueueFull) {
+			continue
+		}
+		for _, tier := range w.pool.Status().Queue {
+			if tier.Rank > w.ranks[r.ID] {
+				NewWithT(w.t).Expect(tier.Waiting).To(BeZero(), "rank %d waits, %+v after %T %+v", tier.Rank, r, events[0], events[0])
+			}
+		}
+	}
+}
+
 func TestBothDecideAlikeOnTheTraces(t *testing.T) {
 	for _, name := range []string{"utility", "factory"} {
 		g := NewWithT(t)
@@ -254,7 +279,7 @@
 func TestPoolDecidesAsTheNaiveScheduler(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		c := pool.Config{Pool: testPool, Epoch: 2}
-		w := &world{t: t, pool: pool.New(c), naive: New(c)}
+		w := &world{t: t, pool: pool.New(c), naive: New(c), ranks: map[ident.Request]int{}}
 		w.step([]pool.Event{w.configure()})
 		for range rapid.IntRange(1, 120).Draw(t, "steps") {
 			w.now += time.Duration(rapid.SampledFrom([]int{0, 1, 20, 300, 2500}).Draw(t, "pause")) * time.Millisecond
@@ -262,6 +287,7 @@
 			for i := range events {
 				events[i] = w.event()
 			}
+			w.step(nil)
 			w.step(events)
 		}
 	})
