--- a/internal/naive/grant.go
+++ b/internal/naive/grant.go
@@ -68,7 +68,7 @@
 
 func (s *Scheduler) grantHeld(rank int, among []*endpoint) {
 	for _, r := range s.heldIn(rank) {
-		waits := r.heldForHome && s.now < r.heldUntil && !(r.urgent && s.spare())
+		waits := r.heldForHome && s.now < r.heldUntil && (!r.urgent || !s.spare())
 		if waits && !slices.Contains(among, r.home) {
 			continue
 		}
--- a/internal/pool/prefix.go
+++ b/internal/pool/prefix.go
@@ -52,7 +52,7 @@
 // waitsForHome says whether a held request is to have no other endpoint than
 // its home yet.
 func (s *Scheduler) waitsForHome(r *request) bool {
-	return r.heldForHome && s.now < r.heldUntil && !(r.urgent && s.spare())
+	return r.heldForHome && s.now < r.heldUntil && (!r.urgent || !s.spare())
 }
 
 // matchAmong fills s.matched for a request and some endpoints.
