Measure without faults, and placement without prefixes

Cause: a lost request of the highest tier could not be told from one shed, and placement by prefix had no figure without it.

--- a/internal/cli/measure.go
+++ b/internal/cli/measure.go
@@ -38,6 +38,7 @@
 			&cli.StringSliceFlag{Name: "policy", Value: fleet.Policies(), Usage: "policies to run"},
 			&cli.FloatSliceFlag{Name: "load", Value: defaultLoads, Usage: "loads relative to the capacity"},
 			&cli.IntFlag{Name: "seeds", Value: 5, Usage: "number of seeds, from 1"},
+			&cli.BoolFlag{Name: "faults", Value: true, Usage: "slow one endpoint to a quarter and crash one"},
 			&cli.DurationFlag{Name: "length", Value: 5 * time.Minute, Usage: "simulated time of arrivals"},
 		},
 		Action: func(_ context.Context, c *cli.Command) error {
@@ -102,10 +103,12 @@
 		return errors.New("--seeds must be at least 1")
 	}
 	w := tabwriter.NewWriter(c.Root().Writer, 0, 0, 2, ' ', 0)
-	_, _ = fmt.Fprintln(w, "policy\tload\tgoodput\ttiers from the highest\twasted prefill\tlate\tagain\t(median/worst)")
+	_, _ = fmt.Fprintln(w, "policy\tload\tgoodput\ttiers from the highest\twasted prefill\tlate\tagain\thighest tier refused, late, lost\t(median/worst)")
 	for _, policy := range c.StringSlice("policy") {
 		for _, load := range c.FloatSlice("load") {
-			results, err := fleet.Measure(d, policy, load, c.Int("seeds"), c.Duration("length"))
+			results, err := fleet.Measure(d, policy, fleet.Setting{
+				Load: load, Seeds: c.Int("seeds"), Length: c.Duration("length"), Faults: c.Bool("faults"),
+			})
 			if err != nil {
 				return err
 			}
@@ -125,9 +128,21 @@
 		tier := figure(results, func(r fleet.Result) float64 { return r.Tiers[i].Goodput() })
 		tiers += spread(fleet.HigherIsBetter(tier)) + " "
 	}
-	_, _ = fmt.Fprintf(w, "%s\t%.1f\t%s\t%s\t%s\t%s\t%s\t\n", policy, load,
+	_, _ = fmt.Fprintf(w, "%s\t%.1f\t%s\t%s\t%s\t%s\t%s\t%s\t\n", policy, load,
 		spread(fleet.HigherIsBetter(goodput)), tiers, spread(fleet.LowerIsBetter(wasted)),
-		spread(fleet.LowerIsBetter(late)), spread(fleet.LowerIsBetter(again)))
+		spread(fleet.LowerIsBetter(late)), spread(fleet.LowerIsBetter(again)), highestTier(results))
+}
+
+// highestTier sums up what became of the highest tier's requests over the runs.
+func highestTier(results []fleet.Result) string {
+	var sum fleet.TierResult
+	for _, r := range results {
+		sum.Offered += r.Tiers[0].Offered
+		sum.Refused += r.Tiers[0].Refused
+		sum.Late += r.Tiers[0].Late
+		sum.Lost += r.Tiers[0].Lost
+	}
+	return fmt.Sprintf("%d, %d, %d of %d", sum.Refused, sum.Late, sum.Lost, sum.Offered)
 }
 
 func figure(results []fleet.Result, of func(fleet.Result) float64) []float64 {
--- a/internal/fleet/measure.go
+++ b/internal/fleet/measure.go
@@ -11,7 +11,9 @@
 
 // Names of the policies that can be measured.
 const (
-	PolicyPool          = "pool"
+	PolicyPool = "pool"
+	// PolicyWithoutPrefix is the pool scheduler without placement by prefix.
+	PolicyWithoutPrefix = "pool-without-prefix"
 	PolicyRoundRobin    = "round-robin"
 	PolicyLeastReported = "least-reported"
 	PolicyStrictTiers   = "strict-tiers"
@@ -19,7 +21,7 @@
 
 // Policies lists the names of the policies.
 func Policies() []string {
-	return []string{PolicyPool, PolicyRoundRobin, PolicyLeastReported, PolicyStrictTiers}
+	return []string{PolicyPool, PolicyWithoutPrefix, PolicyRoundRobin, PolicyLeastReported, PolicyStrictTiers}
 }
 
 // NewPolicy returns a fresh policy by its name.
@@ -27,6 +29,8 @@
 	switch name {
 	case PolicyPool:
 		return pool.New(pool.Config{Pool: Pool, Epoch: 1, Seed: seed}), nil
+	case PolicyWithoutPrefix:
+		return withoutPrefix{pool.New(pool.Config{Pool: Pool, Epoch: 1, Seed: seed})}, nil
 	case PolicyRoundRobin:
 		return newRoundRobin(), nil
 	case PolicyLeastReported:
@@ -51,16 +55,36 @@
 	}
 }
 
-// Measure runs one policy over the seeds 1 to seeds.
-func Measure(d Deployment, policy string, load float64, seeds int, length time.Duration) ([]Result, error) {
-	out := make([]Result, 0, seeds)
-	for seed := uint64(1); seed <= uint64(seeds); seed++ {
+// Setting is one measurement.
+type Setting struct {
+	// Load is relative to the deployment's capacity.
+	Load float64
+	// Seeds is the number of runs, with the seeds from 1.
+	Seeds int
+	// Length is the simulated time of arrivals.
+	Length time.Duration
+	// Faults says whether the standard faults happen. Reports are old and
+	// bursts come in any case.
+	Faults bool
+}
+
+func (s Setting) faults() Faults {
+	if s.Faults {
+		return StandardFaults(s.Length)
+	}
+	return Faults{ReportAge: reportAge}
+}
+
+// Measure runs one policy over the seeds.
+func Measure(d Deployment, policy string, s Setting) ([]Result, error) {
+	out := make([]Result, 0, s.Seeds)
+	for seed := uint64(1); seed <= uint64(s.Seeds); seed++ {
 		p, err := NewPolicy(policy, seed)
 		if err != nil {
 			return nil, err
 		}
-		items := Generate(d, seed, load, length)
-		out = append(out, Execute(p, d, items, StandardFaults(length), seed))
+		items := Generate(d, seed, s.Load, s.Length)
+		out = append(out, Execute(p, d, items, s.faults(), seed))
 	}
 	return out, nil
 }
--- a/internal/fleet/plain.go
+++ b/internal/fleet/plain.go
@@ -196,3 +196,24 @@
 	}
 	return p
 }
+
+// withoutPrefix is a policy that is told of no prefixes and no cache events.
+type withoutPrefix struct {
+	Policy
+}
+
+// Step implements Policy.
+func (p withoutPrefix) Step(now time.Duration, events []pool.Event) []pool.Effect {
+	bare := make([]pool.Event, 0, len(events))
+	for _, e := range events {
+		switch x := e.(type) {
+		case pool.CacheEvent:
+		case pool.Arrive:
+			x.Request.Prefix = nil
+			bare = append(bare, x)
+		default:
+			bare = append(bare, e)
+		}
+	}
+	return p.Policy.Step(now, bare)
+}
