--- a/internal/system/keyledger/ledger.go
+++ b/internal/system/keyledger/ledger.go
@@ -69,6 +69,9 @@
 	sweepBatch    = 256
 	// sweepAgain is the time to the next try with holders that didn't confirm.
 	sweepAgain = time.Second
+	// sweepTries bounds these tries: a holder that still refuses holds the key
+	// for a run of its own.
+	sweepTries = 30
 	// sweepSlack is the number of entries of gone notes that are put up with.
 	sweepSlack = 1024
 )
--- a/internal/system/keyledger/run.go
+++ b/internal/system/keyledger/run.go
@@ -99,11 +99,13 @@
 
 // attemptProves reports whether the caller's word that the key is new suffices
 // without all holders. A later attempt must then find the note, or be told
-// that it can't be found out: either another host has noted the run, or the
-// whole domain is cut off and the other side knows it.
+// that it can't be found out: either another host that is sure to be a holder
+// has noted the run, or the whole domain is cut off and the other side knows
+// it.
 func (s *System) attemptProves(now time.Duration, q *question) bool {
 	for _, h := range q.holders {
-		if h.host != s.cfg.Self && q.answers[h].GetFirst() {
+		a := q.answers[h]
+		if h.host != s.cfg.Self && a.GetFirst() && a.GetSettled() {
 			return true
 		}
 	}
--- a/internal/system/keyledger/sweep.go
+++ b/internal/system/keyledger/sweep.go
@@ -22,6 +22,7 @@
 	// tried again at againAt.
 	again   []entryRef
 	againAt time.Duration
+	tries   int
 }
 
 // add appends an entry.
@@ -43,6 +44,7 @@
 	s.sweep.on = true
 	s.sweep.at = 0
 	s.sweep.again = nil
+	s.sweep.tries = 0
 	s.sweep.next = now
 }
 
@@ -81,6 +83,9 @@
 	again := s.sweep.again
 	s.sweep.again = nil
 	s.sweep.againAt = now + sweepAgain
+	if s.sweep.tries++; s.sweep.tries > sweepTries {
+		return
+	}
 	for _, ref := range again {
 		s.bring(ref, out)
 	}
