--- a/internal/admin/client.go
+++ b/internal/admin/client.go
@@ -33,20 +33,27 @@
 	base  string
 	token string
 	http  *fasthttp.Client
+	// watches has no bound on the time of an answer; its connections fail when
+	// they fall silent.
+	watches *fasthttp.Client
 }
 
 // NewClient returns a Client of the host at a base URL, with the operators'
 // token or "" for none.
 func NewClient(base, token string) *Client {
-	return &Client{
-		base:  strings.TrimSuffix(base, "/"),
-		token: token,
-		http: &fasthttp.Client{
-			MaxIdemponentCallAttempts: 1,
-			RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
-			ReadTimeout:               callTimeout,
-			StreamResponseBody:        true,
-		},
+	calls := neverRepeating()
+	calls.ReadTimeout = callTimeout
+	watches := neverRepeating()
+	watches.Dial = dialWatch
+	watches.StreamResponseBody = true
+	return &Client{base: strings.TrimSuffix(base, "/"), token: token, http: calls, watches: watches}
+}
+
+// neverRepeating returns an HTTP client that sends each call once at most.
+func neverRepeating() *fasthttp.Client {
+	return &fasthttp.Client{
+		MaxIdemponentCallAttempts: 1,
+		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 	}
 }
 
@@ -129,6 +136,11 @@
 	return records, err
 }
 
+// Burn returns the service-level burn report as "text", "html" or "json".
+func (c *Client) Burn(ctx context.Context, format string) ([]byte, error) {
+	return c.call(ctx, fasthttp.MethodGet, "/v1/report/burn", url.Values{queryFormat: {format}}, nil)
+}
+
 // Wait returns when a revision is in force on all live hosts, or after the
 // timeout, which the server bounds at 30 s.
 func (c *Client) Wait(ctx context.Context, revision uint64, timeout time.Duration) (WaitStatus, error) {
@@ -141,16 +153,27 @@
 	return status, err
 }
 
-// Watch calls tell with each change of a kind ("" for all kinds) after a
-// revision (nil: from now on), and reached with each revision up to which
-// everything was told. It returns when the context ends or the watch can't go
-// on.
-func (c *Client) Watch(ctx context.Context, kind string, after *uint64, tell func(WatchEvent), reached func(uint64)) error {
+// Watcher is told what a watch finds. A nil function is not called.
+type Watcher struct {
+	// Change is told of each change of a resource.
+	Change func(WatchEvent)
+	// Reached is told of each revision up to which all changes were told.
+	Reached func(uint64)
+	// Status is told of each change of status.
+	Status func(StatusEvent)
+}
+
+// Watch follows a kind of resources ("" for all kinds) after a revision (nil:
+// from now on), or a kind of status. It returns when the context ends or the
+// watch can't go on.
+func (c *Client) Watch(ctx context.Context, kind string, after *uint64, w Watcher) error {
 	query := url.Values{queryKind: {kind}}
 	if after != nil {
 		query.Set(queryAfter, strconv.FormatUint(*after, 10))
 	}
-	response, err := c.send(ctx, fasthttp.MethodGet, "/v1/watch", query, nil, silenceTimeout)
+	request := c.request(fasthttp.MethodGet, "/v1/watch", query, nil)
+	defer fasthttp.ReleaseRequest(request)
+	response, err := c.do(c.watches, request)
 	if err != nil {
 		return err
 	}
@@ -159,11 +182,11 @@
 	if response.StatusCode() != fasthttp.StatusOK {
 		return answerError(response)
 	}
-	return readEvents(ctx, response.BodyStream(), tell, reached)
+	return readEvents(ctx, response.BodyStream(), &w)
 }
 
 // readEvents reads server-sent events until the stream or the context ends.
-func readEvents(ctx context.Context, body io.Reader, tell func(WatchEvent), reached func(uint64)) error {
+func readEvents(ctx context.Context, body io.Reader, w *Watcher) error {
 	lines := bufio.NewScanner(body)
 	lines.Buffer(nil, inifile.MaxSize)
 	name := ""
@@ -176,17 +199,8 @@
 		if !ok {
 			continue
 		}
-		if name == eventError {
-			return decodeError([]byte(data))
-		}
-		var event WatchEvent
-		if err := json.Unmarshal([]byte(data), &event); err != nil {
-			return errors.Wrap(err, "admin: watch event")
-		}
-		if name == eventChange {
-			tell(event)
-		} else {
-			reached(event.Revision)
+		if err := w.take(name, []byte(data)); err != nil {
+			return err
 		}
 	}
 	if ctx.Err() != nil {
@@ -195,6 +209,37 @@
 	return errors.Wrap(errUnreachable, "the watch was cut")
 }
 
+// take tells one event. An error event is returned as its error.
+func (w *Watcher) take(name string, data []byte) error {
+	switch name {
+	case eventError:
+		return decodeError(data)
+	case eventStatus:
+		return tell(data, w.Status)
+	case eventChange:
+		return tell(data, w.Change)
+	case eventRevision:
+		return tell(data, func(event WatchEvent) {
+			if w.Reached != nil {
+				w.Reached(event.Revision)
+			}
+		})
+	}
+	return nil
+}
+
+// tell decodes an event and tells it.
+func tell[T any](data []byte, to func(T)) error {
+	var event T
+	if err := json.Unmarshal(data, &event); err != nil {
+		return errors.Wrap(err, "admin: watch event")
+	}
+	if to != nil {
+		to(event)
+	}
+	return nil
+}
+
 // errUnreachable says that no whole answer came.
 var errUnreachable = errors.New("the host can't be reached")
 
@@ -208,39 +253,40 @@
 
 // call sends one request and returns the body of its answer.
 func (c *Client) call(ctx context.Context, method, path string, query url.Values, body []byte) ([]byte, error) {
-	response, err := c.send(ctx, method, path, query, body, callTimeout)
+	request := c.request(method, path, query, body)
+	defer fasthttp.ReleaseRequest(request)
+	timeout := callTimeout
+	if deadline, ok := ctx.Deadline(); ok {
+		timeout = min(timeout, time.Until(deadline))
+	}
+	request.SetTimeout(timeout)
+	response, err := c.do(c.http, request)
 	if err != nil {
 		return nil, err
 	}
 	defer fasthttp.ReleaseResponse(response)
-	defer func() { _ = response.CloseBodyStream() }()
 	if response.StatusCode() != fasthttp.StatusOK {
 		return nil, answerError(response)
 	}
-	data, err := readBody(response)
-	if err != nil {
-		return nil, errors.Wrap(errUnreachable, err.Error())
-	}
-	return data, nil
+	return bytes.Clone(response.Body()), nil
 }
 
-// send sends one request and returns the head of its answer, whose body may
-// still be on its way. The caller releases the response.
-func (c *Client) send(ctx context.Context, method, path string, query url.Values, body []byte, timeout time.Duration) (*fasthttp.Response, error) {
+// request builds a request; the caller releases it.
+func (c *Client) request(method, path string, query url.Values, body []byte) *fasthttp.Request {
 	request := fasthttp.AcquireRequest()
-	defer fasthttp.ReleaseRequest(request)
 	request.SetRequestURI(c.base + path + "?" + query.Encode())
 	request.Header.SetMethod(method)
 	request.SetBody(body)
 	if c.token != "" {
 		request.Header.Set(fasthttp.HeaderAuthorization, "Bearer "+c.token)
 	}
-	if deadline, ok := ctx.Deadline(); ok {
-		timeout = min(timeout, time.Until(deadline))
-	}
-	request.SetTimeout(timeout)
+	return request
+}
+
+// do sends a request and returns its answer; the caller releases it.
+func (c *Client) do(client *fasthttp.Client, request *fasthttp.Request) (*fasthttp.Response, error) {
 	response := fasthttp.AcquireResponse()
-	if err := c.http.Do(request, response); err != nil {
+	if err := client.Do(request, response); err != nil {
 		fasthttp.ReleaseResponse(response)
 		return nil, errors.Wrapf(errUnreachable, "%s: %v", c.base, err)
 	}
@@ -250,7 +296,7 @@
 // readBody reads the whole body of an answer.
 func readBody(response *fasthttp.Response) ([]byte, error) {
 	if response.BodyStream() == nil {
-		return bytes.Clone(response.Body()), nil
+		return response.Body(), nil
 	}
 	return io.ReadAll(response.BodyStream())
 }
--- a/internal/cli/standin.go
+++ b/internal/cli/standin.go
@@ -12,6 +12,7 @@
 	"github.com/sourcegraph/conc"
 	"github.com/urfave/cli/v3"
 
+	platformclient "github.com/trefoilchute/trefoilchute/internal/platform"
 	"github.com/trefoilchute/trefoilchute/internal/resource"
 	"github.com/trefoilchute/trefoilchute/internal/result"
 	"github.com/trefoilchute/trefoilchute/internal/standin/engine"
@@ -27,6 +28,7 @@
 	flagModel        = "model"
 	flagPrefillRate  = "prefill-rate"
 	flagDecodeRate   = "decode-rate"
+	flagBatchCost    = "batch-cost"
 	flagSlots        = "slots"
 	flagCacheTokens  = "cache-tokens"
 	flagFencing      = "fencing"
@@ -35,6 +37,7 @@
 	flagCacheLoss    = "cache-loss"
 	flagLoadTime     = "load-time"
 	flagRestartDelay = "restart-delay"
+	flagPlatform     = "platform"
 	flagDelay        = "delay"
 	flagHostLag      = "host-lag"
 	flagHostMaxAge   = "host-max-age"
@@ -95,6 +98,7 @@
 			&cli.StringFlag{Name: flagModel, Usage: "the model that an engine has loaded"},
 			&cli.FloatFlag{Name: flagPrefillRate, Value: engine.DefaultPrefillRate, Usage: "prompt tokens per second"},
 			&cli.FloatFlag{Name: flagDecodeRate, Value: engine.DefaultDecodeRate, Usage: "tokens per second of a request that runs alone"},
+			&cli.FloatFlag{Name: flagBatchCost, Value: engine.DefaultBatchCost, Usage: "added time per token for each further request of a batch, as a share of that of one alone"},
 			&cli.IntFlag{Name: flagSlots, Value: engine.DefaultSlots, Usage: "most requests in one batch"},
 			&cli.IntFlag{Name: flagCacheTokens, Value: engine.DefaultCacheTokens, Usage: "size of the prefix cache in tokens"},
 			&cli.StringFlag{Name: flagFencing, Value: string(resource.FencingEnforced), Usage: "enforced or ignored"},
@@ -103,6 +107,7 @@
 			&cli.IntFlag{Name: flagCacheLoss, Usage: "cache events lost, per mille"},
 			&cli.DurationFlag{Name: flagLoadTime, Value: time.Second, Usage: "how long it takes to load a model"},
 			&cli.DurationFlag{Name: flagRestartDelay, Value: engine.DefaultRestartDelay, Usage: "how long a crashed engine stays away"},
+			&cli.StringFlag{Name: flagPlatform, Usage: "base `URL` of the platform whose weight store an engine asks before it loads; empty: none"},
 			&cli.DurationFlag{Name: flagDelay, Usage: "time that a service takes for a call"},
 		},
 		Action: runEndpoint,
@@ -134,12 +139,13 @@
 	if fencing != resource.FencingEnforced && fencing != resource.FencingIgnored {
 		return engine.Options{}, result.New(result.BadRequest, "unknown fencing "+string(fencing))
 	}
-	return engine.Options{
+	options := engine.Options{
 		Name:  cmd.String(flagName),
 		Model: cmd.String(flagModel),
 		Speed: engine.Speed{
 			PrefillRate: cmd.Float(flagPrefillRate),
 			DecodeRate:  cmd.Float(flagDecodeRate),
+			BatchCost:   cmd.Float(flagBatchCost),
 			Slots:       cmd.Int(flagSlots),
 			CacheTokens: cmd.Int(flagCacheTokens),
 		},
@@ -149,7 +155,11 @@
 		Fencing:           fencing,
 		LoadTime:          cmd.Duration(flagLoadTime),
 		RestartDelay:      cmd.Duration(flagRestartDelay),
-	}, nil
+	}
+	if url := cmd.String(flagPlatform); url != "" {
+		options.Weights = platformclient.NewClient(url, platformclient.Options{})
+	}
+	return options, nil
 }
 
 // runStandin runs a stand-in until the process is told to stop.
--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -12,7 +12,9 @@
 	"github.com/trefoilchute/trefoilchute/internal/system/claim"
 	"github.com/trefoilchute/trefoilchute/internal/system/configuration"
 	"github.com/trefoilchute/trefoilchute/internal/system/custody"
+	"github.com/trefoilchute/trefoilchute/internal/system/keyledger"
 	"github.com/trefoilchute/trefoilchute/internal/system/membership"
+	"github.com/trefoilchute/trefoilchute/internal/system/order"
 	"github.com/trefoilchute/trefoilchute/internal/system/scheduling"
 )
 
@@ -43,9 +45,12 @@
 	custody       *custody.System
 	scheduling    *scheduling.System
 	claims        *claim.System
+	orders        *order.System
+	keys          *keyledger.System
 
 	snapshot    *resource.Snapshot
 	viewVersion uint64
+	duties      duties
 	// paused says that the view of the hosts may be stale.
 	paused  bool
 	watched []resource.Endpoint
@@ -70,6 +75,11 @@
 	c.claims = claim.New(claim.Config{
 		Host: cfg.Self, Incarnation: cfg.Incarnation, Nonce: cfg.Nonce, Liveness: c.liveness,
 	})
+	c.keys = keyledger.New(keyledger.Config{Self: cfg.Self, View: c.members})
+	c.orders = order.New(order.Config{
+		Domain: cfg.Domain, Host: cfg.Self, Incarnation: cfg.Incarnation,
+		Term: order.DefaultTerm, LongestOrder: order.DefaultLongestOrder,
+	})
 	return c
 }
 
@@ -90,6 +100,7 @@
 	c.effect.Calls = c.out.Calls
 	c.out = system.Outbox{}
 	c.effect.Steps = c.scheduling.TakeSteps()
+	c.effect.Orders = c.orders.Take()
 	c.noteWatch()
 	return c.effect
 }
@@ -131,8 +142,13 @@
 		c.scheduling.Observe(c.now, e.Pool, e.Event, &c.out)
 	case Listed:
 		c.members.Seeds(e.Hosts)
+		c.effect.Peers = c.peerAddresses()
 	case Leave:
 		c.members.Leave(c.now, &c.out)
+	case Changed:
+		c.configuration.Adopt(c.now, e.Snapshot, &c.out)
+	case Ordered:
+		c.orders.Event(c.now, e.Event, &c.out)
 	case Depart:
 		c.members.Depart(c.now, &c.out)
 	case inspection:
@@ -162,7 +178,12 @@
 func (c *Core) tick() {
 	c.members.Tick(c.now, &c.out)
 	c.configuration.Tick(c.now, &c.out)
+	c.reviewDuties()
+	c.claims.Sweep(c.now, c.wall, c.duties.sweep)
 	c.claims.Tick(c.now, &c.out)
+	c.keys.Tick(c.now, &c.out)
+	c.orders.Own(c.duties.orders)
+	c.orders.Tick(c.now, &c.out)
 	c.custody.Tick(c.now, &c.out)
 	c.scheduling.Tick(c.now, &c.out)
 }
@@ -174,6 +195,7 @@
 	for again := true; again; {
 		again = c.deliverOwn()
 		again = c.settleClaims() || again
+		again = c.settleKeys() || again
 		again = c.settleDirectives() || again
 		again = c.adoptSnapshot() || again
 		again = c.adoptView() || again
@@ -210,6 +232,7 @@
 	c.effect.Snapshot = snap
 	c.members.SetRevision(snap.Revision)
 	c.scheduling.Configure(c.now, snap, &c.out)
+	c.orders.Configure(snap)
 	return true
 }
 
@@ -246,6 +269,8 @@
 	take(c.members.NextWake(), true)
 	take(c.configuration.NextWake())
 	take(c.claims.NextWake())
+	take(c.keys.NextWake())
+	take(c.orders.NextWake())
 	take(c.custody.NextWake(c.now))
 	take(c.scheduling.NextWake())
 	return max(next, c.now+minSleep)
--- a/internal/control/route.go
+++ b/internal/control/route.go
@@ -9,6 +9,7 @@
 	"github.com/trefoilchute/trefoilchute/internal/system"
 	"github.com/trefoilchute/trefoilchute/internal/system/claim"
 	"github.com/trefoilchute/trefoilchute/internal/system/custody"
+	"github.com/trefoilchute/trefoilchute/internal/system/scheduling"
 )
 
 // receive gives a message to the systems it concerns.
@@ -29,10 +30,12 @@
 		c.custody.Spilled(c.now, from, body.Spill, &c.out)
 	case *peerpb.Envelope_TakeOver:
 		c.custody.TakeOver(c.now, from, body.TakeOver, c.scheduling.Suspects(), &c.out)
+	case *peerpb.Envelope_KeyNote, *peerpb.Envelope_KeyAnswer:
+		c.keys.Receive(c.now, m, &c.out)
 	case *peerpb.Envelope_Join, *peerpb.Envelope_Part:
 		c.effect.Relays = append(c.effect.Relays, m)
 	default:
-		c.scheduling.Receive(c.now, from.Host, m, &c.out)
+		c.scheduling.Receive(c.now, scheduling.Process(from), m, &c.out)
 	}
 }
 
@@ -41,6 +44,8 @@
 	switch r.Owner {
 	case system.OwnerClaim:
 		c.claims.Reply(c.now, r, &c.out)
+	case system.OwnerOrder:
+		c.orders.Reply(c.now, r, &c.out)
 	case system.OwnerConfiguration:
 		c.configuration.Reply(c.now, r, &c.out)
 	}
@@ -55,8 +60,13 @@
 // non-idempotent one.
 func (c *Core) ended(e Ended) {
 	c.custody.Ended(c.now, e.ID, e.End, &c.out)
-	if a, ok := c.gated[e.ID]; ok && !a.Idempotent {
-		c.claims.Finish(c.now, e.ID, e.Answer, &c.out)
+	a, ok := c.gated[e.ID]
+	switch {
+	case !ok:
+	case a.Idempotent:
+		c.keys.Finished(c.now, e.ID)
+	default:
+		c.claims.Finish(e.ID, e.Answer, &c.out)
 	}
 	delete(c.gated, e.ID)
 }
@@ -68,12 +78,12 @@
 	for _, d := range list {
 		switch d.Kind {
 		case custody.LookClaim:
-			c.claims.Look(c.now, claimRequest(c.gated[d.ID]), &c.out)
+			c.claims.Look(c.now, c.wall, claimRequest(c.gated[d.ID]), &c.out)
 		case custody.AcquireClaim:
 			at := claim.Placement{Endpoint: d.Endpoint, Attempt: d.Attempt}
 			c.claims.Acquire(c.now, c.wall, claimRequest(c.gated[d.ID]), at, &c.out)
 		case custody.ReleaseClaim:
-			c.claims.Release(c.now, d.ID, &c.out)
+			c.claims.Release(d.ID, &c.out)
 		case custody.NoteKey:
 			c.noteKey(d.ID)
 		default:
@@ -86,7 +96,8 @@
 // passOn gives a directive to the traffic side.
 func (c *Core) passOn(d custody.Directive) {
 	if d.Kind == custody.Refuse {
-		c.claims.Withdraw(c.now, d.ID, &c.out)
+		c.claims.Withdraw(d.ID, &c.out)
+		c.keys.Release(c.now, d.ID, &c.out)
 		delete(c.gated, d.ID)
 	}
 	c.effect.Directives = append(c.effect.Directives, d)
--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"strconv"
 
 	"github.com/trefoilchute/trefoilchute/internal/ident"
 	"github.com/trefoilchute/trefoilchute/internal/rendezvous"
@@ -59,23 +60,43 @@
 	return list
 }
 
+// Incarnation returns the latest incarnation of a host.
+func (v schedulingView) Incarnation(h ident.Host) uint64 {
+	m, _ := v.core.members.Member(h)
+	return m.Incarnation
+}
+
 // Domains lists the domains with an active endpoint of the target.
 func (v schedulingView) Domains(target string) []ident.Domain {
 	return v.core.domains(target)
 }
 
 // scheduler returns the first host of the rendezvous hash of a pool over its
-// domain's live hosts.
+// domain's live hosts, or over those that are leaving when there are no others.
 func (c *Core) scheduler(p ident.Pool) (ident.Host, bool) {
 	hosts := c.members.Alive(p.Domain)
+	if len(hosts) == 0 {
+		hosts = c.leaving(p.Domain)
+	}
 	if len(hosts) == 0 {
 		return "", false
 	}
 	return rendezvous.First(p.String(), hosts), true
 }
 
+// leaving lists the hosts of a domain that finish what they hold.
+func (c *Core) leaving(d ident.Domain) []ident.Host {
+	var list []ident.Host
+	for _, m := range c.members.Members() {
+		if m.Domain == d && m.State == membership.Leaving {
+			list = append(list, m.Host)
+		}
+	}
+	return list
+}
+
 // domains lists the domains that have an active endpoint of the target and a
-// live host, the own one first.
+// host to schedule it, the own one first.
 func (c *Core) domains(target string) []ident.Domain {
 	if c.snapshot == nil {
 		return nil
@@ -86,32 +107,26 @@
 			set[e.Domain] = true
 		}
 	}
-	own := set[c.cfg.Domain]
-	delete(set, c.cfg.Domain)
-	var list []ident.Domain
-	if own {
-		list = append(list, c.cfg.Domain)
+	list := slices.Sorted(maps.Keys(set))
+	if i := slices.Index(list, c.cfg.Domain); i > 0 {
+		list = slices.Insert(slices.Delete(list, i, i+1), 0, c.cfg.Domain)
 	}
-	for _, d := range slices.Sorted(maps.Keys(set)) {
-		if len(c.members.Alive(d)) > 0 {
-			list = append(list, d)
-		}
-	}
-	return list
+	return slices.DeleteFunc(list, func(d ident.Domain) bool {
+		_, ok := c.scheduler(ident.Pool{Target: target, Domain: d})
+		return !ok
+	})
 }
 
-// peerAddresses returns the addresses of the other hosts.
+// peerAddresses returns the addresses of the other hosts, known or seeds.
 func (c *Core) peerAddresses() map[ident.Host]string {
-	out := map[ident.Host]string{}
-	for _, m := range c.members.Members() {
-		if m.Host != c.cfg.Self && m.State != membership.Dead {
-			out[m.Host] = m.Address
-		}
-	}
-	return out
+	addresses := maps.Clone(c.members.Addresses())
+	delete(addresses, c.cfg.Self)
+	return addresses
 }
 
-// liveness tells the claims what is known of a claim's holder.
+// liveness tells the claims what is known of a claim's holder. A holder that is
+// only cut off may count as dead: all that follows is the answer that the request
+// may have run.
 func (c *Core) liveness(host ident.Host, incarnation uint64) claim.Liveness {
 	m, ok := c.members.Member(host)
 	switch {
@@ -120,8 +135,52 @@
 	case m.Incarnation > incarnation:
 		return claim.Dead
 	case m.State == membership.Dead:
-		return claim.Unreachable
+		return claim.Dead
 	default:
 		return claim.Alive
 	}
 }
+
+// Duties that one host does for others.
+const (
+	// dutyOrders is sending orders to the domain's endpoints.
+	dutyOrders = "orders"
+	// dutySweep is removing the rows of old claims, for all domains.
+	dutySweep = "sweep"
+)
+
+// hourMillis is an hour in milliseconds. Sweeping costs its host more than its
+// share of the network, so it goes to another host each hour.
+const hourMillis = 60 * 60 * 1000
+
+// duties are those of this host.
+type duties struct {
+	version uint64
+	hour    int64
+	paused  bool
+	orders  bool
+	sweep   bool
+}
+
+// reviewDuties finds the own duties anew when the hosts or the hour changed.
+func (c *Core) reviewDuties() {
+	hour := c.wall / hourMillis
+	d := &c.duties
+	if d.version == c.members.Version() && d.hour == hour && d.paused == c.paused {
+		return
+	}
+	var all []ident.Host
+	for _, domain := range c.members.Domains() {
+		all = append(all, c.members.Alive(domain)...)
+	}
+	*d = duties{
+		version: c.members.Version(), hour: hour, paused: c.paused,
+		orders: c.owns(dutyOrders, c.members.Alive(c.cfg.Domain)),
+		sweep:  c.owns(dutySweep+strconv.FormatInt(hour, 10), all),
+	}
+}
+
+// owns reports whether a duty that one of the hosts has is this host's.
+func (c *Core) owns(duty string, hosts []ident.Host) bool {
+	return !c.paused && len(hosts) > 0 && rendezvous.First(duty, hosts) == c.cfg.Self
+}
--- a/internal/pool/grant.go
+++ b/internal/pool/grant.go
@@ -1,51 +1,192 @@
 package pool
 
-import "fmt"
+import (
+	"cmp"
+	"slices"
 
-// grant gives free slots to waiting requests: strict tiers, in a tier the
-// team that is furthest behind its share, in a team the earliest deadline.
+	"github.com/trefoilchute/trefoilchute/internal/pool/rules"
+)
+
+// grant gives free slots to waiting requests: strict tiers, in a tier the team
+// that is furthest behind its share, in a team the earliest deadline.
+//
+// Before a step no waiting request suited any open endpoint. So it is enough to
+// hold those that waited against the endpoints that have changed, and those
+// that are new against all. Estimates that change with time alone are caught
+// by a sweep now and then.
 func (s *Scheduler) grant() {
+	changed := s.findOpen()
+	if len(changed) > 0 {
+		s.grantWaiting(changed)
+	}
+	s.grantFresh()
+	if len(s.open) > 0 && s.queue.size() > 0 && s.sweepTimer.index == 0 {
+		s.timers.set(&s.sweepTimer, s.now+rules.SweepEvery, s.sweep)
+	}
+}
+
+// sweep makes every endpoint count as changed.
+func (s *Scheduler) sweep() {
+	for _, e := range s.endpoints.rows {
+		e.changed = true
+	}
+}
+
+// findOpen lists the endpoints that can get a request now in s.open and
+// returns those that have changed, in the order of the table.
+func (s *Scheduler) findOpen() []*endpoint {
+	s.open, s.changed = s.open[:0], s.changed[:0]
+	for _, e := range s.endpoints.rows {
+		if e.free() <= 0 || !e.takesWork(s.now) || e.isolating {
+			continue
+		}
+		s.open = append(s.open, e)
+		if e.changed {
+			s.changed = append(s.changed, e)
+		}
+		e.changed = false
+	}
+	return s.changed
+}
+
+// grantWaiting serves those that waited before with the changed endpoints.
+func (s *Scheduler) grantWaiting(among []*endpoint) {
 	for _, t := range s.queue.tiers {
-		s.grantTier(t)
+		s.grantHeld(t, among)
+		if !s.grantTier(t, among) {
+			return
+		}
+	}
+}
+
+// grantFresh serves the requests that were queued in this step, and those
+// whose wait for their endpoint is over, with all open endpoints.
+func (s *Scheduler) grantFresh() {
+	fresh := s.fresh
+	s.fresh = nil
+	slices.SortStableFunc(fresh, func(a, b *request) int { return cmp.Compare(a.Rank, b.Rank) })
+	for _, r := range fresh {
+		if r.phase != phaseQueued && r.phase != phaseHeld {
+			continue
+		}
+		if s.bodies.busy(r) {
+			s.park(r)
+			continue
+		}
+		if s.teams.get(r.Team).atLimit() {
+			continue
+		}
+		p := s.place(r, s.open)
+		if p.endpoint != nil {
+			s.claim(r)
+			s.issue(r, p)
+			continue
+		}
+		if r.phase == phaseQueued && p.room {
+			s.keep(r, p)
+		}
+	}
+}
+
+// grantHeld serves the requests that wait for the right endpoint.
+func (s *Scheduler) grantHeld(t *tierQueue, among []*endpoint) {
+	for i := 0; i < len(t.held); {
+		r := t.held[i]
+		if s.waitsForHome(r) && !slices.Contains(among, r.home) {
+			i++
+			continue
+		}
+		if s.bodies.busy(r) {
+			s.park(r)
+			continue
+		}
+		p := s.place(r, among)
+		if p.endpoint == nil || t.teams[r.Team].team.atLimit() {
+			i++
+			continue
+		}
+		s.withdraw(r)
+		s.issue(r, p)
 	}
 }
 
 // grantTier serves one tier until nothing more fits. Teams that can't be
-// served now are set aside and go back at the end.
-func (s *Scheduler) grantTier(t *tierQueue) {
+// served now are set aside and go back at the end. It returns false if
+// requests remain that were not looked at: what is free may be theirs, so that
+// lower tiers get nothing.
+func (s *Scheduler) grantTier(t *tierQueue, among []*endpoint) bool {
 	var aside []*teamQueue
-	for tq := t.popTeam(); tq != nil; tq = t.popTeam() {
+	whole := false
+	for look := rules.MaxLook; look > 0; {
+		tq := t.popTeam()
+		if tq == nil {
+			whole = true
+			break
+		}
 		if tq.team.atLimit() {
 			aside = append(aside, tq)
 			continue
 		}
-		e := s.place()
-		if e == nil {
-			aside = append(aside, tq)
+		served, room := s.grantHead(tq, among)
+		if served {
+			t.putBack(tq)
+			continue
+		}
+		aside = append(aside, tq)
+		look--
+		if !room {
 			break
 		}
-		r := tq.head()
-		s.dequeue(r)
-		s.queue.charge(r, tq.team)
-		s.issue(r, e, fmt.Sprintf("free slot, %d of %d in use", e.inFlight, e.slots()))
-		t.putBack(tq)
 	}
 	for _, tq := range aside {
 		t.putBack(tq)
 	}
+	return whole
 }
 
-// place returns the endpoint with the most free slots, or nil.
-func (s *Scheduler) place() *endpoint {
-	var best *endpoint
-	for _, e := range s.endpoints.rows {
-		free := e.slots() - e.inFlight
-		if free <= 0 || !e.takesWork(s.now) {
-			continue
-		}
-		if best == nil || free > best.slots()-best.inFlight {
-			best = e
-		}
+// grantHead deals with a team's first request. It returns false if it still
+// stands there, and whether any endpoint looked at had a free slot.
+func (s *Scheduler) grantHead(tq *teamQueue, among []*endpoint) (served, room bool) {
+	r := tq.head()
+	if s.bodies.busy(r) {
+		s.park(r)
+		return true, true
+	}
+	p := s.place(r, among)
+	if p.endpoint != nil {
+		s.claim(r)
+		s.issue(r, p)
+		return true, true
+	}
+	return p.room && s.keep(r, p), p.room
+}
+
+// claim takes a request that is to be granted out of the queue and books it to
+// its team's share, unless that was done when it was held.
+func (s *Scheduler) claim(r *request) {
+	queued := r.phase == phaseQueued
+	s.withdraw(r)
+	if queued {
+		s.queue.charge(r, s.teams.get(r.Team))
+	}
+}
+
+// keep moves a request that the free slots don't suit to the held ones, so
+// that others can have these. It returns false if too many are held.
+func (s *Scheduler) keep(r *request, p placement) bool {
+	t := s.queue.tier(r.Rank)
+	r.heldForHome = p.hold > 0
+	if !r.heldForHome && len(t.held)-t.homeHeld >= rules.MaxHeld {
+		return false
+	}
+	s.claim(r)
+	r.phase = phaseHeld
+	hold := max(p.hold, s.holdLimit(r))
+	r.heldUntil = s.now + hold
+	t.hold(r)
+	s.watch(r)
+	if hold > 0 {
+		s.timers.set(&r.holdTimer, r.heldUntil, func() { s.fresh = append(s.fresh, r) })
 	}
-	return best
+	return true
 }
--- /dev/null
+++ b/internal/pool/learn.go
@@ -0,0 +1,65 @@
+package pool
+
+import (
+	"github.com/trefoilchute/trefoilchute/internal/pool/rules"
+	"github.com/trefoilchute/trefoilchute/internal/resource"
+)
+
+// firstToken learns the prefill speed.
+func (s *Scheduler) firstToken(e FirstToken) {
+	a := s.attempts.find(e.ID, e.Attempt)
+	if a == nil || a.firstSeen {
+		return
+	}
+	if a.holds {
+		a.endpoint.pending -= a.uncached
+	}
+	a.firstSeen = true
+	a.endpoint.changed = true
+	if a.endpoint.Type == resource.EndpointService {
+		return
+	}
+	a.endpoint.speed.SawPrefill(s.now, a.ahead, e.After-rules.DispatchTime)
+	a.endpoint.window.Saw(s.now, a.endpoint.speed.Pace(s.now))
+}
+
+// learn takes in what a finished request tells of its endpoint's speed and
+// cache and of the length of answers.
+func (s *Scheduler) learn(a *attempt, f Finished) {
+	e := a.endpoint
+	if f.Outcome == OutcomeLost {
+		s.crashed(e)
+		s.endpointFailed(e)
+		return
+	}
+	if f.Outcome == OutcomeWhole || s.now >= a.request.Deadline {
+		s.surprise.Saw(a.expected, f.Total, f.Outcome != OutcomeWhole)
+	}
+	others := float64(a.others+e.inFlight-1) / 2
+	if e.Type == resource.EndpointService {
+		e.speed.SawCall(s.now, f.Total, others)
+	} else if f.FirstToken > 0 {
+		e.speed.SawDecode(s.now, f.OutputTokens, f.Total-f.FirstToken, others)
+		s.sawCached(a, f.CachedTokens)
+	}
+	e.window.Saw(s.now, e.speed.Pace(s.now))
+	if f.Outcome != OutcomeWhole {
+		return
+	}
+	e.failures = 0
+	s.bodies.prove(a.request.Fingerprint)
+	if e.Type == resource.EndpointEngine {
+		s.lengths.Saw(a.request.Team, a.request.MaxTokens, f.OutputTokens)
+	}
+}
+
+// loadReport compares an endpoint's report with the ledger.
+func (s *Scheduler) loadReport(r LoadReport) {
+	e := s.endpoints.byName[r.Endpoint]
+	if e == nil {
+		return
+	}
+	e.load.Note(s.now, e.inFlight)
+	e.load.Report(r.Running+r.Waiting, r.Age)
+	e.changed = true
+}
--- a/internal/pool/ledger.go
+++ b/internal/pool/ledger.go
@@ -1,6 +1,9 @@
 package pool
 
-import "github.com/trefoilchute/trefoilchute/internal/ident"
+import (
+	"github.com/trefoilchute/trefoilchute/internal/ident"
+	"github.com/trefoilchute/trefoilchute/internal/pool/rules"
+)
 
 // hold counts an attempt in its endpoint's and team's in-flight numbers.
 func (s *Scheduler) hold(a *attempt) {
@@ -9,9 +12,32 @@
 	}
 	a.holds = true
 	a.endpoint.inFlight++
+	a.endpoint.load.Note(s.now, a.endpoint.inFlight)
+	if !a.firstSeen {
+		a.endpoint.pending += a.uncached
+	}
+	s.running[a.request.Rank]++
+	s.holdBody(a)
 	s.teams.get(a.request.Team).inFlight++
 }
 
+// holdBody counts an attempt as in flight with its body.
+func (s *Scheduler) holdBody(a *attempt) {
+	if a.request.Fingerprint != 0 && !a.holdsBody {
+		a.holdsBody = true
+		s.bodies.get(a.request.Fingerprint).inFlight++
+	}
+}
+
+// releaseBody lets those go on that wait for an attempt's body.
+func (s *Scheduler) releaseBody(a *attempt) {
+	if a.holdsBody {
+		a.holdsBody = false
+		s.bodies.get(a.request.Fingerprint).inFlight--
+		s.bodyEnded(a.request.Fingerprint)
+	}
+}
+
 // release takes an attempt out of the in-flight numbers.
 func (s *Scheduler) release(a *attempt) {
 	if !a.holds {
@@ -19,6 +45,15 @@
 	}
 	a.holds = false
 	a.endpoint.inFlight--
+	a.endpoint.changed = true
+	if !a.firstSeen {
+		a.endpoint.pending -= a.uncached
+	}
+	s.running[a.request.Rank]--
+	s.releaseBody(a)
+	if s.isolation.attempt == a {
+		s.isolation.release()
+	}
 	s.teams.get(a.request.Team).inFlight--
 }
 
@@ -30,26 +65,39 @@
 }
 
 // issue grants a queued request a slot of an endpoint.
-func (s *Scheduler) issue(r *request, e *endpoint, why string) {
+func (s *Scheduler) issue(r *request, p placement) {
+	e := p.endpoint
 	s.lastAttempt++
 	a := &attempt{
 		id:       ident.Attempt(s.lastAttempt),
 		request:  r.Request,
 		endpoint: e,
 		granted:  s.now,
+		cached:   p.cached,
+		uncached: max(0, r.PromptTokens-p.cached),
+		others:   e.inFlight,
+		expected: p.estimate.total,
 	}
+	a.ahead = e.pending + a.uncached
+	s.blocks.Store(e.number, r.Prefix)
 	s.attempts.put(a)
 	s.hold(a)
+	s.meter.Grant(r.cost)
+	s.totalFree--
+	if s.longPrefill(a.uncached) {
+		s.longPrefills++
+	}
 	r.phase, r.attempt = phaseGranted, a
-	expires := s.now + GrantLifetime
-	s.timers.set(&a.timer, expires+GrantMargin, func() { s.lapse(a) })
+	expires := s.now + rules.GrantLifetime
+	s.timers.set(&a.timer, expires+rules.GrantMargin, func() { s.lapse(a) })
 	s.emit(Grant{
 		ID:       r.ID,
 		Host:     r.Host,
 		Endpoint: e.Name,
 		Attempt:  a.id,
 		Expires:  expires,
-		Why:      why,
+		Isolated: p.isolated,
+		Why:      p.reason,
 	})
 }
 
@@ -59,7 +107,7 @@
 func (s *Scheduler) lapse(a *attempt) {
 	a.void = true
 	s.release(a)
-	s.timers.set(&a.timer, s.now+attemptMemory, func() { s.attempts.remove(a) })
+	s.timers.set(&a.timer, s.now+rules.AttemptMemory, func() { s.attempts.remove(a) })
 	if r := s.requests[a.request.ID]; r != nil && r.attempt == a {
 		if r.Deadline <= s.now {
 			delete(s.requests, r.ID)
--- a/internal/pool/queue.go
+++ b/internal/pool/queue.go
@@ -15,7 +15,6 @@
 type queue struct {
 	// tiers is sorted by rank, highest tier first.
 	tiers []*tierQueue
-	size  int
 }
 
 // tierQueue is the queue of one tier.
@@ -27,8 +26,15 @@
 	// ready holds the teams with waiting requests by start tag.
 	ready teamHeap
 	size  int
-	// backlog is the sum of the costs waiting.
+	// held are the requests chosen that wait for the right endpoint, in the
+	// order in which they were chosen.
+	held []*request
+	// homeHeld counts those that were held for the endpoint with their prefix.
+	homeHeld int
+	// backlog is the sum of the costs waiting, held ones included.
 	backlog time.Duration
+	// weight is the sum of the weights of the teams with queued requests.
+	weight float64
 }
 
 // teamQueue is one team's part of a tier's queue.
@@ -40,6 +46,8 @@
 	// index is the place in the tier's heap plus one; 0 when not in it.
 	index    int
 	requests requestHeap
+	// backlog is the sum of the costs waiting.
+	backlog time.Duration
 }
 
 func newQueue() *queue {
@@ -68,12 +76,13 @@
 	}
 	if len(tq.requests) == 0 {
 		tq.start = max(tq.start, t.virtual)
+		t.weight += of.weight()
 	}
 	heap.Push(&tq.requests, r)
+	tq.backlog += r.cost
 	of.waiting++
 	t.size++
 	t.backlog += r.cost
-	q.size++
 	if tq.index == 0 {
 		heap.Push(&t.ready, tq)
 	}
@@ -84,10 +93,13 @@
 	t := q.tier(r.Rank)
 	tq := t.teams[r.Team]
 	heap.Remove(&tq.requests, r.position)
+	tq.backlog -= r.cost
+	if len(tq.requests) == 0 {
+		t.weight -= tq.team.weight()
+	}
 	tq.team.waiting--
 	t.size--
 	t.backlog -= r.cost
-	q.size--
 	if len(tq.requests) == 0 && tq.index > 0 {
 		heap.Remove(&t.ready, tq.index-1)
 	}
@@ -104,6 +116,60 @@
 	}
 }
 
+// shareTime is the slot time that the tier serves until a new request of a team
+// is through, if every team with queued requests gets its share.
+func (t *tierQueue) shareTime(r *request, of *team) time.Duration {
+	backlog, weight := r.cost, t.weight
+	if tq := t.teams[r.Team]; tq != nil && len(tq.requests) > 0 {
+		backlog += tq.backlog
+	} else {
+		weight += of.weight()
+	}
+	return time.Duration(float64(backlog) * weight / of.weight())
+}
+
+// waiting says whether any request waits that no endpoint was chosen for.
+func (q *queue) waiting() bool {
+	return slices.ContainsFunc(q.tiers, func(t *tierQueue) bool { return len(t.ready) > 0 })
+}
+
+// size is the number of requests that wait, held ones included.
+func (q *queue) size() int {
+	n := 0
+	for _, t := range q.tiers {
+		n += t.size
+	}
+	return n
+}
+
+// waitsBelow says whether a request of a tier below rank waits.
+func (q *queue) waitsBelow(rank int) bool {
+	return slices.ContainsFunc(q.tiers, func(t *tierQueue) bool { return t.rank > rank && t.size > 0 })
+}
+
+// hold takes a request out of its team's heap to wait for its endpoint.
+func (t *tierQueue) hold(r *request) {
+	t.held = append(t.held, r)
+	if r.heldForHome {
+		t.homeHeld++
+	}
+	t.size++
+	t.backlog += r.cost
+	t.teams[r.Team].team.waiting++
+}
+
+// unhold takes out a held request.
+func (q *queue) unhold(r *request) {
+	t := q.tier(r.Rank)
+	t.held = slices.DeleteFunc(t.held, func(h *request) bool { return h == r })
+	if r.heldForHome {
+		t.homeHeld--
+	}
+	t.size--
+	t.backlog -= r.cost
+	t.teams[r.Team].team.waiting--
+}
+
 // head returns the team's request with the earliest deadline.
 func (tq *teamQueue) head() *request {
 	return tq.requests[0]
@@ -187,3 +253,42 @@
 	*h = (*h)[:last]
 	return r
 }
+
+// all returns the tier's waiting requests, held ones included, in no order.
+func (t *tierQueue) all() []*request {
+	out := slices.Clone(t.held)
+	for _, tq := range t.ready {
+		out = append(out, tq.requests...)
+	}
+	return out
+}
+
+// last returns the waiting request with the latest deadline. It looks at all,
+// but it is needed only when the tier's queue is full.
+func (t *tierQueue) last() *request {
+	return slices.MaxFunc(t.all(), compareUrgency)
+}
+
+// byDeadline returns the tier's waiting requests, latest deadline first.
+func (t *tierQueue) byDeadline() []*request {
+	out := t.all()
+	slices.SortFunc(out, func(a, b *request) int { return compareUrgency(b, a) })
+	return out
+}
+
+// reweigh sums up the weights anew, after teams were configured.
+func (q *queue) reweigh() {
+	for _, t := range q.tiers {
+		t.weight = 0
+		for _, tq := range t.sortedTeams() {
+			t.weight += tq.team.weight()
+		}
+	}
+}
+
+// sortedTeams returns the teams with queued requests by name.
+func (t *tierQueue) sortedTeams() []*teamQueue {
+	out := slices.Clone(t.ready)
+	slices.SortFunc(out, func(a, b *teamQueue) int { return cmp.Compare(a.team.Name, b.team.Name) })
+	return out
+}
--- a/internal/pool/scheduler.go
+++ b/internal/pool/scheduler.go
@@ -4,6 +4,10 @@
 	"time"
 
 	"github.com/trefoilchute/trefoilchute/internal/ident"
+	"github.com/trefoilchute/trefoilchute/internal/pool/blocks"
+	"github.com/trefoilchute/trefoilchute/internal/pool/meter"
+	"github.com/trefoilchute/trefoilchute/internal/pool/rules"
+	"github.com/trefoilchute/trefoilchute/internal/pool/speed"
 )
 
 // Scheduler decides for one pool. It isn't safe for concurrent use: one
@@ -12,8 +16,8 @@
 // The tables hold the entities; the systems run over them in the fixed order
 // of Step. Invariants between steps:
 //
-//   - a request row is either in the queue, or isolated, or has an attempt
-//     that is not settled;
+//   - a request row is in exactly one place: in the queue, held, parked behind
+//     its body, waiting to run alone, or with an attempt that is not settled;
 //   - the in-flight count of an endpoint equals the number of its attempts
 //     that hold a slot;
 //   - a request that was refused, spilled, canceled or finished has no row.
@@ -29,6 +33,32 @@
 	attempts  *attemptTable
 	queue     *queue
 	timers    *timers
+	lengths   *speed.Lengths
+	surprise  speed.Surprise
+	blocks    *blocks.Index
+	meter     meter.Meter
+	suspects  *suspectTable
+	isolation isolation
+	bodies    *bodyTable
+	remotes   remoteTable
+	// running counts the attempts that hold a slot by rank.
+	running    map[int]int
+	sweepTimer timer
+	// fresh are the requests to hold against all open endpoints in this step.
+	fresh []*request
+	// open is scratch space of grant: the endpoints with a free slot.
+	// changed are those among them that have changed since the last step.
+	open, changed []*endpoint
+	// totalSlots and totalFree sum the slots of the endpoints that take work,
+	// and those that are free, as of the start of the step and its grants.
+	totalSlots, totalFree int
+	// working is the number of those endpoints, and longPrefills the number
+	// among them that have long prompts to prefill.
+	working, longPrefills int
+	// scratch is the candidate that is looked at.
+	scratch candidate
+	// matched is scratch space of matchPrefix.
+	matched []int
 
 	sequence    uint64
 	lastAttempt uint64
@@ -45,7 +75,14 @@
 		requests:    map[ident.Request]*request{},
 		attempts:    newAttemptTable(),
 		timers:      &timers{},
-		lastAttempt: c.Epoch << attemptBits,
+		lengths:     speed.NewLengths(),
+		surprise:    speed.NewSurprise(),
+		blocks:      blocks.NewIndex(),
+		meter:       meter.New(),
+		suspects:    newSuspectTable(),
+		bodies:      newBodyTable(),
+		running:     map[int]int{},
+		lastAttempt: c.Epoch << rules.AttemptBits,
 	}
 	s.queue = newQueue()
 	return s
@@ -57,10 +94,13 @@
 func (s *Scheduler) Step(now time.Duration, events []Event) []Effect {
 	s.now = max(s.now, now)
 	s.out = nil
+	s.meter.Roll(s.now, s.queue.waiting())
 	for _, e := range events {
 		s.take(e)
 	}
 	s.runTimers()
+	s.isolate()
+	s.countSlots()
 	s.grant()
 	return s.out
 }
--- a/internal/pool/table.go
+++ b/internal/pool/table.go
@@ -1,32 +1,33 @@
 package pool
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/trefoilchute/trefoilchute/internal/ident"
+	"github.com/trefoilchute/trefoilchute/internal/pool/rules"
 	"github.com/trefoilchute/trefoilchute/internal/resource"
 )
 
-const (
-	// GrantLifetime is how long a custodian may use a grant.
-	GrantLifetime = 1500 * time.Millisecond
-	// GrantMargin is how long after its end a grant that nobody reported on
-	// still holds its slot: the report of a late use may be on its way.
-	GrantMargin = 500 * time.Millisecond
-	// attemptMemory is how long the row of a void grant is kept, so that a
-	// report that comes later still finds its endpoint.
-	attemptMemory = 2 * time.Minute
-	// attemptBits is the room for attempts in one epoch.
-	attemptBits = 20
-)
+// GrantLifetime is how long a custodian may use a grant.
+const GrantLifetime = rules.GrantLifetime
 
 // phase is where a request stands.
 type phase int
 
 const (
 	phaseQueued phase = iota
+	// phaseHeld is chosen and waits for the right endpoint.
+	phaseHeld
+	// phaseParked waits for a request with the same body to end.
+	phaseParked
+	// phaseIsolated waits to run alone.
+	phaseIsolated
 	phaseGranted
 	phaseRunning
+	// phaseGone has been taken out from where it waited.
+	phaseGone
 )
 
 // request is the row of a request that waits or has an unsettled attempt.
@@ -40,11 +41,31 @@
 	attempt *attempt
 	// cost is the estimated slot time on an endpoint of average speed.
 	cost time.Duration
+	// mean and cautious are the tokens expected to be generated.
+	mean, cautious float64
+	// best is the most prompt tokens cached at any endpoint when last looked.
+	best int
+	// home is the endpoint that has them; nil if none has any. heldForHome says
+	// that the request was held to wait for it.
+	home        *endpoint
+	heldForHome bool
+	// recheck is the earliest time at which it may be found hopeless.
+	recheck time.Duration
+	// urgent says that there is no time left for caution.
+	urgent bool
+	// heldUntil ends the wait for the endpoint with the prefix; 0: no wait yet.
+	heldUntil time.Duration
+	holdTimer timer
 	// position is the index in the team's heap while queued.
 	position int
 	timer    timer
 }
 
+// waits says whether the request has no attempt.
+func (r *request) waits() bool {
+	return r.phase < phaseGranted
+}
+
 // attempt is the row of one grant and of what came of it.
 type attempt struct {
 	id       ident.Attempt
@@ -54,8 +75,22 @@
 	// startedAt is the dispatch time; meaningful once started.
 	startedAt time.Duration
 	started   bool
+	// cached is the part of the prompt expected in the endpoint's cache and
+	// uncached the part counted as pending until the first token.
+	cached, uncached int
+	// ahead is the number of tokens to prefill up to the end of this prompt,
+	// and others the number of requests in flight beside it, at the grant.
+	ahead, others int
+	// expected is the time that the request was expected to take.
+	expected time.Duration
+	// firstSeen says that the first token came.
+	firstSeen bool
+	// blamed says that a crash of the endpoint was counted against it.
+	blamed bool
 	// holds says that the attempt counts in its endpoint's in-flight number.
 	holds bool
+	// holdsBody says that it counts as in flight with its body.
+	holdsBody bool
 	// void says that the grant's lifetime is over without a report.
 	void  bool
 	timer timer
@@ -85,6 +120,21 @@
 	t.rows[attemptKey{a.request.ID, a.id}] = a
 }
 
+// on returns the attempts that hold a slot of an endpoint, in the order of
+// their grants.
+func (t *attemptTable) on(e *endpoint) []*attempt {
+	var out []*attempt
+	for _, a := range t.rows {
+		if a.endpoint == e && a.holds {
+			out = append(out, a)
+		}
+	}
+	slices.SortFunc(out, func(a, b *attempt) int {
+		return cmp.Or(cmp.Compare(a.granted, b.granted), cmp.Compare(a.request.ID, b.request.ID))
+	})
+	return out
+}
+
 func (t *attemptTable) remove(a *attempt) {
 	delete(t.rows, attemptKey{a.request.ID, a.id})
 }
--- a/internal/resource/apply.go
+++ b/internal/resource/apply.go
@@ -146,6 +146,7 @@
 	}
 	_, err = a.store.table.Commit(ctx, txn)
 	if err == nil {
+		a.store.committed(st.snapshot.With(revision, items))
 		return Applied{Revision: revision, ChangeID: a.change.ID}, nil
 	}
 	if errors.Is(err, platform.ErrConflict) || errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrLimited) {
@@ -174,8 +175,8 @@
 		}
 		txn.Puts = append(txn.Puts, put)
 	}
-	if revision > ChangesKept {
-		txn.Deletes = append(txn.Deletes, changeKey(revision-ChangesKept))
+	if revision > a.store.kept {
+		txn.Deletes = append(txn.Deletes, changeKey(revision-a.store.kept))
 	}
 	return txn, a.putRows(&txn, row)
 }
--- a/internal/resource/store.go
+++ b/internal/resource/store.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"math/rand/v2"
 	"time"
 
@@ -35,11 +36,21 @@
 // of its own: any number may work on one table.
 type Store struct {
 	table platform.Table
+	// kept is how many changes are kept.
+	kept uint64
+	// committed is told of each snapshot that a commit of this Store has made.
+	committed func(*Snapshot)
 }
 
 // NewStore returns a Store on the table.
 func NewStore(table platform.Table) *Store {
-	return &Store{table: table}
+	return &Store{table: table, kept: ChangesKept, committed: func(*Snapshot) {}}
+}
+
+// Notify sets a function that is told of each snapshot that a commit of this
+// Store has made. It is to be called before the Store is used.
+func (s *Store) Notify(committed func(*Snapshot)) {
+	s.committed = committed
 }
 
 // Change is a wanted change of resources.
@@ -185,7 +196,8 @@
 // could not be found out whether the change was made.
 func (s *Store) Apply(ctx context.Context, change Change) (Applied, error) {
 	if change.ID == "" || len(change.ID) > maxChangeID || len(change.Items) > MaxChangeItems {
-		return Applied{}, result.New(result.InvalidConfig, "a change needs an id of up to 128 bytes and at most 1000 resources")
+		reason := fmt.Sprintf("a change needs an id of up to %d bytes and at most %d resources", maxChangeID, MaxChangeItems)
+		return Applied{}, result.New(result.InvalidConfig, reason)
 	}
 	a := &application{store: s, change: change, sum: sumItems(change.Items)}
 	return a.run(ctx)
@@ -194,7 +206,8 @@
 // coded turns an error of the platform into one with a result code.
 func coded(err error) error {
 	var known *result.Error
-	if err == nil || errors.As(err, &known) {
+	var invalid *InvalidError
+	if err == nil || errors.As(err, &known) || errors.As(err, &invalid) {
 		return err
 	}
 	code := result.Internal
--- a/internal/system/claim/claim.go
+++ b/internal/system/claim/claim.go
@@ -6,10 +6,14 @@
 // The invariant is: a request is dispatched only by a host that has read its
 // own nonce in the row, or was told by the table that its insert took effect.
 // The insert is conditional on there being no row, so that one host at most
-// sees that for one key.
+// sees that for one key. A claim that was never dispatched counts for nothing
+// at its own host, which removes it.
 package claim
 
 import (
+	"encoding/binary"
+	"encoding/hex"
+	"math/rand/v2"
 	"sort"
 	"time"
 
@@ -39,13 +43,39 @@
 	Nonce func() string
 	// Liveness looks the holder of a claim up in the membership's tables.
 	Liveness func(host ident.Host, incarnation uint64) Liveness
+	// Retention is how long after its creation a timed key can be sent again,
+	// and its claim is kept; 0: DefaultRetention.
+	Retention time.Duration
+	// OpaqueRetention is how long the claim of another key is kept; 0: for
+	// ever. A resend after that runs again.
+	OpaqueRetention time.Duration
+}
+
+// DefaultRetention is the Retention of a deployment that states none.
+const DefaultRetention = 24 * time.Hour
+
+// nonceBytes is the length of a nonce before it is written in hex.
+const nonceBytes = 16
+
+// NewNonces returns a source of nonces from a seed. Processes need different
+// seeds.
+func NewNonces(seed [32]byte) func() string {
+	source := rand.NewChaCha8(seed)
+	return func() string {
+		var nonce []byte
+		for len(nonce) < nonceBytes {
+			nonce = binary.LittleEndian.AppendUint64(nonce, source.Uint64())
+		}
+		return hex.EncodeToString(nonce)
+	}
 }
 
 // Request is what the claims need to know of one request.
 type Request struct {
 	ID   ident.Request
 	Team ident.Team
-	// Key is the caller's idempotency key; keys of different teams differ.
+	// Key is the caller's idempotency key as it was sent, without the team. A
+	// version 7 UUID is known by its form.
 	Key string
 	// Fingerprint is the hash of the body.
 	Fingerprint uint64
@@ -71,8 +101,15 @@
 	// held holds the claims of this host's requests by request and by row.
 	held    map[ident.Request]*held
 	heldRow map[string]*held
+	// storing holds those of held whose answer the table lacks.
+	storing map[ident.Request]*held
+	// unstored is the size in bytes of the answers that the table lacks.
+	unstored int
 	// discards holds the claims that are to be removed, by nonce.
 	discards map[string]*discard
+	guard    guard
+	fence    fence
+	sweep    sweep
 	results  []Result
 }
 
@@ -83,12 +120,16 @@
 
 // New returns a System without claims.
 func New(cfg Config) *System {
+	if cfg.Retention == 0 {
+		cfg.Retention = DefaultRetention
+	}
 	return &System{
 		cfg:      cfg,
 		calls:    map[uint64]caller{},
 		ops:      map[ident.Request]*op{},
 		held:     map[ident.Request]*held{},
 		heldRow:  map[string]*held{},
+		storing:  map[ident.Request]*held{},
 		discards: map[string]*discard{},
 	}
 }
@@ -112,11 +153,14 @@
 
 // Tick sends the calls that are due and gives up those that took too long.
 func (s *System) Tick(now time.Duration, out *system.Outbox) {
+	s.guard.tick(s, now, out)
+	s.fence.tick(s, now, out)
+	s.sweep.tick(s, now, out)
 	for _, id := range sortedKeys(s.ops) {
 		s.ops[id].tick(s, now, out)
 	}
-	for _, id := range sortedKeys(s.held) {
-		s.held[id].tick(s, now, out)
+	for _, id := range sortedKeys(s.storing) {
+		s.storing[id].tick(s, now, out)
 	}
 	for _, nonce := range sortedKeys(s.discards) {
 		s.discards[nonce].tick(s, now, out)
@@ -127,11 +171,14 @@
 // replies and new requests can bring work.
 func (s *System) NextWake() (time.Duration, bool) {
 	var wake earliest
+	wake.addTimer(s.guard.timer)
+	wake.addTimer(s.fence.timer)
+	wake.addTimer(s.sweep.timer)
 	for _, o := range s.ops {
 		wake.add(o.deadline)
 		wake.addTimer(o.timer)
 	}
-	for _, h := range s.held {
+	for _, h := range s.storing {
 		wake.addTimer(h.timer)
 	}
 	for _, d := range s.discards {
@@ -143,13 +190,7 @@
 // Pending returns how many answers and removals the table has yet to take. A
 // planned stop waits until it is 0.
 func (s *System) Pending() int {
-	n := len(s.discards)
-	for _, h := range s.held {
-		if h.answer != nil {
-			n++
-		}
-	}
-	return n
+	return len(s.discards) + len(s.storing)
 }
 
 // call sends a call on behalf of c and returns its token.
--- a/internal/system/custody/custody.go
+++ b/internal/system/custody/custody.go
@@ -18,6 +18,9 @@
 	// acceptTimeout is how long a submitted request waits for the scheduler's
 	// word before it is submitted again.
 	acceptTimeout = 250 * time.Millisecond
+	// refreshInterval is how often a scheduler is told again of a request that
+	// waits there.
+	refreshInterval = 2 * time.Second
 	// holdingsInterval is the time between two reports of everything held.
 	holdingsInterval = 2 * time.Second
 	// tickInterval is the time between two looks at the waiting requests.
@@ -56,7 +59,8 @@
 	Deadline time.Duration
 	// Prefix holds the chained block hashes of the prompt.
 	Prefix []uint64
-	// Key is "team/key" of a caller's idempotency key; empty without one.
+	// Key is the caller's idempotency key; empty without one. KeyHash is the
+	// hash of the team and the key.
 	Key         string
 	KeyHash     uint64
 	Fingerprint uint64
@@ -204,9 +208,14 @@
 	s.submit(now, r, out)
 }
 
-// submit sends a waiting request to its pool's scheduler of now.
+// submit sends a waiting request to its pool's scheduler of now. A pool without
+// a scheduler, whose domain has lost its hosts, is left for another domain's.
 func (s *System) submit(now time.Duration, r *row, out *system.Outbox) {
 	sched, ok := s.cfg.View.Scheduler(r.pool)
+	if domains := s.cfg.View.Domains(r.Target); !ok && len(domains) > 0 {
+		r.pool.Domain = domains[0]
+		sched, ok = s.cfg.View.Scheduler(r.pool)
+	}
 	if !ok {
 		s.refuse(r, &result.Error{
 			Code: result.CutOff, RetryAfter: retryWithoutQueue,
@@ -218,7 +227,17 @@
 	r.scheduler = sched
 	r.accepted = false
 	r.submittedAt = now
-	out.Send(sched.Host, peerpb.Wrap(&peerpb.Envelope_Submit{Submit: r.submission(now)}))
+	m := r.submission(now, s.epochs[r.pool])
+	out.Send(sched.Host, peerpb.Wrap(&peerpb.Envelope_Submit{Submit: m}))
+}
+
+// refresh tells the scheduler of a request that it has confirmed before, in case
+// it has lost it since. The prefix is left out: it only helps placement.
+func (s *System) refresh(now time.Duration, r *row, out *system.Outbox) {
+	r.submittedAt = now
+	m := r.submission(now, s.epochs[r.pool])
+	m.Prefix = nil
+	out.Send(r.scheduler.Host, peerpb.Wrap(&peerpb.Envelope_Submit{Submit: m}))
 }
 
 // refuse ends a request that was not dispatched.
--- a/internal/system/scheduling/scheduling.go
+++ b/internal/system/scheduling/scheduling.go
@@ -27,16 +27,27 @@
 	// custodian's holdings before its slot is freed; it covers messages under
 	// way.
 	missingGrace = 3 * time.Second
+	// silentLimit is how long a dispatched request may go without a word of its
+	// custodian before that is asked: its last report may be lost.
+	silentLimit = 2 * missingGrace
 	// statusInterval is the time between two words to other domains.
 	statusInterval = 500 * time.Millisecond
 )
 
+// Process is one run of a host's process.
+type Process struct {
+	Host        ident.Host
+	Incarnation uint64
+}
+
 // View is what scheduling needs to know of the membership.
 type View interface {
 	// Scheduler returns the host that schedules a pool now.
 	Scheduler(pool ident.Pool) (ident.Host, bool)
 	// Alive lists the live hosts, leaving ones included: they may hold requests.
 	Alive() []ident.Host
+	// Incarnation returns the latest incarnation of a host.
+	Incarnation(ident.Host) uint64
 	// Domains lists the failure domains with an active endpoint of the target.
 	Domains(target string) []ident.Domain
 }
@@ -63,8 +74,8 @@
 
 // Step records one call of a pool's scheduler, for traces and explain.
 type Step struct {
-	Pool    ident.Pool
-	Epoch   uint64
+	// Config tells which scheduler it was.
+	Config  pool.Config
 	Now     time.Duration
 	Events  []pool.Event
 	Effects []pool.Effect
@@ -116,15 +127,30 @@
 
 // declared lists the pools of this domain that have an endpoint.
 func (s *System) declared() []ident.Pool {
+	return slices.DeleteFunc(s.Declared(), func(p ident.Pool) bool {
+		return p.Domain != s.cfg.Domain
+	})
+}
+
+// Declared lists the pools of every domain that have an endpoint.
+func (s *System) Declared() []ident.Pool {
 	set := map[ident.Pool]bool{}
 	for _, e := range s.snapshot.Endpoints {
-		if e.Domain == s.cfg.Domain {
-			set[e.Pool()] = true
-		}
+		set[e.Pool()] = true
 	}
 	return sortPools(maps.Keys(set))
 }
 
+// Status describes a pool that is scheduled here, or returns nil.
+func (s *System) Status(p ident.Pool) *pool.Status {
+	in := s.instances[p]
+	if in == nil || in.scheduler == nil || in.movedAt > 0 {
+		return nil
+	}
+	status := in.scheduler.Status()
+	return &status
+}
+
 // owned lists the pools with a scheduler here.
 func (s *System) owned() []ident.Pool {
 	return sortPools(maps.Keys(s.instances))
@@ -136,14 +162,35 @@
 		in.movedAt = 0
 		return in
 	}
+	return s.takeOver(now, p, out)
+}
+
+// supersede looks at the highest epoch that a custodian has seen. Another host
+// that scheduled the pool in between had a higher epoch than a scheduler that
+// never stopped here: custodians refuse this one's grants, so it starts anew.
+func (s *System) supersede(now time.Duration, in *instance, epoch uint64, out *system.Outbox) *instance {
+	if in.scheduler != nil && epoch > in.epoch {
+		in = s.takeOver(now, in.pool, out)
+	}
+	in.seenEpoch = max(in.seenEpoch, epoch)
+	return in
+}
+
+// takeOver starts a pool with a warm-up, in which the hosts tell what they hold.
+func (s *System) takeOver(now time.Duration, p ident.Pool, out *system.Outbox) *instance {
 	in := newInstance(now, p, s.cfg.View.Alive())
 	s.instances[p] = in
-	for _, h := range in.awaitedHosts() {
+	ask(p, in.awaitedHosts(), out)
+	return in
+}
+
+// ask asks hosts for what they hold of a pool.
+func ask(p ident.Pool, hosts []ident.Host, out *system.Outbox) {
+	for _, h := range hosts {
 		out.Send(h, peerpb.Wrap(&peerpb.Envelope_TakeOver{TakeOver: &peerpb.TakeOver{
 			Target: p.Target, Domain: string(p.Domain),
 		}}))
 	}
-	return in
 }
 
 // reviewHosts drops what dead hosts had, and the pool itself some time after it
@@ -151,9 +198,10 @@
 func (s *System) reviewHosts(now time.Duration, in *instance, out *system.Outbox) {
 	alive := s.cfg.View.Alive()
 	for _, h := range in.hosts() {
-		if !slices.Contains(alive, h) {
-			in.forgetHost(h)
-			in.queue(pool.HostLost{Host: h})
+		restarted := s.cfg.View.Incarnation(h) > in.custodians[h].incarnation
+		if restarted || !slices.Contains(alive, h) {
+			delete(in.awaited, h)
+			in.loseHost(h)
 		}
 	}
 	s.step(now, in, out)
@@ -189,6 +237,7 @@
 			delete(s.instances, p)
 			continue
 		}
+		ask(p, in.silentHosts(now), out)
 		s.step(now, in, out)
 	}
 	if now >= s.statusAt {
