--- a/internal/traffic/rescue.go
+++ b/internal/traffic/rescue.go
@@ -42,7 +42,7 @@
 // read follows a request's stream at one endpoint to its end. It returns false
 // where the endpoint doesn't know the request or can't be reached.
 func (x *run) read() bool {
-	for faults := 0; faults < maxFaults; faults++ {
+	for range maxFaults {
 		conn, err := endpoint.Dial(x.address)
 		if err != nil {
 			return false
