--- a/internal/system/keyledger_test.go
+++ b/internal/system/keyledger_test.go
@@ -111,8 +111,8 @@
 }
 
 // settledLedgers returns a fleet that has been up for long enough to be sure.
-func settledLedgers(g *WithT, domains int) *ledgers {
-	const hosts = 8
+func settledLedgers(g *WithT) *ledgers {
+	const hosts, domains = 8, 4
 	l := newLedgers(1, hosts, domains)
 	l.until(g, 30*time.Second, "agreement", func() bool { return l.agreed(all(hosts)) })
 	l.run(l.now + 2*keyledger.HealTime)
@@ -121,7 +121,7 @@
 
 func TestResendLearnsOfTheFirstRun(t *testing.T) {
 	g := NewWithT(t)
-	l := settledLedgers(g, 4)
+	l := settledLedgers(g)
 	first := l.note(0, "key", true)
 	g.Expect(l.outcome(g, first).Outcome).To(Equal(keyledger.First))
 	again := l.outcome(g, l.note(5, "key", false))
@@ -135,7 +135,7 @@
 
 func TestReleasedKeyCanRun(t *testing.T) {
 	g := NewWithT(t)
-	l := settledLedgers(g, 4)
+	l := settledLedgers(g)
 	first := l.note(0, "key", true)
 	l.outcome(g, first)
 	l.step(hostName(0), func(out *system.Outbox) { l.procs[hostName(0)].ledger.Release(l.now, first, out) })
@@ -145,7 +145,7 @@
 
 func TestRunsAtOnceHaveOneFirst(t *testing.T) {
 	g := NewWithT(t)
-	l := settledLedgers(g, 4)
+	l := settledLedgers(g)
 	for n := range 200 {
 		key := fmt.Sprint("key-", n)
 		a, b, c := l.note(n%8, key, false), l.note((n+3)%8, key, false), l.note(n%8, key, false)
@@ -158,7 +158,7 @@
 
 func TestNotesOutliveTheirHolders(t *testing.T) {
 	g := NewWithT(t)
-	l := settledLedgers(g, 4)
+	l := settledLedgers(g)
 	for n := range 50 {
 		l.outcome(g, l.note(0, fmt.Sprint("key-", n), true))
 	}
@@ -175,7 +175,7 @@
 
 func TestCutOffDomainProvesByAttemptOrRefuses(t *testing.T) {
 	g := NewWithT(t)
-	l := settledLedgers(g, 4)
+	l := settledLedgers(g)
 	l.cut = func(from, to ident.Host) bool {
 		return (l.domainOf(from) == "domain-0") != (l.domainOf(to) == "domain-0")
 	}
