--- a/internal/control/world_test.go
+++ b/internal/control/world_test.go
@@ -48,6 +48,8 @@
 	loss, lag float64
 	endpoints map[ident.Endpoint]*endpoint
 	requests  map[ident.Request]*request
+	// runTimes are the times of all dispatches.
+	runTimes []time.Duration
 	// outcomes counts final answers by code, for the report of a run.
 	outcomes map[result.Code]int
 }
@@ -258,6 +260,7 @@
 	e := w.endpoints[d.Endpoint]
 	e.runs[d.ID]++
 	e.last = w.now
+	w.runTimes = append(w.runTimes, w.now)
 	m := w.hosts[host]
 	runTime := runLeast + w.random(runMost)
 	w.at(w.now+runTime, func() {
