Show in status only what is known: heartbeats, reasons of grants, waits

Cause: 'get host' showed 0s for every heartbeat, 'get pool' epoch 0 for pools scheduled elsewhere and 0s as the oldest wait: fields that nothing filled. Change: the time since a host's last message, or '-' where it sends none here; no epoch for pools scheduled elsewhere; the tier's expected wait. The custodian's records carry the scheduler's reason for the endpoint.

--- a/internal/admin/view.go
+++ b/internal/admin/view.go
@@ -20,6 +20,10 @@
 	HostDead    HostState = "dead"
 )
 
+// NeverHeard stands for the heartbeat age of a host that the answering host
+// knows through others only.
+const NeverHeard = -1
+
 // HostStatus is what the answering host knows of an entry host.
 type HostStatus struct {
 	Host        ident.Host   `json:"host"`
@@ -29,8 +33,9 @@
 	State       HostState    `json:"state"`
 	// Revision is the revision in force at the host.
 	Revision uint64 `json:"revision"`
-	// HeartbeatAgeMillis is the time since the host was last heard of, in
-	// milliseconds; 0 for the answering host itself.
+	// HeartbeatAgeMillis is the time since the host's last message came to the
+	// answering host, in milliseconds; 0 for the answering host itself, and
+	// NeverHeard for one that sends it none.
 	HeartbeatAgeMillis int64       `json:"heartbeat_age_ms"`
 	Conditions         []Condition `json:"conditions,omitempty"`
 }
@@ -61,8 +66,9 @@
 	Tier    ident.Tier `json:"tier"`
 	Team    ident.Team `json:"team"`
 	Waiting int        `json:"waiting"`
-	// OldestMillis is how long the oldest has waited, in milliseconds.
-	OldestMillis int64 `json:"oldest_ms"`
+	// WaitMillis is the expected time in queue of a new request of the tier, in
+	// milliseconds.
+	WaitMillis int64 `json:"wait_ms"`
 }
 
 // EndpointStatus is the state of an endpoint as its pool's scheduler sees it.
--- a/internal/cli/get.go
+++ b/internal/cli/get.go
@@ -170,7 +170,7 @@
 		h := &hosts[i]
 		rows[i] = []string{
 			string(h.Host), string(h.Domain), h.Address, string(h.State), strconv.FormatUint(h.Revision, 10),
-			millis(h.HeartbeatAgeMillis), conditions(h.Conditions),
+			heartbeat(h.HeartbeatAgeMillis), conditions(h.Conditions),
 		}
 	}
 	return printTable(r.out, []string{"NAME", "DOMAIN", "ADDRESS", "STATE", "REVISION", "HEARTBEAT", "CONDITIONS"}, rows)
@@ -224,21 +224,22 @@
 
 // printPool writes one pool with its queue and endpoints.
 func printPool(out io.Writer, p *admin.PoolStatus) error {
+	if !p.Known {
+		_, err := fmt.Fprintf(out, "pool %s@%s scheduler=%s\n  ask host %s for its epoch, queue and endpoints\n",
+			p.Target, p.Domain, p.Scheduler, p.Scheduler)
+		return errors.Wrap(err, "write")
+	}
 	_, err := fmt.Fprintf(out, "pool %s@%s scheduler=%s epoch=%d conditions: %s\n",
 		p.Target, p.Domain, p.Scheduler, p.Epoch, conditions(p.Conditions))
 	if err != nil {
 		return errors.Wrap(err, "write")
 	}
-	if !p.Known {
-		_, err = fmt.Fprintf(out, "  ask host %s for its queue and endpoints\n", p.Scheduler)
-		return errors.Wrap(err, "write")
-	}
 	queue := make([][]string, len(p.Queue))
 	for i, q := range p.Queue {
-		queue[i] = []string{"", string(q.Tier), string(q.Team), strconv.Itoa(q.Waiting), millis(q.OldestMillis)}
+		queue[i] = []string{"", string(q.Tier), string(q.Team), strconv.Itoa(q.Waiting), millis(q.WaitMillis)}
 	}
 	if len(queue) > 0 {
-		if err := printTable(out, []string{"", "TIER", "TEAM", "WAITING", "OLDEST"}, queue); err != nil {
+		if err := printTable(out, []string{"", "TIER", "TEAM", "WAITING", "EXPECTED WAIT"}, queue); err != nil {
 			return err
 		}
 	}
@@ -295,3 +296,11 @@
 	}
 	return printTable(r.out, []string{"DOMAIN", "KEY", "FINGERPRINT", "CRASHES", "STATE"}, rows)
 }
+
+// heartbeat prints the time since a host's last message.
+func heartbeat(age int64) string {
+	if age == admin.NeverHeard {
+		return "-"
+	}
+	return millis(age)
+}
--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -56,6 +56,8 @@
 	watched []resource.Endpoint
 	// gated holds what claims and keys need to know of the requests in custody.
 	gated map[ident.Request]custody.Arrival
+	// heard is when each host's last message came.
+	heard map[ident.Host]time.Duration
 	// adopted holds the claims of dead holders whose answers are being rescued.
 	adopted map[ident.Request]adoption
 }
@@ -64,6 +66,7 @@
 func New(cfg Config) *Core {
 	c := &Core{
 		cfg: cfg, gated: map[ident.Request]custody.Arrival{}, adopted: map[ident.Request]adoption{},
+		heard: map[ident.Host]time.Duration{},
 	}
 	c.members = membership.New(membership.Config{
 		Self: cfg.Self, Incarnation: cfg.Incarnation, Domain: cfg.Domain,
--- a/internal/control/route.go
+++ b/internal/control/route.go
@@ -15,6 +15,7 @@
 // receive gives a message to the systems it concerns.
 func (c *Core) receive(m *peerpb.Envelope) {
 	from := custody.Scheduler{Host: ident.Host(m.GetFrom()), Incarnation: m.GetIncarnation()}
+	c.heard[from.Host] = c.now
 	switch body := m.GetBody().(type) {
 	case *peerpb.Envelope_Ping, *peerpb.Envelope_Ack, *peerpb.Envelope_PingReq:
 		c.members.Receive(c.now, m, &c.out)
--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"time"
+
 	"github.com/trefoilchute/trefoilchute/internal/ident"
 	"github.com/trefoilchute/trefoilchute/internal/peer/peerpb"
 	"github.com/trefoilchute/trefoilchute/internal/pool"
@@ -14,6 +16,13 @@
 	return c.members.Members()
 }
 
+// SinceHeard returns the time since a host's last message came. It returns false
+// for a host that has sent none: each host hears directly from some others only.
+func (c *Core) SinceHeard(h ident.Host) (time.Duration, bool) {
+	at, ok := c.heard[h]
+	return c.now - at, ok
+}
+
 // PoolStatus is a pool as this host knows it.
 type PoolStatus struct {
 	Pool      ident.Pool
--- a/internal/host/backend.go
+++ b/internal/host/backend.go
@@ -47,8 +47,14 @@
 func (b *backend) Hosts() []admin.HostStatus {
 	var members []membership.Member
 	var facts admin.HostFacts
+	ages := map[ident.Host]time.Duration{}
 	b.inspect(func(c *control.Core) {
 		members = c.Members()
+		for _, m := range members {
+			if age, ok := c.SinceHeard(m.Host); ok {
+				ages[m.Host] = age
+			}
+		}
 		facts = hostFacts(b.host.loop.Now(), c.Configuration())
 	})
 	facts.Stopping = b.host.stopping.Load()
@@ -57,8 +63,13 @@
 		status := admin.HostStatus{
 			Host: m.Host, Domain: m.Domain, Address: m.Address, Incarnation: m.Incarnation,
 			State: admin.HostState(m.State.String()), Revision: m.Revision,
+			HeartbeatAgeMillis: admin.NeverHeard,
+		}
+		if age, ok := ages[m.Host]; ok {
+			status.HeartbeatAgeMillis = age.Milliseconds()
 		}
 		if m.Host == b.host.settings.Host {
+			status.HeartbeatAgeMillis = 0
 			status.Conditions = facts.Conditions()
 		}
 		list = append(list, status)
@@ -107,7 +118,7 @@
 		tier := tierName(snap, q.Rank)
 		for _, t := range q.Teams {
 			status.Queue = append(status.Queue, admin.QueueStatus{
-				Tier: tier, Team: t.Team, Waiting: t.Queued,
+				Tier: tier, Team: t.Team, Waiting: t.Queued, WaitMillis: q.Wait.Milliseconds(),
 			})
 		}
 	}
--- a/internal/host/record.go
+++ b/internal/host/record.go
@@ -53,7 +53,7 @@
 func (h *Host) recordDirective(now time.Time, d custody.Directive) {
 	switch d.Kind {
 	case custody.Connect:
-		h.note(d.ID, explain.Record{Time: now, Event: logs.Granted, Endpoint: d.Endpoint})
+		h.note(d.ID, explain.Record{Time: now, Event: logs.Granted, Endpoint: d.Endpoint, Reason: d.Why})
 	case custody.Commit:
 		if d.Go {
 			h.note(d.ID, explain.Record{Time: now, Event: logs.Dispatched, Endpoint: d.Endpoint})
--- a/internal/system/custody/custody.go
+++ b/internal/system/custody/custody.go
@@ -103,9 +103,11 @@
 	submittedAt time.Duration
 	spilled     bool
 	// claimed says that the claim row of a non-idempotent request is ours.
-	claimed      bool
-	attempt      ident.Attempt
-	endpoint     ident.Endpoint
+	claimed  bool
+	attempt  ident.Attempt
+	endpoint ident.Endpoint
+	// why is the scheduler's reason for the endpoint.
+	why          string
 	grantExpires time.Duration
 	dispatchedAt time.Duration
 }
--- a/internal/system/custody/directive.go
+++ b/internal/system/custody/directive.go
@@ -37,6 +37,8 @@
 	// Address is the endpoint's IP address and port, with Connect.
 	Address string
 	Attempt ident.Attempt
+	// Why is the scheduler's reason for the endpoint, with Connect.
+	Why string
 	// Go is the answer of Commit.
 	Go bool
 	// Verdict is the final answer of Refuse.
--- a/internal/system/custody/grant.go
+++ b/internal/system/custody/grant.go
@@ -32,6 +32,7 @@
 	s.epochs[pool] = g.GetEpoch()
 	r.attempt = ident.Attempt(g.GetAttempt())
 	r.endpoint = ident.Endpoint(g.GetEndpoint())
+	r.why = g.GetWhy()
 	r.grantExpires = time.Duration(g.GetExpiresAtUs()) * time.Microsecond
 	if !s.usable(now, r) {
 		s.giveBack(now, r, false, out)
@@ -68,6 +69,7 @@
 	r.state = stateGranted
 	s.direct(Directive{
 		Kind: Connect, ID: r.ID, Endpoint: r.endpoint, Address: e.Address, Attempt: r.attempt,
+		Why: r.why,
 	})
 }
 
