--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -31,22 +31,8 @@
 	"github.com/trefoilchute/trefoilchute/internal/watcher"
 )
 
-const (
-	// listInterval is the time between two looks at the platform's host list,
-	// and firstListInterval that between the first ones, while hosts that start
-	// together don't know each other.
-	listInterval      = 5 * time.Second
-	firstListInterval = 500 * time.Millisecond
-	// firstLists is the number of the first looks.
-	firstLists = 10
-	// balancerDelay is how long a stopping host still takes new callers, while
-	// the balancer notices that it isn't ready.
-	balancerDelay = 2 * time.Second
-	// nonceBytes is the length of a claim's nonce.
-	nonceBytes = 16
-	// drainPoll is the time between two looks at what a stopping host has left.
-	drainPoll = 50 * time.Millisecond
-)
+// nonceBytes is the length of a claim's nonce.
+const nonceBytes = 16
 
 // Host is the process of an entry host.
 type Host struct {
@@ -252,95 +238,6 @@
 	return err
 }
 
-// stop ends the service without cutting a request: readiness off, the pools to
-// other hosts, what waits and runs to its end, then out of the membership.
-func (h *Host) stop() {
-	logs.With(h.log, logs.Stopping).Info()
-	limit := time.Now().Add(h.settings.DrainGrace)
-	h.stopping.Store(true)
-	h.entry.Drain()
-	h.loop.Post(control.Leave{})
-	time.Sleep(min(balancerDelay, h.settings.DrainGrace))
-	shut := make(chan struct{})
-	h.group.Go(func() {
-		defer close(shut)
-		_ = h.entry.Shutdown()
-	})
-	h.awaitIdle(limit)
-	ctx, cancel := context.WithDeadline(context.Background(), limit.Add(balancerDelay))
-	defer cancel()
-	if err := h.admin.Shutdown(ctx); err != nil {
-		logs.With(h.log, logs.AdminShutdown).WithError(err).Warn()
-	}
-	select {
-	case <-shut:
-	case <-ctx.Done():
-		logs.With(h.log, logs.CallersCut).Warn()
-	}
-	h.buckets.Finish(ctx)
-	h.loop.Post(control.Depart{})
-	_ = h.loop.Inspect(ctx, func(*control.Core) {})
-	h.watcher.Close()
-	h.orders.Wait()
-	h.runner.Wait()
-}
-
-// awaitIdle waits until nothing is in custody, no caller is served and the
-// table has every claim's answer, or until the limit.
-func (h *Host) awaitIdle(limit time.Time) {
-	for time.Now().Before(limit) {
-		var left int
-		ctx, cancel := context.WithDeadline(context.Background(), limit)
-		err := h.loop.Inspect(ctx, func(c *control.Core) {
-			waiting, dispatched, claims := c.Busy()
-			left = waiting + dispatched + claims
-		})
-		cancel()
-		if err == nil && left == 0 && h.entry.Active() == 0 {
-			return
-		}
-		time.Sleep(drainPoll)
-	}
-}
-
-// followHostList registers this host with the platform and reads its list.
-func (h *Host) followHostList(ctx context.Context) {
-	for _, address := range h.settings.Seeds {
-		h.peers.Hint(address)
-	}
-	ticker := time.NewTicker(firstListInterval)
-	defer ticker.Stop()
-	for looks := 1; ; looks++ {
-		h.exchangeHostList(ctx)
-		if looks == firstLists {
-			ticker.Reset(listInterval)
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-	}
-}
-
-// exchangeHostList makes one exchange with the platform's host list. Failures
-// are left to the next one: the list is only a seed.
-func (h *Host) exchangeHostList(ctx context.Context) {
-	own := platform.HostEntry{
-		Host: string(h.settings.Host), Domain: string(h.settings.Domain), Address: h.peers.Addr(),
-	}
-	if err := h.client.Register(ctx, own); err != nil {
-		logs.With(h.log, logs.HostList).WithError(err).Debug()
-		return
-	}
-	list, err := h.client.ListHosts(ctx)
-	if err != nil {
-		logs.With(h.log, logs.HostList).WithError(err).Debug()
-		return
-	}
-	h.loop.Post(control.Listed{Hosts: list})
-}
-
 // nonce returns a random value for a claim.
 func nonce() string {
 	var b [nonceBytes]byte
--- /dev/null
+++ b/internal/host/stop.go
@@ -0,0 +1,68 @@
+package host
+
+import (
+	"context"
+	"time"
+
+	"github.com/trefoilchute/trefoilchute/internal/control"
+	"github.com/trefoilchute/trefoilchute/internal/logs"
+)
+
+const (
+	// balancerDelay is how long a stopping host still takes new callers, while
+	// the balancer notices that it isn't ready.
+	balancerDelay = 2 * time.Second
+	// drainPoll is the time between two looks at what a stopping host has left.
+	drainPoll = 50 * time.Millisecond
+)
+
+// stop ends the service without cutting a request: readiness off, the pools to
+// other hosts, what waits and runs to its end, then out of the membership.
+func (h *Host) stop() {
+	logs.With(h.log, logs.Stopping).Info()
+	limit := time.Now().Add(h.settings.DrainGrace)
+	h.stopping.Store(true)
+	h.entry.Drain()
+	h.loop.Post(control.Leave{})
+	time.Sleep(min(balancerDelay, h.settings.DrainGrace))
+	shut := make(chan struct{})
+	h.group.Go(func() {
+		defer close(shut)
+		_ = h.entry.Shutdown()
+	})
+	h.awaitIdle(limit)
+	ctx, cancel := context.WithDeadline(context.Background(), limit.Add(balancerDelay))
+	defer cancel()
+	if err := h.admin.Shutdown(ctx); err != nil {
+		logs.With(h.log, logs.AdminShutdown).WithError(err).Warn()
+	}
+	select {
+	case <-shut:
+	case <-ctx.Done():
+		logs.With(h.log, logs.CallersCut).Warn()
+	}
+	h.buckets.Finish(ctx)
+	h.loop.Post(control.Depart{})
+	_ = h.loop.Inspect(ctx, func(*control.Core) {})
+	h.watcher.Close()
+	h.orders.Wait()
+	h.runner.Wait()
+}
+
+// awaitIdle waits until nothing is in custody, no caller is served and the
+// table has every claim's answer, or until the limit.
+func (h *Host) awaitIdle(limit time.Time) {
+	for time.Now().Before(limit) {
+		var left int
+		ctx, cancel := context.WithDeadline(context.Background(), limit)
+		err := h.loop.Inspect(ctx, func(c *control.Core) {
+			waiting, dispatched, claims := c.Busy()
+			left = waiting + dispatched + claims
+		})
+		cancel()
+		if err == nil && left == 0 && h.entry.Active() == 0 {
+			return
+		}
+		time.Sleep(drainPoll)
+	}
+}
