--- a/internal/system/fleet_test.go
+++ b/internal/system/fleet_test.go
@@ -94,17 +94,20 @@
 
 // boot starts a process on a host; an earlier one is gone without a word.
 func (f *fleet) boot(host ident.Host, p process) {
-	boot := uint64(1)
+	next := &machine{process: p, boot: 1}
 	if old := f.machines[host]; old != nil {
-		boot = old.boot + 1
+		next.boot = old.boot + 1
+		next.sentMessages, next.sentBytes = old.sentMessages, old.sentBytes
+	}
+	f.machines[host] = next
+	if p != nil {
+		f.schedule(host)
 	}
-	f.machines[host] = &machine{process: p, boot: boot}
-	f.schedule(host)
 }
 
 // kill ends the process of a host.
 func (f *fleet) kill(host ident.Host) {
-	f.machines[host] = &machine{boot: f.machines[host].boot + 1}
+	f.boot(host, nil)
 }
 
 // push adds an event.
