--- a/internal/endpoint/conn.go
+++ b/internal/endpoint/conn.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
+	"github.com/trefoilchute/trefoilchute/internal/engine"
 	"github.com/trefoilchute/trefoilchute/internal/sockpeek"
 )
 
@@ -23,6 +24,10 @@
 	writeTimeout = 10 * time.Second
 	// idleTimeout is how long an unused connection is kept.
 	idleTimeout = 20 * time.Second
+	// probeTimeout bounds the wait for the answer to a probe of a kept
+	// connection, and suspectTimeout that of a new one after such a probe failed.
+	probeTimeout   = 250 * time.Millisecond
+	suspectTimeout = 500 * time.Millisecond
 	// maxIdlePerAddress bounds the unused connections to one endpoint.
 	maxIdlePerAddress = 64
 	// bufferSize is the size of a connection's buffers in bytes.
@@ -32,6 +37,9 @@
 // Conn is one connection to an endpoint, used by one exchange at a time.
 type Conn struct {
 	net.Conn
+	// Boot is the engine's incarnation as the last answer named it; empty before
+	// the first answer.
+	Boot    string
 	address string
 	r       *bufio.Reader
 	w       *bufio.Writer
@@ -53,7 +61,11 @@
 // Receive reads an answer's header and leaves the body to resp.BodyStream.
 func (c *Conn) Receive(resp *fasthttp.Response) error {
 	resp.StreamBody = true
-	return errors.Wrap(resp.Read(c.r), "endpoint: receive")
+	if err := resp.Read(c.r); err != nil {
+		return errors.Wrap(err, "endpoint: receive")
+	}
+	c.Boot = string(resp.Header.Peek(engine.HeaderBoot))
+	return nil
 }
 
 // maxAnswer bounds an answer that is read whole, in bytes.
@@ -80,7 +92,31 @@
 	return body, errors.Wrap(resp.CloseBodyStream(), "endpoint: read")
 }
 
-// Pool keeps connections to endpoints. It is safe for concurrent use.
+// probe asks the engine for its load report, to learn whether anyone still
+// reads the connection. Any answer proves it.
+func (c *Conn) probe(timeout time.Duration) error {
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(resp)
+	req.SetRequestURI(engine.PathLoad)
+	req.SetHost(c.address)
+	if err := c.Send(req); err != nil {
+		return err
+	}
+	if _, err := c.ReadAll(resp, timeout); err != nil {
+		return err
+	}
+	if resp.ConnectionClose() {
+		return errClosing
+	}
+	return nil
+}
+
+// errClosing says that the endpoint closes the connection after its answer.
+var errClosing = errors.New("endpoint: the connection is being closed")
+
+// Pool keeps connections to engines. It is safe for concurrent use.
 type Pool struct {
 	mu   sync.Mutex
 	idle map[string][]*Conn
@@ -91,16 +127,58 @@
 	return &Pool{idle: map[string][]*Conn{}}
 }
 
-// Get returns a connection to the address, a kept one that the endpoint hasn't
-// closed or a new one.
+// Get returns a connection to an engine: a kept one that a probe has just
+// proved alive, or a new one. After a failed probe no kept connection to the
+// address is trusted, and the new one is probed too: the engine itself may
+// stand still.
 func (p *Pool) Get(address string) (*Conn, error) {
+	c := p.takeOpen(address)
+	if c == nil {
+		return Dial(address)
+	}
+	if c.probe(probeTimeout) == nil {
+		return c, nil
+	}
+	_ = c.Close()
+	p.Drop(address)
+	return dialProbed(address)
+}
+
+// takeOpen removes a kept connection that the engine hasn't closed, or returns
+// nil.
+func (p *Pool) takeOpen(address string) *Conn {
 	for c := p.take(address); c != nil; c = p.take(address) {
 		if time.Since(c.idleAt) < idleTimeout && sockpeek.Quiet(c.Conn) {
-			return c, nil
+			return c
 		}
 		_ = c.Close()
 	}
-	return Dial(address)
+	return nil
+}
+
+// dialProbed returns a new connection that a probe has proved alive.
+func dialProbed(address string) (*Conn, error) {
+	c, err := Dial(address)
+	if err != nil {
+		return nil, err
+	}
+	if err := c.probe(suspectTimeout); err != nil {
+		_ = c.Close()
+		return nil, err
+	}
+	return c, nil
+}
+
+// Drop closes the kept connections to an address. It is called after one of
+// them, or one in use, went silent or failed: the others may have too.
+func (p *Pool) Drop(address string) {
+	p.mu.Lock()
+	list := p.idle[address]
+	delete(p.idle, address)
+	p.mu.Unlock()
+	for _, c := range list {
+		_ = c.Close()
+	}
 }
 
 // Dial returns a new connection to the address.
--- a/internal/entry/errors.go
+++ b/internal/entry/errors.go
@@ -3,11 +3,13 @@
 import (
 	"encoding/json"
 	"math"
+	"slices"
 	"strconv"
 	"time"
 
 	"github.com/gofiber/fiber/v2"
 	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
 
 	"github.com/trefoilchute/trefoilchute/internal/result"
 )
@@ -78,8 +80,25 @@
 		return answerError(c, result.New(result.Internal, err.Error()))
 	}
 	code := result.BadRequest
-	if refused.Code == fiber.StatusRequestEntityTooLarge {
+	switch refused.Code {
+	case fiber.StatusRequestEntityTooLarge, fiber.StatusRequestHeaderFieldsTooLarge:
 		code = result.TooLarge
 	}
 	return answerError(c, result.New(code, refused.Message))
 }
+
+// checkMethod answers methods that fiber doesn't know, which it would refuse
+// without a code.
+func checkMethod(next fasthttp.RequestHandler) fasthttp.RequestHandler {
+	return func(ctx *fasthttp.RequestCtx) {
+		if slices.Contains(fiber.DefaultMethods, string(ctx.Method())) {
+			next(ctx)
+			return
+		}
+		e := result.New(result.BadRequest, "the method is not known")
+		ctx.Response.Header.Set(HeaderCode, strconv.Itoa(int(e.Code)))
+		ctx.SetContentType(fiber.MIMEApplicationJSON)
+		ctx.SetStatusCode(fasthttp.StatusBadRequest)
+		ctx.SetBody(errorBody(e))
+	}
+}
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -121,6 +121,8 @@
 	if e.gone {
 		return
 	}
+	// The connection's write deadline was set when the header was sent.
+	_ = e.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
 	_, _ = w.WriteString("data: ")
 	_, _ = w.Write(data)
 	_, _ = w.WriteString("\n\n")
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -2,14 +2,12 @@
 
 import (
 	"bytes"
-	"encoding/json"
 	"strconv"
 	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/gofiber/fiber/v2"
-	"github.com/pkg/errors"
 
 	"github.com/trefoilchute/trefoilchute/internal/engine"
 	"github.com/trefoilchute/trefoilchute/internal/ident"
@@ -43,6 +41,8 @@
 	maxDeadline = time.Hour
 	// defaultDeadline is used where a tier declares none.
 	defaultDeadline = time.Minute
+	// maxMaxTokens bounds what a caller may ask for, in tokens.
+	maxMaxTokens = 1 << 20
 	// defaultMaxTokens is used where neither request nor route bound the answer.
 	defaultMaxTokens = 1024
 )
@@ -140,40 +140,31 @@
 	return nil
 }
 
-// chat is what the entry side reads of a chat completion.
-type chat struct {
-	Model               string           `json:"model"`
-	Messages            []engine.Message `json:"messages"`
-	Stream              bool             `json:"stream"`
-	MaxTokens           int              `json:"max_tokens"`
-	MaxCompletionTokens int              `json:"max_completion_tokens"`
-}
 
 // readChat takes a chat completion in. The endpoint is always asked for a
 // stream, so that an answer can be checked and resumed.
 func (p *parsed) readChat(x *index, body []byte) error {
-	var m chat
-	if err := json.Unmarshal(body, &m); err != nil {
-		return result.New(result.BadRequest, "the body is not a chat completion: "+err.Error())
+	if p.job.Method != fiber.MethodPost {
+		return result.New(result.BadRequest, "a chat completion is a POST")
 	}
-	if p.job.Method != fiber.MethodPost || len(m.Messages) == 0 {
-		return result.New(result.BadRequest, "a chat completion is a POST with at least one message")
+	m, err := readChatBody(body)
+	if err != nil {
+		return result.New(result.BadRequest, "the body is not a chat completion: "+err.Error())
 	}
-	route, ok := x.routes[routeKey{p.job.Path, m.Model}]
+	route, ok := x.routes[routeKey{p.job.Path, m.model}]
 	if !ok {
-		return result.New(result.NoRoute, "no route serves the model "+strconv.Quote(m.Model))
+		return result.New(result.NoRoute, "no route serves the model "+strconv.Quote(m.model))
 	}
 	if err := p.take(route, len(body)); err != nil {
 		return err
 	}
-	prompt := engine.Prompt(m.Messages)
-	p.stream = m.Stream
-	p.model = m.Model
+	prompt := engine.Prompt(m.messages)
+	p.stream = m.stream
+	p.model = m.model
 	p.arrival.PromptTokens = prefix.Tokens(len(prompt))
 	p.arrival.Prefix = prefix.Hashes(prompt)
-	p.arrival.MaxTokens = tokenLimit(route.MaxTokens, m.MaxTokens, m.MaxCompletionTokens)
-	rewritten, err := askForStream(body, p.arrival.MaxTokens)
-	p.job.Body = rewritten
+	p.arrival.MaxTokens = tokenLimit(route.MaxTokens, m.maxTokens, m.maxCompletionTokens)
+	p.job.Body, err = m.askForStream(p.arrival.MaxTokens)
 	return err
 }
 
@@ -191,19 +182,6 @@
 	return out
 }
 
-// askForStream rewrites a chat completion for the endpoint.
-func askForStream(body []byte, maxTokens int) ([]byte, error) {
-	var fields map[string]json.RawMessage
-	if err := json.Unmarshal(body, &fields); err != nil {
-		return nil, result.New(result.BadRequest, err.Error())
-	}
-	fields["stream"] = json.RawMessage("true")
-	fields["max_tokens"] = json.RawMessage(strconv.Itoa(maxTokens))
-	delete(fields, "max_completion_tokens")
-	out, err := json.Marshal(fields)
-	return out, errors.Wrap(err, "entry: rewrite")
-}
-
 // readDeadline takes the caller's deadline, or the tier's.
 func (p *parsed) readDeadline(c *fiber.Ctx, now time.Duration, tier resource.Tier) error {
 	limit := tier.Deadline
@@ -237,7 +215,20 @@
 	p.job.Keyed = true
 	p.arrival.Key = key
 	p.arrival.KeyHash = xxhash.Sum64String(string(p.arrival.Team) + "/" + key)
-	p.arrival.FirstAttempt = c.Get(HeaderAttempt) == "1"
+	return p.readAttempt(c)
+}
+
+// readAttempt takes the number of the key's sending.
+func (p *parsed) readAttempt(c *fiber.Ctx) error {
+	text := c.Get(HeaderAttempt)
+	if text == "" {
+		return nil
+	}
+	attempt, err := strconv.ParseUint(text, 10, 32)
+	if err != nil || attempt == 0 {
+		return result.New(result.BadRequest, HeaderAttempt+" must be a number from 1")
+	}
+	p.arrival.FirstAttempt = attempt == 1
 	return nil
 }
 
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -28,9 +28,6 @@
 	if err != nil {
 		return answerError(c, err)
 	}
-	if s.draining.Load() {
-		c.Context().SetConnectionClose()
-	}
 	s.active.Add(1)
 	s.opts.Runner.Add(p.job)
 	s.opts.Post(control.Arrived{Arrival: p.arrival})
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -24,6 +24,8 @@
 	maxBody = 16 << 20
 	// readTimeout bounds the reading of a request from a slow caller.
 	readTimeout = 15 * time.Second
+	// writeTimeout bounds the wait for a caller that doesn't read its answer.
+	writeTimeout = 30 * time.Second
 	// idleTimeout is how long an unused connection of a caller is kept.
 	idleTimeout = 60 * time.Second
 )
@@ -81,10 +83,13 @@
 	s.app = fiber.New(fiber.Config{
 		BodyLimit:             maxBody,
 		ReadTimeout:           readTimeout,
+		WriteTimeout:          writeTimeout,
 		IdleTimeout:           idleTimeout,
 		DisableStartupMessage: true,
 		ErrorHandler:          answerFiberError,
 	})
+	s.app.Server().Handler = checkMethod(s.app.Server().Handler)
+	s.app.Use(s.closeWhenDraining)
 	s.app.Get("/healthz", func(c *fiber.Ctx) error { return c.SendString("ok\n") })
 	s.app.Get("/readyz", s.ready)
 	s.app.Get("/metrics", adaptor.HTTPHandler(opts.Metrics))
@@ -118,6 +123,16 @@
 	return errors.Wrap(s.app.Shutdown(), "entry: shutdown")
 }
 
+// closeWhenDraining ends the connection of each caller that is answered during
+// a planned stop, so that its next request goes to another host.
+func (s *Server) closeWhenDraining(c *fiber.Ctx) error {
+	err := c.Next()
+	if s.draining.Load() {
+		c.Context().SetConnectionClose()
+	}
+	return err
+}
+
 // ready answers the balancer.
 func (s *Server) ready(c *fiber.Ctx) error {
 	switch {
--- a/internal/traffic/engine.go
+++ b/internal/traffic/engine.go
@@ -36,10 +36,15 @@
 	maxFaults = 8
 )
 
+// errNotSeen says that the engine that the request was sent to runs on, but
+// hasn't read the request yet.
+var errNotSeen = errors.New("traffic: the endpoint has not seen the request")
+
 // engine sends the job to a model engine and follows its stream to the end
 // marker, on as many connections as it takes.
 func (x *run) engine(conn *endpoint.Conn) {
 	x.heard = time.Now()
+	x.boot = conn.Boot
 	stream, err := x.first(conn)
 	silence := silenceFirst
 	for faults := 0; faults < maxFaults && time.Since(x.heard) < quietMost; {
@@ -51,6 +56,7 @@
 			}
 			stream.Close()
 		}
+		x.runner.conns.Drop(x.address)
 		if x.hopeless(err) {
 			return
 		}
@@ -61,9 +67,21 @@
 		}
 		stream, err = x.resume()
 	}
+	if errors.Is(err, errNotSeen) {
+		x.unseen()
+		return
+	}
 	x.lost(result.AnswerCut, "the endpoint's stream broke off and could not be resumed")
 }
 
+// unseen ends a job that its engine doesn't know. The engine is not lost. Its
+// connection may still hold the request, so that it may yet run.
+func (x *run) unseen() {
+	x.finish(peerpb.Report_PHASE_CANCELED, answer.Final{
+		Code: result.OutcomeUnknown, Reason: errNotSeen.Error(),
+	})
+}
+
 // hopeless ends the job if another connection can't help after err.
 func (x *run) hopeless(err error) bool {
 	switch {
@@ -95,8 +113,10 @@
 	stream, err := endpoint.Open(conn, x.job.ID, 0, silenceFirst)
 	if err != nil {
 		_ = conn.Close()
+		return nil, err
 	}
-	return stream, err
+	x.boot = conn.Boot
+	return stream, nil
 }
 
 // fill writes the request for an endpoint.
@@ -169,14 +189,22 @@
 		if time.Now().After(giveUp) {
 			return nil, errors.Wrap(endpoint.ErrUnknownRequest, "the endpoint takes no connection")
 		}
-		select {
-		case <-x.job.ctx.Done():
+		if !x.pause() {
 			return nil, x.job.ctx.Err()
-		case <-time.After(redialDelay):
 		}
 	}
 }
 
+// pause waits for redialDelay and says whether the job is still wanted.
+func (x *run) pause() bool {
+	select {
+	case <-x.job.ctx.Done():
+		return false
+	case <-time.After(redialDelay):
+		return true
+	}
+}
+
 // reopen asks for the stream on a new connection.
 func (x *run) reopen(conn *endpoint.Conn) (*endpoint.Stream, error) {
 	from := x.job.Answer.Len()
@@ -193,6 +221,10 @@
 	if err != nil {
 		_ = conn.Close()
 	}
+	if errors.Is(err, endpoint.ErrUnknownRequest) && x.boot != "" && conn.Boot == x.boot {
+		x.pause()
+		return nil, errNotSeen
+	}
 	return stream, err
 }
 
@@ -208,7 +240,7 @@
 		fasthttp.ReleaseRequest(req)
 		x.drop(conn)
 	}
-	x.lost(result.CallerGone, "the caller closed its connection")
+	x.lost(result.OutcomeUnknown, "the caller closed its connection while the request ran")
 }
 
 // drop reads one answer and closes the connection, so that the request before
--- a/internal/traffic/job.go
+++ b/internal/traffic/job.go
@@ -31,10 +31,50 @@
 	// Keyed says that a resend may ask for the answer.
 	Keyed bool
 
-	commit chan bool
 	run    atomic.Pointer[Run]
 	ctx    context.Context
 	cancel context.CancelFunc
+
+	mu sync.Mutex
+	// commits holds the attempts that wait for control's word.
+	commits map[ident.Attempt]chan bool
+}
+
+// expect returns the channel that gets control's word on an attempt.
+func (j *Job) expect(attempt ident.Attempt) <-chan bool {
+	word := make(chan bool, 1)
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.commits[attempt] = word
+	return word
+}
+
+// committed passes control's word on an attempt on. It doesn't block.
+func (j *Job) committed(attempt ident.Attempt, dispatch bool) {
+	j.mu.Lock()
+	word := j.commits[attempt]
+	delete(j.commits, attempt)
+	j.mu.Unlock()
+	if word != nil {
+		word <- dispatch
+	}
+}
+
+// await waits for control's word on an attempt. A job that was released
+// without it was not dispatched.
+func (j *Job) await(word <-chan bool) bool {
+	select {
+	case dispatch := <-word:
+		return dispatch
+	case <-j.ctx.Done():
+	}
+	// A run that is canceled was committed before.
+	select {
+	case dispatch := <-word:
+		return dispatch
+	default:
+		return false
+	}
 }
 
 // Run is what became of a job that was dispatched.
@@ -54,7 +94,7 @@
 func NewJob(id ident.Request) *Job {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Job{
-		ID: id, Answer: answer.New(), commit: make(chan bool, 1), ctx: ctx, cancel: cancel,
+		ID: id, Answer: answer.New(), commits: map[ident.Attempt]chan bool{}, ctx: ctx, cancel: cancel,
 	}
 }
 
@@ -78,11 +118,13 @@
 	return t.rows[id]
 }
 
-// remove drops a job.
-func (t *jobs) remove(id ident.Request) {
+// remove drops a job and returns it, or nil.
+func (t *jobs) remove(id ident.Request) *Job {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	j := t.rows[id]
 	delete(t.rows, id)
+	return j
 }
 
 // size returns the number of jobs.
--- a/internal/traffic/retain.go
+++ b/internal/traffic/retain.go
@@ -48,10 +48,18 @@
 // kept for a time, any other is forgotten.
 func (r *Runner) Release(j *Job) {
 	if !j.Keyed {
-		r.jobs.remove(j.ID)
+		r.forget(j.ID)
 		return
 	}
 	for _, id := range r.retention.add(time.Now(), j.ID, j.Answer.Size()) {
-		r.jobs.remove(id)
+		r.forget(id)
+	}
+}
+
+// forget drops a job whose answer has ended. What still waits for control's
+// word on it gives up, since control has none for a job that isn't known.
+func (r *Runner) forget(id ident.Request) {
+	if j := r.jobs.remove(id); j != nil {
+		j.cancel()
 	}
 }
--- a/internal/traffic/runner.go
+++ b/internal/traffic/runner.go
@@ -74,9 +74,10 @@
 	}
 	switch d.Kind {
 	case custody.Connect:
-		r.group.Go(func() { r.connect(j, d) })
+		word := j.expect(d.Attempt)
+		r.group.Go(func() { r.connect(j, d, word) })
 	case custody.Commit:
-		j.commit <- d.Go
+		j.committed(d.Attempt, d.Go)
 	case custody.Refuse:
 		j.Answer.Finish(answer.Final{
 			Code: d.Verdict.Code, Reason: d.Verdict.Reason, RetryAfter: d.Verdict.RetryAfter,
@@ -88,15 +89,15 @@
 
 // connect gets a connection for a grant, asks control to commit the dispatch
 // and runs the job.
-func (r *Runner) connect(j *Job, d custody.Directive) {
-	conn, err := r.conns.Get(d.Address)
+func (r *Runner) connect(j *Job, d custody.Directive, word <-chan bool) {
+	conn, err := r.open(j, d.Address)
 	if err != nil {
 		r.opts.Post(control.Unreachable{ID: j.ID, Attempt: d.Attempt})
 		return
 	}
 	r.opts.Post(control.Connected{ID: j.ID, Attempt: d.Attempt})
-	if !<-j.commit {
-		r.conns.Put(conn)
+	if !j.await(word) {
+		r.giveBack(j, conn)
 		return
 	}
 	run := &run{runner: r, job: j, address: d.Address, attempt: d.Attempt, began: time.Now()}
@@ -107,6 +108,25 @@
 	run.service(conn)
 }
 
+// open returns a connection for a job. A plain service gets a new one each
+// time: a kept one could not be probed, since a service declares no call
+// without an effect.
+func (r *Runner) open(j *Job, address string) (*endpoint.Conn, error) {
+	if j.Type == resource.EndpointEngine {
+		return r.conns.Get(address)
+	}
+	return endpoint.Dial(address)
+}
+
+// giveBack returns a connection that was not used.
+func (r *Runner) giveBack(j *Job, conn *endpoint.Conn) {
+	if j.Type == resource.EndpointEngine {
+		r.conns.Put(conn)
+		return
+	}
+	_ = conn.Close()
+}
+
 // run is one dispatched job.
 type run struct {
 	runner  *Runner
@@ -116,6 +136,9 @@
 	began   time.Time
 	// heard is when the last chunk came.
 	heard time.Time
+	// boot is the engine's incarnation that the request was sent to; empty if it
+	// isn't known.
+	boot string
 	end   custody.End
 }
 
--- a/internal/traffic/service.go
+++ b/internal/traffic/service.go
@@ -18,27 +18,21 @@
 // service sends the job to a plain service and reads its whole answer. After a
 // fault nothing is known: a service can't resume.
 func (x *run) service(conn *endpoint.Conn) {
+	defer func() { _ = conn.Close() }()
 	defer x.closeOnCancel(conn)()
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(resp)
 	body, err := x.exchange(conn, resp)
 	if err != nil {
-		_ = conn.Close()
 		x.lost(result.OutcomeUnknown, err.Error())
 		return
 	}
-	closes := resp.ConnectionClose()
 	x.end.FirstToken = time.Since(x.began)
 	x.job.Answer.Append(body)
 	final := answer.Final{
 		Code: result.OK, Status: resp.StatusCode(),
 		ContentType: string(resp.Header.ContentType()),
 	}
-	if closes {
-		_ = conn.Close()
-	} else {
-		x.runner.conns.Put(conn)
-	}
 	x.finish(peerpb.Report_PHASE_FINISHED, final)
 }
 
@@ -47,6 +41,7 @@
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
 	x.fill(req)
+	req.SetConnectionClose()
 	if err := conn.Send(req); err != nil {
 		return nil, err
 	}
