Measure entry hosts in one process: processor time, memory, messages, platform calls

trefoilchute measure hosts runs a number of entry hosts on loopback and compares two samples of their counters.

--- a/internal/cli/measure.go
+++ b/internal/cli/measure.go
@@ -25,7 +25,7 @@
 	return &cli.Command{
 		Name:     "measure",
 		Usage:    "measure the scheduler in simulated time",
-		Commands: []*cli.Command{measurePolicyCommand(), measureTraceCommand()},
+		Commands: []*cli.Command{measurePolicyCommand(), measureTraceCommand(), measureHostsCommand()},
 	}
 }
 
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -109,6 +109,11 @@
 	return h.entryListener.Addr().String()
 }
 
+// PeerStats returns the counters of the transport to the other hosts.
+func (h *Host) PeerStats() peer.Stats {
+	return h.peers.Stats()
+}
+
 // Wait waits until Run has ended.
 func (h *Host) Wait() {
 	<-h.done
