--- a/internal/traffic/runner.go
+++ b/internal/traffic/runner.go
@@ -144,7 +144,7 @@
 	// boot is the engine's incarnation that the request was sent to; empty if it
 	// isn't known.
 	boot string
-	end   custody.End
+	end  custody.End
 }
 
 // finish ends the job: the answer first, so that the caller doesn't wait for
