--- a/internal/logs/event.go
+++ b/internal/logs/event.go
@@ -21,6 +21,16 @@
 	TraceBroken          Event = "trace_broken"
 )
 
+// Events of the links between hosts.
+const (
+	LinkUp        Event = "link_up"
+	LinkDown      Event = "link_down"
+	LinkRefused   Event = "link_refused"
+	AcceptFailed  Event = "accept_failed"
+	PeerUnreached Event = "peer_unreached"
+	SeedUnreached Event = "seed_unreached"
+)
+
 // Events of a request.
 const (
 	Placed            Event = "placed"
@@ -55,6 +65,12 @@
 	{AdminShutdown, "The operators' interface didn't close in time."},
 	{ConfigurationInForce, "A revision came into force at this host."},
 	{TraceBroken, "The trace of decisions couldn't be written; it ends here."},
+	{LinkUp, "A link to another host was opened."},
+	{LinkDown, "A link to another host ended."},
+	{LinkRefused, "A connection did not become a link: a wrong secret, a malformed hello, or too many at once."},
+	{AcceptFailed, "A connection of another host couldn't be accepted."},
+	{PeerUnreached, "Another host takes no connection."},
+	{SeedUnreached, "A seed address takes no connection."},
 	{HostList, "The platform's host list couldn't be read or written."},
 	{Placed, "A pool's scheduler gave the request a slot of an endpoint; the reason says why there."},
 	{Granted, "The host that holds the request heard of its slot."},
--- a/internal/peer/accept.go
+++ b/internal/peer/accept.go
@@ -9,6 +9,7 @@
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 
+	"github.com/trefoilchute/trefoilchute/internal/logs"
 	"github.com/trefoilchute/trefoilchute/internal/peer/peerpb"
 )
 
@@ -32,7 +33,7 @@
 			if t.ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
 				return
 			}
-			t.log.WithError(err).Warn("accept failed")
+			logs.With(t.log, logs.AcceptFailed).WithError(err).Warn()
 			time.Sleep(acceptRetry)
 			continue
 		}
@@ -123,6 +124,6 @@
 	if now-last < int64(refusalLogInterval) || !t.lastRefusal.CompareAndSwap(last, now) {
 		return
 	}
-	t.log.WithField("remote", conn.RemoteAddr().String()).
-		WithField("refused", total).WithError(cause).Warn("link refused")
+	logs.With(t.log, logs.LinkRefused).WithField("remote", conn.RemoteAddr().String()).
+		WithField("refused", total).WithError(cause).Warn()
 }
--- a/internal/peer/dial.go
+++ b/internal/peer/dial.go
@@ -12,6 +12,7 @@
 	"storj.io/drpc/drpcwire"
 
 	"github.com/trefoilchute/trefoilchute/internal/ident"
+	"github.com/trefoilchute/trefoilchute/internal/logs"
 	"github.com/trefoilchute/trefoilchute/internal/peer/peerpb"
 )
 
@@ -40,7 +41,7 @@
 // dialHint dials an address and runs the link until it ends.
 func (t *Transport) dialHint(address string) {
 	if err := t.dial(address, ""); err != nil {
-		t.log.WithField("address", address).WithError(err).Debug("seed not reached")
+		logs.With(t.log, logs.SeedUnreached).WithField("address", address).WithError(err).Debug()
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -108,7 +109,8 @@
 	failures := r.failures
 	t.mu.Unlock()
 	if failures == 1 {
-		t.log.WithField("peer", r.host).WithField("retry", wait).WithError(err).Warn("peer not reached")
+		logs.With(t.log, logs.PeerUnreached).WithField("peer", r.host).
+			WithField("retry", wait).WithError(err).Warn()
 	}
 }
 
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 	"github.com/sourcegraph/conc"
 
+	"github.com/trefoilchute/trefoilchute/internal/logs"
 	"github.com/trefoilchute/trefoilchute/internal/peer/peerpb"
 )
 
@@ -75,8 +76,8 @@
 	if !ok {
 		return
 	}
-	log := t.log.WithField("peer", l.contact.Host).WithField("incarnation", l.contact.Incarnation)
-	log.WithField("dialled", l.dialled).Info("link up")
+	log := t.log.WithField("peer", l.contact.Host).WithField("peer_incarnation", l.contact.Incarnation)
+	logs.With(log, logs.LinkUp).WithField("dialled", l.dialled).Info()
 	if t.opts.Connected != nil {
 		t.opts.Connected(l.contact)
 	}
@@ -86,7 +87,7 @@
 	l.end()
 	wg.Wait()
 	t.detach(r, l)
-	log.WithError(err).Info("link down")
+	logs.With(log, logs.LinkDown).WithError(err).Info()
 }
 
 // attach makes a new link its peer's link, unless another takes precedence. It
