--- a/internal/system/keyledger_test.go
+++ b/internal/system/keyledger_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -10,6 +12,7 @@
 
 	"github.com/trefoilchute/trefoilchute/internal/ident"
 	"github.com/trefoilchute/trefoilchute/internal/peer/peerpb"
+	"github.com/trefoilchute/trefoilchute/internal/rendezvous"
 	"github.com/trefoilchute/trefoilchute/internal/system"
 	"github.com/trefoilchute/trefoilchute/internal/system/keyledger"
 	"github.com/trefoilchute/trefoilchute/internal/system/membership"
@@ -201,6 +204,56 @@
 	g.Expect(l.firsts["new"]).To(HaveLen(1))
 }
 
+// TestKeyWhoseHoldersDieTogether loses both holders of a key at once, while its
+// custodian is held up: the hosts that take the key over wait for what they may
+// have missed.
+func TestKeyWhoseHoldersDieTogether(t *testing.T) {
+	g := NewWithT(t)
+	l := settledLedgers(g, 8, 2)
+	const custodian, asker = 0, 1
+	key, holders := l.keyHeldElsewhere(custodian, asker)
+	first := l.note(custodian, key, true)
+	g.Expect(l.outcome(g, first).Outcome).To(Equal(keyledger.First))
+	for _, host := range holders {
+		l.kill(host)
+	}
+	l.run(l.now + 2500*time.Millisecond)
+	l.freeze(hostName(custodian))
+	l.until(g, 10*time.Second, "deaths", func() bool {
+		alive := slices.Concat(l.systems[hostName(asker)].Alive("domain-0"), l.systems[hostName(asker)].Alive("domain-1"))
+		return len(alive) == 6
+	})
+	again := l.note(asker, key, false)
+	l.run(l.now + time.Second)
+	l.thaw(hostName(custodian))
+	g.Expect(l.outcome(g, again).Original).To(Equal(first))
+}
+
+// keyHeldElsewhere returns a key of which neither host is a holder, and its
+// holders.
+func (l *ledgers) keyHeldElsewhere(not ...int) (string, []ident.Host) {
+	names := slices.Sorted(maps.Keys(l.systems))
+	for n := 0; ; n++ {
+		key := fmt.Sprint("key-", n)
+		holders := rendezvous.Pick(key, names, 2)
+		if !slices.ContainsFunc(not, func(i int) bool { return slices.Contains(holders, hostName(i)) }) {
+			return key, holders
+		}
+	}
+}
+
+// TestFreshHostAloneProvesNothing starts a host that the platform's list is
+// known to and that reaches no other: it isn't the only one.
+func TestFreshHostAloneProvesNothing(t *testing.T) {
+	g := NewWithT(t)
+	l := settledLedgers(g, 4, 1)
+	l.cut = func(from, to ident.Host) bool { return from == hostName(3) || to == hostName(3) }
+	l.start(3)
+	l.run(l.now + 2*keyledger.HealTime)
+	g.Expect(l.outcome(g, l.note(3, "key", false)).Outcome).To(Equal(keyledger.Unproven))
+	g.Expect(l.outcome(g, l.note(3, "key", true)).Outcome).To(Equal(keyledger.Unproven))
+}
+
 // TestAtMostOneFirst sends keys again and again, under their true attempt
 // numbers, while hosts are frozen, restarted and cut off. No key may be told
 // First twice.
