Let the note of a run that may have been dispatched displace one that asks

A custodian's copy now says that its run may have been dispatched and takes the place of a note that still asks; an answer given before a holder was settled no longer counts beside a later one.

go test ./internal/system passes.

--- a/internal/system/keyledger/note.go
+++ b/internal/system/keyledger/note.go
@@ -14,7 +14,11 @@
 	request     ident.Request
 	custodian   ident.Host
 	fingerprint uint64
-	expires     time.Duration
+	// since is when the note came, expires when its retention ends.
+	since   time.Duration
+	expires time.Duration
+	// known says that the run may have been dispatched.
+	known bool
 	// seq is that of the copies to other holders; 0 before the first.
 	seq uint64
 	// holders are the other holders that have confirmed a copy, or were asked
@@ -48,7 +52,12 @@
 	switch {
 	case held != nil && held.request == ident.Request(m.GetRequest()):
 		answer.First = true
+		held.known = held.known || m.GetSure()
 		s.keep(now, held)
+	case held != nil && m.GetSure() && !held.sure(now):
+		s.drop(held)
+		answer.First = true
+		s.hold(now, from, m)
 	case held != nil:
 		answer.Custodian = string(held.custodian)
 		answer.Request = string(held.request)
@@ -65,6 +74,13 @@
 	}
 }
 
+// sure reports whether the run may have been dispatched. A run that is still
+// asking is over, and has taken its note back unless it was told First, by the
+// time the note is older than any question gets.
+func (n *note) sure(now time.Duration) bool {
+	return n.known || now-n.since > ProofTimeout+ContestTimeout
+}
+
 // hold adds a note.
 func (s *System) hold(now time.Duration, from ident.Host, m *peerpb.KeyNote) {
 	custodian := from
@@ -76,6 +92,8 @@
 		request:     ident.Request(m.GetRequest()),
 		custodian:   custodian,
 		fingerprint: m.GetFingerprint(),
+		since:       now,
+		known:       m.GetSure(),
 		holders:     s.hosts.holders(m.GetKey()),
 	}
 	s.notes[n.key] = n
--- a/internal/system/keyledger/run.go
+++ b/internal/system/keyledger/run.go
@@ -73,11 +73,13 @@
 }
 
 // send asks each holder that hasn't said that the run is the first and that it
-// would know of another.
+// would know of another. What it said before doesn't count any more: it may
+// have learned of another run since.
 func (s *System) send(now time.Duration, q *question, out *system.Outbox) {
 	q.nextSend = now + resendInterval
 	for _, h := range q.holders {
 		if a := q.answers[h]; a == nil || !a.First || !a.Settled {
+			delete(q.answers, h)
 			out.Send(h.host, noteOf(q.seq, &q.Run, ""))
 		}
 	}
@@ -309,7 +311,9 @@
 			continue
 		}
 		for _, h := range s.hosts.holders(r.Key) {
-			out.Send(h.host, noteOf(r.seq, &r.Run, ""))
+			known := noteOf(r.seq, &r.Run, "")
+			known.GetKeyNote().Sure = true
+			out.Send(h.host, known)
 		}
 		s.refresh.push(now+RefreshInterval, ref)
 	}
--- a/internal/system/keyledger/sweep.go
+++ b/internal/system/keyledger/sweep.go
@@ -66,7 +66,7 @@
 	end := min(w.at+sweepBatch, len(w.entries))
 	kept := w.entries[:w.at]
 	for _, ref := range w.entries[w.at:end] {
-		if s.bring(ref, out) {
+		if s.bring(now, ref, out) {
 			kept = append(kept, ref)
 		}
 	}
@@ -87,15 +87,17 @@
 		return
 	}
 	for _, ref := range again {
-		s.bring(ref, out)
+		s.bring(now, ref, out)
 	}
 }
 
 // bring brings one entry to the holders that are new to it. It returns false
 // when the entry is gone.
-func (s *System) bring(ref entryRef, out *system.Outbox) bool {
+func (s *System) bring(now time.Duration, ref entryRef, out *system.Outbox) bool {
 	if r := s.runs[ref.request]; r != nil {
-		s.bringTo(ref, r.holders, noteOf(r.seq, &r.Run, ""), r.Key, out)
+		known := noteOf(r.seq, &r.Run, "")
+		known.GetKeyNote().Sure = true
+		s.bringTo(ref, r.holders, known, r.Key, out)
 		return true
 	}
 	n := s.notes[ref.key]
@@ -108,7 +110,9 @@
 		s.asked[n.seq] = ref
 	}
 	copied := Run{Key: n.key, Request: n.request, Fingerprint: n.fingerprint}
-	s.bringTo(ref, n.holders, noteOf(n.seq, &copied, n.custodian), n.key, out)
+	env := noteOf(n.seq, &copied, n.custodian)
+	env.GetKeyNote().Sure = n.sure(now)
+	s.bringTo(ref, n.holders, env, n.key, out)
 	return true
 }
 
--- a/internal/system/keyledger_test.go
+++ b/internal/system/keyledger_test.go
@@ -226,7 +226,8 @@
 	again := l.note(asker, key, false)
 	l.run(l.now + time.Second)
 	l.thaw(hostName(custodian))
-	g.Expect(l.outcome(g, again).Original).To(Equal(first))
+	result := l.outcome(g, again)
+	g.Expect(result.Original).To(Equal(first), "%+v", result)
 }
 
 // keyHeldElsewhere returns a key of which neither host is a holder, and its
