--- a/internal/system/membership_test.go
+++ b/internal/system/membership_test.go
@@ -61,7 +61,7 @@
 }
 
 // start boots host i, or boots it again with the next incarnation.
-func (m *members) start(i int) *membership.System {
+func (m *members) start(i int) {
 	host := hostName(i)
 	incarnation := uint64(1)
 	if old := m.machines[host]; old != nil {
@@ -74,7 +74,6 @@
 	s.Seeds(m.seeds[:min(4, len(m.seeds))])
 	m.systems[host] = s
 	m.boot(host, m.build(i, s))
-	return s
 }
 
 // agreed reports whether every running host sees exactly these as not dead.
