--- a/internal/system/keyledger_test.go
+++ b/internal/system/keyledger_test.go
@@ -114,8 +114,7 @@
 }
 
 // settledLedgers returns a fleet that has been up for long enough to be sure.
-func settledLedgers(g *WithT) *ledgers {
-	const hosts, domains = 8, 4
+func settledLedgers(g *WithT, hosts, domains int) *ledgers {
 	l := newLedgers(1, hosts, domains)
 	l.until(g, 30*time.Second, "agreement", func() bool { return l.agreed(all(hosts)) })
 	l.run(l.now + 2*keyledger.HealTime)
@@ -124,7 +123,7 @@
 
 func TestResendLearnsOfTheFirstRun(t *testing.T) {
 	g := NewWithT(t)
-	l := settledLedgers(g)
+	l := settledLedgers(g, 8, 4)
 	first := l.note(0, "key", true)
 	g.Expect(l.outcome(g, first).Outcome).To(Equal(keyledger.First))
 	again := l.outcome(g, l.note(5, "key", false))
@@ -138,7 +137,7 @@
 
 func TestReleasedKeyCanRun(t *testing.T) {
 	g := NewWithT(t)
-	l := settledLedgers(g)
+	l := settledLedgers(g, 8, 4)
 	first := l.note(0, "key", true)
 	l.outcome(g, first)
 	l.step(hostName(0), func(out *system.Outbox) { l.procs[hostName(0)].ledger.Release(l.now, first, out) })
@@ -148,7 +147,7 @@
 
 func TestRunsAtOnceHaveOneFirst(t *testing.T) {
 	g := NewWithT(t)
-	l := settledLedgers(g)
+	l := settledLedgers(g, 8, 4)
 	for n := range 200 {
 		key := fmt.Sprint("key-", n)
 		a, b, c := l.note(n%8, key, false), l.note((n+3)%8, key, false), l.note(n%8, key, false)
@@ -161,7 +160,7 @@
 
 func TestNotesOutliveTheirHolders(t *testing.T) {
 	g := NewWithT(t)
-	l := settledLedgers(g)
+	l := settledLedgers(g, 8, 4)
 	for n := range 50 {
 		l.outcome(g, l.note(0, fmt.Sprint("key-", n), true))
 	}
@@ -178,7 +177,7 @@
 
 func TestCutOffDomainProvesByAttemptOrRefuses(t *testing.T) {
 	g := NewWithT(t)
-	l := settledLedgers(g)
+	l := settledLedgers(g, 8, 4)
 	l.cut = func(from, to ident.Host) bool {
 		return (l.domainOf(from) == "domain-0") != (l.domainOf(to) == "domain-0")
 	}
