--- a/internal/resource/apply.go
+++ b/internal/resource/apply.go
@@ -146,7 +146,7 @@
 	}
 	_, err = a.store.table.Commit(ctx, txn)
 	if err == nil {
-		a.store.committed(st.snapshot.With(revision, items))
+		a.store.tell(st.snapshot.With(revision, items))
 		return Applied{Revision: revision, ChangeID: a.change.ID}, nil
 	}
 	if errors.Is(err, platform.ErrConflict) || errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrLimited) {
--- a/internal/resource/store.go
+++ b/internal/resource/store.go
@@ -38,13 +38,14 @@
 	table platform.Table
 	// kept is how many changes are kept.
 	kept uint64
-	// committed is told of each snapshot that a commit of this Store has made.
+	// committed is told of each snapshot that a commit of this Store has made; nil:
+	// nobody is.
 	committed func(*Snapshot)
 }
 
 // NewStore returns a Store on the table.
 func NewStore(table platform.Table) *Store {
-	return &Store{table: table, kept: ChangesKept, committed: func(*Snapshot) {}}
+	return &Store{table: table, kept: ChangesKept}
 }
 
 // Notify sets a function that is told of each snapshot that a commit of this
@@ -53,6 +54,13 @@
 	s.committed = committed
 }
 
+// tell tells of a snapshot that a commit has made.
+func (s *Store) tell(snapshot *Snapshot) {
+	if s.committed != nil {
+		s.committed(snapshot)
+	}
+}
+
 // Change is a wanted change of resources.
 type Change struct {
 	// ID identifies the change across repetitions; it must not be empty.
