Count a crash once for equal bodies; keep new low requests behind unseen ones

Found by reading: two copies of a body that had run whole before, in flight on one endpoint that crashed, were counted as two crashes and quarantined; and a new request of a low tier could take a slot in a step in which requests of a higher tier were not all looked at. Change: one count for each suspect and crash; where requests of a tier remain unseen, new requests below it wait and the endpoints count as changed in the next step. Fields that nothing read are gone. Shown: the test of one crash with two equal bodies fails with the old count (2 for 1).

--- a/internal/naive/events.go
+++ b/internal/naive/events.go
@@ -53,7 +53,7 @@
 	row := &request{Request: r, sequence: s.sequence, state: gone}
 	row.mean = 1
 	if !s.plainService() {
-		row.mean, _ = s.lengths.Expect(r.Team, r.MaxTokens)
+		row.mean = s.lengths.Expect(r.Team, r.MaxTokens)
 	}
 	row.cost = s.costOf(row)
 	s.meter.Arrive(r.Rank, row.cost)
--- a/internal/naive/grant.go
+++ b/internal/naive/grant.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -31,10 +32,11 @@
 		}
 		e.changed = false
 	}
+	unseen := math.MaxInt
 	if len(changed) > 0 {
-		s.grantWaiting(changed)
+		unseen = s.grantWaiting(changed)
 	}
-	s.grantFresh(open)
+	s.grantFresh(open, unseen)
 	waiting := len(s.in(queued)) + len(s.in(held))
 	sweeping := slices.ContainsFunc(s.alarms, func(a alarm) bool { return a.kind == "sweep" })
 	if len(open) > 0 && waiting > 0 && !sweeping {
@@ -46,13 +48,22 @@
 	}
 }
 
-func (s *Scheduler) grantWaiting(among []*endpoint) {
+// grantWaiting returns the rank of which requests were not looked at, if any.
+func (s *Scheduler) grantWaiting(among []*endpoint) int {
 	for _, rank := range s.ranks() {
 		s.grantHeld(rank, among)
-		if !s.grantTier(rank, among) {
-			return
+		seen, room := s.grantTier(rank, among)
+		if !room {
+			return math.MaxInt
+		}
+		if !seen {
+			for _, e := range among {
+				e.changed = true
+			}
+			return rank
 		}
 	}
+	return math.MaxInt
 }
 
 func (s *Scheduler) heldIn(rank int) []*request {
@@ -106,13 +117,14 @@
 	return most > 0 && n >= most
 }
 
-// grantTier returns false if requests remain that were not looked at.
-func (s *Scheduler) grantTier(rank int, among []*endpoint) bool {
+// grantTier says whether all requests of a tier were looked at, and whether any
+// endpoint had a free slot.
+func (s *Scheduler) grantTier(rank int, among []*endpoint) (seen, room bool) {
 	var aside []ident.Team
 	for look := rules.MaxLook; look > 0; {
 		team, ok := s.nextTeam(rank, aside)
 		if !ok {
-			return true
+			return true, true
 		}
 		if s.atLimit(team) {
 			aside = append(aside, team)
@@ -135,10 +147,10 @@
 		aside = append(aside, team)
 		look--
 		if !p.room {
-			return false
+			return false, false
 		}
 	}
-	return false
+	return false, true
 }
 
 // nextTeam returns the team with the smallest start tag that is not set aside.
@@ -152,13 +164,13 @@
 	}), true
 }
 
-func (s *Scheduler) grantFresh(open []*endpoint) {
+func (s *Scheduler) grantFresh(open []*endpoint, unseen int) {
 	fresh := s.fresh
 	s.fresh = nil
 	slices.SortStableFunc(fresh, func(a, b *request) int { return cmp.Compare(a.Rank, b.Rank) })
 	for _, r := range fresh {
 		switch {
-		case r.state != queued && r.state != held:
+		case r.state != queued && r.state != held, r.Rank > unseen:
 		case s.bodyBusy(r):
 			s.park(r)
 		case s.atLimit(r.Team):
--- a/internal/naive/suspect.go
+++ b/internal/naive/suspect.go
@@ -37,7 +37,7 @@
 	slices.SortFunc(list, func(a, b *attempt) int {
 		return cmp.Or(cmp.Compare(a.granted, b.granted), cmp.Compare(a.request.ID, b.request.ID))
 	})
-	var found []pool.Suspect
+	var found []*suspect
 	for _, a := range list {
 		a.blamed = true
 		r := a.request
@@ -49,13 +49,19 @@
 			x = &suspect{pool.Suspect{KeyHash: r.KeyHash, Fingerprint: r.Fingerprint}}
 			s.suspects = append(s.suspects, x)
 		}
+		if !slices.Contains(found, x) {
+			found = append(found, x)
+		}
+	}
+	var published []pool.Suspect
+	for _, x := range found {
 		x.Crashes++
 		x.Quarantined = x.Quarantined || x.Crashes >= rules.CrashesToQuarantine
 		s.remember(x)
-		found = append(found, x.Suspect)
+		published = append(published, x.Suspect)
 	}
-	if len(found) > 0 {
-		s.out = append(s.out, pool.Publish{List: found})
+	if len(published) > 0 {
+		s.out = append(s.out, pool.Publish{List: published})
 		s.sortOut()
 	}
 }
--- a/internal/pool/estimate.go
+++ b/internal/pool/estimate.go
@@ -21,10 +21,10 @@
 	cautious time.Duration
 }
 
-// outputs returns the expected and the cautious number of tokens to generate.
-func (s *Scheduler) outputs(r *Request) (mean, cautious float64) {
+// outputs returns the expected number of tokens to generate.
+func (s *Scheduler) outputs(r *Request) float64 {
 	if s.endpoints.plainService() {
-		return serviceTokens, serviceTokens
+		return serviceTokens
 	}
 	return s.lengths.Expect(r.Team, r.MaxTokens)
 }
--- a/internal/pool/grant.go
+++ b/internal/pool/grant.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
 	"github.com/trefoilchute/trefoilchute/internal/pool/rules"
@@ -16,10 +17,11 @@
 // by a sweep now and then.
 func (s *Scheduler) grant() {
 	changed := s.findOpen()
+	unseen := noRank
 	if len(changed) > 0 {
-		s.grantWaiting(changed)
+		unseen = s.grantWaiting(changed)
 	}
-	s.grantFresh()
+	s.grantFresh(unseen)
 	if len(s.open) > 0 && s.queue.size() > 0 && s.sweepTimer.index == 0 {
 		s.timers.set(&s.sweepTimer, s.now+rules.SweepEvery, s.sweep)
 	}
@@ -49,24 +51,38 @@
 	return s.changed
 }
 
-// grantWaiting serves those that waited before with the changed endpoints.
-func (s *Scheduler) grantWaiting(among []*endpoint) {
+// noRank is a rank below that of every request.
+const noRank = math.MaxInt
+
+// grantWaiting serves those that waited before with the changed endpoints. If
+// requests of a tier remain that were not looked at, what is free may be theirs:
+// lower tiers get nothing, the endpoints count as changed in the next step too,
+// and the tier's rank is returned; noRank otherwise.
+func (s *Scheduler) grantWaiting(among []*endpoint) int {
 	for _, t := range s.queue.tiers {
 		s.grantHeld(t, among)
-		if !s.grantTier(t, among) {
-			return
+		switch s.grantTier(t, among) {
+		case tierFull:
+			return noRank
+		case tierUnseen:
+			for _, e := range among {
+				e.changed = true
+			}
+			return t.rank
 		}
 	}
+	return noRank
 }
 
 // grantFresh serves the requests that were queued in this step, and those
-// whose wait for their endpoint is over, with all open endpoints.
-func (s *Scheduler) grantFresh() {
+// whose wait for their endpoint is over, with all open endpoints. Those below
+// the rank unseen wait on.
+func (s *Scheduler) grantFresh(unseen int) {
 	fresh := s.fresh
 	s.fresh = nil
 	slices.SortStableFunc(fresh, func(a, b *request) int { return cmp.Compare(a.Rank, b.Rank) })
 	for _, r := range fresh {
-		if r.phase != phaseQueued && r.phase != phaseHeld {
+		if r.phase != phaseQueued && r.phase != phaseHeld || r.Rank > unseen {
 			continue
 		}
 		if s.bodies.busy(r) {
@@ -110,17 +126,27 @@
 	}
 }
 
+// tierResult says how serving a tier ended.
+type tierResult int
+
+const (
+	// tierServed means that no request of the tier suits an endpoint.
+	tierServed tierResult = iota
+	// tierFull means that no endpoint has a free slot.
+	tierFull
+	// tierUnseen means that requests remain that were not looked at.
+	tierUnseen
+)
+
 // grantTier serves one tier until nothing more fits. Teams that can't be
-// served now are set aside and go back at the end. It returns false if
-// requests remain that were not looked at: what is free may be theirs, so that
-// lower tiers get nothing.
-func (s *Scheduler) grantTier(t *tierQueue, among []*endpoint) bool {
+// served now are set aside and go back at the end.
+func (s *Scheduler) grantTier(t *tierQueue, among []*endpoint) tierResult {
 	var aside []*teamQueue
-	whole := false
+	out := tierUnseen
 	for look := rules.MaxLook; look > 0; {
 		tq := t.popTeam()
 		if tq == nil {
-			whole = true
+			out = tierServed
 			break
 		}
 		if tq.team.atLimit() {
@@ -135,13 +161,14 @@
 		aside = append(aside, tq)
 		look--
 		if !room {
+			out = tierFull
 			break
 		}
 	}
 	for _, tq := range aside {
 		t.putBack(tq)
 	}
-	return whole
+	return out
 }
 
 // grantHead deals with a team's first request. It returns false if it still
--- a/internal/pool/intake.go
+++ b/internal/pool/intake.go
@@ -49,8 +49,8 @@
 		return
 	}
 	s.sequence++
-	row := &request{Request: r, sequence: s.sequence, arrived: s.now}
-	row.mean, row.cautious = s.outputs(&r)
+	row := &request{Request: r, sequence: s.sequence}
+	row.mean = s.outputs(&r)
 	row.cost = s.costOf(row)
 	s.meter.Arrive(r.Rank, row.cost)
 	if !s.admit(row) {
@@ -118,7 +118,7 @@
 	if a == nil || a.started {
 		return
 	}
-	a.started, a.startedAt, a.void = true, s.now, false
+	a.started = true
 	s.timers.stop(&a.timer)
 	s.hold(a)
 	s.forgetWaiting(e.ID, a)
@@ -226,19 +226,18 @@
 		return
 	}
 	a := &attempt{
-		id:        r.Attempt,
-		request:   r.Request,
-		endpoint:  s.endpoints.get(r.Endpoint),
-		granted:   s.now - r.Age,
-		startedAt: s.now - r.Age,
-		started:   true,
+		id:       r.Attempt,
+		request:  r.Request,
+		endpoint: s.endpoints.get(r.Endpoint),
+		granted:  s.now - r.Age,
+		started:  true,
 	}
 	s.attempts.put(a)
 	s.hold(a)
 	row := s.requests[r.Request.ID]
 	if row == nil {
 		s.sequence++
-		row = &request{Request: r.Request, sequence: s.sequence, arrived: s.now - r.Age}
+		row = &request{Request: r.Request, sequence: s.sequence}
 		s.requests[row.ID] = row
 	} else {
 		s.withdraw(row)
--- a/internal/pool/ledger.go
+++ b/internal/pool/ledger.go
@@ -93,7 +93,6 @@
 // request again: the custodian dispatches a request once, whatever it is
 // granted. The row stays for a while, for a report that comes later still.
 func (s *Scheduler) lapse(a *attempt) {
-	a.void = true
 	s.release(a)
 	s.timers.set(&a.timer, s.now+rules.AttemptMemory, func() { s.attempts.remove(a) })
 	if r := s.requests[a.request.ID]; r != nil && r.attempt == a {
--- a/internal/pool/speed/length.go
+++ b/internal/pool/speed/length.go
@@ -1,7 +1,6 @@
 package speed
 
 import (
-	"math"
 	"math/bits"
 
 	"github.com/trefoilchute/trefoilchute/internal/ident"
@@ -13,10 +12,9 @@
 	// unknownBound stands for the bound of a request that names none, in
 	// tokens.
 	unknownBound = 512
-	// firstMean and firstDeviation are the part of its bound that an answer
-	// fills, before any was seen.
-	firstMean      = 0.5
-	firstDeviation = 0.25
+	// firstMean is the part of its bound that an answer fills, before any was
+	// seen.
+	firstMean = 0.5
 	// enoughAnswers is from when on a team's own lengths are used.
 	enoughAnswers = 8
 )
@@ -33,10 +31,10 @@
 	size int
 }
 
-// fill is the mean and the mean deviation of the filled part.
+// fill is the mean of the filled part.
 type fill struct {
-	mean, deviation float64
-	answers         int
+	mean    float64
+	answers int
 }
 
 // NewLengths returns a Lengths that has seen no answer.
@@ -60,14 +58,10 @@
 	l.all[size].see(part)
 }
 
-// Expect returns the expected length of an answer in tokens, and one that few
-// answers exceed.
-func (l *Lengths) Expect(team ident.Team, bound int) (mean, cautious float64) {
+// Expect returns the expected length of an answer in tokens.
+func (l *Lengths) Expect(team ident.Team, bound int) float64 {
 	bound = knownBound(bound)
-	f := l.find(team, bits.Len(uint(bound)))
-	mean = f.mean * float64(bound)
-	cautious = min(1, f.mean+2*f.deviation) * float64(bound)
-	return mean, max(mean, cautious)
+	return l.find(team, bits.Len(uint(bound))).mean * float64(bound)
 }
 
 func (l *Lengths) find(team ident.Team, size int) *fill {
@@ -88,12 +82,11 @@
 }
 
 func newFill() *fill {
-	return &fill{mean: firstMean, deviation: firstDeviation}
+	return &fill{mean: firstMean}
 }
 
 func (f *fill) see(part float64) {
 	f.answers++
 	weight := max(lengthWeight, 1/float64(f.answers+1))
-	f.deviation += weight * (math.Abs(part-f.mean) - f.deviation)
 	f.mean += weight * (part - f.mean)
 }
--- a/internal/pool/suspect.go
+++ b/internal/pool/suspect.go
@@ -66,26 +66,32 @@
 // crashed marks everything in flight on an endpoint as suspect, once for each
 // attempt: every custodian reports its own.
 func (s *Scheduler) crashed(e *endpoint) {
-	var found []Suspect
+	var found []*suspect
 	for _, a := range s.attempts.on(e) {
 		if a.blamed {
 			continue
 		}
 		a.blamed = true
-		if x := s.blame(a.request); x != nil {
-			found = append(found, x.Suspect)
+		x := s.suspectOf(a.request)
+		if x != nil && !slices.Contains(found, x) {
+			found = append(found, x)
 		}
 	}
 	if len(found) == 0 {
 		return
 	}
-	s.emit(Publish{List: found})
+	var list []Suspect
+	for _, x := range found {
+		s.blame(x)
+		list = append(list, x.Suspect)
+	}
+	s.emit(Publish{List: list})
 	s.sortOutSuspects()
 }
 
-// blame counts a crash against a request. It returns nil for a request without
-// any hash to know it by.
-func (s *Scheduler) blame(r Request) *suspect {
+// suspectOf returns the row of a request, made if needed, and nil for a request
+// without any hash to know it by.
+func (s *Scheduler) suspectOf(r Request) *suspect {
 	if r.KeyHash == 0 && r.Fingerprint == 0 {
 		return nil
 	}
@@ -94,10 +100,15 @@
 		x = &suspect{Suspect: Suspect{KeyHash: r.KeyHash, Fingerprint: r.Fingerprint}}
 		s.suspects.add(x)
 	}
+	return x
+}
+
+// blame counts a crash against a suspect: one, however many requests with its
+// body were in flight on the endpoint.
+func (s *Scheduler) blame(x *suspect) {
 	x.Crashes++
 	x.Quarantined = x.Quarantined || x.Crashes >= rules.CrashesToQuarantine
 	s.remember(x)
-	return x
 }
 
 // remember keeps a suspect for its time.
--- a/internal/pool/suspect_test.go
+++ b/internal/pool/suspect_test.go
@@ -89,6 +89,17 @@
 	g.Expect(s.suspects.find(0, 7)).NotTo(BeNil())
 }
 
+func TestOneCrashCountsOnceForEqualBodies(t *testing.T) {
+	g := NewWithT(t)
+	s := newTestScheduler(testEndpoint("a", 4))
+	runGrants(s, 0, s.Step(0, []Event{arriveBody("first", 1, 7)}), func(ident.Request) bool { return false })
+	out := grants(s.Step(0, []Event{arriveBody("r1", 2, 7), arriveBody("r2", 3, 7)}))
+	g.Expect(out).To(HaveLen(2), "a body that has run whole may run twice at once")
+	s.Step(0, []Event{Finished{ID: out[0].ID, Attempt: out[0].Attempt, Outcome: OutcomeLost}})
+	g.Expect(s.suspects.find(0, 7).Crashes).To(Equal(1))
+	g.Expect(s.suspects.find(0, 7).Quarantined).To(BeFalse())
+}
+
 func TestEqualBodiesAtOnceCrashTwoEndpointsAtMost(t *testing.T) {
 	g := NewWithT(t)
 	s := newTestScheduler(testEndpoint("a", 1), testEndpoint("b", 1), testEndpoint("c", 1), testEndpoint("d", 1))
--- a/internal/pool/table.go
+++ b/internal/pool/table.go
@@ -35,14 +35,13 @@
 	Request
 	// sequence orders requests by arrival.
 	sequence uint64
-	arrived  time.Duration
 	phase    phase
 	// attempt is the latest attempt, if the phase isn't phaseQueued.
 	attempt *attempt
 	// cost is the estimated slot time on an endpoint of average speed.
 	cost time.Duration
-	// mean and cautious are the tokens expected to be generated.
-	mean, cautious float64
+	// mean is the number of tokens expected to be generated.
+	mean float64
 	// best is the most prompt tokens cached at any endpoint when last looked.
 	best int
 	// home is the endpoint that has them; nil if none has any. heldForHome says
@@ -72,9 +71,7 @@
 	request  Request
 	endpoint *endpoint
 	granted  time.Duration
-	// startedAt is the dispatch time; meaningful once started.
-	startedAt time.Duration
-	started   bool
+	started  bool
 	// cached is the part of the prompt expected in the endpoint's cache and
 	// uncached the part counted as pending until the first token.
 	cached, uncached int
@@ -89,8 +86,6 @@
 	blamed bool
 	// holds says that the attempt counts in its endpoint's in-flight number.
 	holds bool
-	// void says that the grant's lifetime is over without a report.
-	void  bool
 	timer timer
 }
 
