--- a/internal/system/keyledger/ledger.go
+++ b/internal/system/keyledger/ledger.go
@@ -61,8 +61,7 @@
 
 	// holdersPerKey is the number of hosts that note a key.
 	holdersPerKey = 2
-	// resendInterval is the time between questions to a holder that hasn't
-	// answered.
+	// resendInterval is the time between questions while a run is undecided.
 	resendInterval = 250 * time.Millisecond
 	// sweepInterval and sweepBatch spread the work of a change of the hosts.
 	sweepInterval = 10 * time.Millisecond
--- a/internal/system/keyledger/run.go
+++ b/internal/system/keyledger/run.go
@@ -32,7 +32,7 @@
 	// touched are all holders that were ever asked.
 	touched []holder
 	answers map[holder]*peerpb.KeyAnswer
-	// nextSend is when the holders that haven't answered are asked again.
+	// nextSend is when the holders are asked again.
 	nextSend time.Duration
 	// contested is when another run of the key was first met.
 	contested time.Duration
@@ -55,16 +55,10 @@
 	s.ask(now, q, out)
 }
 
-// ask sends the question to the current holders. Answers of those that have
-// answered before stand.
+// ask sends the question to the current holders.
 func (s *System) ask(now time.Duration, q *question, out *system.Outbox) {
-	old := q.answers
 	q.holders = s.hosts.holders(q.Key)
-	q.answers = map[holder]*peerpb.KeyAnswer{}
 	for _, h := range q.holders {
-		if a := old[h]; a != nil {
-			q.answers[h] = a
-		}
 		if !slices.Contains(q.touched, h) {
 			q.touched = append(q.touched, h)
 		}
@@ -72,16 +66,13 @@
 	s.send(now, q, out)
 }
 
-// send asks each holder that hasn't said that the run is the first and that it
-// would know of another. What it said before doesn't count any more: it may
-// have learned of another run since.
+// send asks the holders, from the start: a holder may have learned of another
+// run since it last answered.
 func (s *System) send(now time.Duration, q *question, out *system.Outbox) {
 	q.nextSend = now + resendInterval
+	q.answers = map[holder]*peerpb.KeyAnswer{}
 	for _, h := range q.holders {
-		if a := q.answers[h]; a == nil || !a.First || !a.Settled {
-			delete(q.answers, h)
-			out.Send(h.host, noteOf(q.seq, &q.Run, ""))
-		}
+		out.Send(h.host, noteOf(q.seq, &q.Run, ""))
 	}
 }
 
