--- a/internal/control/route.go
+++ b/internal/control/route.go
@@ -15,6 +15,7 @@
 // receive gives a message to the systems it concerns.
 func (c *Core) receive(m *peerpb.Envelope) {
 	from := custody.Scheduler{Host: ident.Host(m.GetFrom()), Incarnation: m.GetIncarnation()}
+	c.heard[from.Host] = c.now
 	switch body := m.GetBody().(type) {
 	case *peerpb.Envelope_Ping, *peerpb.Envelope_Ack, *peerpb.Envelope_PingReq:
 		c.members.Receive(c.now, m, &c.out)
@@ -133,7 +134,7 @@
 	case claim.Running:
 		c.joinClaim(id, r)
 	case claim.Lost:
-		c.verdict(id, result.New(result.OutcomeUnknown, "the host that ran this key has ended"))
+		c.rescueClaim(r)
 	case claim.Refused:
 		c.verdict(id, r.Err)
 	}
@@ -148,9 +149,10 @@
 		})
 		return
 	}
+	target := c.gated[id].Target
 	c.leaveCustody(id)
 	c.effect.Joins = append(c.effect.Joins, Join{
-		ID: id, Custodian: r.Claim.Holder, Request: r.Claim.Request,
+		ID: id, Custodian: r.Claim.Holder, Request: r.Claim.Request, Target: target,
 	})
 }
 
