--- a/internal/naive/events.go
+++ b/internal/naive/events.go
@@ -308,6 +308,10 @@
 			s.drop(r)
 		default:
 			a := r.attempt
+			if !a.orphan {
+				a.orphan = true
+				s.bodyEnded(a.request.Fingerprint)
+			}
 			s.set(a, "attempt", max(s.now, r.Deadline), func() {
 				s.settle(a)
 				s.removeRequest(r)
@@ -340,7 +344,9 @@
 	}
 	a.holds = false
 	a.endpoint.changed = true
-	s.bodyEnded(a.request.Fingerprint)
+	if !a.orphan {
+		s.bodyEnded(a.request.Fingerprint)
+	}
 	if s.isolatedAlone == a {
 		s.releaseIsolated()
 	}
--- a/internal/naive/naive.go
+++ b/internal/naive/naive.go
@@ -98,6 +98,7 @@
 	firstSeen bool
 	blamed    bool
 	holds     bool
+	orphan    bool
 }
 
 type endpoint struct {
--- a/internal/naive/suspect.go
+++ b/internal/naive/suspect.go
@@ -173,7 +173,7 @@
 		return false
 	}
 	return slices.ContainsFunc(s.attempts, func(a *attempt) bool {
-		return a.holds && a.request.Fingerprint == r.Fingerprint
+		return a.holds && !a.orphan && a.request.Fingerprint == r.Fingerprint
 	})
 }
 
@@ -200,7 +200,7 @@
 		return
 	}
 	for _, a := range s.attempts {
-		if a.holds && a.request.Fingerprint == fingerprint {
+		if a.holds && !a.orphan && a.request.Fingerprint == fingerprint {
 			return
 		}
 	}
