--- a/internal/naive/grant.go
+++ b/internal/naive/grant.go
@@ -32,15 +32,15 @@
 		}
 		e.changed = false
 	}
-	unseen := math.MaxInt
 	if len(changed) > 0 {
-		unseen = s.grantWaiting(changed)
+		s.grantWaiting(changed)
 	}
-	s.grantFresh(open, unseen)
+	s.grantFresh(open)
 	waiting := len(s.in(queued)) + len(s.in(held))
 	sweeping := slices.ContainsFunc(s.alarms, func(a alarm) bool { return a.kind == "sweep" })
 	if len(open) > 0 && waiting > 0 && !sweeping {
 		s.set(s, "sweep", s.now+rules.SweepEvery, func() {
+			s.unseen = math.MaxInt
 			for _, e := range s.endpoints {
 				e.changed = true
 			}
@@ -48,22 +48,19 @@
 	}
 }
 
-// grantWaiting returns the rank of which requests were not looked at, if any.
-func (s *Scheduler) grantWaiting(among []*endpoint) int {
+// grantWaiting notes the rank of which requests were not looked at, if any.
+func (s *Scheduler) grantWaiting(among []*endpoint) {
 	for _, rank := range s.ranks() {
 		s.grantHeld(rank, among)
 		seen, room := s.grantTier(rank, among)
 		if !room {
-			return math.MaxInt
+			return
 		}
 		if !seen {
-			for _, e := range among {
-				e.changed = true
-			}
-			return rank
+			s.unseen = min(s.unseen, rank)
+			return
 		}
 	}
-	return math.MaxInt
 }
 
 func (s *Scheduler) heldIn(rank int) []*request {
@@ -80,6 +77,10 @@
 func (s *Scheduler) grantHeld(rank int, among []*endpoint) {
 	for _, r := range s.heldIn(rank) {
 		waits := r.heldForHome && s.now < r.heldUntil && (!r.urgent || !s.spare())
+		candidates := among
+		if waits {
+			candidates = []*endpoint{r.home}
+		}
 		if waits && !slices.Contains(among, r.home) {
 			continue
 		}
@@ -87,7 +88,7 @@
 			s.park(r)
 			continue
 		}
-		p := s.place(r, among)
+		p := s.place(r, candidates)
 		if p.endpoint != nil && !s.atLimit(r.Team) {
 			s.withdraw(r)
 			s.issue(r, p, false)
@@ -164,13 +165,13 @@
 	}), true
 }
 
-func (s *Scheduler) grantFresh(open []*endpoint, unseen int) {
+func (s *Scheduler) grantFresh(open []*endpoint) {
 	fresh := s.fresh
 	s.fresh = nil
 	slices.SortStableFunc(fresh, func(a, b *request) int { return cmp.Compare(a.Rank, b.Rank) })
 	for _, r := range fresh {
 		switch {
-		case r.state != queued && r.state != held, r.Rank > unseen:
+		case r.state != queued && r.state != held, r.Rank > s.unseen:
 		case s.bodyBusy(r):
 			s.park(r)
 		case s.atLimit(r.Team):
--- a/internal/naive/naive.go
+++ b/internal/naive/naive.go
@@ -8,6 +8,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -50,6 +51,7 @@
 	totals              totals
 	sequence, attempted uint64
 	held, parked        uint64
+	unseen              int
 }
 
 // state is where a request stands.
@@ -153,6 +155,7 @@
 		surprise:  speed.NewSurprise(),
 		meter:     meter.New(),
 		attempted: c.Epoch << rules.AttemptBits,
+		unseen:    math.MaxInt,
 	}
 }
 
--- a/internal/pool/grant.go
+++ b/internal/pool/grant.go
@@ -17,18 +17,18 @@
 // by a sweep now and then.
 func (s *Scheduler) grant() {
 	changed := s.findOpen()
-	unseen := noRank
 	if len(changed) > 0 {
-		unseen = s.grantWaiting(changed)
+		s.grantWaiting(changed)
 	}
-	s.grantFresh(unseen)
+	s.grantFresh()
 	if len(s.open) > 0 && s.queue.size() > 0 && s.sweepTimer.index == 0 {
 		s.timers.set(&s.sweepTimer, s.now+rules.SweepEvery, s.sweep)
 	}
 }
 
-// sweep makes every endpoint count as changed.
+// sweep makes every endpoint count as changed and every request as seen.
 func (s *Scheduler) sweep() {
+	s.unseen = noRank
 	for _, e := range s.endpoints.rows {
 		e.changed = true
 	}
@@ -56,33 +56,29 @@
 
 // grantWaiting serves those that waited before with the changed endpoints. If
 // requests of a tier remain that were not looked at, what is free may be theirs:
-// lower tiers get nothing, the endpoints count as changed in the next step too,
-// and the tier's rank is returned; noRank otherwise.
-func (s *Scheduler) grantWaiting(among []*endpoint) int {
+// lower tiers get nothing, and new requests of lower tiers wait for the sweep.
+func (s *Scheduler) grantWaiting(among []*endpoint) {
 	for _, t := range s.queue.tiers {
 		s.grantHeld(t, among)
 		switch s.grantTier(t, among) {
 		case tierFull:
-			return noRank
+			return
 		case tierUnseen:
-			for _, e := range among {
-				e.changed = true
-			}
-			return t.rank
+			s.unseen = min(s.unseen, t.rank)
+			return
 		}
 	}
-	return noRank
 }
 
 // grantFresh serves the requests that were queued in this step, and those
 // whose wait for their endpoint is over, with all open endpoints. Those below
 // the rank unseen wait on.
-func (s *Scheduler) grantFresh(unseen int) {
+func (s *Scheduler) grantFresh() {
 	fresh := s.fresh
 	s.fresh = nil
 	slices.SortStableFunc(fresh, func(a, b *request) int { return cmp.Compare(a.Rank, b.Rank) })
 	for _, r := range fresh {
-		if r.phase != phaseQueued && r.phase != phaseHeld || r.Rank > unseen {
+		if r.phase != phaseQueued && r.phase != phaseHeld || r.Rank > s.unseen {
 			continue
 		}
 		if s.bodies.busy(r) {
@@ -108,7 +104,11 @@
 func (s *Scheduler) grantHeld(t *tierQueue, among []*endpoint) {
 	for i := 0; i < len(t.held); {
 		r := t.held[i]
-		if s.waitsForHome(r) && !slices.Contains(among, r.home) {
+		candidates := among
+		if s.waitsForHome(r) {
+			candidates = s.onlyHome(r, among)
+		}
+		if len(candidates) == 0 {
 			i++
 			continue
 		}
@@ -116,7 +116,7 @@
 			s.park(r)
 			continue
 		}
-		p := s.place(r, among)
+		p := s.place(r, candidates)
 		if p.endpoint == nil || t.teams[r.Team].team.atLimit() {
 			i++
 			continue
@@ -138,6 +138,15 @@
 	tierUnseen
 )
 
+// onlyHome returns the request's home if it is among some endpoints.
+func (s *Scheduler) onlyHome(r *request, among []*endpoint) []*endpoint {
+	if !slices.Contains(among, r.home) {
+		return nil
+	}
+	s.home[0] = r.home
+	return s.home[:]
+}
+
 // grantTier serves one tier until nothing more fits. Teams that can't be
 // served now are set aside and go back at the end.
 func (s *Scheduler) grantTier(t *tierQueue, among []*endpoint) tierResult {
--- a/internal/pool/scheduler.go
+++ b/internal/pool/scheduler.go
@@ -55,6 +55,11 @@
 	// working is the number of those endpoints, and longPrefills the number
 	// among them that have long prompts to prefill.
 	working, longPrefills int
+	// unseen is the rank of which requests were not looked at since the last
+	// sweep; noRank if there is none.
+	unseen int
+	// home is scratch space of onlyHome.
+	home [1]*endpoint
 	// scratch is the candidate that is looked at.
 	scratch candidate
 	// matched is scratch space of matchPrefix.
@@ -82,6 +87,7 @@
 		suspects:    newSuspectTable(),
 		bodies:      newBodyTable(),
 		running:     map[int]int{},
+		unseen:      noRank,
 		lastAttempt: c.Epoch << rules.AttemptBits,
 	}
 	s.queue = newQueue()
