Let the watcher be closed while control still steps

The race detector found Watcher.Close, called by the stop of a host, and Watcher.Set, called by control, on one map; a Set after Close would also have started goroutines that nobody waits for. Both take a lock now, and Set does nothing after Close. TestRunMeasuresHostsThatServe with -race failed on this before and passes now.

--- a/internal/capacity/deployment.go
+++ b/internal/capacity/deployment.go
@@ -67,9 +67,11 @@
 		return d.opts.Engines, nil
 	}
 	var err error
-	d.standins, err = StartStandins(d.opts.EngineCount)
+	if d.standins, err = StartStandins(d.opts.EngineCount); err != nil {
+		return nil, err
+	}
 	d.platform = d.standins.Platform
-	return d.standins.Engines, err
+	return d.standins.Engines, nil
 }
 
 // declare applies the resources in steps that the store takes.
--- a/internal/capacity/peer_test.go
+++ b/internal/capacity/peer_test.go
@@ -16,17 +16,22 @@
 	"github.com/trefoilchute/trefoilchute/internal/peer/peerpb"
 )
 
+// quietLog returns a logger that writes nothing.
+func quietLog() *logrus.Logger {
+	quiet := logrus.New()
+	quiet.SetOutput(io.Discard)
+	return quiet
+}
+
 // connect returns a transport and the number of messages that its peer "b" has
 // received.
 func connect(b *testing.B) (from *peer.Transport, received *atomic.Int64) {
 	b.Helper()
 	received = &atomic.Int64{}
-	quiet := logrus.New()
-	quiet.SetOutput(io.Discard)
 	start := func(name ident.Host, deliver func(*peerpb.Envelope)) *peer.Transport {
 		t, err := peer.New(peer.Options{
 			Host: name, Incarnation: 1, Domain: "d", Listen: anyPort,
-			Secret: []byte("s"), Deliver: deliver, Logger: quiet,
+			Secret: []byte("s"), Deliver: deliver, Logger: quietLog(),
 		})
 		if err != nil {
 			b.Fatal(err)
--- a/internal/capacity/standins.go
+++ b/internal/capacity/standins.go
@@ -45,16 +45,20 @@
 	Close() error
 }
 
-// StartStandins starts a platform and a number of engines. Close them also
-// after an error.
+// StartStandins starts a platform and a number of engines, or nothing if it
+// returns an error.
 func StartStandins(engines int) (*Standins, error) {
 	s := &Standins{}
 	address, err := s.serve(standin.New(standin.Options{HostLag: hostLag}))
 	if err != nil {
-		return s, err
+		return nil, err
 	}
 	s.Platform = "http://" + address
-	return s, s.startEngines(engines)
+	if err := s.startEngines(engines); err != nil {
+		s.Close()
+		return nil, err
+	}
+	return s, nil
 }
 
 // startEngines starts a number of engines.
--- a/internal/cli/capacity.go
+++ b/internal/cli/capacity.go
@@ -56,10 +56,10 @@
 			ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 			defer stop()
 			s, err := capacity.StartStandins(c.Int("engines"))
-			defer s.Close()
 			if err != nil {
 				return err
 			}
+			defer s.Close()
 			_, _ = fmt.Fprintf(c.Root().Writer, "--platform %s --engine %s\n", s.Platform, strings.Join(s.Engines, ","))
 			<-ctx.Done()
 			return nil
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -29,12 +30,15 @@
 	retryDelay = 1 * time.Second
 )
 
-// Watcher follows endpoints. It is used by one goroutine.
+// Watcher follows endpoints. It is safe for concurrent use.
 type Watcher struct {
-	post    func(control.Event)
-	client  *fasthttp.Client
-	group   conc.WaitGroup
+	post   func(control.Event)
+	client *fasthttp.Client
+	group  conc.WaitGroup
+
+	mu      sync.Mutex
 	running map[ident.Endpoint]watch
+	closed  bool
 }
 
 // watch is one followed endpoint.
@@ -54,8 +58,18 @@
 	}
 }
 
-// Set follows exactly the model engines of the list.
+// Set follows exactly the model engines of the list. After Close it does
+// nothing.
 func (w *Watcher) Set(list []resource.Endpoint) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.closed {
+		w.follow(list)
+	}
+}
+
+// follow follows exactly the model engines of the list. The lock is held.
+func (w *Watcher) follow(list []resource.Endpoint) {
 	wanted := map[ident.Endpoint]resource.Endpoint{}
 	for _, e := range list {
 		if e.Type == resource.EndpointEngine {
@@ -85,7 +99,10 @@
 
 // Close stops following and waits for the goroutines.
 func (w *Watcher) Close() {
-	w.Set(nil)
+	w.mu.Lock()
+	w.follow(nil)
+	w.closed = true
+	w.mu.Unlock()
 	w.group.Wait()
 	w.client.CloseIdleConnections()
 }
