--- a/internal/capacity/deployment.go
+++ b/internal/capacity/deployment.go
@@ -27,7 +27,7 @@
 
 	readyTimeout = time.Minute
 	readyPoll    = 100 * time.Millisecond
-	drainGrace   = 2 * time.Second
+	drainGrace   = 10 * time.Second
 	tierDeadline = time.Minute
 	maxQueued    = 10_000
 	maxBody      = 1 << 20
