--- a/internal/capacity/deployment.go
+++ b/internal/capacity/deployment.go
@@ -27,7 +27,7 @@
 
 	readyTimeout = time.Minute
 	readyPoll    = 100 * time.Millisecond
-	drainGrace   = 2 * time.Second
+	drainGrace   = 10 * time.Second
 	tierDeadline = time.Minute
 	maxQueued    = 10_000
 	maxBody      = 1 << 20
@@ -67,9 +67,11 @@
 		return d.opts.Engines, nil
 	}
 	var err error
-	d.standins, err = StartStandins(d.opts.EngineCount)
+	if d.standins, err = StartStandins(d.opts.EngineCount); err != nil {
+		return nil, err
+	}
 	d.platform = d.standins.Platform
-	return d.standins.Engines, err
+	return d.standins.Engines, nil
 }
 
 // declare applies the resources in steps that the store takes.
