Forget a suspect that was cleared

Cause: a cleared suspect is published with no crashes, which hosts took for old news and kept; a new scheduler isolated it again. Shown: the new test fails without the change at its last step.

--- a/internal/system/scheduling/receive.go
+++ b/internal/system/scheduling/receive.go
@@ -219,10 +219,15 @@
 	}
 }
 
-// keepSuspect records a suspect and reports whether that was news.
+// keepSuspect records a suspect and reports whether that was news. One without
+// crashes was cleared.
 func (s *System) keepSuspect(x pool.Suspect) bool {
 	key := suspectKey{x.KeyHash, x.Fingerprint}
 	old, known := s.suspects[key]
+	if x.Crashes == 0 && !x.Quarantined {
+		delete(s.suspects, key)
+		return known
+	}
 	if known && old.Crashes >= x.Crashes && (old.Quarantined || !x.Quarantined) {
 		return false
 	}
--- /dev/null
+++ b/internal/system/scheduling/suspect_test.go
@@ -0,0 +1,34 @@
+package scheduling
+
+import (
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/trefoilchute/trefoilchute/internal/pool"
+)
+
+// TestSuspectsAreKeptUntilCleared checks what a host tells a new scheduler.
+func TestSuspectsAreKeptUntilCleared(t *testing.T) {
+	g := NewWithT(t)
+	s := New(Config{})
+	one := pool.Suspect{KeyHash: 1, Fingerprint: 2, Crashes: 1}
+	two := pool.Suspect{KeyHash: 1, Fingerprint: 2, Crashes: 2, Quarantined: true}
+	cleared := pool.Suspect{KeyHash: 1, Fingerprint: 2}
+	steps := []struct {
+		suspect pool.Suspect
+		news    bool
+		kept    []pool.Suspect
+	}{
+		{cleared, false, nil},
+		{one, true, []pool.Suspect{one}},
+		{one, false, []pool.Suspect{one}},
+		{two, true, []pool.Suspect{two}},
+		{one, false, []pool.Suspect{two}},
+		{cleared, true, nil},
+	}
+	for i, step := range steps {
+		g.Expect(s.keepSuspect(step.suspect)).To(Equal(step.news), "step %d", i)
+		g.Expect(s.suspectList()).To(Equal(step.kept), "step %d", i)
+	}
+}
