Lose a connection's end too when the path has lost it

The test of a silent link failed 6 times in 60 runs under load: the other host found the silence first and closed, and the test's path passed that on, which no path that lost the connection would. The restarted peer of another test gets an IP of its own, so that its port can't be taken in between.

--- a/internal/peer/transport_test.go
+++ b/internal/peer/transport_test.go
@@ -117,28 +117,33 @@
 	return b
 }
 
-// copy passes bytes; the first connection's are lost once swallow is set.
+// copy passes bytes; the first connection's are lost once swallow is set, and
+// so is its end.
 func (b *blackHole) copy(to, from net.Conn, serial int) {
-	defer func() { _ = to.Close() }()
 	buf := make([]byte, 4096)
 	for {
 		n, err := from.Read(buf)
-		b.mu.Lock()
-		lost := b.swallow && serial == 1
-		b.mu.Unlock()
+		lost := b.lost(serial)
 		if err != nil {
+			if !lost {
+				_ = to.Close()
+			}
 			return
 		}
-		if lost {
-			continue
-		}
-		if _, err := to.Write(buf[:n]); err != nil {
-			return
+		if !lost {
+			_, _ = to.Write(buf[:n])
 		}
 	}
 }
 
-func (b *blackHole) close1() {
+func (b *blackHole) lost(serial int) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.swallow && serial == 1
+}
+
+// swallowFirst loses all that is sent over the first connection from now on.
+func (b *blackHole) swallowFirst() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.swallow = true
@@ -249,16 +254,18 @@
 		a.SetPeers(map[ident.Host]string{"b": hole.Addr().String()})
 		a.Send("b", ping(1))
 		Eventually(func() []uint64 { return b.pings("a") }, wide).Should(ContainElement(uint64(1)))
-		hole.close1()
+		hole.swallowFirst()
 		Eventually(func() []uint64 {
 			a.Send("b", ping(2))
 			return b.pings("a")
 		}, wide, 20*time.Millisecond).Should(ContainElement(uint64(2)))
-		Expect(a.Stats().Silent).To(BeNumerically(">=", 1))
+		Eventually(func() uint64 { return a.Stats().Silent }, wide).Should(BeNumerically(">=", 1))
+		Eventually(func() uint64 { return b.Stats().Silent }, wide).Should(BeNumerically(">=", 1))
 	})
 
 	It("reaches a peer that came back with a new incarnation", func() {
-		a, b := start("a", 1, nil), start("b", 1, nil)
+		// An IP of its own, so that no other process takes the port meanwhile.
+		a, b := start("a", 1, nil), start("b", 1, func(o *Options) { o.Listen = "127.77.0.1:0" })
 		address := b.Addr()
 		a.SetPeers(map[ident.Host]string{"b": address})
 		a.Send("b", ping(1))
