--- a/internal/system/scheduling/scheduling.go
+++ b/internal/system/scheduling/scheduling.go
@@ -97,8 +97,7 @@
 	return out
 }
 
-// Configure brings a new configuration to every pool and drops the pools that
-// are no longer declared once they are empty.
+// Configure brings a new configuration to every pool.
 func (s *System) Configure(now time.Duration, snap *resource.Snapshot, out *system.Outbox) {
 	s.snapshot = snap
 	for _, p := range s.owned() {
@@ -194,7 +193,7 @@
 }
 
 // reviewHosts drops what dead hosts had, and the pool itself some time after it
-// moved to another host.
+// moved to another host or out of the configuration.
 func (s *System) reviewHosts(now time.Duration, in *instance, out *system.Outbox) {
 	alive := s.cfg.View.Alive()
 	for _, h := range in.hosts() {
@@ -206,7 +205,7 @@
 	}
 	s.step(now, in, out)
 	host, ok := s.cfg.View.Scheduler(in.pool)
-	moved := !ok || host != s.cfg.Self
+	moved := !ok || host != s.cfg.Self || !slices.Contains(s.Declared(), in.pool)
 	if moved && in.movedAt == 0 {
 		in.movedAt = now
 	}
