--- a/internal/system/keyledger/hosts.go
+++ b/internal/system/keyledger/hosts.go
@@ -117,11 +117,11 @@
 }
 
 // domainCutOff reports whether this host's whole domain, and not this host
-// alone, is on one side of a cut that the other side has noticed too. Only
+// alone, is on one side of a cut that the other side had noticed too at a time. Only
 // hosts of its own domain could take this host for dead; when it has lost none
 // of them, none has.
-func (h *hostSets) domainCutOff(now time.Duration, view View) bool {
-	if !h.cut || view.Fresh() || now-h.cutSince < CutAgreement {
+func (h *hostSets) domainCutOff(at time.Duration, view View) bool {
+	if !h.cut || view.Fresh() || at-h.cutSince < CutAgreement {
 		return false
 	}
 	return view.Intact(h.cutSince - membership.ReachTimeout - membership.DeathTimeout)
--- a/internal/system/keyledger/run.go
+++ b/internal/system/keyledger/run.go
@@ -81,9 +81,9 @@
 func (s *System) overdue(now time.Duration, q *question) bool {
 	waited := now - q.asked
 	switch {
-	case q.FirstAttempt && s.attemptProves(now, q):
+	case q.FirstAttempt && s.attemptProves(q):
 		return waited >= AttemptTimeout
-	case s.hosts.cut && !q.FirstAttempt:
+	case s.hosts.cut:
 		return waited >= CutTimeout
 	default:
 		return waited >= ProofTimeout
@@ -93,16 +93,16 @@
 // attemptProves reports whether the caller's word that the key is new suffices
 // without all holders. A later attempt must then find the note, or be told
 // that it can't be found out: either another host that is sure to be a holder
-// has noted the run, or the whole domain is cut off and the other side knows
-// it.
-func (s *System) attemptProves(now time.Duration, q *question) bool {
+// has noted the run, or the whole domain was cut off and the other side knew it
+// when the request came.
+func (s *System) attemptProves(q *question) bool {
 	for _, h := range q.holders {
 		a := q.answers[h]
 		if h.host != s.cfg.Self && a.GetFirst() && a.GetSettled() {
 			return true
 		}
 	}
-	return s.hosts.domainCutOff(now, s.cfg.View)
+	return s.hosts.domainCutOff(q.asked, s.cfg.View)
 }
 
 // noteOf returns the message that notes a run. The custodian is empty when the
@@ -207,7 +207,7 @@
 // expireQuestion ends a question that the holders have left open: by the
 // caller's word that the key is new, or unproven.
 func (s *System) expireQuestion(now time.Duration, q *question, out *system.Outbox) {
-	if q.FirstAttempt && s.attemptProves(now, q) {
+	if q.FirstAttempt && s.attemptProves(q) {
 		s.finish(now, q, Result{Outcome: First, ByAttempt: true}, out)
 		return
 	}
