--- a/internal/traffic/job.go
+++ b/internal/traffic/job.go
@@ -31,7 +31,9 @@
 	// Keyed says that a resend may ask for the answer.
 	Keyed bool
 
-	run    atomic.Pointer[Run]
+	run atomic.Pointer[Run]
+	// heard says that the custodian of a joined request sent word.
+	heard  atomic.Bool
 	ctx    context.Context
 	cancel context.CancelFunc
 
--- a/internal/traffic/join.go
+++ b/internal/traffic/join.go
@@ -1,6 +1,7 @@
 package traffic
 
 import (
+	"sync"
 	"time"
 
 	"github.com/trefoilchute/trefoilchute/internal/answer"
@@ -14,10 +15,46 @@
 	// joinRetry is how long a joiner waits for the next part before it asks
 	// again.
 	joinRetry = 2 * time.Second
-	// joinTries bounds the asking without any part coming.
+	// joinTries bounds the asking without any word from the custodian.
 	joinTries = 4
+	// indexWaiting is the index of a part without data that says that the
+	// custodian has the request, though no part may have come yet.
+	indexWaiting = -1
 )
 
+// joins numbers the wishes of the joiners that this host serves, so that the
+// latest of a joiner replaces the ones before.
+type joins struct {
+	mu     sync.Mutex
+	latest map[string]uint64
+	count  uint64
+}
+
+// begin returns the number of a joiner's new wish.
+func (t *joins) begin(joiner string) uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.count++
+	t.latest[joiner] = t.count
+	return t.count
+}
+
+// current says whether a wish was not replaced.
+func (t *joins) current(joiner string, number uint64) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.latest[joiner] == number
+}
+
+// end forgets a wish that was served.
+func (t *joins) end(joiner string, number uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.latest[joiner] == number {
+		delete(t.latest, joiner)
+	}
+}
+
 // Join lets a job take part in the answer of an earlier request with its key,
 // here or at another host.
 func (r *Runner) Join(j control.Join) {
@@ -34,7 +71,12 @@
 		job.Answer.Finish(noLongerKept())
 		return
 	}
-	r.group.Go(func() { follow(first.Answer, 0, job.Answer.Append, job.Answer.Finish) })
+	part := func(b []byte) bool {
+		job.Answer.Append(b)
+		return true
+	}
+	end := func(f answer.Final) { job.Answer.Finish(f) }
+	r.group.Go(func() { follow(first.Answer, 0, part, end) })
 }
 
 // noLongerKept ends a join whose answer was dropped to make room.
@@ -44,8 +86,9 @@
 	}
 }
 
-// follow copies an answer from a part on until it ends.
-func follow(from *answer.Answer, i int, part func([]byte), end func(answer.Final) bool) {
+// follow copies an answer from a part on until it ends, or until part returns
+// false.
+func follow(from *answer.Answer, i int, part func([]byte) bool, end func(answer.Final)) {
 	for ; ; i++ {
 		v := from.At(i)
 		for !v.Has && v.Final == nil {
@@ -56,7 +99,9 @@
 			end(*v.Final)
 			return
 		}
-		part(v.Part)
+		if !part(v.Part) {
+			return
+		}
 	}
 }
 
@@ -71,7 +116,7 @@
 		if awaitEnd(job.Answer) {
 			return
 		}
-		if job.Answer.Len() > before {
+		if heard := job.heard.Swap(false); heard || job.Answer.Len() > before {
 			tries = 0
 		}
 	}
@@ -115,6 +160,8 @@
 
 // serveJoin sends an answer of this host to a joiner at another.
 func (r *Runner) serveJoin(to ident.Host, m *peerpb.Join) {
+	number := r.joins.begin(m.GetJoiner())
+	defer r.joins.end(m.GetJoiner(), number)
 	index := m.GetFromPart()
 	send := func(p *peerpb.Part) {
 		p.Joiner = m.GetJoiner()
@@ -122,27 +169,39 @@
 		index++
 		r.opts.Send(to, peerpb.Wrap(&peerpb.Envelope_Part{Part: p}))
 	}
-	end := func(f answer.Final) bool {
+	end := func(f answer.Final) {
 		send(&peerpb.Part{
 			Last: true, Code: int32(f.Code), Reason: f.Reason,
 			RetryAfterUs: f.RetryAfter.Microseconds(), Status: int32(f.Status),
 			ContentType: f.ContentType,
 		})
-		return true
 	}
 	job := r.jobs.get(ident.Request(m.GetRequest()))
 	if job == nil {
 		end(noLongerKept())
 		return
 	}
-	follow(job.Answer, int(index), func(b []byte) { send(&peerpb.Part{Data: b}) }, end)
+	r.opts.Send(to, peerpb.Wrap(&peerpb.Envelope_Part{Part: &peerpb.Part{
+		Joiner: m.GetJoiner(), Index: indexWaiting,
+	}}))
+	follow(job.Answer, int(index), func(b []byte) bool {
+		if !r.joins.current(m.GetJoiner(), number) {
+			return false
+		}
+		send(&peerpb.Part{Data: b})
+		return true
+	}, end)
 }
 
 // takePart adds a part to a joiner's answer. Parts that came already, or before
 // one that is missing, are dropped: the joiner asks again.
 func (r *Runner) takePart(m *peerpb.Part) {
 	job := r.jobs.get(ident.Request(m.GetJoiner()))
-	if job == nil || int(m.GetIndex()) != job.Answer.Len() {
+	if job == nil {
+		return
+	}
+	job.heard.Store(true)
+	if int(m.GetIndex()) != job.Answer.Len() {
 		return
 	}
 	if !m.GetLast() {
--- a/internal/traffic/runner.go
+++ b/internal/traffic/runner.go
@@ -32,6 +32,7 @@
 	conns     *endpoint.Pool
 	jobs      jobs
 	retention retention
+	joins     joins
 	group     conc.WaitGroup
 }
 
@@ -41,6 +42,7 @@
 		opts:  opts,
 		conns: endpoint.NewPool(),
 		jobs:  jobs{rows: map[ident.Request]*Job{}},
+		joins: joins{latest: map[string]uint64{}},
 	}
 }
 
@@ -139,7 +141,7 @@
 	// boot is the engine's incarnation that the request was sent to; empty if it
 	// isn't known.
 	boot string
-	end   custody.End
+	end  custody.End
 }
 
 // finish ends the job: the answer first, so that the caller doesn't wait for
