--- a/test/traffic/bench_test.go
+++ b/test/traffic/bench_test.go
@@ -49,11 +49,13 @@
 	address string
 }
 
-// libraryWorkers are goroutines that fasthttp starts once in a process and never
-// ends.
+// libraryWorkers are goroutines of fasthttp's own: two that it starts once in a
+// process, and the sweeper of a server's idle workers, which looks for the
+// server's end every 10 seconds only.
 var libraryWorkers = Or(
 	gleak.IgnoringCreator("github.com/valyala/fasthttp.updateServerDate"),
 	gleak.IgnoringCreator("github.com/valyala/fasthttp.(*TCPDialer).startTCPAddrsClean"),
+	gleak.IgnoringCreator("github.com/valyala/fasthttp.(*workerPool).Start"),
 )
 
 // newBench starts a traffic side before an engine of a decode rate in tokens
