--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -45,8 +45,11 @@
 		name string
 		to   any
 	}{
-		{memberModel, &m.model}, {memberMessages, &m.messages}, {memberStream, &m.stream},
-		{memberMaxTokens, &m.maxTokens}, {memberMaxCompletionTokens, &m.maxCompletionTokens},
+		{memberModel, &m.model},
+		{memberMessages, &m.messages},
+		{memberStream, &m.stream},
+		{memberMaxTokens, &m.maxTokens},
+		{memberMaxCompletionTokens, &m.maxCompletionTokens},
 	}
 	for _, member := range into {
 		raw, ok := m.members[member.name]
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -140,7 +140,6 @@
 	return nil
 }
 
-
 // readChat takes a chat completion in. The endpoint is always asked for a
 // stream, so that an answer can be checked and resumed.
 func (p *parsed) readChat(x *index, body []byte) error {
