--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -22,6 +22,8 @@
 	came   time.Duration
 	first  time.Duration
 	gone   bool
+	// checked is when the caller was last looked at.
+	checked time.Time
 }
 
 // next waits for the part at position i or the end of the answer. Meanwhile it
@@ -31,6 +33,7 @@
 		v := e.parsed.job.Answer.At(i)
 		if v.Has || v.Final != nil {
 			e.noteFirst(v)
+			e.checkCaller()
 			return v
 		}
 		timer := time.NewTimer(callerCheck)
@@ -50,9 +53,15 @@
 	}
 }
 
-// checkCaller tells control once that the caller has left.
+// checkCaller tells control once that the caller has left. It looks at most
+// every callerCheck, also while parts come faster than that.
 func (e *exchange) checkCaller() {
-	if !e.gone && sockpeek.Closed(e.conn) {
+	now := time.Now()
+	if e.gone || now.Sub(e.checked) < callerCheck {
+		return
+	}
+	e.checked = now
+	if sockpeek.Closed(e.conn) {
 		e.leave()
 	}
 }
