--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -50,16 +50,26 @@
 
 	snapshot    *resource.Snapshot
 	viewVersion uint64
+	duties      duties
 	// paused says that the view of the hosts may be stale.
 	paused  bool
 	watched []resource.Endpoint
+	// watchDue is when the endpoints to watch are looked through again.
+	watchDue time.Duration
 	// gated holds what claims and keys need to know of the requests in custody.
 	gated map[ident.Request]custody.Arrival
+	// heard is when each host's last message came.
+	heard map[ident.Host]time.Duration
+	// adopted holds the claims of dead holders whose answers are being rescued.
+	adopted map[ident.Request]adoption
 }
 
 // New returns a core that knows no other host and no configuration.
 func New(cfg Config) *Core {
-	c := &Core{cfg: cfg, gated: map[ident.Request]custody.Arrival{}}
+	c := &Core{
+		cfg: cfg, gated: map[ident.Request]custody.Arrival{}, adopted: map[ident.Request]adoption{},
+		heard: map[ident.Host]time.Duration{},
+	}
 	c.members = membership.New(membership.Config{
 		Self: cfg.Self, Incarnation: cfg.Incarnation, Domain: cfg.Domain,
 		Address: cfg.Address, Seed: cfg.Seed,
@@ -144,6 +154,12 @@
 		c.effect.Peers = c.peerAddresses()
 	case Leave:
 		c.members.Leave(c.now, &c.out)
+	case JoinLost:
+		c.rescue(e.Join.ID, e.Join.Request, e.Join.Target)
+	case Rescued:
+		c.rescued(e)
+	case Changed:
+		c.configuration.Adopt(c.now, e.Snapshot, &c.out)
 	case Ordered:
 		c.orders.Event(c.now, e.Event, &c.out)
 	case Depart:
@@ -175,10 +191,11 @@
 func (c *Core) tick() {
 	c.members.Tick(c.now, &c.out)
 	c.configuration.Tick(c.now, &c.out)
-	c.claims.Sweep(c.now, c.wall, c.sweeps())
+	c.reviewDuties()
+	c.claims.Sweep(c.now, c.wall, c.duties.sweep)
 	c.claims.Tick(c.now, &c.out)
 	c.keys.Tick(c.now, &c.out)
-	c.orders.Own(c.sendsOrders())
+	c.orders.Own(c.duties.orders)
 	c.orders.Tick(c.now, &c.out)
 	c.custody.Tick(c.now, &c.out)
 	c.scheduling.Tick(c.now, &c.out)
@@ -225,6 +242,7 @@
 		return false
 	}
 	c.snapshot = snap
+	c.watchDue = c.now
 	c.effect.Snapshot = snap
 	c.members.SetRevision(snap.Revision)
 	c.scheduling.Configure(c.now, snap, &c.out)
@@ -238,13 +256,20 @@
 		return false
 	}
 	c.viewVersion = c.members.Version()
+	c.watchDue = c.now
 	c.effect.Peers = c.peerAddresses()
 	c.scheduling.Reassign(c.now, &c.out)
 	return true
 }
 
-// noteWatch reports when other endpoints are to be watched.
+// noteWatch reports when other endpoints are to be watched. It looks at once
+// after a change of the configuration or of the hosts, and otherwise once in
+// watchInterval, as it goes through every endpoint.
 func (c *Core) noteWatch() {
+	if c.now < c.watchDue {
+		return
+	}
+	c.watchDue = c.now + watchInterval
 	list := c.scheduling.Endpoints()
 	if slices.Equal(list, c.watched) {
 		return
@@ -277,6 +302,9 @@
 	minSleep = 1 * time.Millisecond
 	// maxSleep bounds how long the loop sleeps.
 	maxSleep = 1 * time.Second
+	// watchInterval is the longest time in which a pool taken over or given up
+	// for another reason than a change of the hosts isn't noticed.
+	watchInterval = 1 * time.Second
 )
 
 // Busy returns the number of requests waiting and dispatched, and of claims
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -7,6 +7,7 @@
 	"encoding/binary"
 	"encoding/hex"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -23,28 +24,15 @@
 	"github.com/trefoilchute/trefoilchute/internal/peer"
 	"github.com/trefoilchute/trefoilchute/internal/peer/peerpb"
 	"github.com/trefoilchute/trefoilchute/internal/platform"
+	"github.com/trefoilchute/trefoilchute/internal/report"
 	"github.com/trefoilchute/trefoilchute/internal/resource"
 	"github.com/trefoilchute/trefoilchute/internal/settings"
 	"github.com/trefoilchute/trefoilchute/internal/traffic"
 	"github.com/trefoilchute/trefoilchute/internal/watcher"
 )
 
-const (
-	// listInterval is the time between two looks at the platform's host list,
-	// and firstListInterval that between the first ones, while hosts that start
-	// together don't know each other.
-	listInterval      = 5 * time.Second
-	firstListInterval = 500 * time.Millisecond
-	// firstLists is the number of the first looks.
-	firstLists = 10
-	// balancerDelay is how long a stopping host still takes new callers, while
-	// the balancer notices that it isn't ready.
-	balancerDelay = 2 * time.Second
-	// nonceBytes is the length of a claim's nonce.
-	nonceBytes = 16
-	// drainPoll is the time between two looks at what a stopping host has left.
-	drainPoll = 50 * time.Millisecond
-)
+// nonceBytes is the length of a claim's nonce.
+const nonceBytes = 16
 
 // Host is the process of an entry host.
 type Host struct {
@@ -62,6 +50,9 @@
 	watcher *watcher.Watcher
 	orders  *ordering.Executor
 	metrics *metrics.Metrics
+	burn    *report.Collector
+	buckets *report.Writer
+	trace   *traceFile
 	book    *explain.Book
 	backend *backend
 
@@ -71,6 +62,8 @@
 	// life ends with the process's work; end ends it.
 	life context.Context
 	end  context.CancelFunc
+	// stopping says that a planned stop has begun.
+	stopping atomic.Bool
 	// assembled is closed when messages of other hosts can be taken.
 	assembled chan struct{}
 	// done is closed when Run has ended.
@@ -109,6 +102,11 @@
 	return h.entryListener.Addr().String()
 }
 
+// PeerStats returns the counters of the transport to the other hosts.
+func (h *Host) PeerStats() peer.Stats {
+	return h.peers.Stats()
+}
+
 // Wait waits until Run has ended.
 func (h *Host) Wait() {
 	<-h.done
@@ -182,11 +180,20 @@
 		Runner: h.runner, Now: h.loop.Now, Observe: h.observe,
 		Metrics: h.metrics.Handler(),
 	})
+	if h.trace, err = openTrace(h.settings.Trace); err != nil {
+		return err
+	}
+	table, objects := h.metrics.Table(h.client), h.metrics.Objects(h.client)
+	h.burn = report.NewCollector(h.settings.Host, h.incarnation, time.Now())
+	h.buckets = report.NewWriter(h.burn, objects, h.log)
+	store := resource.NewStore(table)
+	store.Notify(func(snap *resource.Snapshot) { h.loop.Post(control.Changed{Snapshot: snap}) })
 	h.admin = admin.New(h.backend, admin.Options{
-		Store: resource.NewStore(h.client), Token: h.settings.AdminToken,
+		Store: store, Token: h.settings.AdminToken,
+		Reports: report.NewReader(h.burn, objects),
 	})
 	h.loop.Connect(control.Ports{
-		Table: h.metrics.Table(h.client), Objects: h.metrics.Objects(h.client), Send: h.send, SetPeers: h.peers.SetPeers,
+		Table: table, Objects: objects, Send: h.send, SetPeers: h.peers.SetPeers,
 		Traffic: h.runner, Configure: h.configure, Watch: h.watcher.Set, Record: h.record,
 		Order: h.orders.Do,
 	})
@@ -201,6 +208,7 @@
 // configure brings a configuration into force on the traffic side.
 func (h *Host) configure(snap *resource.Snapshot) {
 	h.backend.snapshot.Store(snap)
+	h.burn.Configure(snap)
 	h.entry.Configure(snap)
 	logs.With(h.log, logs.ConfigurationInForce).WithField("revision", snap.Revision).Info()
 }
@@ -211,6 +219,7 @@
 	defer h.end()
 	h.group.Go(func() { h.loop.Run(h.life) })
 	h.group.Go(func() { h.followHostList(h.life) })
+	h.group.Go(func() { h.buckets.Run(h.life) })
 	failed := make(chan error, 2)
 	h.group.Go(func() { failed <- h.entry.Serve(h.entryListener) })
 	h.group.Go(func() { failed <- h.admin.Serve(h.adminListener) })
@@ -229,94 +238,11 @@
 	h.peers.Close()
 	h.group.Wait()
 	h.client.Close()
+	h.trace.close()
 	logs.With(h.log, logs.Stopped).Info()
 	return err
 }
 
-// stop ends the service without cutting a request: readiness off, the pools to
-// other hosts, what waits and runs to its end, then out of the membership.
-func (h *Host) stop() {
-	logs.With(h.log, logs.Stopping).Info()
-	limit := time.Now().Add(h.settings.DrainGrace)
-	h.entry.Drain()
-	h.loop.Post(control.Leave{})
-	time.Sleep(min(balancerDelay, h.settings.DrainGrace))
-	shut := make(chan error, 1)
-	h.group.Go(func() { shut <- h.entry.Shutdown() })
-	h.awaitIdle(limit)
-	ctx, cancel := context.WithDeadline(context.Background(), limit.Add(balancerDelay))
-	defer cancel()
-	if err := h.admin.Shutdown(ctx); err != nil {
-		logs.With(h.log, logs.AdminShutdown).WithError(err).Warn()
-	}
-	select {
-	case <-shut:
-	case <-ctx.Done():
-		logs.With(h.log, logs.CallersCut).Warn()
-	}
-	h.loop.Post(control.Depart{})
-	_ = h.loop.Inspect(ctx, func(*control.Core) {})
-	h.watcher.Close()
-	h.orders.Wait()
-	h.runner.Wait()
-}
-
-// awaitIdle waits until nothing is in custody, no caller is served and the
-// table has every claim's answer, or until the limit.
-func (h *Host) awaitIdle(limit time.Time) {
-	for time.Now().Before(limit) {
-		var left int
-		ctx, cancel := context.WithDeadline(context.Background(), limit)
-		err := h.loop.Inspect(ctx, func(c *control.Core) {
-			waiting, dispatched, claims := c.Busy()
-			left = waiting + dispatched + claims
-		})
-		cancel()
-		if err == nil && left == 0 && h.entry.Active() == 0 {
-			return
-		}
-		time.Sleep(drainPoll)
-	}
-}
-
-// followHostList registers this host with the platform and reads its list.
-func (h *Host) followHostList(ctx context.Context) {
-	for _, address := range h.settings.Seeds {
-		h.peers.Hint(address)
-	}
-	ticker := time.NewTicker(firstListInterval)
-	defer ticker.Stop()
-	for looks := 1; ; looks++ {
-		h.exchangeHostList(ctx)
-		if looks == firstLists {
-			ticker.Reset(listInterval)
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-	}
-}
-
-// exchangeHostList makes one exchange with the platform's host list. Failures
-// are left to the next one: the list is only a seed.
-func (h *Host) exchangeHostList(ctx context.Context) {
-	own := platform.HostEntry{
-		Host: string(h.settings.Host), Domain: string(h.settings.Domain), Address: h.peers.Addr(),
-	}
-	if err := h.client.Register(ctx, own); err != nil {
-		logs.With(h.log, logs.HostList).WithError(err).Debug()
-		return
-	}
-	list, err := h.client.ListHosts(ctx)
-	if err != nil {
-		logs.With(h.log, logs.HostList).WithError(err).Debug()
-		return
-	}
-	h.loop.Post(control.Listed{Hosts: list})
-}
-
 // nonce returns a random value for a claim.
 func nonce() string {
 	var b [nonceBytes]byte
--- a/internal/pool/grant.go
+++ b/internal/pool/grant.go
@@ -2,19 +2,10 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
-	"time"
-)
 
-const (
-	// maxHeld is the most requests of a tier that wait for their endpoint.
-	maxHeld = 16
-	// maxLook is the most teams of a tier looked at in one step without a
-	// grant.
-	maxLook = 16
-	// sweepEvery is the time after which every waiting request is held against
-	// every open endpoint again, because estimates change with time.
-	sweepEvery = 250 * time.Millisecond
+	"github.com/trefoilchute/trefoilchute/internal/pool/rules"
 )
 
 // grant gives free slots to waiting requests: strict tiers, in a tier the team
@@ -31,12 +22,13 @@
 	}
 	s.grantFresh()
 	if len(s.open) > 0 && s.queue.size() > 0 && s.sweepTimer.index == 0 {
-		s.timers.set(&s.sweepTimer, s.now+sweepEvery, s.sweep)
+		s.timers.set(&s.sweepTimer, s.now+rules.SweepEvery, s.sweep)
 	}
 }
 
-// sweep makes every endpoint count as changed.
+// sweep makes every endpoint count as changed and every request as seen.
 func (s *Scheduler) sweep() {
+	s.unseen = noRank
 	for _, e := range s.endpoints.rows {
 		e.changed = true
 	}
@@ -59,24 +51,34 @@
 	return s.changed
 }
 
-// grantWaiting serves those that waited before with the changed endpoints.
+// noRank is a rank below that of every request.
+const noRank = math.MaxInt
+
+// grantWaiting serves those that waited before with the changed endpoints. If
+// requests of a tier remain that were not looked at, what is free may be theirs:
+// lower tiers get nothing, and new requests of lower tiers wait for the sweep.
 func (s *Scheduler) grantWaiting(among []*endpoint) {
 	for _, t := range s.queue.tiers {
 		s.grantHeld(t, among)
-		if !s.grantTier(t, among) {
+		switch s.grantTier(t, among) {
+		case tierFull:
+			return
+		case tierUnseen:
+			s.unseen = min(s.unseen, t.rank)
 			return
 		}
 	}
 }
 
 // grantFresh serves the requests that were queued in this step, and those
-// whose wait for their endpoint is over, with all open endpoints.
+// whose wait for their endpoint is over, with all open endpoints. Those below
+// the rank unseen wait on.
 func (s *Scheduler) grantFresh() {
 	fresh := s.fresh
 	s.fresh = nil
 	slices.SortStableFunc(fresh, func(a, b *request) int { return cmp.Compare(a.Rank, b.Rank) })
 	for _, r := range fresh {
-		if r.phase != phaseQueued && r.phase != phaseHeld {
+		if r.phase != phaseQueued && r.phase != phaseHeld || r.Rank > s.unseen {
 			continue
 		}
 		if s.bodies.busy(r) {
@@ -102,11 +104,19 @@
 func (s *Scheduler) grantHeld(t *tierQueue, among []*endpoint) {
 	for i := 0; i < len(t.held); {
 		r := t.held[i]
+		candidates := among
+		if s.waitsForHome(r) {
+			candidates = s.onlyHome(r, among)
+		}
+		if len(candidates) == 0 {
+			i++
+			continue
+		}
 		if s.bodies.busy(r) {
 			s.park(r)
 			continue
 		}
-		p := s.place(r, among)
+		p := s.place(r, candidates)
 		if p.endpoint == nil || t.teams[r.Team].team.atLimit() {
 			i++
 			continue
@@ -116,17 +126,36 @@
 	}
 }
 
+// tierResult says how serving a tier ended.
+type tierResult int
+
+const (
+	// tierServed means that no request of the tier suits an endpoint.
+	tierServed tierResult = iota
+	// tierFull means that no endpoint has a free slot.
+	tierFull
+	// tierUnseen means that requests remain that were not looked at.
+	tierUnseen
+)
+
+// onlyHome returns the request's home if it is among some endpoints.
+func (s *Scheduler) onlyHome(r *request, among []*endpoint) []*endpoint {
+	if !slices.Contains(among, r.home) {
+		return nil
+	}
+	s.home[0] = r.home
+	return s.home[:]
+}
+
 // grantTier serves one tier until nothing more fits. Teams that can't be
-// served now are set aside and go back at the end. It returns false if
-// requests remain that were not looked at: what is free may be theirs, so that
-// lower tiers get nothing.
-func (s *Scheduler) grantTier(t *tierQueue, among []*endpoint) bool {
+// served now are set aside and go back at the end.
+func (s *Scheduler) grantTier(t *tierQueue, among []*endpoint) tierResult {
 	var aside []*teamQueue
-	whole := false
-	for look := maxLook; look > 0; {
+	out := tierUnseen
+	for look := rules.MaxLook; look > 0; {
 		tq := t.popTeam()
 		if tq == nil {
-			whole = true
+			out = tierServed
 			break
 		}
 		if tq.team.atLimit() {
@@ -141,13 +170,14 @@
 		aside = append(aside, tq)
 		look--
 		if !room {
+			out = tierFull
 			break
 		}
 	}
 	for _, tq := range aside {
 		t.putBack(tq)
 	}
-	return whole
+	return out
 }
 
 // grantHead deals with a team's first request. It returns false if it still
@@ -181,7 +211,8 @@
 // that others can have these. It returns false if too many are held.
 func (s *Scheduler) keep(r *request, p placement) bool {
 	t := s.queue.tier(r.Rank)
-	if len(t.held) >= maxHeld {
+	r.heldForHome = p.hold > 0
+	if !r.heldForHome && len(t.held)-t.homeHeld >= rules.MaxHeld {
 		return false
 	}
 	s.claim(r)
--- a/internal/pool/scheduler.go
+++ b/internal/pool/scheduler.go
@@ -5,6 +5,8 @@
 
 	"github.com/trefoilchute/trefoilchute/internal/ident"
 	"github.com/trefoilchute/trefoilchute/internal/pool/blocks"
+	"github.com/trefoilchute/trefoilchute/internal/pool/meter"
+	"github.com/trefoilchute/trefoilchute/internal/pool/rules"
 	"github.com/trefoilchute/trefoilchute/internal/pool/speed"
 )
 
@@ -34,7 +36,7 @@
 	lengths   *speed.Lengths
 	surprise  speed.Surprise
 	blocks    *blocks.Index
-	meter     meter
+	meter     meter.Meter
 	suspects  *suspectTable
 	isolation isolation
 	bodies    *bodyTable
@@ -53,6 +55,11 @@
 	// working is the number of those endpoints, and longPrefills the number
 	// among them that have long prompts to prefill.
 	working, longPrefills int
+	// unseen is the rank of which requests were not looked at since the last
+	// sweep; noRank if there is none.
+	unseen int
+	// home is scratch space of onlyHome.
+	home [1]*endpoint
 	// scratch is the candidate that is looked at.
 	scratch candidate
 	// matched is scratch space of matchPrefix.
@@ -76,11 +83,12 @@
 		lengths:     speed.NewLengths(),
 		surprise:    speed.NewSurprise(),
 		blocks:      blocks.NewIndex(),
-		meter:       newMeter(),
+		meter:       meter.New(),
 		suspects:    newSuspectTable(),
 		bodies:      newBodyTable(),
 		running:     map[int]int{},
-		lastAttempt: c.Epoch << attemptBits,
+		unseen:      noRank,
+		lastAttempt: c.Epoch << rules.AttemptBits,
 	}
 	s.queue = newQueue()
 	return s
@@ -92,7 +100,7 @@
 func (s *Scheduler) Step(now time.Duration, events []Event) []Effect {
 	s.now = max(s.now, now)
 	s.out = nil
-	s.meter.roll(s.now, s.queue.waiting())
+	s.meter.Roll(s.now, s.queue.waiting())
 	for _, e := range events {
 		s.take(e)
 	}
--- a/internal/pool/suspect.go
+++ b/internal/pool/suspect.go
@@ -1,19 +1,9 @@
 package pool
 
 import (
-	"cmp"
 	"slices"
-	"time"
-)
 
-const (
-	// crashesToQuarantine is how many endpoints a request may have been lost
-	// with.
-	crashesToQuarantine = 2
-	// suspectMemory and quarantineMemory are how long a suspect and a
-	// quarantined request are remembered after the last crash.
-	suspectMemory    = 15 * time.Minute
-	quarantineMemory = 24 * time.Hour
+	"github.com/trefoilchute/trefoilchute/internal/pool/rules"
 )
 
 // suspect is the row of a request that was in flight on an endpoint that
@@ -76,26 +66,32 @@
 // crashed marks everything in flight on an endpoint as suspect, once for each
 // attempt: every custodian reports its own.
 func (s *Scheduler) crashed(e *endpoint) {
-	var found []Suspect
+	var found []*suspect
 	for _, a := range s.attempts.on(e) {
 		if a.blamed {
 			continue
 		}
 		a.blamed = true
-		if x := s.blame(a.request); x != nil {
-			found = append(found, x.Suspect)
+		x := s.suspectOf(a.request)
+		if x != nil && !slices.Contains(found, x) {
+			found = append(found, x)
 		}
 	}
 	if len(found) == 0 {
 		return
 	}
-	s.emit(Publish{List: found})
+	var list []Suspect
+	for _, x := range found {
+		s.blame(x)
+		list = append(list, x.Suspect)
+	}
+	s.emit(Publish{List: list})
 	s.sortOutSuspects()
 }
 
-// blame counts a crash against a request. It returns nil for a request without
-// any hash to know it by.
-func (s *Scheduler) blame(r Request) *suspect {
+// suspectOf returns the row of a request, made if needed, and nil for a request
+// without any hash to know it by.
+func (s *Scheduler) suspectOf(r Request) *suspect {
 	if r.KeyHash == 0 && r.Fingerprint == 0 {
 		return nil
 	}
@@ -104,17 +100,22 @@
 		x = &suspect{Suspect: Suspect{KeyHash: r.KeyHash, Fingerprint: r.Fingerprint}}
 		s.suspects.add(x)
 	}
+	return x
+}
+
+// blame counts a crash against a suspect: one, however many requests with its
+// body were in flight on the endpoint.
+func (s *Scheduler) blame(x *suspect) {
 	x.Crashes++
-	x.Quarantined = x.Quarantined || x.Crashes >= crashesToQuarantine
+	x.Quarantined = x.Quarantined || x.Crashes >= rules.CrashesToQuarantine
 	s.remember(x)
-	return x
 }
 
 // remember keeps a suspect for its time.
 func (s *Scheduler) remember(x *suspect) {
-	keep := suspectMemory
+	keep := rules.SuspectMemory
 	if x.Quarantined {
-		keep = quarantineMemory
+		keep = rules.QuarantineMemory
 	}
 	s.timers.set(&x.timer, s.now+keep, func() { s.suspects.remove(x) })
 }
@@ -164,14 +165,7 @@
 // sortOutSuspects moves the waiting requests to where their suspicion, new or
 // taken back, wants them.
 func (s *Scheduler) sortOutSuspects() {
-	var waiting []*request
-	for _, r := range s.requests {
-		if r.waits() {
-			waiting = append(waiting, r)
-		}
-	}
-	slices.SortFunc(waiting, func(a, b *request) int { return cmp.Compare(a.sequence, b.sequence) })
-	for _, r := range waiting {
+	for _, r := range s.waiting() {
 		s.sortOut(r)
 	}
 }
@@ -180,11 +174,11 @@
 	x := s.suspects.find(r.KeyHash, r.Fingerprint)
 	isolated := r.phase == phaseIsolated
 	switch {
-	case x == nil && isolated, x != nil && !isolated:
-		s.withdraw(r)
-		s.enqueue(r)
 	case x != nil && x.Quarantined:
 		s.drop(r)
 		s.emit(*s.quarantined(r))
+	case x == nil && isolated, x != nil && !isolated:
+		s.withdraw(r)
+		s.enqueue(r)
 	}
 }
--- a/internal/pool/table.go
+++ b/internal/pool/table.go
@@ -6,21 +6,12 @@
 	"time"
 
 	"github.com/trefoilchute/trefoilchute/internal/ident"
+	"github.com/trefoilchute/trefoilchute/internal/pool/rules"
 	"github.com/trefoilchute/trefoilchute/internal/resource"
 )
 
-const (
-	// GrantLifetime is how long a custodian may use a grant.
-	GrantLifetime = 1500 * time.Millisecond
-	// GrantMargin is how long after its end a grant that nobody reported on
-	// still holds its slot: the report of a late use may be on its way.
-	GrantMargin = 500 * time.Millisecond
-	// attemptMemory is how long the row of a void grant is kept, so that a
-	// report that comes later still finds its endpoint.
-	attemptMemory = 2 * time.Minute
-	// attemptBits is the room for attempts in one epoch.
-	attemptBits = 20
-)
+// GrantLifetime is how long a custodian may use a grant.
+const GrantLifetime = rules.GrantLifetime
 
 // phase is where a request stands.
 type phase int
@@ -44,17 +35,19 @@
 	Request
 	// sequence orders requests by arrival.
 	sequence uint64
-	arrived  time.Duration
 	phase    phase
 	// attempt is the latest attempt, if the phase isn't phaseQueued.
 	attempt *attempt
 	// cost is the estimated slot time on an endpoint of average speed.
 	cost time.Duration
-	// mean and cautious are the tokens expected to be generated.
-	mean, cautious float64
-	// best is the most prompt tokens cached at any endpoint when the request
-	// was queued.
+	// mean is the number of tokens expected to be generated.
+	mean float64
+	// best is the most prompt tokens cached at any endpoint when last looked.
 	best int
+	// home is the endpoint that has them; nil if none has any. heldForHome says
+	// that the request was held to wait for it.
+	home        *endpoint
+	heldForHome bool
 	// recheck is the earliest time at which it may be found hopeless.
 	recheck time.Duration
 	// urgent says that there is no time left for caution.
@@ -78,9 +71,7 @@
 	request  Request
 	endpoint *endpoint
 	granted  time.Duration
-	// startedAt is the dispatch time; meaningful once started.
-	startedAt time.Duration
-	started   bool
+	started  bool
 	// cached is the part of the prompt expected in the endpoint's cache and
 	// uncached the part counted as pending until the first token.
 	cached, uncached int
@@ -97,9 +88,7 @@
 	holds bool
 	// holdsBody says that it counts as in flight with its body.
 	holdsBody bool
-	// void says that the grant's lifetime is over without a report.
-	void  bool
-	timer timer
+	timer     timer
 }
 
 // attemptKey identifies an attempt also across epochs, whose numbers may
--- a/internal/system/custody/custody.go
+++ b/internal/system/custody/custody.go
@@ -59,7 +59,8 @@
 	Deadline time.Duration
 	// Prefix holds the chained block hashes of the prompt.
 	Prefix []uint64
-	// Key is "team/key" of a caller's idempotency key; empty without one.
+	// Key is the caller's idempotency key; empty without one. KeyHash is the
+	// hash of the team and the key.
 	Key         string
 	KeyHash     uint64
 	Fingerprint uint64
@@ -102,9 +103,11 @@
 	submittedAt time.Duration
 	spilled     bool
 	// claimed says that the claim row of a non-idempotent request is ours.
-	claimed      bool
-	attempt      ident.Attempt
-	endpoint     ident.Endpoint
+	claimed  bool
+	attempt  ident.Attempt
+	endpoint ident.Endpoint
+	// why is the scheduler's reason for the endpoint.
+	why          string
 	grantExpires time.Duration
 	dispatchedAt time.Duration
 }
--- a/internal/traffic/join.go
+++ b/internal/traffic/join.go
@@ -16,7 +16,7 @@
 	// again.
 	joinRetry = 2 * time.Second
 	// joinTries bounds the asking without any word from the custodian.
-	joinTries = 4
+	joinTries = 2
 	// indexWaiting is the index of a part without data that says that the
 	// custodian has the request, though no part may have come yet.
 	indexWaiting = -1
@@ -117,12 +117,10 @@
 			return
 		}
 		if heard := job.heard.Swap(false); heard || job.Answer.Len() > before {
-			tries = 0
+			tries = -1
 		}
 	}
-	job.Answer.Finish(answer.Final{
-		Code: result.OutcomeUnknown, Reason: "the host that runs this key can't be reached",
-	})
+	r.opts.Post(control.JoinLost{Join: j})
 }
 
 // awaitEnd waits until an answer has ended, which gives true, or has not grown
--- a/internal/traffic/runner.go
+++ b/internal/traffic/runner.go
@@ -102,7 +102,9 @@
 		r.giveBack(j, conn)
 		return
 	}
-	run := &run{runner: r, job: j, address: d.Address, attempt: d.Attempt, began: time.Now()}
+	run := &run{
+		runner: r, job: j, request: j.ID, address: d.Address, attempt: d.Attempt, began: time.Now(),
+	}
 	if j.Type == resource.EndpointEngine {
 		run.engine(conn)
 		return
@@ -131,8 +133,11 @@
 
 // run is one dispatched job.
 type run struct {
-	runner  *Runner
-	job     *Job
+	runner *Runner
+	job    *Job
+	// request is the request that the endpoint knows: the job's own, or an earlier
+	// one with its key.
+	request ident.Request
 	address string
 	attempt ident.Attempt
 	began   time.Time
