--- a/internal/traffic/runner.go
+++ b/internal/traffic/runner.go
@@ -32,6 +32,7 @@
 	conns     *endpoint.Pool
 	jobs      jobs
 	retention retention
+	joins     joins
 	group     conc.WaitGroup
 }
 
@@ -41,6 +42,7 @@
 		opts:  opts,
 		conns: endpoint.NewPool(),
 		jobs:  jobs{rows: map[ident.Request]*Job{}},
+		joins: joins{latest: map[string]uint64{}},
 	}
 }
 
