--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -110,6 +110,7 @@
 	c.out = system.Outbox{}
 	c.effect.Steps = c.scheduling.TakeSteps()
 	c.effect.Orders = c.orders.Take()
+	c.effect.Superseded = c.members.Superseded()
 	c.noteWatch()
 	return c.effect
 }
@@ -118,14 +119,8 @@
 // than the others wait for it: they may have taken its pools over. Nothing is
 // granted until the view is known to be fresh.
 func (c *Core) noticePause() {
-	paused := c.members.Paused(c.now)
-	if paused && !c.paused {
-		c.scheduling.Abandon(c.now, &c.out)
-	}
-	if paused {
-		c.scheduling.Postpone(c.now)
-	}
-	c.paused = paused
+	c.paused = c.members.Paused(c.now)
+	c.scheduling.Hold(c.now, c.paused, &c.out)
 }
 
 // take applies one event.
@@ -152,6 +147,8 @@
 	case Listed:
 		c.members.Seeds(e.Hosts)
 		c.effect.Peers = c.peerAddresses()
+	case Stop:
+		c.custody.RefuseWaiting(c.now, stopping(), &c.out)
 	case Leave:
 		c.members.Leave(c.now, &c.out)
 	case JoinLost:
@@ -169,6 +166,13 @@
 	}
 }
 
+// stopping is the final answer to what waits when a host's time to stop is over.
+func stopping() *result.Error {
+	return &result.Error{
+		Code: result.Stopping, RetryAfter: time.Second, Reason: "the host stops and its time to finish is over",
+	}
+}
+
 // arrive takes a request into custody, or refuses it before there is a
 // configuration.
 func (c *Core) arrive(a custody.Arrival) {
--- a/internal/control/event.go
+++ b/internal/control/event.go
@@ -87,6 +87,11 @@
 // Leave begins a planned stop: other hosts take the pools over.
 type Leave struct{}
 
+// Stop ends the time of a planned stop: what still waits is refused.
+type Stop struct{}
+
+func (Stop) event() {}
+
 // Depart ends a planned stop: this host says that it is gone.
 type Depart struct{}
 
@@ -146,6 +151,9 @@
 	Rescues    []Rescue
 	// Relays holds messages of joins, for the traffic side.
 	Relays []*peerpb.Envelope
+	// Superseded says that a later process of this host's name lives: this one is
+	// to stop.
+	Superseded bool
 	// Snapshot is set when another configuration came into force.
 	Snapshot *resource.Snapshot
 	// Peers is set when the addresses of the other hosts changed.
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -53,6 +53,8 @@
 	Order func(order.Effect)
 	// Watch is told which endpoints to watch.
 	Watch func([]resource.Endpoint)
+	// Superseded is told, maybe again and again, that this process is to stop.
+	Superseded func()
 	// Record is told of the pool schedulers' steps and the directives of
 	// requests in custody, for traces and explain.
 	Record func([]scheduling.Step, []custody.Directive)
@@ -166,6 +168,9 @@
 	if len(effects.Steps) > 0 || len(effects.Directives) > 0 {
 		l.ports.Record(effects.Steps, effects.Directives)
 	}
+	if effects.Superseded {
+		l.ports.Superseded()
+	}
 	l.instruct(effects)
 	for _, e := range effects.Orders {
 		l.ports.Order(e)
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -62,6 +62,8 @@
 	// life ends with the process's work; end ends it.
 	life context.Context
 	end  context.CancelFunc
+	// superseded ends when a later process of this host's name is seen.
+	superseded lifetime
 	// stopping says that a planned stop has begun.
 	stopping atomic.Bool
 	// assembled is closed when messages of other hosts can be taken.
@@ -85,6 +87,7 @@
 		return nil, err
 	}
 	h.life, h.end = context.WithCancel(context.Background())
+	h.superseded = newLifetime()
 	if err := h.connectPeers(); err != nil {
 		h.end()
 		return nil, err
@@ -97,6 +100,18 @@
 	return h, nil
 }
 
+// lifetime is something that ends once.
+type lifetime struct {
+	ctx context.Context
+	end context.CancelFunc
+}
+
+// newLifetime returns a lifetime that has not ended.
+func newLifetime() lifetime {
+	ctx, end := context.WithCancel(context.Background())
+	return lifetime{ctx: ctx, end: end}
+}
+
 // Address is the address for callers.
 func (h *Host) Address() string {
 	return h.entryListener.Addr().String()
@@ -195,7 +210,7 @@
 	h.loop.Connect(control.Ports{
 		Table: table, Objects: objects, Send: h.send, SetPeers: h.peers.SetPeers,
 		Traffic: h.runner, Configure: h.configure, Watch: h.watcher.Set, Record: h.record,
-		Order: h.orders.Do,
+		Order: h.orders.Do, Superseded: h.superseded.end,
 	})
 	return nil
 }
@@ -232,6 +247,9 @@
 	select {
 	case <-ctx.Done():
 		h.stop()
+	case <-h.superseded.ctx.Done():
+		logs.With(h.log, logs.Superseded).Error()
+		h.stop()
 	case err = <-failed:
 	}
 	h.end()
--- a/internal/host/stop.go
+++ b/internal/host/stop.go
@@ -30,7 +30,9 @@
 		defer close(shut)
 		_ = h.entry.Shutdown()
 	})
-	h.awaitIdle(limit)
+	if !h.awaitIdle(limit) {
+		h.cut()
+	}
 	ctx, cancel := context.WithDeadline(context.Background(), limit.Add(balancerDelay))
 	defer cancel()
 	if err := h.admin.Shutdown(ctx); err != nil {
@@ -39,7 +41,6 @@
 	select {
 	case <-shut:
 	case <-ctx.Done():
-		logs.With(h.log, logs.CallersCut).Warn()
 	}
 	h.buckets.Finish(ctx)
 	h.loop.Post(control.Depart{})
@@ -49,9 +50,20 @@
 	h.runner.Wait()
 }
 
+// cut ends what a planned stop has no more time for: what waits is refused as not
+// run, and what runs gets the answer that its outcome is unknown.
+func (h *Host) cut() {
+	logs.With(h.log, logs.CallersCut).Warn()
+	h.loop.Post(control.Stop{})
+	ctx, cancel := context.WithTimeout(context.Background(), balancerDelay)
+	defer cancel()
+	_ = h.loop.Inspect(ctx, func(*control.Core) {})
+	h.runner.Abort()
+}
+
 // awaitIdle waits until nothing is in custody, no caller is served and the
-// table has every claim's answer, or until the limit.
-func (h *Host) awaitIdle(limit time.Time) {
+// table has every claim's answer. It returns false at the limit.
+func (h *Host) awaitIdle(limit time.Time) bool {
 	for time.Now().Before(limit) {
 		var left int
 		ctx, cancel := context.WithDeadline(context.Background(), limit)
@@ -61,8 +73,9 @@
 		})
 		cancel()
 		if err == nil && left == 0 && h.entry.Active() == 0 {
-			return
+			return true
 		}
 		time.Sleep(drainPoll)
 	}
+	return false
 }
--- a/internal/logs/event.go
+++ b/internal/logs/event.go
@@ -19,6 +19,7 @@
 	ConfigurationInForce Event = "configuration_in_force"
 	HostList             Event = "host_list"
 	TraceBroken          Event = "trace_broken"
+	Superseded           Event = "superseded"
 )
 
 // Events of the links between hosts.
@@ -65,6 +66,7 @@
 	{AdminShutdown, "The operators' interface didn't close in time."},
 	{ConfigurationInForce, "A revision came into force at this host."},
 	{TraceBroken, "The trace of decisions couldn't be written; it ends here."},
+	{Superseded, "A later process with this host's name lives; this one stops."},
 	{LinkUp, "A link to another host was opened."},
 	{LinkDown, "A link to another host ended."},
 	{LinkRefused, "A connection did not become a link: a wrong secret, a malformed hello, or too many at once."},
--- a/internal/system/custody/custody.go
+++ b/internal/system/custody/custody.go
@@ -5,6 +5,7 @@
 package custody
 
 import (
+	"slices"
 	"time"
 
 	"github.com/trefoilchute/trefoilchute/internal/ident"
@@ -281,6 +282,16 @@
 	s.refuse(r, result.New(result.CallerGone, "the caller closed its connection"))
 }
 
+// RefuseWaiting ends every request that was not dispatched.
+func (s *System) RefuseWaiting(now time.Duration, verdict *result.Error, out *system.Outbox) {
+	for _, r := range slices.Clone(s.order) {
+		if s.rows[r.ID] == r && r.state != stateDispatched {
+			s.withdraw(now, r, out)
+			s.refuse(r, verdict)
+		}
+	}
+}
+
 // direct adds a directive.
 func (s *System) direct(d Directive) {
 	s.directives = append(s.directives, d)
--- a/internal/system/scheduling/scheduling.go
+++ b/internal/system/scheduling/scheduling.go
@@ -68,6 +68,8 @@
 	instances map[ident.Pool]*instance
 	// suspects is what the hosts of the domain know of crashes.
 	suspects map[suspectKey]pool.Suspect
+	// held says that no pool may start, see Hold.
+	held     bool
 	statusAt time.Duration
 	steps    []Step
 }
@@ -211,22 +213,19 @@
 	}
 }
 
-// Abandon gives up every pool, after this process was paused: others may have
-// taken over meanwhile. What is still this host's is taken over anew.
-func (s *System) Abandon(now time.Duration, out *system.Outbox) {
+// Hold says whether this process's view of the others may be stale, because it
+// stood still for a time in which they may have taken over. It gives up every
+// pool then, and starts none before the view is known to be fresh again: what is
+// still this host's is taken over anew.
+func (s *System) Hold(now time.Duration, held bool, out *system.Outbox) {
+	if held == s.held {
+		return
+	}
+	s.held = held
 	s.instances = map[ident.Pool]*instance{}
 	s.Reassign(now, out)
 }
 
-// Postpone holds back the start of pools in warm-up, while this host's view of
-// the others may be stale.
-func (s *System) Postpone(now time.Duration) {
-	for _, in := range s.instances {
-		in.warmUntil = now + warmUpLimit
-		in.awaited[s.cfg.Self] = true
-	}
-}
-
 // Tick runs what is due: ends of warm-up, timers of the schedulers, words to
 // other domains.
 func (s *System) Tick(now time.Duration, out *system.Outbox) {
--- a/internal/system/scheduling/step.go
+++ b/internal/system/scheduling/step.go
@@ -13,7 +13,7 @@
 // decides. During warm-up nothing runs.
 func (s *System) step(now time.Duration, in *instance, out *system.Outbox) {
 	if in.scheduler == nil {
-		if !in.warm(now) {
+		if s.held || !in.warm(now) {
 			return
 		}
 		s.start(in)
--- a/internal/traffic/engine.go
+++ b/internal/traffic/engine.go
@@ -230,6 +230,10 @@
 
 // withdraw cancels the request at the engine after its caller has left.
 func (x *run) withdraw() {
+	if x.runner.aborted.Load() {
+		x.lost(result.OutcomeUnknown, "the host stopped")
+		return
+	}
 	conn, err := endpoint.Dial(x.address)
 	if err == nil {
 		req := fasthttp.AcquireRequest()
--- a/internal/traffic/job.go
+++ b/internal/traffic/job.go
@@ -6,6 +6,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -129,6 +131,13 @@
 	return j
 }
 
+// all returns every job.
+func (t *jobs) all() []*Job {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.Collect(maps.Values(t.rows))
+}
+
 // size returns the number of jobs.
 func (t *jobs) size() int {
 	t.mu.Lock()
--- a/internal/traffic/runner.go
+++ b/internal/traffic/runner.go
@@ -1,6 +1,7 @@
 package traffic
 
 import (
+	"sync/atomic"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -34,6 +35,8 @@
 	retention retention
 	joins     joins
 	group     conc.WaitGroup
+	// aborted says that the process ends before its jobs.
+	aborted atomic.Bool
 }
 
 // NewRunner returns a runner without jobs.
@@ -62,6 +65,18 @@
 	return r.jobs.size()
 }
 
+// Abort ends every job that hasn't ended: the process can't wait for them. The
+// endpoints go on with what they run, so that a resend may still find its answer.
+func (r *Runner) Abort() {
+	r.aborted.Store(true)
+	for _, j := range r.jobs.all() {
+		j.cancel()
+		j.Answer.Finish(answer.Final{
+			Code: result.OutcomeUnknown, Reason: "the host stopped before the answer was whole",
+		})
+	}
+}
+
 // Wait waits for the running jobs and closes the connections.
 func (r *Runner) Wait() {
 	r.group.Wait()
--- a/test/process/deployment_test.go
+++ b/test/process/deployment_test.go
@@ -37,6 +37,8 @@
 	platform string
 	hosts    map[string]*entryProcess
 	dir      string
+	// grace is the drain_grace of hosts that are started.
+	grace string
 }
 
 // entryProcess is one entry host's process.
@@ -78,6 +80,7 @@
 		platform: "http://" + readyField(session, "addr"),
 		hosts:    map[string]*entryProcess{},
 		dir:      GinkgoT().TempDir(),
+		grace:    "20s",
 	}
 }
 
@@ -100,7 +103,7 @@
 	text := fmt.Sprintf(`[host]
 name = %[1]s
 domain = %[2]s
-drain_grace = 20s
+drain_grace = %[6]s
 
 [callers]
 listen = %[4]s:7070
@@ -118,7 +121,7 @@
 [log]
 level = debug
 trace = %[5]s
-`, name, domain, d.platform, ip, d.trace(name))
+`, name, domain, d.platform, ip, d.trace(name), d.grace)
 	Expect(os.WriteFile(file, []byte(text), 0o600)).To(Succeed())
 	session := start("entry", "--settings", file)
 	p := &entryProcess{session: session}
--- a/test/process/failure_test.go
+++ b/test/process/failure_test.go
@@ -168,6 +168,33 @@
 	})
 })
 
+var _ = Describe("a planned stop without time", func() {
+	It("ends all the same, and says of what ran that the outcome is unknown", func() {
+		d := newDeployment()
+		d.grace = "3s"
+		engine := d.endpoint("engine-1")
+		d.entry("entry-1", "zone-a")
+		d.apply(d.hosts["entry-1"], manifest(engineEndpoint("engine-1", "zone-a", engine)))
+		toggle("http://"+engine, `{"slow":1000}`)
+		replies := make(chan reply, 8)
+		for i := range cap(replies) {
+			go func() {
+				got, _ := trySend(d.hosts["entry-1"], "/v1/chat/completions", fmt.Sprintf(longChat, i))
+				replies <- got
+			}()
+		}
+		Eventually(func() int { return len(arrived(engine)) }, changeLimit, poll).Should(Equal(4))
+		d.hosts["entry-1"].stop()
+		codes := map[int]int{}
+		for range cap(replies) {
+			var got reply
+			Eventually(replies, changeLimit, poll).Should(Receive(&got))
+			codes[errorCode(got.body)]++
+		}
+		Expect(codes).To(Equal(map[int]int{300: 4, 206: 4}))
+	})
+})
+
 var _ = Describe("the host that schedules a pool", func() {
 	It("can be killed: the others take its pools over", func() {
 		d, _ := fleet()
