--- /dev/null
+++ b/internal/system/scheduling/hold_test.go
@@ -0,0 +1,53 @@
+package scheduling
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/trefoilchute/trefoilchute/internal/ident"
+	"github.com/trefoilchute/trefoilchute/internal/peer/peerpb"
+	"github.com/trefoilchute/trefoilchute/internal/resource"
+	"github.com/trefoilchute/trefoilchute/internal/system"
+)
+
+// alone is the view of a host that knows one other.
+type alone struct{}
+
+func (alone) Scheduler(ident.Pool) (ident.Host, bool) { return "self", true }
+func (alone) Alive() []ident.Host                     { return []ident.Host{"other", "self"} }
+func (alone) Incarnation(ident.Host) uint64           { return 1 }
+func (alone) Domains(string) []ident.Domain           { return []ident.Domain{"a"} }
+
+// TestHeldPoolsDontStart checks that a pool isn't started while the view of the
+// others may be stale, though all of them have told what they hold.
+func TestHeldPoolsDontStart(t *testing.T) {
+	g := NewWithT(t)
+	var out system.Outbox
+	p := ident.Pool{Target: "m", Domain: "a"}
+	s := New(Config{Self: "self", Domain: "a", View: alone{}})
+	snap := resource.NewSnapshot()
+	snap.Revision = 1
+	snap.Endpoints["e"] = resource.Endpoint{Name: "e", Domain: "a", Target: "m", Slots: 1}
+	s.Configure(0, snap, &out)
+	tell := func(now time.Duration) {
+		for _, h := range []ident.Host{"other", "self"} {
+			s.Receive(now, Process{h, 1}, peerpb.Wrap(&peerpb.Envelope_Holdings{Holdings: &peerpb.Holdings{
+				Target: "m", Domain: "a", TakeOver: true,
+			}}), &out)
+		}
+	}
+	tell(time.Second)
+	g.Expect(s.Status(p)).NotTo(BeNil(), "all have told")
+
+	s.Hold(10*time.Second, true, &out)
+	tell(10 * time.Second)
+	s.Hold(11*time.Second, true, &out)
+	s.Tick(11*time.Second, &out)
+	g.Expect(s.Status(p)).To(BeNil(), "held")
+
+	s.Hold(12*time.Second, false, &out)
+	tell(12 * time.Second)
+	g.Expect(s.Status(p)).NotTo(BeNil(), "fresh again")
+}
