--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -60,6 +60,8 @@
 	gated map[ident.Request]custody.Arrival
 	// heard is when each host's last message came.
 	heard map[ident.Host]time.Duration
+	// reached is when each other domain could last be reached, or was first known.
+	reached map[ident.Domain]time.Duration
 	// adopted holds the claims of dead holders whose answers are being rescued.
 	adopted map[ident.Request]adoption
 }
@@ -68,7 +70,7 @@
 func New(cfg Config) *Core {
 	c := &Core{
 		cfg: cfg, gated: map[ident.Request]custody.Arrival{}, adopted: map[ident.Request]adoption{},
-		heard: map[ident.Host]time.Duration{},
+		heard: map[ident.Host]time.Duration{}, reached: map[ident.Domain]time.Duration{},
 	}
 	c.members = membership.New(membership.Config{
 		Self: cfg.Self, Incarnation: cfg.Incarnation, Domain: cfg.Domain,
--- a/internal/control/spill_test.go
+++ b/internal/control/spill_test.go
@@ -7,7 +7,9 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/trefoilchute/trefoilchute/internal/resource"
 	"github.com/trefoilchute/trefoilchute/internal/result"
+	"github.com/trefoilchute/trefoilchute/internal/system/membership"
 )
 
 // TestDomainWithoutEndpointsIsServedElsewhere checks that requests of a domain
@@ -48,3 +50,29 @@
 	g.Expect(w.outcomes).To(Equal(map[result.Code]int{result.OK: 20}), fmt.Sprint(w.outcomes))
 	g.Expect(w.endpoints["engine-c1"].runs).To(BeEmpty())
 }
+
+// TestRequestOfALostDomainIsRefusedInTime checks that a request whose target
+// stands only in a domain that can't be reached is refused long before its
+// deadline, and served when the domain is back.
+func TestRequestOfALostDomainIsRefusedInTime(t *testing.T) {
+	g := NewWithT(t)
+	w := newWorld(5)
+	w.apply(w.declare("engine-x", "c", "rare", resource.EndpointEngine))
+	w.runUntil(settleTime)
+	rare := chat()
+	rare.Target = "rare"
+	w.split("c", true)
+	w.runUntil(w.now + 2*membership.ReachTimeout)
+	sent := w.now
+	r := w.send("a1", rare, time.Minute)
+	w.runUntil(sent + 2*time.Second)
+	g.Expect(r.code).To(Equal(result.NoEndpoint), r.body)
+	g.Expect(r.done - sent).To(BeNumerically("<", time.Second))
+
+	w.split("c", false)
+	w.runUntil(w.now + 2*membership.ReachTimeout)
+	again := w.send("a1", rare, time.Minute)
+	w.runUntil(w.now + giveUp)
+	g.Expect(again.code).To(Equal(result.OK))
+	g.Expect(w.faults()).To(BeEmpty())
+}
--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -73,7 +73,11 @@
 
 // scheduler returns the first host of the rendezvous hash of a pool over its
 // domain's live hosts, or over those that are leaving when there are no others.
+// A domain that can't be reached has none: its hosts may live or not.
 func (c *Core) scheduler(p ident.Pool) (ident.Host, bool) {
+	if !c.reachable(p.Domain) {
+		return "", false
+	}
 	hosts := c.members.Alive(p.Domain)
 	if len(hosts) == 0 {
 		hosts = c.leaving(p.Domain)
@@ -84,6 +88,21 @@
 	return rendezvous.First(p.String(), hosts), true
 }
 
+// reachable reports whether a host of a domain answered lately, or may yet answer
+// for the first time.
+func (c *Core) reachable(d ident.Domain) bool {
+	if c.members.Reachable(c.now, d) {
+		c.reached[d] = c.now
+		return true
+	}
+	at, known := c.reached[d]
+	if !known {
+		c.reached[d] = c.now
+		return true
+	}
+	return c.now-at < membership.ReachTimeout
+}
+
 // leaving lists the hosts of a domain that finish what they hold.
 func (c *Core) leaving(d ident.Domain) []ident.Host {
 	var list []ident.Host
--- a/internal/host/stop.go
+++ b/internal/host/stop.go
@@ -12,6 +12,8 @@
 	// balancerDelay is how long a stopping host still takes new callers, while
 	// the balancer notices that it isn't ready.
 	balancerDelay = 2 * time.Second
+	// departDelay is how long the last messages to the other hosts have to go out.
+	departDelay = 200 * time.Millisecond
 	// drainPoll is the time between two looks at what a stopping host has left.
 	drainPoll = 50 * time.Millisecond
 )
@@ -45,6 +47,7 @@
 	h.buckets.Finish(ctx)
 	h.loop.Post(control.Depart{})
 	_ = h.loop.Inspect(ctx, func(*control.Core) {})
+	time.Sleep(departDelay)
 	h.watcher.Close()
 	h.orders.Wait()
 	h.runner.Wait()
--- a/internal/system/custody/custody.go
+++ b/internal/system/custody/custody.go
@@ -203,7 +203,7 @@
 	if len(domains) == 0 {
 		s.refuse(r, &result.Error{
 			Code: result.NoEndpoint, RetryAfter: retryWithoutQueue,
-			Reason: "no active endpoint is declared for " + r.Target,
+			Reason: "no active endpoint that can be reached is declared for " + r.Target,
 		})
 		return
 	}
--- a/internal/system/scheduling/instance.go
+++ b/internal/system/scheduling/instance.go
@@ -50,6 +50,8 @@
 	running map[runningKey]runningRow
 	// custodians holds the processes that were heard of, by host.
 	custodians map[ident.Host]custodian
+	// remotes are the domains whose room is known to the scheduler.
+	remotes map[ident.Domain]bool
 	// movedAt is when the pool went to another host; 0 while it is here.
 	movedAt time.Duration
 }
@@ -62,6 +64,7 @@
 		awaited:    map[ident.Host]bool{},
 		running:    map[runningKey]runningRow{},
 		custodians: map[ident.Host]custodian{},
+		remotes:    map[ident.Domain]bool{},
 	}
 	for _, h := range hosts {
 		in.awaited[h] = true
@@ -134,6 +137,16 @@
 	in.running[key] = runningRow{host: h, heard: now}
 }
 
+// dropRemotes tells the scheduler which other domains can't be reached any more.
+func (in *instance) dropRemotes(reachable []ident.Domain) {
+	for _, d := range slices.Sorted(maps.Keys(in.remotes)) {
+		if !slices.Contains(reachable, d) {
+			delete(in.remotes, d)
+			in.queue(pool.Remote{Domain: d, Gone: true})
+		}
+	}
+}
+
 // silentHosts lists the custodians of dispatched requests that were not heard of
 // for longer than their regular word takes. Each is listed again only after the
 // same time.
--- a/internal/system/scheduling/receive.go
+++ b/internal/system/scheduling/receive.go
@@ -180,6 +180,7 @@
 	for _, us := range m.GetWaitUs() {
 		r.Wait = append(r.Wait, micros(us))
 	}
+	in.remotes[r.Domain] = true
 	in.queue(r)
 	s.step(now, in, out)
 }
--- a/internal/system/scheduling/step.go
+++ b/internal/system/scheduling/step.go
@@ -105,7 +105,9 @@
 		if in.scheduler == nil || in.movedAt > 0 {
 			continue
 		}
-		for _, d := range s.cfg.View.Domains(p.Target) {
+		domains := s.cfg.View.Domains(p.Target)
+		in.dropRemotes(domains)
+		for _, d := range domains {
 			other := ident.Pool{Target: p.Target, Domain: d}
 			host, ok := s.cfg.View.Scheduler(other)
 			if ok && d != s.cfg.Domain {
