--- a/internal/capacity/deployment.go
+++ b/internal/capacity/deployment.go
@@ -5,7 +5,6 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
-	"net/http"
 	"time"
 
 	"github.com/google/uuid"
@@ -25,8 +24,6 @@
 	// Key is the bearer key of the first team.
 	Key = "measure-key"
 
-	readyTimeout = time.Minute
-	readyPoll    = 100 * time.Millisecond
 	drainGrace   = 10 * time.Second
 	tierDeadline = time.Minute
 	maxQueued    = 10_000
@@ -56,7 +53,7 @@
 	if err := d.startHosts(life); err != nil {
 		return err
 	}
-	return d.awaitReady(ctx)
+	return host.AwaitReady(ctx, d.entries)
 }
 
 // startStandins starts what the options don't give, and returns the engines'
@@ -142,34 +139,6 @@
 	return nil
 }
 
-// awaitReady waits until every host is ready for callers.
-func (d *deployment) awaitReady(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
-	defer cancel()
-	for _, e := range d.entries {
-		for !isReady(ctx, e.Address()) {
-			if err := pause(ctx, readyPoll); err != nil {
-				return errors.Wrap(err, "a host is not ready")
-			}
-		}
-	}
-	return nil
-}
-
-// isReady asks a host whether it is ready.
-func isReady(ctx context.Context, address string) bool {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/readyz", http.NoBody)
-	if err != nil {
-		return false
-	}
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return false
-	}
-	_ = resp.Body.Close()
-	return resp.StatusCode == http.StatusOK
-}
-
 // close stops the hosts first and then what they use.
 func (d *deployment) close(end context.CancelFunc) {
 	end()
--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -11,7 +11,6 @@
 	"fmt"
 	"io"
 	"net"
-	"net/http"
 	"time"
 
 	"github.com/google/uuid"
@@ -34,10 +33,6 @@
 	Key = "demo-key"
 	// anyPort lets the system choose a port of the loopback address.
 	anyPort = "127.0.0.1:0"
-	// readyTimeout bounds the wait for the hosts to be ready.
-	readyTimeout = 20 * time.Second
-	// readyPoll is the time between two looks at readiness.
-	readyPoll = 50 * time.Millisecond
 	// drainGrace bounds the planned stop of a host.
 	drainGrace = 10 * time.Second
 	// secretBytes is the length of the secret between the hosts.
@@ -99,7 +94,7 @@
 	if err := d.start(life); err != nil {
 		return err
 	}
-	if err := d.awaitReady(ctx); err != nil {
+	if err := host.AwaitReady(ctx, d.entries); err != nil {
 		return err
 	}
 	_, _ = fmt.Fprintf(opts.Stdout, "ready address=%s operators=%s key=%s model=%s\n",
@@ -211,36 +206,6 @@
 	return nil
 }
 
-// awaitReady waits until every host is ready for callers.
-func (d *deployment) awaitReady(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
-	defer cancel()
-	for _, e := range d.entries {
-		for !isReady(ctx, e.Address()) {
-			select {
-			case <-ctx.Done():
-				return errors.Wrap(ctx.Err(), "dev: a host is not ready")
-			case <-time.After(readyPoll):
-			}
-		}
-	}
-	return nil
-}
-
-// isReady asks a host whether it is ready.
-func isReady(ctx context.Context, address string) bool {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/readyz", http.NoBody)
-	if err != nil {
-		return false
-	}
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return false
-	}
-	_ = resp.Body.Close()
-	return resp.StatusCode == http.StatusOK
-}
-
 // close stops the hosts first and then what they use.
 func (d *deployment) close(end context.CancelFunc) {
 	end()
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -113,6 +113,11 @@
 	s.draining.Store(true)
 }
 
+// Ready reports whether callers are to be sent here.
+func (s *Server) Ready() bool {
+	return !s.draining.Load() && s.index.Load() != nil
+}
+
 // Active returns the number of callers being served.
 func (s *Server) Active() int64 {
 	return s.active.Load()
