Lose one host at a time in the key ledger's drawn schedules

The two schedules listed as known red were traced. Decision 202 excludes that, and so does the generator's own comment ('at most one host is frozen or lost at a time, and the next only after the notes have settled'): cutting a single host off did not wait as freezing and restarting do. The bound of the check is as it was; both schedules stay as a test, and what they showed is listed as not proved.

--- a/internal/system/faults_test.go
+++ b/internal/system/faults_test.go
@@ -51,7 +51,9 @@
 		other := rapid.IntRange(0, len(m.seeds)-1).Draw(rt, "other")
 		m.cut = func(from, to ident.Host) bool { return from == hostName(host) && to == hostName(other) }
 	case 4:
-		// One host is cut off from all others.
+		// One host is cut off from all others, which is to lose it.
+		m.heal()
+		m.run(m.now + keyledger.HealTime)
 		m.cut = func(from, to ident.Host) bool { return from == hostName(host) || to == hostName(host) }
 	case 5:
 		m.heal()
--- a/internal/system/keyledger_test.go
+++ b/internal/system/keyledger_test.go
@@ -262,8 +262,8 @@
 	rapid.Check(t, checkAtMostOneFirst)
 }
 
-// TestAtMostOneFirstFound runs schedules that were found to break
-// TestAtMostOneFirst, kept under testdata/rapid.
+// TestAtMostOneFirstFound runs schedules, kept under testdata/rapid, that broke
+// TestAtMostOneFirst before one host at a time was lost in them.
 func TestAtMostOneFirstFound(t *testing.T) {
 	rapid.Check(t, checkAtMostOneFirst)
 }
