--- a/test/process/failure_test.go
+++ b/test/process/failure_test.go
@@ -241,6 +241,7 @@
 			engineEndpoint("engine-1", "zone-a", engines[0]),
 			engineEndpoint("engine-2", "zone-a", engines[1]),
 			engineEndpoint("engine-3", "zone-a", engines[2])))
+		d.awaitKeys(d.hosts["entry-1"])
 		for _, e := range engines {
 			toggle("http://"+e, `{"crash_marker":"poison"}`)
 		}
