--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -15,6 +15,7 @@
 	"github.com/trefoilchute/trefoilchute/internal/system/keyledger"
 	"github.com/trefoilchute/trefoilchute/internal/system/membership"
 	"github.com/trefoilchute/trefoilchute/internal/system/order"
+	"github.com/trefoilchute/trefoilchute/internal/system/quota"
 	"github.com/trefoilchute/trefoilchute/internal/system/scheduling"
 )
 
@@ -29,6 +30,10 @@
 	Seed uint64
 	// Nonce returns a value that no other claim has.
 	Nonce func() string
+	// External says that the configuration is read elsewhere and comes as
+	// Changed events, that requests carry no keys, and that there are no orders:
+	// the core then calls neither table nor object store.
+	External bool
 }
 
 // Core holds all control state of an entry host. It isn't safe for concurrent
@@ -47,6 +52,7 @@
 	claims        *claim.System
 	orders        *order.System
 	keys          *keyledger.System
+	quotas        *quota.System
 
 	snapshot    *resource.Snapshot
 	viewVersion uint64
@@ -56,10 +62,15 @@
 	watched []resource.Endpoint
 	// watchDue is when the endpoints to watch are looked through again.
 	watchDue time.Duration
+	// charged holds what the requests in custody cost their teams, until they are
+	// dispatched.
+	charged map[ident.Request]charge
 	// gated holds what claims and keys need to know of the requests in custody.
 	gated map[ident.Request]custody.Arrival
-	// heard is when each host's last message came.
-	heard map[ident.Host]time.Duration
+	// heard is when each host's last message came, and unresponsive when it last
+	// left a submission without an answer.
+	heard        map[ident.Host]time.Duration
+	unresponsive map[ident.Host]time.Duration
 	// reached is when each other domain could last be reached, or was first known.
 	reached map[ident.Domain]time.Duration
 	// adopted holds the claims of dead holders whose answers are being rescued.
@@ -70,14 +81,15 @@
 func New(cfg Config) *Core {
 	c := &Core{
 		cfg: cfg, gated: map[ident.Request]custody.Arrival{}, adopted: map[ident.Request]adoption{},
-		heard: map[ident.Host]time.Duration{}, reached: map[ident.Domain]time.Duration{},
+		heard: map[ident.Host]time.Duration{}, unresponsive: map[ident.Host]time.Duration{},
+		charged: map[ident.Request]charge{}, reached: map[ident.Domain]time.Duration{},
 	}
 	c.members = membership.New(membership.Config{
 		Self: cfg.Self, Incarnation: cfg.Incarnation, Domain: cfg.Domain,
 		Address: cfg.Address, Seed: cfg.Seed,
 	})
 	c.configuration = configuration.New(configuration.Config{
-		Self: cfg.Self, Domain: cfg.Domain, Seed: cfg.Seed, View: c.members,
+		Self: cfg.Self, Domain: cfg.Domain, Seed: cfg.Seed, View: c.members, External: cfg.External,
 	})
 	c.custody = custody.New(custody.Config{Self: cfg.Self, View: custodyView{c}})
 	c.scheduling = scheduling.New(scheduling.Config{
@@ -86,6 +98,7 @@
 	c.claims = claim.New(claim.Config{
 		Host: cfg.Self, Incarnation: cfg.Incarnation, Nonce: cfg.Nonce, Liveness: c.liveness,
 	})
+	c.quotas = quota.New()
 	c.keys = keyledger.New(keyledger.Config{Self: cfg.Self, View: c.members})
 	c.orders = order.New(order.Config{
 		Domain: cfg.Domain, Host: cfg.Self, Incarnation: cfg.Incarnation,
@@ -146,6 +159,8 @@
 		c.replied(e.Reply)
 	case Observed:
 		c.scheduling.Observe(c.now, e.Pool, e.Event, &c.out)
+	case Limits:
+		c.quotas.Configure(c.now, e.Teams)
 	case Listed:
 		c.members.Seeds(e.Hosts)
 		c.effect.Peers = c.peerAddresses()
@@ -187,6 +202,9 @@
 		})
 		return
 	}
+	if !c.chargeQuota(a) {
+		return
+	}
 	if a.Key != "" {
 		c.gated[a.ID] = a
 	}
@@ -197,14 +215,22 @@
 func (c *Core) tick() {
 	c.members.Tick(c.now, &c.out)
 	c.configuration.Tick(c.now, &c.out)
+	if !c.cfg.External {
+		c.tickTable()
+	}
+	c.custody.Tick(c.now, &c.out)
+	c.scheduling.Tick(c.now, &c.out)
+	c.reportUsage()
+}
+
+// tickTable runs the systems that keep rows in the platform's table.
+func (c *Core) tickTable() {
 	c.reviewDuties()
 	c.claims.Sweep(c.now, c.wall, c.duties.sweep)
 	c.claims.Tick(c.now, &c.out)
 	c.keys.Tick(c.now, &c.out)
 	c.orders.Own(c.duties.orders)
 	c.orders.Tick(c.now, &c.out)
-	c.custody.Tick(c.now, &c.out)
-	c.scheduling.Tick(c.now, &c.out)
 }
 
 // settle carries what one system decided to the others until nothing is left:
@@ -250,7 +276,9 @@
 	c.snapshot = snap
 	c.watchDue = c.now
 	c.effect.Snapshot = snap
-	c.members.SetRevision(snap.Revision)
+	if !c.cfg.External {
+		c.members.SetRevision(snap.Revision)
+	}
 	c.scheduling.Configure(c.now, snap, &c.out)
 	c.orders.Configure(snap)
 	return true
@@ -295,9 +323,12 @@
 	}
 	take(c.members.NextWake(), true)
 	take(c.configuration.NextWake())
-	take(c.claims.NextWake())
-	take(c.keys.NextWake())
-	take(c.orders.NextWake())
+	if !c.cfg.External {
+		take(c.claims.NextWake())
+		take(c.keys.NextWake())
+		take(c.orders.NextWake())
+	}
+	take(c.quotas.NextWake())
 	take(c.custody.NextWake(c.now))
 	take(c.scheduling.NextWake())
 	return max(next, c.now+minSleep)
--- a/internal/control/event.go
+++ b/internal/control/event.go
@@ -15,6 +15,7 @@
 	"github.com/trefoilchute/trefoilchute/internal/system/claim"
 	"github.com/trefoilchute/trefoilchute/internal/system/custody"
 	"github.com/trefoilchute/trefoilchute/internal/system/order"
+	"github.com/trefoilchute/trefoilchute/internal/system/quota"
 	"github.com/trefoilchute/trefoilchute/internal/system/scheduling"
 )
 
@@ -84,6 +85,9 @@
 // Changed brings the configuration that a change made at this host has led to.
 type Changed struct{ Snapshot *resource.Snapshot }
 
+// Limits brings the teams' rates over all hosts.
+type Limits struct{ Teams map[ident.Team]quota.Limit }
+
 // Leave begins a planned stop: other hosts take the pools over.
 type Leave struct{}
 
@@ -110,6 +114,7 @@
 func (JoinLost) event()    {}
 func (Rescued) event()     {}
 func (Listed) event()      {}
+func (Limits) event()      {}
 func (Leave) event()       {}
 
 // Settled gives a request the answer that an earlier one with its key got.
--- a/internal/control/route.go
+++ b/internal/control/route.go
@@ -35,6 +35,8 @@
 		c.keys.Receive(c.now, m, &c.out)
 	case *peerpb.Envelope_Join, *peerpb.Envelope_Part:
 		c.effect.Relays = append(c.effect.Relays, m)
+	case *peerpb.Envelope_Usage:
+		c.quotas.Heard(c.now, from.Host, usesOf(body.Usage))
 	default:
 		c.scheduling.Receive(c.now, scheduling.Process(from), m, &c.out)
 	}
@@ -96,6 +98,7 @@
 
 // passOn gives a directive to the traffic side.
 func (c *Core) passOn(d custody.Directive) {
+	c.settleCharge(d)
 	if d.Kind == custody.Refuse {
 		c.claims.Withdraw(d.ID, &c.out)
 		c.keys.Release(c.now, d.ID, &c.out)
--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -32,6 +32,11 @@
 	return custody.Scheduler{Host: host, Incarnation: m.Incarnation}, ok
 }
 
+// Unresponsive says that a host left a submission without an answer.
+func (v custodyView) Unresponsive(h ident.Host) {
+	v.core.unresponsive[h] = v.core.now
+}
+
 // Endpoint returns a declared endpoint.
 func (v custodyView) Endpoint(name ident.Endpoint) (resource.Endpoint, bool) {
 	if v.core.snapshot == nil {
@@ -78,7 +83,7 @@
 	if !c.reachable(p.Domain) {
 		return "", false
 	}
-	hosts := c.members.Alive(p.Domain)
+	hosts := c.responsive(c.members.Alive(p.Domain))
 	if len(hosts) == 0 {
 		hosts = c.leaving(p.Domain)
 	}
@@ -88,6 +93,43 @@
 	return rendezvous.First(p.String(), hosts), true
 }
 
+const (
+	// unresponsiveTime is how long a host that left a submission without an answer
+	// schedules no pool for this host: membership has found out by then whether it
+	// is dead.
+	unresponsiveTime = membership.DeathTimeout
+	// silenceLimit is the time without a message from a host that is probed each
+	// round after which it schedules no pool for this host: one probe and its
+	// answer may be late, but not two.
+	silenceLimit = 2 * membership.ProbeInterval
+)
+
+// responsive returns the hosts of a list that answer this one, as far as is
+// known. Membership takes longer to call a host dead, since that has more
+// consequences than a pool that moves.
+func (c *Core) responsive(hosts []ident.Host) []ident.Host {
+	probesAll := len(hosts) <= membership.FullProbeSize
+	answers := func(h ident.Host) bool {
+		if h == c.cfg.Self {
+			return true
+		}
+		if at, ok := c.unresponsive[h]; ok && c.now-at < unresponsiveTime {
+			return false
+		}
+		return !probesAll || c.now-c.heard[h] < silenceLimit
+	}
+	if !slices.ContainsFunc(hosts, func(h ident.Host) bool { return !answers(h) }) {
+		return hosts
+	}
+	var list []ident.Host
+	for _, h := range hosts {
+		if answers(h) {
+			list = append(list, h)
+		}
+	}
+	return list
+}
+
 // reachable reports whether a host of a domain answered lately, or may yet answer
 // for the first time.
 func (c *Core) reachable(d ident.Domain) bool {
@@ -123,7 +165,7 @@
 	set := map[ident.Domain]bool{}
 	for _, e := range c.snapshot.Endpoints {
 		if e.Target == target && e.State == resource.EndpointActive {
-			set[e.Domain] = true
+			set[e.Pool().Domain] = true
 		}
 	}
 	list := slices.Sorted(maps.Keys(set))
--- a/internal/naive/differential_test.go
+++ b/internal/naive/differential_test.go
@@ -81,6 +81,14 @@
 	for i := range rapid.Uint64Range(0, 12).Draw(w.t, "blocks") {
 		prefix = append(prefix, family<<8|i)
 	}
+	// Some prompts come in blocks of unlike length; a block has the same one in
+	// every prompt.
+	var lengths []int
+	if family%2 == 1 {
+		for _, hash := range prefix {
+			lengths = append(lengths, 1+int(hash*37%300))
+		}
+	}
 	id := ident.Request(fmt.Sprintf("r%04d", w.next))
 	w.ranks[id] = rapid.IntRange(0, 2).Draw(w.t, "rank")
 	return pool.Request{
@@ -92,6 +100,7 @@
 		MaxTokens:    rapid.SampledFrom([]int{0, 16, 200, 2000}).Draw(w.t, "max"),
 		Deadline:     w.now + time.Duration(rapid.IntRange(-1, 60000).Draw(w.t, "deadline"))*time.Millisecond,
 		Prefix:       prefix,
+		PrefixTokens: lengths,
 		KeyHash:      rapid.Uint64Range(0, 30).Draw(w.t, "key"),
 		Fingerprint:  rapid.Uint64Range(0, 20).Draw(w.t, "body"),
 		Spilled:      rapid.Bool().Draw(w.t, "spilled"),
--- a/internal/naive/events.go
+++ b/internal/naive/events.go
@@ -207,8 +207,8 @@
 func (s *Scheduler) cacheEvent(c pool.CacheEvent) {
 	for _, e := range s.endpoints {
 		if e.Name == c.Endpoint {
-			e.cache = slices.DeleteFunc(e.cache, func(b uint64) bool { return slices.Contains(c.Evicted, b) })
-			s.store(e, c.Stored)
+			e.cache = slices.DeleteFunc(e.cache, func(b block) bool { return slices.Contains(c.Evicted, b.hash) })
+			s.store(e, c.Stored, nil)
 		}
 	}
 }
@@ -230,7 +230,7 @@
 	})
 	s.averageUntil = 0
 	for _, e := range s.endpoints {
-		s.store(e, nil)
+		s.store(e, nil, nil)
 	}
 	for _, e := range s.endpoints {
 		if e.declared && e.State != resource.EndpointDrain {
@@ -372,13 +372,24 @@
 
 // store uses blocks of a cache from the last to the first and drops what
 // exceeds its size.
-func (s *Scheduler) store(e *endpoint, blocks []uint64) {
-	for _, b := range slices.Backward(blocks) {
-		e.cache = slices.DeleteFunc(e.cache, func(x uint64) bool { return x == b })
-		e.cache = append(e.cache, b)
+func (s *Scheduler) store(e *endpoint, hashes []uint64, lengths []int) {
+	for i, hash := range slices.Backward(hashes) {
+		tokens := prefix.TokensOf(lengths, i)
+		for _, b := range e.cache {
+			if b.hash == hash {
+				tokens = b.tokens
+			}
+		}
+		e.cache = slices.DeleteFunc(e.cache, func(b block) bool { return b.hash == hash })
+		e.cache = append(e.cache, block{hash, tokens})
+	}
+	used := 0
+	for _, b := range e.cache {
+		used += b.tokens
 	}
-	if over := len(e.cache) - e.CacheTokens/prefix.BlockTokens; over > 0 {
-		e.cache = slices.Clone(e.cache[over:])
+	for used > e.CacheTokens {
+		used -= e.cache[0].tokens
+		e.cache = slices.Clone(e.cache[1:])
 	}
 }
 
--- a/internal/naive/grant.go
+++ b/internal/naive/grant.go
@@ -327,7 +327,7 @@
 		expected: p.total,
 	}
 	a.ahead = s.pending(e) + a.uncached
-	s.store(e, r.Prefix)
+	s.store(e, r.Prefix, r.PrefixTokens)
 	s.attempts = append(s.attempts, a)
 	s.hold(a)
 	s.meter.Grant(r.cost)
--- a/internal/naive/naive.go
+++ b/internal/naive/naive.go
@@ -114,7 +114,18 @@
 	load        window.Reported
 	trust       float64
 	// cache holds blocks, the least recently used first.
-	cache []uint64
+	cache []block
+}
+
+// block is a cached block with its length.
+type block struct {
+	hash   uint64
+	tokens int
+}
+
+// holds says whether a block is in the endpoint's cache.
+func (e *endpoint) holds(hash uint64) bool {
+	return slices.ContainsFunc(e.cache, func(b block) bool { return b.hash == hash })
 }
 
 type suspect struct {
--- a/internal/naive/policy.go
+++ b/internal/naive/policy.go
@@ -317,10 +317,10 @@
 
 func (s *Scheduler) cachedOn(r *request, e *endpoint) int {
 	n := 0
-	for n < len(r.Prefix) && slices.Contains(e.cache, r.Prefix[n]) {
+	for n < len(r.Prefix) && e.holds(r.Prefix[n]) {
 		n++
 	}
-	return int(float64(min(n*prefix.BlockTokens, r.PromptTokens)) * e.trust)
+	return int(float64(min(prefix.Sum(r.PrefixTokens, n), r.PromptTokens)) * e.trust)
 }
 
 func (s *Scheduler) findHome(r *request) {
--- a/internal/pool/blocks/cache.go
+++ b/internal/pool/blocks/cache.go
@@ -2,16 +2,18 @@
 
 // cache is a list of blocks by their last use, in an array of nodes.
 type cache struct {
-	limit int
-	at    map[uint64]int32
-	nodes []node
-	free  []int32
+	// limit and used are in tokens.
+	limit, used int
+	at          map[uint64]int32
+	nodes       []node
+	free        []int32
 }
 
 // node is a block in the ring of uses; node 0 is the ring's end: its next is
 // the block used last, its previous the one used least recently.
 type node struct {
 	block          uint64
+	tokens         int32
 	next, previous int32
 }
 
@@ -22,12 +24,12 @@
 func (c *cache) size() int { return len(c.at) }
 
 // use makes a block the most recently used and says whether it is new.
-func (c *cache) use(block uint64) bool {
+func (c *cache) use(block uint64, tokens int) bool {
 	i, known := c.at[block]
 	if known {
 		c.unlink(i)
 	} else {
-		i = c.allocate(block)
+		i = c.allocate(block, tokens)
 	}
 	c.link(i)
 	return !known
@@ -40,6 +42,7 @@
 		return false
 	}
 	c.unlink(i)
+	c.used -= int(c.nodes[i].tokens)
 	delete(c.at, block)
 	c.free = append(c.free, i)
 	return true
@@ -52,7 +55,7 @@
 	return block
 }
 
-func (c *cache) allocate(block uint64) int32 {
+func (c *cache) allocate(block uint64, tokens int) int32 {
 	var i int32
 	if n := len(c.free); n > 0 {
 		i = c.free[n-1]
@@ -61,7 +64,8 @@
 		i = int32(len(c.nodes))
 		c.nodes = append(c.nodes, node{})
 	}
-	c.nodes[i].block = block
+	c.nodes[i].block, c.nodes[i].tokens = block, int32(tokens)
+	c.used += tokens
 	c.at[block] = i
 	return i
 }
--- a/internal/pool/blocks/index.go
+++ b/internal/pool/blocks/index.go
@@ -2,7 +2,11 @@
 // cached: from the own history of dispatches, corrected by cache events.
 package blocks
 
-import "slices"
+import (
+	"slices"
+
+	"github.com/trefoilchute/trefoilchute/internal/prefix"
+)
 
 // Index maps blocks to the endpoints that hold them. Endpoints are numbered by
 // the caller. Each endpoint's cache is modelled as limited, dropping what was
@@ -17,7 +21,7 @@
 	return &Index{holders: map[uint64][]int32{}, caches: map[int32]*cache{}}
 }
 
-// Resize sets how many blocks an endpoint's cache holds.
+// Resize sets how many tokens an endpoint's cache holds.
 func (x *Index) Resize(endpoint int32, limit int) {
 	c := x.caches[endpoint]
 	if c == nil {
@@ -30,14 +34,15 @@
 
 // Store says that the endpoint has the blocks of a prompt, in their order, as
 // the most recently used. They are used from the last to the first, so that a
-// prefix stays longer than what is chained to it.
-func (x *Index) Store(endpoint int32, prompt []uint64) {
+// prefix stays longer than what is chained to it. tokens holds the blocks'
+// lengths; if it is empty, each has prefix.BlockTokens.
+func (x *Index) Store(endpoint int32, prompt []uint64, tokens []int) {
 	c := x.caches[endpoint]
 	if c == nil {
 		return
 	}
-	for _, b := range slices.Backward(prompt) {
-		if c.use(b) {
+	for i, b := range slices.Backward(prompt) {
+		if c.use(b, prefix.TokensOf(tokens, i)) {
 			x.holders[b] = append(x.holders[b], endpoint)
 		}
 	}
@@ -107,7 +112,7 @@
 }
 
 func (x *Index) shrink(endpoint int32, c *cache) {
-	for c.size() > c.limit {
+	for c.used > c.limit {
 		x.forget(endpoint, c.dropOldest())
 	}
 }
--- a/internal/pool/event.go
+++ b/internal/pool/event.go
@@ -29,6 +29,16 @@
 	Deadline time.Duration
 	// Prefix holds the chained block hashes of the prompt.
 	Prefix []uint64
+	// PrefixTokens holds the length in tokens of each block of Prefix. If it is
+	// empty, every block has prefix.BlockTokens.
+	PrefixTokens []int
+	// FirstDue is when the first token is due, on the scheduler's clock; 0 for
+	// a request without that objective.
+	FirstDue time.Duration
+	// ExpectedTokens is the caller's own estimate of the answer's length; 0: none.
+	ExpectedTokens int
+	// Avoid is an endpoint that failed an earlier try of the request.
+	Avoid ident.Endpoint
 	// KeyHash is the hash of the team and idempotency key; 0 without a key.
 	KeyHash uint64
 	// Fingerprint is the hash of the team-independent body.
@@ -83,6 +93,12 @@
 	OutcomeLost
 	// OutcomeCanceled means that the caller left or the deadline passed.
 	OutcomeCanceled
+	// OutcomeRejected means that the endpoint said that it has no room and did
+	// not run the request.
+	OutcomeRejected
+	// OutcomeBroken means that the answer failed or broke off, while the
+	// endpoint still took connections.
+	OutcomeBroken
 )
 
 // Finished says that a dispatched request left its endpoint.
--- a/internal/pool/intake.go
+++ b/internal/pool/intake.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/trefoilchute/trefoilchute/internal/ident"
-	"github.com/trefoilchute/trefoilchute/internal/prefix"
 	"github.com/trefoilchute/trefoilchute/internal/result"
 )
 
@@ -181,7 +180,7 @@
 		s.blocks.Remove(number)
 	}
 	for _, row := range s.endpoints.rows {
-		s.blocks.Resize(row.number, row.CacheTokens/prefix.BlockTokens)
+		s.blocks.Resize(row.number, row.CacheTokens)
 	}
 	if !s.endpoints.anyActive() {
 		s.refuseAll()
--- a/internal/pool/ledger.go
+++ b/internal/pool/ledger.go
@@ -79,7 +79,7 @@
 		expected: p.estimate.total,
 	}
 	a.ahead = e.pending + a.uncached
-	s.blocks.Store(e.number, r.Prefix)
+	s.blocks.Store(e.number, r.Prefix, r.PrefixTokens)
 	s.attempts.put(a)
 	s.hold(a)
 	s.meter.Grant(r.cost)
--- a/internal/pool/prefix.go
+++ b/internal/pool/prefix.go
@@ -31,7 +31,7 @@
 // cachedOn returns the prompt tokens expected in an endpoint's cache, after
 // matchPrefix.
 func (s *Scheduler) cachedOn(r *request, e *endpoint) int {
-	tokens := min(s.matched[e.number]*prefix.BlockTokens, r.PromptTokens)
+	tokens := min(prefix.Sum(r.PrefixTokens, s.matched[e.number]), r.PromptTokens)
 	return int(float64(tokens) * e.trust)
 }
 
@@ -102,7 +102,7 @@
 		return
 	}
 	s.blocks.Evict(row.number, e.Evicted)
-	s.blocks.Store(row.number, e.Stored)
+	s.blocks.Store(row.number, e.Stored, nil)
 }
 
 // sawCached corrects the trust in the modelled cache by what the engine found.
--- a/internal/prefix/prefix.go
+++ b/internal/prefix/prefix.go
@@ -22,6 +22,27 @@
 	return (n + BytesPerToken - 1) / BytesPerToken
 }
 
+// TokensOf returns the length in tokens of block i of a prompt whose blocks have
+// the given lengths; without any, every block has BlockTokens.
+func TokensOf(lengths []int, i int) int {
+	if i < len(lengths) {
+		return lengths[i]
+	}
+	return BlockTokens
+}
+
+// Sum returns the length in tokens of the first n blocks of a prompt.
+func Sum(lengths []int, n int) int {
+	if len(lengths) == 0 {
+		return n * BlockTokens
+	}
+	sum := 0
+	for i := range n {
+		sum += TokensOf(lengths, i)
+	}
+	return sum
+}
+
 // Hashes returns one chained hash per whole block of the prompt. Two prompts
 // share their first k blocks exactly if their first k hashes are equal.
 func Hashes(prompt []byte) []uint64 {
--- a/internal/resource/resource.go
+++ b/internal/resource/resource.go
@@ -85,6 +85,9 @@
 	// Address is the IP address and port.
 	Address string       `json:"address"`
 	Domain  ident.Domain `json:"domain"`
+	// Scope names the hosts that schedule the endpoint, where these are not those
+	// of its failure domain alone. Operators don't declare it.
+	Scope ident.Domain `json:"scope,omitempty"`
 	// Target is the model or service name it serves.
 	Target string        `json:"target"`
 	Type   EndpointType  `json:"type"`
@@ -102,6 +105,9 @@
 
 // Pool returns the pool that the endpoint belongs to.
 func (e *Endpoint) Pool() ident.Pool {
+	if e.Scope != "" {
+		return ident.Pool{Target: e.Target, Domain: e.Scope}
+	}
 	return ident.Pool{Target: e.Target, Domain: e.Domain}
 }
 
--- a/internal/system/configuration/configuration.go
+++ b/internal/system/configuration/configuration.go
@@ -68,6 +68,9 @@
 	// Seed feeds the phase of the polls and the choice of hosts.
 	Seed uint64
 	View View
+	// External says that another part of the process reads the configuration and
+	// brings it by Adopt: nothing is polled, offered or pulled.
+	External bool
 }
 
 // Sources of a configuration beside host names.
@@ -150,6 +153,9 @@
 
 // Tick does what is due.
 func (s *System) Tick(now time.Duration, out *system.Outbox) {
+	if s.cfg.External {
+		return
+	}
 	if !s.started {
 		s.started = true
 		s.nextPoll = now
@@ -170,6 +176,9 @@
 
 // NextWake returns when Tick is next due.
 func (s *System) NextWake() (time.Duration, bool) {
+	if s.cfg.External {
+		return 0, false
+	}
 	if !s.started {
 		return 0, true
 	}
@@ -198,9 +207,12 @@
 		return
 	}
 	s.current = next
-	s.history.add(next)
 	s.status.Source = source
 	s.status.AdoptedAt = now
+	if s.cfg.External {
+		return
+	}
+	s.history.add(next)
 	for host, revision := range s.offers {
 		if revision < next.Revision {
 			delete(s.offers, host)
--- a/internal/system/custody/custody.go
+++ b/internal/system/custody/custody.go
@@ -43,6 +43,8 @@
 	Domains(target string) []ident.Domain
 	// Scheduler returns the process that schedules a pool now.
 	Scheduler(pool ident.Pool) (Scheduler, bool)
+	// Unresponsive says that a host left a submission without an answer.
+	Unresponsive(ident.Host)
 	// Endpoint returns a declared endpoint.
 	Endpoint(name ident.Endpoint) (resource.Endpoint, bool)
 }
@@ -58,14 +60,25 @@
 	MaxTokens    int
 	// Deadline is when the answer is due, on the host's clock.
 	Deadline time.Duration
-	// Prefix holds the chained block hashes of the prompt.
-	Prefix []uint64
+	// Prefix holds the chained block hashes of the prompt, and PrefixTokens the
+	// blocks' lengths; see pool.Request.
+	Prefix       []uint64
+	PrefixTokens []int
+	// FirstDue is when the first token is due, on the host's clock; 0 without
+	// that objective.
+	FirstDue time.Duration
+	// ExpectedTokens is the caller's estimate of the answer's length; 0: none.
+	ExpectedTokens int
+	// Avoid is an endpoint that failed an earlier try of this request.
+	Avoid ident.Endpoint
 	// Key is the caller's idempotency key; empty without one. KeyHash is the
 	// hash of the team and the key.
 	Key         string
 	KeyHash     uint64
 	Fingerprint uint64
 	Idempotent  bool
+	// Cost is what the request counts against its team's rate; 0: nothing.
+	Cost float64
 	// FirstAttempt says that the caller declares this the key's first sending.
 	FirstAttempt bool
 }
@@ -102,7 +115,10 @@
 	// accepted says that the scheduler has confirmed the request.
 	accepted    bool
 	submittedAt time.Duration
-	spilled     bool
+	// returned says that a grant was given back since the last look: the request
+	// is to be submitted anew.
+	returned bool
+	spilled  bool
 	// claimed says that the claim row of a non-idempotent request is ours.
 	claimed  bool
 	attempt  ident.Attempt
@@ -157,19 +173,20 @@
 	return waiting, dispatched
 }
 
-// Arrive takes a new request into custody. It is looked up by its key first,
-// if it needs one.
+// Arrive takes a new request into custody. One with a key is looked up by it
+// first. One without has no earlier run that could be found: that it runs at
+// most once follows from its single dispatch here.
 func (s *System) Arrive(now time.Duration, a Arrival, out *system.Outbox) {
 	r := &row{Arrival: a, state: stateChecking}
 	s.rows[a.ID] = r
 	s.order = append(s.order, r)
 	switch {
+	case a.Key == "":
+		s.queue(now, r, out)
 	case !a.Idempotent:
 		s.direct(Directive{Kind: LookClaim, ID: a.ID})
-	case a.Key != "":
-		s.direct(Directive{Kind: NoteKey, ID: a.ID})
 	default:
-		s.queue(now, r, out)
+		s.direct(Directive{Kind: NoteKey, ID: a.ID})
 	}
 }
 
@@ -241,7 +258,7 @@
 func (s *System) refresh(now time.Duration, r *row, out *system.Outbox) {
 	r.submittedAt = now
 	m := r.submission(now, s.epochs[r.pool])
-	m.Prefix = nil
+	m.Prefix, m.PrefixTokens = nil, nil
 	out.Send(r.scheduler.Host, peerpb.Wrap(&peerpb.Envelope_Submit{Submit: m}))
 }
 
--- a/internal/system/custody/custody_test.go
+++ b/internal/system/custody/custody_test.go
@@ -17,13 +17,17 @@
 type view struct {
 	scheduler Scheduler
 	has       bool
-	state     resource.EndpointState
+	// unresponsive are the hosts that custody found so.
+	unresponsive []ident.Host
+	state        resource.EndpointState
 }
 
 func (v *view) Domains(string) []ident.Domain { return []ident.Domain{"a"} }
 
 func (v *view) Scheduler(ident.Pool) (Scheduler, bool) { return v.scheduler, v.has }
 
+func (v *view) Unresponsive(h ident.Host) { v.unresponsive = append(v.unresponsive, h) }
+
 func (v *view) Endpoint(name ident.Endpoint) (resource.Endpoint, bool) {
 	return resource.Endpoint{Name: name, Address: "127.0.0.1:1", State: v.state}, true
 }
--- a/internal/system/custody/grant.go
+++ b/internal/system/custody/grant.go
@@ -38,7 +38,7 @@
 		s.giveBack(now, r, false, out)
 		return
 	}
-	if !r.Idempotent && !r.claimed {
+	if r.needsClaim() {
 		r.state = stateClaiming
 		s.direct(Directive{Kind: AcquireClaim, ID: r.ID, Endpoint: r.endpoint, Attempt: r.attempt})
 		return
@@ -63,6 +63,11 @@
 	return ok && e.State == resource.EndpointActive && now < r.grantExpires
 }
 
+// needsClaim reports whether a claim row has to be written before the dispatch.
+func (r *row) needsClaim() bool {
+	return r.Key != "" && !r.Idempotent && !r.claimed
+}
+
 // connect asks for a connection to the granted endpoint.
 func (s *System) connect(r *row) {
 	e, _ := s.cfg.View.Endpoint(r.endpoint)
@@ -140,6 +145,7 @@
 	r.state = stateQueued
 	r.accepted = false
 	r.submittedAt = now - acceptTimeout
+	r.returned = true
 	r.attempt = 0
 }
 
--- a/internal/system/custody/message.go
+++ b/internal/system/custody/message.go
@@ -14,22 +14,30 @@
 // submission returns the request as its scheduler needs it. epoch is the highest
 // that was seen of its pool.
 func (r *row) submission(now time.Duration, epoch uint64) *peerpb.Submit {
-	return &peerpb.Submit{
+	m := &peerpb.Submit{
 		Request: string(r.ID), Target: r.pool.Target, Domain: string(r.pool.Domain),
 		TierRank: int32(r.Rank), Team: string(r.Team),
 		PromptTokens: int64(r.PromptTokens), MaxTokens: int64(r.MaxTokens),
 		DeadlineUs: (r.Deadline - now).Microseconds(),
 		Prefix:     r.Prefix, KeyHash: r.KeyHash, Fingerprint: r.Fingerprint,
 		Idempotent: r.Idempotent, Spilled: r.spilled, ClockUs: now.Microseconds(),
-		Epoch: epoch,
+		Epoch: epoch, ExpectedTokens: int64(r.ExpectedTokens), Avoid: string(r.Avoid),
 	}
+	if r.FirstDue > 0 {
+		m.HasObjective = true
+		m.FirstTokenDueUs = (r.FirstDue - now).Microseconds()
+	}
+	for _, n := range r.PrefixTokens {
+		m.PrefixTokens = append(m.PrefixTokens, uint32(n))
+	}
+	return m
 }
 
 // running returns a dispatched request as its scheduler needs it. The prefix is
 // left out: placement has used it.
 func (r *row) running(now time.Duration) *peerpb.Running {
 	request := r.submission(now, 0)
-	request.Prefix = nil
+	request.Prefix, request.PrefixTokens = nil, nil
 	return &peerpb.Running{
 		Request: request, Endpoint: string(r.endpoint), Attempt: uint64(r.attempt),
 		AgeUs: (now - r.dispatchedAt).Microseconds(),
--- a/internal/system/custody/tick.go
+++ b/internal/system/custody/tick.go
@@ -58,6 +58,10 @@
 		s.withdraw(now, r, out)
 	}
 	unanswered := !r.accepted && now-r.submittedAt >= acceptTimeout
+	if unanswered && !r.returned {
+		s.cfg.View.Unresponsive(r.scheduler.Host)
+	}
+	r.returned = false
 	if !ok || moved || unanswered {
 		s.submit(now, r, out)
 		return
--- a/internal/system/membership/membership.go
+++ b/internal/system/membership/membership.go
@@ -55,8 +55,8 @@
 	// was cut off in the meantime can't bring it back to life.
 	ForgetAfter = 3 * time.Hour
 
-	// fullProbeSize is the largest domain in which each host probes all others.
-	fullProbeSize = 8
+	// FullProbeSize is the largest domain in which each host probes all others.
+	FullProbeSize = 12
 	// contactsPerDomain is the number of contacts in each other domain.
 	contactsPerDomain = 2
 	// gatewaysPerDomain is the number of hosts of a domain that carry gossip to
--- a/internal/system/membership/targets.go
+++ b/internal/system/membership/targets.go
@@ -40,7 +40,7 @@
 	own := slices.IndexFunc(ring, func(p ringPlace) bool { return p.host == s.cfg.Self })
 	at := func(offset int) ident.Host { return ring[(own+offset)%len(ring)].host }
 	var targets []target
-	if len(ring) <= fullProbeSize {
+	if len(ring) <= FullProbeSize {
 		for offset := 1; offset < len(ring); offset++ {
 			targets = append(targets, target{host: at(offset), gossip: true})
 		}
--- /dev/null
+++ b/internal/system/quota/quota.go
@@ -0,0 +1,242 @@
+// Package quota keeps the teams' rates over all hosts together. Each host has a
+// share of every team's rate, which follows what the team asks for at that host
+// against what it asks for at the others, and a token bucket filled at that share.
+// The hosts tell each other their demand and their share.
+//
+// Invariant: what hosts hold of a team's rate sums up to the rate, but for what
+// changes while reports are under way. A host that isn't heard keeps the share that
+// it last told, on both sides of a cut, until it has been forgotten.
+//
+// The package is pure: it is told the time and what happened.
+package quota
+
+import (
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/trefoilchute/trefoilchute/internal/ident"
+)
+
+const (
+	// ReportInterval is the time between two reports to the other hosts.
+	ReportInterval = 500 * time.Millisecond
+	// reportLife is how long a report says what its host does now: one may be lost
+	// and the next late.
+	reportLife = 4 * ReportInterval
+	// forgetAfter is how long the share of a host that isn't heard is left to it.
+	// It outlasts the cuts that membership calls a death, and the requests that
+	// the host could still have sent.
+	forgetAfter = 15 * time.Second
+	// demandTime is the time over which demand is averaged.
+	demandTime = 2 * time.Second
+	// idlePart is the part of the rate that is dealt out evenly, so that a team's
+	// first requests at a host find some.
+	idlePart = 0.1
+	// firstFill is the part of its burst that a bucket starts with: an earlier
+	// process of the host may have spent the rest.
+	firstFill = 0.25
+	// minRetryAfter and maxRetryAfter bound what a refused caller is told.
+	minRetryAfter = 50 * time.Millisecond
+	maxRetryAfter = 5 * time.Second
+)
+
+// Limit is a team's rate over all hosts, in units a second, and its burst. A Rate
+// of 0 is no limit.
+type Limit struct {
+	Rate, Burst float64
+}
+
+// Use is what a host tells of one team.
+type Use struct {
+	Team ident.Team
+	// Demand is what is asked for, in units a second.
+	Demand float64
+	// Share is the part of the rate that the host holds.
+	Share float64
+}
+
+// System is the quotas of one host.
+type System struct {
+	limits map[ident.Team]Limit
+	teams  map[ident.Team]*team
+	others map[ident.Host]other
+	// hosts is how many hosts there are as far as is known, this one included.
+	hosts    int
+	reportAt time.Duration
+}
+
+// team is this host's part of a team's rate.
+type team struct {
+	// demand is an average in units a second as of at.
+	demand float64
+	share  float64
+	bucket float64
+	at     time.Duration
+}
+
+// other is what another host last told.
+type other struct {
+	at   time.Duration
+	uses map[ident.Team]Use
+}
+
+// New returns quotas without limits.
+func New() *System {
+	return &System{
+		limits: map[ident.Team]Limit{}, teams: map[ident.Team]*team{}, others: map[ident.Host]other{},
+		hosts: 1,
+	}
+}
+
+// Configure sets the limits of all teams.
+func (s *System) Configure(now time.Duration, limits map[ident.Team]Limit) {
+	s.limits = limits
+	for name := range s.teams {
+		if _, ok := limits[name]; !ok {
+			delete(s.teams, name)
+		}
+	}
+	for name := range limits {
+		if s.teams[name] == nil {
+			t := &team{at: now, share: 1 / float64(s.hosts)}
+			t.bucket = firstFill * t.share * limits[name].Burst
+			s.teams[name] = t
+		}
+	}
+}
+
+// Hosts tells how many hosts there are, this one included.
+func (s *System) Hosts(n int) {
+	s.hosts = max(1, n)
+}
+
+// Charge books a request of a team. It returns false, and when to come back, for
+// one beyond the team's rate.
+func (s *System) Charge(now time.Duration, name ident.Team, units float64) (time.Duration, bool) {
+	limit := s.limits[name]
+	t := s.teams[name]
+	if t == nil || limit.Rate <= 0 {
+		return 0, true
+	}
+	s.advance(now, t, limit)
+	t.demand += units / demandTime.Seconds()
+	if t.bucket < units && t.bucket < t.share*limit.Burst {
+		return retryAfter(units-t.bucket, t.share*limit.Rate), false
+	}
+	t.bucket -= units
+	return 0, true
+}
+
+// Refund takes back the charge of a request that was not dispatched.
+func (s *System) Refund(name ident.Team, units float64) {
+	if t := s.teams[name]; t != nil {
+		t.bucket = min(t.bucket+units, t.share*s.limits[name].Burst)
+	}
+}
+
+// retryAfter is when a bucket that lacks some units has them.
+func retryAfter(lacking, rate float64) time.Duration {
+	if rate <= 0 {
+		return maxRetryAfter
+	}
+	wait := time.Duration(lacking / rate * float64(time.Second))
+	return min(max(wait, minRetryAfter), maxRetryAfter)
+}
+
+// advance fills the bucket and lets the demand fade up to now.
+func (s *System) advance(now time.Duration, t *team, limit Limit) {
+	passed := (now - t.at).Seconds()
+	if passed <= 0 {
+		return
+	}
+	t.at = now
+	t.demand *= math.Exp(-passed / demandTime.Seconds())
+	t.bucket = min(t.bucket+passed*t.share*limit.Rate, t.share*limit.Burst)
+}
+
+// Heard takes another host's report.
+func (s *System) Heard(now time.Duration, from ident.Host, uses []Use) {
+	o := other{at: now, uses: make(map[ident.Team]Use, len(uses))}
+	for _, u := range uses {
+		o.uses[u.Team] = u
+	}
+	s.others[from] = o
+}
+
+// Left forgets a host that has announced its end.
+func (s *System) Left(h ident.Host) {
+	delete(s.others, h)
+}
+
+// Report returns this host's use when a report is due.
+func (s *System) Report(now time.Duration) ([]Use, bool) {
+	if now < s.reportAt || len(s.teams) == 0 {
+		return nil, false
+	}
+	s.reportAt = now + ReportInterval
+	for host, o := range s.others {
+		if now-o.at >= forgetAfter {
+			delete(s.others, host)
+		}
+	}
+	uses := make([]Use, 0, len(s.teams))
+	for _, name := range slices.Sorted(maps.Keys(s.teams)) {
+		t := s.teams[name]
+		s.advance(now, t, s.limits[name])
+		t.share = s.shareOf(now, name, t)
+		uses = append(uses, Use{Team: name, Demand: t.demand, Share: t.share})
+	}
+	return uses, true
+}
+
+// shareOf divides what the hosts that aren't heard don't hold: a part evenly, the
+// rest by demand.
+func (s *System) shareOf(now time.Duration, name ident.Team, t *team) float64 {
+	left, demand, heard := 1.0, t.demand, 1
+	for _, o := range s.others {
+		u := o.uses[name]
+		if now-o.at >= reportLife {
+			left -= u.Share
+			continue
+		}
+		heard++
+		demand += u.Demand
+	}
+	// Hosts that are known but have told nothing yet may hold their even part.
+	if unheard := s.hosts - heard - s.stale(now); unheard > 0 {
+		left -= float64(unheard) / float64(s.hosts)
+	}
+	left = max(left, 0)
+	even := 1 / float64(heard)
+	if demand <= 0 {
+		return left * even
+	}
+	return left * (idlePart*even + (1-idlePart)*t.demand/demand)
+}
+
+// stale counts the hosts whose last report is too old.
+func (s *System) stale(now time.Duration) int {
+	n := 0
+	for _, o := range s.others {
+		if now-o.at >= reportLife {
+			n++
+		}
+	}
+	return n
+}
+
+// NextWake returns when Report is due.
+func (s *System) NextWake() (time.Duration, bool) {
+	return s.reportAt, len(s.teams) > 0
+}
+
+// Shares returns the share of each team's rate that this host holds.
+func (s *System) Shares() map[ident.Team]float64 {
+	out := make(map[ident.Team]float64, len(s.teams))
+	for name, t := range s.teams {
+		out[name] = t.share
+	}
+	return out
+}
--- a/internal/system/scheduling/receive.go
+++ b/internal/system/scheduling/receive.go
@@ -55,14 +55,22 @@
 
 // request returns the scheduler's form of a submission.
 func request(now time.Duration, from ident.Host, m *peerpb.Submit) pool.Request {
-	return pool.Request{
+	r := pool.Request{
 		ID: ident.Request(m.GetRequest()), Host: from, Rank: int(m.GetTierRank()),
 		Team:         ident.Team(m.GetTeam()),
 		PromptTokens: int(m.GetPromptTokens()), MaxTokens: int(m.GetMaxTokens()),
 		Deadline: now + time.Duration(m.GetDeadlineUs())*time.Microsecond,
 		Prefix:   m.GetPrefix(), KeyHash: m.GetKeyHash(), Fingerprint: m.GetFingerprint(),
 		Idempotent: m.GetIdempotent(), Spilled: m.GetSpilled(),
+		ExpectedTokens: int(m.GetExpectedTokens()), Avoid: ident.Endpoint(m.GetAvoid()),
 	}
+	if m.GetHasObjective() {
+		r.FirstDue = max(1, now+micros(m.GetFirstTokenDueUs()))
+	}
+	for _, n := range m.GetPrefixTokens() {
+		r.PrefixTokens = append(r.PrefixTokens, int(n))
+	}
+	return r
 }
 
 // cancel withdraws a request.
@@ -115,6 +123,10 @@
 		outcome = pool.OutcomeLost
 	case peerpb.Report_PHASE_CANCELED:
 		outcome = pool.OutcomeCanceled
+	case peerpb.Report_PHASE_REJECTED:
+		outcome = pool.OutcomeRejected
+	case peerpb.Report_PHASE_BROKEN:
+		outcome = pool.OutcomeBroken
 	}
 	return pool.Finished{
 		ID: key.request, Attempt: key.attempt, Outcome: outcome,
