--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -65,17 +65,23 @@
 	core    *Core
 	ports   Ports
 	mailbox chan Event
-	started time.Time
+	now     func() time.Duration
 	calls   conc.WaitGroup
 	slots   chan struct{}
 }
 
 // NewLoop returns a loop that isn't running. Connect its ports before Run.
 func NewLoop(core *Core) *Loop {
+	started := time.Now()
+	return NewLoopAt(core, func() time.Duration { return time.Since(started) })
+}
+
+// NewLoopAt returns a loop with a clock of its own, which must never fall.
+func NewLoopAt(core *Core, now func() time.Duration) *Loop {
 	return &Loop{
 		core:    core,
 		mailbox: make(chan Event, mailboxSize),
-		started: time.Now(),
+		now:     now,
 		slots:   make(chan struct{}, maxCalls),
 	}
 }
@@ -85,9 +91,9 @@
 	l.ports = p
 }
 
-// Now is control's clock: the monotonic time since the loop was made.
+// Now is control's clock: the time since the loop was made.
 func (l *Loop) Now() time.Duration {
-	return time.Since(l.started)
+	return l.now()
 }
 
 // Post hands an event to the control goroutine. It blocks while the mailbox is
--- a/internal/entry/errors.go
+++ b/internal/entry/errors.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"encoding/json"
 	"math"
 	"slices"
 	"strconv"
@@ -14,36 +13,6 @@
 	"github.com/trefoilchute/trefoilchute/internal/result"
 )
 
-// errorDoc is the body of an answer that isn't a whole answer.
-type errorDoc struct {
-	Error errorInfo `json:"error"`
-}
-
-// errorInfo describes the result to the caller.
-type errorInfo struct {
-	Code    result.Code `json:"code"`
-	Type    string      `json:"type"`
-	Message string      `json:"message"`
-	// Ran is "no", "yes" or "unknown".
-	Ran    string `json:"ran"`
-	Resend string `json:"resend"`
-	// RetryAfterMillis is when to come back; absent if unstated.
-	RetryAfterMillis int64 `json:"retry_after_ms,omitempty"`
-}
-
-// errorBody returns the JSON of an error.
-func errorBody(e *result.Error) []byte {
-	info, _ := result.Lookup(e.Code)
-	body, err := json.Marshal(errorDoc{errorInfo{
-		Code: e.Code, Type: info.Name, Message: e.Reason, Ran: info.Ran.String(),
-		Resend: info.Resend, RetryAfterMillis: e.RetryAfter.Milliseconds(),
-	}})
-	if err != nil {
-		return []byte(`{"error":{}}`)
-	}
-	return body
-}
-
 // answerError writes an error with its code's status and the time to come back.
 func answerError(c *fiber.Ctx, err error) error {
 	var coded *result.Error
@@ -59,7 +28,7 @@
 		c.Set(fiber.HeaderRetryAfter, retrySeconds(coded.RetryAfter))
 	}
 	c.Set(fiber.HeaderContentType, fiber.MIMEApplicationJSON)
-	return c.Status(info.Status).Send(errorBody(coded))
+	return c.Status(info.Status).Send(coded.Body())
 }
 
 // retrySeconds returns whole seconds, rounded up.
@@ -99,6 +68,6 @@
 		ctx.Response.Header.Set(HeaderCode, strconv.Itoa(int(e.Code)))
 		ctx.SetContentType(fiber.MIMEApplicationJSON)
 		ctx.SetStatusCode(fasthttp.StatusBadRequest)
-		ctx.SetBody(errorBody(e))
+		ctx.SetBody(e.Body())
 	}
 }
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -119,7 +119,7 @@
 		if v.Final.Code == result.OK {
 			e.event(w, []byte(engine.DoneMarker))
 		} else {
-			e.event(w, errorBody(finalError(v.Final)))
+			e.event(w, finalError(v.Final).Body())
 		}
 		return v.Final
 	}
--- /dev/null
+++ b/internal/gateway/exchange.go
@@ -0,0 +1,345 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/trefoilchute/trefoilchute/internal/control"
+	"github.com/trefoilchute/trefoilchute/internal/peer/peerpb"
+	"github.com/trefoilchute/trefoilchute/internal/result"
+	"github.com/trefoilchute/trefoilchute/internal/ruleset"
+	"github.com/trefoilchute/trefoilchute/internal/upstream"
+	"github.com/trefoilchute/trefoilchute/platform"
+)
+
+const (
+	// endMargin is how much longer than the time limit an endpoint's answer is
+	// waited for: the endpoint keeps to the limit by itself and its answer is on its
+	// way.
+	endMargin = 100 * time.Millisecond
+	// maxForeign is how many answers to other requests are skipped before one
+	// connection is given up.
+	maxForeign = 2
+	// maxSkipped bounds the body of an answer that is skipped or held, in bytes.
+	maxSkipped = 64 << 10
+	// copyBuffer is the size of the buffer between endpoint and caller, in bytes:
+	// what is there to be read goes on at once.
+	copyBuffer = 8 << 10
+	// writeSlack is how long the caller may take for what is written to it.
+	writeSlack = 5 * time.Second
+)
+
+// tryEnd is how a try ended.
+type tryEnd struct {
+	// delivered says that an answer, whole or not, went to the caller, or that there
+	// is no caller any more.
+	delivered bool
+	failure   failure
+	reason    string
+}
+
+// failed returns the end of a try of which nothing went to the caller.
+func failed(f failure, reason string) tryEnd {
+	return tryEnd{failure: f, reason: reason}
+}
+
+// heldAnswer is an endpoint's whole answer that says that the run failed.
+type heldAnswer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// exchange sends the request on a connection and carries the answer to the caller.
+func (t *try) exchange(conn *upstream.Conn) tryEnd {
+	x := &exchange{try: t, call: t.call, conn: conn}
+	stop := context.AfterFunc(t.call.ctx, func() { _ = conn.Close() })
+	end := x.run()
+	// Without a stop the connection was closed when the caller left.
+	if !stop() || !x.reusable() {
+		_ = conn.Close()
+	} else {
+		t.call.gateway.conns.Put(conn)
+	}
+	if x.broken && conn.Reused {
+		t.call.gateway.conns.Drop(t.address)
+	}
+	t.finish(x.phase(end))
+	return end
+}
+
+// exchange is one request and its answer on one connection.
+type exchange struct {
+	try  *try
+	call *call
+	conn *upstream.Conn
+	// sent is closed when the request was written, whole unless sendErr is set.
+	sent    chan struct{}
+	sendErr error
+	// whole says that the answer was read to its end, closes that the endpoint
+	// closes the connection after it, broken that the connection failed.
+	whole, closes, broken bool
+	rejected              bool
+}
+
+// run sends the request and deals with its answer.
+func (x *exchange) run() tryEnd {
+	g := x.call.gateway
+	left := x.call.limit - g.opts.Now()
+	_ = x.conn.SetDeadline(time.Now().Add(left + endMargin))
+	x.send(left)
+	resp, end := x.receive()
+	if resp == nil {
+		return end
+	}
+	defer func() { _ = resp.Body.Close() }()
+	answer := platform.ReadAnswer(resp.StatusCode, resp.Header)
+	switch {
+	case answer.NotRun:
+		x.rejected = true
+		x.skip(resp)
+		return failed(notRun, "the endpoint did not run it: status "+strconv.Itoa(resp.StatusCode))
+	case !answer.Sealed, platform.IsPromise(resp.StatusCode), resp.Header.Get("Content-Encoding") != "":
+		x.broken = true
+		return failed(unknown, "no endpoint's answer: status "+strconv.Itoa(resp.StatusCode))
+	case resp.StatusCode >= http.StatusInternalServerError:
+		return x.hold(resp)
+	}
+	return x.deliver(resp)
+}
+
+// send writes the request. A long body is written beside the reading of the
+// answer, which an endpoint may send before it has read the whole body.
+func (x *exchange) send(left time.Duration) {
+	c := x.call
+	buf := headBuffers.Get().(*[]byte)
+	head := platform.AppendHead((*buf)[:0], c.r.Method, c.target, c.r.Host, c.r.Header, platform.Dispatch{
+		Endpoint: x.try.endpoint, Team: c.outcome.Team, Left: left,
+	}, len(c.body))
+	x.sent = make(chan struct{})
+	if len(c.body) <= smallBody {
+		head = append(head, c.body...)
+		_, x.sendErr = x.conn.Write(head)
+		close(x.sent)
+		*buf = head
+		headBuffers.Put(buf)
+		return
+	}
+	go func() {
+		defer close(x.sent)
+		if _, x.sendErr = x.conn.Write(head); x.sendErr == nil {
+			_, x.sendErr = x.conn.Write(c.body)
+		}
+	}()
+}
+
+// smallBody is the size of a body up to which it is written at once with the head,
+// in bytes: the kernel takes that much without the endpoint's reading.
+const smallBody = 16 << 10
+
+// headBuffers keeps the buffers that requests are written from.
+var headBuffers = sync.Pool{New: func() any {
+	b := make([]byte, 0, smallBody+4<<10)
+	return &b
+}}
+
+// receive reads the head of the answer to this request. Answers to others, which
+// may be left on the connection, are skipped.
+func (x *exchange) receive() (*http.Response, tryEnd) {
+	for range maxForeign + 1 {
+		resp, err := x.conn.ReadAnswer(x.call.r.Method)
+		if err != nil {
+			x.broken = true
+			return nil, failed(unknown, "no answer: "+err.Error())
+		}
+		if platform.Belongs(resp.Header, x.call.headers.Attempt) {
+			return resp, tryEnd{}
+		}
+		if !x.skip(resp) {
+			break
+		}
+		x.whole = false
+	}
+	x.broken = true
+	return nil, failed(unknown, "answers to other requests came")
+}
+
+// skip reads the rest of an answer that goes to nobody.
+func (x *exchange) skip(resp *http.Response) bool {
+	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxSkipped))
+	_ = resp.Body.Close()
+	x.whole = err == nil && n < maxSkipped
+	x.closes = resp.Close
+	return x.whole
+}
+
+// hold keeps the answer of a run that failed: another try may do better.
+func (x *exchange) hold(resp *http.Response) tryEnd {
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxSkipped))
+	if err != nil || len(body) == maxSkipped {
+		x.broken = true
+		return failed(unknown, "the answer with status "+strconv.Itoa(resp.StatusCode)+" was not whole")
+	}
+	x.whole, x.closes = true, resp.Close
+	x.call.fallback = &heldAnswer{resp.StatusCode, resp.Header, body}
+	return failed(ranBadly, "the endpoint answered with status "+strconv.Itoa(resp.StatusCode))
+}
+
+// deliverHeld gives the caller an answer that was held.
+func (c *call) deliverHeld(a *heldAnswer) {
+	c.outcome.Code, c.outcome.Status = result.EndpointError, a.status
+	c.outcome.Reason = "the endpoint's run failed"
+	platform.CopyAnswer(c.w.Header(), a.header)
+	suppressSniffing(c.w.Header())
+	c.w.WriteHeader(a.status)
+	_, _ = c.w.Write(a.body)
+}
+
+// suppressSniffing keeps the server from adding a type that the endpoint did not
+// send.
+func suppressSniffing(h http.Header) {
+	if _, ok := h["Content-Type"]; !ok {
+		h["Content-Type"] = nil
+	}
+}
+
+// deliver passes an answer on as it comes.
+func (x *exchange) deliver(resp *http.Response) tryEnd {
+	c := x.call
+	h := c.w.Header()
+	platform.CopyAnswer(h, resp.Header)
+	suppressSniffing(h)
+	if resp.ContentLength >= 0 {
+		h.Set("Content-Length", strconv.FormatInt(resp.ContentLength, 10))
+	}
+	c.outcome.Status = resp.StatusCode
+	c.w.WriteHeader(resp.StatusCode)
+	x.closes = resp.Close
+	err := x.copy(resp)
+	switch {
+	case err == nil:
+		x.whole = true
+		c.outcome.Code = result.OK
+		c.outcome.OnTime = c.onTime()
+	case c.ctx.Err() != nil:
+		c.outcome.Code, c.outcome.Reason = result.CallerGone, "the caller left before the answer was whole"
+	default:
+		x.broken = true
+		c.outcome.Code, c.outcome.Reason = result.AnswerCut, err.Error()
+	}
+	return tryEnd{delivered: true}
+}
+
+// errCaller says that the caller takes no more.
+var errCaller = errors.New("the caller takes no more of the answer")
+
+// copy passes the body on. Whatever is there to be read goes out at once.
+func (x *exchange) copy(resp *http.Response) error {
+	c, now := x.call, x.call.gateway.opts.Now
+	controller := http.NewResponseController(c.w)
+	streams := resp.ContentLength < 0
+	buf := copyBuffers.Get().(*[]byte)
+	defer copyBuffers.Put(buf)
+	last := now()
+	_ = controller.SetWriteDeadline(time.Now().Add(c.limit - last + writeSlack))
+	for {
+		n, err := resp.Body.Read(*buf)
+		if n > 0 {
+			at := now()
+			if c.outcome.Bytes == 0 {
+				c.outcome.First = at - c.arrived
+				x.firstEvent(at)
+			} else {
+				c.outcome.MaxGap = max(c.outcome.MaxGap, at-last)
+			}
+			last = at
+			c.outcome.Bytes += n
+			if streams {
+				c.outcome.Events += bytes.Count((*buf)[:n], eventEnd)
+			}
+			if _, failed := c.w.Write((*buf)[:n]); failed != nil {
+				return errCaller
+			}
+			if streams && controller.Flush() != nil {
+				return errCaller
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// eventEnd is the empty line that ends an event of a stream.
+var eventEnd = []byte("\n\n")
+
+// copyBuffers keeps the buffers between endpoints and callers.
+var copyBuffers = sync.Pool{New: func() any {
+	b := make([]byte, copyBuffer)
+	return &b
+}}
+
+// firstEvent tells control of the first event of a stream.
+func (x *exchange) firstEvent(at time.Duration) {
+	if x.call.route.Kind != ruleset.Stream {
+		return
+	}
+	x.try.end.FirstToken = at - x.try.began
+	x.call.gateway.opts.Post(control.FirstToken{ID: x.try.id, After: x.try.end.FirstToken})
+}
+
+// onTime reports whether a whole answer kept its route's objectives.
+func (c *call) onTime() bool {
+	if c.route.Kind != ruleset.Stream {
+		return c.gateway.opts.Now()-c.arrived <= c.route.Objective
+	}
+	return c.outcome.First <= c.route.Objective &&
+		(c.route.GapObjective <= 0 || c.outcome.MaxGap <= c.route.GapObjective)
+}
+
+// reusable reports whether the connection can carry another request: this one was
+// sent whole and its answer read to its end.
+func (x *exchange) reusable() bool {
+	if !x.whole || x.closes {
+		return false
+	}
+	select {
+	case <-x.sent:
+		return x.sendErr == nil
+	default:
+		return false
+	}
+}
+
+// phase returns how the try ended for the pool's scheduler.
+func (x *exchange) phase(end tryEnd) peerpb.Report_Phase {
+	c := x.call
+	x.try.end.OutputTokens = c.outputTokens()
+	switch {
+	case x.rejected:
+		return peerpb.Report_PHASE_REJECTED
+	case end.delivered && x.whole:
+		return peerpb.Report_PHASE_FINISHED
+	case c.ctx.Err() != nil, c.gateway.opts.Now() >= c.limit:
+		return peerpb.Report_PHASE_CANCELED
+	}
+	return peerpb.Report_PHASE_BROKEN
+}
+
+// outputTokens returns the length of the answer as far as its events tell.
+func (c *call) outputTokens() int {
+	target := c.rules.Target(c.outcome.Target)
+	if target == nil || target.Engine == nil {
+		return 0
+	}
+	return c.outcome.Events * target.Engine.TokensPerEvent
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,184 @@
+// Package gateway serves callers on the users' platform: it takes their requests,
+// asks control for a place, carries each request to its endpoint and the answer
+// back as it comes. Which request goes where and when is control's decision; which
+// failed try may be repeated is that of retry.go.
+package gateway
+
+import (
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/trefoilchute/trefoilchute/internal/control"
+	"github.com/trefoilchute/trefoilchute/internal/ident"
+	"github.com/trefoilchute/trefoilchute/internal/limit"
+	"github.com/trefoilchute/trefoilchute/internal/ruleset"
+	"github.com/trefoilchute/trefoilchute/internal/tcp"
+	"github.com/trefoilchute/trefoilchute/internal/upstream"
+)
+
+const (
+	// maxHeaderBytes bounds the head of a request before a configuration is known.
+	maxHeaderBytes = 64 << 10
+	// headTimeout bounds the reading of a request's head, and idleTimeout how long
+	// an unused connection of a caller is kept, before a configuration is known.
+	headTimeout = 10 * time.Second
+	idleTimeout = 60 * time.Second
+	// idleMargin is how much longer than declared an unused connection of a caller
+	// is kept, so that a request never crosses its end.
+	idleMargin = 5 * time.Second
+	// idlePerEndpoint bounds the unused connections to an endpoint.
+	idlePerEndpoint = 8
+)
+
+// Options configures a Gateway.
+type Options struct {
+	Host ident.Host
+	Log  logrus.FieldLogger
+	// Post hands an event to control, whose clock Now reads.
+	Post func(control.Event)
+	Now  func() time.Duration
+	// ConfigurationAge returns the time since the configuration was last known to
+	// be the newest one; false if it never was.
+	ConfigurationAge func() (time.Duration, bool)
+	// KeyLife is the configuration's age from which on keys are not accepted.
+	KeyLife time.Duration
+	// RetryRatio, RetryExtra and RetryWindow bound further tries, over all hosts.
+	RetryRatio, RetryExtra float64
+	RetryWindow            time.Duration
+	// Observe is told of each final answer.
+	Observe func(*Outcome)
+}
+
+// Gateway serves callers.
+type Gateway struct {
+	*jobs
+	opts   Options
+	server *http.Server
+	conns  *upstream.Pool
+
+	rules    atomic.Pointer[ruleset.Ruleset]
+	stopping atomic.Pointer[time.Time]
+	active   atomic.Int64
+	sequence atomic.Uint64
+	// hosts is how many hosts share the budget of further tries.
+	hosts atomic.Int64
+
+	mu      sync.Mutex
+	budgets map[string]*limit.Budget
+}
+
+// New returns a gateway that refuses every request until it has a configuration.
+func New(opts Options) *Gateway {
+	g := &Gateway{
+		jobs: newJobs(), opts: opts, conns: upstream.NewPool(idlePerEndpoint),
+		budgets: map[string]*limit.Budget{},
+	}
+	g.hosts.Store(1)
+	g.server = &http.Server{
+		Handler:           g,
+		ReadHeaderTimeout: headTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ConnState:         nil,
+		ErrorLog:          nil,
+	}
+	return g
+}
+
+// Configure brings a configuration into force.
+func (g *Gateway) Configure(r *ruleset.Ruleset) {
+	g.rules.Store(r)
+}
+
+// Rules returns the configuration in force, or nil.
+func (g *Gateway) Rules() *ruleset.Ruleset {
+	return g.rules.Load()
+}
+
+// SetHosts tells how many hosts share the budget of further tries.
+func (g *Gateway) SetHosts(n int) {
+	g.hosts.Store(int64(max(1, n)))
+}
+
+// Serve answers callers on a listener until Close.
+func (g *Gateway) Serve(ln net.Listener) error {
+	err := g.server.Serve(watched{ln})
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return errors.Wrap(err, "gateway: serve")
+}
+
+// watched sets how soon silent connections of callers are given up.
+type watched struct{ net.Listener }
+
+// Accept returns the next caller's connection.
+func (l watched) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	if err := tcp.Watch(conn); err != nil {
+		// The caller has gone already; the server finds out by reading.
+		return conn, nil
+	}
+	return conn, nil
+}
+
+// Stop begins a planned stop: callers are still served, and each is told to use
+// another connection for its next request.
+func (g *Gateway) Stop(now time.Time) {
+	g.stopping.Store(&now)
+}
+
+// Stopping returns when the planned stop began; nil while there is none.
+func (g *Gateway) Stopping() *time.Time {
+	return g.stopping.Load()
+}
+
+// Active returns the number of callers being served.
+func (g *Gateway) Active() int64 {
+	return g.active.Load()
+}
+
+// Close closes the listener and every connection.
+func (g *Gateway) Close() error {
+	err := g.server.Close()
+	g.conns.Close()
+	return errors.Wrap(err, "gateway: close")
+}
+
+// Sweep closes unused connections to endpoints that are not wanted any more.
+func (g *Gateway) Sweep(wanted func(address string) bool) {
+	g.conns.Sweep(wanted)
+}
+
+// newID returns control's name for a try: the caller's name of its request, so
+// that the logs of every host can be searched for it, and a number of this host's.
+func (g *Gateway) newID(attempt string) ident.Request {
+	return ident.Request(attempt + "." + strconv.FormatUint(g.sequence.Add(1), 10))
+}
+
+// budget returns the budget of further tries at a target.
+func (g *Gateway) budget(target string) *limit.Budget {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	b := g.budgets[target]
+	if b == nil {
+		b = limit.NewBudget(g.opts.RetryRatio, 0, g.opts.RetryWindow)
+		g.budgets[target] = b
+	}
+	b.Share(retryShare * g.opts.RetryExtra / float64(g.hosts.Load()))
+	return b
+}
+
+// retryShare is the part of the budget beside the ratio that the hosts use. A host
+// that is killed forgets what it has used and starts with its share anew.
+const retryShare = 0.5
--- a/internal/logs/event.go
+++ b/internal/logs/event.go
@@ -20,6 +20,17 @@
 	HostList             Event = "host_list"
 	TraceBroken          Event = "trace_broken"
 	Superseded           Event = "superseded"
+	// Events of what a gateway believes.
+	ConfigurationRejected Event = "configuration_rejected"
+	EndpointIn            Event = "endpoint_in"
+	EndpointLeaving       Event = "endpoint_leaving"
+	EndpointGone          Event = "endpoint_gone"
+	EndpointSkipped       Event = "endpoint_skipped"
+	DependencyLost        Event = "dependency_lost"
+	DependencyRegained    Event = "dependency_regained"
+	Settings              Event = "settings"
+	PoolScheduler         Event = "pool_scheduler"
+	LinesDropped          Event = "lines_dropped"
 )
 
 // Events of the links between hosts.
@@ -41,6 +52,7 @@
 	PassedOn          Event = "passed_on"
 	Final             Event = "final"
 	Answered          Event = "answered"
+	Retried           Event = "retried"
 	AcceptedElsewhere Event = "accepted_elsewhere"
 )
 
@@ -82,6 +94,17 @@
 	{Final, "The request's answer is a refusal; code and reason say why."},
 	{Answered, "The caller has the final answer."},
 	{AcceptedElsewhere, "Another host accepted the request and knows more."},
+	{ConfigurationRejected, "A configuration couldn't be read; the last one stays in force."},
+	{EndpointIn, "An endpoint was registered or came back; it may get requests."},
+	{EndpointLeaving, "An endpoint takes its leave; it gets no new requests."},
+	{EndpointGone, "An endpoint's entry is gone; it gets no new requests."},
+	{EndpointSkipped, "A row in the endpoints' table names no endpoint to use."},
+	{DependencyLost, "A call that the host depends on failed; it goes on with what it has and tries again."},
+	{DependencyRegained, "A dependency works again."},
+	{Settings, "The settings file was read."},
+	{PoolScheduler, "The host that schedules a pool, as this host sees it, has changed."},
+	{LinesDropped, "Log lines were dropped because their reader was too slow; lines says how many."},
+	{Retried, "A try of the request failed and it is tried again at another endpoint."},
 	{BucketsWritten, "Buckets of the burn report were written to the object store."},
 	{BucketsLate, "Buckets of the burn report couldn't be written and are kept for another attempt."},
 }
--- /dev/null
+++ b/internal/platformhost/host.go
@@ -0,0 +1,208 @@
+// Package platformhost assembles and runs the process of an entry host on the
+// users' platform: the gateway for callers, control with the pool schedulers, the
+// links to the other hosts, and the follower of the platform's store.
+package platformhost
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
+
+	"github.com/trefoilchute/trefoilchute/internal/clock"
+	"github.com/trefoilchute/trefoilchute/internal/control"
+	"github.com/trefoilchute/trefoilchute/internal/follow"
+	"github.com/trefoilchute/trefoilchute/internal/gateway"
+	"github.com/trefoilchute/trefoilchute/internal/ident"
+	"github.com/trefoilchute/trefoilchute/internal/logs"
+	"github.com/trefoilchute/trefoilchute/internal/metrics"
+	"github.com/trefoilchute/trefoilchute/internal/peer"
+	"github.com/trefoilchute/trefoilchute/internal/peer/peerpb"
+	"github.com/trefoilchute/trefoilchute/internal/settings"
+	"github.com/trefoilchute/trefoilchute/platform"
+)
+
+const (
+	// secretBytes is the length of the secret between the hosts.
+	secretBytes = 16
+	// memoryShare is the part of the process's memory that the runtime is to keep
+	// to; the rest is for its own structures and for bytes in the kernel.
+	memoryShare = 0.6
+	// gcPercent lets the heap grow to this part more than what lives before it is
+	// collected, below the memory limit.
+	gcPercent = 200
+)
+
+// Host is the process of an entry host.
+type Host struct {
+	settings    settings.Gateway
+	incarnation uint64
+	log         logrus.FieldLogger
+	started     time.Duration
+
+	store    *platform.Store
+	follower *follow.Follower
+	gateway  *gateway.Gateway
+	core     *control.Core
+	loop     *control.Loop
+	peers    *peer.Transport
+	metrics  *metrics.Metrics
+	view     view
+
+	callers, readiness, scrapes net.Listener
+	group                       conc.WaitGroup
+	// life ends with the process's work.
+	life context.Context
+	end  context.CancelFunc
+	// linked says that the links to the other hosts have been started.
+	linked atomic.Bool
+}
+
+// New assembles a host and opens its addresses. It serves nothing yet.
+func New(s settings.Gateway, log logrus.FieldLogger) (*Host, error) {
+	debug.SetMemoryLimit(int64(memoryShare * float64(s.Memory) * (1 << 20)))
+	debug.SetGCPercent(gcPercent)
+	h := &Host{
+		settings: s, incarnation: uint64(time.Now().UnixMilli()), started: clock.Boot(),
+		log: log.WithField("host", s.Host), store: platform.NewStore(s.Store),
+	}
+	h.life, h.end = context.WithCancel(context.Background())
+	var err error
+	if h.metrics, err = metrics.New(h.status); err != nil {
+		return nil, errors.Wrap(err, "metrics")
+	}
+	if err := h.listen(); err != nil {
+		return nil, err
+	}
+	h.core = control.New(control.Config{
+		Self: s.Host, Incarnation: h.incarnation, Domain: s.Region, Address: s.PeerListen,
+		Seed: h.incarnation, Nonce: func() string { return "" }, External: true,
+	})
+	h.loop = control.NewLoopAt(h.core, h.now)
+	h.follower = follow.New(follow.Options{
+		Store: h.store, Log: h.log, Rules: h.adoptRules, Endpoints: h.adoptEndpoints,
+	})
+	h.gateway = gateway.New(gateway.Options{
+		Host: s.Host, Log: h.log, Post: h.loop.Post, Now: h.loop.Now,
+		ConfigurationAge: h.follower.ConfigurationAge, KeyLife: s.KeyLife,
+		RetryRatio: s.RetryRatio, RetryExtra: s.RetryExtra, RetryWindow: s.RetryWindow,
+		Observe: h.observe,
+	})
+	return h, nil
+}
+
+// now is control's clock. It also counts the time in which the machine was
+// suspended.
+func (h *Host) now() time.Duration {
+	return clock.Boot() - h.started
+}
+
+// listen opens the addresses.
+func (h *Host) listen() error {
+	for _, l := range []struct {
+		address string
+		to      *net.Listener
+	}{
+		{h.settings.Listen, &h.callers},
+		{h.settings.ReadyListen, &h.readiness},
+		{h.settings.MetricsListen, &h.scrapes},
+	} {
+		ln, err := net.Listen("tcp", l.address)
+		if err != nil {
+			return errors.Wrapf(err, "listen on %s", l.address)
+		}
+		*l.to = ln
+	}
+	return nil
+}
+
+// Run serves until ctx ends, then stops without cutting a request. reload brings
+// the signal that the settings file has changed.
+func (h *Host) Run(ctx context.Context, reload <-chan struct{}) error {
+	defer h.end()
+	logs.With(h.log, logs.Ready).WithFields(logrus.Fields{
+		"listen": h.settings.Listen, "peer_listen": h.settings.PeerListen,
+		"domain": h.settings.Domain, "incarnation": h.incarnation,
+	}).Info()
+	h.group.Go(func() { h.follower.FollowRules(h.life) })
+	h.group.Go(func() { h.follower.FollowEndpoints(h.life) })
+	h.group.Go(func() { h.join(h.life) })
+	h.group.Go(func() { h.sweep(h.life) })
+	failed := make(chan error, 3)
+	h.group.Go(func() { failed <- h.gateway.Serve(h.callers) })
+	h.group.Go(func() { failed <- serveHTTP(h.life, h.readiness, http.HandlerFunc(h.ready)) })
+	h.group.Go(func() { failed <- serveHTTP(h.life, h.scrapes, h.metrics.Handler()) })
+	err := h.await(ctx, reload, failed)
+	h.end()
+	_ = h.gateway.Close()
+	if h.linked.Load() {
+		h.peers.Close()
+	}
+	h.group.Wait()
+	h.store.Close()
+	logs.With(h.log, logs.Stopped).Info()
+	return err
+}
+
+// await waits for the end of the service.
+func (h *Host) await(ctx context.Context, reload <-chan struct{}, failed <-chan error) error {
+	for {
+		select {
+		case <-ctx.Done():
+			h.stop()
+			return nil
+		case err := <-failed:
+			return err
+		case <-reload:
+			// Every setting needs a restart; what the operators change is in the store.
+			logs.With(h.log, logs.Settings).WithField("detail", "a change takes effect at the next start").Info()
+		}
+	}
+}
+
+// serveHTTP serves a handler until ctx ends.
+func serveHTTP(ctx context.Context, ln net.Listener, handler http.Handler) error {
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: sideTimeout}
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	if err := server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+		return errors.Wrap(err, "serve "+ln.Addr().String())
+	}
+	return nil
+}
+
+// sideTimeout bounds the reading of a question of the balancer or a scrape.
+const sideTimeout = 5 * time.Second
+
+// ready answers the balancer.
+func (h *Host) ready(w http.ResponseWriter, _ *http.Request) {
+	if !h.isReady() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// isReady reports whether callers are to be sent here.
+func (h *Host) isReady() bool {
+	_, endpoints := h.follower.EndpointsAge()
+	return endpoints && h.gateway.Rules() != nil && h.linked.Load() && h.gateway.Stopping() == nil
+}
+
+// newSecret returns a random secret for the links between the hosts.
+func newSecret() string {
+	var b [secretBytes]byte
+	_, _ = rand.Read(b[:]) // never fails, by the documentation of crypto/rand
+	return hex.EncodeToString(b[:])
+}
+
+// send queues a message for another host.
+func (h *Host) send(to ident.Host, m *peerpb.Envelope) bool {
+	return h.peers.Send(to, m)
+}
--- /dev/null
+++ b/internal/platformhost/join.go
@@ -0,0 +1,120 @@
+package platformhost
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/trefoilchute/trefoilchute/internal/control"
+	"github.com/trefoilchute/trefoilchute/internal/ident"
+	"github.com/trefoilchute/trefoilchute/internal/logs"
+	"github.com/trefoilchute/trefoilchute/internal/peer"
+	"github.com/trefoilchute/trefoilchute/internal/peer/peerpb"
+	platformtypes "github.com/trefoilchute/trefoilchute/internal/platform"
+	"github.com/trefoilchute/trefoilchute/platform"
+)
+
+const (
+	// joinTimeout bounds one round of calls to the store at the start.
+	joinTimeout = 2 * time.Second
+	// joinRetry is the wait after a round that failed.
+	joinRetry = 250 * time.Millisecond
+	// rereadAfter is when the list of hosts is read once more: hosts that started
+	// at the same moment may not have been in it.
+	rereadAfter = 3 * time.Second
+)
+
+// join registers this host, starts the links to the others and control.
+func (h *Host) join(ctx context.Context) {
+	secret, ok := retry(ctx, h, func(ctx context.Context) (string, error) {
+		if err := h.store.Register(ctx, platform.Host{
+			Name: string(h.settings.Host), Address: h.settings.PeerListen, Domain: string(h.settings.Region),
+		}); err != nil && !errors.Is(err, platform.ErrAmbiguous) {
+			return "", err
+		}
+		return h.store.Secret(ctx, newSecret())
+	})
+	if !ok {
+		return
+	}
+	if err := h.link(secret); err != nil {
+		logs.With(h.log, logs.AcceptFailed).WithError(err).Error()
+		return
+	}
+	h.group.Go(func() { h.loop.Run(h.life) })
+	h.linked.Store(true)
+	for range 2 {
+		hosts, ok := retry(ctx, h, func(ctx context.Context) ([]platform.Host, error) {
+			hosts, skipped, err := h.store.Hosts(ctx)
+			for _, row := range skipped {
+				logs.With(h.log, logs.HostList).WithField("row", row).Warn("the row is no host's")
+			}
+			return hosts, err
+		})
+		if !ok {
+			return
+		}
+		h.loop.Post(control.Listed{Hosts: seeds(hosts)})
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(rereadAfter):
+		}
+	}
+}
+
+// retry calls the store until a call succeeds. It returns false when ctx ends.
+func retry[T any](ctx context.Context, h *Host, call func(context.Context) (T, error)) (T, bool) {
+	for {
+		bounded, cancel := context.WithTimeout(ctx, joinTimeout)
+		value, err := call(bounded)
+		cancel()
+		if err == nil {
+			return value, true
+		}
+		logs.With(h.log, logs.HostList).WithError(err).Warn()
+		select {
+		case <-ctx.Done():
+			return value, false
+		case <-time.After(joinRetry):
+		}
+	}
+}
+
+// seeds returns hosts as addresses to try.
+func seeds(hosts []platform.Host) []platformtypes.HostEntry {
+	list := make([]platformtypes.HostEntry, len(hosts))
+	for i, host := range hosts {
+		list[i] = platformtypes.HostEntry{Host: host.Name, Domain: host.Domain, Address: host.Address}
+	}
+	return list
+}
+
+// link starts the links to the other hosts and connects control.
+func (h *Host) link(secret string) error {
+	var err error
+	h.peers, err = peer.New(peer.Options{
+		Host: h.settings.Host, Incarnation: h.incarnation, Domain: h.settings.Region,
+		Listen: h.settings.PeerListen, Secret: []byte(secret), Deliver: h.deliver, Logger: h.log,
+	})
+	if err != nil {
+		return errors.Wrap(err, "links")
+	}
+	h.loop.Connect(control.Ports{
+		Send: h.send, SetPeers: h.setPeers, Traffic: h.gateway, Configure: h.configured,
+		Watch: ignoreWatch, Record: h.record, Order: ignoreOrder, Superseded: h.end,
+	})
+	return errors.Wrap(h.peers.Start(h.life), "links")
+}
+
+// deliver hands a message of another host to control.
+func (h *Host) deliver(m *peerpb.Envelope) {
+	h.loop.Post(control.Received{Message: m})
+}
+
+// setPeers brings the addresses of the other hosts to the links.
+func (h *Host) setPeers(addresses map[ident.Host]string) {
+	h.peers.SetPeers(addresses)
+	h.gateway.SetHosts(len(addresses) + 1)
+}
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -30,6 +30,8 @@
 	Quarantined     Code = 209
 	CutOff          Code = 210
 	CallerGone      Code = 211
+	KeysUnconfirmed Code = 212
+	LimitInQueue    Code = 213
 
 	OutcomeUnknown Code = 300
 	EndpointLost   Code = 301
@@ -39,6 +41,7 @@
 	EarlierUnknown   Code = 303
 	AnswerUnreadable Code = 304
 	EndpointError    Code = 305
+	TimeLimit        Code = 306
 
 	BadRequest     Code = 400
 	Unauthorized   Code = 401
@@ -103,12 +106,15 @@
 	{Quarantined, "quarantined", http.StatusUnprocessableEntity, RanNo, "no", "The request is quarantined, because endpoints that ran it crashed."},
 	{CutOff, "cut_off", http.StatusServiceUnavailable, RanNo, "after Retry-After", "The failure domain is cut off from what would prove that the key has not run."},
 	{CallerGone, "caller_gone", 499, RanNo, "yes", "The caller closed its connection before the request was dispatched."},
+	{KeysUnconfirmed, "keys_unconfirmed", http.StatusServiceUnavailable, RanNo, "after Retry-After, to another host", "The host can't confirm that the keys it knows are the current ones."},
+	{LimitInQueue, "limit_in_queue", http.StatusServiceUnavailable, RanNo, "with a new time limit", "The request's time limit passed before it was sent to an endpoint."},
 	{OutcomeUnknown, "outcome_unknown", http.StatusBadGateway, RanUnknown, "only if running twice is harmless", "The request may have run."},
 	{EndpointLost, "endpoint_lost", http.StatusBadGateway, RanUnknown, "only if running twice is harmless", "The endpoint was lost while it ran the request."},
 	{AnswerCut, "answer_cut", http.StatusBadGateway, RanUnknown, "only if running twice is harmless", "The answer ended before its end marker and could not be resumed."},
 	{EarlierUnknown, "earlier_unknown", http.StatusServiceUnavailable, RanUnknown, "after Retry-After, with the same key", "This attempt was not run, but whether an earlier one with the same key was can't be seen now."},
 	{AnswerUnreadable, "answer_unreadable", http.StatusServiceUnavailable, RanYes, "after Retry-After, with the same key", "The request ran, but its kept answer can't be read now."},
 	{EndpointError, "endpoint_error", http.StatusBadGateway, RanUnknown, "only if running twice is harmless", "The endpoint answered with an error status."},
+	{TimeLimit, "time_limit", http.StatusGatewayTimeout, RanUnknown, "only if running twice is harmless", "The request's time limit passed before its answer was whole."},
 	{BadRequest, "bad_request", http.StatusBadRequest, RanNo, "corrected", "The request is malformed."},
 	{Unauthorized, "unauthorized", http.StatusUnauthorized, RanNo, "with a valid key", "The bearer key names no team."},
 	{NoRoute, "no_route", http.StatusNotFound, RanNo, "corrected", "No route serves this path or model."},
--- a/internal/settings/fields.go
+++ b/internal/settings/fields.go
@@ -19,6 +19,9 @@
 	sectionPeer     = "peer"
 	sectionPlatform = "platform"
 	sectionLog      = "log"
+	sectionMetrics  = "metrics"
+	sectionRetry    = "retry"
+	sectionEngine   = "engine"
 )
 
 // Bounds of settings.
@@ -33,13 +36,13 @@
 )
 
 // group is one section with its keys.
-type group struct {
+type group[T any] struct {
 	name   string
-	fields []inifile.Field[Entry]
+	fields []inifile.Field[T]
 }
 
 // groups holds every section in the order of the documentation.
-var groups = []group{
+var groups = []group[Entry]{
 	{sectionHost, []inifile.Field[Entry]{
 		inifile.Name("name", "Name of the host, unique in the deployment.",
 			func(e *Entry) *ident.Host { return &e.Host }),
@@ -94,7 +97,7 @@
 	}
 }
 
-func known(section string) bool {
+func known[T any](groups []group[T], section string) bool {
 	for _, group := range groups {
 		if group.name == section {
 			return true
@@ -103,7 +106,7 @@
 	return false
 }
 
-func sectionNames() string {
+func sectionNames[T any](groups []group[T]) string {
 	names := make([]string, len(groups))
 	for i, group := range groups {
 		names[i] = group.name
@@ -117,8 +120,17 @@
 	Keys []inifile.Doc
 }
 
-// Docs describes every section and key.
+// Docs describes every section and key of an entry host.
 func Docs() []Section {
+	return docs(groups)
+}
+
+// GatewayDocs describes every section and key of a gateway.
+func GatewayDocs() []Section {
+	return docs(gatewayGroups)
+}
+
+func docs[T any](groups []group[T]) []Section {
 	sections := make([]Section, len(groups))
 	for i, group := range groups {
 		sections[i].Name = group.name
--- /dev/null
+++ b/internal/settings/gateway.go
@@ -0,0 +1,132 @@
+package settings
+
+import (
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/trefoilchute/trefoilchute/internal/ident"
+	"github.com/trefoilchute/trefoilchute/internal/inifile"
+)
+
+// Gateway holds the settings of an entry host on the users' platform, where
+// configuration and endpoints are found in the platform's store.
+type Gateway struct {
+	Host   ident.Host
+	Domain ident.Domain
+	// Region is the group of failure domains whose hosts share the pools.
+	Region ident.Domain
+	// Listen, ReadyListen, PeerListen and MetricsListen are IP addresses and ports
+	// for callers, the balancer, the other hosts and scrapes.
+	Listen        string
+	ReadyListen   string
+	PeerListen    string
+	MetricsListen string
+	// Store is the address of the platform's store.
+	Store string
+	// Memory bounds the process, in MiB.
+	Memory int
+	// StopGrace is the time from the signal to stop to the end of the process.
+	StopGrace time.Duration
+	// KeyLife is how long a host may accept keys without a confirmation that its
+	// configuration is the newest one.
+	KeyLife time.Duration
+	// RetryRatio, RetryExtra and RetryWindow bound further tries of requests at
+	// the endpoints of a target, over all hosts.
+	RetryRatio  float64
+	RetryExtra  float64
+	RetryWindow time.Duration
+	// PrefillRate and DecodeRate are the speed of an engine in tokens a second that
+	// is assumed until it has been learned.
+	PrefillRate, DecodeRate float64
+	LogLevel                string
+}
+
+// Bounds of the gateway's settings.
+const (
+	minMemory = 32
+	maxMemory = 1 << 20
+	maxWindow = time.Hour
+	maxExtra  = 1e6
+	maxTokens = 1e9
+)
+
+// gatewayGroups holds every section of a gateway's settings.
+var gatewayGroups = []group[Gateway]{
+	{sectionHost, []inifile.Field[Gateway]{
+		inifile.Name("name", "Name of the host, unique in the deployment.",
+			func(g *Gateway) *ident.Host { return &g.Host }),
+		inifile.Name("domain", "Failure domain that the host stands in.",
+			func(g *Gateway) *ident.Domain { return &g.Domain }),
+		inifile.Name("region", "Group of failure domains whose hosts schedule their endpoints together.",
+			func(g *Gateway) *ident.Domain { return &g.Region }),
+		inifile.Int("memory_mb", "MiB", "Memory that the process may use.", minMemory, maxMemory,
+			func(g *Gateway) *int { return &g.Memory }),
+		inifile.Duration("stop_grace", "Time from the signal to stop to the end of the process.", minGrace, maxGrace,
+			func(g *Gateway) *time.Duration { return &g.StopGrace }),
+	}},
+	{sectionCallers, []inifile.Field[Gateway]{
+		inifile.Address("listen", "Where callers connect.",
+			func(g *Gateway) *string { return &g.Listen }),
+		inifile.Address("ready_listen", "Where the balancer asks whether callers are to be sent here.",
+			func(g *Gateway) *string { return &g.ReadyListen }),
+	}},
+	{sectionPeer, []inifile.Field[Gateway]{
+		inifile.Address("listen", "Where the other entry hosts connect; also the address they are told.",
+			func(g *Gateway) *string { return &g.PeerListen }),
+	}},
+	{sectionMetrics, []inifile.Field[Gateway]{
+		inifile.Address("listen", "Where metrics are scraped.",
+			func(g *Gateway) *string { return &g.MetricsListen }),
+	}},
+	{sectionPlatform, []inifile.Field[Gateway]{
+		inifile.Address("store", "The platform's metadata store.",
+			func(g *Gateway) *string { return &g.Store }),
+		inifile.Duration("key_life", "How long keys are accepted without a confirmation that the configuration is the newest.",
+			minGrace, maxGrace, func(g *Gateway) *time.Duration { return &g.KeyLife }),
+	}},
+	{sectionRetry, []inifile.Field[Gateway]{
+		inifile.Float("ratio", "Most further tries for each first try at a target, over all hosts.", 0, 1,
+			func(g *Gateway) *float64 { return &g.RetryRatio }),
+		inifile.Float("extra", "Most further tries beside the ratio in a window, over all hosts.", 0, maxExtra,
+			func(g *Gateway) *float64 { return &g.RetryExtra }),
+		inifile.Duration("window", "Window in which tries are counted.", minGrace, maxWindow,
+			func(g *Gateway) *time.Duration { return &g.RetryWindow }),
+	}},
+	{sectionEngine, []inifile.Field[Gateway]{
+		inifile.Rate("prefill", "Speed of reading prompts that is assumed of an engine until it is learned.", maxTokens,
+			func(g *Gateway) *float64 { return &g.PrefillRate }),
+		inifile.Rate("decode", "Speed of generating that is assumed of an engine until it is learned.", maxTokens,
+			func(g *Gateway) *float64 { return &g.DecodeRate }),
+	}},
+	{sectionLog, []inifile.Field[Gateway]{
+		inifile.Choice("level", "Least level that is logged.", levels(),
+			func(g *Gateway) *string { return &g.LogLevel }).Optional(logrus.InfoLevel.String()),
+	}},
+}
+
+// ReadGateway reads the settings of a gateway from a file. An error about the
+// content is of type inifile.Problems.
+func ReadGateway(path string) (*Gateway, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "settings")
+	}
+	return ParseGateway(path, data)
+}
+
+// ParseGateway reads the settings of a gateway. The name of the file is for
+// messages. The error is of type inifile.Problems.
+func ParseGateway(name string, data []byte) (*Gateway, error) {
+	file, err := inifile.Parse(name, data)
+	if err != nil {
+		return nil, err
+	}
+	g := &Gateway{}
+	if problems := decode(file, gatewayGroups, g); len(problems) > 0 {
+		return nil, problems
+	}
+	return g, nil
+}
--- a/internal/settings/markdown.go
+++ b/internal/settings/markdown.go
@@ -41,6 +41,15 @@
 url = http://10.1.0.9:7000
 `
 
+// markdownGateway begins the part on gateways.
+const markdownGateway = `
+## On the users' platform
+
+` + "`trefoilchute gateway --settings FILE`" + ` reads a file of the sections below. The platform renders it from
+` + "`deploy/settings.ini`" + `, the template that ` + "`deploy/system.toml`" + ` names, at every start and whenever its own
+settings change. ` + "`trefoilchute settings check --gateway FILE`" + ` checks one.
+`
+
 // Markdown returns the documentation page of the settings.
 func Markdown() string {
 	var b strings.Builder
@@ -50,5 +59,10 @@
 		b.WriteString(inifile.Markdown(section.Keys))
 	}
 	b.WriteString("\n## Example\n\n```ini\n" + markdownExample + "```\n")
+	b.WriteString(markdownGateway)
+	for _, section := range GatewayDocs() {
+		b.WriteString("\n### [" + section.Name + "]\n\n")
+		b.WriteString(inifile.Markdown(section.Keys))
+	}
 	return b.String()
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -60,7 +60,7 @@
 		return nil, err
 	}
 	entry := &Entry{}
-	problems := decode(file, entry)
+	problems := decode(file, groups, entry)
 	if len(problems) == 0 {
 		problems = check(name, entry)
 	}
@@ -70,15 +70,15 @@
 	return entry, nil
 }
 
-// decode fills the entry from the sections. A missing section counts as an
+// decode fills the settings from the sections. A missing section counts as an
 // empty one.
-func decode(file *inifile.File, entry *Entry) inifile.Problems {
+func decode[T any](file *inifile.File, groups []group[T], to *T) inifile.Problems {
 	var problems inifile.Problems
 	present := map[string]inifile.Section{}
 	for _, section := range file.Sections {
-		if !known(section.Name) {
+		if !known(groups, section.Name) {
 			problems = append(problems, inifile.Problem{
-				File: file.Name, Line: section.Line, Section: section.Name, Want: "one of the sections " + sectionNames(),
+				File: file.Name, Line: section.Line, Section: section.Name, Want: "one of the sections " + sectionNames(groups),
 			})
 		}
 		present[section.Name] = section
@@ -86,7 +86,7 @@
 	for _, group := range groups {
 		section := present[group.name]
 		section.Name = group.name
-		problems = append(problems, inifile.Decode(file.Name, section, group.fields, entry)...)
+		problems = append(problems, inifile.Decode(file.Name, section, group.fields, to)...)
 	}
 	return problems
 }
