Charge the teams' rates where their pools are scheduled; refuse late in a stop

Charged at the pool's scheduler, nearly all of a team's rate is in one bucket; a debt inside the platform's slack lets large requests through.

--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -62,9 +62,6 @@
 	watched []resource.Endpoint
 	// watchDue is when the endpoints to watch are looked through again.
 	watchDue time.Duration
-	// charged holds what the requests in custody cost their teams, until they are
-	// dispatched.
-	charged map[ident.Request]charge
 	// gated holds what claims and keys need to know of the requests in custody.
 	gated map[ident.Request]custody.Arrival
 	// heard is when each host's last message came, and unresponsive when it last
@@ -82,7 +79,7 @@
 	c := &Core{
 		cfg: cfg, gated: map[ident.Request]custody.Arrival{}, adopted: map[ident.Request]adoption{},
 		heard: map[ident.Host]time.Duration{}, unresponsive: map[ident.Host]time.Duration{},
-		charged: map[ident.Request]charge{}, reached: map[ident.Domain]time.Duration{},
+		reached: map[ident.Domain]time.Duration{},
 	}
 	c.members = membership.New(membership.Config{
 		Self: cfg.Self, Incarnation: cfg.Incarnation, Domain: cfg.Domain,
@@ -92,13 +89,13 @@
 		Self: cfg.Self, Domain: cfg.Domain, Seed: cfg.Seed, View: c.members, External: cfg.External,
 	})
 	c.custody = custody.New(custody.Config{Self: cfg.Self, View: custodyView{c}})
+	c.quotas = quota.New()
 	c.scheduling = scheduling.New(scheduling.Config{
-		Self: cfg.Self, Domain: cfg.Domain, View: schedulingView{c}, Seed: cfg.Seed,
+		Self: cfg.Self, Domain: cfg.Domain, View: schedulingView{c}, Seed: cfg.Seed, Quotas: c.quotas,
 	})
 	c.claims = claim.New(claim.Config{
 		Host: cfg.Self, Incarnation: cfg.Incarnation, Nonce: cfg.Nonce, Liveness: c.liveness,
 	})
-	c.quotas = quota.New()
 	c.keys = keyledger.New(keyledger.Config{Self: cfg.Self, View: c.members})
 	c.orders = order.New(order.Config{
 		Domain: cfg.Domain, Host: cfg.Self, Incarnation: cfg.Incarnation,
@@ -202,9 +199,6 @@
 		})
 		return
 	}
-	if !c.chargeQuota(a) {
-		return
-	}
 	if a.Key != "" {
 		c.gated[a.ID] = a
 	}
--- a/internal/control/quota.go
+++ b/internal/control/quota.go
@@ -3,60 +3,18 @@
 import (
 	"github.com/trefoilchute/trefoilchute/internal/ident"
 	"github.com/trefoilchute/trefoilchute/internal/peer/peerpb"
-	"github.com/trefoilchute/trefoilchute/internal/result"
-	"github.com/trefoilchute/trefoilchute/internal/system/custody"
 	"github.com/trefoilchute/trefoilchute/internal/system/membership"
 	"github.com/trefoilchute/trefoilchute/internal/system/quota"
 )
 
-// charge is what a request cost its team.
-type charge struct {
-	team ident.Team
-	cost float64
-}
-
-// chargeQuota books a request against its team's rate. It returns false for one
-// that was refused.
-func (c *Core) chargeQuota(a custody.Arrival) bool {
-	if a.Cost <= 0 {
-		return true
-	}
-	after, ok := c.quotas.Charge(c.now, a.Team, a.Cost)
-	if ok {
-		c.charged[a.ID] = charge{a.Team, a.Cost}
-		return true
-	}
-	c.effect.Directives = append(c.effect.Directives, custody.Directive{
-		Kind: custody.Refuse, ID: a.ID,
-		Verdict: &result.Error{
-			Code: result.TeamLimit, RetryAfter: after, Reason: "the team is over its rate",
-		},
-	})
-	return false
-}
-
-// settleCharge takes a charge back when its request was refused, and keeps it
-// when it was dispatched.
-func (c *Core) settleCharge(d custody.Directive) {
-	x, ok := c.charged[d.ID]
-	switch {
-	case !ok:
-	case d.Kind == custody.Refuse:
-		c.quotas.Refund(x.team, x.cost)
-		delete(c.charged, d.ID)
-	case d.Kind == custody.Commit && d.Go:
-		delete(c.charged, d.ID)
-	}
-}
-
 // reportUsage tells the other hosts what the teams ask for here.
 func (c *Core) reportUsage() {
-	members := c.members.Members()
-	c.quotas.Hosts(countHosts(members))
-	uses, due := c.quotas.Report(c.now)
-	if !due {
+	if !c.quotas.Due(c.now) {
 		return
 	}
+	members := c.members.Members()
+	c.quotas.Hosts(countHosts(members))
+	uses := c.quotas.Report(c.now)
 	m := &peerpb.Usage{}
 	for _, u := range uses {
 		m.Teams = append(m.Teams, &peerpb.TeamUse{Team: string(u.Team), Demand: u.Demand, Share: u.Share})
--- a/internal/control/route.go
+++ b/internal/control/route.go
@@ -98,7 +98,6 @@
 
 // passOn gives a directive to the traffic side.
 func (c *Core) passOn(d custody.Directive) {
-	c.settleCharge(d)
 	if d.Kind == custody.Refuse {
 		c.claims.Withdraw(d.ID, &c.out)
 		c.keys.Release(c.now, d.ID, &c.out)
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -22,6 +22,9 @@
 	// notReadyRetry is when to come back to a host that has no configuration: it
 	// takes the balancer as long to send the caller elsewhere.
 	notReadyRetry = 1 * time.Second
+	// stopIntake is how long a stopping host still takes requests: until the balancer
+	// sends no more callers, but not so long that an answer couldn't end in time.
+	stopIntake = 2500 * time.Millisecond
 	// elsewhereRetry is when to come back where another host can serve at once.
 	elsewhereRetry = 50 * time.Millisecond
 )
@@ -106,6 +109,9 @@
 // read checks a request and takes its body.
 func (c *call) read() *result.Error {
 	g := c.gateway
+	if began := g.Stopping(); began != nil && time.Since(*began) >= stopIntake {
+		return &result.Error{Code: result.Stopping, RetryAfter: elsewhereRetry, Reason: "the host is stopping"}
+	}
 	c.rules = g.rules.Load()
 	if c.rules == nil {
 		return &result.Error{Code: result.NotReady, RetryAfter: notReadyRetry, Reason: "no configuration yet"}
--- a/internal/platformhost/view.go
+++ b/internal/platformhost/view.go
@@ -31,12 +31,18 @@
 	addresses map[string]bool
 }
 
+// debtShare is the part of the platform's slack for rates that is used: the rest is
+// for hosts that disagree for a moment on their shares.
+const debtShare = 0.5
+
 // adoptRules brings a configuration into force.
 func (h *Host) adoptRules(r *ruleset.Ruleset) {
 	limits := map[ident.Team]quota.Limit{}
 	for i := range r.Teams {
 		t := &r.Teams[i]
-		limits[t.Name] = quota.Limit{Rate: t.Rate, Burst: t.Burst}
+		limits[t.Name] = quota.Limit{
+			Rate: t.Rate, Burst: t.Burst, Debt: debtShare * h.settings.QuotaSlack,
+		}
 	}
 	h.loop.Post(control.Limits{Teams: limits})
 	h.view.mu.Lock()
--- a/internal/settings/fields.go
+++ b/internal/settings/fields.go
@@ -21,6 +21,7 @@
 	sectionLog      = "log"
 	sectionMetrics  = "metrics"
 	sectionRetry    = "retry"
+	sectionQuota    = "quota"
 	sectionEngine   = "engine"
 )
 
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -38,6 +38,9 @@
 	RetryRatio  float64
 	RetryExtra  float64
 	RetryWindow time.Duration
+	// QuotaSlack is how far a team may go beyond its rate and burst for a while, in
+	// units of its rate.
+	QuotaSlack float64
 	// PrefillRate and DecodeRate are the speed of an engine in tokens a second that
 	// is assumed until it has been learned.
 	PrefillRate, DecodeRate float64
@@ -95,6 +98,10 @@
 		inifile.Duration("window", "Window in which tries are counted.", minGrace, maxWindow,
 			func(g *Gateway) *time.Duration { return &g.RetryWindow }),
 	}},
+	{sectionQuota, []inifile.Field[Gateway]{
+		inifile.Float("slack", "How far a team may go beyond its rate and burst for a while, in units of its rate.", 0, maxTokens,
+			func(g *Gateway) *float64 { return &g.QuotaSlack }),
+	}},
 	{sectionEngine, []inifile.Field[Gateway]{
 		inifile.Rate("prefill", "Speed of reading prompts that is assumed of an engine until it is learned.", maxTokens,
 			func(g *Gateway) *float64 { return &g.PrefillRate }),
--- a/internal/system/custody/message.go
+++ b/internal/system/custody/message.go
@@ -21,7 +21,7 @@
 		DeadlineUs: (r.Deadline - now).Microseconds(),
 		Prefix:     r.Prefix, KeyHash: r.KeyHash, Fingerprint: r.Fingerprint,
 		Idempotent: r.Idempotent, Spilled: r.spilled, ClockUs: now.Microseconds(),
-		Epoch: epoch, ExpectedTokens: int64(r.ExpectedTokens), Avoid: string(r.Avoid),
+		Epoch: epoch, ExpectedTokens: int64(r.ExpectedTokens), Avoid: string(r.Avoid), Cost: r.Cost,
 	}
 	if r.FirstDue > 0 {
 		m.HasObjective = true
--- a/internal/system/quota/quota.go
+++ b/internal/system/quota/quota.go
@@ -1,11 +1,12 @@
-// Package quota keeps the teams' rates over all hosts together. Each host has a
-// share of every team's rate, which follows what the team asks for at that host
-// against what it asks for at the others, and a token bucket filled at that share.
-// The hosts tell each other their demand and their share.
+// Package quota keeps the teams' rates over all hosts together. Requests are
+// charged where their pool is scheduled. Each host has a share of every team's rate,
+// which follows what the team asks for in the pools of that host against what it
+// asks for in those of the others, and a token bucket filled at that share. The hosts
+// tell each other their demand.
 //
-// Invariant: what hosts hold of a team's rate sums up to the rate, but for what
-// changes while reports are under way. A host that isn't heard keeps the share that
-// it last told, on both sides of a cut, until it has been forgotten.
+// Invariant: the shares of a team's rate sum up to 1, but for what changes while
+// reports are under way. In a cut each side divides as large a part as it has of the
+// hosts: what it can't hear may go on with the rest.
 //
 // The package is pure: it is told the time and what happened.
 package quota
@@ -24,16 +25,15 @@
 	ReportInterval = 500 * time.Millisecond
 	// reportLife is how long a report says what its host does now: one may be lost
 	// and the next late.
-	reportLife = 4 * ReportInterval
-	// forgetAfter is how long the share of a host that isn't heard is left to it.
-	// It outlasts the cuts that membership calls a death, and the requests that
-	// the host could still have sent.
+	reportLife = 3 * ReportInterval
+	// forgetAfter is how long the part of a host that isn't heard is left to it: it
+	// may be cut off and serve callers.
 	forgetAfter = 15 * time.Second
 	// demandTime is the time over which demand is averaged.
 	demandTime = 2 * time.Second
 	// idlePart is the part of the rate that is dealt out evenly, so that a team's
 	// first requests at a host find some.
-	idlePart = 0.1
+	idlePart = 0.02
 	// firstFill is the part of its burst that a bucket starts with: an earlier
 	// process of the host may have spent the rest.
 	firstFill = 0.25
@@ -43,9 +43,10 @@
 )
 
 // Limit is a team's rate over all hosts, in units a second, and its burst. A Rate
-// of 0 is no limit.
+// of 0 is no limit. Debt is how far the team may go beyond, to be made up for later:
+// large requests would else find the bucket too low whenever small ones come too.
 type Limit struct {
-	Rate, Burst float64
+	Rate, Burst, Debt float64
 }
 
 // Use is what a host tells of one team.
@@ -53,7 +54,7 @@
 	Team ident.Team
 	// Demand is what is asked for, in units a second.
 	Demand float64
-	// Share is the part of the rate that the host holds.
+	// Share is the part of the rate that the host holds, for operators.
 	Share float64
 }
 
@@ -122,7 +123,7 @@
 	}
 	s.advance(now, t, limit)
 	t.demand += units / demandTime.Seconds()
-	if t.bucket < units && t.bucket < t.share*limit.Burst {
+	if t.bucket-units < -t.share*limit.Debt && t.bucket < t.share*limit.Burst {
 		return retryAfter(units-t.bucket, t.share*limit.Rate), false
 	}
 	t.bucket -= units
@@ -170,11 +171,13 @@
 	delete(s.others, h)
 }
 
-// Report returns this host's use when a report is due.
-func (s *System) Report(now time.Duration) ([]Use, bool) {
-	if now < s.reportAt || len(s.teams) == 0 {
-		return nil, false
-	}
+// Due reports whether a report is due.
+func (s *System) Due(now time.Duration) bool {
+	return now >= s.reportAt && len(s.teams) > 0
+}
+
+// Report divides the rates anew and returns this host's use.
+func (s *System) Report(now time.Duration) []Use {
 	s.reportAt = now + ReportInterval
 	for host, o := range s.others {
 		if now-o.at >= forgetAfter {
@@ -188,43 +191,25 @@
 		t.share = s.shareOf(now, name, t)
 		uses = append(uses, Use{Team: name, Demand: t.demand, Share: t.share})
 	}
-	return uses, true
+	return uses
 }
 
-// shareOf divides what the hosts that aren't heard don't hold: a part evenly, the
-// rest by demand.
+// shareOf divides the part of the rate that belongs to the hosts that are heard: a
+// little of it evenly, the rest by demand.
 func (s *System) shareOf(now time.Duration, name ident.Team, t *team) float64 {
-	left, demand, heard := 1.0, t.demand, 1
+	demand, heard := t.demand, 1
 	for _, o := range s.others {
-		u := o.uses[name]
-		if now-o.at >= reportLife {
-			left -= u.Share
-			continue
+		if now-o.at < reportLife {
+			heard++
+			demand += o.uses[name].Demand
 		}
-		heard++
-		demand += u.Demand
 	}
-	// Hosts that are known but have told nothing yet may hold their even part.
-	if unheard := s.hosts - heard - s.stale(now); unheard > 0 {
-		left -= float64(unheard) / float64(s.hosts)
-	}
-	left = max(left, 0)
+	part := float64(heard) / float64(max(s.hosts, len(s.others)+1))
 	even := 1 / float64(heard)
 	if demand <= 0 {
-		return left * even
-	}
-	return left * (idlePart*even + (1-idlePart)*t.demand/demand)
-}
-
-// stale counts the hosts whose last report is too old.
-func (s *System) stale(now time.Duration) int {
-	n := 0
-	for _, o := range s.others {
-		if now-o.at >= reportLife {
-			n++
-		}
+		return part * even
 	}
-	return n
+	return part * (idlePart*even + (1-idlePart)*t.demand/demand)
 }
 
 // NextWake returns when Report is due.
--- /dev/null
+++ b/internal/system/scheduling/charge.go
@@ -0,0 +1,42 @@
+package scheduling
+
+import (
+	"time"
+
+	"github.com/trefoilchute/trefoilchute/internal/ident"
+	"github.com/trefoilchute/trefoilchute/internal/peer/peerpb"
+	"github.com/trefoilchute/trefoilchute/internal/result"
+)
+
+// charge is what a request cost its team.
+type charge struct {
+	team ident.Team
+	cost float64
+}
+
+// charge books a submission against its team's rate, once. It returns the refusal
+// of one that is beyond it.
+func (s *System) charge(now time.Duration, in *instance, m *peerpb.Submit) *peerpb.Refuse {
+	id, team := ident.Request(m.GetRequest()), ident.Team(m.GetTeam())
+	if _, known := in.charged[id]; known || m.GetCost() <= 0 || s.cfg.Quotas == nil {
+		return nil
+	}
+	after, ok := s.cfg.Quotas.Charge(now, team, m.GetCost())
+	if ok {
+		in.charged[id] = charge{team, m.GetCost()}
+		return nil
+	}
+	return &peerpb.Refuse{
+		Request: m.GetRequest(), Target: m.GetTarget(), Domain: m.GetDomain(),
+		Code: int32(result.TeamLimit), RetryAfterUs: after.Microseconds(),
+		Reason: "the team is over its rate",
+	}
+}
+
+// refund takes the charge of a request back that is not dispatched.
+func (s *System) refund(in *instance, id ident.Request) {
+	if x, ok := in.charged[id]; ok {
+		s.cfg.Quotas.Refund(x.team, x.cost)
+		delete(in.charged, id)
+	}
+}
--- a/internal/system/scheduling/instance.go
+++ b/internal/system/scheduling/instance.go
@@ -48,6 +48,8 @@
 	// pending holds the events for the next step.
 	pending []pool.Event
 	running map[runningKey]runningRow
+	// charged holds what the requests that wait here cost their teams.
+	charged map[ident.Request]charge
 	// custodians holds the processes that were heard of, by host.
 	custodians map[ident.Host]custodian
 	// remotes are the domains whose room is known to the scheduler.
@@ -63,6 +65,7 @@
 		warmUntil:  now + warmUpLimit,
 		awaited:    map[ident.Host]bool{},
 		running:    map[runningKey]runningRow{},
+		charged:    map[ident.Request]charge{},
 		custodians: map[ident.Host]custodian{},
 		remotes:    map[ident.Domain]bool{},
 	}
--- a/internal/system/scheduling/receive.go
+++ b/internal/system/scheduling/receive.go
@@ -41,6 +41,10 @@
 	if !in.hear(now, from, m.GetClockUs()) {
 		return
 	}
+	if refusal := s.charge(now, in, m); refusal != nil {
+		out.Send(from.Host, peerpb.Wrap(&peerpb.Envelope_Refuse{Refuse: refusal}))
+		return
+	}
 	in.queue(pool.Arrive{Request: request(now, from.Host, m)})
 	s.accept(from.Host, m, in, out)
 	s.step(now, in, out)
@@ -79,7 +83,9 @@
 	if in == nil {
 		return
 	}
-	in.queue(pool.Cancel{ID: ident.Request(m.GetRequest())})
+	id := ident.Request(m.GetRequest())
+	s.refund(in, id)
+	in.queue(pool.Cancel{ID: id})
 	s.step(now, in, out)
 }
 
@@ -96,6 +102,7 @@
 	key := runningKey{ident.Request(m.GetRequest()), ident.Attempt(m.GetAttempt())}
 	switch m.GetPhase() {
 	case peerpb.Report_PHASE_STARTED:
+		delete(in.charged, key.request)
 		in.noteRunning(now, from.Host, key)
 		in.queue(pool.Started{ID: key.request, Attempt: key.attempt})
 	case peerpb.Report_PHASE_FIRST_TOKEN:
--- a/internal/system/scheduling/scheduling.go
+++ b/internal/system/scheduling/scheduling.go
@@ -15,6 +15,7 @@
 	"github.com/trefoilchute/trefoilchute/internal/pool"
 	"github.com/trefoilchute/trefoilchute/internal/resource"
 	"github.com/trefoilchute/trefoilchute/internal/system"
+	"github.com/trefoilchute/trefoilchute/internal/system/quota"
 )
 
 const (
@@ -59,6 +60,8 @@
 	View   View
 	// Seed feeds the schedulers' tie-breaking.
 	Seed uint64
+	// Quotas keeps the teams' rates; nil: there are none.
+	Quotas *quota.System
 }
 
 // System is the table of pools that this host schedules.
--- a/internal/system/scheduling/step.go
+++ b/internal/system/scheduling/step.go
@@ -59,6 +59,7 @@
 	case pool.Grant:
 		out.Send(e.Host, peerpb.Wrap(&peerpb.Envelope_Grant{Grant: grant(in, e)}))
 	case pool.Refuse:
+		s.refund(in, e.ID)
 		out.Send(e.Host, peerpb.Wrap(&peerpb.Envelope_Refuse{Refuse: &peerpb.Refuse{
 			Request: string(e.ID), Target: in.pool.Target, Domain: string(in.pool.Domain),
 			Code: int32(e.Code), RetryAfterUs: e.RetryAfter.Microseconds(), Reason: e.Reason,
