Start with a small share of the teams' rates after a restart

A process now begins with an eighth and reports ten times a second for its first two. The test plays the restart and failed before.

--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -63,6 +63,8 @@
 	Team    ident.Team
 	Target  string
 	Rank    int
+	// Cost is what it counts against its team's rate.
+	Cost float64
 	// Version is the configuration's version, and ConfigurationAge how long before
 	// the request came it was last known to be the newest.
 	Version          uint64
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -133,7 +133,7 @@
 			a.Cost = float64(c.headers.CostTokens(c.team.PlainCost))
 		}
 	}
-	c.outcome.Rank = a.Rank
+	c.outcome.Rank, c.outcome.Cost = a.Rank, c.outcome.Cost+a.Cost
 	g.opts.Post(control.Arrived{Arrival: a})
 	return t
 }
--- a/internal/platformhost/record.go
+++ b/internal/platformhost/record.go
@@ -47,7 +47,7 @@
 	})
 	line := logs.With(h.log, logs.Answered).WithFields(logrus.Fields{
 		"request": o.Attempt, "try": o.ID, "route": o.Route, "kind": o.Kind.String(), "team": o.Team,
-		"target": o.Target, "rank": o.Rank, "endpoint": o.Endpoint, "tries": o.Tries, "why": o.Why,
+		"target": o.Target, "rank": o.Rank, "cost": o.Cost, "endpoint": o.Endpoint, "tries": o.Tries, "why": o.Why,
 		"version": o.Version, "version_age_ms": o.ConfigurationAge.Milliseconds(),
 		"code": int(o.Code), "result": o.Code.String(), "status": o.Status, "on_time": o.OnTime,
 		"queue_ms": o.Queue.Milliseconds(), "first_ms": o.First.Milliseconds(),
--- a/internal/system/quota/quota.go
+++ b/internal/system/quota/quota.go
@@ -23,6 +23,12 @@
 const (
 	// ReportInterval is the time between two reports to the other hosts.
 	ReportInterval = 500 * time.Millisecond
+	// startInterval is the time between reports in the startTime after the first
+	// limits came: until the hosts know each other's demand, each holds little.
+	startInterval = 100 * time.Millisecond
+	startTime     = 2 * time.Second
+	// assumedHosts is how many hosts a rate is divided by before any is known.
+	assumedHosts = 8
 	// reportLife is how long a report says what its host does now: one may be lost
 	// and the next late.
 	reportLife = 3 * ReportInterval
@@ -66,6 +72,9 @@
 	// hosts is how many hosts there are as far as is known, this one included.
 	hosts    int
 	reportAt time.Duration
+	// startedAt is when the first limits came.
+	startedAt time.Duration
+	started   bool
 }
 
 // team is this host's part of a team's rate.
@@ -94,6 +103,9 @@
 // Configure sets the limits of all teams.
 func (s *System) Configure(now time.Duration, limits map[ident.Team]Limit) {
 	s.limits = limits
+	if !s.started {
+		s.started, s.startedAt = true, now
+	}
 	for name := range s.teams {
 		if _, ok := limits[name]; !ok {
 			delete(s.teams, name)
@@ -101,7 +113,7 @@
 	}
 	for name := range limits {
 		if s.teams[name] == nil {
-			t := &team{at: now, share: 1 / float64(s.hosts)}
+			t := &team{at: now, share: 1 / float64(max(s.hosts, assumedHosts))}
 			t.bucket = firstFill * t.share * limits[name].Burst
 			s.teams[name] = t
 		}
@@ -179,6 +191,9 @@
 // Report divides the rates anew and returns this host's use.
 func (s *System) Report(now time.Duration) []Use {
 	s.reportAt = now + ReportInterval
+	if now-s.startedAt < startTime {
+		s.reportAt = now + startInterval
+	}
 	for host, o := range s.others {
 		if now-o.at >= forgetAfter {
 			delete(s.others, host)
--- /dev/null
+++ b/internal/system/quota/quota_test.go
@@ -0,0 +1,144 @@
+package quota
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/trefoilchute/trefoilchute/internal/ident"
+)
+
+const (
+	rate  = 120_000.0
+	burst = 120_000.0
+	debt  = 70_000.0
+	// step is the time between two rounds of a run.
+	step = 50 * time.Millisecond
+)
+
+// fleet is a number of hosts that tell each other their use.
+type fleet struct {
+	hosts map[ident.Host]*System
+	names []ident.Host
+	now   time.Duration
+	// side tells which hosts hear each other.
+	side map[ident.Host]int
+	// granted holds what was let through, by round.
+	granted []float64
+}
+
+func newFleet(n int) *fleet {
+	f := &fleet{hosts: map[ident.Host]*System{}, side: map[ident.Host]int{}}
+	for i := range n {
+		name := ident.Host(fmt.Sprintf("h%d", i))
+		f.names = append(f.names, name)
+		f.start(name)
+	}
+	return f
+}
+
+// start starts a host's process anew.
+func (f *fleet) start(name ident.Host) {
+	s := New()
+	s.Configure(f.now, map[ident.Team]Limit{"t": {Rate: rate, Burst: burst, Debt: debt}})
+	f.hosts[name] = s
+}
+
+// round lets a host be asked for some units, in requests of a size.
+func (f *fleet) round(asks map[ident.Host]float64, size float64) {
+	granted := 0.0
+	for _, name := range f.names {
+		for asked := asks[name]; asked > 0; asked -= size {
+			if _, ok := f.hosts[name].Charge(f.now, "t", size); ok {
+				granted += size
+			}
+		}
+	}
+	f.granted = append(f.granted, granted)
+	for _, name := range f.names {
+		s := f.hosts[name]
+		if !s.Due(f.now) {
+			continue
+		}
+		s.Hosts(len(f.names))
+		uses := s.Report(f.now)
+		for _, other := range f.names {
+			if other != name && f.side[other] == f.side[name] {
+				f.hosts[other].Heard(f.now, name, uses)
+			}
+		}
+	}
+	f.now += step
+}
+
+// most returns the most units let through in any window.
+func (f *fleet) most(window time.Duration) float64 {
+	n := int(window / step)
+	sum, most := 0.0, 0.0
+	for i, g := range f.granted {
+		sum += g
+		if i >= n {
+			sum -= f.granted[i-n]
+		}
+		most = max(most, sum)
+	}
+	return most
+}
+
+// allowed is what the platform lets a team have in a window of 8 s.
+const allowed = (8*rate+burst)*1.1 + 140_000
+
+// TestRateAfterAllHostsRestart plays a team that asks for four times its rate while
+// every process is killed and starts again a second later: with the whole rate in
+// each new process, a window had 1,449,287 units of 1,336,910.
+func TestRateAfterAllHostsRestart(t *testing.T) {
+	f := newFleet(8)
+	asks := map[ident.Host]float64{"h3": 4 * rate * step.Seconds(), "h5": 0.1 * rate * step.Seconds()}
+	for range 200 {
+		f.round(asks, 3000)
+	}
+	for range 20 {
+		f.round(nil, 1)
+	}
+	for _, name := range f.names {
+		f.start(name)
+	}
+	for range 200 {
+		f.round(asks, 3000)
+	}
+	if got := f.most(8 * time.Second); got > allowed {
+		t.Errorf("%.0f units in 8 s, allowed are %.0f", got, allowed)
+	}
+	served := 0.0
+	for _, g := range f.granted[len(f.granted)-100:] {
+		served += g
+	}
+	if want := 0.9 * rate * 5; served < want {
+		t.Errorf("%.0f units in the last 5 s, the rate allows %.0f", served, rate*5)
+	}
+}
+
+// TestRateHoldsInAnyCut draws demand that moves between hosts and cuts between them.
+func TestRateHoldsInAnyCut(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		f := newFleet(8)
+		size := rapid.Float64Range(200, 9000).Draw(rt, "size")
+		for range rapid.IntRange(1, 4).Draw(rt, "phases") {
+			asks := map[ident.Host]float64{}
+			for _, name := range f.names {
+				if rapid.IntRange(0, 3).Draw(rt, "asked") == 0 {
+					asks[name] = rapid.Float64Range(0, 3*rate).Draw(rt, "rate") * step.Seconds()
+				}
+				f.side[name] = rapid.IntRange(0, 1).Draw(rt, "side")
+			}
+			for range rapid.IntRange(20, 200).Draw(rt, "rounds") {
+				f.round(asks, size)
+			}
+		}
+		if got := f.most(8 * time.Second); got > allowed {
+			rt.Fatalf("%.0f units in 8 s, allowed are %.0f", got, allowed)
+		}
+	})
+}
