--- a/internal/logs/event.go
+++ b/internal/logs/event.go
@@ -30,6 +30,7 @@
 	DependencyRegained    Event = "dependency_regained"
 	Settings              Event = "settings"
 	PoolScheduler         Event = "pool_scheduler"
+	PoolState             Event = "pool_state"
 	LinesDropped          Event = "lines_dropped"
 )
 
@@ -103,6 +104,7 @@
 	{DependencyRegained, "A dependency works again."},
 	{Settings, "The settings file was read."},
 	{PoolScheduler, "The host that schedules a pool, as this host sees it, has changed."},
+	{PoolState, "The state of a pool that is scheduled here: what waits and runs, and each endpoint's requests in flight of the most it may have."},
 	{LinesDropped, "Log lines were dropped because their reader was too slow; lines says how many."},
 	{Retried, "A try of the request failed and it is tried again at another endpoint."},
 	{BucketsWritten, "Buckets of the burn report were written to the object store."},
--- a/internal/platformhost/host.go
+++ b/internal/platformhost/host.go
@@ -136,6 +136,7 @@
 	h.group.Go(func() { h.follower.FollowEndpoints(h.life) })
 	h.group.Go(func() { h.join(h.life) })
 	h.group.Go(func() { h.sweep(h.life) })
+	h.group.Go(func() { h.watchPools(h.life) })
 	failed := make(chan error, 3)
 	h.group.Go(func() { failed <- h.gateway.Serve(h.callers) })
 	h.group.Go(func() { failed <- serveHTTP(h.life, h.readiness, http.HandlerFunc(h.ready)) })
