Serve requests that can't meet their objective behind those that can

Also, windows of slow engines shrank to 4 of 10 slots: speeds that are only assumed counted as the engine's own, so that an engine that is slower than its kind was taken for sick; one slot in eight was kept for the highest tier.

Change: a request that will miss its objective for the first token stands behind all that can meet theirs, in tiers of its own, or is refused at once if it would wait past its deadline there. Assumed speeds say nothing of an endpoint's pace before 24 samples.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -320,10 +320,14 @@
 	}
 }
 
+// cachedUnknown says that the endpoint doesn't tell how much of a prompt it had
+// cached.
+const cachedUnknown = -1
+
 // phase returns how the try ended for the pool's scheduler.
 func (x *exchange) phase(end tryEnd) peerpb.Report_Phase {
 	c := x.call
-	x.try.end.OutputTokens = c.outputTokens()
+	x.try.end.OutputTokens, x.try.end.CachedTokens = c.outputTokens(), cachedUnknown
 	switch {
 	case x.rejected:
 		return peerpb.Report_PHASE_REJECTED
--- a/internal/naive/events.go
+++ b/internal/naive/events.go
@@ -54,6 +54,9 @@
 	row.mean = 1
 	if !s.plainService() {
 		row.mean = s.lengths.Expect(r.Team, r.MaxTokens)
+		if r.ExpectedTokens > 0 {
+			row.mean = float64(r.ExpectedTokens)
+		}
 	}
 	row.cost = s.costOf(row)
 	s.meter.Arrive(r.Rank, row.cost)
@@ -70,10 +73,17 @@
 		r.state = isolated
 		return
 	}
+	if r.FirstDue > 0 && !r.late {
+		if at := r.FirstDue - s.firstAlone(r); at <= s.now {
+			r.late = true
+		} else {
+			s.set(r, "late", at, func() { s.becomeLate(r) })
+		}
+	}
 	s.findHome(r)
-	x := s.share(r.Rank, r.Team)
-	if len(s.teamQueue(r.Rank, r.Team)) == 0 {
-		x.start = max(x.start, s.share(r.Rank, "").virtual)
+	x := s.share(r.order(), r.Team)
+	if len(s.teamQueue(r.order(), r.Team)) == 0 {
+		x.start = max(x.start, s.share(r.order(), "").virtual)
 	}
 	r.state = queued
 	s.fresh = append(s.fresh, r)
@@ -86,6 +96,7 @@
 	r.state = gone
 	s.stop(r, "deadline")
 	s.stop(r, "hold")
+	s.stop(r, "late")
 }
 
 func (s *Scheduler) drop(r *request) {
@@ -164,10 +175,22 @@
 
 func (s *Scheduler) learn(a *attempt, f pool.Finished) {
 	e := a.endpoint
-	if f.Outcome == pool.OutcomeLost {
+	switch f.Outcome {
+	case pool.OutcomeLost:
 		s.crashed(e)
 		s.failed(e)
 		return
+	case pool.OutcomeRejected:
+		if until := s.now + rules.RejectedClosed; until > e.closedUntil {
+			e.closedUntil = until
+			s.set(e, "reopen", until, func() { e.changed = true })
+		}
+		return
+	case pool.OutcomeBroken:
+		if e.errors.Saw(s.now, true) {
+			s.failed(e)
+		}
+		return
 	}
 	whole := f.Outcome == pool.OutcomeWhole
 	if whole || s.now >= a.request.Deadline {
@@ -178,7 +201,7 @@
 		e.speed.SawCall(s.now, f.Total, others)
 	} else if f.FirstToken > 0 {
 		e.speed.SawDecode(s.now, f.OutputTokens, f.Total-f.FirstToken, others)
-		if a.cached >= rules.MinSaving {
+		if f.CachedTokens >= 0 && a.cached >= rules.MinSaving {
 			ratio := min(1, float64(f.CachedTokens)/float64(a.cached))
 			e.trust = max(e.trust+rules.TrustWeight*(ratio-e.trust), rules.MinTrust)
 		}
@@ -188,6 +211,7 @@
 		return
 	}
 	e.failures = 0
+	e.errors.Saw(s.now, false)
 	s.prove(a.request.Fingerprint)
 	if e.Type == resource.EndpointEngine {
 		s.lengths.Saw(a.request.Team, a.request.MaxTokens, f.OutputTokens)
@@ -247,6 +271,9 @@
 	e := s.endpoint(d.Name)
 	if !was || e.PrefillRate != d.PrefillRate || e.DecodeRate != d.DecodeRate {
 		e.speed = speed.NewEndpoint(d.PrefillRate, d.DecodeRate)
+		if d.SpeedsAssumed {
+			e.speed = speed.NewAssumed(d.PrefillRate, d.DecodeRate)
+		}
 	}
 	if !was {
 		e.trust = 1
--- a/internal/naive/grant.go
+++ b/internal/naive/grant.go
@@ -66,11 +66,11 @@
 func (s *Scheduler) heldIn(rank int) []*request {
 	var out []*request
 	for _, r := range s.in(held) {
-		if r.Rank == rank {
+		if r.order() == rank {
 			out = append(out, r)
 		}
 	}
-	slices.SortFunc(out, func(a, b *request) int { return cmp.Compare(a.order, b.order) })
+	slices.SortFunc(out, func(a, b *request) int { return cmp.Compare(a.setAside, b.setAside) })
 	return out
 }
 
@@ -168,10 +168,10 @@
 func (s *Scheduler) grantFresh(open []*endpoint) {
 	fresh := s.fresh
 	s.fresh = nil
-	slices.SortStableFunc(fresh, func(a, b *request) int { return cmp.Compare(a.Rank, b.Rank) })
+	slices.SortStableFunc(fresh, func(a, b *request) int { return cmp.Compare(a.order(), b.order()) })
 	for _, r := range fresh {
 		switch {
-		case r.state != queued && r.state != held, r.Rank > s.unseen:
+		case r.state != queued && r.state != held, r.order() > s.unseen:
 		case s.bodyBusy(r):
 			s.park(r)
 		case s.atLimit(r.Team):
@@ -198,7 +198,7 @@
 	first := r.state == queued
 	s.withdraw(r)
 	if first {
-		x, tier := s.share(r.Rank, r.Team), s.share(r.Rank, "")
+		x, tier := s.share(r.order(), r.Team), s.share(r.order(), "")
 		tier.virtual = max(tier.virtual, x.start)
 		x.start += r.cost.Seconds() / weight(s.team(r.Team))
 	}
@@ -206,12 +206,12 @@
 
 func (s *Scheduler) keep(r *request, p place) bool {
 	r.heldForHome = p.hold > 0
-	if !r.heldForHome && len(s.heldIn(r.Rank))-s.homeHeld(r.Rank) >= rules.MaxHeld {
+	if !r.heldForHome && len(s.heldIn(r.order()))-s.homeHeld(r.order()) >= rules.MaxHeld {
 		return false
 	}
 	s.claim(r)
 	s.held++
-	r.state, r.order = held, s.held
+	r.state, r.setAside = held, s.held
 	total, _ := s.fastest(r)
 	spare := r.Deadline - s.now - total
 	hold := max(p.hold, 0, min(time.Duration(holdSlack(r)*float64(spare)), rules.MaxHold))
@@ -247,7 +247,7 @@
 			continue
 		}
 		score := total + s.neighbours(r, e, cached) +
-			rules.PrefixPenalty*e.speed.Prefill(s.now, max(r.best, cached)-cached)
+			rules.PrefixPenalty*e.speed.Prefill(s.now, max(r.best, cached)-cached) + s.failures(r, e)
 		if out.endpoint == nil || score < least {
 			least = score
 			out.endpoint, out.cached, out.total = e, cached, total
@@ -270,13 +270,16 @@
 }
 
 func (s *Scheduler) suits(r *request, e *endpoint, cached int, total time.Duration) bool {
-	if r.Rank > 0 && s.meter.Arrives(0) && s.free(e) <= slots(e)/rules.SlotsPerTopSlot {
+	if r.Rank > 0 && r.FirstDue == 0 && s.meter.Arrives(0) && s.free(e) <= slots(e)/rules.SlotsPerTopSlot {
 		return false
 	}
 	pending := s.pending(e)
 	if pending > 0 && e.speed.Prefill(s.now, pending+r.PromptTokens-cached) > rules.PrefillWindow {
 		return false
 	}
+	if r.FirstDue > 0 && !r.late && s.now+s.objective(e, r, cached, s.inFlight(e), pending) > r.FirstDue {
+		return false
+	}
 	stake := min(1, float64(r.PromptTokens-cached)/rules.SurePrefill)
 	switch {
 	case r.urgent && s.spare():
@@ -302,7 +305,7 @@
 	if r.best-p.cached < rules.MinSaving {
 		return 0
 	}
-	if r.state == queued && s.homeHeld(r.Rank) >= rules.HomeHeldPerEndpoint*s.totals.working {
+	if r.state == queued && s.homeHeld(r.order()) >= rules.HomeHeldPerEndpoint*s.totals.working {
 		return 0
 	}
 	if r.heldUntil > 0 {
@@ -310,6 +313,13 @@
 	}
 	saved := p.endpoint.speed.Prefill(s.now, r.best-p.cached)
 	spare := r.Deadline - s.now - s.cautious(p.total)
+	switch {
+	case r.FirstDue > 0 && r.late:
+		spare = min(spare, 0)
+	case r.FirstDue > 0:
+		first := s.objective(p.endpoint, r, p.cached, s.inFlight(p.endpoint), s.pending(p.endpoint))
+		spare = min(spare, max(0, r.FirstDue-s.now-first))
+	}
 	return min(rules.HoldPerPrefill*saved, time.Duration(holdSlack(r)*float64(spare)), rules.MaxHold)
 }
 
@@ -342,3 +352,12 @@
 		ID: r.ID, Host: r.Host, Endpoint: e.Name, Attempt: a.id, Expires: expires, Isolated: alone,
 	})
 }
+
+// failures is what an endpoint's failed answers cost a request there.
+func (s *Scheduler) failures(r *request, e *endpoint) time.Duration {
+	penalty := e.errors.Penalty(s.now)
+	if r.Avoid != "" && e.Name == r.Avoid {
+		penalty += rules.AvoidPenalty
+	}
+	return penalty
+}
--- a/internal/naive/naive.go
+++ b/internal/naive/naive.go
@@ -79,11 +79,12 @@
 	// heldForHome says that it was held to wait for home.
 	heldForHome bool
 	urgent      bool
+	late        bool
 	recheck     time.Duration
-	// heldUntil ends the wait for the prefix; order is when it was held or
+	// heldUntil ends the wait for the prefix; setAside is when it was held or
 	// parked.
 	heldUntil time.Duration
-	order     uint64
+	setAside  uint64
 }
 
 type attempt struct {
@@ -110,6 +111,7 @@
 	failures    int
 	changed     bool
 	speed       speed.Endpoint
+	errors      speed.Errors
 	window      window.Window
 	load        window.Reported
 	trust       float64
@@ -221,22 +223,38 @@
 	return out
 }
 
-// inTier returns the requests of a rank that are queued or held.
-func (s *Scheduler) inTier(rank int) []*request {
+// order is a request's place among the tiers.
+func (r *request) order() int {
+	if r.late {
+		return r.Rank + rules.LateOrder
+	}
+	return r.Rank
+}
+
+// due is when a request is to be served.
+func (r *request) due() time.Duration {
+	if r.FirstDue > 0 && !r.late {
+		return r.FirstDue
+	}
+	return r.Deadline
+}
+
+// inTier returns the requests of an order that are queued or held.
+func (s *Scheduler) inTier(order int) []*request {
 	var out []*request
 	for _, r := range s.requests {
-		if r.Rank == rank && (r.state == queued || r.state == held) {
+		if r.order() == order && (r.state == queued || r.state == held) {
 			out = append(out, r)
 		}
 	}
 	return out
 }
 
-// ranks returns the ranks of all requests, highest tier first.
+// ranks returns the orders of all requests, highest tier first.
 func (s *Scheduler) ranks() []int {
 	var out []int
 	for _, r := range s.requests {
-		out = append(out, r.Rank)
+		out = append(out, r.order())
 	}
 	slices.Sort(out)
 	return slices.Compact(out)
@@ -285,7 +303,7 @@
 }
 
 func (s *Scheduler) refuse(r *request, code result.Code) {
-	s.out = append(s.out, pool.Refuse{ID: r.ID, Host: r.Host, Code: code, RetryAfter: s.retryAfter(r.Rank)})
+	s.out = append(s.out, pool.Refuse{ID: r.ID, Host: r.Host, Code: code, RetryAfter: s.retryAfter(r.order())})
 }
 
 func (s *Scheduler) refuseQuarantined(r *request) {
--- a/internal/naive/policy.go
+++ b/internal/naive/policy.go
@@ -55,6 +55,64 @@
 	return rules.DispatchTime + e.speed.Prefill(s.now, prompt) + e.speed.Decode(s.now, r.mean, others)
 }
 
+// objective returns the time that counts against a request's objective.
+func (s *Scheduler) objective(e *endpoint, r *request, cached, others, pending int) time.Duration {
+	if e.Type == resource.EndpointService {
+		return s.estimate(e, r, cached, others, pending)
+	}
+	return rules.DispatchTime + e.speed.Prefill(s.now, max(0, r.PromptTokens-cached)+pending)
+}
+
+// firstAlone returns the least time to the first token on any endpoint, alone.
+func (s *Scheduler) firstAlone(r *request) time.Duration {
+	best, found := time.Duration(0), false
+	for _, e := range s.endpoints {
+		if !s.takesWork(e) {
+			continue
+		}
+		first := s.objective(e, r, s.cachedOn(r, e), 0, 0)
+		if !found || first < best {
+			best, found = first, true
+		}
+	}
+	return best
+}
+
+// admitByObjective admits a request that will be on time, or finds room among the
+// late ones.
+func (s *Scheduler) admitByObjective(r *request, total time.Duration) bool {
+	spare := r.FirstDue - s.now - s.firstAlone(r)
+	r.late = r.late || s.expectedWait(r.Rank) > spare
+	return !r.late || s.admitLate(r, total)
+}
+
+func (s *Scheduler) admitLate(r *request, total time.Duration) bool {
+	for s.expectedWait(r.order()) > r.Deadline-s.now-total {
+		below := s.below(r.order())
+		if len(below) == 0 || r.order() < rules.LateOrder {
+			s.spillOr(r, result.ShedTier)
+			return false
+		}
+		s.yield(below[0])
+	}
+	return true
+}
+
+// becomeLate moves a waiting request behind all that can be on time.
+func (s *Scheduler) becomeLate(r *request) {
+	if r.state != queued && r.state != held {
+		return
+	}
+	s.withdraw(r)
+	r.late = true
+	total, _ := s.fastest(r)
+	if !s.admitLate(r, total) {
+		s.removeRequest(r)
+		return
+	}
+	s.enqueue(r)
+}
+
 // least returns the least estimate over the endpoints that take work, with the
 // whole prompt cached and as many others as given.
 func (s *Scheduler) least(r *request, others func(*endpoint) int) (time.Duration, bool) {
@@ -137,6 +195,7 @@
 }
 
 func (s *Scheduler) admitToQueue(r *request, total time.Duration) bool {
+	r.late = r.FirstDue > 0 && r.FirstDue-s.now < s.firstAlone(r)
 	waiting := 0
 	for _, x := range s.requests {
 		if x.Team == r.Team && (x.state == queued || x.state == held) {
@@ -148,7 +207,7 @@
 		return false
 	}
 	for _, t := range s.tiers {
-		if t.Rank == r.Rank && t.MaxQueued > 0 && len(s.inTier(r.Rank)) >= t.MaxQueued {
+		if t.Rank == r.Rank && t.MaxQueued > 0 && len(s.inTier(r.order())) >= t.MaxQueued {
 			return s.admitToFull(r)
 		}
 	}
@@ -159,7 +218,7 @@
 	if s.spill(r) {
 		return false
 	}
-	below := s.below(r.Rank)
+	below := s.below(r.order())
 	if len(below) == 0 {
 		s.refuse(r, result.QueueFull)
 		return false
@@ -183,8 +242,8 @@
 
 func compareUrgency(a, b *request) int {
 	return cmp.Or(
-		cmp.Compare(a.Rank, b.Rank),
-		cmp.Compare(a.Deadline, b.Deadline),
+		cmp.Compare(a.order(), b.order()),
+		cmp.Compare(a.due(), b.due()),
 		cmp.Compare(a.sequence, b.sequence),
 	)
 }
@@ -195,6 +254,9 @@
 }
 
 func (s *Scheduler) admitForRoom(r *request, total time.Duration) bool {
+	if r.FirstDue > 0 {
+		return s.admitByObjective(r, total)
+	}
 	wait := s.teamWait(r)
 	spare := r.Deadline - s.now - total
 	if wait <= spare {
@@ -250,7 +312,7 @@
 func (s *Scheduler) teamQueue(rank int, team ident.Team) []*request {
 	var out []*request
 	for _, r := range s.in(queued) {
-		if r.Rank == rank && r.Team == team {
+		if r.order() == rank && r.Team == team {
 			out = append(out, r)
 		}
 	}
@@ -262,7 +324,7 @@
 func (s *Scheduler) activeTeams(rank int) []ident.Team {
 	var out []ident.Team
 	for _, r := range s.in(queued) {
-		if r.Rank == rank {
+		if r.order() == rank {
 			out = append(out, r.Team)
 		}
 	}
@@ -271,13 +333,17 @@
 }
 
 func (s *Scheduler) retryAfter(rank int) time.Duration {
+	return min(max(s.expectedWait(rank), rules.MinRetryAfter), rules.MaxRetryAfter)
+}
+
+func (s *Scheduler) expectedWait(rank int) time.Duration {
 	var sum time.Duration
 	for _, x := range s.ranks() {
 		if x <= rank {
 			sum += cost(s.inTier(x))
 		}
 	}
-	return min(max(s.drainTime(rank, sum), rules.MinRetryAfter), rules.MaxRetryAfter)
+	return s.drainTime(rank, sum)
 }
 
 func (s *Scheduler) drainTime(rank int, backlog time.Duration) time.Duration {
--- a/internal/naive/suspect.go
+++ b/internal/naive/suspect.go
@@ -190,7 +190,7 @@
 func (s *Scheduler) park(r *request) {
 	s.withdraw(r)
 	s.parked++
-	r.state, r.order = parked, s.parked
+	r.state, r.setAside = parked, s.parked
 	s.watch(r)
 }
 
@@ -210,7 +210,7 @@
 			list = append(list, r)
 		}
 	}
-	slices.SortFunc(list, func(a, b *request) int { return cmp.Compare(a.order, b.order) })
+	slices.SortFunc(list, func(a, b *request) int { return cmp.Compare(a.setAside, b.setAside) })
 	if !slices.Contains(s.proven, fingerprint) && len(list) > 1 {
 		list = list[:1]
 	}
--- a/internal/platformhost/view.go
+++ b/internal/platformhost/view.go
@@ -134,6 +134,7 @@
 		out.Type = resource.EndpointEngine
 		out.CacheTokens = t.Engine.CacheTokens
 		out.PrefillRate, out.DecodeRate = h.settings.PrefillRate, h.settings.DecodeRate
+		out.SpeedsAssumed = true
 	}
 	return out
 }
--- a/internal/pool/admit.go
+++ b/internal/pool/admit.go
@@ -39,13 +39,14 @@
 // admitToQueue holds the request against the declared limits and the expected
 // wait.
 func (s *Scheduler) admitToQueue(r *request, total time.Duration) bool {
+	r.late = r.FirstDue > 0 && r.FirstDue-s.now < s.firstAlone(r)
 	t := s.teams.get(r.Team)
 	limit := s.tiers.byRank[r.Rank].MaxQueued
 	if t.MaxQueued > 0 && t.waiting >= t.MaxQueued {
 		s.refuse(r, result.TeamLimit, "the team has its most requests waiting")
 		return false
 	}
-	if limit > 0 && s.queue.tier(r.Rank).size >= limit {
+	if limit > 0 && s.queue.tier(r.order()).size >= limit {
 		return s.admitToFull(r)
 	}
 	return s.admitForRoom(r, total)
@@ -58,7 +59,7 @@
 	if s.spill(r, reason) {
 		return false
 	}
-	if s.displace(r.Rank) {
+	if s.displace(r.order()) {
 		return true
 	}
 	s.refuse(r, result.QueueFull, reason)
@@ -68,6 +69,9 @@
 // admitForRoom refuses a request that would wait longer than it can. What
 // waits in lower tiers is shed before it.
 func (s *Scheduler) admitForRoom(r *request, total time.Duration) bool {
+	if r.FirstDue > 0 {
+		return s.admitByObjective(r, total)
+	}
 	wait := s.teamWait(r)
 	patience := 1.0
 	if s.queue.waitsBelow(r.Rank) {
--- a/internal/pool/endpoint.go
+++ b/internal/pool/endpoint.go
@@ -36,6 +36,7 @@
 	// isolating says that the endpoint is kept for a suspect.
 	isolating bool
 	speed     speed.Endpoint
+	errors    speed.Errors
 	window    window.Window
 	// trust is the part of the expected cached tokens that the engine finds.
 	trust float64
@@ -67,7 +68,7 @@
 // declared ones changed.
 func (e *endpoint) update(d resource.Endpoint) {
 	if !e.declared || e.PrefillRate != d.PrefillRate || e.DecodeRate != d.DecodeRate {
-		e.speed = speed.NewEndpoint(d.PrefillRate, d.DecodeRate)
+		e.speed = newSpeed(d)
 	}
 	if !e.declared {
 		e.trust = 1
@@ -78,6 +79,14 @@
 	e.declared = true
 }
 
+// newSpeed returns the speed of an endpoint as it is declared.
+func newSpeed(d resource.Endpoint) speed.Endpoint {
+	if d.SpeedsAssumed {
+		return speed.NewAssumed(d.PrefillRate, d.DecodeRate)
+	}
+	return speed.NewEndpoint(d.PrefillRate, d.DecodeRate)
+}
+
 // endpointTable holds the endpoints sorted by name.
 type endpointTable struct {
 	rows   []*endpoint
--- a/internal/pool/estimate.go
+++ b/internal/pool/estimate.go
@@ -26,6 +26,9 @@
 	if s.endpoints.plainService() {
 		return serviceTokens
 	}
+	if r.ExpectedTokens > 0 {
+		return float64(r.ExpectedTokens)
+	}
 	return s.lengths.Expect(r.Team, r.MaxTokens)
 }
 
--- a/internal/pool/event.go
+++ b/internal/pool/event.go
@@ -107,7 +107,8 @@
 	Attempt      ident.Attempt
 	Outcome      Outcome
 	PromptTokens int
-	// CachedTokens is the part of the prompt that the engine found cached.
+	// CachedTokens is the part of the prompt that the engine found cached; negative
+	// if it doesn't say.
 	CachedTokens int
 	OutputTokens int
 	FirstToken   time.Duration
--- a/internal/pool/failure.go
+++ b/internal/pool/failure.go
@@ -18,3 +18,14 @@
 	s.blocks.Clear(e.number)
 	s.timers.set(&e.reopen, e.closedUntil, func() { e.changed = true })
 }
+
+// endpointFull closes an endpoint for a moment after it refused a request for want
+// of room: others than this scheduler may have filled it.
+func (s *Scheduler) endpointFull(e *endpoint) {
+	until := s.now + rules.RejectedClosed
+	if until <= e.closedUntil {
+		return
+	}
+	e.closedUntil = until
+	s.timers.set(&e.reopen, e.closedUntil, func() { e.changed = true })
+}
--- a/internal/pool/grant.go
+++ b/internal/pool/grant.go
@@ -76,9 +76,9 @@
 func (s *Scheduler) grantFresh() {
 	fresh := s.fresh
 	s.fresh = nil
-	slices.SortStableFunc(fresh, func(a, b *request) int { return cmp.Compare(a.Rank, b.Rank) })
+	slices.SortStableFunc(fresh, func(a, b *request) int { return cmp.Compare(a.order(), b.order()) })
 	for _, r := range fresh {
-		if r.phase != phaseQueued && r.phase != phaseHeld || r.Rank > s.unseen {
+		if r.phase != phaseQueued && r.phase != phaseHeld || r.order() > s.unseen {
 			continue
 		}
 		if s.bodies.busy(r) {
@@ -210,7 +210,7 @@
 // keep moves a request that the free slots don't suit to the held ones, so
 // that others can have these. It returns false if too many are held.
 func (s *Scheduler) keep(r *request, p placement) bool {
-	t := s.queue.tier(r.Rank)
+	t := s.queue.tier(r.order())
 	r.heldForHome = p.hold > 0
 	if !r.heldForHome && len(t.held)-t.homeHeld >= rules.MaxHeld {
 		return false
--- a/internal/pool/hopeless.go
+++ b/internal/pool/hopeless.go
@@ -69,5 +69,5 @@
 
 // refuse gives a request its final answer.
 func (s *Scheduler) refuse(r *request, code result.Code, reason string) {
-	s.emit(*s.refusal(r, code, s.retryAfter(r.Rank), reason))
+	s.emit(*s.refusal(r, code, s.retryAfter(r.order()), reason))
 }
--- a/internal/pool/intake.go
+++ b/internal/pool/intake.go
@@ -73,6 +73,7 @@
 		return
 	}
 	r.phase = phaseQueued
+	s.watchObjective(r)
 	s.matchPrefix(r)
 	s.findHome(r)
 	s.queue.push(r, s.teams.get(r.Team))
@@ -96,6 +97,7 @@
 	}
 	s.timers.stop(&r.timer)
 	s.timers.stop(&r.holdTimer)
+	s.timers.stop(&r.lateTimer)
 	r.phase = phaseGone
 }
 
--- a/internal/pool/isolate.go
+++ b/internal/pool/isolate.go
@@ -29,8 +29,8 @@
 
 func compareUrgency(a, b *request) int {
 	return cmp.Or(
-		cmp.Compare(a.Rank, b.Rank),
-		cmp.Compare(a.Deadline, b.Deadline),
+		cmp.Compare(a.order(), b.order()),
+		cmp.Compare(a.due(), b.due()),
 		cmp.Compare(a.sequence, b.sequence),
 	)
 }
--- a/internal/pool/learn.go
+++ b/internal/pool/learn.go
@@ -27,10 +27,19 @@
 // cache and of the length of answers.
 func (s *Scheduler) learn(a *attempt, f Finished) {
 	e := a.endpoint
-	if f.Outcome == OutcomeLost {
+	switch f.Outcome {
+	case OutcomeLost:
 		s.crashed(e)
 		s.endpointFailed(e)
 		return
+	case OutcomeRejected:
+		s.endpointFull(e)
+		return
+	case OutcomeBroken:
+		if e.errors.Saw(s.now, true) {
+			s.endpointFailed(e)
+		}
+		return
 	}
 	if f.Outcome == OutcomeWhole || s.now >= a.request.Deadline {
 		s.surprise.Saw(a.expected, f.Total, f.Outcome != OutcomeWhole)
@@ -40,13 +49,16 @@
 		e.speed.SawCall(s.now, f.Total, others)
 	} else if f.FirstToken > 0 {
 		e.speed.SawDecode(s.now, f.OutputTokens, f.Total-f.FirstToken, others)
-		s.sawCached(a, f.CachedTokens)
+		if f.CachedTokens >= 0 {
+			s.sawCached(a, f.CachedTokens)
+		}
 	}
 	e.window.Saw(s.now, e.speed.Pace(s.now))
 	if f.Outcome != OutcomeWhole {
 		return
 	}
 	e.failures = 0
+	e.errors.Saw(s.now, false)
 	s.bodies.prove(a.request.Fingerprint)
 	if e.Type == resource.EndpointEngine {
 		s.lengths.Saw(a.request.Team, a.request.MaxTokens, f.OutputTokens)
--- /dev/null
+++ b/internal/pool/objective.go
@@ -0,0 +1,120 @@
+package pool
+
+import (
+	"time"
+
+	"github.com/trefoilchute/trefoilchute/internal/pool/rules"
+	"github.com/trefoilchute/trefoilchute/internal/resource"
+	"github.com/trefoilchute/trefoilchute/internal/result"
+)
+
+// Requests with an objective for their first token. Under more load than the pool
+// can serve, a queue in order of arrival makes every request late once it is longer
+// than the objective, and stays so for as long as it takes to drain. So a request
+// that can't meet its objective any more lets all go first that can. It keeps its
+// place among the late ones, and waits there only as long as it may still be answered
+// before its deadline.
+
+// order is the request's place among the tiers: its rank, and behind all ranks for
+// one that is late.
+func (r *request) order() int {
+	if r.late {
+		return r.Rank + rules.LateOrder
+	}
+	return r.Rank
+}
+
+// due is when the request is to be served: the first token of one that can still
+// meet its objective, else the whole answer.
+func (r *request) due() time.Duration {
+	if r.FirstDue > 0 && !r.late {
+		return r.FirstDue
+	}
+	return r.Deadline
+}
+
+// objective is the part of an estimate that counts against the objective: the time
+// to the first token or, for a plain service, to the whole answer.
+func (e *endpoint) objective(x estimate) time.Duration {
+	if e.Type == resource.EndpointService {
+		return x.total
+	}
+	return x.first
+}
+
+// firstAlone estimates the least time to the first token of a request on any
+// endpoint that may take it, were it alone there.
+func (s *Scheduler) firstAlone(r *request) time.Duration {
+	s.matchPrefix(r)
+	best, found := time.Duration(0), false
+	for _, e := range s.endpoints.rows {
+		if !e.takesWork(s.now) {
+			continue
+		}
+		first := e.objective(s.estimateOn(e, r, s.cachedOn(r, e), 0, 0))
+		if !found || first < best {
+			best, found = first, true
+		}
+	}
+	return best
+}
+
+// admitByObjective admits a request that will meet its objective, or that finds room
+// among the late ones.
+func (s *Scheduler) admitByObjective(r *request, total time.Duration) bool {
+	spare := r.FirstDue - s.now - s.firstAlone(r)
+	r.late = r.late || s.expectedWait(r.Rank) > spare
+	return !r.late || s.admitLate(r, total)
+}
+
+// admitLate holds a late request against the time in which those before it are
+// served. What is late in lower tiers is shed before it, from the lowest up.
+func (s *Scheduler) admitLate(r *request, total time.Duration) bool {
+	spare := r.Deadline - s.now - total
+	for s.expectedWait(r.order()) > spare {
+		if s.yieldLateBelow(r.order()) {
+			continue
+		}
+		s.spillOr(r, result.ShedTier, "it would be late, and those before it take longer than it can wait")
+		return false
+	}
+	return true
+}
+
+// yieldLateBelow sheds the last of the late requests of the lowest tier below an
+// order. It returns false if there are none.
+func (s *Scheduler) yieldLateBelow(order int) bool {
+	if order < rules.LateOrder {
+		return false
+	}
+	return s.displace(order)
+}
+
+// watchObjective sets the time from which on a waiting request is late.
+func (s *Scheduler) watchObjective(r *request) {
+	if r.FirstDue == 0 || r.late {
+		return
+	}
+	at := r.FirstDue - s.firstAlone(r)
+	if at <= s.now {
+		r.late = true
+		return
+	}
+	s.timers.set(&r.lateTimer, at, func() { s.becomeLate(r) })
+}
+
+// becomeLate moves a waiting request behind all that can meet their objective, or
+// refuses it if it would wait too long there.
+func (s *Scheduler) becomeLate(r *request) {
+	if r.phase != phaseQueued && r.phase != phaseHeld {
+		return
+	}
+	s.withdraw(r)
+	r.late = true
+	total, _ := s.fastest(r)
+	if !s.admitLate(r, total) {
+		delete(s.requests, r.ID)
+		return
+	}
+	s.enqueue(r)
+}
--- a/internal/pool/place.go
+++ b/internal/pool/place.go
@@ -34,8 +34,8 @@
 
 // The plugins in the order in which they run.
 var (
-	filters   = []filter{prefillFilter{}, deadlineFilter{}}
-	scorers   = []scorer{finishScore{}, neighbourScore{}, prefixScore{}}
+	filters   = []filter{prefillFilter{}, objectiveFilter{}, deadlineFilter{}}
+	scorers   = []scorer{finishScore{}, neighbourScore{}, prefixScore{}, failureScore{}}
 	reservers = []reserver{longWorkReserve{}, longPrefillReserve{}}
 )
 
@@ -43,6 +43,7 @@
 const (
 	reasonFull     = "every slot is in use"
 	reasonPrefill  = "too much is waiting for prefill there"
+	reasonLate     = "its first token would be late there"
 	reasonTooLate  = "it would end after its deadline there"
 	reasonPrefills = "enough endpoints are busy with long prompts"
 	reasonReserved = "the last slots are kept from long work"
@@ -82,7 +83,7 @@
 			continue
 		}
 		out.room = true
-		if below && free <= e.keptSlots() {
+		if below && r.FirstDue == 0 && free <= e.keptSlots() {
 			continue
 		}
 		c := s.candidate(r, e)
@@ -157,6 +158,17 @@
 	return ""
 }
 
+// objectiveFilter keeps a request that can still meet its objective from an endpoint
+// where it would not: another may come free in time.
+type objectiveFilter struct{}
+
+func (objectiveFilter) filter(s *Scheduler, r *request, c *candidate) string {
+	if r.FirstDue > 0 && !r.late && s.now+c.endpoint.objective(c.estimate) > r.FirstDue {
+		return reasonLate
+	}
+	return ""
+}
+
 // deadlineFilter wants the whole answer in time. The more prefill is at stake,
 // the surer it has to be.
 type deadlineFilter struct{}
@@ -233,3 +245,15 @@
 func (s *Scheduler) longPrefill(tokens int) bool {
 	return time.Duration(tokens)*s.endpoints.average(s.now).prefill > rules.PrefillWindow
 }
+
+// failureScore is a penalty for endpoints whose answers fail, and for the one where
+// an earlier try of the request did.
+type failureScore struct{}
+
+func (failureScore) score(s *Scheduler, r *request, c *candidate) time.Duration {
+	penalty := c.endpoint.errors.Penalty(s.now)
+	if r.Avoid != "" && c.endpoint.Name == r.Avoid {
+		penalty += rules.AvoidPenalty
+	}
+	return penalty
+}
--- a/internal/pool/prefix.go
+++ b/internal/pool/prefix.go
@@ -78,7 +78,7 @@
 	if r.best-p.cached < rules.MinSaving {
 		return 0
 	}
-	if r.phase == phaseQueued && s.queue.tier(r.Rank).homeHeld >= rules.HomeHeldPerEndpoint*s.working {
+	if r.phase == phaseQueued && s.queue.tier(r.order()).homeHeld >= rules.HomeHeldPerEndpoint*s.working {
 		return 0
 	}
 	if r.heldUntil > 0 {
@@ -92,9 +92,21 @@
 func (s *Scheduler) holdTime(r *request, p *placement) time.Duration {
 	saved := p.endpoint.speed.Prefill(s.now, r.best-p.cached)
 	spare := r.Deadline - s.now - p.estimate.cautious
+	if r.FirstDue > 0 {
+		spare = min(spare, s.objectiveSpare(r, p))
+	}
 	return min(rules.HoldPerPrefill*saved, time.Duration(r.holdSlack()*float64(spare)), rules.MaxHold)
 }
 
+// objectiveSpare is the time that a request can wait and still meet its objective
+// by a placement; 0 for one that is late.
+func (s *Scheduler) objectiveSpare(r *request, p *placement) time.Duration {
+	if r.late {
+		return 0
+	}
+	return max(0, r.FirstDue-s.now-p.endpoint.objective(p.estimate))
+}
+
 // cacheEvent corrects the modelled cache.
 func (s *Scheduler) cacheEvent(e CacheEvent) {
 	row := s.endpoints.byName[e.Endpoint]
--- a/internal/pool/queue.go
+++ b/internal/pool/queue.go
@@ -10,8 +10,10 @@
 )
 
 // queue holds the waiting requests: by tier, in a tier by the team's virtual
-// start time (start-time fair queueing), in a team by deadline. Taking the
-// next request and removing any one cost a logarithm of the number waiting.
+// start time (start-time fair queueing), in a team by deadline. Requests that can't
+// meet their objective any more stand in tiers of their own behind all others.
+// Taking the next request and removing any one cost a logarithm of the number
+// waiting.
 type queue struct {
 	// tiers is sorted by rank, highest tier first.
 	tiers []*tierQueue
@@ -19,6 +21,7 @@
 
 // tierQueue is the queue of one tier.
 type tierQueue struct {
+	// rank is the order of its requests.
 	rank int
 	// virtual is the tier's virtual time: the start tag last served.
 	virtual float64
@@ -68,7 +71,7 @@
 
 // push adds a waiting request.
 func (q *queue) push(r *request, of *team) {
-	t := q.tier(r.Rank)
+	t := q.tier(r.order())
 	tq := t.teams[r.Team]
 	if tq == nil {
 		tq = &teamQueue{team: of, tier: t}
@@ -90,7 +93,7 @@
 
 // remove takes a waiting request out without serving it.
 func (q *queue) remove(r *request) {
-	t := q.tier(r.Rank)
+	t := q.tier(r.order())
 	tq := t.teams[r.Team]
 	heap.Remove(&tq.requests, r.position)
 	tq.backlog -= r.cost
@@ -107,7 +110,7 @@
 
 // charge books the cost of a request that is served to its team's share.
 func (q *queue) charge(r *request, of *team) {
-	t := q.tier(r.Rank)
+	t := q.tier(r.order())
 	tq := t.teams[r.Team]
 	t.virtual = max(t.virtual, tq.start)
 	tq.start += r.cost.Seconds() / of.weight()
@@ -160,7 +163,7 @@
 
 // unhold takes out a held request.
 func (q *queue) unhold(r *request) {
-	t := q.tier(r.Rank)
+	t := q.tier(r.order())
 	t.held = slices.DeleteFunc(t.held, func(h *request) bool { return h == r })
 	if r.heldForHome {
 		t.homeHeld--
@@ -223,14 +226,14 @@
 	return t
 }
 
-// requestHeap orders requests by deadline, then by arrival.
+// requestHeap orders requests by when they are due, then by arrival.
 type requestHeap []*request
 
 func (h requestHeap) Len() int { return len(h) }
 
 func (h requestHeap) Less(i, j int) bool {
-	if h[i].Deadline != h[j].Deadline {
-		return h[i].Deadline < h[j].Deadline
+	if a, b := h[i].due(), h[j].due(); a != b {
+		return a < b
 	}
 	return h[i].sequence < h[j].sequence
 }
--- a/internal/pool/rules/rules.go
+++ b/internal/pool/rules/rules.go
@@ -79,6 +79,33 @@
 	LongPrefillPart = 0.5
 )
 
+// Objectives for the first token.
+const (
+	// LateOrder is added to the rank of a request that can't meet its objective any
+	// more: it is served behind all that can.
+	LateOrder = 1 << 16
+	// AvoidPenalty is what placing a request costs where an earlier try of it
+	// failed.
+	AvoidPenalty = time.Second
+)
+
+// Endpoints that fail requests without being lost.
+const (
+	// RejectedClosed is how long an endpoint is closed after it said that it had no
+	// room: about the time in which one of its requests ends.
+	RejectedClosed = 200 * time.Millisecond
+	// BrokenToClose is how many failed answers in a row close an endpoint as one that
+	// was lost.
+	BrokenToClose = 5
+	// ErrorWeight is the weight of an answer in an endpoint's part of failed ones, of
+	// which half is forgotten in ErrorHalfLife, so that it is tried again.
+	ErrorWeight   = 0.1
+	ErrorHalfLife = 5 * time.Second
+	// ErrorPenalty is what placing a request costs on an endpoint all of whose
+	// answers fail.
+	ErrorPenalty = 4 * time.Second
+)
+
 // Cached prefixes.
 const (
 	// TrustWeight is the weight of an answer in the trust in an endpoint's
--- a/internal/pool/shed.go
+++ b/internal/pool/shed.go
@@ -57,7 +57,7 @@
 // teamWait is the time until a new request of a team is served: a team that is
 // within its share does not wait for the other teams' backlog.
 func (s *Scheduler) teamWait(r *request) time.Duration {
-	t := s.queue.tier(r.Rank)
+	t := s.queue.tier(r.order())
 	own := t.backlog
 	if share := t.shareTime(r, s.teams.get(r.Team)); share < own {
 		own = share
--- a/internal/pool/speed/speed.go
+++ b/internal/pool/speed/speed.go
@@ -24,6 +24,14 @@
 	// minRatio and maxRatio bound what one sample can say.
 	minRatio = 0.25
 	maxRatio = 8
+	// assumedPrior counts as many samples as an assumed speed is worth, and
+	// settledSamples is how many samples tell an endpoint's own speed, before which
+	// nothing is said of its pace.
+	assumedPrior   = 1
+	settledSamples = 24
+	// minAssumedPrefill is the least expected time of a sample of prefill, where
+	// speeds are assumed: fixed costs of a request weigh more in a shorter one.
+	minAssumedPrefill = 20 * time.Millisecond
 	// minTokens is the least work of a sample: less says nothing of speed.
 	minTokens = 16
 	// paceMemory is how long without a sample the pace stands; then half of
@@ -40,6 +48,8 @@
 	samples         float64
 	pace            float64
 	seen            time.Duration
+	// assumed says that the first rates are not the endpoint's own.
+	assumed bool
 }
 
 // NewEndpoint returns the speed of an endpoint by its declared rates in tokens
@@ -54,6 +64,14 @@
 	return Endpoint{prefill: prefill, decode: decode, pace: 1}
 }
 
+// NewAssumed returns the speed of an endpoint whose own rates nobody has declared,
+// by those of endpoints like it.
+func NewAssumed(prefill, decode float64) Endpoint {
+	e := NewEndpoint(prefill, decode)
+	e.assumed = true
+	return e
+}
+
 // PrefillRate returns the long-run rate in tokens per second.
 func (e *Endpoint) PrefillRate() float64 { return e.prefill }
 
@@ -84,6 +102,9 @@
 	if tokens < minTokens || took <= 0 {
 		return
 	}
+	if e.assumed && seconds(float64(tokens)/e.prefill) < minAssumedPrefill {
+		return
+	}
 	rate := float64(tokens) / took.Seconds()
 	e.see(now, e.prefill/rate)
 	e.prefill = e.learn(e.prefill, rate)
@@ -113,6 +134,9 @@
 
 // see moves the pace towards a sample.
 func (e *Endpoint) see(now time.Duration, ratio float64) {
+	if e.assumed && e.samples < settledSamples {
+		return
+	}
 	ratio = min(max(ratio, minRatio), maxRatio)
 	pace := e.Pace(now)
 	e.pace = pace + paceWeight*(ratio-pace)
@@ -122,7 +146,11 @@
 // learn moves a long-run rate towards a sample, on a logarithmic scale.
 func (e *Endpoint) learn(rate, sample float64) float64 {
 	e.samples++
-	weight := max(baseWeight, 1/(e.samples+priorSamples))
+	prior := float64(priorSamples)
+	if e.assumed {
+		prior = assumedPrior
+	}
+	weight := max(baseWeight, 1/(e.samples+prior))
 	ratio := min(max(sample/rate, 1.0/maxRatio), maxRatio)
 	return rate * math.Pow(ratio, weight)
 }
--- a/internal/pool/status.go
+++ b/internal/pool/status.go
@@ -151,6 +151,10 @@
 		}
 	}
 	for _, t := range s.queue.tiers {
+		if t.rank >= rules.LateOrder {
+			// Late requests are no reason to send others elsewhere.
+			break
+		}
 		if t.size > 0 || s.running[t.rank] > 0 {
 			out.LowestRank = t.rank
 		}
--- a/internal/pool/table.go
+++ b/internal/pool/table.go
@@ -52,6 +52,9 @@
 	recheck time.Duration
 	// urgent says that there is no time left for caution.
 	urgent bool
+	// late says that the objective for the first token can't be met any more.
+	late      bool
+	lateTimer timer
 	// heldUntil ends the wait for the endpoint with the prefix; 0: no wait yet.
 	heldUntil time.Duration
 	holdTimer timer
--- a/internal/resource/resource.go
+++ b/internal/resource/resource.go
@@ -98,6 +98,9 @@
 	// used until speeds are learned.
 	PrefillRate float64 `json:"prefill_rate"`
 	DecodeRate  float64 `json:"decode_rate"`
+	// SpeedsAssumed says that the rates are those of endpoints like it. Operators
+	// don't declare it.
+	SpeedsAssumed bool `json:"speeds_assumed,omitempty"`
 	// CacheTokens is the capacity of the prefix cache in tokens.
 	CacheTokens int     `json:"cache_tokens"`
 	Fencing     Fencing `json:"fencing"`
