--- a/internal/naive/naive.go
+++ b/internal/naive/naive.go
@@ -303,9 +303,9 @@
 }
 
 func (s *Scheduler) refuse(r *request, code result.Code) {
-	s.out = append(s.out, pool.Refuse{ID: r.ID, Host: r.Host, Code: code, RetryAfter: s.retryAfter(r.order())})
+	s.out = append(s.out, pool.Refuse{ID: r.ID, Host: r.Host, Code: code, RetryAfter: s.retryAfter(r.order()), Late: r.late})
 }
 
 func (s *Scheduler) refuseQuarantined(r *request) {
-	s.out = append(s.out, pool.Refuse{ID: r.ID, Host: r.Host, Code: result.Quarantined})
+	s.out = append(s.out, pool.Refuse{ID: r.ID, Host: r.Host, Code: result.Quarantined, Late: r.late})
 }
--- a/internal/pool/event.go
+++ b/internal/pool/event.go
@@ -226,6 +226,8 @@
 	Code       result.Code
 	RetryAfter time.Duration
 	Reason     string
+	// Late says that the request could not meet its objective any more.
+	Late bool `cbor:",omitempty"`
 }
 
 // Spill passes a waiting request to another domain's pool.
--- a/internal/pool/intake.go
+++ b/internal/pool/intake.go
@@ -60,7 +60,7 @@
 }
 
 func (s *Scheduler) refusal(r *request, code result.Code, after time.Duration, reason string) *Refuse {
-	return &Refuse{ID: r.ID, Host: r.Host, Code: code, RetryAfter: after, Reason: reason}
+	return &Refuse{ID: r.ID, Host: r.Host, Code: code, RetryAfter: after, Reason: reason, Late: r.late}
 }
 
 // enqueue puts a row into the queue and watches its deadline.
