Keep the windows of batching engines open

A batch of 10 takes 7 % longer for a token than one of 1, so a narrower window only loses throughput.

--- a/internal/control/event.go
+++ b/internal/control/event.go
@@ -166,6 +166,8 @@
 	// Watch is set, with WatchChanged, when other endpoints are to be watched.
 	Watch        []resource.Endpoint
 	WatchChanged bool
+	// Unresponsive holds the hosts that left a submission of this one unanswered.
+	Unresponsive []ident.Host
 	// Orders asks for exchanges with endpoints about orders.
 	Orders []order.Effect
 	// Steps holds the decisions of the pool schedulers, for traces and explain.
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -55,6 +55,8 @@
 	Watch func([]resource.Endpoint)
 	// Superseded is told, maybe again and again, that this process is to stop.
 	Superseded func()
+	// Unresponsive is told of hosts that leave submissions unanswered.
+	Unresponsive func(ident.Host)
 	// Record is told of the pool schedulers' steps and the directives of
 	// requests in custody, for traces and explain.
 	Record func([]scheduling.Step, []custody.Directive)
@@ -174,6 +176,9 @@
 	if len(effects.Steps) > 0 || len(effects.Directives) > 0 {
 		l.ports.Record(effects.Steps, effects.Directives)
 	}
+	for _, h := range effects.Unresponsive {
+		l.ports.Unresponsive(h)
+	}
 	if effects.Superseded {
 		l.ports.Superseded()
 	}
--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -34,6 +34,9 @@
 
 // Unresponsive says that a host left a submission without an answer.
 func (v custodyView) Unresponsive(h ident.Host) {
+	if at, known := v.core.unresponsive[h]; !known || v.core.now-at >= unresponsiveTime {
+		v.core.effect.Unresponsive = append(v.core.effect.Unresponsive, h)
+	}
 	v.core.unresponsive[h] = v.core.now
 }
 
--- a/internal/host/record.go
+++ b/internal/host/record.go
@@ -109,3 +109,9 @@
 	}
 	return (o.Total - o.FirstToken) / time.Duration(o.OutputTokens-1)
 }
+
+// unresponsive logs that a host left a submission unanswered: its pools are taken
+// for another's for a while.
+func (h *Host) unresponsive(other ident.Host) {
+	logs.With(h.log, logs.SchedulerSilent).WithField("scheduler", other).Warn()
+}
--- a/internal/naive/events.go
+++ b/internal/naive/events.go
@@ -278,6 +278,9 @@
 	if !was {
 		e.trust = 1
 	}
+	if d.SpeedsAssumed {
+		e.window.Batch()
+	}
 	e.window.Limit(d.Slots)
 	e.Endpoint = d
 	e.declared, e.changed = true, true
--- a/internal/platformhost/record.go
+++ b/internal/platformhost/record.go
@@ -85,3 +85,9 @@
 	})
 	return s
 }
+
+// unresponsive logs that a host left a submission unanswered: its pools are taken
+// for another's for a while.
+func (h *Host) unresponsive(other ident.Host) {
+	logs.With(h.log, logs.SchedulerSilent).WithField("scheduler", other).Warn()
+}
--- a/internal/platformhost/view.go
+++ b/internal/platformhost/view.go
@@ -125,7 +125,7 @@
 func (h *Host) endpoint(e platform.Endpoint) resource.Endpoint {
 	out := resource.Endpoint{
 		Name: e.Name, Address: e.Address, Domain: e.Domain, Scope: h.settings.Region, Target: e.Target,
-		Type: resource.EndpointService, State: resource.EndpointActive, Slots: e.Slots,
+		Type: resource.EndpointService, State: resource.EndpointActive, Slots: e.Slots, SpeedsAssumed: true,
 	}
 	if e.Leaving {
 		out.State = resource.EndpointDrain
@@ -134,7 +134,6 @@
 		out.Type = resource.EndpointEngine
 		out.CacheTokens = t.Engine.CacheTokens
 		out.PrefillRate, out.DecodeRate = h.settings.PrefillRate, h.settings.DecodeRate
-		out.SpeedsAssumed = true
 	}
 	return out
 }
--- a/internal/pool/endpoint.go
+++ b/internal/pool/endpoint.go
@@ -73,6 +73,9 @@
 	if !e.declared {
 		e.trust = 1
 	}
+	if d.SpeedsAssumed {
+		e.window.Batch()
+	}
 	e.window.Limit(d.Slots)
 	e.Endpoint = d
 	e.changed = true
--- a/internal/pool/window/window.go
+++ b/internal/pool/window/window.go
@@ -24,6 +24,15 @@
 	width  float64
 	most   int
 	shrunk time.Duration
+	// batch says that the most is the endpoint's batch: fewer requests in it would
+	// not make each of them faster.
+	batch bool
+}
+
+// Batch says that the window's most is the endpoint's batch. Such a window isn't
+// narrowed by the pace, and opens with every answer after a restart.
+func (w *Window) Batch() {
+	w.batch = true
 }
 
 // Limit sets the most that the window may be. A new window starts there.
@@ -44,6 +53,8 @@
 // Saw adapts the window to the pace after a sample.
 func (w *Window) Saw(now time.Duration, pace float64) {
 	switch {
+	case w.batch:
+		w.width = min(float64(w.most), 2*w.width)
 	case pace >= shrinkPace && now-w.shrunk >= shrinkEvery:
 		w.shrunk = now
 		w.width = max(1, float64(w.most)/pace, w.width*shrinkFactor)
