Test the gateway against scripted endpoints

Smuggled and malformed heads, wrong attempt ids, truncated, unframed and early answers, extra bytes, callers that leave, addresses used again, keys, planned stops: over real sockets on loopback, with a control that grants at once.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -27,12 +27,10 @@
 	// maxHeaderBytes bounds the head of a request before a configuration is known.
 	maxHeaderBytes = 64 << 10
 	// headTimeout bounds the reading of a request's head, and idleTimeout how long
-	// an unused connection of a caller is kept, before a configuration is known.
+	// an unused connection of a caller is kept: both well over what configurations
+	// allow callers, so that a request doesn't cross its connection's end.
 	headTimeout = 10 * time.Second
 	idleTimeout = 60 * time.Second
-	// idleMargin is how much longer than declared an unused connection of a caller
-	// is kept, so that a request never crosses its end.
-	idleMargin = 5 * time.Second
 	// idlePerEndpoint bounds the unused connections to an endpoint.
 	idlePerEndpoint = 8
 )
@@ -86,8 +84,6 @@
 		ReadHeaderTimeout: headTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
-		ConnState:         nil,
-		ErrorLog:          nil,
 	}
 	return g
 }
--- /dev/null
+++ b/internal/gateway/gateway_test.go
@@ -0,0 +1,356 @@
+package gateway
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/trefoilchute/trefoilchute/internal/result"
+)
+
+func TestRequestReachesItsEndpointUnchanged(t *testing.T) {
+	h := start(t, okay)
+	request := head("POST", "/unsafe/a%2Fb?q=1&r=%20", "id1") +
+		"Model: m\r\nToken-Usage: 10,20\r\nPrompt-Prefix: aa:10\r\nX-Own: kept\r\n" +
+		"Tenant: forged\r\nExpect-Runner: forged\r\nKv-Hold: forged\r\nPin-Ms: 5\r\nKv-From: x\r\nKv-Backup: y\r\n" +
+		"Connection: X-Hop\r\nX-Hop: dropped\r\nContent-Length: 4\r\n\r\nbody"
+	got := h.ask(request)
+	h.Expect(got.status).To(Equal(200))
+	h.Expect(got.body).To(Equal("hello"))
+	h.Expect(got.header.Get("Runner-Seal")).To(Equal("s.id1"))
+
+	x := <-h.endpoints[0].seen
+	h.Expect(x.request.Method).To(Equal("POST"))
+	h.Expect(x.request.RequestURI).To(Equal("/unsafe/a%2Fb?q=1&r=%20"))
+	h.Expect(x.request.Host).To(Equal("app.example"))
+	h.Expect(x.body).To(Equal("body"))
+	for name, want := range map[string]string{
+		"Attempt-Id": "id1", "Model": "m", "Token-Usage": "10,20", "Prompt-Prefix": "aa:10", "X-Own": "kept",
+		"Tenant": "blue", "Expect-Runner": "e0", "Kv-Hold": "", "Pin-Ms": "", "Kv-From": "", "Kv-Backup": "",
+		"X-Hop": "", "Credential": "",
+	} {
+		h.Expect(x.request.Header.Get(name)).To(Equal(want), name)
+		h.Expect(len(x.request.Header[name])).To(BeNumerically("<=", 1), name)
+	}
+	h.Expect(x.request.Header.Get("Deadline-Ms")).To(MatchRegexp(`^[78]\d\d\d$`))
+}
+
+func TestChunkedBodyOnAKeptConnection(t *testing.T) {
+	h := start(t, okay)
+	conn := h.dial()
+	r := bufio.NewReader(conn)
+	for i := range 3 {
+		id := fmt.Sprintf("id%d", i)
+		got := h.askOn(conn, r, head("POST", "/unsafe/x", id)+"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n")
+		h.Expect(got.status).To(Equal(200))
+		h.Expect((<-h.endpoints[0].seen).body).To(Equal("abcde"))
+	}
+	h.Expect(h.endpoints[0].conns.Load()).To(BeEquivalentTo(1), "connections to the endpoint are kept")
+}
+
+// TestNothingIsSmuggled sends heads that two parsers may read in two ways, with a
+// second request in what one of them takes for the body.
+func TestNothingIsSmuggled(t *testing.T) {
+	inner := get("/unsafe/inner", "inner")
+	for name, request := range map[string]string{
+		"two lengths":      head("POST", "/unsafe/x", "a") + "Content-Length: 0\r\nContent-Length: 5\r\n\r\n" + inner,
+		"space at colon":   head("POST", "/unsafe/x", "a") + "Content-Length : 5\r\n\r\n" + inner,
+		"chunked twice":    head("POST", "/unsafe/x", "a") + "Transfer-Encoding: chunked, identity\r\n\r\n0\r\n\r\n" + inner,
+		"odd encoding":     head("POST", "/unsafe/x", "a") + "Transfer-Encoding: xchunked\r\nContent-Length: 3\r\n\r\nabc" + inner,
+		"signed length":    head("POST", "/unsafe/x", "a") + "Content-Length: +5\r\n\r\n" + inner,
+		"line end in name": head("POST", "/unsafe/x", "a") + "X\rY: 1\r\n\r\n" + inner,
+		"no attempt":       "POST /unsafe/x HTTP/1.1\r\nHost: app.example\r\nCredential: secret\r\nContent-Length: 0\r\n\r\n",
+		"two attempts":     head("POST", "/unsafe/x", "a") + "Attempt-Id: b\r\nContent-Length: 0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := start(t, okay)
+			got := h.ask(request)
+			h.Expect(got.status).To(BeNumerically(">=", 400))
+			h.Expect(got.status).To(BeNumerically("<", 502))
+			h.Expect(h.endpoints[0].seen).To(BeEmpty())
+		})
+	}
+	t.Run("length beside chunks", func(t *testing.T) {
+		h := start(t, okay)
+		got := h.ask(head("POST", "/unsafe/x", "a") + "Content-Length: 60\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + inner)
+		x := <-h.endpoints[0].seen
+		h.Expect(x.attempt()).To(Equal("a"))
+		h.Expect(x.body).To(BeEmpty())
+		h.Expect(x.request.TransferEncoding).To(BeEmpty())
+		h.Expect(got.status).To(Equal(200))
+	})
+}
+
+func TestAnswersOfOthersAreNotPassedOn(t *testing.T) {
+	t.Run("one before the own", func(t *testing.T) {
+		h := start(t, func(e *exchanged) bool {
+			e.write(sealed(200, "other") + "Content-Length: 5\r\n\r\nwrong")
+			e.whole(200, "right")
+			return true
+		})
+		got := h.ask(get("/unsafe/x", "id1"))
+		h.Expect(got.status).To(Equal(200))
+		h.Expect(got.body).To(Equal("right"))
+	})
+	t.Run("none of the own", func(t *testing.T) {
+		h := start(t, func(e *exchanged) bool {
+			e.write(sealed(200, "other") + "Content-Length: 5\r\n\r\nwrong")
+			return false
+		})
+		got := h.ask(get("/unsafe/x", "id1"))
+		h.Expect(got.status).To(Equal(502))
+		h.Expect(got.body).NotTo(ContainSubstring("wrong"))
+	})
+	t.Run("behind the own", func(t *testing.T) {
+		h := start(t, func(e *exchanged) bool {
+			e.write(sealed(200, e.attempt()) + "Content-Length: 5\r\n\r\nright" + sealed(200, "other") + "Content-Length: 5\r\n\r\nwrong")
+			return true
+		})
+		for i := range 3 {
+			got := h.ask(get("/unsafe/x", fmt.Sprintf("id%d", i)))
+			h.Expect(got.status).To(Equal(200))
+			h.Expect(got.body).To(Equal("right"))
+		}
+	})
+}
+
+func TestAnswersThatNoEndpointGave(t *testing.T) {
+	for name, text := range map[string]string{
+		"no seal":                 "HTTP/1.1 200 OK\r\nAttempt-Id: id1\r\nContent-Length: 2\r\n\r\nok",
+		"encoded":                 sealed(200, "id1") + "Content-Encoding: gzip\r\nContent-Length: 2\r\n\r\nok",
+		"not HTTP":                "garbage\r\n\r\n",
+		"nothing":                 "",
+		"promise without a word":  sealed(503, "id1") + "Content-Length: 0\r\n\r\n",
+		"promise 429":             sealed(429, "id1") + "Content-Length: 0\r\n\r\n",
+		"promise 408":             sealed(408, "id1") + "Content-Length: 0\r\n\r\n",
+		"failure without a seal":  "HTTP/1.1 500 X\r\nAttempt-Id: id1\r\nContent-Length: 0\r\n\r\n",
+		"head that breaks off":    "HTTP/1.1 200 OK\r\nAttempt-I",
+		"failure that breaks off": sealed(500, "id1") + "Content-Length: 9\r\n\r\nhalf",
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := start(t, func(e *exchanged) bool {
+				e.write(text)
+				return false
+			})
+			got := h.ask(get("/unsafe/x", "id1"))
+			h.Expect(got.status).To(Equal(http.StatusBadGateway), "it may have run")
+			h.Expect(got.header.Get("Runner-Seal")).To(BeEmpty())
+			h.Expect(h.endpoints[0].seen).To(HaveLen(1), "it isn't sent twice")
+		})
+	}
+}
+
+func TestAnswersThatBreakOffDoNotLookWhole(t *testing.T) {
+	for name, text := range map[string]string{
+		"length":  "Content-Length: 10\r\n\r\nhalf",
+		"chunked": "Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+		"chunk":   "Transfer-Encoding: chunked\r\n\r\nff\r\nhalf",
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := start(t, func(e *exchanged) bool {
+				e.write(sealed(200, e.attempt()) + text)
+				return false
+			})
+			got := h.ask(get("/stream/x", "id1"))
+			h.Expect(got.err).To(HaveOccurred())
+			h.Expect((<-h.outcomes).Code).To(Equal(result.AnswerCut))
+		})
+	}
+	t.Run("unframed and reset", func(t *testing.T) {
+		h := start(t, func(e *exchanged) bool {
+			e.write(sealed(200, e.attempt()) + "\r\nhalf")
+			_ = e.conn.(*net.TCPConn).SetLinger(0)
+			return false
+		})
+		got := h.ask(get("/stream/x", "id1"))
+		h.Expect(got.err).To(HaveOccurred())
+	})
+	t.Run("unframed and whole", func(t *testing.T) {
+		h := start(t, func(e *exchanged) bool {
+			e.write(sealed(200, e.attempt()) + "\r\nall of it")
+			return false
+		})
+		got := h.ask(get("/stream/x", "id1"))
+		h.Expect(got.err).NotTo(HaveOccurred())
+		h.Expect(got.body).To(Equal("all of it"))
+	})
+}
+
+func TestEventsPassAsTheyCome(t *testing.T) {
+	next := make(chan struct{})
+	h := start(t, func(e *exchanged) bool {
+		e.write(sealed(200, e.attempt()) + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
+		for i := range 3 {
+			event := fmt.Sprintf("id: %d\ndata: x\n\n", i)
+			e.write(fmt.Sprintf("%x\r\n%s\r\n", len(event), event))
+			<-next
+		}
+		e.write("0\r\n\r\n")
+		return true
+	})
+	conn := h.dial()
+	_, err := io.WriteString(conn, post("/stream/x", "id1", "prompt"))
+	h.Expect(err).NotTo(HaveOccurred())
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	h.Expect(err).NotTo(HaveOccurred())
+	r := bufio.NewReader(resp.Body)
+	for i := range 3 {
+		line, err := r.ReadString('\n')
+		h.Expect(err).NotTo(HaveOccurred())
+		h.Expect(line).To(Equal(fmt.Sprintf("id: %d\n", i)), "before the next event is made")
+		_, err = r.Discard(len("data: x\n\n"))
+		h.Expect(err).NotTo(HaveOccurred())
+		next <- struct{}{}
+	}
+	_, err = r.ReadByte()
+	h.Expect(err).To(Equal(io.EOF))
+	h.Expect((<-h.outcomes).Events).To(Equal(3))
+}
+
+func TestEndpointThatDidNotRunTheRequest(t *testing.T) {
+	full := func(e *exchanged) bool {
+		e.write("HTTP/1.1 503 X\r\nAttempt-Id: " + e.attempt() + "\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+		return true
+	}
+	moved := func(e *exchanged) bool {
+		e.write("HTTP/1.1 421 X\r\nAttempt-Id: " + e.attempt() + "\r\nRunner-Id: other\r\nContent-Length: 0\r\n\r\n")
+		return true
+	}
+	for name, s := range map[string]script{"full": full, "another at its address": moved} {
+		t.Run(name, func(t *testing.T) {
+			h := start(t, s, okay)
+			got := h.ask(get("/unsafe/x", "id1"))
+			h.Expect(got.status).To(Equal(503), "the route allows one endpoint")
+			h.Expect(got.header.Get("Retry-After")).NotTo(BeEmpty())
+			got = h.ask(get("/safe/x", "id2"))
+			h.Expect(got.status).To(Equal(200), "it was this endpoint's turn")
+			got = h.ask(get("/safe/x", "id3"))
+			h.Expect(got.status).To(Equal(200), "tried again at the other endpoint")
+		})
+	}
+}
+
+func TestFailedRuns(t *testing.T) {
+	fails := func(e *exchanged) bool {
+		e.whole(500, "sorry")
+		return true
+	}
+	t.Run("unsafe", func(t *testing.T) {
+		h := start(t, fails, okay)
+		got := h.ask(get("/unsafe/x", "id1"))
+		h.Expect(got.status).To(Equal(500))
+		h.Expect(got.body).To(Equal("sorry"))
+		h.Expect(got.header.Get("Runner-Seal")).To(Equal("s.id1"))
+		h.Expect(h.endpoints[1].seen).To(BeEmpty(), "it may not run twice")
+	})
+	t.Run("safe", func(t *testing.T) {
+		h := start(t, fails, okay)
+		got := h.ask(get("/safe/x", "id1"))
+		h.Expect(got.status).To(Equal(200))
+	})
+	t.Run("safe, everywhere", func(t *testing.T) {
+		h := start(t, fails, fails)
+		got := h.ask(get("/safe/x", "id1"))
+		h.Expect(got.status).To(Equal(500), "the endpoint's own answer")
+		h.Expect(got.header.Get("Runner-Seal")).NotTo(BeEmpty())
+		h.Expect(h.granted.Load()).To(BeEquivalentTo(2), "the route allows two endpoints")
+	})
+}
+
+func TestEarlyAnswerToALongBody(t *testing.T) {
+	h := start(t, func(e *exchanged) bool {
+		e.whole(400, "no")
+		// It reads on later: whatever comes next is the rest of the body.
+		body, err := io.ReadAll(e.request.Body)
+		e.body = string(body)
+		return err == nil
+	})
+	body := strings.Repeat("x", maxTestBody)
+	got := h.ask(post("/unsafe/early", "id1", body))
+	h.Expect(got.status).To(Equal(400))
+	for i := range 3 {
+		got = h.ask(post("/unsafe/early", fmt.Sprintf("id%d", i+2), "short"))
+		h.Expect(got.status).To(Equal(400))
+	}
+	for i := range 4 {
+		x := <-h.endpoints[0].seen
+		h.Expect(x.attempt()).To(Equal(fmt.Sprintf("id%d", i+1)))
+		h.Expect(x.request.Method).To(Equal("POST"))
+	}
+}
+
+func TestCallerThatLeavesEndsTheRun(t *testing.T) {
+	h := start(t, func(e *exchanged) bool {
+		e.write(sealed(200, e.attempt()) + "Transfer-Encoding: chunked\r\n\r\n")
+		_, err := e.raw.ReadByte()
+		return err == nil
+	})
+	conn := h.dial()
+	_, err := io.WriteString(conn, post("/stream/x", "id1", "prompt"))
+	h.Expect(err).NotTo(HaveOccurred())
+	<-h.endpoints[0].seen
+	h.Expect(conn.Close()).To(Succeed())
+	h.Eventually(h.endpoints[0].closed).WithTimeout(eventually).Should(Receive())
+	h.Expect((<-h.outcomes).Code).To(Equal(result.CallerGone))
+}
+
+func TestCallerThatLeavesWhileItsRequestWaits(t *testing.T) {
+	h := start(t)
+	conn := h.dial()
+	_, err := io.WriteString(conn, post("/stream/x", "id1", "prompt"))
+	h.Expect(err).NotTo(HaveOccurred())
+	h.Eventually(h.gateway.Active).WithTimeout(eventually).Should(BeEquivalentTo(1))
+	h.Expect(conn.Close()).To(Succeed())
+	h.Eventually(h.withdrew).WithTimeout(eventually).Should(Receive())
+	h.Expect((<-h.outcomes).Code).To(Equal(result.CallerGone))
+}
+
+func TestKeys(t *testing.T) {
+	h := start(t, okay)
+	wrong := strings.Replace(get("/unsafe/x", "id1"), "secret", "other", 1)
+	h.Expect(h.ask(wrong).status).To(Equal(401))
+	h.Expect(h.ask(strings.Replace(wrong, "/unsafe/", "/public/", 1)).status).To(Equal(200))
+
+	h.age.Store(int64(time.Second))
+	got := h.ask(get("/unsafe/x", "id2"))
+	h.Expect(got.status).To(Equal(503), "the key may have been taken away")
+	h.Expect(got.header.Get("Trefoilchute-Code")).To(Equal("212"))
+	h.Expect(h.ask(get("/public/x", "id3")).status).To(Equal(200), "no key is needed")
+}
+
+func TestRequestsThatAreRefusedAtOnce(t *testing.T) {
+	h := start(t, okay)
+	h.Expect(h.ask(get("/nowhere/", "id1")).status).To(Equal(404))
+	h.Expect(h.ask(head("POST", "/unsafe/x", "id2") + fmt.Sprintf("Content-Length: %d\r\n\r\n", maxTestBody+1)).status).To(Equal(413))
+	h.Expect(h.ask(head("GET", "/unsafe/x", "id3") + "Token-Usage: many\r\n\r\n").status).To(Equal(400))
+	h.Expect(h.endpoints[0].seen).To(BeEmpty())
+
+	h.refuse = &result.Error{Code: result.ShedTier, RetryAfter: 1500 * time.Millisecond, Reason: "full"}
+	got := h.ask(get("/unsafe/x", "id4"))
+	h.Expect(got.status).To(Equal(429))
+	h.Expect(got.header.Get("Retry-After")).To(Equal("1.500"))
+	h.Expect(got.header.Get("Attempt-Id")).To(Equal("id4"))
+	h.Expect(got.body).To(ContainSubstring(`"ran":"no"`))
+
+	h.gateway.rules.Store(nil)
+	h.Expect(h.ask(get("/unsafe/x", "id5")).status).To(Equal(503))
+}
+
+func TestPlannedStop(t *testing.T) {
+	h := start(t, okay)
+	h.gateway.Stop(time.Now())
+	got := h.ask(get("/unsafe/x", "id1"))
+	h.Expect(got.status).To(Equal(200), "the balancer still sends callers")
+	h.Expect(got.closes).To(BeTrue())
+	h.gateway.Stop(time.Now().Add(-stopIntake))
+	got = h.ask(get("/unsafe/x", "id2"))
+	h.Expect(got.status).To(Equal(503), "its answer might not end in time")
+	h.Expect(h.endpoints[0].seen).To(HaveLen(1))
+}
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -41,13 +41,6 @@
 	delete(t.rows, id)
 }
 
-// size returns the number of tries.
-func (t *jobs) size() int {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return len(t.rows)
-}
-
 // Apply implements control.Traffic. It doesn't block: a try that is so slow to
 // take its directives loses the newest, and its grant lapses.
 func (t *jobs) Apply(d custody.Directive) {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -158,7 +158,8 @@
 				conn = t.connect(d, conn)
 			case custody.Commit:
 				if !d.Go {
-					conn = t.giveBack(conn)
+					t.giveBack(conn)
+					conn = nil
 					continue
 				}
 				t.began = g.opts.Now()
@@ -206,11 +207,10 @@
 }
 
 // giveBack returns a connection that was not used.
-func (t *try) giveBack(conn *upstream.Conn) *upstream.Conn {
+func (t *try) giveBack(conn *upstream.Conn) {
 	if conn != nil {
 		t.call.gateway.conns.Put(conn)
 	}
-	return nil
 }
 
 // withdraw takes the try out of custody. The dispatch may have been committed in
--- a/internal/naive/differential_test.go
+++ b/internal/naive/differential_test.go
@@ -166,7 +166,8 @@
 
 func (w *world) finish() pool.Event {
 	g, _ := take(w.t, &w.running)
-	outcomes := []pool.Outcome{pool.OutcomeWhole, pool.OutcomeWhole, pool.OutcomeWhole, pool.OutcomeLost, pool.OutcomeCanceled,
+	outcomes := []pool.Outcome{
+		pool.OutcomeWhole, pool.OutcomeWhole, pool.OutcomeWhole, pool.OutcomeLost, pool.OutcomeCanceled,
 		pool.OutcomeRejected, pool.OutcomeBroken, pool.OutcomeBroken,
 	}
 	first := w.span(3000)
