Let a team's small requests in one pool not share the fate of large ones in another

Its share at the pool of the plain service was as small as that pool's part of its demand, so that 89 of 1,188 orders and 40 of 457 look-ups were refused.

--- a/internal/platformhost/view.go
+++ b/internal/platformhost/view.go
@@ -33,7 +33,7 @@
 
 // debtShare is the part of the platform's slack for rates that is used: the rest is
 // for hosts that disagree for a moment on their shares.
-const debtShare = 0.5
+const debtShare = 0.25
 
 // adoptRules brings a configuration into force.
 func (h *Host) adoptRules(r *ruleset.Ruleset) {
--- a/internal/system/quota/quota.go
+++ b/internal/system/quota/quota.go
@@ -37,9 +37,10 @@
 	forgetAfter = 15 * time.Second
 	// demandTime is the time over which demand is averaged.
 	demandTime = 2 * time.Second
-	// idlePart is the part of the rate that is dealt out evenly, so that a team's
-	// first requests at a host find some.
-	idlePart = 0.02
+	// evenPart is the part of the rate that is dealt out evenly among the hosts where
+	// the team asks for anything: the small requests of one pool shouldn't have to
+	// share the fate of the large ones of another.
+	evenPart = 0.08
 	// firstFill is the part of its burst that a bucket starts with: an earlier
 	// process of the host may have spent the rest.
 	firstFill = 0.25
@@ -49,8 +50,9 @@
 )
 
 // Limit is a team's rate over all hosts, in units a second, and its burst. A Rate
-// of 0 is no limit. Debt is how far the team may go beyond, to be made up for later:
-// large requests would else find the bucket too low whenever small ones come too.
+// of 0 is no limit. Debt is how far all hosts together may go beyond, to be made up
+// for later: a host where the team has not asked for anything holds nothing of its
+// rate until the next report.
 type Limit struct {
 	Rate, Burst, Debt float64
 }
@@ -135,13 +137,18 @@
 	}
 	s.advance(now, t, limit)
 	t.demand += units / demandTime.Seconds()
-	if t.bucket-units < -t.share*limit.Debt && t.bucket < t.share*limit.Burst {
+	if t.bucket-units < -s.debt(limit) && t.bucket < t.share*limit.Burst {
 		return retryAfter(units-t.bucket, t.share*limit.Rate), false
 	}
 	t.bucket -= units
 	return 0, true
 }
 
+// debt is this host's part of a team's debt.
+func (s *System) debt(limit Limit) float64 {
+	return limit.Debt / float64(max(s.hosts, assumedHosts))
+}
+
 // Refund takes back the charge of a request that was not dispatched.
 func (s *System) Refund(name ident.Team, units float64) {
 	if t := s.teams[name]; t != nil {
@@ -210,23 +217,37 @@
 }
 
 // shareOf divides the part of the rate that belongs to the hosts that are heard: a
-// little of it evenly, the rest by demand.
+// little of it evenly among those where the team asks for anything, the rest by
+// demand.
 func (s *System) shareOf(now time.Duration, name ident.Team, t *team) float64 {
-	demand, heard := t.demand, 1
+	demand, heard, asked := t.demand, 1, 0
+	if t.demand >= leastDemand {
+		asked++
+	}
 	for _, o := range s.others {
-		if now-o.at < reportLife {
-			heard++
-			demand += o.uses[name].Demand
+		if now-o.at >= reportLife {
+			continue
+		}
+		heard++
+		demand += o.uses[name].Demand
+		if o.uses[name].Demand >= leastDemand {
+			asked++
 		}
 	}
 	part := float64(heard) / float64(max(s.hosts, len(s.others)+1))
-	even := 1 / float64(heard)
-	if demand <= 0 {
-		return part * even
+	switch {
+	case asked == 0:
+		return part / float64(heard)
+	case t.demand < leastDemand:
+		return part * (1 - evenPart) * t.demand / demand
 	}
-	return part * (idlePart*even + (1-idlePart)*t.demand/demand)
+	return part * (evenPart/float64(asked) + (1-evenPart)*t.demand/demand)
 }
 
+// leastDemand is the demand, in units a second, below which nothing is asked for:
+// what has faded that far is over.
+const leastDemand = 1
+
 // NextWake returns when Report is due.
 func (s *System) NextWake() (time.Duration, bool) {
 	return s.reportAt, len(s.teams) > 0
--- a/internal/system/quota/quota_test.go
+++ b/internal/system/quota/quota_test.go
@@ -13,7 +13,7 @@
 const (
 	rate  = 120_000.0
 	burst = 120_000.0
-	debt  = 70_000.0
+	debt  = 35_000.0
 	// step is the time between two rounds of a run.
 	step = 50 * time.Millisecond
 )
