Let a few hosts read the store and the others ask them

Cause: 8 hosts made 17 reads a second, each priced; 70 would make 147; and a host that the store turns away learned nothing. Now two hosts of a region, those with the most processor, read; the others ask them every 0.4 s and read for themselves when what they know is older than 2 s. An answer's age counts from the question, on the asker's clock. Hosts tell their processor; pools are scheduled by those with at least half of the most.

--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -26,6 +26,8 @@
 	Domain      ident.Domain
 	// Address is where other hosts reach this one.
 	Address string
+	// Capacity is the host's processor in thousandths of a core; 0: not told.
+	Capacity uint32
 	// Seed feeds every random choice.
 	Seed uint64
 	// Nonce returns a value that no other claim has.
@@ -83,7 +85,7 @@
 	}
 	c.members = membership.New(membership.Config{
 		Self: cfg.Self, Incarnation: cfg.Incarnation, Domain: cfg.Domain,
-		Address: cfg.Address, Seed: cfg.Seed,
+		Address: cfg.Address, Seed: cfg.Seed, Capacity: cfg.Capacity,
 	})
 	c.configuration = configuration.New(configuration.Config{
 		Self: cfg.Self, Domain: cfg.Domain, Seed: cfg.Seed, View: c.members, External: cfg.External,
--- a/internal/control/event.go
+++ b/internal/control/event.go
@@ -166,6 +166,8 @@
 	// Watch is set, with WatchChanged, when other endpoints are to be watched.
 	Watch        []resource.Endpoint
 	WatchChanged bool
+	// Store holds messages about what the platform's store tells.
+	Store []*peerpb.Envelope
 	// Unresponsive holds the hosts that left a submission of this one unanswered.
 	Unresponsive []ident.Host
 	// Orders asks for exchanges with endpoints about orders.
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -55,6 +55,8 @@
 	Watch func([]resource.Endpoint)
 	// Superseded is told, maybe again and again, that this process is to stop.
 	Superseded func()
+	// Store takes messages about what the platform's store tells.
+	Store func(*peerpb.Envelope)
 	// Unresponsive is told of hosts that leave submissions unanswered.
 	Unresponsive func(ident.Host)
 	// Record is told of the pool schedulers' steps and the directives of
@@ -176,6 +178,9 @@
 	if len(effects.Steps) > 0 || len(effects.Directives) > 0 {
 		l.ports.Record(effects.Steps, effects.Directives)
 	}
+	for _, m := range effects.Store {
+		l.ports.Store(m)
+	}
 	for _, h := range effects.Unresponsive {
 		l.ports.Unresponsive(h)
 	}
--- a/internal/control/quota.go
+++ b/internal/control/quota.go
@@ -13,8 +13,11 @@
 		return
 	}
 	members := c.members.Members()
-	c.quotas.Hosts(countHosts(members))
+	c.quotas.Hosts(c.countHosts(members))
 	uses := c.quotas.Report(c.now)
+	if len(uses) == 0 {
+		return
+	}
 	m := &peerpb.Usage{}
 	for _, u := range uses {
 		m.Teams = append(m.Teams, &peerpb.TeamUse{Team: string(u.Team), Demand: u.Demand, Share: u.Share})
@@ -26,15 +29,18 @@
 	}
 }
 
-// countHosts counts the hosts that may serve callers.
-func countHosts(members []membership.Member) int {
-	n := 0
+// countHosts counts the hosts that live and those that were lost lately.
+func (c *Core) countHosts(members []membership.Member) (live, lost int) {
 	for _, m := range members {
 		if m.State != membership.Dead {
-			n++
+			live++
+			continue
+		}
+		if at, ok := c.members.LostAt(m.Host); ok && c.now-at < quota.ForgetAfter {
+			lost++
 		}
 	}
-	return n
+	return live, lost
 }
 
 // usesOf returns what another host tells.
--- a/internal/control/route.go
+++ b/internal/control/route.go
@@ -35,6 +35,8 @@
 		c.keys.Receive(c.now, m, &c.out)
 	case *peerpb.Envelope_Join, *peerpb.Envelope_Part:
 		c.effect.Relays = append(c.effect.Relays, m)
+	case *peerpb.Envelope_StoreAsk, *peerpb.Envelope_StoreTell:
+		c.effect.Store = append(c.effect.Store, m)
 	case *peerpb.Envelope_Usage:
 		c.quotas.Heard(c.now, from.Host, usesOf(body.Usage))
 	default:
--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -93,7 +93,45 @@
 	if len(hosts) == 0 {
 		return "", false
 	}
-	return rendezvous.First(p.String(), hosts), true
+	return rendezvous.First(p.String(), c.able(hosts)), true
+}
+
+// ableShare is the part of the largest host's processor from which on a host takes
+// duties for others: their work should find room beside its callers.
+const ableShare = 0.5
+
+// able returns the hosts of a list with the most processor, as far as that is told.
+// The list is not empty, nor is the result.
+func (c *Core) able(hosts []ident.Host) []ident.Host {
+	most := uint32(0)
+	for _, h := range hosts {
+		m, _ := c.members.Member(h)
+		most = max(most, m.Capacity)
+	}
+	if most == 0 {
+		return hosts
+	}
+	var list []ident.Host
+	for _, h := range hosts {
+		if m, _ := c.members.Member(h); float64(m.Capacity) >= ableShare*float64(most) {
+			list = append(list, h)
+		}
+	}
+	return list
+}
+
+// storeReaders is how many hosts of a domain read the platform's store for the
+// others: two, so that one may die.
+const storeReaders = 2
+
+// StoreReaders returns the hosts that read the store for the others, as this host
+// sees it.
+func (c *Core) StoreReaders() []ident.Host {
+	hosts := c.responsive(c.members.Alive(c.cfg.Domain))
+	if len(hosts) == 0 {
+		return nil
+	}
+	return rendezvous.Pick("store", c.able(hosts), storeReaders)
 }
 
 const (
@@ -110,7 +148,13 @@
 // responsive returns the hosts of a list that answer this one, as far as is
 // known. Membership takes longer to call a host dead, since that has more
 // consequences than a pool that moves.
+//
+// Without External it is left to membership: a host that wakes from a pause has heard
+// nobody, and must not schedule by the configuration that it had before.
 func (c *Core) responsive(hosts []ident.Host) []ident.Host {
+	if !c.cfg.External {
+		return hosts
+	}
 	probesAll := len(hosts) <= membership.FullProbeSize
 	answers := func(h ident.Host) bool {
 		if h == c.cfg.Self {
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -1,10 +1,12 @@
 // Package follow keeps a host's copy of what operators and endpoints keep in the
-// platform's store up to date: the configuration by long polls, the endpoints by
-// reads at a bounded rhythm, since their reports change rows all the time.
+// platform's store up to date. A few hosts read the store: the configuration by long
+// polls, the endpoints at a bounded rhythm, since their reports change rows all the
+// time. The others ask them, and read for themselves when what they know grows old.
 package follow
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -12,7 +14,9 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/trefoilchute/trefoilchute/internal/clock"
+	"github.com/trefoilchute/trefoilchute/internal/ident"
 	"github.com/trefoilchute/trefoilchute/internal/logs"
+	"github.com/trefoilchute/trefoilchute/internal/peer/peerpb"
 	"github.com/trefoilchute/trefoilchute/internal/ruleset"
 	"github.com/trefoilchute/trefoilchute/platform"
 )
@@ -21,10 +25,10 @@
 	// configurationWait is how long one poll of the configuration is held open. An
 	// unchanged configuration is confirmed once in this time, which has to leave
 	// room for a failed poll within the life of keys.
-	configurationWait = 1500 * time.Millisecond
+	configurationWait = 1200 * time.Millisecond
 	// endpointInterval is the time between two reads of the endpoints: an endpoint
 	// that leaves gets no requests after 2 s, messages and a slow store included.
-	endpointInterval = 700 * time.Millisecond
+	endpointInterval = 600 * time.Millisecond
 	// wholeEvery is the number of reads of the endpoints after which the whole
 	// table is read and compared, in case a change was missed.
 	wholeEvery = 30
@@ -33,53 +37,102 @@
 	// firstRetry and lastRetry bound the wait after a failed call, which doubles.
 	firstRetry = 100 * time.Millisecond
 	lastRetry  = 500 * time.Millisecond
+	// restLimit bounds the sleep of a host that has no need to read.
+	restLimit = 500 * time.Millisecond
 )
 
+// SourceStore names the store as the source of a configuration.
+const SourceStore = "store"
+
 // Options configures a Follower. The functions are called from the follower's
-// goroutines.
+// goroutines and those of the links.
 type Options struct {
+	Self  ident.Host
 	Store *platform.Store
 	Log   logrus.FieldLogger
-	// Rules is told of each newer configuration.
-	Rules func(*ruleset.Ruleset)
+	// Readers returns the hosts that read the store for the others.
+	Readers func() []ident.Host
+	// Send queues a message for another host.
+	Send func(ident.Host, *peerpb.Envelope) bool
+	// Rules is told of each newer configuration and of whom it came from.
+	Rules func(r *ruleset.Ruleset, source string)
 	// Endpoints is told of each change of the endpoints.
 	Endpoints func([]platform.Endpoint)
 }
 
 // Follower follows the store.
 type Follower struct {
-	opts Options
-	// confirmed is when the configuration in force was last known to be the newest,
-	// on the clock of package clock, in nanoseconds; 0: never.
-	confirmed atomic.Int64
-	// endpointsAt is when the endpoints were last read, likewise.
-	endpointsAt atomic.Int64
+	opts  Options
+	state state
+	// reading says that this host reads the store for others.
+	reading atomic.Bool
+	// woken wakes the loops that read the store.
+	woken [2]chan struct{}
+
+	askMu sync.Mutex
+	seq   uint64
+	asked ask
+	turn  int
 }
 
 // New returns a follower that doesn't run yet.
 func New(opts Options) *Follower {
-	return &Follower{opts: opts}
+	f := &Follower{opts: opts, turn: len(opts.Self)}
+	f.reading.Store(true)
+	for i := range f.woken {
+		f.woken[i] = make(chan struct{}, 1)
+	}
+	return f
 }
 
 // ConfigurationAge returns the time since the configuration in force was last
 // known to be the newest one; false if it never was.
 func (f *Follower) ConfigurationAge() (time.Duration, bool) {
-	return age(&f.confirmed)
+	age, _ := f.state.ages(clock.Boot())
+	return age, age != never
 }
 
 // EndpointsAge returns the time since the endpoints were last read; false if they
 // never were.
 func (f *Follower) EndpointsAge() (time.Duration, bool) {
-	return age(&f.endpointsAt)
+	_, age := f.state.ages(clock.Boot())
+	return age, age != never
+}
+
+// fresh reports whether what is known is young enough.
+func (f *Follower) fresh() bool {
+	rules, endpoints := f.state.ages(clock.Boot())
+	return rules != never && rules < freshAge && endpoints != never && endpoints < freshAge
+}
+
+// needsStore reports whether this host has to read the store itself.
+func (f *Follower) needsStore() bool {
+	return f.reading.Load() || !f.fresh()
+}
+
+// wake lets the loops that read the store look whether they have to.
+func (f *Follower) wake() {
+	for _, c := range f.woken {
+		select {
+		case c <- struct{}{}:
+		default:
+		}
+	}
 }
 
-// age returns the time since a mark.
-func age(mark *atomic.Int64) (time.Duration, bool) {
-	at := mark.Load()
-	if at == 0 {
-		return 0, false
+// rest waits while this host has no need to read the store. It reports whether it
+// had to wait: what was read before has gaps then.
+func (f *Follower) rest(ctx context.Context, woken <-chan struct{}) bool {
+	rested := false
+	for ctx.Err() == nil && !f.needsStore() {
+		rested = true
+		select {
+		case <-ctx.Done():
+		case <-woken:
+		case <-time.After(restLimit):
+		}
 	}
-	return clock.Boot() - time.Duration(at), true
+	return rested
 }
 
 // dependency logs when a part of the store is lost and regained.
@@ -113,12 +166,14 @@
 	d.lost = false
 }
 
-// FollowRules follows the configuration until ctx ends.
+// FollowRules reads the configuration until ctx ends, while this host has to.
 func (f *Follower) FollowRules(ctx context.Context) {
 	dep := dependency{log: f.opts.Log, name: "configuration"}
-	var current *ruleset.Ruleset
 	var after uint64
 	for ctx.Err() == nil {
+		if f.rest(ctx, f.woken[0]) {
+			after = 0
+		}
 		asked := clock.Boot()
 		page, err := f.readRules(ctx, after)
 		if errors.Is(err, platform.ErrHistoryGone) {
@@ -131,20 +186,33 @@
 			continue
 		}
 		dep.worked()
-		after = page.Version
-		next, err := platform.Configuration(page.Rows)
-		if err != nil {
-			// The last one stays in force; what can't be read is not confirmed.
-			logs.With(f.opts.Log, logs.ConfigurationRejected).WithError(err).Error()
-			continue
+		if waited := after > 0 && clock.Boot()-asked >= configurationWait; waited {
+			// The store held the poll for that time since it came.
+			asked += configurationWait
 		}
-		if next != nil && (current == nil || next.Version > current.Version) {
-			current = next
-			f.opts.Rules(next)
+		after = page.Version
+		f.readConfiguration(page, asked)
+	}
+}
+
+// readConfiguration takes what was read of the operators' table.
+func (f *Follower) readConfiguration(page platform.Page, asked time.Duration) {
+	next, err := platform.Configuration(page.Rows)
+	switch {
+	case err != nil:
+		// The last one stays in force; what can't be read is not confirmed.
+		logs.With(f.opts.Log, logs.ConfigurationRejected).WithError(err).Error()
+	case next != nil:
+		if f.state.adoptRules(next, asked) {
+			f.opts.Rules(next, SourceStore)
 		}
-		if current != nil {
-			f.confirmed.Store(int64(asked))
+	default:
+		// No row has changed since the last read of this loop.
+		f.state.mu.Lock()
+		if f.state.rules != nil {
+			f.state.confirmed = max(f.state.confirmed, asked)
 		}
+		f.state.mu.Unlock()
 	}
 }
 
@@ -160,13 +228,17 @@
 	return f.opts.Store.Feed(ctx, platform.TableOperator, after, configurationWait)
 }
 
-// FollowEndpoints follows the endpoints until ctx ends.
+// FollowEndpoints reads the endpoints until ctx ends, while this host has to.
 func (f *Follower) FollowEndpoints(ctx context.Context) {
 	dep := dependency{log: f.opts.Log, name: "endpoints"}
 	table := NewEndpoints()
 	var after uint64
 	for n := 1; ctx.Err() == nil; n++ {
+		if f.rest(ctx, f.woken[1]) {
+			after = 0
+		}
 		whole := after == 0 || n%wholeEvery == 0
+		asked := clock.Boot()
 		page, err := f.readEndpoints(ctx, after, whole)
 		if errors.Is(err, platform.ErrHistoryGone) {
 			after = 0
@@ -179,15 +251,13 @@
 		}
 		dep.worked()
 		after = page.Version
-		now := clock.Boot()
-		changed, skipped := table.Read(now, page.Rows, whole)
+		_, skipped := table.Read(clock.Boot(), page.Rows, whole)
 		for _, s := range skipped {
 			logs.With(f.opts.Log, logs.EndpointSkipped).WithField("endpoint", s.Row).WithError(s.Err).Warn()
 		}
-		if changed || f.endpointsAt.Load() == 0 {
-			f.opts.Endpoints(table.List())
+		if list := table.List(); f.state.adoptEndpoints(list, asked) {
+			f.opts.Endpoints(list)
 		}
-		f.endpointsAt.Store(int64(now))
 		sleep(ctx, endpointInterval)
 	}
 }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -318,7 +318,7 @@
 	h.Expect(h.ask(wrong).status).To(Equal(401))
 	h.Expect(h.ask(strings.Replace(wrong, "/unsafe/", "/public/", 1)).status).To(Equal(200))
 
-	h.age.Store(int64(time.Second))
+	h.age.Store(int64(5*time.Second - keyMargin))
 	got := h.ask(get("/unsafe/x", "id2"))
 	h.Expect(got.status).To(Equal(503), "the key may have been taken away")
 	h.Expect(got.header.Get("Trefoilchute-Code")).To(Equal("212"))
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -87,7 +87,7 @@
 	h.gateway = New(Options{
 		Host: "h", Log: log, Post: h.post, Now: func() time.Duration { return time.Since(began) },
 		ConfigurationAge: func() (time.Duration, bool) { return time.Duration(h.age.Load()), true },
-		KeyLife:          time.Second, RetryRatio: 0.2, RetryExtra: 20, RetryWindow: 10 * time.Second,
+		KeyLife:          5 * time.Second, RetryRatio: 0.2, RetryExtra: 20, RetryWindow: 10 * time.Second,
 		Observe: func(o *Outcome) { h.outcomes <- *o },
 	})
 	h.gateway.Configure(rules())
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -25,6 +25,9 @@
 	// stopIntake is how long a stopping host still takes requests: until the balancer
 	// sends no more callers, but not so long that an answer couldn't end in time.
 	stopIntake = 2500 * time.Millisecond
+	// keyMargin is taken off the life of keys: the platform's store may leave a poll
+	// without word of a change for a second, and clocks are read at both ends.
+	keyMargin = 1200 * time.Millisecond
 	// elsewhereRetry is when to come back where another host can serve at once.
 	elsewhereRetry = 50 * time.Millisecond
 )
@@ -165,7 +168,7 @@
 // without this host knowing.
 func (c *call) checkFresh() *result.Error {
 	age, ok := c.gateway.opts.ConfigurationAge()
-	if ok && age < c.gateway.opts.KeyLife {
+	if ok && age < c.gateway.opts.KeyLife-keyMargin {
 		return nil
 	}
 	return &result.Error{
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -210,8 +210,8 @@
 	h.loop.Connect(control.Ports{
 		Table: table, Objects: objects, Send: h.send, SetPeers: h.peers.SetPeers,
 		Traffic: h.runner, Configure: h.configure, Watch: h.watcher.Set, Record: h.record,
-		Unresponsive: h.unresponsive,
-		Order:        h.orders.Do, Superseded: h.superseded.end,
+		Unresponsive: h.unresponsive, Store: func(*peerpb.Envelope) {},
+		Order: h.orders.Do, Superseded: h.superseded.end,
 	})
 	return nil
 }
--- a/internal/platformhost/host.go
+++ b/internal/platformhost/host.go
@@ -33,6 +33,8 @@
 const (
 	// secretBytes is the length of the secret between the hosts.
 	secretBytes = 16
+	// thousandths turns cores into the unit in which hosts tell their processor.
+	thousandths = 1000
 	// memoryShare is the part of the process's memory that the runtime is to keep
 	// to; the rest is for its own structures and for bytes in the kernel.
 	memoryShare = 0.6
@@ -84,11 +86,12 @@
 	}
 	h.core = control.New(control.Config{
 		Self: s.Host, Incarnation: h.incarnation, Domain: s.Region, Address: s.PeerListen,
-		Seed: h.incarnation, Nonce: func() string { return "" }, External: true,
+		Capacity: uint32(thousandths * s.Cores * s.CoreShare), Seed: h.incarnation, Nonce: func() string { return "" }, External: true,
 	})
 	h.loop = control.NewLoopAt(h.core, h.now)
 	h.follower = follow.New(follow.Options{
-		Store: h.store, Log: h.log, Rules: h.adoptRules, Endpoints: h.adoptEndpoints,
+		Self: s.Host, Store: h.store, Log: h.log, Readers: h.storeReaders, Send: h.send,
+		Rules: h.adoptRules, Endpoints: h.adoptEndpoints,
 	})
 	h.gateway = gateway.New(gateway.Options{
 		Host: s.Host, Log: h.log, Post: h.loop.Post, Now: h.loop.Now,
@@ -134,6 +137,7 @@
 	}).Info()
 	h.group.Go(func() { h.follower.FollowRules(h.life) })
 	h.group.Go(func() { h.follower.FollowEndpoints(h.life) })
+	h.group.Go(func() { h.follower.FollowPeers(h.life) })
 	h.group.Go(func() { h.join(h.life) })
 	h.group.Go(func() { h.sweep(h.life) })
 	h.group.Go(func() { h.watchPools(h.life) })
@@ -203,7 +207,24 @@
 	return hex.EncodeToString(b[:])
 }
 
-// send queues a message for another host.
+// send queues a message for another host. It returns false for one that was
+// dropped.
 func (h *Host) send(to ident.Host, m *peerpb.Envelope) bool {
-	return h.peers.Send(to, m)
+	return h.linked.Load() && h.peers.Send(to, m)
+}
+
+// storeReaders returns the hosts that read the store for the others. There are none
+// before the links are there.
+func (h *Host) storeReaders() []ident.Host {
+	if !h.linked.Load() {
+		return nil
+	}
+	var readers []ident.Host
+	ctx, cancel := context.WithTimeout(context.Background(), inspectTimeout)
+	defer cancel()
+	if err := h.loop.Inspect(ctx, func(c *control.Core) { readers = c.StoreReaders() }); err != nil {
+		// Control is too busy to say: this host reads for itself.
+		return nil
+	}
+	return readers
 }
--- a/internal/platformhost/join.go
+++ b/internal/platformhost/join.go
@@ -104,7 +104,7 @@
 	h.loop.Connect(control.Ports{
 		Send: h.send, SetPeers: h.setPeers, Traffic: h.gateway, Configure: h.configured,
 		Watch: ignoreWatch, Record: h.record, Order: ignoreOrder, Superseded: h.end,
-		Unresponsive: h.unresponsive,
+		Unresponsive: h.unresponsive, Store: h.follower.Receive,
 	})
 	return errors.Wrap(h.peers.Start(h.life), "links")
 }
--- a/internal/platformhost/view.go
+++ b/internal/platformhost/view.go
@@ -36,7 +36,7 @@
 const debtShare = 0.25
 
 // adoptRules brings a configuration into force.
-func (h *Host) adoptRules(r *ruleset.Ruleset) {
+func (h *Host) adoptRules(r *ruleset.Ruleset, source string) {
 	limits := map[ident.Team]quota.Limit{}
 	for i := range r.Teams {
 		t := &r.Teams[i]
@@ -52,6 +52,7 @@
 	h.gateway.Configure(r)
 	logs.With(h.log, logs.ConfigurationInForce).WithFields(logrus.Fields{
 		"version": r.Version, "routes": len(r.Routes), "teams": len(r.Teams), "targets": len(r.Targets),
+		"source": source,
 	}).Info()
 }
 
--- a/internal/ruleset/ruleset.go
+++ b/internal/ruleset/ruleset.go
@@ -113,6 +113,8 @@
 	Teams   []Team
 	Targets []Target
 	Limits  Limits
+	// Raw is the configuration as it stands in the store, to be passed on.
+	Raw []byte
 
 	byHost  map[string][]*Route
 	byKey   map[string]*Team
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -28,6 +28,9 @@
 	Store string
 	// Memory bounds the process, in MiB.
 	Memory int
+	// Cores is the speed of the host's processor and CoreShare the part of it that
+	// the process may use, in cores.
+	Cores, CoreShare float64
 	// StopGrace is the time from the signal to stop to the end of the process.
 	StopGrace time.Duration
 	// KeyLife is how long a host may accept keys without a confirmation that its
@@ -52,6 +55,8 @@
 	minMemory = 32
 	maxMemory = 1 << 20
 	maxWindow = time.Hour
+	minCores  = 0.001
+	maxCores  = 1024
 	maxExtra  = 1e6
 	maxTokens = 1e9
 )
@@ -67,6 +72,10 @@
 			func(g *Gateway) *ident.Domain { return &g.Region }),
 		inifile.Int("memory_mb", "MiB", "Memory that the process may use.", minMemory, maxMemory,
 			func(g *Gateway) *int { return &g.Memory }),
+		inifile.Float("cores", "Speed of the processor, in cores.", minCores, maxCores,
+			func(g *Gateway) *float64 { return &g.Cores }),
+		inifile.Float("core_share", "Part of the processor that the process may use.", minCores, 1,
+			func(g *Gateway) *float64 { return &g.CoreShare }),
 		inifile.Duration("stop_grace", "Time from the signal to stop to the end of the process.", minGrace, maxGrace,
 			func(g *Gateway) *time.Duration { return &g.StopGrace }),
 	}},
--- a/internal/system/membership/member.go
+++ b/internal/system/membership/member.go
@@ -43,6 +43,8 @@
 	Version uint64
 	// Revision is the configuration in force at the host.
 	Revision uint64
+	// Capacity is the host's processor in thousandths of a core; 0 if not told.
+	Capacity uint32
 }
 
 // entry is a row of the member table.
@@ -80,6 +82,7 @@
 	if !brief {
 		w.Domain = string(m.Domain)
 		w.Address = m.Address
+		w.Capacity = m.Capacity
 	}
 	return w
 }
@@ -94,6 +97,7 @@
 		State:       State(w.GetState()),
 		Version:     w.GetVersion(),
 		Revision:    w.GetRevision(),
+		Capacity:    w.GetCapacity(),
 	}
 	return m, m.Host != "" && m.State <= Dead
 }
--- a/internal/system/membership/membership.go
+++ b/internal/system/membership/membership.go
@@ -84,6 +84,8 @@
 	Domain      ident.Domain
 	// Address is where this host accepts links.
 	Address string
+	// Capacity is this host's processor in thousandths of a core; 0: not told.
+	Capacity uint32
 	// Seed feeds the choice of helpers and the phase of the rounds.
 	Seed uint64
 }
@@ -173,6 +175,7 @@
 		Domain:      cfg.Domain,
 		Address:     cfg.Address,
 		Version:     1,
+		Capacity:    cfg.Capacity,
 	}
 	s.insert(self, cfg.Self)
 	return s
--- a/internal/system/membership/pause.go
+++ b/internal/system/membership/pause.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/trefoilchute/trefoilchute/internal/ident"
 	"github.com/trefoilchute/trefoilchute/internal/system"
 )
 
@@ -122,3 +123,9 @@
 	s.probeRound(now, out)
 	s.contactRound(now, out)
 }
+
+// LostAt returns when a host was found dead that had not announced its departure.
+func (s *System) LostAt(host ident.Host) (time.Duration, bool) {
+	at, ok := s.diedAt[host]
+	return at, ok && s.lost[host]
+}
--- a/internal/system/membership/receive.go
+++ b/internal/system/membership/receive.go
@@ -126,7 +126,7 @@
 		if !known || e.Incarnation != m.Incarnation {
 			return
 		}
-		m.Domain, m.Address = e.Domain, e.Address
+		m.Domain, m.Address, m.Capacity = e.Domain, e.Address, e.Capacity
 	}
 	// Only the host itself raises the version: a death under the known one is
 	// the others' verdict.
--- a/internal/system/quota/quota.go
+++ b/internal/system/quota/quota.go
@@ -29,12 +29,12 @@
 	startTime     = 2 * time.Second
 	// assumedHosts is how many hosts a rate is divided by before any is known.
 	assumedHosts = 8
-	// reportLife is how long a report says what its host does now: one may be lost
-	// and the next late.
-	reportLife = 3 * ReportInterval
-	// forgetAfter is how long the part of a host that isn't heard is left to it: it
-	// may be cut off and serve callers.
-	forgetAfter = 15 * time.Second
+	// reportLife is how long a report stands: until membership has found out whether
+	// its host lives.
+	reportLife = 6 * ReportInterval
+	// ForgetAfter is how long the part of a host that was lost is left to it: it may
+	// be cut off and serve callers.
+	ForgetAfter = 15 * time.Second
 	// demandTime is the time over which demand is averaged.
 	demandTime = 2 * time.Second
 	// evenPart is the part of the rate that is dealt out evenly among the hosts where
@@ -71,9 +71,10 @@
 	limits map[ident.Team]Limit
 	teams  map[ident.Team]*team
 	others map[ident.Host]other
-	// hosts is how many hosts there are as far as is known, this one included.
-	hosts    int
-	reportAt time.Duration
+	// hosts is how many hosts live as far as is known, this one included, and lost
+	// how many may be cut off.
+	hosts, lost int
+	reportAt    time.Duration
 	// startedAt is when the first limits came.
 	startedAt time.Duration
 	started   bool
@@ -122,9 +123,10 @@
 	}
 }
 
-// Hosts tells how many hosts there are, this one included.
-func (s *System) Hosts(n int) {
-	s.hosts = max(1, n)
+// Hosts tells how many hosts live, this one included, and how many were lost lately
+// and may be cut off.
+func (s *System) Hosts(live, lost int) {
+	s.hosts, s.lost = max(1, live), lost
 }
 
 // Charge books a request of a team. It returns false, and when to come back, for
@@ -195,49 +197,48 @@
 	return now >= s.reportAt && len(s.teams) > 0
 }
 
-// Report divides the rates anew and returns this host's use.
+// Report divides the rates anew and returns this host's use. It is empty, and
+// needn't be sent, where no team asks for anything.
 func (s *System) Report(now time.Duration) []Use {
 	s.reportAt = now + ReportInterval
 	if now-s.startedAt < startTime {
 		s.reportAt = now + startInterval
 	}
 	for host, o := range s.others {
-		if now-o.at >= forgetAfter {
+		if now-o.at >= reportLife {
 			delete(s.others, host)
 		}
 	}
-	uses := make([]Use, 0, len(s.teams))
+	var uses []Use
 	for _, name := range slices.Sorted(maps.Keys(s.teams)) {
 		t := s.teams[name]
 		s.advance(now, t, s.limits[name])
-		t.share = s.shareOf(now, name, t)
-		uses = append(uses, Use{Team: name, Demand: t.demand, Share: t.share})
+		t.share = s.shareOf(name, t)
+		if t.demand >= leastDemand {
+			uses = append(uses, Use{Team: name, Demand: t.demand, Share: t.share})
+		}
 	}
 	return uses
 }
 
-// shareOf divides the part of the rate that belongs to the hosts that are heard: a
-// little of it evenly among those where the team asks for anything, the rest by
-// demand.
-func (s *System) shareOf(now time.Duration, name ident.Team, t *team) float64 {
-	demand, heard, asked := t.demand, 1, 0
+// shareOf divides the part of the rate that belongs to the hosts that live: a little
+// of it evenly among those where the team asks for anything, the rest by demand.
+func (s *System) shareOf(name ident.Team, t *team) float64 {
+	demand, asked := t.demand, 0
 	if t.demand >= leastDemand {
 		asked++
 	}
 	for _, o := range s.others {
-		if now-o.at >= reportLife {
-			continue
-		}
-		heard++
-		demand += o.uses[name].Demand
-		if o.uses[name].Demand >= leastDemand {
+		u := o.uses[name]
+		demand += u.Demand
+		if u.Demand >= leastDemand {
 			asked++
 		}
 	}
-	part := float64(heard) / float64(max(s.hosts, len(s.others)+1))
+	part := float64(s.hosts) / float64(s.hosts+s.lost)
 	switch {
 	case asked == 0:
-		return part / float64(heard)
+		return part / float64(max(s.hosts, assumedHosts))
 	case t.demand < leastDemand:
 		return part * (1 - evenPart) * t.demand / demand
 	}
--- a/internal/system/quota/quota_test.go
+++ b/internal/system/quota/quota_test.go
@@ -62,7 +62,13 @@
 		if !s.Due(f.now) {
 			continue
 		}
-		s.Hosts(len(f.names))
+		live := 0
+		for _, other := range f.names {
+			if f.side[other] == f.side[name] {
+				live++
+			}
+		}
+		s.Hosts(live, len(f.names)-live)
 		uses := s.Report(f.now)
 		for _, other := range f.names {
 			if other != name && f.side[other] == f.side[name] {
