Resume broken streams; soak the real processes under faults from outside

Streams of routes that allow it go on at another endpoint behind the last whole event, within one answer, after their endpoint broke off or fell silent for 1.2 s.

trefoilchute soak runs gateway processes before a store and endpoints of its own on loopback, and holds what callers got against what endpoints ran.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -43,7 +43,7 @@
 // commands lists every command.
 func commands() []*cli.Command {
 	return []*cli.Command{
-		entryCommand(), gatewayCommand(),
+		entryCommand(), gatewayCommand(), soakCommand(),
 		devCommand(),
 		standinCommand(),
 		applyCommand(),
--- /dev/null
+++ b/internal/gateway/events_test.go
@@ -0,0 +1,109 @@
+package gateway
+
+import (
+	"fmt"
+	"net"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/trefoilchute/trefoilchute/internal/result"
+)
+
+// TestOnlyWholeEventsPass cuts a stream anywhere, and ends it anywhere.
+func TestOnlyWholeEventsPass(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		n := rapid.IntRange(1, 8).Draw(rt, "events")
+		var stream, whole string
+		last := ""
+		end := rapid.IntRange(0, n*20).Draw(rt, "end")
+		for i := range n {
+			event := fmt.Sprintf("id: %d\ndata: x.%d\n\n", i*37, i)
+			if len(stream)+len(event) <= end {
+				whole, last = whole+event, fmt.Sprint(i*37)
+			}
+			stream += event
+		}
+		stream = stream[:min(end, len(stream))]
+		var e events
+		got := ""
+		for stream != "" {
+			k := rapid.IntRange(1, len(stream)).Draw(rt, "piece")
+			got += string(e.add([]byte(stream[:k])))
+			stream = stream[k:]
+		}
+		if got != whole || e.last != last {
+			rt.Fatalf("passed %q up to %q, want %q up to %q", got, e.last, whole, last)
+		}
+	})
+}
+
+// series answers with events from one number to another, and breaks off in the middle
+// of the one after unless that is the last.
+func series(from, to, last int, reset bool) script {
+	return func(e *exchanged) bool {
+		e.write(sealed(200, e.attempt()) + "Transfer-Encoding: chunked\r\n\r\n")
+		for i := from; i <= to; i++ {
+			event := fmt.Sprintf("id: %d\ndata: x\n\n", i)
+			e.write(fmt.Sprintf("%x\r\n%s\r\n", len(event), event))
+		}
+		if to == last {
+			e.write("0\r\n\r\n")
+			return true
+		}
+		e.write(fmt.Sprintf("6\r\nid: %d\n\r\n", to+1)[:9])
+		if reset {
+			_ = e.conn.(*net.TCPConn).SetLinger(0)
+		}
+		return false
+	}
+}
+
+func TestBrokenStreamIsResumed(t *testing.T) {
+	for _, reset := range []bool{false, true} {
+		t.Run(fmt.Sprintf("reset %v", reset), func(t *testing.T) {
+			h := start(t, series(0, 2, 5, reset), series(3, 5, 5, false))
+			got := h.ask(post("/resumable/x", "id1", "prompt"))
+			h.Expect(got.err).NotTo(HaveOccurred())
+			h.Expect(got.header.Get("Runner-Seal")).To(Equal("s.id1"))
+			want := ""
+			for i := range 6 {
+				want += fmt.Sprintf("id: %d\ndata: x\n\n", i)
+			}
+			h.Expect(got.body).To(Equal(want))
+			second := <-h.endpoints[1].seen
+			h.Expect(second.request.Header["Last-Event-Id"]).To(Equal([]string{"2"}))
+			h.Expect(second.body).To(Equal("prompt"))
+			o := <-h.outcomes
+			h.Expect(o.Code).To(Equal(result.OK))
+			h.Expect(o.Tries).To(Equal(2))
+		})
+	}
+}
+
+func TestStreamThatCannotBeResumedBreaksOff(t *testing.T) {
+	t.Run("at its second endpoint too", func(t *testing.T) {
+		h := start(t, series(0, 1, 5, false), series(2, 3, 5, false), series(4, 5, 5, false))
+		got := h.ask(post("/resumable/x", "id1", "prompt"))
+		h.Expect(got.err).To(HaveOccurred())
+		h.Expect(strings.Count(got.body, "id:")).To(Equal(4))
+		h.Expect(h.endpoints[2].seen).To(BeEmpty(), "the route allows two endpoints")
+	})
+	t.Run("its route doesn't allow it", func(t *testing.T) {
+		h := start(t, series(0, 1, 5, false), series(2, 5, 5, false))
+		got := h.ask(post("/stream/x", "id1", "prompt"))
+		h.Expect(got.err).To(HaveOccurred())
+		h.Expect(h.endpoints[1].seen).To(BeEmpty())
+	})
+	t.Run("the second endpoint fails it", func(t *testing.T) {
+		h := start(t, series(0, 1, 5, false), func(e *exchanged) bool {
+			e.whole(500, "no")
+			return true
+		})
+		got := h.ask(post("/resumable/x", "id1", "prompt"))
+		h.Expect(got.err).To(HaveOccurred())
+		h.Expect(got.body).NotTo(ContainSubstring("no"))
+	})
+}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -38,10 +38,10 @@
 // tryEnd is how a try ended.
 type tryEnd struct {
 	// delivered says that an answer, whole or not, went to the caller, or that there
-	// is no caller any more.
-	delivered bool
-	failure   failure
-	reason    string
+	// is no caller any more. broken says that it broke off and may be resumed.
+	delivered, broken bool
+	failure           failure
+	reason            string
 }
 
 // failed returns the end of a try of which nothing went to the caller.
@@ -120,7 +120,7 @@
 	c := x.call
 	buf := headBuffers.Get().(*[]byte)
 	head := platform.AppendHead((*buf)[:0], c.r.Method, c.target, c.r.Host, c.r.Header, platform.Dispatch{
-		Endpoint: x.try.endpoint, Team: c.outcome.Team, Left: left,
+		Endpoint: x.try.endpoint, Team: c.outcome.Team, Left: left, LastEvent: c.events.last,
 	}, len(c.body))
 	x.sent = make(chan struct{})
 	if len(c.body) <= smallBody {
@@ -209,19 +209,20 @@
 	}
 }
 
-// deliver passes an answer on as it comes.
+// deliver passes an answer on as it comes. One that resumes a stream goes on behind
+// what the caller has, under the head of the first.
 func (x *exchange) deliver(resp *http.Response) tryEnd {
 	c := x.call
-	h := c.w.Header()
-	platform.CopyAnswer(h, resp.Header)
-	suppressSniffing(h)
-	if resp.ContentLength >= 0 {
-		h.Set("Content-Length", strconv.FormatInt(resp.ContentLength, 10))
-	}
-	c.outcome.Status = resp.StatusCode
-	c.w.WriteHeader(resp.StatusCode)
 	x.closes = resp.Close
-	err := x.copy(resp)
+	streams := resp.ContentLength < 0
+	switch {
+	case c.outcome.Status == 0:
+		x.writeHead(resp)
+	case !streams || resp.StatusCode != http.StatusOK:
+		x.broken = true
+		return tryEnd{broken: true, failure: unknown, reason: "the stream was not resumed: status " + strconv.Itoa(resp.StatusCode)}
+	}
+	err := x.copy(resp, streams)
 	switch {
 	case err == nil:
 		x.whole = true
@@ -232,53 +233,104 @@
 	default:
 		x.broken = true
 		c.outcome.Code, c.outcome.Reason = result.AnswerCut, err.Error()
+		return tryEnd{
+			delivered: !c.route.Resumable || !streams || errors.Is(err, errCaller), broken: true,
+			failure: unknown, reason: err.Error(),
+		}
 	}
 	return tryEnd{delivered: true}
 }
 
+// writeHead sends the head of an answer to the caller.
+func (x *exchange) writeHead(resp *http.Response) {
+	c := x.call
+	h := c.w.Header()
+	platform.CopyAnswer(h, resp.Header)
+	suppressSniffing(h)
+	if resp.ContentLength >= 0 {
+		h.Set("Content-Length", strconv.FormatInt(resp.ContentLength, 10))
+	}
+	c.outcome.Status = resp.StatusCode
+	c.w.WriteHeader(resp.StatusCode)
+	_ = http.NewResponseController(c.w).SetWriteDeadline(time.Now().Add(c.limit - c.gateway.opts.Now() + writeSlack))
+}
+
 // errCaller says that the caller takes no more.
 var errCaller = errors.New("the caller takes no more of the answer")
 
-// copy passes the body on. Whatever is there to be read goes out at once.
-func (x *exchange) copy(resp *http.Response) error {
-	c, now := x.call, x.call.gateway.opts.Now
-	controller := http.NewResponseController(c.w)
-	streams := resp.ContentLength < 0
+// copy passes the body on. Whatever is there to be read goes out at once; of a stream
+// that may be resumed only whole events.
+func (x *exchange) copy(resp *http.Response, streams bool) error {
+	c := x.call
 	buf := copyBuffers.Get().(*[]byte)
 	defer copyBuffers.Put(buf)
-	last := now()
-	_ = controller.SetWriteDeadline(time.Now().Add(c.limit - last + writeSlack))
 	for {
 		n, err := resp.Body.Read(*buf)
-		if n > 0 {
-			at := now()
-			if c.outcome.Bytes == 0 {
-				c.outcome.First = at - c.arrived
-				x.firstEvent(at)
-			} else {
-				c.outcome.MaxGap = max(c.outcome.MaxGap, at-last)
-			}
-			last = at
-			c.outcome.Bytes += n
-			if streams {
-				c.outcome.Events += bytes.Count((*buf)[:n], eventEnd)
-			}
-			if _, failed := c.w.Write((*buf)[:n]); failed != nil {
-				return errCaller
-			}
-			if streams && controller.Flush() != nil {
-				return errCaller
+		out := (*buf)[:n]
+		if c.route.Resumable && streams {
+			out = x.wholeEvents(out, err)
+		}
+		if len(out) > 0 {
+			x.noteBytes(out, streams)
+			if failed := c.pass(out, streams); failed != nil {
+				return failed
 			}
 		}
 		if errors.Is(err, io.EOF) {
 			return nil
 		}
 		if err != nil {
+			c.events.drop()
 			return err
 		}
 	}
 }
 
+// stallLimit is the pause after which a stream that may be resumed is taken to have
+// lost its endpoint: several times the objective, and less than callers wait.
+const stallLimit = 1200 * time.Millisecond
+
+// wholeEvents returns what of a resumable stream goes on now, and bounds the wait for
+// what is to come.
+func (x *exchange) wholeEvents(b []byte, err error) []byte {
+	out := x.call.events.add(b)
+	if errors.Is(err, io.EOF) {
+		return append(out, x.call.events.rest()...)
+	}
+	if x.call.events.last != "" {
+		left := x.call.limit - x.call.gateway.opts.Now() + endMargin
+		_ = x.conn.SetReadDeadline(time.Now().Add(min(stallLimit, left)))
+	}
+	return out
+}
+
+// noteBytes notes when a part of the answer came.
+func (x *exchange) noteBytes(b []byte, streams bool) {
+	c, at := x.call, x.call.gateway.opts.Now()
+	if c.outcome.Bytes == 0 {
+		c.outcome.First = at - c.arrived
+		x.firstEvent(at)
+	} else {
+		c.outcome.MaxGap = max(c.outcome.MaxGap, at-c.lastByte)
+	}
+	c.lastByte = at
+	c.outcome.Bytes += len(b)
+	if streams {
+		c.outcome.Events += bytes.Count(b, eventEnd)
+	}
+}
+
+// pass writes a part of an answer to the caller.
+func (c *call) pass(b []byte, streams bool) error {
+	if _, err := c.w.Write(b); err != nil {
+		return errCaller
+	}
+	if streams && http.NewResponseController(c.w).Flush() != nil {
+		return errCaller
+	}
+	return nil
+}
+
 // eventEnd is the empty line that ends an event of a stream.
 var eventEnd = []byte("\n\n")
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -5,6 +5,7 @@
 package gateway
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"strconv"
@@ -144,6 +145,12 @@
 	return g.active.Load()
 }
 
+// Shutdown closes the listener and the connections that carry no request, and waits
+// for the others until ctx ends.
+func (g *Gateway) Shutdown(ctx context.Context) error {
+	return errors.Wrap(g.server.Shutdown(ctx), "gateway: shutdown")
+}
+
 // Close closes the listener and every connection.
 func (g *Gateway) Close() error {
 	err := g.server.Close()
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -59,6 +59,9 @@
 		Teams:  []ruleset.Team{{Name: "blue", Keys: []string{"secret"}}},
 		Limits: ruleset.Limits{MaxBodyBytes: maxTestBody},
 	}
+	resumable := route("resumable", ruleset.Stream, 2)
+	resumable.Resumable = true
+	r.Routes = append(r.Routes, resumable)
 	public := route("public", ruleset.Unsafe, 1)
 	public.Public = true
 	r.Routes = append(r.Routes, public)
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -51,6 +51,9 @@
 	arrived time.Duration
 	limit   time.Duration
 	outcome Outcome
+	// events is the stream so far, and lastByte when its last part went out.
+	events   events
+	lastByte time.Duration
 	// fallback is the answer of an endpoint whose run failed, for the caller if no
 	// further try does better.
 	fallback *heldAnswer
@@ -114,6 +117,8 @@
 // read checks a request and takes its body.
 func (c *call) read() *result.Error {
 	g := c.gateway
+	c.headers.Attempt = platform.AttemptOf(c.r.Header)
+	c.outcome.Attempt = c.headers.Attempt
 	if began := g.Stopping(); began != nil && time.Since(*began) >= stopIntake {
 		return &result.Error{Code: result.Stopping, RetryAfter: elsewhereRetry, Reason: "the host is stopping"}
 	}
@@ -125,7 +130,6 @@
 	c.outcome.ConfigurationAge, _ = g.opts.ConfigurationAge()
 	var err error
 	c.headers, err = platform.ReadCall(c.r.Header)
-	c.outcome.Attempt = c.headers.Attempt
 	c.target = requestTarget(c.r)
 	path, _, _ := strings.Cut(c.target, "?")
 	if c.route = c.rules.Route(c.r.Host, path); c.route == nil {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -35,7 +35,9 @@
 		try := c.newTry(target, avoid)
 		conn, refused := try.place()
 		if refused != nil {
-			c.giveUp(refused)
+			if c.outcome.Status == 0 {
+				c.giveUp(refused)
+			}
 			return
 		}
 		if c.outcome.Tries++; c.outcome.Tries == 1 {
@@ -53,7 +55,9 @@
 			stopping: c.gateway.Stopping() != nil,
 		}
 		if !mayTryAgain(state) || !budget.Take(c.gateway.opts.Now()) {
-			c.fail(end)
+			if c.outcome.Status == 0 {
+				c.fail(end)
+			}
 			return
 		}
 		avoid = try.endpoint
@@ -121,7 +125,11 @@
 		ExpectedTokens: c.headers.ExpectedTokens, Deadline: c.limit,
 		Idempotent: c.route.Idempotent(), Avoid: avoid,
 	}
-	if c.route.Objective > 0 {
+	switch {
+	case c.outcome.Bytes > 0 && c.route.GapObjective > 0:
+		// The stream goes on: what is due is its next event.
+		a.FirstDue = c.lastByte + c.route.GapObjective
+	case c.route.Objective > 0:
 		a.FirstDue = c.arrived + c.route.Objective
 	}
 	if c.route.Kind == ruleset.Stream {
--- a/internal/platformhost/stop.go
+++ b/internal/platformhost/stop.go
@@ -16,8 +16,6 @@
 	departDelay = 50 * time.Millisecond
 	// endMargin is left of the time to stop for the end of the process.
 	endMargin = 300 * time.Millisecond
-	// drainPoll is the time between two looks at what a stopping host has left.
-	drainPoll = 50 * time.Millisecond
 )
 
 // stop ends the service without cutting a request: readiness off, the pools to
@@ -30,15 +28,14 @@
 		return
 	}
 	h.loop.Post(control.Leave{})
-	limit := now.Add(h.settings.StopGrace - endMargin)
-	for time.Now().Before(limit) {
-		if time.Since(now) >= balancerDelay && h.gateway.Active() == 0 {
-			break
-		}
-		time.Sleep(drainPoll)
+	limit, cancelLimit := context.WithDeadline(context.Background(), now.Add(h.settings.StopGrace-endMargin))
+	defer cancelLimit()
+	select {
+	case <-limit.Done():
+	case <-time.After(balancerDelay):
 	}
-	if n := h.gateway.Active(); n > 0 {
-		logs.With(h.log, logs.CallersCut).WithField("active", n).Warn()
+	if err := h.gateway.Shutdown(limit); err != nil {
+		logs.With(h.log, logs.CallersCut).WithField("active", h.gateway.Active()).WithError(err).Warn()
 	}
 	h.loop.Post(control.Depart{})
 	ctx, cancel := context.WithTimeout(context.Background(), departDelay)
--- /dev/null
+++ b/internal/soak/faults.go
@@ -0,0 +1,251 @@
+package soak
+
+import (
+	"fmt"
+	"syscall"
+	"time"
+
+	"github.com/trefoilchute/trefoilchute/internal/standin/store"
+)
+
+// fault spoils something for a time. It blocks until it has been put right.
+type fault struct {
+	name string
+	do   func(w *world, d draws)
+}
+
+// draws are what a fault has drawn beforehand, so that a seed always means the same.
+type draws struct {
+	a, b int
+	span time.Duration
+}
+
+// faults are all kinds of them.
+var faults = []fault{
+	{"term", func(w *world, d draws) { w.term(w.hosts[d.a%hosts]) }},
+	{"term", func(w *world, d draws) { w.term(w.hosts[d.a%hosts]) }},
+	{"kill", func(w *world, d draws) { w.kill(w.hosts[d.a%hosts], d.span/2) }},
+	{"kill all", func(w *world, d draws) {
+		done := make(chan struct{})
+		for _, h := range w.hosts {
+			go func() {
+				w.kill(h, d.span/4)
+				done <- struct{}{}
+			}()
+		}
+		for range w.hosts {
+			<-done
+		}
+	}},
+	{"pause", func(w *world, d draws) {
+		h := w.hosts[d.a%hosts]
+		w.during("pause", h.name, d.span, func() { h.signal(syscall.SIGSTOP) }, func() { h.signal(syscall.SIGCONT) })
+	}},
+	{"hup", func(w *world, d draws) { w.hosts[d.a%hosts].hup() }},
+	{"store refuses", func(w *world, d draws) { w.spoilStore(d, store.Faults{Refuse: 429 + 74*(d.a%2)}) }},
+	{"store silent", func(w *world, d draws) { w.spoilStore(d, store.Faults{Silent: true}) }},
+	{"store slow", func(w *world, d draws) { w.spoilStore(d, store.Faults{Delay: 300 * time.Millisecond}) }},
+	{"store loses answers", func(w *world, d draws) {
+		w.spoilStore(d, store.Faults{LoseWrites: true, LateWrites: time.Duration(d.a%2) * 500 * time.Millisecond})
+	}},
+	{"store forgets", func(w *world, _ draws) { w.store.Forget() }},
+	{"store link", func(w *world, d draws) {
+		h := w.hosts[d.a%hosts]
+		w.spoilLink("store link", h.name, h.store, d)
+	}},
+	{"endpoint link", func(w *world, d draws) {
+		if s := w.pick(d.a, ""); s != nil {
+			w.spoilLink("endpoint link", "", s.proxy, d)
+		}
+	}},
+	{"endpoint crash", func(w *world, d draws) { w.crash(d) }},
+	{"answers lost", func(w *world, d draws) {
+		if s := w.pick(d.a, ""); s != nil {
+			end := w.spoil("answers lost", "")
+			s.runner.Lose(1 + d.b%5)
+			time.Sleep(d.span)
+			s.runner.Lose(0)
+			end()
+		}
+	}},
+	{"runs fail", func(w *world, d draws) {
+		if s := w.pick(d.a, ""); s != nil {
+			s.runner.Fail(1 + d.b%5)
+		}
+	}},
+	{"endpoint leaves", func(w *world, d draws) { w.leave(d) }},
+	{"endpoint leaves", func(w *world, d draws) { w.leave(d) }},
+	{"key revoked", func(w *world, d draws) { w.revoke() }},
+	{"route changes", func(w *world, d draws) { w.changeRoutes(d) }},
+	{"route changes", func(w *world, d draws) { w.changeRoutes(d) }},
+}
+
+// during spoils something for a time.
+func (w *world) during(what, host string, span time.Duration, begin, end func()) {
+	ended := w.spoil(what, host)
+	begin()
+	time.Sleep(span)
+	end()
+	ended()
+}
+
+// term stops a host as planned and starts it again.
+func (w *world) term(h *host) {
+	ended := w.spoil("term", h.name)
+	defer ended()
+	h.signal(syscall.SIGTERM)
+	began := time.Now()
+	if !h.wait(grace + time.Second) {
+		// A host that was paused in the meantime can't keep to the time.
+		w.mu.Lock()
+		calm := w.calm(began, time.Now(), "term", h.name)
+		w.mu.Unlock()
+		if calm {
+			w.fail("%s still runs %v after SIGTERM", h.name, grace)
+		}
+		h.signal(syscall.SIGCONT)
+		h.signal(syscall.SIGKILL)
+		h.wait(grace)
+	}
+	w.restart(h)
+}
+
+// kill ends a host's process and starts it again after a time.
+func (w *world) kill(h *host, down time.Duration) {
+	ended := w.spoil("kill", h.name)
+	defer ended()
+	h.signal(syscall.SIGKILL)
+	h.wait(grace)
+	time.Sleep(down)
+	w.restart(h)
+}
+
+// restart starts a host's process unless one runs.
+func (w *world) restart(h *host) {
+	h.mu.Lock()
+	ended := h.ended
+	h.mu.Unlock()
+	select {
+	case <-ended:
+	default:
+		return
+	}
+	if err := h.start(w.program); err != nil {
+		w.fail("%s does not start: %v", h.name, err)
+	}
+}
+
+// spoilStore lets the store misbehave for a time.
+func (w *world) spoilStore(d draws, f store.Faults) {
+	w.during("store", "", d.span, func() { w.store.Set(f) }, func() { w.store.Set(store.Faults{}) })
+}
+
+// spoilLink spoils a proxy's connections for a time, or resets them once.
+func (w *world) spoilLink(what, host string, p *proxy, d draws) {
+	modes := []mode{pass, delayed, silent, toClient, toServer}
+	m := modes[d.b%len(modes)]
+	if m == pass {
+		w.during(what, host, 0, p.reset, func() {})
+		return
+	}
+	w.during(what, host, d.span, func() { p.set(m) }, func() {
+		p.set(pass)
+		// What was held back must not come after all: the connection is dead.
+		p.reset()
+	})
+}
+
+// pick returns an endpoint that stays, of a target if one is given.
+func (w *world) pick(n int, target string) *server {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var list []*server
+	for _, s := range w.servers {
+		if s.leaves.IsZero() && (target == "" || s.target == target) {
+			list = append(list, s)
+		}
+	}
+	if len(list) == 0 {
+		return nil
+	}
+	return list[n%len(list)]
+}
+
+// crash ends an endpoint's process and starts it again with the same id, at another
+// address.
+func (w *world) crash(d draws) {
+	s := w.pick(d.a, "")
+	if s == nil {
+		return
+	}
+	defer w.spoil("endpoint crash", "")()
+	old := s.runner
+	_ = old.Close()
+	w.mu.Lock()
+	s.proxy.close()
+	w.mu.Unlock()
+	time.Sleep(d.span)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	gone := *s
+	gone.gone = true
+	w.all = append(w.all, &gone)
+	if err := s.begin(); err != nil {
+		w.broken = append(w.broken, fmt.Sprintf("endpoint %s does not start: %v", s.id, err))
+		return
+	}
+	w.writeServer(s)
+}
+
+// leave takes an endpoint away as planned and puts another in its place.
+func (w *world) leave(d draws) {
+	s := w.pick(d.a, "")
+	if s == nil {
+		return
+	}
+	if err := w.addServer(s.target); err != nil {
+		w.fail("endpoint does not start: %v", err)
+		return
+	}
+	w.mu.Lock()
+	s.leaves = time.Now()
+	w.writeServer(s)
+	w.mu.Unlock()
+	time.Sleep(drainBound + d.span/2)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for i, x := range w.servers {
+		if x == s {
+			w.servers = append(w.servers[:i:i], w.servers[i+1:]...)
+			break
+		}
+	}
+	w.store.Remove("servers", "", s.id)
+}
+
+// revoke takes the oldest key away and adds a new one.
+func (w *world) revoke() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	old := w.config.keys[0]
+	w.config.keys = append(w.config.keys[1:], fmt.Sprintf("key-%d", len(w.revoked)+2))
+	w.writeConfiguration()
+	w.revoked[old] = time.Now()
+}
+
+// changeRoutes adds a route, or removes one that was added.
+func (w *world) changeRoutes(d draws) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if n := len(w.config.routes); n > 4 && d.b%2 == 0 {
+		name := w.config.routes[n-1]
+		w.config.routes = w.config.routes[:n-1]
+		w.writeConfiguration()
+		w.removed[name] = time.Now()
+		return
+	}
+	name := fmt.Sprintf("extra-%d", len(w.added))
+	w.config.routes = append(w.config.routes, name)
+	w.writeConfiguration()
+	w.added[name] = time.Now()
+}
--- /dev/null
+++ b/internal/soak/world.go
@@ -0,0 +1,272 @@
+// Package soak runs the real gateway processes before stand-ins on this machine,
+// spoils connections, processes, the store and endpoints from outside in overlapping
+// series, and checks what callers and endpoints see against what is promised.
+package soak
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/trefoilchute/trefoilchute/internal/standin/runner"
+	"github.com/trefoilchute/trefoilchute/internal/standin/store"
+)
+
+const (
+	// hosts, engines and services are the size of a run.
+	hosts, engines, services = 3, 3, 2
+	// revokeBound, drainBound and configBound are the users' bounds for keys that were
+	// taken away, endpoints that leave and changes of the configuration.
+	revokeBound = 5 * time.Second
+	drainBound  = 2 * time.Second
+	configBound = 2 * time.Second
+	// lossSlack is the users' bound for a request that crosses the end of its
+	// connection.
+	lossSlack = 200 * time.Millisecond
+	// calmTime is how long nothing may have been spoilt for a bound to hold.
+	calmTime = 3 * time.Second
+	// beatInterval is the time between two reports of an endpoint.
+	beatInterval = 400 * time.Millisecond
+)
+
+// server is one endpoint with its proxy.
+type server struct {
+	id     string
+	target string
+	runner *runner.Runner
+	proxy  *proxy
+	// leaves is when it wrote that it leaves; zero: it doesn't.
+	leaves time.Time
+	gone   bool
+	beat   int
+	born   int64
+}
+
+// spoilt is a span of time in which something was spoilt.
+type spoilt struct {
+	what     string
+	from, to time.Time
+	// host is the host that it concerned; empty: all.
+	host string
+}
+
+// world is one run.
+type world struct {
+	dir     string
+	program string
+	rand    *rand.Rand
+	store   *store.Server
+	storeAt string
+	hosts   []*host
+	stop    chan struct{}
+	group   sync.WaitGroup
+
+	mu      sync.Mutex
+	servers []*server
+	// all are also those that are gone.
+	all    []*server
+	spans  []spoilt
+	config configuration
+	// revoked holds when each key was taken away, added and removed when a route was.
+	revoked        map[string]time.Time
+	added, removed map[string]time.Time
+	// ready counts the questions in a row that each host has missed.
+	ready  map[string]int
+	seen   []observed
+	broken []string
+}
+
+// configuration is what the operator has written.
+type configuration struct {
+	version uint64
+	keys    []string
+	routes  []string
+}
+
+// newWorld starts the store and the endpoints and prepares the hosts.
+func newWorld(dir, program string, seed uint64) (*world, error) {
+	w := &world{
+		dir: dir, program: program, rand: rand.New(rand.NewPCG(seed, 1)), store: store.New(), stop: make(chan struct{}),
+		revoked: map[string]time.Time{}, added: map[string]time.Time{}, removed: map[string]time.Time{},
+	}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	w.storeAt = ln.Addr().String()
+	go func() { _ = w.store.Serve(ln) }()
+	w.config = configuration{keys: []string{"key-0", "key-1"}, routes: []string{"safe", "unsafe", "stream", "resumable"}}
+	w.writeConfiguration()
+	for range engines {
+		if err := w.addServer("llm"); err != nil {
+			return nil, err
+		}
+	}
+	for range services {
+		if err := w.addServer("app"); err != nil {
+			return nil, err
+		}
+	}
+	w.group.Add(1)
+	go w.beats()
+	for i := range hosts {
+		h, err := newHost(dir, i, w.storeAt)
+		if err != nil {
+			return nil, err
+		}
+		w.hosts = append(w.hosts, h)
+		if err := h.start(program); err != nil {
+			return nil, err
+		}
+	}
+	return w, nil
+}
+
+// close ends everything that the run started.
+func (w *world) close() {
+	close(w.stop)
+	w.group.Wait()
+	for _, h := range w.hosts {
+		h.close()
+	}
+	for _, s := range w.all {
+		s.proxy.close()
+		_ = s.runner.Close()
+	}
+	_ = w.store.Close()
+}
+
+// fail notes a broken promise.
+func (w *world) fail(format string, args ...any) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.broken = append(w.broken, fmt.Sprintf(format, args...))
+}
+
+// addServer starts an endpoint and registers it.
+func (w *world) addServer(target string) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	s := &server{id: fmt.Sprintf("%s-%d", target, len(w.all)), target: target}
+	if err := s.begin(); err != nil {
+		return err
+	}
+	w.servers, w.all = append(w.servers, s), append(w.all, s)
+	w.writeServer(s)
+	return nil
+}
+
+// begin starts the endpoint's process, anew after a crash.
+func (s *server) begin() error {
+	r := runner.New(runner.Options{
+		ID: s.id, Slots: 8, Streams: s.target == "llm", EventTime: 15 * time.Millisecond, Work: 20 * time.Millisecond,
+	})
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	go func() { _ = r.Serve(ln) }()
+	p, err := newProxy(ln.Addr().String())
+	if err != nil {
+		return err
+	}
+	s.runner, s.proxy, s.born = r, p, time.Now().UnixMilli()
+	return nil
+}
+
+// writeServer writes an endpoint's row.
+func (w *world) writeServer(s *server) {
+	state := "ready"
+	if !s.leaves.IsZero() {
+		state = "draining"
+	}
+	s.beat++
+	w.store.Put("servers", "", s.id, fmt.Appendf(nil,
+		`{"service":%q,"address":%q,"zone":"zone-0","slots":8,"state":%q,"sequence":%d,"born":%d}`,
+		s.target, s.proxy.address(), state, s.beat, s.born))
+}
+
+// beats writes the endpoints' reports.
+func (w *world) beats() {
+	defer w.group.Done()
+	for {
+		select {
+		case <-w.stop:
+			return
+		case <-time.After(beatInterval):
+		}
+		w.mu.Lock()
+		for _, s := range w.servers {
+			w.writeServer(s)
+		}
+		w.mu.Unlock()
+	}
+}
+
+// writeConfiguration writes the next version.
+func (w *world) writeConfiguration() {
+	w.config.version += 3
+	type route map[string]any
+	routes := []route{}
+	for _, name := range w.config.routes {
+		r := route{
+			"name": name, "host": "app.test", "prefix": "/" + name + "/", "kind": "unsafe", "timeout_ms": 6000,
+			"target_latency_ms": 500, "service": "app", "max_attempts": 2,
+		}
+		switch name {
+		case "safe":
+			r["kind"] = "safe"
+		case "stream", "resumable":
+			r["kind"], r["service"], r["session_affinity"], r["gap_aim_ms"] = "streaming", "llm", true, 400
+			r["resumable"] = name == "resumable"
+		}
+		routes = append(routes, r)
+	}
+	value, err := json.Marshal(map[string]any{
+		"version": w.config.version, "routes": routes,
+		"services": []any{
+			map[string]any{"name": "llm", "max_connections": 100, "engine": map[string]any{"slots": 8, "kv_capacity": 100000, "stride": 7}},
+			map[string]any{"name": "app", "max_connections": 100},
+		},
+		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+		"tenants": []any{map[string]any{"name": "blue", "api_keys": w.config.keys, "priority": 0}},
+	})
+	if err != nil {
+		panic(err) // maps of plain values encode
+	}
+	w.store.Put("op", "", "config", value)
+}
+
+// spoil notes that something is spoilt from now on and returns what ends that.
+func (w *world) spoil(what, host string) func() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	at := len(w.spans)
+	w.spans = append(w.spans, spoilt{what: what, host: host, from: time.Now()})
+	return func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.spans[at].to = time.Now()
+	}
+}
+
+// calm reports whether nothing was spoilt from a while before one time until another,
+// but for spans of one kind at a host.
+func (w *world) calm(from, to time.Time, but, host string) bool {
+	for _, s := range w.spans {
+		if s.what == but && s.host == host {
+			continue
+		}
+		if s.from.Before(to) && (s.to.IsZero() || s.to.After(from.Add(-calmTime))) {
+			return false
+		}
+	}
+	return true
+}
+
+// removeAll removes the directory of a run.
+func removeAll(dir string) { _ = os.RemoveAll(dir) }
--- /dev/null
+++ b/internal/standin/caller/caller.go
@@ -0,0 +1,124 @@
+// Package caller is a stand-in for a caller on the users' platform: it sends requests
+// on connections that it keeps, and tells what came back to the byte.
+package caller
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+)
+
+// Request is what a caller sends.
+type Request struct {
+	Method, Host, Path string
+	Attempt, Key       string
+	// Limit is how long the caller waits.
+	Limit time.Duration
+	Body  string
+	// PromptTokens and MaxTokens are sent if they aren't 0.
+	PromptTokens, MaxTokens int
+}
+
+// Answer is what came back.
+type Answer struct {
+	// Status is 0 where no head of an answer came.
+	Status int
+	Header http.Header
+	Body   string
+	// Whole says that the body was read to its end.
+	Whole bool
+	// Sent says that the whole request was written.
+	Sent  bool
+	Began time.Time
+	Ended time.Time
+	Err   error
+}
+
+// Caller keeps one connection to one address. It isn't safe for concurrent use.
+type Caller struct {
+	address string
+	conn    net.Conn
+	r       *bufio.Reader
+}
+
+// dialTimeout is how long a caller waits for a connection.
+const dialTimeout = time.Second
+
+// New returns a caller that isn't connected.
+func New(address string) *Caller {
+	return &Caller{address: address}
+}
+
+// Close ends the connection.
+func (c *Caller) Close() {
+	if c.conn != nil {
+		_ = c.conn.Close()
+		c.conn = nil
+	}
+}
+
+// Do sends a request on the kept connection, or on a new one, and reads its answer.
+func (c *Caller) Do(q Request) Answer {
+	a := Answer{Began: time.Now()}
+	defer func() { a.Ended = time.Now() }()
+	if c.conn == nil {
+		conn, err := net.DialTimeout("tcp", c.address, dialTimeout)
+		if err != nil {
+			a.Err = err
+			return a
+		}
+		c.conn, c.r = conn, bufio.NewReader(conn)
+	}
+	_ = c.conn.SetDeadline(time.Now().Add(q.Limit))
+	if _, err := io.WriteString(c.conn, q.text()); err != nil {
+		a.Err = err
+		c.Close()
+		return a
+	}
+	a.Sent = true
+	resp, err := http.ReadResponse(c.r, &http.Request{Method: q.Method})
+	if err != nil {
+		a.Err = err
+		c.Close()
+		return a
+	}
+	body, err := io.ReadAll(resp.Body)
+	a.Status, a.Header, a.Body, a.Whole, a.Err = resp.StatusCode, resp.Header, string(body), err == nil, err
+	if err != nil || resp.Close {
+		c.Close()
+	}
+	return a
+}
+
+// text is the request as it is sent.
+func (q *Request) text() string {
+	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nDeadline-Ms: %d\r\n",
+		q.Method, q.Path, q.Host, q.Attempt, q.Limit.Milliseconds())
+	if q.Key != "" {
+		head += "Credential: " + q.Key + "\r\n"
+	}
+	if q.PromptTokens > 0 {
+		head += fmt.Sprintf("Model: m\r\nToken-Usage: %d,%d\r\nPrompt-Prefix: aa:%d\r\n", q.PromptTokens, q.MaxTokens, q.PromptTokens)
+	}
+	if q.Method != http.MethodGet {
+		head += fmt.Sprintf("Content-Length: %d\r\n", len(q.Body))
+	}
+	return head + "\r\n" + q.Body
+}
+
+// Promises reports whether a status says that the request was not run.
+func Promises(status int) bool {
+	switch status {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	}
+	return false
+}
+
+// Sealed reports whether an answer bears an endpoint's signature.
+func (a *Answer) Sealed() bool {
+	return a.Header.Get("Runner-Seal") != ""
+}
--- /dev/null
+++ b/internal/standin/runner/runner.go
@@ -0,0 +1,219 @@
+// Package runner is a stand-in for an endpoint on the users' platform, a model engine
+// or a plain service. It keeps a record of every run, by which a test can tell what
+// was run, when, and how often.
+package runner
+
+import (
+	"fmt"
+	"hash/fnv"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	headerAttempt   = "Attempt-Id"
+	headerExpect    = "Expect-Runner"
+	headerSeal      = "Runner-Seal"
+	headerNotRun    = "Not-Executed"
+	headerRunner    = "Runner-Id"
+	headerTeam      = "Tenant"
+	headerLastEvent = "Last-Event-Id"
+)
+
+// Options configures a Runner.
+type Options struct {
+	ID    string
+	Slots int
+	// Streams makes every answer a stream of events, EventTime apart; otherwise an
+	// answer takes Work.
+	Streams   bool
+	EventTime time.Duration
+	Work      time.Duration
+}
+
+// Run is one run of a request.
+type Run struct {
+	Attempt string
+	Path    string
+	Team    string
+	Body    string
+	Began   time.Time
+	Runner  string
+	// Resumed is the event behind which a stream went on; empty for its start.
+	Resumed string
+	// Keyed says that the request still had its caller's key.
+	Keyed bool
+}
+
+// Runner is the stand-in.
+type Runner struct {
+	opts  Options
+	http  *http.Server
+	slots chan struct{}
+	// lose is how many of the next answers are lost after their run, fail how many
+	// of the next runs fail.
+	lose, fail atomic.Int64
+
+	mu   sync.Mutex
+	runs []Run
+}
+
+// New returns a runner that isn't serving.
+func New(opts Options) *Runner {
+	r := &Runner{opts: opts, slots: make(chan struct{}, opts.Slots)}
+	r.http = &http.Server{Handler: r}
+	return r
+}
+
+// Serve answers on a listener until Close.
+func (r *Runner) Serve(ln net.Listener) error {
+	return r.http.Serve(ln)
+}
+
+// Close ends every connection at once, as a crash does.
+func (r *Runner) Close() error {
+	return r.http.Close()
+}
+
+// Lose lets the answers of the next n runs be lost, and Fail the next n runs fail.
+func (r *Runner) Lose(n int) { r.lose.Store(int64(n)) }
+
+// Fail lets the next n runs fail.
+func (r *Runner) Fail(n int) { r.fail.Store(int64(n)) }
+
+// Runs returns every run so far.
+func (r *Runner) Runs() []Run {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]Run(nil), r.runs...)
+}
+
+// ServeHTTP implements http.Handler.
+func (r *Runner) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	attempt := req.Header.Get(headerAttempt)
+	w.Header().Set(headerRunner, r.opts.ID)
+	w.Header().Set(headerAttempt, attempt)
+	body, err := io.ReadAll(req.Body)
+	switch {
+	case err != nil:
+		return
+	case attempt == "":
+		r.refuse(w, http.StatusBadRequest)
+		return
+	case req.Header.Get(headerExpect) != "" && req.Header.Get(headerExpect) != r.opts.ID:
+		r.refuse(w, http.StatusMisdirectedRequest)
+		return
+	}
+	select {
+	case r.slots <- struct{}{}:
+		defer func() { <-r.slots }()
+	default:
+		r.refuse(w, http.StatusServiceUnavailable)
+		return
+	}
+	r.record(req, attempt, string(body))
+	w.Header().Set(headerSeal, r.opts.ID+"."+attempt)
+	if r.fail.Add(-1) >= 0 {
+		http.Error(w, "failed", http.StatusInternalServerError)
+		return
+	}
+	if r.opts.Streams {
+		r.stream(w, req, attempt)
+		return
+	}
+	select {
+	case <-time.After(r.opts.Work):
+	case <-req.Context().Done():
+		return
+	}
+	r.loseAnswer()
+	_, _ = io.WriteString(w, Body(attempt))
+}
+
+// refuse answers that the request was not run.
+func (r *Runner) refuse(w http.ResponseWriter, status int) {
+	w.Header().Set(headerNotRun, "1")
+	w.WriteHeader(status)
+}
+
+// record keeps a run.
+func (r *Runner) record(req *http.Request, attempt, body string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.runs = append(r.runs, Run{
+		Attempt: attempt, Path: req.URL.Path, Team: req.Header.Get(headerTeam), Body: body, Began: time.Now(),
+		Runner: r.opts.ID, Resumed: req.Header.Get(headerLastEvent), Keyed: req.Header.Get("Credential") != "",
+	})
+}
+
+// loseAnswer ends the connection in place of an answer, if one is to be lost.
+func (r *Runner) loseAnswer() {
+	if r.lose.Add(-1) >= 0 {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// stream sends the events of a stream behind the last that the caller has.
+func (r *Runner) stream(w http.ResponseWriter, req *http.Request, attempt string) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	next := 0
+	if last, err := strconv.Atoi(req.Header.Get(headerLastEvent)); err == nil {
+		next = last + 1
+	}
+	flusher := http.NewResponseController(w)
+	for i := next; i < Events(attempt); i++ {
+		select {
+		case <-time.After(r.opts.EventTime):
+		case <-req.Context().Done():
+			return
+		}
+		if i > next {
+			r.loseAnswer()
+		}
+		if _, err := io.WriteString(w, Event(attempt, i)); err != nil {
+			return
+		}
+		_ = flusher.Flush()
+	}
+}
+
+// hashOf spreads attempts evenly.
+func hashOf(attempt string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(attempt))
+	return h.Sum64()
+}
+
+// Body is the whole answer of a plain service to an attempt.
+func Body(attempt string) string {
+	return attempt + " " + strings.Repeat("x", int(hashOf(attempt)%1500)) + " end"
+}
+
+// Events is the number of events in the answer to an attempt.
+func Events(attempt string) int {
+	return 2 + int(hashOf(attempt)%25)
+}
+
+// Event is one event of the answer to an attempt.
+func Event(attempt string, i int) string {
+	end := ""
+	if i == Events(attempt)-1 {
+		end = " end"
+	}
+	return fmt.Sprintf("id: %d\ndata: %s.%d%s\n\n", i, attempt, i, end)
+}
+
+// Stream is the whole stream of an attempt.
+func Stream(attempt string) string {
+	var b strings.Builder
+	for i := range Events(attempt) {
+		b.WriteString(Event(attempt, i))
+	}
+	return b.String()
+}
