Don't pass a list of endpoints on that may hold some that are gone

A host that read the store for the others was cut off alone; at its return it kept what was missing for 2.5 s, as after an outage of the store, and told the others so. A host that had let others read made the same mistake with a table of its own that was only old. Now a table starts from what is known, whoever read it, and a list with entries that may be gone is used by its host alone, and only until another knows for sure.

--- a/internal/follow/endpoints.go
+++ b/internal/follow/endpoints.go
@@ -39,6 +39,16 @@
 	}
 }
 
+// Restart begins anew from what is known, whoever read it, and when it was true: the
+// next rows are all that there are.
+func (t *Endpoints) Restart(known []platform.Endpoint, at time.Duration) {
+	t.rows = make(map[ident.Endpoint]platform.Endpoint, len(known))
+	for _, e := range known {
+		t.rows[e.Name] = e
+	}
+	t.readAt, t.started = at, at > 0
+}
+
 // Skipped is a row that names no endpoint to use.
 type Skipped struct {
 	Row string
@@ -121,7 +131,8 @@
 	return changed
 }
 
-// Pending reports whether an endpoint that lapsed may still come back.
+// Pending reports whether an endpoint that lapsed may still come back: the list is
+// not sure then.
 func (t *Endpoints) Pending() bool {
 	return len(t.missing) > 0
 }
--- a/internal/follow/endpoints_test.go
+++ b/internal/follow/endpoints_test.go
@@ -71,3 +71,43 @@
 	changed, _ = table.Read(back+returnGrace+time.Second, []platform.Row{gone("b")}, false)
 	g.Expect(changed).To(BeTrue(), "no outage any more")
 }
+
+// TestHostThatWasCutOffAloneKeepsNobody plays what broke DRAIN on trouble-1 of
+// krmwe-chute: a host that read the store for others was cut off from it and from them,
+// took the entries that were missing at its return for lapses, and told the others so.
+func TestHostThatWasCutOffAloneKeepsNobody(t *testing.T) {
+	g := NewWithT(t)
+	var own state
+	table := NewEndpoints()
+	table.Read(time.Second, []platform.Row{ready("a", 1), ready("b", 1)}, true)
+	own.adoptEndpoints(table.List(), time.Second)
+
+	back := 9 * time.Second
+	table.Restart(own.known())
+	table.Read(back, []platform.Row{ready("a", 20)}, true)
+	g.Expect(table.Pending()).To(BeTrue())
+	own.adoptUnsure(table.List(), back)
+	_, age := own.ages(back)
+	g.Expect(age).To(BeNumerically(">=", outage), "nobody else takes the list for a fresh one")
+
+	sure := []platform.Endpoint{table.List()[0]}
+	g.Expect(own.adoptEndpoints(sure, back)).To(BeTrue(), "another host read the store all the while")
+	table.Read(back+endpointInterval, []platform.Row{ready("a", 21)}, false)
+	g.Expect(own.adoptUnsure(table.List(), back+endpointInterval)).To(BeFalse())
+	known, _ := own.known()
+	g.Expect(known).To(HaveLen(1))
+}
+
+// TestHostThatRestedTakesWhatItReads: a host that let others read has a table of its
+// own that is old, which says nothing of an outage.
+func TestHostThatRestedTakesWhatItReads(t *testing.T) {
+	g := NewWithT(t)
+	var own state
+	table := NewEndpoints()
+	table.Read(time.Second, []platform.Row{ready("a", 1), ready("b", 1)}, true)
+	own.adoptEndpoints(table.List(), 20*time.Second)
+	table.Restart(own.known())
+	table.Read(21*time.Second, []platform.Row{ready("a", 40)}, true)
+	g.Expect(table.Pending()).To(BeFalse())
+	g.Expect(names(table)).To(Equal([]ident.Endpoint{"a"}))
+}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -238,6 +238,9 @@
 			after = 0
 		}
 		whole := after == 0 || n%wholeEvery == 0
+		if after == 0 {
+			table.Restart(f.state.known())
+		}
 		asked := clock.Boot()
 		page, err := f.readEndpoints(ctx, after, whole)
 		if errors.Is(err, platform.ErrHistoryGone) {
@@ -255,7 +258,13 @@
 		for _, s := range skipped {
 			logs.With(f.opts.Log, logs.EndpointSkipped).WithField("endpoint", s.Row).WithError(s.Err).Warn()
 		}
-		if list := table.List(); f.state.adoptEndpoints(list, asked) {
+		list, adopted := table.List(), false
+		if table.Pending() {
+			adopted = f.state.adoptUnsure(list, asked)
+		} else {
+			adopted = f.state.adoptEndpoints(list, asked)
+		}
+		if adopted {
 			f.opts.Endpoints(list)
 		}
 		sleep(ctx, endpointInterval)
--- a/internal/follow/state.go
+++ b/internal/follow/state.go
@@ -69,6 +69,27 @@
 	return true
 }
 
+// adoptUnsure takes endpoints among which are some that may be gone: the store was
+// away and they are missing since. What another host knows for sure goes before. It
+// reports whether they differ from those known.
+func (s *state) adoptUnsure(list []platform.Endpoint, now time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	sum := sumOf(list)
+	if s.readAt > 0 && now-s.readAt < outage || sum == s.sum {
+		return false
+	}
+	s.endpoints, s.sum = list, sum
+	return true
+}
+
+// known returns the endpoints and when they were as they are here.
+func (s *state) known() ([]platform.Endpoint, time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.endpoints, s.readAt
+}
+
 // confirmEndpoints notes that the endpoints were the same at a time.
 func (s *state) confirmEndpoints(sum uint64, at time.Duration) {
 	s.mu.Lock()
