Confirm the configuration twice as often at the readers

The store is down from 18.4 to 22.6 s; keys were refused from 20 s on, 3.8 s after a confirmation that was up to 1.2 s old when the store went away, while requests are owed until 3 s after.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -25,7 +25,7 @@
 	// configurationWait is how long one poll of the configuration is held open. An
 	// unchanged configuration is confirmed once in this time, which has to leave
 	// room for a failed poll within the life of keys.
-	configurationWait = 1200 * time.Millisecond
+	configurationWait = 600 * time.Millisecond
 	// endpointInterval is the time between two reads of the endpoints: an endpoint
 	// that leaves gets no requests after 2 s, messages and a slow store included.
 	endpointInterval = 600 * time.Millisecond
