Admit late requests by what arrives just now

Cause: the rate of arrivals that a late request's wait was worked out from takes 50 s to follow, and starts at nothing: late ones were let in that waited out their time in vain (a test that plays a burst: 35 of 594 held for 11 s and then refused).

--- a/internal/gateway/events_test.go
+++ b/internal/gateway/events_test.go
@@ -40,16 +40,19 @@
 	})
 }
 
+// lastEvent is the number of the last event of a whole stream.
+const lastEvent = 5
+
 // series answers with events from one number to another, and breaks off in the middle
 // of the one after unless that is the last.
-func series(from, to, last int, reset bool) script {
+func series(from, to int, reset bool) script {
 	return func(e *exchanged) bool {
 		e.write(sealed(200, e.attempt()) + "Transfer-Encoding: chunked\r\n\r\n")
 		for i := from; i <= to; i++ {
 			event := fmt.Sprintf("id: %d\ndata: x\n\n", i)
 			e.write(fmt.Sprintf("%x\r\n%s\r\n", len(event), event))
 		}
-		if to == last {
+		if to == lastEvent {
 			e.write("0\r\n\r\n")
 			return true
 		}
@@ -64,7 +67,7 @@
 func TestBrokenStreamIsResumed(t *testing.T) {
 	for _, reset := range []bool{false, true} {
 		t.Run(fmt.Sprintf("reset %v", reset), func(t *testing.T) {
-			h := start(t, series(0, 2, 5, reset), series(3, 5, 5, false))
+			h := start(t, series(0, 2, reset), series(3, 5, false))
 			got := h.ask(post("/resumable/x", "id1", "prompt"))
 			h.Expect(got.err).NotTo(HaveOccurred())
 			h.Expect(got.header.Get("Runner-Seal")).To(Equal("s.id1"))
@@ -85,20 +88,20 @@
 
 func TestStreamThatCannotBeResumedBreaksOff(t *testing.T) {
 	t.Run("at its second endpoint too", func(t *testing.T) {
-		h := start(t, series(0, 1, 5, false), series(2, 3, 5, false), series(4, 5, 5, false))
+		h := start(t, series(0, 1, false), series(2, 3, false), series(4, 5, false))
 		got := h.ask(post("/resumable/x", "id1", "prompt"))
 		h.Expect(got.err).To(HaveOccurred())
 		h.Expect(strings.Count(got.body, "id:")).To(Equal(4))
 		h.Expect(h.endpoints[2].seen).To(BeEmpty(), "the route allows two endpoints")
 	})
 	t.Run("its route doesn't allow it", func(t *testing.T) {
-		h := start(t, series(0, 1, 5, false), series(2, 5, 5, false))
+		h := start(t, series(0, 1, false), series(2, 5, false))
 		got := h.ask(post("/stream/x", "id1", "prompt"))
 		h.Expect(got.err).To(HaveOccurred())
 		h.Expect(h.endpoints[1].seen).To(BeEmpty())
 	})
 	t.Run("the second endpoint fails it", func(t *testing.T) {
-		h := start(t, series(0, 1, 5, false), func(e *exchanged) bool {
+		h := start(t, series(0, 1, false), func(e *exchanged) bool {
 			e.whole(500, "no")
 			return true
 		})
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -200,6 +200,7 @@
 	h.Expect(err).NotTo(HaveOccurred())
 	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	h.Expect(err).NotTo(HaveOccurred())
+	defer resp.Body.Close()
 	r := bufio.NewReader(resp.Body)
 	for i := range 3 {
 		line, err := r.ReadString('\n')
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -182,6 +182,7 @@
 	if err != nil {
 		return answer{err: err}
 	}
+	defer resp.Body.Close()
 	body, err := io.ReadAll(resp.Body)
 	return answer{resp.StatusCode, resp.Header, string(body), resp.Close, err}
 }
--- a/internal/naive/policy.go
+++ b/internal/naive/policy.go
@@ -351,7 +351,11 @@
 		return 0
 	}
 	capacity := max(s.meter.Capacity(s.totals.slots), 1)
-	left := max(capacity-s.meter.Above(rank), rules.LeastDrain*capacity)
+	above := s.meter.Above(rank)
+	if rank >= rules.LateOrder {
+		above = s.meter.Recent()
+	}
+	left := max(capacity-above, rules.LeastDrain*capacity)
 	return time.Duration(backlog.Seconds() / left * float64(time.Second))
 }
 
--- a/internal/pool/meter/meter.go
+++ b/internal/pool/meter/meter.go
@@ -15,6 +15,9 @@
 	// the one of arrivals looks over bursts.
 	drainWeight   = 0.1
 	arrivalWeight = 0.02
+	// recentWeight is the weight of one bucket in what arrives just now, bursts
+	// included.
+	recentWeight = 0.3
 	// firstUse is the part of its slots' time that a pool is taken to use
 	// while it is full, before it was measured.
 	firstUse = 0.9
@@ -34,6 +37,10 @@
 	// 0 until measured.
 	arrivals map[int]float64
 	drain    float64
+	// recent is the rate of what arrives just now, of all ranks; measured says that
+	// there was a bucket.
+	recent   float64
+	measured bool
 }
 
 // New returns a meter that has measured nothing.
@@ -57,6 +64,7 @@
 func (m *Meter) close(buckets int) {
 	span := meterBucket.Seconds() * float64(buckets)
 	keep := math.Pow(1-arrivalWeight, float64(buckets))
+	m.closeRecent(span, buckets)
 	for rank := range m.arrivals {
 		m.arrivals[rank] = keep*m.arrivals[rank] + (1-keep)*m.arrived[rank]/span
 		m.arrived[rank] = 0
@@ -71,6 +79,24 @@
 	m.granted = 0
 }
 
+// closeRecent books what arrived in a bucket and the empty ones after it.
+func (m *Meter) closeRecent(span float64, buckets int) {
+	sum := 0.0
+	for _, rank := range slices.Sorted(maps.Keys(m.arrived)) {
+		sum += m.arrived[rank]
+	}
+	keep := math.Pow(1-recentWeight, float64(buckets))
+	if !m.measured {
+		keep, m.measured = 0, true
+	}
+	m.recent = keep*m.recent + (1-keep)*sum/span
+}
+
+// Recent is the rate of what arrives just now, of all ranks.
+func (m *Meter) Recent() float64 {
+	return m.recent
+}
+
 // Arrive counts a request of a rank by its expected slot time.
 func (m *Meter) Arrive(rank int, cost time.Duration) {
 	m.arrived[rank] += cost.Seconds()
--- /dev/null
+++ b/internal/pool/objective_test.go
@@ -0,0 +1,168 @@
+package pool_test
+
+import (
+	"container/heap"
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/trefoilchute/trefoilchute/internal/ident"
+	"github.com/trefoilchute/trefoilchute/internal/pool"
+	"github.com/trefoilchute/trefoilchute/internal/resource"
+)
+
+// burst is a load on two engines of ten slots each: requests that take a slot for a
+// second, more than the slots can serve for some seconds and then less.
+type burst struct {
+	scheduler *pool.Scheduler
+	now       time.Duration
+	ends      endHeap
+	arrived   map[ident.Request]time.Duration
+	first     map[ident.Request]time.Duration
+	refused   map[ident.Request]time.Duration
+}
+
+type end struct {
+	at       time.Duration
+	finished pool.Finished
+}
+
+type endHeap []end
+
+func (h endHeap) Len() int           { return len(h) }
+func (h endHeap) Less(i, j int) bool { return h[i].at < h[j].at }
+func (h endHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+func (h *endHeap) Push(x any)        { *h = append(*h, x.(end)) }
+func (h *endHeap) Pop() any {
+	last := (*h)[len(*h)-1]
+	*h = (*h)[:len(*h)-1]
+	return last
+}
+
+const (
+	burstSlots     = 20
+	burstService   = time.Second
+	burstObjective = 400 * time.Millisecond
+	burstLimit     = 12 * time.Second
+	burstStart     = 5 * time.Second
+	burstEnd       = 10 * time.Second
+	burstOver      = 40 * time.Second
+)
+
+func newBurst() *burst {
+	b := &burst{
+		scheduler: pool.New(pool.Config{Pool: ident.Pool{Target: "m", Domain: "d"}, Epoch: 1}),
+		arrived:   map[ident.Request]time.Duration{}, first: map[ident.Request]time.Duration{},
+		refused: map[ident.Request]time.Duration{},
+	}
+	c := pool.Configure{Tiers: []resource.Tier{{Rank: 0}}, Teams: []resource.Team{{Name: "t"}}}
+	for i := range 2 {
+		c.Endpoints = append(c.Endpoints, resource.Endpoint{
+			Name: ident.Endpoint(fmt.Sprintf("e%d", i)), Domain: "d", Target: "m", Type: resource.EndpointEngine,
+			State: resource.EndpointActive, Slots: burstSlots / 2, PrefillRate: 100_000, DecodeRate: 330, SpeedsAssumed: true,
+		})
+	}
+	b.step(c)
+	return b
+}
+
+// step takes events and lets granted requests run.
+func (b *burst) step(events ...pool.Event) {
+	var started []pool.Event
+	for _, e := range b.scheduler.Step(b.now, events) {
+		switch e := e.(type) {
+		case pool.Grant:
+			b.first[e.ID] = b.now
+			started = append(started, pool.Started{ID: e.ID, Attempt: e.Attempt},
+				pool.FirstToken{ID: e.ID, Attempt: e.Attempt, After: 25 * time.Millisecond})
+			heap.Push(&b.ends, end{b.now + burstService, pool.Finished{
+				ID: e.ID, Attempt: e.Attempt, Outcome: pool.OutcomeWhole, CachedTokens: -1, OutputTokens: 300,
+				FirstToken: 25 * time.Millisecond, Total: burstService,
+			}})
+		case pool.Refuse:
+			b.refused[e.ID] = b.now
+		}
+	}
+	if len(started) > 0 {
+		b.step(started...)
+	}
+}
+
+// play offers the load. perSecond is the rate at a time.
+func (b *burst) play(objective bool, perSecond func(time.Duration) float64) {
+	const tick = 5 * time.Millisecond
+	owed, n := 0.0, 0
+	for ; b.now < burstOver; b.now += tick {
+		for len(b.ends) > 0 && b.ends[0].at <= b.now {
+			b.step(heap.Pop(&b.ends).(end).finished)
+		}
+		for owed += perSecond(b.now) * tick.Seconds(); owed >= 1; owed-- {
+			n++
+			r := pool.Request{
+				ID: ident.Request(fmt.Sprintf("r%05d", n)), Host: "h", Team: "t", PromptTokens: 400, MaxTokens: 300,
+				ExpectedTokens: 300, Deadline: b.now + burstLimit,
+			}
+			if objective {
+				r.FirstDue = b.now + burstObjective
+			}
+			b.arrived[r.ID] = b.now
+			b.step(pool.Arrive{Request: r})
+		}
+		b.step()
+	}
+}
+
+// onTime returns the part of the requests that came in a span and were served within
+// the objective, and the part that were served at all.
+func (b *burst) onTime(from, to time.Duration) (inTime, served float64) {
+	var all, ok, any float64
+	for id, at := range b.arrived {
+		if at < from || at >= to {
+			continue
+		}
+		all++
+		if first, granted := b.first[id]; granted {
+			any++
+			if first-at <= burstObjective {
+				ok++
+			}
+		}
+	}
+	return ok / all, any / all
+}
+
+// TestBurstMakesNobodyLateAfterIt plays the load that decision 106 answers: after the
+// burst, a queue in order of deadlines serves everybody late for as long as it drains.
+func TestBurstMakesNobodyLateAfterIt(t *testing.T) {
+	load := func(at time.Duration) float64 {
+		if at >= burstStart && at < burstEnd {
+			return 1.8 * burstSlots
+		}
+		return 0.8 * burstSlots
+	}
+	g := NewWithT(t)
+	plain, objective := newBurst(), newBurst()
+	plain.play(false, load)
+	objective.play(true, load)
+
+	before, _ := plain.onTime(burstEnd, burstEnd+8*time.Second)
+	after, served := objective.onTime(burstEnd, burstEnd+8*time.Second)
+	t.Logf("after the burst: %.2f on time by deadlines alone, %.2f with objectives", before, after)
+	g.Expect(before).To(BeNumerically("<", 0.5), "the load is one that makes a queue late")
+	g.Expect(after).To(BeNumerically(">=", 0.95))
+	g.Expect(served).To(BeNumerically(">=", 0.95))
+
+	inBurst, servedInBurst := objective.onTime(burstStart, burstEnd)
+	t.Logf("in the burst: %.2f on time, %.2f served", inBurst, servedInBurst)
+	g.Expect(inBurst).To(BeNumerically(">=", 0.5), "20 of 36 a second can be")
+	held := 0
+	for id, at := range objective.refused {
+		if at-objective.arrived[id] > burstObjective {
+			held++
+		}
+	}
+	t.Logf("%d of %d refused only after they had waited as late ones", held, len(objective.refused))
+	g.Expect(held).To(BeNumerically("<=", len(objective.arrived)/100), "who is given up on is told so when that is known")
+}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -54,13 +54,13 @@
 		w.spoilLink("store link", h.name, h.store, d)
 	}},
 	{"endpoint link", func(w *world, d draws) {
-		if s := w.pick(d.a, ""); s != nil {
+		if s := w.pick(d.a); s != nil {
 			w.spoilLink("endpoint link", "", s.proxy, d)
 		}
 	}},
 	{"endpoint crash", func(w *world, d draws) { w.crash(d) }},
 	{"answers lost", func(w *world, d draws) {
-		if s := w.pick(d.a, ""); s != nil {
+		if s := w.pick(d.a); s != nil {
 			end := w.spoil("answers lost", "")
 			s.runner.Lose(1 + d.b%5)
 			time.Sleep(d.span)
@@ -69,7 +69,7 @@
 		}
 	}},
 	{"runs fail", func(w *world, d draws) {
-		if s := w.pick(d.a, ""); s != nil {
+		if s := w.pick(d.a); s != nil {
 			s.runner.Fail(1 + d.b%5)
 		}
 	}},
@@ -155,13 +155,13 @@
 	})
 }
 
-// pick returns an endpoint that stays, of a target if one is given.
-func (w *world) pick(n int, target string) *server {
+// pick returns an endpoint that stays.
+func (w *world) pick(n int) *server {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	var list []*server
 	for _, s := range w.servers {
-		if s.leaves.IsZero() && (target == "" || s.target == target) {
+		if s.leaves.IsZero() {
 			list = append(list, s)
 		}
 	}
@@ -174,7 +174,7 @@
 // crash ends an endpoint's process and starts it again with the same id, at another
 // address.
 func (w *world) crash(d draws) {
-	s := w.pick(d.a, "")
+	s := w.pick(d.a)
 	if s == nil {
 		return
 	}
@@ -199,7 +199,7 @@
 
 // leave takes an endpoint away as planned and puts another in its place.
 func (w *world) leave(d draws) {
-	s := w.pick(d.a, "")
+	s := w.pick(d.a)
 	if s == nil {
 		return
 	}
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"errors"
 	"io"
 	"net"
 	"sync"
@@ -135,7 +136,7 @@
 			}
 		}
 		if err != nil {
-			if err == io.EOF {
+			if errors.Is(err, io.EOF) {
 				p.hold(way)
 			}
 			return
--- a/internal/standin/caller/caller.go
+++ b/internal/standin/caller/caller.go
@@ -85,6 +85,7 @@
 		c.Close()
 		return a
 	}
+	defer func() { _ = resp.Body.Close() }()
 	body, err := io.ReadAll(resp.Body)
 	a.Status, a.Header, a.Body, a.Whole, a.Err = resp.StatusCode, resp.Header, string(body), err == nil, err
 	if err != nil || resp.Close {
