Keep a floor of the slot time for each tier below the highest

Its requests stood behind long ones of higher tiers that could all be on time. Now a tier that got less than 2.5 % of the granted slot time goes first, while it has requests that can be on time. A test plays the overload; naive follows.

--- a/internal/naive/events.go
+++ b/internal/naive/events.go
@@ -73,6 +73,9 @@
 		r.state = isolated
 		return
 	}
+	if r.FirstDue > 0 {
+		s.objectives = append(s.objectives, r.Rank)
+	}
 	if r.FirstDue > 0 && !r.late {
 		if at := r.FirstDue - s.firstAlone(r); at <= s.now {
 			r.late = true
--- a/internal/naive/grant.go
+++ b/internal/naive/grant.go
@@ -51,8 +51,19 @@
 // grantWaiting notes the rank of which requests were not looked at, if any.
 func (s *Scheduler) grantWaiting(among []*endpoint) {
 	for _, rank := range s.ranks() {
-		s.grantHeld(rank, among)
-		seen, room := s.grantTier(rank, among)
+		below := func() bool { return s.belowFloor(rank) }
+		if !below() {
+			continue
+		}
+		s.grantHeld(rank, among, below)
+		if _, room := s.grantTier(rank, among, below); !room {
+			return
+		}
+	}
+	always := func() bool { return true }
+	for _, rank := range s.ranks() {
+		s.grantHeld(rank, among, always)
+		seen, room := s.grantTier(rank, among, always)
 		if !room {
 			return
 		}
@@ -63,6 +74,12 @@
 	}
 }
 
+// belowFloor says whether a tier has got less than its floor.
+func (s *Scheduler) belowFloor(rank int) bool {
+	return rank > 0 && rank < rules.LateOrder && slices.Contains(s.objectives, rank) &&
+		s.grantedTo.Below(rank, rules.TierFloor)
+}
+
 func (s *Scheduler) heldIn(rank int) []*request {
 	var out []*request
 	for _, r := range s.in(held) {
@@ -74,8 +91,11 @@
 	return out
 }
 
-func (s *Scheduler) grantHeld(rank int, among []*endpoint) {
+func (s *Scheduler) grantHeld(rank int, among []*endpoint, while func() bool) {
 	for _, r := range s.heldIn(rank) {
+		if !while() {
+			return
+		}
 		waits := r.heldForHome && s.now < r.heldUntil && (!r.urgent || !s.spare())
 		candidates := among
 		if waits {
@@ -120,9 +140,9 @@
 
 // grantTier says whether all requests of a tier were looked at, and whether any
 // endpoint had a free slot.
-func (s *Scheduler) grantTier(rank int, among []*endpoint) (seen, room bool) {
+func (s *Scheduler) grantTier(rank int, among []*endpoint, while func() bool) (seen, room bool) {
 	var aside []ident.Team
-	for look := rules.MaxLook; look > 0; {
+	for look := rules.MaxLook; look > 0 && while(); {
 		team, ok := s.nextTeam(rank, aside)
 		if !ok {
 			return true, true
@@ -341,6 +361,9 @@
 	s.attempts = append(s.attempts, a)
 	s.hold(a)
 	s.meter.Grant(r.cost)
+	if r.FirstDue > 0 {
+		s.grantedTo.Grant(s.now, r.Rank, r.cost)
+	}
 	s.totals.free--
 	if s.longPrefill(a.uncached) {
 		s.totals.longPrefills++
--- a/internal/naive/naive.go
+++ b/internal/naive/naive.go
@@ -39,9 +39,12 @@
 	proven    []uint64
 	fresh     []*request
 
-	lengths  *speed.Lengths
-	surprise speed.Surprise
-	meter    meter.Meter
+	lengths   *speed.Lengths
+	surprise  speed.Surprise
+	meter     meter.Meter
+	grantedTo meter.Shares
+	// objectives holds the ranks that have requests with objectives.
+	objectives []int
 
 	isolated      *endpoint
 	isolatedAlone *attempt
--- a/internal/naive/policy.go
+++ b/internal/naive/policy.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -82,10 +83,19 @@
 // late ones.
 func (s *Scheduler) admitByObjective(r *request, total time.Duration) bool {
 	spare := r.FirstDue - s.now - s.firstAlone(r)
-	r.late = r.late || s.expectedWait(r.Rank) > spare
+	r.late = r.late || min(s.expectedWait(r.Rank), s.floorWait(r.Rank)) > spare
 	return !r.late || s.admitLate(r, total)
 }
 
+// floorWait is the time until a tier is served by its floor alone.
+func (s *Scheduler) floorWait(rank int) time.Duration {
+	if rank == 0 {
+		return math.MaxInt64
+	}
+	floor := rules.TierFloor * max(s.meter.Capacity(s.totals.slots), 1)
+	return time.Duration(cost(s.inTier(rank)).Seconds() / floor * float64(time.Second))
+}
+
 func (s *Scheduler) admitLate(r *request, total time.Duration) bool {
 	for s.expectedWait(r.order()) > r.Deadline-s.now-total {
 		below := s.below(r.order())
--- a/internal/pool/grant.go
+++ b/internal/pool/grant.go
@@ -58,9 +58,12 @@
 // requests of a tier remain that were not looked at, what is free may be theirs:
 // lower tiers get nothing, and new requests of lower tiers wait for the sweep.
 func (s *Scheduler) grantWaiting(among []*endpoint) {
+	if !s.grantFloors(among) {
+		return
+	}
 	for _, t := range s.queue.tiers {
-		s.grantHeld(t, among)
-		switch s.grantTier(t, among) {
+		s.grantHeld(t, among, always)
+		switch s.grantTier(t, among, always) {
 		case tierFull:
 			return
 		case tierUnseen:
@@ -100,9 +103,13 @@
 	}
 }
 
-// grantHeld serves the requests that wait for the right endpoint.
-func (s *Scheduler) grantHeld(t *tierQueue, among []*endpoint) {
-	for i := 0; i < len(t.held); {
+// always lets a tier be served as far as its requests fit.
+func always() bool { return true }
+
+// grantHeld serves the requests that wait for the right endpoint, for as long as a
+// condition holds.
+func (s *Scheduler) grantHeld(t *tierQueue, among []*endpoint, while func() bool) {
+	for i := 0; i < len(t.held) && while(); {
 		r := t.held[i]
 		candidates := among
 		if s.waitsForHome(r) {
@@ -147,12 +154,12 @@
 	return s.home[:]
 }
 
-// grantTier serves one tier until nothing more fits. Teams that can't be
+// grantTier serves one tier until nothing more fits, or a condition doesn't hold. Teams that can't be
 // served now are set aside and go back at the end.
-func (s *Scheduler) grantTier(t *tierQueue, among []*endpoint) tierResult {
+func (s *Scheduler) grantTier(t *tierQueue, among []*endpoint, while func() bool) tierResult {
 	var aside []*teamQueue
 	out := tierUnseen
-	for look := rules.MaxLook; look > 0; {
+	for look := rules.MaxLook; look > 0 && while(); {
 		tq := t.popTeam()
 		if tq == nil {
 			out = tierServed
--- a/internal/pool/ledger.go
+++ b/internal/pool/ledger.go
@@ -83,6 +83,9 @@
 	s.attempts.put(a)
 	s.hold(a)
 	s.meter.Grant(r.cost)
+	if r.FirstDue > 0 {
+		s.shares.Grant(s.now, r.Rank, r.cost)
+	}
 	s.totalFree--
 	if s.longPrefill(a.uncached) {
 		s.longPrefills++
--- a/internal/pool/objective.go
+++ b/internal/pool/objective.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"math"
 	"time"
 
 	"github.com/trefoilchute/trefoilchute/internal/pool/rules"
@@ -63,7 +64,7 @@
 // among the late ones.
 func (s *Scheduler) admitByObjective(r *request, total time.Duration) bool {
 	spare := r.FirstDue - s.now - s.firstAlone(r)
-	r.late = r.late || s.expectedWait(r.Rank) > spare
+	r.late = r.late || min(s.expectedWait(r.Rank), s.floorWait(r.Rank)) > spare
 	return !r.late || s.admitLate(r, total)
 }
 
@@ -92,6 +93,9 @@
 
 // watchObjective sets the time from which on a waiting request is late.
 func (s *Scheduler) watchObjective(r *request) {
+	if r.FirstDue > 0 {
+		s.objectives[r.Rank] = true
+	}
 	if r.FirstDue == 0 || r.late {
 		return
 	}
@@ -118,3 +122,35 @@
 	}
 	s.enqueue(r)
 }
+
+// belowFloor reports whether a tier is to be served before those above it: it has got
+// less than its floor.
+func (s *Scheduler) belowFloor(t *tierQueue) bool {
+	return t.rank > 0 && t.rank < rules.LateOrder && s.objectives[t.rank] && s.shares.Below(t.rank, rules.TierFloor)
+}
+
+// floorWait is the time until what waits in a tier is served by its floor alone. The
+// highest tier has none.
+func (s *Scheduler) floorWait(rank int) time.Duration {
+	if rank == 0 {
+		return math.MaxInt64
+	}
+	capacity := max(s.meter.Capacity(s.totalSlots), 1)
+	return time.Duration(s.queue.tier(rank).backlog.Seconds() / (rules.TierFloor * capacity) * float64(time.Second))
+}
+
+// grantFloors serves the tiers that have got less than their floor, as far as that. It
+// returns false when no endpoint has a free slot.
+func (s *Scheduler) grantFloors(among []*endpoint) bool {
+	for _, t := range s.queue.tiers {
+		below := func() bool { return s.belowFloor(t) }
+		if !below() {
+			continue
+		}
+		s.grantHeld(t, among, below)
+		if s.grantTier(t, among, below) == tierFull {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/pool/objective_test.go
+++ b/internal/pool/objective_test.go
@@ -166,3 +166,43 @@
 	t.Logf("%d of %d refused only after they had waited as late ones", held, len(objective.refused))
 	g.Expect(held).To(BeNumerically("<=", len(objective.arrived)/100), "who is given up on is told so when that is known")
 }
+
+// TestLowTierKeepsItsFloor plays an overload of long requests of the highest tier, and
+// short ones of a lower tier that would take a twentieth of the slots.
+func TestLowTierKeepsItsFloor(t *testing.T) {
+	g := NewWithT(t)
+	b := newBurst()
+	n := 0
+	var low []ident.Request
+	arrive := func(rank, tokens int) {
+		n++
+		id := ident.Request(fmt.Sprintf("r%05d", n))
+		if rank > 0 {
+			low = append(low, id)
+		}
+		b.arrived[id] = b.now
+		b.step(pool.Arrive{Request: pool.Request{
+			ID: id, Host: "h", Team: "t", Rank: rank, PromptTokens: 100, MaxTokens: tokens, ExpectedTokens: tokens,
+			FirstDue: b.now + burstObjective, Deadline: b.now + 3*time.Second,
+		}})
+	}
+	for ; b.now < burstOver; b.now += 10 * time.Millisecond {
+		for len(b.ends) > 0 && b.ends[0].at <= b.now {
+			b.step(heap.Pop(&b.ends).(end).finished)
+		}
+		if b.now%(30*time.Millisecond) == 0 {
+			arrive(0, 300)
+		}
+		if b.now%(time.Second) == 0 {
+			arrive(2, 20)
+		}
+		b.step()
+	}
+	served := 0
+	for _, id := range low {
+		if _, ok := b.first[id]; ok {
+			served++
+		}
+	}
+	g.Expect(served).To(BeNumerically(">=", len(low)*9/10), "of %d", len(low))
+}
--- a/internal/pool/rules/rules.go
+++ b/internal/pool/rules/rules.go
@@ -84,6 +84,10 @@
 	// LateOrder is added to the rank of a request that can't meet its objective any
 	// more: it is served behind all that can.
 	LateOrder = 1 << 16
+	// TierFloor is the part of the granted slot time that each tier below the highest
+	// gets first, while it has requests that can meet their objective: the kinds of
+	// request that are cheapest to serve would else starve behind long ones.
+	TierFloor = 0.025
 	// AvoidPenalty is what placing a request costs where an earlier try of it
 	// failed.
 	AvoidPenalty = time.Second
--- a/internal/pool/scheduler.go
+++ b/internal/pool/scheduler.go
@@ -37,10 +37,13 @@
 	surprise  speed.Surprise
 	blocks    *blocks.Index
 	meter     meter.Meter
-	suspects  *suspectTable
-	isolation isolation
-	bodies    *bodyTable
-	remotes   remoteTable
+	shares    meter.Shares
+	// objectives holds the ranks that have requests with objectives.
+	objectives map[int]bool
+	suspects   *suspectTable
+	isolation  isolation
+	bodies     *bodyTable
+	remotes    remoteTable
 	// running counts the attempts that hold a slot by rank.
 	running    map[int]int
 	sweepTimer timer
@@ -84,6 +87,7 @@
 		surprise:    speed.NewSurprise(),
 		blocks:      blocks.NewIndex(),
 		meter:       meter.New(),
+		objectives:  map[int]bool{},
 		suspects:    newSuspectTable(),
 		bodies:      newBodyTable(),
 		running:     map[int]int{},
