--- a/internal/pool/objective_test.go
+++ b/internal/pool/objective_test.go
@@ -193,7 +193,7 @@
 		if b.now%(30*time.Millisecond) == 0 {
 			arrive(0, 300)
 		}
-		if b.now%(time.Second) == 0 {
+		if b.now%time.Second == 0 {
 			arrive(2, 20)
 		}
 		b.step()
