Don't wait for readers of the store that were cut off

Both hosts that read the store were cut off and came back unsure of what was missing; the others waited 2 s for them, began to read, and took those 2 s for an outage of the store, in which missing entries are kept. Change: they wait 1.3 s, an outage is 3.5 s, and a reader whose answer is that old is not asked next.

--- a/internal/follow/endpoints.go
+++ b/internal/follow/endpoints.go
@@ -11,8 +11,10 @@
 
 const (
 	// outage is the time without a successful read after which entries that are
-	// missing may only have lapsed while the store was away.
-	outage = 2 * time.Second
+	// missing may only have lapsed while the store was away: an entry lapses after
+	// three reports that are 1.2 s apart. A host that lets others read notices sooner
+	// that they don't.
+	outage = 3500 * time.Millisecond
 	// returnGrace is how long such an entry has to come back, counted from the
 	// first read that succeeds. The platform says two seconds; the rest covers the
 	// rhythm of the reads.
--- a/internal/follow/endpoints_test.go
+++ b/internal/follow/endpoints_test.go
@@ -111,3 +111,21 @@
 	g.Expect(table.Pending()).To(BeFalse())
 	g.Expect(names(table)).To(Equal([]ident.Endpoint{"a"}))
 }
+
+// TestHostWhoseReadersWereCutOffTakesWhatItReads plays what broke DRAIN on trouble-1 of
+// krmwe-chute with the seed 247602557668: both readers were cut off, came back unsure of
+// their lists, and the others, which began to read by themselves, took the time for which
+// they had waited for them for an outage.
+func TestHostWhoseReadersWereCutOffTakesWhatItReads(t *testing.T) {
+	g := NewWithT(t)
+	var own state
+	own.adoptEndpoints(NewEndpoints().List(), time.Second)
+	table := NewEndpoints()
+	table.Read(0, []platform.Row{ready("a", 1), ready("b", 1)}, true)
+	own.adoptEndpoints(table.List(), 10*time.Second)
+	waited := freshAge + askInterval + callTimeout
+	table.Restart(own.known())
+	table.Read(10*time.Second+waited, []platform.Row{ready("a", 9)}, true)
+	g.Expect(table.Pending()).To(BeFalse())
+	g.Expect(freshAge+askInterval).To(BeNumerically("<", 2*time.Second), "an endpoint that leaves gets no requests after that")
+}
--- a/internal/follow/peers.go
+++ b/internal/follow/peers.go
@@ -21,8 +21,9 @@
 	// own rhythm it bounds how late a change is known.
 	askInterval = 400 * time.Millisecond
 	// freshAge is the age of what is known up to which the readers are enough: above,
-	// this host reads the store by itself.
-	freshAge = 2 * time.Second
+	// this host reads the store by itself. It is a reader's interval and two of this
+	// host's, less than an endpoint that leaves may go unnoticed.
+	freshAge = 1300 * time.Millisecond
 	// answerTimeout is how long a reader has to answer before another is asked.
 	answerTimeout = 300 * time.Millisecond
 )
@@ -137,6 +138,11 @@
 		return
 	}
 	f.asked = ask{}
+	if at := m.GetEndpointsAgeUs(); at < 0 || micros(at) >= freshAge {
+		// It has been cut off, or knows nothing for sure: the next question goes to
+		// another.
+		f.turn++
+	}
 	f.askMu.Unlock()
 	if m.GetVersionAgeUs() >= 0 {
 		f.toldRules(from, m, asked.at-micros(m.GetVersionAgeUs()))
