Mend the soak's own clock and restarts

The stand-in caller returned its answer before it had noted when that ended, so that each span of a fault counted as over, and a kill within a stop was taken for a loss; and two faults at one host could start its process twice ("ended by itself").

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -122,14 +122,6 @@
 
 // restart starts a host's process unless one runs.
 func (w *world) restart(h *host) {
-	h.mu.Lock()
-	ended := h.ended
-	h.mu.Unlock()
-	select {
-	case <-ended:
-	default:
-		return
-	}
 	if err := h.start(w.program); err != nil {
 		w.fail("%s does not start: %v", h.name, err)
 	}
--- a/internal/soak/host.go
+++ b/internal/soak/host.go
@@ -93,10 +93,17 @@
 	return h, err
 }
 
-// start starts the process.
+// start starts the process, unless it runs.
 func (h *host) start(program string) error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if h.process != nil {
+		select {
+		case <-h.ended:
+		default:
+			return nil
+		}
+	}
 	c := exec.Command(program, "gateway", "--settings", h.settings)
 	c.Stdout, c.Stderr = h.log, h.log
 	if err := c.Start(); err != nil {
--- a/internal/standin/caller/caller.go
+++ b/internal/standin/caller/caller.go
@@ -61,8 +61,8 @@
 }
 
 // Do sends a request on the kept connection, or on a new one, and reads its answer.
-func (c *Caller) Do(q Request) Answer {
-	a := Answer{Began: time.Now()}
+func (c *Caller) Do(q Request) (a Answer) {
+	a.Began = time.Now()
 	defer func() { a.Ended = time.Now() }()
 	if c.conn == nil {
 		conn, err := net.DialTimeout("tcp", c.address, dialTimeout)
