--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -286,21 +286,13 @@
 	}
 }
 
-// stallLimit is the pause after which a stream that may be resumed is taken to have
-// lost its endpoint: several times the objective, and less than callers wait.
-const stallLimit = 1200 * time.Millisecond
-
-// wholeEvents returns what of a resumable stream goes on now, and bounds the wait for
-// what is to come.
+// wholeEvents returns what of a resumable stream goes on now. An endpoint's silence
+// doesn't end its run: whether another could go on in time isn't known beforehand.
 func (x *exchange) wholeEvents(b []byte, err error) []byte {
 	out := x.call.events.add(b)
 	if errors.Is(err, io.EOF) {
 		return append(out, x.call.events.rest()...)
 	}
-	if x.call.events.last != "" {
-		left := x.call.limit - x.call.gateway.opts.Now() + endMargin
-		_ = x.conn.SetReadDeadline(time.Now().Add(min(stallLimit, left)))
-	}
 	return out
 }
 
