--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -135,8 +135,8 @@
 		w.fail("%s at %s: pieces of its answer are missing or mixed: %.80q", attempt, o.host, a.Body)
 	case a.Status != 0 && a.Sealed() && a.Status != 200 && a.Status != 500:
 		w.fail("%s at %s: status %d under an endpoint's seal", attempt, o.host, a.Status)
-	case a.Status != 0 && a.Header.Get("Attempt-Id") != attempt && a.Status != 404:
-		w.fail("%s at %s: the answer is to %q", attempt, o.host, a.Header.Get("Attempt-Id"))
+	case a.Status != 0 && a.Attempt() != attempt && a.Status != 404:
+		w.fail("%s at %s: the answer is to %q", attempt, o.host, a.Attempt())
 	}
 	w.mu.Lock()
 	w.seen = append(w.seen, *o)
--- a/internal/standin/caller/caller.go
+++ b/internal/standin/caller/caller.go
@@ -123,3 +123,8 @@
 func (a *Answer) Sealed() bool {
 	return a.Header.Get("Runner-Seal") != ""
 }
+
+// Attempt returns the name of the request that an answer is to; empty if it says none.
+func (a *Answer) Attempt() string {
+	return a.Header.Get("Attempt-Id")
+}
