Wait for the effects of a step before an inspection returns

The inspection now returns after the effects of its step. The same holds for the last messages of a departing host.

--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -106,15 +106,12 @@
 	l.mailbox <- e
 }
 
-// Inspect runs a function on the control goroutine and waits for it. The
-// function must not keep what it is shown. It returns an error when ctx ends
-// first.
+// Inspect runs a function on the control goroutine and waits until it has run and
+// the effects of all events posted before are carried out. The function must not
+// keep what it is shown. It returns an error when ctx ends first.
 func (l *Loop) Inspect(ctx context.Context, f func(*Core)) error {
 	done := make(chan struct{})
-	ask := inspection{run: func(c *Core) {
-		f(c)
-		close(done)
-	}}
+	ask := inspection{run: f, done: done}
 	select {
 	case l.mailbox <- ask:
 	case <-ctx.Done():
@@ -194,6 +191,11 @@
 	for _, call := range effects.Calls {
 		l.calls.Go(func() { l.call(call) })
 	}
+	for _, e := range events {
+		if ask, ok := e.(inspection); ok {
+			close(ask.done)
+		}
+	}
 }
 
 // instruct carries out what concerns the traffic side.
@@ -244,7 +246,11 @@
 	l.Post(Replied{Reply: reply})
 }
 
-// inspection is an event that shows the core to a function.
-type inspection struct{ run func(*Core) }
+// inspection is an event that shows the core to a function. done is closed after
+// the effects of its step.
+type inspection struct {
+	run  func(*Core)
+	done chan struct{}
+}
 
 func (inspection) event() {}
