End the start of a gateway whose peer address is in use

What took the port was the soak itself: its proxies drew from the same ephemeral ports of 127.0.0.1 as hosts that were down. Each of its hosts now has a loopback address of its own.

--- a/internal/peer/options.go
+++ b/internal/peer/options.go
@@ -9,6 +9,7 @@
 package peer
 
 import (
+	"net"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -72,6 +73,8 @@
 	Domain      ident.Domain
 	// Listen is the IP address and port to accept links on.
 	Listen string
+	// Listener, when set, is open on Listen already.
+	Listener net.Listener
 	// Secret is shared by all entry hosts. It must not be empty.
 	Secret []byte
 	// Deliver takes a received message with its sender filled in. It is called
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -83,9 +83,12 @@
 // Start listens and begins to accept links. The transport runs until ctx ends
 // or Close is called.
 func (t *Transport) Start(ctx context.Context) error {
-	listener, err := new(net.ListenConfig).Listen(ctx, "tcp", t.opts.Listen)
-	if err != nil {
-		return errors.Wrap(err, "peer: listen")
+	listener := t.opts.Listener
+	if listener == nil {
+		var err error
+		if listener, err = new(net.ListenConfig).Listen(ctx, "tcp", t.opts.Listen); err != nil {
+			return errors.Wrap(err, "peer: listen")
+		}
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/platformhost/host.go
+++ b/internal/platformhost/host.go
@@ -59,8 +59,9 @@
 	metrics  *metrics.Metrics
 	view     view
 
-	callers, readiness, scrapes net.Listener
-	group                       conc.WaitGroup
+	callers, readiness, scrapes, links net.Listener
+
+	group conc.WaitGroup
 	// life ends with the process's work.
 	life context.Context
 	end  context.CancelFunc
@@ -117,9 +118,11 @@
 		{h.settings.Listen, &h.callers},
 		{h.settings.ReadyListen, &h.readiness},
 		{h.settings.MetricsListen, &h.scrapes},
+		{h.settings.PeerListen, &h.links},
 	} {
 		ln, err := net.Listen("tcp", l.address)
 		if err != nil {
+			h.unlisten()
 			return errors.Wrapf(err, "listen on %s", l.address)
 		}
 		*l.to = ln
@@ -127,6 +130,15 @@
 	return nil
 }
 
+// unlisten closes the addresses that are open.
+func (h *Host) unlisten() {
+	for _, ln := range []net.Listener{h.callers, h.readiness, h.scrapes, h.links} {
+		if ln != nil {
+			_ = ln.Close()
+		}
+	}
+}
+
 // Run serves until ctx ends, then stops without cutting a request. reload brings
 // the signal that the settings file has changed.
 func (h *Host) Run(ctx context.Context, reload <-chan struct{}) error {
@@ -138,10 +150,14 @@
 	h.group.Go(func() { h.follower.FollowRules(h.life) })
 	h.group.Go(func() { h.follower.FollowEndpoints(h.life) })
 	h.group.Go(func() { h.follower.FollowPeers(h.life) })
-	h.group.Go(func() { h.join(h.life) })
 	h.group.Go(func() { h.sweep(h.life) })
 	h.group.Go(func() { h.watchPools(h.life) })
-	failed := make(chan error, 3)
+	failed := make(chan error, 4)
+	h.group.Go(func() {
+		if err := h.join(h.life); err != nil {
+			failed <- err
+		}
+	})
 	h.group.Go(func() { failed <- h.gateway.Serve(h.callers) })
 	h.group.Go(func() { failed <- serveHTTP(h.life, h.readiness, http.HandlerFunc(h.ready)) })
 	h.group.Go(func() { failed <- serveHTTP(h.life, h.scrapes, h.metrics.Handler()) })
@@ -151,6 +167,7 @@
 	if h.linked.Load() {
 		h.peers.Close()
 	}
+	h.unlisten()
 	h.group.Wait()
 	h.store.Close()
 	logs.With(h.log, logs.Stopped).Info()
--- a/internal/platformhost/join.go
+++ b/internal/platformhost/join.go
@@ -25,8 +25,9 @@
 	rereadAfter = 3 * time.Second
 )
 
-// join registers this host, starts the links to the others and control.
-func (h *Host) join(ctx context.Context) {
+// join registers this host, starts the links to the others and control. It returns
+// an error if the links can't be started: a host without them is no use to the others.
+func (h *Host) join(ctx context.Context) error {
 	secret, ok := retry(ctx, h, func(ctx context.Context) (string, error) {
 		if err := h.store.Register(ctx, platform.Host{
 			Name: string(h.settings.Host), Address: h.settings.PeerListen, Domain: string(h.settings.Region),
@@ -36,11 +37,10 @@
 		return h.store.Secret(ctx, newSecret())
 	})
 	if !ok {
-		return
+		return nil
 	}
 	if err := h.link(secret); err != nil {
-		logs.With(h.log, logs.AcceptFailed).WithError(err).Error()
-		return
+		return err
 	}
 	h.group.Go(func() { h.loop.Run(h.life) })
 	h.linked.Store(true)
@@ -53,15 +53,16 @@
 			return hosts, err
 		})
 		if !ok {
-			return
+			return nil
 		}
 		h.loop.Post(control.Listed{Hosts: seeds(hosts)})
 		select {
 		case <-ctx.Done():
-			return
+			return nil
 		case <-time.After(rereadAfter):
 		}
 	}
+	return nil
 }
 
 // retry calls the store until a call succeeds. It returns false when ctx ends.
@@ -96,7 +97,7 @@
 	var err error
 	h.peers, err = peer.New(peer.Options{
 		Host: h.settings.Host, Incarnation: h.incarnation, Domain: h.settings.Region,
-		Listen: h.settings.PeerListen, Secret: []byte(secret), Deliver: h.deliver, Logger: h.log,
+		Listen: h.settings.PeerListen, Listener: h.links, Secret: []byte(secret), Deliver: h.deliver, Logger: h.log,
 	})
 	if err != nil {
 		return errors.Wrap(err, "links")
--- a/internal/soak/host.go
+++ b/internal/soak/host.go
@@ -9,6 +9,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -32,11 +33,21 @@
 	started time.Time
 }
 
-// freePorts returns loopback ports that are free now.
-func freePorts(n int) ([]string, error) {
+// hostsBegun counts the hosts of this process, over all runs.
+var hostsBegun atomic.Uint32
+
+// loopback returns an address of the loopback range for one host alone: nothing else
+// takes the ports of a host that is down.
+func loopback() string {
+	n := hostsBegun.Add(1)
+	return fmt.Sprintf("127.%d.%d.%d", 64+os.Getpid()%128, n/250, n%250+1)
+}
+
+// freePorts returns ports of an address that are free now.
+func freePorts(ip string, n int) ([]string, error) {
 	var out []string
 	for range n {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		ln, err := net.Listen("tcp", ip+":0")
 		if err != nil {
 			return nil, err
 		}
@@ -52,7 +63,7 @@
 	if err != nil {
 		return nil, err
 	}
-	ports, err := freePorts(4)
+	ports, err := freePorts(loopback(), 4)
 	if err != nil {
 		return nil, err
 	}
