--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -117,7 +117,7 @@
 	w.close()
 	w.check()
 	served := w.checkRecovered(calm)
-	summary = fmt.Sprintf("%d requests, served after recovery %.0f %%, faults %v", len(w.seen), 100*served, names)
+	summary = fmt.Sprintf("%d requests, served after recovery %.0f %%, statuses there %v, faults %v", len(w.seen), 100*served, w.after, names)
 	if len(w.broken) == 0 {
 		removeAll(dir)
 	}
@@ -186,6 +186,7 @@
 // checkRecovered returns the part of the requests that were served after the recovery.
 func (w *world) checkRecovered(since time.Time) float64 {
 	served, sent := 0, 0
+	w.after = map[int]int{}
 	for i := range w.seen {
 		o := &w.seen[i]
 		if _, revoked := w.revoked[o.request.Key]; revoked || o.answer.Began.Before(since) {
@@ -195,6 +196,7 @@
 			continue
 		}
 		sent++
+		w.after[o.answer.Status]++
 		if o.answer.Status == 200 && o.answer.Whole {
 			served++
 		}
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -78,6 +78,8 @@
 	ready  map[string]int
 	seen   []observed
 	broken []string
+	// after counts the answers after the recovery by status; 0: none came.
+	after map[int]int
 }
 
 // configuration is what the operator has written.
