Keep unused connections in one table; settle a read of the store in one place

endpoint and upstream had the same take, put, drop and close; follow had the same retry for both tables. tryState held a flag that nothing read.

--- a/internal/endpoint/conn.go
+++ b/internal/endpoint/conn.go
@@ -7,13 +7,13 @@
 	"bufio"
 	"io"
 	"net"
-	"sync"
 	"time"
 
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
 	"github.com/trefoilchute/trefoilchute/internal/engine"
+	"github.com/trefoilchute/trefoilchute/internal/idle"
 	"github.com/trefoilchute/trefoilchute/internal/sockpeek"
 )
 
@@ -118,13 +118,12 @@
 
 // Pool keeps connections to engines. It is safe for concurrent use.
 type Pool struct {
-	mu   sync.Mutex
-	idle map[string][]*Conn
+	unused *idle.Table[*Conn]
 }
 
 // NewPool returns an empty pool.
 func NewPool() *Pool {
-	return &Pool{idle: map[string][]*Conn{}}
+	return &Pool{unused: idle.New[*Conn](maxIdlePerAddress)}
 }
 
 // Get returns a connection to an engine: a kept one that a probe has just
@@ -147,13 +146,16 @@
 // takeOpen removes a kept connection that the engine hasn't closed, or returns
 // nil.
 func (p *Pool) takeOpen(address string) *Conn {
-	for c := p.take(address); c != nil; c = p.take(address) {
+	for {
+		c, ok := p.unused.Take(address)
+		if !ok {
+			return nil
+		}
 		if time.Since(c.idleAt) < idleTimeout && sockpeek.Quiet(c.Conn) {
 			return c
 		}
 		_ = c.Close()
 	}
-	return nil
 }
 
 // dialProbed returns a new connection that a probe has proved alive.
@@ -172,13 +174,7 @@
 // Drop closes the kept connections to an address. It is called after one of
 // them, or one in use, went silent or failed: the others may have too.
 func (p *Pool) Drop(address string) {
-	p.mu.Lock()
-	list := p.idle[address]
-	delete(p.idle, address)
-	p.mu.Unlock()
-	for _, c := range list {
-		_ = c.Close()
-	}
+	p.unused.Drop(address)
 }
 
 // Dial returns a new connection to the address.
@@ -195,19 +191,6 @@
 	}, nil
 }
 
-// take removes the connection that was put back last.
-func (p *Pool) take(address string) *Conn {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	list := p.idle[address]
-	if len(list) == 0 {
-		return nil
-	}
-	last := list[len(list)-1]
-	p.idle[address] = list[:len(list)-1]
-	return last
-}
-
 // Put gives back a connection whose last answer was read to its end.
 func (p *Pool) Put(c *Conn) {
 	if c.r.Buffered() > 0 || c.SetDeadline(time.Time{}) != nil {
@@ -215,23 +198,10 @@
 		return
 	}
 	c.idleAt = time.Now()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if len(p.idle[c.address]) >= maxIdlePerAddress {
-		_ = c.Close()
-		return
-	}
-	p.idle[c.address] = append(p.idle[c.address], c)
+	p.unused.Put(c.address, c)
 }
 
 // Close closes the kept connections.
 func (p *Pool) Close() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, list := range p.idle {
-		for _, c := range list {
-			_ = c.Close()
-		}
-	}
-	p.idle = map[string][]*Conn{}
+	p.unused.Close()
 }
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -145,6 +145,19 @@
 	wait  time.Duration
 }
 
+// settled notes the end of a call and, after a failure, waits until the next is due.
+// It returns false if the table is to be read whole.
+func (d *dependency) settled(ctx context.Context, err error) bool {
+	if err == nil {
+		d.worked()
+		return true
+	}
+	if !errors.Is(err, platform.ErrHistoryGone) {
+		sleep(ctx, d.failed(err))
+	}
+	return false
+}
+
 // failed notes a failed call and returns how long to wait before the next.
 func (d *dependency) failed(err error) time.Duration {
 	if !d.lost {
@@ -176,16 +189,10 @@
 		}
 		asked := clock.Boot()
 		page, err := f.readRules(ctx, after)
-		if errors.Is(err, platform.ErrHistoryGone) {
-			after = 0
-			continue
-		}
-		if err != nil {
+		if !dep.settled(ctx, err) {
 			after = 0
-			sleep(ctx, dep.failed(err))
 			continue
 		}
-		dep.worked()
 		if waited := after > 0 && clock.Boot()-asked >= configurationWait; waited {
 			// The store held the poll for that time since it came.
 			asked += configurationWait
@@ -243,16 +250,10 @@
 		}
 		asked := clock.Boot()
 		page, err := f.readEndpoints(ctx, after, whole)
-		if errors.Is(err, platform.ErrHistoryGone) {
-			after = 0
-			continue
-		}
-		if err != nil {
+		if !dep.settled(ctx, err) {
 			after = 0
-			sleep(ctx, dep.failed(err))
 			continue
 		}
-		dep.worked()
 		after = page.Version
 		_, skipped := table.Read(clock.Boot(), page.Rows, whole)
 		for _, s := range skipped {
--- a/internal/gateway/retry.go
+++ b/internal/gateway/retry.go
@@ -26,7 +26,6 @@
 	left time.Duration
 	// callerGone says that nobody waits for the answer.
 	callerGone bool
-	stopping   bool
 }
 
 // leastForTry is the time that a further try needs at least to be worth sending:
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -52,7 +52,6 @@
 			failure: end.failure, idempotent: c.route.Idempotent(),
 			tries: c.outcome.Tries, maxTries: c.route.MaxTries,
 			left: c.limit - c.gateway.opts.Now(), callerGone: c.ctx.Err() != nil,
-			stopping: c.gateway.Stopping() != nil,
 		}
 		if !mayTryAgain(state) || !budget.Take(c.gateway.opts.Now()) {
 			if c.outcome.Status == 0 {
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -10,11 +10,12 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
 
+	"github.com/trefoilchute/trefoilchute/internal/idle"
 	"github.com/trefoilchute/trefoilchute/internal/sockpeek"
 	"github.com/trefoilchute/trefoilchute/internal/tcp"
 )
@@ -78,29 +79,29 @@
 
 // Pool keeps the unused connections. It is safe for concurrent use.
 type Pool struct {
-	mu   sync.Mutex
-	idle map[string][]*Conn
-	// most bounds the unused connections to one address.
-	most   int
-	dialed uint64
+	unused *idle.Table[*Conn]
+	dialed atomic.Uint64
 }
 
 // NewPool returns an empty pool that keeps at most a number of unused connections
 // to each address.
 func NewPool(most int) *Pool {
-	return &Pool{idle: map[string][]*Conn{}, most: most}
+	return &Pool{unused: idle.New[*Conn](most)}
 }
 
 // Get returns a kept connection to an address that the other end has not closed,
 // or a new one.
 func (p *Pool) Get(ctx context.Context, address string) (*Conn, error) {
-	for c := p.take(address); c != nil; c = p.take(address) {
+	for {
+		c, ok := p.unused.Take(address)
+		if !ok {
+			return p.dial(ctx, address)
+		}
 		if time.Since(c.idleAt) < c.keep && sockpeek.Quiet(c.Conn) {
 			return c, nil
 		}
 		_ = c.Close()
 	}
-	return p.dial(ctx, address)
 }
 
 // dial opens a connection.
@@ -114,25 +115,10 @@
 		_ = raw.Close()
 		return nil, err
 	}
-	p.mu.Lock()
-	p.dialed++
-	p.mu.Unlock()
+	p.dialed.Add(1)
 	return &Conn{Conn: raw, address: address, r: bufio.NewReaderSize(raw, readBuffer), keep: idleLimit}, nil
 }
 
-// take removes the connection that was put back last.
-func (p *Pool) take(address string) *Conn {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	list := p.idle[address]
-	if len(list) == 0 {
-		return nil
-	}
-	last := list[len(list)-1]
-	p.idle[address] = list[:len(list)-1]
-	return last
-}
-
 // Put gives a connection back whose last request was sent whole and whose last
 // answer was read to its end. One with bytes left that belong to no answer is
 // closed.
@@ -143,72 +129,29 @@
 	}
 	c.Reused = true
 	c.idleAt = time.Now()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if len(p.idle[c.address]) >= p.most {
-		_ = c.Close()
-		return
-	}
-	p.idle[c.address] = append(p.idle[c.address], c)
+	p.unused.Put(c.address, c)
 }
 
 // Drop closes the unused connections to an address: one in use went silent or was
 // reset, so the others may have been too.
 func (p *Pool) Drop(address string) {
-	p.mu.Lock()
-	list := p.idle[address]
-	delete(p.idle, address)
-	p.mu.Unlock()
-	closeAll(list)
+	p.unused.Drop(address)
 }
 
 // Sweep closes the connections that were unused for too long, and those to
 // addresses that are not wanted any more.
 func (p *Pool) Sweep(wanted func(address string) bool) {
-	var old []*Conn
-	p.mu.Lock()
-	for address, list := range p.idle {
-		kept := list[:0]
-		for _, c := range list {
-			if wanted(address) && time.Since(c.idleAt) < c.keep {
-				kept = append(kept, c)
-			} else {
-				old = append(old, c)
-			}
-		}
-		clear(list[len(kept):])
-		p.idle[address] = kept
-		if len(kept) == 0 {
-			delete(p.idle, address)
-		}
-	}
-	p.mu.Unlock()
-	closeAll(old)
+	p.unused.Sweep(func(address string, c *Conn) bool {
+		return wanted(address) && time.Since(c.idleAt) < c.keep
+	})
 }
 
 // Stats returns the number of unused connections and of those ever opened.
-func (p *Pool) Stats() (idle int, dialed uint64) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, list := range p.idle {
-		idle += len(list)
-	}
-	return idle, p.dialed
+func (p *Pool) Stats() (unused int, dialed uint64) {
+	return p.unused.Len(), p.dialed.Load()
 }
 
 // Close closes the unused connections.
 func (p *Pool) Close() {
-	p.mu.Lock()
-	idle := p.idle
-	p.idle = map[string][]*Conn{}
-	p.mu.Unlock()
-	for _, list := range idle {
-		closeAll(list)
-	}
-}
-
-func closeAll(list []*Conn) {
-	for _, c := range list {
-		_ = c.Close()
-	}
+	p.unused.Close()
 }
