Serve short requests before long ones of their tier

One answer in ten takes half of the slot time, so a few long ones make many short ones late. Ruled out: slots that are counted and not used (pool_state now says by what they are held: at most 24 of 180 by requests of lost hosts, for 6 s).

Change: among requests with an objective, a place in a tier is the due time plus the expected slot time; the expected wait counts what is no longer; of the late ones the longest are shed.

--- a/internal/naive/naive.go
+++ b/internal/naive/naive.go
@@ -236,10 +236,13 @@
 
 // due is when a request is to be served.
 func (r *request) due() time.Duration {
-	if r.FirstDue > 0 && !r.late {
-		return r.FirstDue
+	switch {
+	case r.FirstDue == 0:
+		return r.Deadline
+	case r.late:
+		return r.Deadline + r.cost
 	}
-	return r.Deadline
+	return r.FirstDue + r.cost
 }
 
 // inTier returns the requests of an order that are queued or held.
--- a/internal/naive/policy.go
+++ b/internal/naive/policy.go
@@ -83,21 +83,43 @@
 // late ones.
 func (s *Scheduler) admitByObjective(r *request, total time.Duration) bool {
 	spare := r.FirstDue - s.now - s.firstAlone(r)
-	r.late = r.late || min(s.expectedWait(r.Rank), s.floorWait(r.Rank)) > spare
+	r.late = r.late || min(s.waitOf(r, r.Rank), s.floorWait(r)) > spare
 	return !r.late || s.admitLate(r, total)
 }
 
-// floorWait is the time until a tier is served by its floor alone.
-func (s *Scheduler) floorWait(rank int) time.Duration {
-	if rank == 0 {
+// before returns the requests of an order that are no longer than another.
+func (s *Scheduler) before(r *request, order int) []*request {
+	var out []*request
+	for _, x := range s.inTier(order) {
+		if rules.SizeClass(x.cost) <= rules.SizeClass(r.cost) {
+			out = append(out, x)
+		}
+	}
+	return out
+}
+
+// waitOf is the time until a request is served among those of an order.
+func (s *Scheduler) waitOf(r *request, order int) time.Duration {
+	sum := cost(s.before(r, order))
+	for _, x := range s.ranks() {
+		if x < order {
+			sum += cost(s.inTier(x))
+		}
+	}
+	return s.drainTime(order, sum)
+}
+
+// floorWait is the time until a request is served by its tier's floor alone.
+func (s *Scheduler) floorWait(r *request) time.Duration {
+	if r.Rank == 0 {
 		return math.MaxInt64
 	}
 	floor := rules.TierFloor * max(s.meter.Capacity(s.totals.slots), 1)
-	return time.Duration(cost(s.inTier(rank)).Seconds() / floor * float64(time.Second))
+	return time.Duration(cost(s.before(r, r.Rank)).Seconds() / floor * float64(time.Second))
 }
 
 func (s *Scheduler) admitLate(r *request, total time.Duration) bool {
-	for s.expectedWait(r.order()) > r.Deadline-s.now-total {
+	for s.waitOf(r, r.order()) > r.Deadline-s.now-total {
 		below := s.below(r.order())
 		if len(below) == 0 || r.order() < rules.LateOrder {
 			s.spillOr(r, result.ShedTier)
@@ -105,9 +127,22 @@
 		}
 		s.yield(below[0])
 	}
+	s.shedOverlong(r.order())
 	return true
 }
 
+// shedOverlong sheds the last of an order while it would wait too long.
+func (s *Scheduler) shedOverlong(order int) {
+	for list := s.inTier(order); len(list) > 0; list = s.inTier(order) {
+		r := slices.MaxFunc(list, compareUrgency)
+		total, ok := s.fastest(r)
+		if !ok || s.waitOf(r, order) <= r.Deadline-s.now-total {
+			return
+		}
+		s.yield(r)
+	}
+}
+
 // becomeLate moves a waiting request behind all that can be on time.
 func (s *Scheduler) becomeLate(r *request) {
 	if r.state != queued && r.state != held {
--- a/internal/platformhost/pools.go
+++ b/internal/platformhost/pools.go
@@ -73,7 +73,8 @@
 	}
 	logs.With(h.log, logs.PoolState).WithFields(logrus.Fields{
 		"pool": s.Pool.String(), "epoch": s.Epoch, "waiting": waiting, "held": held, "wait_ms": wait.Milliseconds(),
-		"in_flight": inFlight, "slots": slots, "pending_tokens": pending,
+		"granted": s.Holders.Granted, "prefilling": s.Holders.Prefilling, "decoding": s.Holders.Decoding,
+		"orphaned": s.Holders.Orphaned, "in_flight": inFlight, "slots": slots, "pending_tokens": pending,
 		"endpoints": strings.Join(endpoints, " "), "closed": strings.Join(closed, " "),
 	}).Info()
 }
--- a/internal/pool/intake.go
+++ b/internal/pool/intake.go
@@ -268,6 +268,7 @@
 		return
 	}
 	a := r.attempt
+	a.orphaned = true
 	s.releaseBody(a)
 	s.timers.set(&a.timer, max(s.now, r.Deadline), func() {
 		s.settle(a)
--- a/internal/pool/objective.go
+++ b/internal/pool/objective.go
@@ -25,13 +25,23 @@
 	return r.Rank
 }
 
-// due is when the request is to be served: the first token of one that can still
-// meet its objective, else the whole answer.
+// due is the request's place in its tier. Without an objective it is the deadline. With
+// one, long requests stand behind shorter ones that arrive in the time that they run:
+// when not all can be on time, more are if the short ones go first.
 func (r *request) due() time.Duration {
-	if r.FirstDue > 0 && !r.late {
-		return r.FirstDue
+	switch {
+	case r.FirstDue == 0:
+		return r.Deadline
+	case r.late:
+		return r.Deadline + r.cost
 	}
-	return r.Deadline
+	return r.FirstDue + r.cost
+}
+
+// waitOf is the time until a request with an objective is served among those of an
+// order.
+func (s *Scheduler) waitOf(r *request, order int) time.Duration {
+	return s.drainTime(order, s.backlogAbove(order)+s.queue.tier(order).backlogBefore(r))
 }
 
 // objective is the part of an estimate that counts against the objective: the time
@@ -64,7 +74,7 @@
 // among the late ones.
 func (s *Scheduler) admitByObjective(r *request, total time.Duration) bool {
 	spare := r.FirstDue - s.now - s.firstAlone(r)
-	r.late = r.late || min(s.expectedWait(r.Rank), s.floorWait(r.Rank)) > spare
+	r.late = r.late || min(s.waitOf(r, r.Rank), s.floorWait(r)) > spare
 	return !r.late || s.admitLate(r, total)
 }
 
@@ -72,16 +82,31 @@
 // served. What is late in lower tiers is shed before it, from the lowest up.
 func (s *Scheduler) admitLate(r *request, total time.Duration) bool {
 	spare := r.Deadline - s.now - total
-	for s.expectedWait(r.order()) > spare {
+	for s.waitOf(r, r.order()) > spare {
 		if s.yieldLateBelow(r.order()) {
 			continue
 		}
 		s.spillOr(r, result.ShedTier, "it would be late, and those before it take longer than it can wait")
 		return false
 	}
+	s.shedOverlong(r.order())
 	return true
 }
 
+// shedOverlong sheds the last of the late requests of an order for as long as those
+// before it take longer than it can wait.
+func (s *Scheduler) shedOverlong(order int) {
+	t := s.queue.tier(order)
+	for t.size > 0 {
+		r := t.last()
+		total, ok := s.fastest(r)
+		if !ok || s.waitOf(r, order) <= r.Deadline-s.now-total {
+			return
+		}
+		s.yield(r)
+	}
+}
+
 // yieldLateBelow sheds the last of the late requests of the lowest tier below an
 // order. It returns false if there are none.
 func (s *Scheduler) yieldLateBelow(order int) bool {
@@ -129,14 +154,15 @@
 	return t.rank > 0 && t.rank < rules.LateOrder && s.objectives[t.rank] && s.shares.Below(t.rank, rules.TierFloor)
 }
 
-// floorWait is the time until what waits in a tier is served by its floor alone. The
-// highest tier has none.
-func (s *Scheduler) floorWait(rank int) time.Duration {
-	if rank == 0 {
+// floorWait is the time until a request is served by its tier's floor alone. The highest
+// tier has none.
+func (s *Scheduler) floorWait(r *request) time.Duration {
+	if r.Rank == 0 {
 		return math.MaxInt64
 	}
 	capacity := max(s.meter.Capacity(s.totalSlots), 1)
-	return time.Duration(s.queue.tier(rank).backlog.Seconds() / (rules.TierFloor * capacity) * float64(time.Second))
+	before := s.queue.tier(r.Rank).backlogBefore(r)
+	return time.Duration(before.Seconds() / (rules.TierFloor * capacity) * float64(time.Second))
 }
 
 // grantFloors serves the tiers that have got less than their floor, as far as that. It
--- a/internal/pool/objective_test.go
+++ b/internal/pool/objective_test.go
@@ -13,8 +13,8 @@
 	"github.com/trefoilchute/trefoilchute/internal/resource"
 )
 
-// burst is a load on two engines of ten slots each: requests that take a slot for a
-// second, more than the slots can serve for some seconds and then less.
+// burst is a load on two engines of ten slots each: requests that take a slot for as
+// long as their tokens say, more than the slots can serve for some seconds and then less.
 type burst struct {
 	scheduler *pool.Scheduler
 	now       time.Duration
@@ -22,6 +22,9 @@
 	arrived   map[ident.Request]time.Duration
 	first     map[ident.Request]time.Duration
 	refused   map[ident.Request]time.Duration
+	tokens    map[ident.Request]int
+	// lengths returns the tokens of the n-th request.
+	lengths func(n int) int
 }
 
 type end struct {
@@ -42,8 +45,9 @@
 }
 
 const (
-	burstSlots     = 20
-	burstService   = time.Second
+	burstSlots = 20
+	// burstTokens is the length of an answer that takes a slot for a second.
+	burstTokens    = 300
 	burstObjective = 400 * time.Millisecond
 	burstLimit     = 12 * time.Second
 	burstStart     = 5 * time.Second
@@ -55,7 +59,8 @@
 	b := &burst{
 		scheduler: pool.New(pool.Config{Pool: ident.Pool{Target: "m", Domain: "d"}, Epoch: 1}),
 		arrived:   map[ident.Request]time.Duration{}, first: map[ident.Request]time.Duration{},
-		refused: map[ident.Request]time.Duration{},
+		refused: map[ident.Request]time.Duration{}, tokens: map[ident.Request]int{},
+		lengths: func(int) int { return burstTokens },
 	}
 	c := pool.Configure{Tiers: []resource.Tier{{Rank: 0}}, Teams: []resource.Team{{Name: "t"}}}
 	for i := range 2 {
@@ -77,9 +82,10 @@
 			b.first[e.ID] = b.now
 			started = append(started, pool.Started{ID: e.ID, Attempt: e.Attempt},
 				pool.FirstToken{ID: e.ID, Attempt: e.Attempt, After: 25 * time.Millisecond})
-			heap.Push(&b.ends, end{b.now + burstService, pool.Finished{
-				ID: e.ID, Attempt: e.Attempt, Outcome: pool.OutcomeWhole, CachedTokens: -1, OutputTokens: 300,
-				FirstToken: 25 * time.Millisecond, Total: burstService,
+			service := time.Duration(b.tokens[e.ID]) * time.Second / burstTokens
+			heap.Push(&b.ends, end{b.now + service, pool.Finished{
+				ID: e.ID, Attempt: e.Attempt, Outcome: pool.OutcomeWhole, CachedTokens: -1, OutputTokens: b.tokens[e.ID],
+				FirstToken: 25 * time.Millisecond, Total: service,
 			}})
 		case pool.Refuse:
 			b.refused[e.ID] = b.now
@@ -101,9 +107,10 @@
 		for owed += perSecond(b.now) * tick.Seconds(); owed >= 1; owed-- {
 			n++
 			r := pool.Request{
-				ID: ident.Request(fmt.Sprintf("r%05d", n)), Host: "h", Team: "t", PromptTokens: 400, MaxTokens: 300,
-				ExpectedTokens: 300, Deadline: b.now + burstLimit,
+				ID: ident.Request(fmt.Sprintf("r%05d", n)), Host: "h", Team: "t", PromptTokens: 400, MaxTokens: b.lengths(n),
+				ExpectedTokens: b.lengths(n), Deadline: b.now + burstLimit,
 			}
+			b.tokens[r.ID] = r.ExpectedTokens
 			if objective {
 				r.FirstDue = b.now + burstObjective
 			}
@@ -167,6 +174,43 @@
 	g.Expect(held).To(BeNumerically("<=", len(objective.arrived)/100), "who is given up on is told so when that is known")
 }
 
+// TestShortRequestsGoBeforeLongOnes plays a burst in which one request in ten takes more
+// than half of the slot time, as lengths of answers are spread.
+func TestShortRequestsGoBeforeLongOnes(t *testing.T) {
+	g := NewWithT(t)
+	const short, long = burstTokens / 5, 2 * burstTokens
+	mean := (9*float64(short) + long) / 10 / burstTokens
+	b := newBurst()
+	b.lengths = func(n int) int {
+		if n%10 == 0 {
+			return long
+		}
+		return short
+	}
+	b.play(true, func(at time.Duration) float64 {
+		if at >= burstStart && at < burstEnd {
+			return 1.6 * burstSlots / mean
+		}
+		return 0.7 * burstSlots / mean
+	})
+	onTime, served := b.onTime(burstStart, burstEnd)
+	t.Logf("in the burst: %.2f on time, %.2f served", onTime, served)
+	g.Expect(onTime).To(BeNumerically(">=", 0.85), "all but the long ones")
+	g.Expect(served).To(BeNumerically(">=", 0.9), "nine in ten are short")
+	var longs, longsServed float64
+	for id := range b.arrived {
+		if b.tokens[id] == long {
+			longs++
+			if _, ok := b.first[id]; ok {
+				longsServed++
+			}
+		}
+	}
+	_, all := b.onTime(0, burstOver)
+	t.Logf("of the long ones %.2f are served, of all %.2f", longsServed/longs, all)
+	g.Expect(longsServed/longs).To(BeNumerically(">=", all/2), "long requests don't starve")
+}
+
 // TestLowTierKeepsItsFloor plays an overload of long requests of the highest tier, and
 // short ones of a lower tier that would take a twentieth of the slots.
 func TestLowTierKeepsItsFloor(t *testing.T) {
@@ -180,7 +224,7 @@
 		if rank > 0 {
 			low = append(low, id)
 		}
-		b.arrived[id] = b.now
+		b.arrived[id], b.tokens[id] = b.now, tokens
 		b.step(pool.Arrive{Request: pool.Request{
 			ID: id, Host: "h", Team: "t", Rank: rank, PromptTokens: 100, MaxTokens: tokens, ExpectedTokens: tokens,
 			FirstDue: b.now + burstObjective, Deadline: b.now + 3*time.Second,
--- a/internal/pool/queue.go
+++ b/internal/pool/queue.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/trefoilchute/trefoilchute/internal/ident"
+	"github.com/trefoilchute/trefoilchute/internal/pool/rules"
 )
 
 // queue holds the waiting requests: by tier, in a tier by the team's virtual
@@ -34,8 +35,10 @@
 	held []*request
 	// homeHeld counts those that were held for the endpoint with their prefix.
 	homeHeld int
-	// backlog is the sum of the costs waiting, held ones included.
+	// backlog is the sum of the costs waiting, held ones included; bySize has it by
+	// the requests' size classes.
 	backlog time.Duration
+	bySize  [rules.SizeClasses]time.Duration
 	// weight is the sum of the weights of the teams with queued requests.
 	weight float64
 }
@@ -84,8 +87,7 @@
 	heap.Push(&tq.requests, r)
 	tq.backlog += r.cost
 	of.waiting++
-	t.size++
-	t.backlog += r.cost
+	t.book(r, 1)
 	if tq.index == 0 {
 		heap.Push(&t.ready, tq)
 	}
@@ -101,13 +103,30 @@
 		t.weight -= tq.team.weight()
 	}
 	tq.team.waiting--
-	t.size--
-	t.backlog -= r.cost
+	t.book(r, -1)
 	if len(tq.requests) == 0 && tq.index > 0 {
 		heap.Remove(&t.ready, tq.index-1)
 	}
 }
 
+// book adds a request to what waits, or takes it off.
+func (t *tierQueue) book(r *request, sign int) {
+	cost := time.Duration(sign) * r.cost
+	t.size += sign
+	t.backlog += cost
+	t.bySize[rules.SizeClass(r.cost)] += cost
+}
+
+// backlogBefore is the part of the backlog that is served before a request, those of
+// its own size included.
+func (t *tierQueue) backlogBefore(r *request) time.Duration {
+	var sum time.Duration
+	for _, cost := range t.bySize[:rules.SizeClass(r.cost)+1] {
+		sum += cost
+	}
+	return sum
+}
+
 // charge books the cost of a request that is served to its team's share.
 func (q *queue) charge(r *request, of *team) {
 	t := q.tier(r.order())
@@ -156,8 +175,7 @@
 	if r.heldForHome {
 		t.homeHeld++
 	}
-	t.size++
-	t.backlog += r.cost
+	t.book(r, 1)
 	t.teams[r.Team].team.waiting++
 }
 
@@ -168,8 +186,7 @@
 	if r.heldForHome {
 		t.homeHeld--
 	}
-	t.size--
-	t.backlog -= r.cost
+	t.book(r, -1)
 	t.teams[r.Team].team.waiting--
 }
 
--- a/internal/pool/rules/rules.go
+++ b/internal/pool/rules/rules.go
@@ -3,6 +3,7 @@
 package rules
 
 import (
+	"math/bits"
 	"time"
 
 	"github.com/trefoilchute/trefoilchute/internal/prefix"
@@ -79,6 +80,15 @@
 	LongPrefillPart = 0.5
 )
 
+// SizeClasses is the number of classes of expected slot time, by powers of two of a
+// millisecond: the last begins at four minutes.
+const SizeClasses = 20
+
+// SizeClass returns the class of an expected slot time.
+func SizeClass(cost time.Duration) int {
+	return min(bits.Len64(uint64(max(0, cost)/time.Millisecond)), SizeClasses-1)
+}
+
 // Objectives for the first token.
 const (
 	// LateOrder is added to the rank of a request that can't meet its objective any
--- a/internal/pool/status.go
+++ b/internal/pool/status.go
@@ -20,10 +20,20 @@
 	Suspects []Suspect
 	// Isolated is the number of requests that wait to run alone.
 	Isolated int
+	// Holders counts the attempts that hold a slot.
+	Holders Holders
 	// Remotes are the domains with which requests can be exchanged, by name.
 	Remotes []Remote
 }
 
+// Holders counts the attempts that hold a slot by what is known of them.
+type Holders struct {
+	// Granted are not known to have been sent; Prefilling have had no token yet.
+	Granted, Prefilling, Decoding int
+	// Orphaned are those of lost custodians, whose end nobody reports.
+	Orphaned int
+}
+
 // QueueStatus is one tier's queue.
 type QueueStatus struct {
 	Rank int
@@ -86,6 +96,9 @@
 	for _, e := range s.endpoints.rows {
 		out.Endpoints = append(out.Endpoints, s.endpointStatus(e))
 	}
+	for _, a := range s.attempts.rows {
+		out.Holders.count(a)
+	}
 	for _, x := range s.suspects.rows {
 		out.Suspects = append(out.Suspects, x.Suspect)
 	}
@@ -95,6 +108,20 @@
 	return out
 }
 
+func (h *Holders) count(a *attempt) {
+	switch {
+	case !a.holds:
+	case a.orphaned:
+		h.Orphaned++
+	case !a.started:
+		h.Granted++
+	case !a.firstSeen:
+		h.Prefilling++
+	default:
+		h.Decoding++
+	}
+}
+
 func (s *Scheduler) queueStatus(t *tierQueue) QueueStatus {
 	out := QueueStatus{Rank: t.rank, Waiting: t.size, Held: len(t.held), Wait: s.expectedWait(t.rank)}
 	for _, tq := range t.sortedTeams() {
--- a/internal/pool/table.go
+++ b/internal/pool/table.go
@@ -75,6 +75,8 @@
 	endpoint *endpoint
 	granted  time.Duration
 	started  bool
+	// orphaned says that its custodian is lost.
+	orphaned bool
 	// cached is the part of the prompt expected in the endpoint's cache and
 	// uncached the part counted as pending until the first token.
 	cached, uncached int
