Don't count the other teams' backlog against a team within its share

Cause: a request's expected wait in its tier counted everything that waits there, though teams are served by their shares. Late requests are shed within their team.

--- a/internal/naive/policy.go
+++ b/internal/naive/policy.go
@@ -87,10 +87,10 @@
 	return !r.late || s.admitLate(r, total)
 }
 
-// before returns the requests of an order that are no longer than another.
-func (s *Scheduler) before(r *request, order int) []*request {
+// noLonger returns the requests of a list that are no longer than another.
+func noLonger(list []*request, r *request) []*request {
 	var out []*request
-	for _, x := range s.inTier(order) {
+	for _, x := range list {
 		if rules.SizeClass(x.cost) <= rules.SizeClass(r.cost) {
 			out = append(out, x)
 		}
@@ -98,9 +98,29 @@
 	return out
 }
 
+// before is the slot time of an order that is served before a request.
+func (s *Scheduler) before(r *request, order int) time.Duration {
+	own := r.cost + cost(noLonger(s.teamQueue(order, r.Team), r))
+	return min(cost(noLonger(s.inTier(order), r)), s.shareOf(r, order, own))
+}
+
+// shareOf is the slot time until a part of a team's work is through, if every team
+// with queued requests gets its share.
+func (s *Scheduler) shareOf(r *request, order int, own time.Duration) time.Duration {
+	sum := 0.0
+	active := s.activeTeams(order)
+	for _, t := range active {
+		sum += weight(s.team(t))
+	}
+	if !slices.Contains(active, r.Team) {
+		sum += weight(s.team(r.Team))
+	}
+	return time.Duration(float64(own) * sum / weight(s.team(r.Team)))
+}
+
 // waitOf is the time until a request is served among those of an order.
 func (s *Scheduler) waitOf(r *request, order int) time.Duration {
-	sum := cost(s.before(r, order))
+	sum := s.before(r, order)
 	for _, x := range s.ranks() {
 		if x < order {
 			sum += cost(s.inTier(x))
@@ -115,7 +135,7 @@
 		return math.MaxInt64
 	}
 	floor := rules.TierFloor * max(s.meter.Capacity(s.totals.slots), 1)
-	return time.Duration(cost(s.before(r, r.Rank)).Seconds() / floor * float64(time.Second))
+	return time.Duration(s.before(r, r.Rank).Seconds() / floor * float64(time.Second))
 }
 
 func (s *Scheduler) admitLate(r *request, total time.Duration) bool {
@@ -127,13 +147,13 @@
 		}
 		s.yield(below[0])
 	}
-	s.shedOverlong(r.order())
+	s.shedOverlong(r.order(), r.Team)
 	return true
 }
 
-// shedOverlong sheds the last of an order while it would wait too long.
-func (s *Scheduler) shedOverlong(order int) {
-	for list := s.inTier(order); len(list) > 0; list = s.inTier(order) {
+// shedOverlong sheds the last of a team's in an order while it would wait too long.
+func (s *Scheduler) shedOverlong(order int, team ident.Team) {
+	for list := s.teamQueue(order, team); len(list) > 0; list = s.teamQueue(order, team) {
 		r := slices.MaxFunc(list, compareUrgency)
 		total, ok := s.fastest(r)
 		if !ok || s.waitOf(r, order) <= r.Deadline-s.now-total {
@@ -323,26 +343,14 @@
 
 // teamWait is the expected wait of a new request.
 func (s *Scheduler) teamWait(r *request) time.Duration {
-	var above, tier, own time.Duration
-	sum := 0.0
+	var above time.Duration
 	for _, x := range s.ranks() {
 		if x < r.Rank {
 			above += cost(s.inTier(x))
 		}
 	}
-	tier = cost(s.inTier(r.Rank))
-	active := s.activeTeams(r.Rank)
-	for _, t := range active {
-		sum += weight(s.team(t))
-	}
-	own = r.cost
-	if slices.Contains(active, r.Team) {
-		own += cost(s.teamQueue(r.Rank, r.Team))
-	} else {
-		sum += weight(s.team(r.Team))
-	}
-	share := time.Duration(float64(own) * sum / weight(s.team(r.Team)))
-	return s.drainTime(r.Rank, above+min(tier, share))
+	share := s.shareOf(r, r.Rank, r.cost+cost(s.teamQueue(r.Rank, r.Team)))
+	return s.drainTime(r.Rank, above+min(cost(s.inTier(r.Rank)), share))
 }
 
 func cost(list []*request) time.Duration {
--- a/internal/pool/objective.go
+++ b/internal/pool/objective.go
@@ -2,8 +2,10 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
+	"github.com/trefoilchute/trefoilchute/internal/ident"
 	"github.com/trefoilchute/trefoilchute/internal/pool/rules"
 	"github.com/trefoilchute/trefoilchute/internal/resource"
 	"github.com/trefoilchute/trefoilchute/internal/result"
@@ -39,9 +41,11 @@
 }
 
 // waitOf is the time until a request with an objective is served among those of an
-// order.
+// order. One of a team that is within its share doesn't wait for the other teams'
+// backlog.
 func (s *Scheduler) waitOf(r *request, order int) time.Duration {
-	return s.drainTime(order, s.backlogAbove(order)+s.queue.tier(order).backlogBefore(r))
+	before := s.queue.tier(order).backlogBefore(r, s.teams.get(r.Team))
+	return s.drainTime(order, s.backlogAbove(order)+before)
 }
 
 // objective is the part of an estimate that counts against the objective: the time
@@ -89,16 +93,16 @@
 		s.spillOr(r, result.ShedTier, "it would be late, and those before it take longer than it can wait")
 		return false
 	}
-	s.shedOverlong(r.order())
+	s.shedOverlong(r.order(), r.Team)
 	return true
 }
 
-// shedOverlong sheds the last of the late requests of an order for as long as those
+// shedOverlong sheds the last of a team's late requests of an order for as long as those
 // before it take longer than it can wait.
-func (s *Scheduler) shedOverlong(order int) {
-	t := s.queue.tier(order)
-	for t.size > 0 {
-		r := t.last()
+func (s *Scheduler) shedOverlong(order int, team ident.Team) {
+	tq := s.queue.tier(order).teams[team]
+	for tq != nil && len(tq.requests) > 0 {
+		r := slices.MaxFunc(tq.requests, compareUrgency)
 		total, ok := s.fastest(r)
 		if !ok || s.waitOf(r, order) <= r.Deadline-s.now-total {
 			return
@@ -161,7 +165,7 @@
 		return math.MaxInt64
 	}
 	capacity := max(s.meter.Capacity(s.totalSlots), 1)
-	before := s.queue.tier(r.Rank).backlogBefore(r)
+	before := s.queue.tier(r.Rank).backlogBefore(r, s.teams.get(r.Team))
 	return time.Duration(before.Seconds() / (rules.TierFloor * capacity) * float64(time.Second))
 }
 
--- a/internal/pool/objective_test.go
+++ b/internal/pool/objective_test.go
@@ -23,8 +23,10 @@
 	first     map[ident.Request]time.Duration
 	refused   map[ident.Request]time.Duration
 	tokens    map[ident.Request]int
-	// lengths returns the tokens of the n-th request.
+	team      map[ident.Request]ident.Team
+	// lengths returns the tokens of the n-th request, teams its team.
 	lengths func(n int) int
+	teams   func(n int) ident.Team
 }
 
 type end struct {
@@ -59,10 +61,10 @@
 	b := &burst{
 		scheduler: pool.New(pool.Config{Pool: ident.Pool{Target: "m", Domain: "d"}, Epoch: 1}),
 		arrived:   map[ident.Request]time.Duration{}, first: map[ident.Request]time.Duration{},
-		refused: map[ident.Request]time.Duration{}, tokens: map[ident.Request]int{},
-		lengths: func(int) int { return burstTokens },
+		refused: map[ident.Request]time.Duration{}, tokens: map[ident.Request]int{}, team: map[ident.Request]ident.Team{},
+		lengths: func(int) int { return burstTokens }, teams: func(int) ident.Team { return "t" },
 	}
-	c := pool.Configure{Tiers: []resource.Tier{{Rank: 0}}, Teams: []resource.Team{{Name: "t"}}}
+	c := pool.Configure{Tiers: []resource.Tier{{Rank: 0}}, Teams: []resource.Team{{Name: "t"}, {Name: "flood"}}}
 	for i := range 2 {
 		c.Endpoints = append(c.Endpoints, resource.Endpoint{
 			Name: ident.Endpoint(fmt.Sprintf("e%d", i)), Domain: "d", Target: "m", Type: resource.EndpointEngine,
@@ -107,10 +109,10 @@
 		for owed += perSecond(b.now) * tick.Seconds(); owed >= 1; owed-- {
 			n++
 			r := pool.Request{
-				ID: ident.Request(fmt.Sprintf("r%05d", n)), Host: "h", Team: "t", PromptTokens: 400, MaxTokens: b.lengths(n),
+				ID: ident.Request(fmt.Sprintf("r%05d", n)), Host: "h", Team: b.teams(n), PromptTokens: 400, MaxTokens: b.lengths(n),
 				ExpectedTokens: b.lengths(n), Deadline: b.now + burstLimit,
 			}
-			b.tokens[r.ID] = r.ExpectedTokens
+			b.tokens[r.ID], b.team[r.ID] = r.ExpectedTokens, r.Team
 			if objective {
 				r.FirstDue = b.now + burstObjective
 			}
@@ -211,6 +213,36 @@
 	g.Expect(longsServed/longs).To(BeNumerically(">=", all/2), "long requests don't starve")
 }
 
+// TestAFloodOfOneTeamMakesNoOtherLate plays a team that sends five times what the slots
+// can serve beside one that needs a quarter of them, less than its share.
+func TestAFloodOfOneTeamMakesNoOtherLate(t *testing.T) {
+	g := NewWithT(t)
+	b := newBurst()
+	b.teams = func(n int) ident.Team {
+		if n%21 == 0 {
+			return "t"
+		}
+		return "flood"
+	}
+	b.play(true, func(at time.Duration) float64 {
+		if at >= burstStart && at < burstEnd {
+			return 5.25 * burstSlots
+		}
+		return 0.5 * burstSlots
+	})
+	var all, onTime float64
+	for id, at := range b.arrived {
+		if b.team[id] != "t" || at < burstStart || at >= burstEnd {
+			continue
+		}
+		all++
+		if first, granted := b.first[id]; granted && first-at <= burstObjective {
+			onTime++
+		}
+	}
+	g.Expect(onTime/all).To(BeNumerically(">=", 0.95), "of %v", all)
+}
+
 // TestLowTierKeepsItsFloor plays an overload of long requests of the highest tier, and
 // short ones of a lower tier that would take a twentieth of the slots.
 func TestLowTierKeepsItsFloor(t *testing.T) {
--- a/internal/pool/queue.go
+++ b/internal/pool/queue.go
@@ -38,7 +38,7 @@
 	// backlog is the sum of the costs waiting, held ones included; bySize has it by
 	// the requests' size classes.
 	backlog time.Duration
-	bySize  [rules.SizeClasses]time.Duration
+	bySize  bySize
 	// weight is the sum of the weights of the teams with queued requests.
 	weight float64
 }
@@ -52,8 +52,26 @@
 	// index is the place in the tier's heap plus one; 0 when not in it.
 	index    int
 	requests requestHeap
-	// backlog is the sum of the costs waiting.
+	// backlog is the sum of the costs waiting; bySize has it by size classes.
 	backlog time.Duration
+	bySize  bySize
+}
+
+// bySize holds sums of costs by size classes.
+type bySize [rules.SizeClasses]time.Duration
+
+// add adds a request's cost, or takes it off.
+func (b *bySize) add(r *request, sign int) {
+	b[rules.SizeClass(r.cost)] += time.Duration(sign) * r.cost
+}
+
+// upTo sums up what is no longer than a request.
+func (b *bySize) upTo(r *request) time.Duration {
+	var sum time.Duration
+	for _, cost := range b[:rules.SizeClass(r.cost)+1] {
+		sum += cost
+	}
+	return sum
 }
 
 func newQueue() *queue {
@@ -85,7 +103,7 @@
 		t.weight += of.weight()
 	}
 	heap.Push(&tq.requests, r)
-	tq.backlog += r.cost
+	tq.book(r, 1)
 	of.waiting++
 	t.book(r, 1)
 	if tq.index == 0 {
@@ -98,7 +116,7 @@
 	t := q.tier(r.order())
 	tq := t.teams[r.Team]
 	heap.Remove(&tq.requests, r.position)
-	tq.backlog -= r.cost
+	tq.book(r, -1)
 	if len(tq.requests) == 0 {
 		t.weight -= tq.team.weight()
 	}
@@ -111,20 +129,25 @@
 
 // book adds a request to what waits, or takes it off.
 func (t *tierQueue) book(r *request, sign int) {
-	cost := time.Duration(sign) * r.cost
 	t.size += sign
-	t.backlog += cost
-	t.bySize[rules.SizeClass(r.cost)] += cost
+	t.backlog += time.Duration(sign) * r.cost
+	t.bySize.add(r, sign)
 }
 
-// backlogBefore is the part of the backlog that is served before a request, those of
-// its own size included.
-func (t *tierQueue) backlogBefore(r *request) time.Duration {
-	var sum time.Duration
-	for _, cost := range t.bySize[:rules.SizeClass(r.cost)+1] {
-		sum += cost
+// book adds a request to what the team has waiting, or takes it off.
+func (tq *teamQueue) book(r *request, sign int) {
+	tq.backlog += time.Duration(sign) * r.cost
+	tq.bySize.add(r, sign)
+}
+
+// backlogBefore is the part of the backlog that is served before a request: what is no
+// longer, or less if its team is within its share of it.
+func (t *tierQueue) backlogBefore(r *request, of *team) time.Duration {
+	var own time.Duration
+	if tq := t.teams[r.Team]; tq != nil {
+		own = tq.bySize.upTo(r)
 	}
-	return sum
+	return min(t.bySize.upTo(r), t.shareOf(r, of, own))
 }
 
 // charge books the cost of a request that is served to its team's share.
@@ -141,13 +164,21 @@
 // shareTime is the slot time that the tier serves until a new request of a team
 // is through, if every team with queued requests gets its share.
 func (t *tierQueue) shareTime(r *request, of *team) time.Duration {
-	backlog, weight := r.cost, t.weight
-	if tq := t.teams[r.Team]; tq != nil && len(tq.requests) > 0 {
-		backlog += tq.backlog
-	} else {
+	var own time.Duration
+	if tq := t.teams[r.Team]; tq != nil {
+		own = tq.backlog
+	}
+	return t.shareOf(r, of, own)
+}
+
+// shareOf is the slot time that the tier serves until a new request of a team and a
+// part of what the team has waiting are through.
+func (t *tierQueue) shareOf(r *request, of *team, own time.Duration) time.Duration {
+	weight := t.weight
+	if tq := t.teams[r.Team]; tq == nil || len(tq.requests) == 0 {
 		weight += of.weight()
 	}
-	return time.Duration(float64(backlog) * weight / of.weight())
+	return time.Duration(float64(r.cost+own) * weight / of.weight())
 }
 
 // waiting says whether any request waits that no endpoint was chosen for.
