Fill the endpoints of the own failure domain first; free the slots of lost hosts sooner

Domains: endpoints were chosen without regard to where the caller came in, so that three in four requests crossed domains, paid by the byte and broken off by each cut.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -39,7 +39,9 @@
 // Options configures a Gateway.
 type Options struct {
 	Host ident.Host
-	Log  logrus.FieldLogger
+	// Domain is the host's failure domain: its endpoints are preferred.
+	Domain ident.Domain
+	Log    logrus.FieldLogger
 	// Post hands an event to control, whose clock Now reads.
 	Post func(control.Event)
 	Now  func() time.Duration
--- a/internal/naive/differential_test.go
+++ b/internal/naive/differential_test.go
@@ -61,13 +61,15 @@
 	kind := rapid.SampledFrom([]resource.EndpointType{"engine", "engine", "service"}).Draw(w.t, "type")
 	for i := range rapid.IntRange(0, 4).Draw(w.t, "endpoints") {
 		c.Endpoints = append(c.Endpoints, resource.Endpoint{
-			Name: endpointName(i), Domain: "d", Target: "m", Type: kind,
-			State:         rapid.SampledFrom([]resource.EndpointState{"active", "active", "active", "drain"}).Draw(w.t, "state"),
-			Slots:         rapid.IntRange(1, 9).Draw(w.t, "slots"),
-			SpeedsAssumed: rapid.Bool().Draw(w.t, "assumed"),
-			PrefillRate:   rapid.SampledFrom([]float64{0, 2000, 9000}).Draw(w.t, "prefill"),
-			DecodeRate:    rapid.SampledFrom([]float64{0, 20, 70}).Draw(w.t, "decode"),
-			CacheTokens:   64 * rapid.IntRange(0, 20).Draw(w.t, "cache"),
+			Name: endpointName(i), Domain: rapid.SampledFrom(domains).Draw(w.t, "domain"), Scope: "d",
+			Target: "m", Type: kind,
+			State:              rapid.SampledFrom([]resource.EndpointState{"active", "active", "active", "drain"}).Draw(w.t, "state"),
+			Slots:              rapid.IntRange(1, 9).Draw(w.t, "slots"),
+			SpeedsAssumed:      rapid.Bool().Draw(w.t, "assumed"),
+			EndsWithConnection: rapid.Bool().Draw(w.t, "ends"),
+			PrefillRate:        rapid.SampledFrom([]float64{0, 2000, 9000}).Draw(w.t, "prefill"),
+			DecodeRate:         rapid.SampledFrom([]float64{0, 20, 70}).Draw(w.t, "decode"),
+			CacheTokens:        64 * rapid.IntRange(0, 20).Draw(w.t, "cache"),
 		})
 	}
 	return c
@@ -76,6 +78,9 @@
 func team(i int) ident.Team             { return ident.Team(fmt.Sprintf("t%d", i)) }
 func endpointName(i int) ident.Endpoint { return ident.Endpoint(fmt.Sprintf("e%d", i)) }
 
+// domains are the failure domains of the pool's endpoints.
+var domains = []ident.Domain{"d", "x"}
+
 func (w *world) request() pool.Request {
 	w.next++
 	prefix := []uint64{}
@@ -101,6 +106,7 @@
 		ID:             id,
 		FirstDue:       firstDue,
 		ExpectedTokens: rapid.SampledFrom([]int{0, 0, 30, 800}).Draw(w.t, "expected"),
+		Near:           rapid.SampledFrom(append(domains, "")).Draw(w.t, "near"),
 		Avoid:          rapid.SampledFrom([]ident.Endpoint{"", "", "e0", "e1"}).Draw(w.t, "avoid"),
 		Host:           ident.Host(rapid.SampledFrom([]string{"h0", "h1"}).Draw(w.t, "host")),
 		Rank:           w.ranks[id],
--- a/internal/naive/events.go
+++ b/internal/naive/events.go
@@ -345,7 +345,11 @@
 				a.orphan = true
 				s.bodyEnded(a.request.Fingerprint)
 			}
-			s.set(a, "attempt", max(s.now, r.Deadline), func() {
+			until := max(s.now, r.Deadline)
+			if a.endpoint.EndsWithConnection {
+				until = min(until, s.now+rules.OrphanHold)
+			}
+			s.set(a, "attempt", until, func() {
 				s.settle(a)
 				s.removeRequest(r)
 			})
--- a/internal/naive/grant.go
+++ b/internal/naive/grant.go
@@ -267,7 +267,7 @@
 			continue
 		}
 		score := total + s.neighbours(r, e, cached) +
-			rules.PrefixPenalty*e.speed.Prefill(s.now, max(r.best, cached)-cached) + s.failures(r, e)
+			rules.PrefixPenalty*e.speed.Prefill(s.now, max(r.best, cached)-cached) + s.failures(r, e) + distance(r, e)
 		if out.endpoint == nil || score < least {
 			least = score
 			out.endpoint, out.cached, out.total = e, cached, total
@@ -384,3 +384,11 @@
 	}
 	return penalty
 }
+
+// distance is what placing a request in another failure domain costs.
+func distance(r *request, e *endpoint) time.Duration {
+	if r.Near == "" || r.Near == e.Domain {
+		return 0
+	}
+	return rules.DomainPenalty
+}
--- a/internal/platformhost/host.go
+++ b/internal/platformhost/host.go
@@ -95,7 +95,7 @@
 		Rules: h.adoptRules, Endpoints: h.adoptEndpoints,
 	})
 	h.gateway = gateway.New(gateway.Options{
-		Host: s.Host, Log: h.log, Post: h.loop.Post, Now: h.loop.Now,
+		Host: s.Host, Domain: s.Domain, Log: h.log, Post: h.loop.Post, Now: h.loop.Now,
 		ConfigurationAge: h.follower.ConfigurationAge, KeyLife: s.KeyLife,
 		RetryRatio: s.RetryRatio, RetryExtra: s.RetryExtra, RetryWindow: s.RetryWindow,
 		Observe: h.observe,
--- a/internal/platformhost/view.go
+++ b/internal/platformhost/view.go
@@ -126,7 +126,7 @@
 func (h *Host) endpoint(e platform.Endpoint) resource.Endpoint {
 	out := resource.Endpoint{
 		Name: e.Name, Address: e.Address, Domain: e.Domain, Scope: h.settings.Region, Target: e.Target,
-		Type: resource.EndpointService, State: resource.EndpointActive, Slots: e.Slots, SpeedsAssumed: true,
+		Type: resource.EndpointService, State: resource.EndpointActive, Slots: e.Slots, SpeedsAssumed: true, EndsWithConnection: true,
 	}
 	if e.Leaving {
 		out.State = resource.EndpointDrain
--- a/internal/pool/event.go
+++ b/internal/pool/event.go
@@ -39,6 +39,9 @@
 	ExpectedTokens int
 	// Avoid is an endpoint that failed an earlier try of the request.
 	Avoid ident.Endpoint
+	// Near is the failure domain of the custodian, in a pool of several; empty: any
+	// endpoint is as near.
+	Near ident.Domain
 	// KeyHash is the hash of the team and idempotency key; 0 without a key.
 	KeyHash uint64
 	// Fingerprint is the hash of the team-independent body.
--- a/internal/pool/intake.go
+++ b/internal/pool/intake.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/trefoilchute/trefoilchute/internal/ident"
+	"github.com/trefoilchute/trefoilchute/internal/pool/rules"
 	"github.com/trefoilchute/trefoilchute/internal/result"
 )
 
@@ -246,9 +247,10 @@
 	row.phase, row.attempt = phaseRunning, a
 }
 
-// hostLost drops what waits for a dead custodian. Its running requests keep
-// their slots until their deadline, since nobody will report their end; others
-// with the same body need not wait for that.
+// hostLost drops what waits for a dead custodian. Nobody will report the end of its
+// running requests: they keep their slots until their deadline, or for a short time
+// where they end with their connection. Others with the same body need not wait for
+// that.
 func (s *Scheduler) hostLost(h ident.Host) {
 	var lost []*request
 	for _, r := range s.requests {
@@ -270,7 +272,11 @@
 	a := r.attempt
 	a.orphaned = true
 	s.releaseBody(a)
-	s.timers.set(&a.timer, max(s.now, r.Deadline), func() {
+	until := max(s.now, r.Deadline)
+	if a.endpoint.EndsWithConnection {
+		until = min(until, s.now+rules.OrphanHold)
+	}
+	s.timers.set(&a.timer, until, func() {
 		s.settle(a)
 		delete(s.requests, r.ID)
 	})
--- a/internal/pool/place.go
+++ b/internal/pool/place.go
@@ -35,7 +35,7 @@
 // The plugins in the order in which they run.
 var (
 	filters   = []filter{prefillFilter{}, objectiveFilter{}, deadlineFilter{}}
-	scorers   = []scorer{finishScore{}, neighbourScore{}, prefixScore{}, failureScore{}}
+	scorers   = []scorer{finishScore{}, neighbourScore{}, prefixScore{}, failureScore{}, domainScore{}}
 	reservers = []reserver{longWorkReserve{}, longPrefillReserve{}}
 )
 
@@ -257,3 +257,14 @@
 	}
 	return penalty
 }
+
+// domainScore is a penalty for endpoints of other failure domains than the custodian's:
+// bytes between domains are paid for, and a cut between them breaks what crosses it.
+type domainScore struct{}
+
+func (domainScore) score(_ *Scheduler, r *request, c *candidate) time.Duration {
+	if r.Near == "" || c.endpoint.Domain == r.Near {
+		return 0
+	}
+	return rules.DomainPenalty
+}
--- a/internal/pool/policy_test.go
+++ b/internal/pool/policy_test.go
@@ -168,3 +168,24 @@
 	s.Step(0, []Event{CacheEvent{Endpoint: x.Endpoint, Evicted: long.Prefix}})
 	g.Expect(s.blocks.Held(s.endpoints.byName[x.Endpoint].number, long.Prefix)).To(BeZero())
 }
+
+// TestEndpointsOfTheOwnDomainAreFilledFirst checks that requests go to another failure
+// domain only when their own has no free slot.
+func TestEndpointsOfTheOwnDomainAreFilledFirst(t *testing.T) {
+	g := NewWithT(t)
+	far, near := testEndpoint("a", 2), testEndpoint("b", 2)
+	for _, e := range []*resource.Endpoint{&far, &near} {
+		e.Scope, e.SpeedsAssumed = "d", true
+	}
+	far.Domain, near.Domain = "far", "near"
+	s := newTestScheduler(far, near)
+	var placed []ident.Endpoint
+	for i := range 3 {
+		r := testRequest(string(rune('p'+i)), 0)
+		r.Near = "near"
+		for _, x := range grants(s.Step(0, []Event{Arrive{r}})) {
+			placed = append(placed, x.Endpoint)
+		}
+	}
+	g.Expect(placed).To(Equal([]ident.Endpoint{"b", "b", "a"}))
+}
--- a/internal/pool/rules/rules.go
+++ b/internal/pool/rules/rules.go
@@ -19,6 +19,10 @@
 	// AttemptMemory is how long the row of a void grant is kept, so that a
 	// report that comes later still finds its endpoint.
 	AttemptMemory = 2 * time.Minute
+	// OrphanHold is how long a request of a lost host still holds its slot where
+	// requests end with their connection: about the time in which an endpoint notices
+	// that nobody reads any more.
+	OrphanHold = 500 * time.Millisecond
 	// AttemptBits is the room for attempts in one epoch.
 	AttemptBits = 20
 )
@@ -70,6 +74,9 @@
 	NeighbourShare = 0.5
 	// PrefixPenalty weighs a token that is prefilled again.
 	PrefixPenalty = 4
+	// DomainPenalty is what placing a request in another failure domain costs: half of
+	// what users allow for a first token, so that load goes there before it is late.
+	DomainPenalty = 200 * time.Millisecond
 	// LongWork is from which expected slot time on a request is long.
 	LongWork = 8 * time.Second
 	// ReservedPart is the part of the pool's slots that long work below the
--- a/internal/pool/scheduler_test.go
+++ b/internal/pool/scheduler_test.go
@@ -134,3 +134,31 @@
 	out = s.Step(time.Second, []Event{Finished{ID: "r", Attempt: 5}})
 	g.Expect(grants(out)).To(HaveLen(1))
 }
+
+// TestSlotsOfALostHostComeFree checks when another request gets the slot of one whose
+// custodian is lost: at its deadline, or soon where requests end with their connection.
+func TestSlotsOfALostHostComeFree(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		ends bool
+		free time.Duration
+	}{
+		{"requests can be resumed", false, time.Minute},
+		{"requests end with their connection", true, time.Second + rules.OrphanHold},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			e := testEndpoint("e", 1)
+			e.EndsWithConnection = c.ends
+			s := newTestScheduler(e)
+			first := grants(s.Step(0, []Event{Arrive{testRequest("r", 0)}}))
+			g.Expect(first).To(HaveLen(1))
+			s.Step(0, []Event{Started{ID: "r", Attempt: first[0].Attempt}})
+			next := testRequest("next", 0)
+			next.Host, next.Deadline = "other", 5*time.Minute
+			g.Expect(grants(s.Step(time.Second, []Event{HostLost{Host: "h"}, Arrive{next}}))).To(BeEmpty())
+			g.Expect(grants(s.Step(c.free-time.Millisecond, nil))).To(BeEmpty())
+			g.Expect(grants(s.Step(c.free, nil))).To(HaveLen(1))
+		})
+	}
+}
--- a/internal/resource/resource.go
+++ b/internal/resource/resource.go
@@ -101,6 +101,9 @@
 	// SpeedsAssumed says that the rates are those of endpoints like it. Operators
 	// don't declare it.
 	SpeedsAssumed bool `json:"speeds_assumed,omitempty"`
+	// EndsWithConnection says that a request stops when its connection closes: it can't
+	// be resumed. Operators don't declare it.
+	EndsWithConnection bool `json:"ends_with_connection,omitempty"`
 	// CacheTokens is the capacity of the prefix cache in tokens.
 	CacheTokens int     `json:"cache_tokens"`
 	Fencing     Fencing `json:"fencing"`
--- a/internal/system/custody/custody.go
+++ b/internal/system/custody/custody.go
@@ -71,6 +71,8 @@
 	ExpectedTokens int
 	// Avoid is an endpoint that failed an earlier try of this request.
 	Avoid ident.Endpoint
+	// Near is the failure domain whose endpoints are preferred; empty: none.
+	Near ident.Domain
 	// Key is the caller's idempotency key; empty without one. KeyHash is the
 	// hash of the team and the key.
 	Key         string
--- a/internal/system/custody/message.go
+++ b/internal/system/custody/message.go
@@ -22,6 +22,7 @@
 		Prefix:     r.Prefix, KeyHash: r.KeyHash, Fingerprint: r.Fingerprint,
 		Idempotent: r.Idempotent, Spilled: r.spilled, ClockUs: now.Microseconds(),
 		Epoch: epoch, ExpectedTokens: int64(r.ExpectedTokens), Avoid: string(r.Avoid), Cost: r.Cost,
+		Near: string(r.Near),
 	}
 	if r.FirstDue > 0 {
 		m.HasObjective = true
--- a/internal/system/scheduling/receive.go
+++ b/internal/system/scheduling/receive.go
@@ -67,6 +67,7 @@
 		Prefix:   m.GetPrefix(), KeyHash: m.GetKeyHash(), Fingerprint: m.GetFingerprint(),
 		Idempotent: m.GetIdempotent(), Spilled: m.GetSpilled(),
 		ExpectedTokens: int(m.GetExpectedTokens()), Avoid: ident.Endpoint(m.GetAvoid()),
+		Near: ident.Domain(m.GetNear()),
 	}
 	if m.GetHasObjective() {
 		r.FirstDue = max(1, now+micros(m.GetFirstTokenDueUs()))
