--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -147,7 +147,7 @@
 
 // rank is the request's rank for the schedulers.
 func (c *call) rank() int {
-	return c.route.Priority
+	return c.rules.Rank(c.team, c.route)
 }
 
 // place waits for a grant, gets a connection for it and asks control to commit the
--- a/internal/platformhost/view.go
+++ b/internal/platformhost/view.go
@@ -107,8 +107,7 @@
 func (h *Host) snapshot() *resource.Snapshot {
 	snap := resource.NewSnapshot()
 	snap.Revision = h.view.revision
-	for i := range h.view.rules.Routes {
-		rank := h.view.rules.Routes[i].Priority
+	for _, rank := range h.view.rules.Ranks() {
 		name := "rank-" + strconv.Itoa(rank)
 		snap.Tiers[name] = resource.Tier{Name: ident.Tier(name), Rank: rank}
 	}
--- a/internal/ruleset/ruleset.go
+++ b/internal/ruleset/ruleset.go
@@ -69,8 +69,9 @@
 
 // Team is a customer with its keys and its rate.
 type Team struct {
-	Name     ident.Team
-	Keys     []string
+	Name ident.Team
+	Keys []string
+	// Priority orders teams; 0 is the highest.
 	Priority int
 	// Rate and Burst bound what the team may send through all hosts together, in
 	// tokens or, with InTokens unset, in requests; a Rate of 0 is no bound.
@@ -119,14 +120,39 @@
 	byHost  map[string][]*Route
 	byKey   map[string]*Team
 	targets map[string]*Target
+	// priorities is one more than the largest priority of a route.
+	priorities int
+}
+
+// Rank returns the place of a team's requests on a route among all, 0 the highest: the
+// team's priority goes before the route's. The team is nil on public routes.
+func (s *Ruleset) Rank(t *Team, r *Route) int {
+	if t == nil {
+		return r.Priority
+	}
+	return t.Priority*s.priorities + r.Priority
+}
+
+// Ranks returns all ranks that requests may have, in order.
+func (s *Ruleset) Ranks() []int {
+	var out []int
+	for i := range s.Routes {
+		out = append(out, s.Rank(nil, &s.Routes[i]))
+		for k := range s.Teams {
+			out = append(out, s.Rank(&s.Teams[k], &s.Routes[i]))
+		}
+	}
+	slices.Sort(out)
+	return slices.Compact(out)
 }
 
 // Index prepares the look-ups. It is to be called once, before the ruleset is
 // published.
 func (s *Ruleset) Index() {
-	s.byHost = map[string][]*Route{}
+	s.byHost, s.priorities = map[string][]*Route{}, 1
 	for i := range s.Routes {
 		r := &s.Routes[i]
+		s.priorities = max(s.priorities, r.Priority+1)
 		host := strings.ToLower(r.Host)
 		s.byHost[host] = append(s.byHost[host], r)
 	}
