Don't hold a late stream longer than its caller stays

A late request is now let in, and kept, only if its first token can come before; else it is refused at once, with when to come back. The submission has the caller's patience (field 23). Test with the load, failing before: 27 of 142 refused after half of the caller's patience, none after.

--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -131,6 +131,9 @@
 	case c.route.Objective > 0:
 		a.FirstDue = c.arrived + c.route.Objective
 	}
+	if c.route.Patience > 0 {
+		a.Patience = max(c.arrived, c.lastByte) + c.route.Patience
+	}
 	if c.route.Kind == ruleset.Stream {
 		a.Prefix, a.PrefixTokens = c.headers.Prefix, c.headers.PrefixTokens
 	}
--- a/internal/naive/differential_test.go
+++ b/internal/naive/differential_test.go
@@ -102,9 +102,14 @@
 	if rapid.Bool().Draw(w.t, "objective") {
 		firstDue = max(1, w.now+time.Duration(rapid.IntRange(-20, 3000).Draw(w.t, "first due"))*time.Millisecond)
 	}
+	var patience time.Duration
+	if firstDue > 0 && rapid.Bool().Draw(w.t, "patient") {
+		patience = firstDue + time.Duration(rapid.IntRange(0, 5000).Draw(w.t, "patience"))*time.Millisecond
+	}
 	return pool.Request{
 		ID:             id,
 		FirstDue:       firstDue,
+		Patience:       patience,
 		ExpectedTokens: rapid.SampledFrom([]int{0, 0, 30, 800}).Draw(w.t, "expected"),
 		Near:           rapid.SampledFrom(append(domains, "")).Draw(w.t, "near"),
 		Avoid:          rapid.SampledFrom([]ident.Endpoint{"", "", "e0", "e1"}).Draw(w.t, "avoid"),
--- a/internal/naive/events.go
+++ b/internal/naive/events.go
@@ -76,6 +76,9 @@
 	if r.FirstDue > 0 {
 		s.objectives = append(s.objectives, r.Rank)
 	}
+	if r.FirstDue > 0 && r.late && r.Patience > 0 {
+		s.set(r, "late", r.Patience-s.firstAlone(r), func() { s.outwaited(r) })
+	}
 	if r.FirstDue > 0 && !r.late {
 		if at := r.FirstDue - s.firstAlone(r); at <= s.now {
 			r.late = true
--- a/internal/naive/policy.go
+++ b/internal/naive/policy.go
@@ -139,7 +139,7 @@
 }
 
 func (s *Scheduler) admitLate(r *request, total time.Duration) bool {
-	for s.waitOf(r, r.order()) > r.Deadline-s.now-total {
+	for s.waitOf(r, r.order()) > s.lateSpare(r, total) {
 		below := s.below(r.order())
 		if len(below) == 0 || r.order() < rules.LateOrder {
 			s.spillOr(r, result.ShedTier)
@@ -151,12 +151,29 @@
 	return true
 }
 
+// lateSpare is how long a late request may wait.
+func (s *Scheduler) lateSpare(r *request, total time.Duration) time.Duration {
+	if r.Patience > 0 {
+		return min(r.Deadline-s.now-total, r.Patience-s.now-s.firstAlone(r))
+	}
+	return r.Deadline - s.now - total
+}
+
+// outwaited refuses a request whose caller would leave before its first token.
+func (s *Scheduler) outwaited(r *request) {
+	if r.state != queued && r.state != held {
+		return
+	}
+	s.drop(r)
+	s.refuse(r, result.DeadlineTooNear)
+}
+
 // shedOverlong sheds the last of a team's in an order while it would wait too long.
 func (s *Scheduler) shedOverlong(order int, team ident.Team) {
 	for list := s.teamQueue(order, team); len(list) > 0; list = s.teamQueue(order, team) {
 		r := slices.MaxFunc(list, compareUrgency)
 		total, ok := s.fastest(r)
-		if !ok || s.waitOf(r, order) <= r.Deadline-s.now-total {
+		if !ok || s.waitOf(r, order) <= s.lateSpare(r, total) {
 			return
 		}
 		s.yield(r)
--- a/internal/pool/event.go
+++ b/internal/pool/event.go
@@ -35,6 +35,9 @@
 	// FirstDue is when the first token is due, on the scheduler's clock; 0 for
 	// a request without that objective.
 	FirstDue time.Duration
+	// Patience is when the caller leaves if it has had no token, on the scheduler's
+	// clock; 0: not before the deadline.
+	Patience time.Duration
 	// ExpectedTokens is the caller's own estimate of the answer's length; 0: none.
 	ExpectedTokens int
 	// Avoid is an endpoint that failed an earlier try of the request.
--- a/internal/pool/objective.go
+++ b/internal/pool/objective.go
@@ -85,7 +85,7 @@
 // admitLate holds a late request against the time in which those before it are
 // served. What is late in lower tiers is shed before it, from the lowest up.
 func (s *Scheduler) admitLate(r *request, total time.Duration) bool {
-	spare := r.Deadline - s.now - total
+	spare := s.lateSpare(r, total)
 	for s.waitOf(r, r.order()) > spare {
 		if s.yieldLateBelow(r.order()) {
 			continue
@@ -97,6 +97,16 @@
 	return true
 }
 
+// lateSpare is how long a late request that takes a total may wait: until its whole
+// answer would miss the deadline, or its first token finds the caller gone.
+func (s *Scheduler) lateSpare(r *request, total time.Duration) time.Duration {
+	spare := r.Deadline - s.now - total
+	if r.Patience > 0 {
+		spare = min(spare, r.Patience-s.now-s.firstAlone(r))
+	}
+	return spare
+}
+
 // shedOverlong sheds the last of a team's late requests of an order for as long as those
 // before it take longer than it can wait.
 func (s *Scheduler) shedOverlong(order int, team ident.Team) {
@@ -104,7 +114,7 @@
 	for tq != nil && len(tq.requests) > 0 {
 		r := slices.MaxFunc(tq.requests, compareUrgency)
 		total, ok := s.fastest(r)
-		if !ok || s.waitOf(r, order) <= r.Deadline-s.now-total {
+		if !ok || s.waitOf(r, order) <= s.lateSpare(r, total) {
 			return
 		}
 		s.yield(r)
@@ -125,6 +135,9 @@
 	if r.FirstDue > 0 {
 		s.objectives[r.Rank] = true
 	}
+	if r.FirstDue > 0 && r.late && r.Patience > 0 {
+		s.timers.set(&r.lateTimer, r.Patience-s.firstAlone(r), func() { s.outwaited(r) })
+	}
 	if r.FirstDue == 0 || r.late {
 		return
 	}
@@ -136,6 +149,15 @@
 	s.timers.set(&r.lateTimer, at, func() { s.becomeLate(r) })
 }
 
+// outwaited refuses a late request whose caller would leave before its first token.
+func (s *Scheduler) outwaited(r *request) {
+	if r.phase != phaseQueued && r.phase != phaseHeld {
+		return
+	}
+	s.drop(r)
+	s.refuse(r, result.DeadlineTooNear, "the caller would leave before the first token")
+}
+
 // becomeLate moves a waiting request behind all that can meet their objective, or
 // refuses it if it would wait too long there.
 func (s *Scheduler) becomeLate(r *request) {
--- a/internal/pool/objective_test.go
+++ b/internal/pool/objective_test.go
@@ -27,6 +27,8 @@
 	// lengths returns the tokens of the n-th request, teams its team.
 	lengths func(n int) int
 	teams   func(n int) ident.Team
+	// patience is how long callers wait for a first token; 0: until their limit.
+	patience time.Duration
 }
 
 type end struct {
@@ -116,6 +118,9 @@
 			if objective {
 				r.FirstDue = b.now + burstObjective
 			}
+			if b.patience > 0 {
+				r.Patience = b.now + b.patience
+			}
 			b.arrived[r.ID] = b.now
 			b.step(pool.Arrive{Request: r})
 		}
@@ -243,6 +248,35 @@
 	g.Expect(onTime/all).To(BeNumerically(">=", 0.95), "of %v", all)
 }
 
+// TestNobodyWaitsLongerThanItsCallerStays plays a burst with callers who leave when they
+// have had no token for a while, long before their limit: what can't be served by then
+// is refused as soon as that is known.
+func TestNobodyWaitsLongerThanItsCallerStays(t *testing.T) {
+	g := NewWithT(t)
+	b := newBurst()
+	b.patience = 3 * time.Second
+	b.play(true, func(at time.Duration) float64 {
+		if at >= burstStart && at < burstEnd {
+			return 2.5 * burstSlots
+		}
+		return 0.8 * burstSlots
+	})
+	inVain, held := 0, 0
+	for id, at := range b.first {
+		if at-b.arrived[id] >= b.patience {
+			inVain++
+		}
+	}
+	for id, at := range b.refused {
+		if at-b.arrived[id] > b.patience/2 {
+			held++
+		}
+	}
+	t.Logf("%d served in vain, %d of %d refused late, of %d", inVain, held, len(b.refused), len(b.arrived))
+	g.Expect(inVain).To(BeZero())
+	g.Expect(held).To(BeNumerically("<=", len(b.arrived)/100))
+}
+
 // TestLowTierKeepsItsFloor plays an overload of long requests of the highest tier, and
 // short ones of a lower tier that would take a twentieth of the slots.
 func TestLowTierKeepsItsFloor(t *testing.T) {
--- a/internal/ruleset/ruleset.go
+++ b/internal/ruleset/ruleset.go
@@ -58,6 +58,9 @@
 	GapObjective time.Duration
 	// MaxTries is the most endpoints that one request may be sent to.
 	MaxTries int
+	// Patience is how long a caller waits for a stream's first event, or the next one,
+	// before it leaves; 0: as long as for the whole answer.
+	Patience time.Duration
 	// Priority orders routes; 0 is the highest.
 	Priority int
 }
--- a/internal/system/custody/custody.go
+++ b/internal/system/custody/custody.go
@@ -67,6 +67,9 @@
 	// FirstDue is when the first token is due, on the host's clock; 0 without
 	// that objective.
 	FirstDue time.Duration
+	// Patience is when the caller leaves if it has had no token, on the host's clock; 0:
+	// not before the deadline.
+	Patience time.Duration
 	// ExpectedTokens is the caller's estimate of the answer's length; 0: none.
 	ExpectedTokens int
 	// Avoid is an endpoint that failed an earlier try of this request.
--- a/internal/system/custody/message.go
+++ b/internal/system/custody/message.go
@@ -28,6 +28,9 @@
 		m.HasObjective = true
 		m.FirstTokenDueUs = (r.FirstDue - now).Microseconds()
 	}
+	if r.Patience > 0 {
+		m.PatienceUs = max(1, (r.Patience - now).Microseconds())
+	}
 	for _, n := range r.PrefixTokens {
 		m.PrefixTokens = append(m.PrefixTokens, uint32(n))
 	}
--- a/internal/system/scheduling/receive.go
+++ b/internal/system/scheduling/receive.go
@@ -72,6 +72,9 @@
 	if m.GetHasObjective() {
 		r.FirstDue = max(1, now+micros(m.GetFirstTokenDueUs()))
 	}
+	if m.GetPatienceUs() > 0 {
+		r.Patience = now + micros(m.GetPatienceUs())
+	}
 	for _, n := range m.GetPrefixTokens() {
 		r.PrefixTokens = append(r.PrefixTokens, int(n))
 	}
