--- a/internal/logs/event.go
+++ b/internal/logs/event.go
@@ -106,7 +106,7 @@
 	{Settings, "The settings file was read."},
 	{PoolScheduler, "The host that schedules a pool, as this host sees it, has changed."},
 	{SchedulerSilent, "A host left a submission unanswered; for a while its pools are taken to be another host's."},
-	{PoolState, "The state of a pool that is scheduled here: what waits and runs, and each endpoint's requests in flight of the most it may have."},
+	{PoolState, "The state of a pool that is scheduled here: what waits, what holds the slots, and each endpoint's requests in flight of the most it may have."},
 	{LinesDropped, "Log lines were dropped because their reader was too slow; lines says how many."},
 	{Retried, "A try of the request failed and it is tried again at another endpoint."},
 	{BucketsWritten, "Buckets of the burn report were written to the object store."},
