Count retries, budgets, rate shares, slots, endpoints, ages and calls of the store

The gateway's metrics were those of the project's own interface: nothing of what decides a request on the platform could be scraped. Gauges are worked out at a scrape; the store's client tells its observer of each call in place of counters that nothing read. Tests of the page, the names and what a pool adds.

--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -44,6 +44,11 @@
 	return list
 }
 
+// RateShares returns the part of each team's rate that this host holds.
+func (c *Core) RateShares() map[ident.Team]float64 {
+	return c.quotas.Shares()
+}
+
 // Suspects returns what is known of requests that crashed endpoints.
 func (c *Core) Suspects() []*peerpb.Suspect {
 	return c.scheduling.Suspects()
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -304,6 +304,7 @@
 		x.firstEvent(at)
 	} else {
 		c.outcome.MaxGap = max(c.outcome.MaxGap, at-c.lastByte)
+		c.gateway.opts.Gap(c.route.Kind, at-c.lastByte)
 	}
 	c.lastByte = at
 	c.outcome.Bytes += len(b)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -53,8 +53,9 @@
 	// RetryRatio, RetryExtra and RetryWindow bound further tries, over all hosts.
 	RetryRatio, RetryExtra float64
 	RetryWindow            time.Duration
-	// Observe is told of each final answer.
+	// Observe is told of each final answer, and Gap of the time between two parts of one.
 	Observe func(*Outcome)
+	Gap     func(ruleset.Kind, time.Duration)
 }
 
 // Gateway serves callers.
@@ -184,6 +185,18 @@
 	return b
 }
 
+// RetriesLeft returns by target how many further tries this host's part of the budget
+// allows now.
+func (g *Gateway) RetriesLeft() map[string]float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	left := make(map[string]float64, len(g.budgets))
+	for target, b := range g.budgets {
+		left[target] = b.Left(g.opts.Now())
+	}
+	return left
+}
+
 // retryShare is the part of the budget beside the ratio that the hosts use. A host
 // that is killed forgets what it has used and starts with its share anew.
 const retryShare = 0.5
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -91,7 +91,7 @@
 		Host: "h", Log: log, Post: h.post, Now: func() time.Duration { return time.Since(began) },
 		ConfigurationAge: func() (time.Duration, bool) { return time.Duration(h.age.Load()), true },
 		KeyLife:          5 * time.Second, RetryRatio: 0.2, RetryExtra: 20, RetryWindow: 10 * time.Second,
-		Observe: func(o *Outcome) { h.outcomes <- *o },
+		Observe: func(o *Outcome) { h.outcomes <- *o }, Gap: func(ruleset.Kind, time.Duration) {},
 	})
 	h.gateway.Configure(rules())
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/metrics/instruments.go
+++ b/internal/metrics/instruments.go
@@ -13,6 +13,7 @@
 type instruments struct {
 	requests, goodput, refusals     metric.Int64Counter
 	prefill, output, platformCalls  metric.Int64Counter
+	retries                         metric.Int64Counter
 	duration, queueWait, firstToken metric.Float64Histogram
 	tokenGap, platformTime          metric.Float64Histogram
 }
@@ -51,6 +52,13 @@
 	return g
 }
 
+func (b *builder) floatGauge(name string) metric.Float64ObservableGauge {
+	info := lookup(name)
+	g, err := b.meter.Float64ObservableGauge(name, metric.WithUnit(info.Unit), metric.WithDescription(info.Meaning))
+	b.note(err)
+	return g
+}
+
 // instruments makes the metrics that are recorded as things happen.
 func (b *builder) instruments() instruments {
 	return instruments{
@@ -60,6 +68,7 @@
 		prefill:       b.counter(namePrefill),
 		output:        b.counter(nameOutput),
 		platformCalls: b.counter(namePlatformCalls),
+		retries:       b.counter(nameRetries),
 		duration:      b.histogram(nameDuration, requestBounds),
 		queueWait:     b.histogram(nameQueueWait, requestBounds),
 		firstToken:    b.histogram(nameFirstToken, requestBounds),
@@ -74,6 +83,11 @@
 	members := b.gauge(nameMembers)
 	waiting := b.gauge(nameWaiting)
 	inFlight := b.gauge(nameInFlight)
+	slots := b.gauge(nameSlots)
+	endpoints := b.gauge(nameEndpoints)
+	left := b.floatGauge(nameRetriesLeft)
+	share := b.floatGauge(nameRateShare)
+	age := b.floatGauge(nameAge)
 	if b.err != nil {
 		return
 	}
@@ -83,11 +97,30 @@
 		o.ObserveInt64(inFlight, int64(s.InFlight))
 		observeEach(o, members, labelState, s.Members)
 		observeEach(o, waiting, labelTier, s.Waiting)
+		observePairs(o, slots, labelPool, s.Slots)
+		observePairs(o, endpoints, labelTarget, s.Endpoints)
+		for target, tries := range s.RetriesLeft {
+			o.ObserveFloat64(left, tries, metric.WithAttributes(attribute.String(labelTarget, target)))
+		}
+		for team, part := range s.RateShare {
+			o.ObserveFloat64(share, part, metric.WithAttributes(attribute.String(labelTeam, string(team))))
+		}
+		for of, since := range s.Age {
+			o.ObserveFloat64(age, since.Seconds(), metric.WithAttributes(attribute.String(labelOf, of)))
+		}
 		return nil
-	}, revision, members, waiting, inFlight)
+	}, revision, members, waiting, inFlight, slots, endpoints, left, share, age)
 	b.note(err)
 }
 
+// observePairs observes a gauge for each pair of a label and a state.
+func observePairs(o metric.Observer, gauge metric.Int64ObservableGauge, label string, counts map[[2]string]int) {
+	for key, count := range counts {
+		o.ObserveInt64(gauge, int64(count),
+			metric.WithAttributes(attribute.String(label, key[0]), attribute.String(labelState, key[1])))
+	}
+}
+
 // observeEach observes a gauge for each value of a label.
 func observeEach[K ~string](o metric.Observer, gauge metric.Int64ObservableGauge, label string, counts map[K]int) {
 	for _, key := range slices.Sorted(maps.Keys(counts)) {
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -40,6 +40,15 @@
 	Waiting map[ident.Tier]int
 	// InFlight counts the requests at endpoints for callers of this host.
 	InFlight int
+	// RetriesLeft is the budget of further tries by target.
+	RetriesLeft map[string]float64
+	// RateShare is the part of each team's rate that this host holds.
+	RateShare map[ident.Team]float64
+	// Slots counts the slots of the pools that this host schedules, by pool and state,
+	// and Endpoints the endpoints by target and state.
+	Slots, Endpoints map[[2]string]int
+	// Age is the time since what is known was the newest, by what it is.
+	Age map[string]time.Duration
 }
 
 // Metrics holds a host's metrics. It is safe for concurrent use.
@@ -89,6 +98,8 @@
 	FirstToken time.Duration
 	// Total is the time from arrival to the end.
 	Total time.Duration
+	// Tries is the number of endpoints that it was sent to.
+	Tries int
 }
 
 // Answered counts a final answer.
@@ -97,6 +108,9 @@
 	byTier := m.by(labelTier, string(a.Tier))
 	byCode := m.by(labelTier, string(a.Tier), labelCode, a.Code.String())
 	m.set.requests.Add(ctx, 1, byCode)
+	if a.Tries > 1 {
+		m.set.retries.Add(ctx, int64(a.Tries-1), byTier)
+	}
 	if a.Code == result.OK {
 		m.set.duration.Record(ctx, a.Total.Seconds(), byTier)
 	}
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -35,7 +35,11 @@
 	m, err := New(func() Status {
 		return Status{
 			Revision: 7, InFlight: 2, Members: map[string]int{"alive": 3},
-			Waiting: map[ident.Tier]int{"urgent": 5},
+			Waiting:     map[ident.Tier]int{"urgent": 5},
+			RetriesLeft: map[string]float64{"llm": 2.5}, RateShare: map[ident.Team]float64{"clerks": 0.25},
+			Slots:     map[[2]string]int{{"llm@a", "decoding"}: 4},
+			Endpoints: map[[2]string]int{{"llm", "active"}: 6},
+			Age:       map[string]time.Duration{"configuration": 500 * time.Millisecond},
 		}
 	})
 	if err != nil {
@@ -43,7 +47,7 @@
 	}
 	good := Answer{
 		Tier: "urgent", Code: result.OK, InTime: true,
-		QueueWait: time.Millisecond, FirstToken: time.Second, Total: 2 * time.Second,
+		QueueWait: time.Millisecond, FirstToken: time.Second, Total: 2 * time.Second, Tries: 2,
 	}
 	late := good
 	late.InTime = false
@@ -93,6 +97,12 @@
 		`trefoilchute_configuration_revision 7`,
 		`trefoilchute_membership_hosts{state="alive"} 3`,
 		`trefoilchute_queue_waiting{tier="urgent"} 5`,
+		`trefoilchute_retries_total{tier="urgent"} 2`,
+		`trefoilchute_retries_left{target="llm"} 2.5`,
+		`trefoilchute_rate_share{team="clerks"} 0.25`,
+		`trefoilchute_slots{pool="llm@a",state="decoding"} 4`,
+		`trefoilchute_endpoints{state="active",target="llm"} 6`,
+		`trefoilchute_age_seconds{of="configuration"} 0.5`,
 	} {
 		g.Expect(recorder.Body.String()).To(ContainSubstring(line + "\n"))
 	}
--- a/internal/metrics/platform.go
+++ b/internal/metrics/platform.go
@@ -40,9 +40,14 @@
 
 // called counts one call of the platform.
 func (m *Metrics) called(operation string, start time.Time, err error) {
+	m.Called(operation, outcome(err), time.Since(start))
+}
+
+// Called counts one call of a platform's service with its outcome.
+func (m *Metrics) Called(operation, outcome string, took time.Duration) {
 	ctx := context.Background()
-	m.set.platformCalls.Add(ctx, 1, m.by(labelOperation, operation, labelOutcome, outcome(err)))
-	m.set.platformTime.Record(ctx, time.Since(start).Seconds(), m.by(labelOperation, operation))
+	m.set.platformCalls.Add(ctx, 1, m.by(labelOperation, operation, labelOutcome, outcome))
+	m.set.platformTime.Record(ctx, took.Seconds(), m.by(labelOperation, operation))
 }
 
 // Table returns a table whose calls are counted.
--- a/internal/metrics/table.go
+++ b/internal/metrics/table.go
@@ -25,6 +25,10 @@
 	unitHosts    = "{host}"
 	unitCalls    = "{call}"
 	unitRevision = "{revision}"
+	unitTries    = "{try}"
+	unitShare    = "{part}"
+	unitSlots    = "{slot}"
+	unitEndpoint = "{endpoint}"
 )
 
 // Names of the metrics.
@@ -44,6 +48,12 @@
 	nameRevision      = "trefoilchute.configuration.revision"
 	namePlatformCalls = "trefoilchute.platform.calls"
 	namePlatformTime  = "trefoilchute.platform.duration"
+	nameRetries       = "trefoilchute.retries"
+	nameRetriesLeft   = "trefoilchute.retries.left"
+	nameRateShare     = "trefoilchute.rate.share"
+	nameSlots         = "trefoilchute.slots"
+	nameEndpoints     = "trefoilchute.endpoints"
+	nameAge           = "trefoilchute.age"
 )
 
 // Labels of the metrics.
@@ -54,6 +64,10 @@
 	labelState     = "state"
 	labelOperation = "operation"
 	labelOutcome   = "outcome"
+	labelTarget    = "target"
+	labelTeam      = "team"
+	labelPool      = "pool"
+	labelOf        = "of"
 )
 
 // Info describes a metric for the documentation.
@@ -83,6 +97,12 @@
 	{nameRevision, kindGauge, unitRevision, nil, "Revision of the configuration in force at this host; 0 while it has none."},
 	{namePlatformCalls, kindCounter, unitCalls, []string{labelOperation, labelOutcome}, "Calls of the platform's services: ok, conflict, not_found, unavailable, ambiguous, limited or other."},
 	{namePlatformTime, kindHistogram, unitSeconds, []string{labelOperation}, "Time of the calls of the platform's services."},
+	{nameRetries, kindCounter, unitTries, []string{labelTier}, "Tries of requests beyond their first."},
+	{nameRetriesLeft, kindGauge, unitTries, []string{labelTarget}, "Further tries that this host's part of the budget allows now."},
+	{nameRateShare, kindGauge, unitShare, []string{labelTeam}, "Part of a team's rate that this host holds."},
+	{nameSlots, kindGauge, unitSlots, []string{labelPool, labelState}, "Slots in the pools that this host schedules: granted (not known to be used yet), prefilling, decoding or orphaned (of lost hosts)."},
+	{nameEndpoints, kindGauge, unitEndpoint, []string{labelTarget, labelState}, "Endpoints as this host knows them: active or leaving."},
+	{nameAge, kindGauge, unitSeconds, []string{labelOf}, "Time since this host knew the configuration, or the endpoints, to be the newest."},
 }
 
 // lookup returns the description of a metric that must be in Table.
@@ -114,7 +134,8 @@
 
 Each entry host serves its own metrics at ` + "`GET /metrics`" + ` in the Prometheus text format. A histogram has the
 usual ` + "`_bucket`, `_sum` and `_count`" + ` series. The label ` + "`tier`" + ` is empty for a request that was refused before its
-tier was known. By team there is the burn report, see [operators/burn-report.md](operators/burn-report.md).
+tier was known; on the users' platform it is the request's kind, and the rank in what waits. By team there is
+the burn report, see [operators/burn-report.md](operators/burn-report.md).
 
 | Name | Kind | Unit | Labels | Meaning |
 | --- | --- | --- | --- | --- |
--- a/internal/platformhost/host.go
+++ b/internal/platformhost/host.go
@@ -75,8 +75,9 @@
 	debug.SetGCPercent(gcPercent)
 	h := &Host{
 		settings: s, incarnation: uint64(time.Now().UnixMilli()), started: clock.Boot(),
-		log: log.WithField("host", s.Host), store: platform.NewStore(s.Store),
+		log: log.WithField("host", s.Host),
 	}
+	h.store = platform.NewStore(s.Store, h.storeCalled)
 	h.life, h.end = context.WithCancel(context.Background())
 	var err error
 	if h.metrics, err = metrics.New(h.status); err != nil {
@@ -98,7 +99,7 @@
 		Host: s.Host, Domain: s.Domain, Log: h.log, Post: h.loop.Post, Now: h.loop.Now,
 		ConfigurationAge: h.follower.ConfigurationAge, KeyLife: s.KeyLife,
 		RetryRatio: s.RetryRatio, RetryExtra: s.RetryExtra, RetryWindow: s.RetryWindow,
-		Observe: h.observe,
+		Observe: h.observe, Gap: h.gap,
 	})
 	return h, nil
 }
--- a/internal/platformhost/record.go
+++ b/internal/platformhost/record.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
 	"github.com/trefoilchute/trefoilchute/internal/control"
@@ -12,10 +14,13 @@
 	"github.com/trefoilchute/trefoilchute/internal/logs"
 	"github.com/trefoilchute/trefoilchute/internal/metrics"
 	"github.com/trefoilchute/trefoilchute/internal/pool"
+	"github.com/trefoilchute/trefoilchute/internal/pool/rules"
 	"github.com/trefoilchute/trefoilchute/internal/resource"
 	"github.com/trefoilchute/trefoilchute/internal/result"
+	"github.com/trefoilchute/trefoilchute/internal/ruleset"
 	"github.com/trefoilchute/trefoilchute/internal/system/custody"
 	"github.com/trefoilchute/trefoilchute/internal/system/scheduling"
+	"github.com/trefoilchute/trefoilchute/platform"
 )
 
 // configured notes that control has taken a snapshot.
@@ -43,7 +48,7 @@
 func (h *Host) observe(o *gateway.Outcome) {
 	h.metrics.Answered(&metrics.Answer{
 		Tier: ident.Tier(o.Kind.String()), Code: o.Code, InTime: o.OnTime,
-		QueueWait: o.Queue, FirstToken: o.First, Total: o.Total,
+		QueueWait: o.Queue, FirstToken: o.First, Total: o.Total, Tries: o.Tries,
 	})
 	line := logs.With(h.log, logs.Answered).WithFields(logrus.Fields{
 		"request": o.Attempt, "try": o.ID, "route": o.Route, "kind": o.Kind.String(), "team": o.Team,
@@ -63,15 +68,50 @@
 	line.Info()
 }
 
+// gap counts the time between two parts of an answer.
+func (h *Host) gap(kind ruleset.Kind, took time.Duration) {
+	h.metrics.TokenGap(ident.Tier(kind.String()), took)
+}
+
+// storeCalled counts a call of the platform's store.
+func (h *Host) storeCalled(path string, took time.Duration, err error) {
+	h.metrics.Called(path, storeOutcome(err), took)
+}
+
+// storeOutcome names what came of a call of the store.
+func storeOutcome(err error) string {
+	switch {
+	case err == nil:
+		return "ok"
+	case errors.Is(err, platform.ErrConflict):
+		return "conflict"
+	case errors.Is(err, platform.ErrHistoryGone):
+		return "history_gone"
+	case errors.Is(err, platform.ErrAmbiguous):
+		return "ambiguous"
+	}
+	return "unavailable"
+}
+
 // inspectTimeout bounds one look at the control state for a scrape.
 const inspectTimeout = 500 * time.Millisecond
 
 // status returns what the host is like at the moment of a scrape.
 func (h *Host) status() metrics.Status {
-	s := metrics.Status{Members: map[string]int{}, Waiting: map[ident.Tier]int{}}
+	s := metrics.Status{
+		Members: map[string]int{}, Waiting: map[ident.Tier]int{}, Slots: map[[2]string]int{},
+		Endpoints: map[[2]string]int{}, Age: map[string]time.Duration{}, RetriesLeft: h.gateway.RetriesLeft(),
+	}
 	if rules := h.gateway.Rules(); rules != nil {
 		s.Revision = rules.Version
 	}
+	if age, known := h.follower.ConfigurationAge(); known {
+		s.Age["configuration"] = age
+	}
+	if age, known := h.follower.EndpointsAge(); known {
+		s.Age["endpoints"] = age
+	}
+	h.countEndpoints(&s)
 	if !h.linked.Load() {
 		return s
 	}
@@ -82,10 +122,51 @@
 			s.Members[m.State.String()]++
 		}
 		_, s.InFlight, _ = c.Busy()
+		s.RateShare = c.RateShares()
+		for _, p := range c.Pools() {
+			countPool(&s, p)
+		}
 	})
 	return s
 }
 
+// countEndpoints counts the endpoints that are known by target and state.
+func (h *Host) countEndpoints(s *metrics.Status) {
+	h.view.mu.Lock()
+	defer h.view.mu.Unlock()
+	for _, e := range h.view.endpoints {
+		state := "active"
+		if e.Leaving {
+			state = "leaving"
+		}
+		s.Endpoints[[2]string{e.Target, state}]++
+	}
+}
+
+// countPool counts what waits in a pool and what holds its slots, if it is scheduled
+// here.
+func countPool(s *metrics.Status, p control.PoolStatus) {
+	if p.Detail == nil {
+		return
+	}
+	for _, q := range p.Detail.Queue {
+		s.Waiting[tierName(q.Rank)] += q.Waiting
+	}
+	name, holders := p.Pool.String(), p.Detail.Holders
+	s.Slots[[2]string{name, "granted"}] = holders.Granted
+	s.Slots[[2]string{name, "prefilling"}] = holders.Prefilling
+	s.Slots[[2]string{name, "decoding"}] = holders.Decoding
+	s.Slots[[2]string{name, "orphaned"}] = holders.Orphaned
+}
+
+// tierName names the tier of a rank; late requests have one of their own.
+func tierName(rank int) ident.Tier {
+	if rank >= rules.LateOrder {
+		return ident.Tier("late-rank-" + strconv.Itoa(rank-rules.LateOrder))
+	}
+	return ident.Tier("rank-" + strconv.Itoa(rank))
+}
+
 // unresponsive logs that a host left a submission unanswered: its pools are taken
 // for another's for a while.
 func (h *Host) unresponsive(other ident.Host) {
--- /dev/null
+++ b/internal/platformhost/record_test.go
@@ -0,0 +1,43 @@
+package platformhost
+
+import (
+	"testing"
+
+	. "github.com/onsi/gomega"
+	"github.com/pkg/errors"
+
+	"github.com/trefoilchute/trefoilchute/internal/control"
+	"github.com/trefoilchute/trefoilchute/internal/ident"
+	"github.com/trefoilchute/trefoilchute/internal/metrics"
+	"github.com/trefoilchute/trefoilchute/internal/pool"
+	"github.com/trefoilchute/trefoilchute/internal/pool/rules"
+	"github.com/trefoilchute/trefoilchute/platform"
+)
+
+// TestAPoolIsCountedWhereItIsScheduled checks what a scrape says of pools.
+func TestAPoolIsCountedWhereItIsScheduled(t *testing.T) {
+	g := NewWithT(t)
+	s := metrics.Status{Waiting: map[ident.Tier]int{}, Slots: map[[2]string]int{}}
+	name := ident.Pool{Target: "llm", Domain: "west"}
+	countPool(&s, control.PoolStatus{Pool: name})
+	g.Expect(s.Slots).To(BeEmpty(), "another host schedules it")
+	countPool(&s, control.PoolStatus{Pool: name, Detail: &pool.Status{
+		Queue:   []pool.QueueStatus{{Rank: 1, Waiting: 2}, {Rank: rules.LateOrder + 1, Waiting: 3}},
+		Holders: pool.Holders{Granted: 1, Prefilling: 2, Decoding: 3, Orphaned: 4},
+	}})
+	g.Expect(s.Waiting).To(Equal(map[ident.Tier]int{"rank-1": 2, "late-rank-1": 3}))
+	g.Expect(s.Slots).To(Equal(map[[2]string]int{
+		{"llm@west", "granted"}: 1, {"llm@west", "prefilling"}: 2,
+		{"llm@west", "decoding"}: 3, {"llm@west", "orphaned"}: 4,
+	}))
+}
+
+func TestOutcomesOfStoreCalls(t *testing.T) {
+	g := NewWithT(t)
+	for want, err := range map[string]error{
+		"ok": nil, "conflict": platform.ErrConflict, "history_gone": platform.ErrHistoryGone,
+		"ambiguous": errors.Wrap(platform.ErrAmbiguous, "POST"), "unavailable": platform.ErrUnavailable,
+	} {
+		g.Expect(storeOutcome(err)).To(Equal(want))
+	}
+}
--- a/internal/soak/checks_test.go
+++ b/internal/soak/checks_test.go
@@ -22,9 +22,9 @@
 }
 
 // seen returns a request on a route with its answer.
-func seen(route string, status int, began, ended time.Duration) *observed {
+func seen(route string, status int, ended time.Duration) *observed {
 	o := &observed{request: caller.Request{Attempt: "a", Key: "key-0", Path: "/p", Body: "b"}, route: route, host: "host-0"}
-	o.answer = caller.Answer{Status: status, Whole: status == 200, Sent: true, Began: at(began), Ended: at(ended)}
+	o.answer = caller.Answer{Status: status, Whole: status == 200, Sent: true, Began: start, Ended: at(ended)}
 	if status == 0 {
 		o.answer.Err = errors.New("reset")
 	}
@@ -46,18 +46,18 @@
 		runs   []runner.Run
 		broken int
 	}{
-		{"served once", none, seen("unsafe", 200, 0, whole), once, 0},
-		{"run twice", none, seen("unsafe", 200, 0, whole), twice, 1},
-		{"run twice, harmless", none, seen("safe", 200, 0, whole), twice, 0},
-		{"resumed", none, seen("resumable", 200, 0, whole), twice, 0},
-		{"not run, as was said", none, seen("unsafe", 503, 0, whole), nil, 0},
-		{"said not to have run", none, seen("unsafe", 503, 0, whole), once, 1},
-		{"answered by nobody", none, seen("safe", 200, 0, whole), nil, 1},
-		{"a route that is there", none, seen("safe", 404, 0, whole), nil, 1},
-		{"a key that is there", none, seen("safe", 401, 0, whole), nil, 1},
-		{"lost in a planned stop", stop, seen("safe", 0, 0, whole), nil, 1},
-		{"crossed the end of its connection", stop, seen("safe", 0, 0, short), nil, 0},
-		{"lost without a planned stop", none, seen("safe", 0, 0, whole), nil, 0},
+		{"served once", none, seen("unsafe", 200, whole), once, 0},
+		{"run twice", none, seen("unsafe", 200, whole), twice, 1},
+		{"run twice, harmless", none, seen("safe", 200, whole), twice, 0},
+		{"resumed", none, seen("resumable", 200, whole), twice, 0},
+		{"not run, as was said", none, seen("unsafe", 503, whole), nil, 0},
+		{"said not to have run", none, seen("unsafe", 503, whole), once, 1},
+		{"answered by nobody", none, seen("safe", 200, whole), nil, 1},
+		{"a route that is there", none, seen("safe", 404, whole), nil, 1},
+		{"a key that is there", none, seen("safe", 401, whole), nil, 1},
+		{"lost in a planned stop", stop, seen("safe", 0, whole), nil, 1},
+		{"crossed the end of its connection", stop, seen("safe", 0, short), nil, 0},
+		{"lost without a planned stop", none, seen("safe", 0, whole), nil, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			g := NewWithT(t)
@@ -102,7 +102,7 @@
 			g := NewWithT(t)
 			w, s := newTestWorld(), &server{id: "app-1"}
 			c.world(w, s)
-			w.checkRun(s, c.run, seen("safe", 200, 0, time.Second))
+			w.checkRun(s, c.run, seen("safe", 200, time.Second))
 			g.Expect(w.broken).To(HaveLen(c.broken))
 		})
 	}
