--- a/internal/ruleset/ruleset.go
+++ b/internal/ruleset/ruleset.go
@@ -123,8 +123,10 @@
 	byHost  map[string][]*Route
 	byKey   map[string]*Team
 	targets map[string]*Target
-	// priorities is one more than the largest priority of a route.
+	// priorities is one more than the largest priority of a route, and ranks all that
+	// requests may have.
 	priorities int
+	ranks      []int
 }
 
 // Rank returns the place of a team's requests on a route among all, 0 the highest: the
@@ -136,26 +138,39 @@
 	return t.Priority*s.priorities + r.Priority
 }
 
-// Ranks returns all ranks that requests may have, in order.
+// Ranks returns all ranks that requests may have, in order. It must not be changed.
 func (s *Ruleset) Ranks() []int {
-	var out []int
+	return s.ranks
+}
+
+// findRanks lists the ranks: a configuration has many routes and teams, of few
+// priorities.
+func (s *Ruleset) findRanks() {
+	routes, teams := map[int]bool{}, map[int]bool{0: true}
+	s.priorities = 1
 	for i := range s.Routes {
-		out = append(out, s.Rank(nil, &s.Routes[i]))
-		for k := range s.Teams {
-			out = append(out, s.Rank(&s.Teams[k], &s.Routes[i]))
+		routes[s.Routes[i].Priority] = true
+		s.priorities = max(s.priorities, s.Routes[i].Priority+1)
+	}
+	for i := range s.Teams {
+		teams[s.Teams[i].Priority] = true
+	}
+	s.ranks = nil
+	for t := range teams {
+		for r := range routes {
+			s.ranks = append(s.ranks, t*s.priorities+r)
 		}
 	}
-	slices.Sort(out)
-	return slices.Compact(out)
+	slices.Sort(s.ranks)
 }
 
 // Index prepares the look-ups. It is to be called once, before the ruleset is
 // published.
 func (s *Ruleset) Index() {
-	s.byHost, s.priorities = map[string][]*Route{}, 1
+	s.findRanks()
+	s.byHost = map[string][]*Route{}
 	for i := range s.Routes {
 		r := &s.Routes[i]
-		s.priorities = max(s.priorities, r.Priority+1)
 		host := strings.ToLower(r.Host)
 		s.byHost[host] = append(s.byHost[host], r)
 	}
