Refuse held requests before their callers leave

Cause: a request that is held because no free endpoint suits it was withdrawn from its queue first, which stops the timer that makes it late and the one that refuses it before its caller leaves. Neither was set again. A request that was late on entering its queue had no such timer either.

Ruled out: a wrong patience (3.2 s is what the callers keep), late dispatch.

The refusal says why the request was held.

--- a/internal/naive/events.go
+++ b/internal/naive/events.go
@@ -76,16 +76,8 @@
 	if r.FirstDue > 0 {
 		s.objectives = append(s.objectives, r.Rank)
 	}
-	if r.FirstDue > 0 && r.late && r.Patience > 0 {
-		s.set(r, "late", r.Patience-s.firstAlone(r), func() { s.outwaited(r) })
-	}
-	if r.FirstDue > 0 && !r.late {
-		if at := r.FirstDue - s.firstAlone(r); at <= s.now {
-			r.late = true
-		} else {
-			s.set(r, "late", at, func() { s.becomeLate(r) })
-		}
-	}
+	r.late = r.late || r.FirstDue > 0 && r.FirstDue-s.firstAlone(r) <= s.now
+	s.watchLate(r)
 	s.findHome(r)
 	x := s.share(r.order(), r.Team)
 	if len(s.teamQueue(r.order(), r.Team)) == 0 {
@@ -95,6 +87,17 @@
 	s.fresh = append(s.fresh, r)
 }
 
+// watchLate waits for a request to become late, or for the caller of a late one to leave.
+func (s *Scheduler) watchLate(r *request) {
+	first := s.firstAlone(r)
+	if r.FirstDue > 0 && !r.late {
+		s.set(r, "late", r.FirstDue-first, func() { s.becomeLate(r) })
+	}
+	if r.FirstDue > 0 && r.late && r.Patience > 0 {
+		s.set(r, "late", r.Patience-first, func() { s.outwaited(r) })
+	}
+}
+
 func (s *Scheduler) withdraw(r *request) {
 	if r.state >= granted {
 		return
--- a/internal/naive/grant.go
+++ b/internal/naive/grant.go
@@ -237,6 +237,7 @@
 	hold := max(p.hold, 0, min(time.Duration(holdSlack(r)*float64(spare)), rules.MaxHold))
 	r.heldUntil = s.now + hold
 	s.watch(r)
+	s.watchLate(r)
 	if hold > 0 {
 		s.set(r, "hold", r.heldUntil, func() { s.fresh = append(s.fresh, r) })
 	}
--- a/internal/pool/grant.go
+++ b/internal/pool/grant.go
@@ -223,11 +223,12 @@
 		return false
 	}
 	s.claim(r)
-	r.phase = phaseHeld
+	r.phase, r.blocked = phaseHeld, p.reason
 	hold := max(p.hold, s.holdLimit(r))
 	r.heldUntil = s.now + hold
 	t.hold(r)
 	s.watch(r)
+	s.watchLate(r)
 	if hold > 0 {
 		s.timers.set(&r.holdTimer, r.heldUntil, func() { s.fresh = append(s.fresh, r) })
 	}
--- a/internal/pool/objective.go
+++ b/internal/pool/objective.go
@@ -130,23 +130,25 @@
 	return s.displace(order)
 }
 
-// watchObjective sets the time from which on a waiting request is late.
+// watchObjective says whether a request that is queued is late, and watches its time.
 func (s *Scheduler) watchObjective(r *request) {
-	if r.FirstDue > 0 {
-		s.objectives[r.Rank] = true
-	}
-	if r.FirstDue > 0 && r.late && r.Patience > 0 {
-		s.timers.set(&r.lateTimer, r.Patience-s.firstAlone(r), func() { s.outwaited(r) })
-	}
-	if r.FirstDue == 0 || r.late {
+	if r.FirstDue == 0 {
 		return
 	}
-	at := r.FirstDue - s.firstAlone(r)
-	if at <= s.now {
-		r.late = true
-		return
+	s.objectives[r.Rank] = true
+	r.late = r.late || r.FirstDue-s.firstAlone(r) <= s.now
+	s.watchLate(r)
+}
+
+// watchLate sets the time from which on a waiting request is late, or for one that is
+// late, the time from which on its caller would leave before the first token.
+func (s *Scheduler) watchLate(r *request) {
+	switch {
+	case r.FirstDue > 0 && !r.late:
+		s.timers.set(&r.lateTimer, r.FirstDue-s.firstAlone(r), func() { s.becomeLate(r) })
+	case r.FirstDue > 0 && r.Patience > 0:
+		s.timers.set(&r.lateTimer, r.Patience-s.firstAlone(r), func() { s.outwaited(r) })
 	}
-	s.timers.set(&r.lateTimer, at, func() { s.becomeLate(r) })
 }
 
 // outwaited refuses a late request whose caller would leave before its first token.
@@ -155,7 +157,7 @@
 		return
 	}
 	s.drop(r)
-	s.refuse(r, result.DeadlineTooNear, "the caller would leave before the first token")
+	s.refuse(r, result.DeadlineTooNear, "the caller would leave before the first token"+r.whyHeld())
 }
 
 // becomeLate moves a waiting request behind all that can meet their objective, or
--- a/internal/pool/objective_test.go
+++ b/internal/pool/objective_test.go
@@ -316,3 +316,38 @@
 	}
 	g.Expect(served).To(BeNumerically(">=", len(low)*9/10), "of %d", len(low))
 }
+
+// TestHeldRequestIsRefusedBeforeItsCallerLeaves has an engine whose prefill is full with
+// a prompt that brings no token: what is held for it ends as soon as its caller would leave.
+func TestHeldRequestIsRefusedBeforeItsCallerLeaves(t *testing.T) {
+	for _, late := range []bool{false, true} {
+		g := NewWithT(t)
+		b := newBurst()
+		for n := range 3 {
+			r := pool.Request{
+				ID: ident.Request(fmt.Sprintf("long%d", n)), Host: "h", Team: "t", PromptTokens: 95_000,
+				MaxTokens: burstTokens, ExpectedTokens: burstTokens, Deadline: time.Minute,
+			}
+			b.scheduler.Step(b.now, []pool.Event{pool.Arrive{Request: r}})
+		}
+		held := pool.Request{
+			ID: "held", Host: "h", Team: "t", PromptTokens: 10_000, MaxTokens: burstTokens, ExpectedTokens: burstTokens,
+			FirstDue: burstObjective, Patience: 3 * time.Second, Deadline: burstLimit,
+		}
+		if late {
+			held.FirstDue = time.Millisecond
+		}
+		var refused *pool.Refuse
+		events := []pool.Event{pool.Arrive{Request: held}}
+		for ; b.now < burstLimit && refused == nil; b.now += 5 * time.Millisecond {
+			for _, e := range b.scheduler.Step(b.now, events) {
+				if e, ok := e.(pool.Refuse); ok && e.ID == "held" {
+					refused = &e
+				}
+			}
+			events = nil
+		}
+		g.Expect(refused).NotTo(BeNil(), "late %v", late)
+		g.Expect(b.now).To(BeNumerically("<", held.Patience), "late %v", late)
+	}
+}
--- a/internal/pool/table.go
+++ b/internal/pool/table.go
@@ -48,6 +48,8 @@
 	// that the request was held to wait for it.
 	home        *endpoint
 	heldForHome bool
+	// blocked says why no endpoint suited it when it was held.
+	blocked string
 	// recheck is the earliest time at which it may be found hopeless.
 	recheck time.Duration
 	// urgent says that there is no time left for caution.
@@ -63,6 +65,14 @@
 	timer    timer
 }
 
+// whyHeld adds to a refusal's reason why a request was held.
+func (r *request) whyHeld() string {
+	if r.blocked == "" {
+		return ""
+	}
+	return ", held: " + r.blocked
+}
+
 // waits says whether the request has no attempt.
 func (r *request) waits() bool {
 	return r.phase < phaseGranted
