Keep requests in their own failure domain unless they would be late there

The penalty is 1 s. An endpoint of the own domain where the request would be late is filtered out as before, so nobody waits for it.

--- a/internal/pool/objective_test.go
+++ b/internal/pool/objective_test.go
@@ -27,6 +27,10 @@
 	// lengths returns the tokens of the n-th request, teams its team.
 	lengths func(n int) int
 	teams   func(n int) ident.Team
+	// near returns the failure domain of the n-th request's custodian; nil: none is told.
+	near func(n int) ident.Domain
+	// granted holds the endpoint of each request that was served.
+	granted map[ident.Request]ident.Endpoint
 	// patience is how long callers wait for a first token; 0: until their limit.
 	patience time.Duration
 }
@@ -60,16 +64,22 @@
 )
 
 func newBurst() *burst {
+	return newBurstIn("d", "d")
+}
+
+// newBurstIn has an engine in each of some failure domains.
+func newBurstIn(domains ...ident.Domain) *burst {
 	b := &burst{
 		scheduler: pool.New(pool.Config{Pool: ident.Pool{Target: "m", Domain: "d"}, Epoch: 1}),
 		arrived:   map[ident.Request]time.Duration{}, first: map[ident.Request]time.Duration{},
 		refused: map[ident.Request]time.Duration{}, tokens: map[ident.Request]int{}, team: map[ident.Request]ident.Team{},
+		granted: map[ident.Request]ident.Endpoint{},
 		lengths: func(int) int { return burstTokens }, teams: func(int) ident.Team { return "t" },
 	}
 	c := pool.Configure{Tiers: []resource.Tier{{Rank: 0}}, Teams: []resource.Team{{Name: "t"}, {Name: "flood"}}}
-	for i := range 2 {
+	for i, domain := range domains {
 		c.Endpoints = append(c.Endpoints, resource.Endpoint{
-			Name: ident.Endpoint(fmt.Sprintf("e%d", i)), Domain: "d", Target: "m", Type: resource.EndpointEngine,
+			Name: ident.Endpoint(fmt.Sprintf("e%d", i)), Domain: domain, Scope: "d", Target: "m", Type: resource.EndpointEngine,
 			State: resource.EndpointActive, Slots: burstSlots / 2, PrefillRate: 100_000, DecodeRate: 330, SpeedsAssumed: true,
 		})
 	}
@@ -83,7 +93,7 @@
 	for _, e := range b.scheduler.Step(b.now, events) {
 		switch e := e.(type) {
 		case pool.Grant:
-			b.first[e.ID] = b.now
+			b.first[e.ID], b.granted[e.ID] = b.now, e.Endpoint
 			started = append(started, pool.Started{ID: e.ID, Attempt: e.Attempt},
 				pool.FirstToken{ID: e.ID, Attempt: e.Attempt, After: 25 * time.Millisecond})
 			service := time.Duration(b.tokens[e.ID]) * time.Second / burstTokens
@@ -118,6 +128,9 @@
 			if objective {
 				r.FirstDue = b.now + burstObjective
 			}
+			if b.near != nil {
+				r.Near = b.near(n)
+			}
 			if b.patience > 0 {
 				r.Patience = b.now + b.patience
 			}
@@ -317,6 +330,36 @@
 	g.Expect(served).To(BeNumerically(">=", len(low)*9/10), "of %d", len(low))
 }
 
+// TestDomainsKeepTheirOwn plays a steady load of long requests, 0.7 of what the slots can
+// serve, of which one failure domain has three fifths: each keeps nearly all of its own,
+// and nobody is late for it.
+func TestDomainsKeepTheirOwn(t *testing.T) {
+	g := NewWithT(t)
+	const long = 3 * burstTokens
+	b := newBurstIn("d0", "d1")
+	b.lengths = func(int) int { return long }
+	b.near = func(n int) ident.Domain {
+		if n%5 < 3 {
+			return "d0"
+		}
+		return "d1"
+	}
+	b.play(true, func(time.Duration) float64 { return 0.7 * burstSlots * burstTokens / long })
+	far := 0
+	for id, endpoint := range b.granted {
+		var n int
+		_, err := fmt.Sscanf(string(id), "r%d", &n)
+		g.Expect(err).NotTo(HaveOccurred())
+		if map[ident.Endpoint]ident.Domain{"e0": "d0", "e1": "d1"}[endpoint] != b.near(n) {
+			far++
+		}
+	}
+	onTime, _ := b.onTime(0, burstOver)
+	t.Logf("%d of %d went to the other domain, %.2f on time", far, len(b.granted), onTime)
+	g.Expect(far).To(BeNumerically("<=", len(b.granted)/20))
+	g.Expect(onTime).To(BeNumerically(">=", 0.99))
+}
+
 // TestHeldRequestIsRefusedBeforeItsCallerLeaves has an engine whose prefill is full with
 // a prompt that brings no token: what is held for it ends as soon as its caller would leave.
 func TestHeldRequestIsRefusedBeforeItsCallerLeaves(t *testing.T) {
--- a/internal/pool/rules/rules.go
+++ b/internal/pool/rules/rules.go
@@ -74,9 +74,10 @@
 	NeighbourShare = 0.5
 	// PrefixPenalty weighs a token that is prefilled again.
 	PrefixPenalty = 4
-	// DomainPenalty is what placing a request in another failure domain costs: half of
-	// what users allow for a first token, so that load goes there before it is late.
-	DomainPenalty = 200 * time.Millisecond
+	// DomainPenalty is what placing a request in another failure domain costs: the slot
+	// time of a request of the middle tier on the users' sites. Load goes there when it
+	// would be late or find no slot in its own domain, not for an engine that is faster.
+	DomainPenalty = time.Second
 	// LongWork is from which expected slot time on a request is long.
 	LongWork = 8 * time.Second
 	// ReservedPart is the part of the pool's slots that long work below the
