Let a superseded pool scheduler go on, and leave waiting requests with their own scheduler

Cause: a custodian whose link to the scheduler is reset turns to another host after 250 ms. That host asked all custodians what they hold, and each handed over its waiting requests, though it took another one for the scheduler. The one custodian then reported the higher epoch to the first scheduler, which started anew: 300 ms of warm-up, and all learned speeds and lengths lost.

A custodian hands over what waits only to the host that it takes for the scheduler; what runs is told to all. A scheduler that learns of a higher epoch goes on in one above it and asks the hosts what they hold; what such a full list doesn't name has ended.

Tests of both fail without the change.

--- a/internal/system/custody/custody_test.go
+++ b/internal/system/custody/custody_test.go
@@ -198,3 +198,34 @@
 		t.Errorf("the old scheduler's refusal counted")
 	}
 }
+
+// TestWaitingStaysWithItsScheduler checks that a host which asks for what is held, but
+// isn't the pool's scheduler as far as is known here, learns what runs and nothing else.
+func TestWaitingStaysWithItsScheduler(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		known   Scheduler
+		waiting int
+	}{
+		{"another host schedules", schedulers[0], 0},
+		{"the asking host does", schedulers[2], 1},
+	} {
+		v := &view{scheduler: schedulers[0], has: true, state: resource.EndpointActive}
+		s := New(Config{Self: "self", View: v})
+		var out system.Outbox
+		s.Arrive(0, Arrival{ID: "r", Target: "m", Idempotent: true, Deadline: time.Minute}, &out)
+		v.scheduler = c.known
+		out = system.Outbox{}
+		s.TakeOver(time.Second, schedulers[2], &peerpb.TakeOver{Target: "m", Domain: "a"}, nil, &out)
+		if len(out.Sends) != 1 || out.Sends[0].To != "two" {
+			t.Fatalf("%s: answered %v", c.name, out.Sends)
+		}
+		if got := len(out.Sends[0].Message.GetHoldings().GetWaiting()); got != c.waiting {
+			t.Errorf("%s: handed over %d waiting requests, want %d", c.name, got, c.waiting)
+		}
+		s.Refused(schedulers[0], &peerpb.Refuse{Request: "r", Code: int32(result.ShedTier)})
+		if waiting, _ := s.Counts(); waiting != c.waiting {
+			t.Errorf("%s: the first scheduler's refusal left %d waiting, want %d", c.name, waiting, c.waiting)
+		}
+	}
+}
--- a/internal/system/custody/tick.go
+++ b/internal/system/custody/tick.go
@@ -113,7 +113,9 @@
 	}
 }
 
-// TakeOver answers a new scheduler with what this host holds in the pool.
+// TakeOver answers a scheduler with what this host holds in the pool. What waits stays
+// where it is if this host takes another one for the scheduler: a host that only one
+// custodian takes for it asks all.
 func (s *System) TakeOver(now time.Duration, from Scheduler, m *peerpb.TakeOver, suspects []*peerpb.Suspect, out *system.Outbox) {
 	pool := ident.Pool{Target: m.GetTarget(), Domain: ident.Domain(m.GetDomain())}
 	h := &peerpb.Holdings{
@@ -128,6 +130,9 @@
 		case stateDispatched:
 			h.Running = append(h.Running, r.running(now))
 		case stateQueued:
+			if !s.schedules(from, pool) {
+				continue
+			}
 			r.scheduler = from
 			r.accepted = false
 			r.submittedAt = now
@@ -136,3 +141,9 @@
 	}
 	out.Send(from.Host, peerpb.Wrap(&peerpb.Envelope_Holdings{Holdings: h}))
 }
+
+// schedules reports whether this host takes a process for the scheduler of a pool.
+func (s *System) schedules(from Scheduler, pool ident.Pool) bool {
+	sched, ok := s.cfg.View.Scheduler(pool)
+	return ok && sched.Host == from.Host
+}
--- /dev/null
+++ b/internal/system/scheduling/epoch_test.go
@@ -0,0 +1,81 @@
+package scheduling
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/trefoilchute/trefoilchute/internal/ident"
+	"github.com/trefoilchute/trefoilchute/internal/peer/peerpb"
+	"github.com/trefoilchute/trefoilchute/internal/resource"
+	"github.com/trefoilchute/trefoilchute/internal/system"
+)
+
+// TestSupersededSchedulerGoesOn has one custodian turn to another host for a moment, which
+// schedules in the epoch above. The scheduler keeps its queue and its ledger, grants in an
+// epoch above both, and frees the slot of what its custodian no longer holds.
+func TestSupersededSchedulerGoesOn(t *testing.T) {
+	g := NewWithT(t)
+	var out system.Outbox
+	p := ident.Pool{Target: "m", Domain: "a"}
+	s := New(Config{Self: "self", Domain: "a", View: alone{}})
+	snap := resource.NewSnapshot()
+	snap.Revision = 1
+	snap.Endpoints["e"] = resource.Endpoint{Name: "e", Domain: "a", Target: "m", State: resource.EndpointActive, Slots: 1}
+	s.Configure(0, snap, &out)
+	now := 10 * time.Millisecond
+	receive := func(m *peerpb.Envelope) {
+		now += 10 * time.Millisecond
+		s.Receive(now, Process{"other", 1}, m, &out)
+	}
+	held := func(epoch uint64, waiting ...*peerpb.Submit) *peerpb.Envelope {
+		return peerpb.Wrap(&peerpb.Envelope_Holdings{Holdings: &peerpb.Holdings{
+			Target: "m", Domain: "a", TakeOver: true, Epoch: epoch, Waiting: waiting,
+		}})
+	}
+	submit := func(id string) *peerpb.Submit {
+		return &peerpb.Submit{Request: id, Target: "m", Domain: "a", Team: "t", PromptTokens: 10, MaxTokens: 10, DeadlineUs: time.Minute.Microseconds()}
+	}
+	s.Receive(now, Process{"self", 1}, held(0), &out)
+	receive(held(0))
+	receive(peerpb.Wrap(&peerpb.Envelope_Submit{Submit: submit("runs")}))
+	first := lastGrant(out)
+	g.Expect(first.GetRequest()).To(Equal("runs"))
+	report := &peerpb.Report{
+		Request: "runs", Target: "m", Domain: "a", Attempt: first.GetAttempt(), Phase: peerpb.Report_PHASE_STARTED, Epoch: first.GetEpoch(),
+	}
+	receive(peerpb.Wrap(&peerpb.Envelope_Report{Report: report}))
+	waits := submit("waits")
+	waits.Epoch = first.GetEpoch() + 4
+	out = system.Outbox{}
+	receive(peerpb.Wrap(&peerpb.Envelope_Submit{Submit: waits}))
+
+	status := s.Status(p)
+	g.Expect(status).NotTo(BeNil(), "no warm-up")
+	g.Expect(status.Epoch).To(BeNumerically(">", waits.GetEpoch()))
+	g.Expect(status.Endpoints[0].InFlight).To(Equal(1), "the ledger is kept")
+	asked := map[ident.Host]bool{}
+	for _, send := range out.Sends {
+		if send.Message.GetTakeOver() != nil {
+			asked[send.To] = true
+		}
+	}
+	g.Expect(asked).To(Equal(map[ident.Host]bool{"other": true, "self": true}))
+
+	receive(held(waits.GetEpoch(), waits))
+	grant := lastGrant(out)
+	g.Expect(grant.GetRequest()).To(Equal("waits"), "the other scheduler was told that the first one ended")
+	g.Expect(grant.GetEpoch()).To(Equal(status.Epoch))
+}
+
+// lastGrant returns the last grant of an outbox.
+func lastGrant(out system.Outbox) *peerpb.Grant {
+	var last *peerpb.Grant
+	for _, send := range out.Sends {
+		if g := send.Message.GetGrant(); g != nil {
+			last = g
+		}
+	}
+	return last
+}
--- a/internal/system/scheduling/instance.go
+++ b/internal/system/scheduling/instance.go
@@ -171,12 +171,12 @@
 }
 
 // missing returns, in order, the dispatched requests of a host that its
-// complete list doesn't name and that were last heard of too long ago for
-// their report to be under way.
-func (in *instance) missing(now time.Duration, h ident.Host, listed map[runningKey]bool) []runningKey {
+// complete list doesn't name and that were last heard of longer ago than a
+// grace, so that their report isn't under way.
+func (in *instance) missing(now time.Duration, h ident.Host, listed map[runningKey]bool, grace time.Duration) []runningKey {
 	var gone []runningKey
 	for key, row := range in.running {
-		if row.host == h && !listed[key] && now-row.heard > missingGrace {
+		if row.host == h && !listed[key] && now-row.heard >= grace {
 			gone = append(gone, key)
 		}
 	}
--- a/internal/system/scheduling/receive.go
+++ b/internal/system/scheduling/receive.go
@@ -37,7 +37,8 @@
 	if s.snapshot == nil || p.Domain != s.cfg.Domain {
 		return
 	}
-	in := s.supersede(now, s.own(now, p, out), m.GetEpoch(), out)
+	in := s.own(now, p, out)
+	s.supersede(now, in, m.GetEpoch(), out)
 	if !in.hear(now, from, m.GetClockUs()) {
 		return
 	}
@@ -99,7 +100,7 @@
 	if in == nil {
 		return
 	}
-	in = s.supersede(now, in, m.GetEpoch(), out)
+	s.supersede(now, in, m.GetEpoch(), out)
 	if !in.hear(now, from, m.GetClockUs()) {
 		return
 	}
@@ -159,7 +160,7 @@
 	if in == nil {
 		return
 	}
-	in = s.supersede(now, in, m.GetEpoch(), out)
+	s.supersede(now, in, m.GetEpoch(), out)
 	if !in.hear(now, from, m.GetClockUs()) {
 		return
 	}
@@ -179,7 +180,12 @@
 		s.accept(from.Host, w, in, out)
 	}
 	in.queue(restore)
-	for _, key := range in.missing(now, from.Host, listed) {
+	grace := missingGrace
+	if m.GetTakeOver() {
+		// The host was asked and told all: what it started before is in the list.
+		grace = 0
+	}
+	for _, key := range in.missing(now, from.Host, listed, grace) {
 		delete(in.running, key)
 		in.queue(pool.Finished{ID: key.request, Attempt: key.attempt, Outcome: pool.OutcomeCanceled})
 	}
--- a/internal/system/scheduling/scheduling.go
+++ b/internal/system/scheduling/scheduling.go
@@ -152,6 +152,7 @@
 		return nil
 	}
 	status := in.scheduler.Status()
+	status.Epoch = in.epoch
 	return &status
 }
 
@@ -169,24 +170,32 @@
 	return s.takeOver(now, p, out)
 }
 
-// supersede looks at the highest epoch that a custodian has seen. Another host
-// that scheduled the pool in between had a higher epoch than a scheduler that
-// never stopped here: custodians refuse this one's grants, so it starts anew.
-func (s *System) supersede(now time.Duration, in *instance, epoch uint64, out *system.Outbox) *instance {
-	if in.scheduler != nil && epoch > in.epoch {
-		in = s.takeOver(now, in.pool, out)
-	}
+// supersede looks at the highest epoch that a custodian has seen. Another host that
+// scheduled the pool in between, maybe for that custodian alone, had a higher one than
+// a scheduler that never stopped here. Custodians would refuse this one's grants, and it
+// doesn't know of the other's: it goes on in an epoch above and asks what the hosts hold.
+func (s *System) supersede(now time.Duration, in *instance, epoch uint64, out *system.Outbox) {
 	in.seenEpoch = max(in.seenEpoch, epoch)
-	return in
+	if in.scheduler == nil || epoch <= in.epoch {
+		return
+	}
+	in.epoch = epoch + 1
+	s.chargeAnew(now)
+	ask(in.pool, s.cfg.View.Alive(), out)
+}
+
+// chargeAnew tells the teams' rates that another host may have charged them.
+func (s *System) chargeAnew(now time.Duration) {
+	if s.cfg.Quotas != nil {
+		s.cfg.Quotas.TakeOver(now)
+	}
 }
 
 // takeOver starts a pool with a warm-up, in which the hosts tell what they hold.
 func (s *System) takeOver(now time.Duration, p ident.Pool, out *system.Outbox) *instance {
 	in := newInstance(now, p, s.cfg.View.Alive())
 	s.instances[p] = in
-	if s.cfg.Quotas != nil {
-		s.cfg.Quotas.TakeOver(now)
-	}
+	s.chargeAnew(now)
 	ask(p, in.awaitedHosts(), out)
 	return in
 }
