Keep a queue's backlog in one place, and call a request's place in it its turn

A tier's and a team's backlog were kept beside the sums by size class that add up to them. due() named a place in the order, not a time at which something is due. Nothing is decided differently.

--- a/internal/naive/naive.go
+++ b/internal/naive/naive.go
@@ -234,8 +234,8 @@
 	return r.Rank
 }
 
-// due is when a request is to be served.
-func (r *request) due() time.Duration {
+// turn is when a request is to be served.
+func (r *request) turn() time.Duration {
 	switch {
 	case r.FirstDue == 0:
 		return r.Deadline
--- a/internal/naive/policy.go
+++ b/internal/naive/policy.go
@@ -333,7 +333,7 @@
 func compareUrgency(a, b *request) int {
 	return cmp.Or(
 		cmp.Compare(a.order(), b.order()),
-		cmp.Compare(a.due(), b.due()),
+		cmp.Compare(a.turn(), b.turn()),
 		cmp.Compare(a.sequence, b.sequence),
 	)
 }
@@ -386,7 +386,7 @@
 	return sum
 }
 
-// teamQueue returns a team's queued requests, earliest deadline first.
+// teamQueue returns a team's queued requests in the order of their turns.
 func (s *Scheduler) teamQueue(rank int, team ident.Team) []*request {
 	var out []*request
 	for _, r := range s.in(queued) {
--- a/internal/pool/grant.go
+++ b/internal/pool/grant.go
@@ -9,7 +9,7 @@
 )
 
 // grant gives free slots to waiting requests: strict tiers, in a tier the team
-// that is furthest behind its share, in a team the earliest deadline.
+// that is furthest behind its share, in a team the request whose turn is first.
 //
 // Before a step no waiting request suited any open endpoint. So it is enough to
 // hold those that waited against the endpoints that have changed, and those
--- a/internal/pool/isolate.go
+++ b/internal/pool/isolate.go
@@ -30,7 +30,7 @@
 func compareUrgency(a, b *request) int {
 	return cmp.Or(
 		cmp.Compare(a.order(), b.order()),
-		cmp.Compare(a.due(), b.due()),
+		cmp.Compare(a.turn(), b.turn()),
 		cmp.Compare(a.sequence, b.sequence),
 	)
 }
--- a/internal/pool/objective.go
+++ b/internal/pool/objective.go
@@ -27,10 +27,10 @@
 	return r.Rank
 }
 
-// due is the request's place in its tier. Without an objective it is the deadline. With
+// turn is the request's place in its tier and team. Without an objective it is the deadline. With
 // one, long requests stand behind shorter ones that arrive in the time that they run:
 // when not all can be on time, more are if the short ones go first.
-func (r *request) due() time.Duration {
+func (r *request) turn() time.Duration {
 	switch {
 	case r.FirstDue == 0:
 		return r.Deadline
--- a/internal/pool/queue.go
+++ b/internal/pool/queue.go
@@ -11,7 +11,7 @@
 )
 
 // queue holds the waiting requests: by tier, in a tier by the team's virtual
-// start time (start-time fair queueing), in a team by deadline. Requests that can't
+// start time (start-time fair queueing), in a team by their turn. Requests that can't
 // meet their objective any more stand in tiers of their own behind all others.
 // Taking the next request and removing any one cost a logarithm of the number
 // waiting.
@@ -35,10 +35,8 @@
 	held []*request
 	// homeHeld counts those that were held for the endpoint with their prefix.
 	homeHeld int
-	// backlog is the sum of the costs waiting, held ones included; bySize has it by
-	// the requests' size classes.
-	backlog time.Duration
-	bySize  bySize
+	// backlog is the slot time that waits, held requests included.
+	backlog backlog
 	// weight is the sum of the weights of the teams with queued requests.
 	weight float64
 }
@@ -52,23 +50,31 @@
 	// index is the place in the tier's heap plus one; 0 when not in it.
 	index    int
 	requests requestHeap
-	// backlog is the sum of the costs waiting; bySize has it by size classes.
-	backlog time.Duration
-	bySize  bySize
+	// backlog is the slot time that waits, without held requests.
+	backlog backlog
 }
 
-// bySize holds sums of costs by size classes.
-type bySize [rules.SizeClasses]time.Duration
+// backlog is the expected slot time of waiting requests by their size classes.
+type backlog [rules.SizeClasses]time.Duration
 
 // add adds a request's cost, or takes it off.
-func (b *bySize) add(r *request, sign int) {
+func (b *backlog) add(r *request, sign int) {
 	b[rules.SizeClass(r.cost)] += time.Duration(sign) * r.cost
 }
 
 // upTo sums up what is no longer than a request.
-func (b *bySize) upTo(r *request) time.Duration {
+func (b *backlog) upTo(r *request) time.Duration {
+	return sumOf(b[:rules.SizeClass(r.cost)+1])
+}
+
+// total sums up all of it.
+func (b *backlog) total() time.Duration {
+	return sumOf(b[:])
+}
+
+func sumOf(costs []time.Duration) time.Duration {
 	var sum time.Duration
-	for _, cost := range b[:rules.SizeClass(r.cost)+1] {
+	for _, cost := range costs {
 		sum += cost
 	}
 	return sum
@@ -130,14 +136,12 @@
 // book adds a request to what waits, or takes it off.
 func (t *tierQueue) book(r *request, sign int) {
 	t.size += sign
-	t.backlog += time.Duration(sign) * r.cost
-	t.bySize.add(r, sign)
+	t.backlog.add(r, sign)
 }
 
 // book adds a request to what the team has waiting, or takes it off.
 func (tq *teamQueue) book(r *request, sign int) {
-	tq.backlog += time.Duration(sign) * r.cost
-	tq.bySize.add(r, sign)
+	tq.backlog.add(r, sign)
 }
 
 // backlogBefore is the part of the backlog that is served before a request: what is no
@@ -145,9 +149,9 @@
 func (t *tierQueue) backlogBefore(r *request, of *team) time.Duration {
 	var own time.Duration
 	if tq := t.teams[r.Team]; tq != nil {
-		own = tq.bySize.upTo(r)
+		own = tq.backlog.upTo(r)
 	}
-	return min(t.bySize.upTo(r), t.shareOf(r, of, own))
+	return min(t.backlog.upTo(r), t.shareOf(r, of, own))
 }
 
 // charge books the cost of a request that is served to its team's share.
@@ -166,7 +170,7 @@
 func (t *tierQueue) shareTime(r *request, of *team) time.Duration {
 	var own time.Duration
 	if tq := t.teams[r.Team]; tq != nil {
-		own = tq.backlog
+		own = tq.backlog.total()
 	}
 	return t.shareOf(r, of, own)
 }
@@ -221,7 +225,7 @@
 	t.teams[r.Team].team.waiting--
 }
 
-// head returns the team's request with the earliest deadline.
+// head returns the team's request whose turn is first.
 func (tq *teamQueue) head() *request {
 	return tq.requests[0]
 }
@@ -274,13 +278,13 @@
 	return t
 }
 
-// requestHeap orders requests by when they are due, then by arrival.
+// requestHeap orders requests by their turn, then by arrival.
 type requestHeap []*request
 
 func (h requestHeap) Len() int { return len(h) }
 
 func (h requestHeap) Less(i, j int) bool {
-	if a, b := h[i].due(), h[j].due(); a != b {
+	if a, b := h[i].turn(), h[j].turn(); a != b {
 		return a < b
 	}
 	return h[i].sequence < h[j].sequence
--- a/internal/pool/shed.go
+++ b/internal/pool/shed.go
@@ -51,14 +51,14 @@
 // expectedWait is the time until what waits at a rank or above is served, at
 // the rate that the pool drains and tiers above leave over.
 func (s *Scheduler) expectedWait(rank int) time.Duration {
-	return s.drainTime(rank, s.backlogAbove(rank)+s.queue.tier(rank).backlog)
+	return s.drainTime(rank, s.backlogAbove(rank)+s.queue.tier(rank).backlog.total())
 }
 
 // teamWait is the time until a new request of a team is served: a team that is
 // within its share does not wait for the other teams' backlog.
 func (s *Scheduler) teamWait(r *request) time.Duration {
 	t := s.queue.tier(r.order())
-	own := t.backlog
+	own := t.backlog.total()
 	if share := t.shareTime(r, s.teams.get(r.Team)); share < own {
 		own = share
 	}
@@ -69,7 +69,7 @@
 	var sum time.Duration
 	for _, t := range s.queue.tiers {
 		if t.rank < rank {
-			sum += t.backlog
+			sum += t.backlog.total()
 		}
 	}
 	return sum
