--- a/internal/pool/objective.go
+++ b/internal/pool/objective.go
@@ -27,9 +27,9 @@
 	return r.Rank
 }
 
-// turn is the request's place in its tier and team. Without an objective it is the deadline. With
-// one, long requests stand behind shorter ones that arrive in the time that they run:
-// when not all can be on time, more are if the short ones go first.
+// turn is the request's place in its tier and team. Without an objective it is the
+// deadline. With one, long requests stand behind shorter ones that arrive in the time
+// that they run: when not all can be on time, more are if the short ones go first.
 func (r *request) turn() time.Duration {
 	switch {
 	case r.FirstDue == 0:
