Wait in process tests until keys of all holders are served

The hosts' links came up at 36.2 s; a host that has just found the others vouches for no key for HealTime, 10 s, and the answer came at 46.0 s, 8.0 s of waiting after 38.0 s. That answer is allowed: the comment of awaitKeys names it. awaitKeys asked for one key, whose holders may have been ready when those of the test's key were not.

It asks for 16 keys in a row now. Not reproduced: two runs of the spec before the change passed.

--- a/test/process/deployment_test.go
+++ b/test/process/deployment_test.go
@@ -167,16 +167,24 @@
 	}
 }
 
-// awaitKeys waits until requests with idempotency keys are served. After all hosts
-// have started, the holders of keys don't vouch for a key for some seconds, and a
-// first sending without an attempt number is refused with 210.
+// keysProbed is how many keys awaitKeys wants served in a row: enough that every pair of
+// three hosts holds some of them.
+const keysProbed = 16
+
+// awaitKeys waits until requests with idempotency keys are served, whichever hosts hold the
+// key. After all hosts have started, the holders of keys don't vouch for a key for some
+// seconds, up to ten after they have found each other, and a first sending without an
+// attempt number is refused with 210.
 func (d *deployment) awaitKeys(p *entryProcess) {
 	tries := 0
-	Eventually(func() int {
-		tries++
-		return chat(p, `{"model":"assistant","max_tokens":1,"messages":[{"role":"user","content":"ready"}]}`,
-			"Idempotency-Key", fmt.Sprint("ready-", tries)).status
-	}, changeLimit, poll).Should(Equal(http.StatusOK))
+	Eventually(func(g Gomega) {
+		for range keysProbed {
+			tries++
+			served := chat(p, `{"model":"assistant","max_tokens":1,"messages":[{"role":"user","content":"ready"}]}`,
+				"Idempotency-Key", fmt.Sprint("ready-", tries))
+			g.Expect(served.status).To(Equal(http.StatusOK), served.body)
+		}
+	}, changeLimit, poll).Should(Succeed())
 }
 
 // schedulerOf returns the name of the host that schedules a pool, on which all
