Say why a request is held only while it is, and show that older epochs are declined

A request that was held, became late and went back to its queue was refused with the reason for which it had been held before. Refusals at the deadline say why, too.

The check of a grant's epoch could be taken out without any test failing: the drawn events of custody know one epoch. A test has two now, and fails with the check out.

The set-up of the scheduling tests is in one place; a count by name and state has a type with names; the plain service's call ahead isn't set for engines first; an unused field and a list that only grew are gone.

--- a/internal/metrics/instruments.go
+++ b/internal/metrics/instruments.go
@@ -97,8 +97,8 @@
 		o.ObserveInt64(inFlight, int64(s.InFlight))
 		observeEach(o, members, labelState, s.Members)
 		observeEach(o, waiting, labelTier, s.Waiting)
-		observePairs(o, slots, labelPool, s.Slots)
-		observePairs(o, endpoints, labelTarget, s.Endpoints)
+		observeStates(o, slots, labelPool, s.Slots)
+		observeStates(o, endpoints, labelTarget, s.Endpoints)
 		for target, tries := range s.RetriesLeft {
 			o.ObserveFloat64(left, tries, metric.WithAttributes(attribute.String(labelTarget, target)))
 		}
@@ -113,11 +113,11 @@
 	b.note(err)
 }
 
-// observePairs observes a gauge for each pair of a label and a state.
-func observePairs(o metric.Observer, gauge metric.Int64ObservableGauge, label string, counts map[[2]string]int) {
+// observeStates observes a gauge for each name, under a label, and state.
+func observeStates(o metric.Observer, gauge metric.Int64ObservableGauge, label string, counts map[NameState]int) {
 	for key, count := range counts {
 		o.ObserveInt64(gauge, int64(count),
-			metric.WithAttributes(attribute.String(label, key[0]), attribute.String(labelState, key[1])))
+			metric.WithAttributes(attribute.String(label, key.Name), attribute.String(labelState, key.State)))
 	}
 }
 
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -44,13 +44,16 @@
 	RetriesLeft map[string]float64
 	// RateShare is the part of each team's rate that this host holds.
 	RateShare map[ident.Team]float64
-	// Slots counts the slots of the pools that this host schedules, by pool and state,
-	// and Endpoints the endpoints by target and state.
-	Slots, Endpoints map[[2]string]int
+	// Slots counts the slots of the pools that this host schedules, by the pool's name
+	// and state, and Endpoints the endpoints by their target's.
+	Slots, Endpoints map[NameState]int
 	// Age is the time since what is known was the newest, by what it is.
 	Age map[string]time.Duration
 }
 
+// NameState is what things that have a state are counted by.
+type NameState struct{ Name, State string }
+
 // Metrics holds a host's metrics. It is safe for concurrent use.
 type Metrics struct {
 	registry *prometheus.Registry
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -37,8 +37,8 @@
 			Revision: 7, InFlight: 2, Members: map[string]int{"alive": 3},
 			Waiting:     map[ident.Tier]int{"urgent": 5},
 			RetriesLeft: map[string]float64{"llm": 2.5}, RateShare: map[ident.Team]float64{"clerks": 0.25},
-			Slots:     map[[2]string]int{{"llm@a", "decoding"}: 4},
-			Endpoints: map[[2]string]int{{"llm", "active"}: 6},
+			Slots:     map[NameState]int{{Name: "llm@a", State: "decoding"}: 4},
+			Endpoints: map[NameState]int{{Name: "llm", State: "active"}: 6},
 			Age:       map[string]time.Duration{"configuration": 500 * time.Millisecond},
 		}
 	})
--- a/internal/naive/events.go
+++ b/internal/naive/events.go
@@ -73,7 +73,7 @@
 		r.state = isolated
 		return
 	}
-	if r.FirstDue > 0 {
+	if r.FirstDue > 0 && !slices.Contains(s.objectives, r.Rank) {
 		s.objectives = append(s.objectives, r.Rank)
 	}
 	r.late = r.late || r.FirstDue > 0 && r.FirstDue-s.firstAlone(r) <= s.now
--- a/internal/platformhost/record.go
+++ b/internal/platformhost/record.go
@@ -99,8 +99,8 @@
 // status returns what the host is like at the moment of a scrape.
 func (h *Host) status() metrics.Status {
 	s := metrics.Status{
-		Members: map[string]int{}, Waiting: map[ident.Tier]int{}, Slots: map[[2]string]int{},
-		Endpoints: map[[2]string]int{}, Age: map[string]time.Duration{}, RetriesLeft: h.gateway.RetriesLeft(),
+		Members: map[string]int{}, Waiting: map[ident.Tier]int{}, Slots: map[metrics.NameState]int{},
+		Endpoints: map[metrics.NameState]int{}, Age: map[string]time.Duration{}, RetriesLeft: h.gateway.RetriesLeft(),
 	}
 	if rules := h.gateway.Rules(); rules != nil {
 		s.Revision = rules.Version
@@ -139,7 +139,7 @@
 		if e.Leaving {
 			state = "leaving"
 		}
-		s.Endpoints[[2]string{e.Target, state}]++
+		s.Endpoints[metrics.NameState{Name: e.Target, State: state}]++
 	}
 }
 
@@ -152,11 +152,13 @@
 	for _, q := range p.Detail.Queue {
 		s.Waiting[tierName(q.Rank)] += q.Waiting
 	}
-	name, holders := p.Pool.String(), p.Detail.Holders
-	s.Slots[[2]string{name, "granted"}] = holders.Granted
-	s.Slots[[2]string{name, "prefilling"}] = holders.Prefilling
-	s.Slots[[2]string{name, "decoding"}] = holders.Decoding
-	s.Slots[[2]string{name, "orphaned"}] = holders.Orphaned
+	holders := p.Detail.Holders
+	for state, count := range map[string]int{
+		"granted": holders.Granted, "prefilling": holders.Prefilling,
+		"decoding": holders.Decoding, "orphaned": holders.Orphaned,
+	} {
+		s.Slots[metrics.NameState{Name: p.Pool.String(), State: state}] = count
+	}
 }
 
 // tierName names the tier of a rank; late requests have one of their own.
--- a/internal/platformhost/record_test.go
+++ b/internal/platformhost/record_test.go
@@ -17,7 +17,7 @@
 // TestAPoolIsCountedWhereItIsScheduled checks what a scrape says of pools.
 func TestAPoolIsCountedWhereItIsScheduled(t *testing.T) {
 	g := NewWithT(t)
-	s := metrics.Status{Waiting: map[ident.Tier]int{}, Slots: map[[2]string]int{}}
+	s := metrics.Status{Waiting: map[ident.Tier]int{}, Slots: map[metrics.NameState]int{}}
 	name := ident.Pool{Target: "llm", Domain: "west"}
 	countPool(&s, control.PoolStatus{Pool: name})
 	g.Expect(s.Slots).To(BeEmpty(), "another host schedules it")
@@ -26,9 +26,9 @@
 		Holders: pool.Holders{Granted: 1, Prefilling: 2, Decoding: 3, Orphaned: 4},
 	}})
 	g.Expect(s.Waiting).To(Equal(map[ident.Tier]int{"rank-1": 2, "late-rank-1": 3}))
-	g.Expect(s.Slots).To(Equal(map[[2]string]int{
-		{"llm@west", "granted"}: 1, {"llm@west", "prefilling"}: 2,
-		{"llm@west", "decoding"}: 3, {"llm@west", "orphaned"}: 4,
+	g.Expect(s.Slots).To(Equal(map[metrics.NameState]int{
+		{Name: "llm@west", State: "granted"}: 1, {Name: "llm@west", State: "prefilling"}: 2,
+		{Name: "llm@west", State: "decoding"}: 3, {Name: "llm@west", State: "orphaned"}: 4,
 	}))
 }
 
--- a/internal/platformhost/view.go
+++ b/internal/platformhost/view.go
@@ -129,18 +129,18 @@
 func (h *Host) endpoint(e platform.Endpoint) resource.Endpoint {
 	out := resource.Endpoint{
 		Name: e.Name, Address: e.Address, Domain: e.Domain, Scope: h.settings.Region, Target: e.Target,
-		Type: resource.EndpointService, State: resource.EndpointActive, Slots: e.Slots,
-		SpeedsAssumed: true, EndsWithConnection: true, Ahead: callsAhead,
+		State: resource.EndpointActive, Slots: e.Slots, SpeedsAssumed: true, EndsWithConnection: true,
 	}
 	if e.Leaving {
 		out.State = resource.EndpointDrain
 	}
-	if t := h.view.rules.Target(e.Target); t != nil && t.Engine != nil {
-		out.Type = resource.EndpointEngine
-		out.Ahead = 0
-		out.CacheTokens = t.Engine.CacheTokens
-		out.PrefillRate, out.DecodeRate = h.settings.PrefillRate, h.settings.DecodeRate
+	t := h.view.rules.Target(e.Target)
+	if t == nil || t.Engine == nil {
+		out.Type, out.Ahead = resource.EndpointService, callsAhead
+		return out
 	}
+	out.Type, out.CacheTokens = resource.EndpointEngine, t.Engine.CacheTokens
+	out.PrefillRate, out.DecodeRate = h.settings.PrefillRate, h.settings.DecodeRate
 	return out
 }
 
--- a/internal/pool/hopeless.go
+++ b/internal/pool/hopeless.go
@@ -50,14 +50,15 @@
 		s.watch(r)
 		return
 	}
+	held := r.whyHeld()
 	s.drop(r)
 	switch {
 	case s.now >= r.Deadline:
-		s.refuse(r, result.Expired, "the deadline passed in the queue")
+		s.refuse(r, result.Expired, "the deadline passed in the queue"+held)
 	case !ok:
 		s.refuse(r, result.NoEndpoint, "no endpoint of the pool takes work")
 	default:
-		s.refuse(r, result.DeadlineTooNear, "no endpoint can answer it before its deadline any more")
+		s.refuse(r, result.DeadlineTooNear, "no endpoint can answer it before its deadline any more"+held)
 	}
 }
 
--- a/internal/pool/objective.go
+++ b/internal/pool/objective.go
@@ -130,7 +130,8 @@
 	return s.displace(order)
 }
 
-// watchObjective says whether a request that is queued is late, and watches its time.
+// watchObjective finds out whether a request that enters the queue is late, and sets the
+// timer of that.
 func (s *Scheduler) watchObjective(r *request) {
 	if r.FirstDue == 0 {
 		return
@@ -156,8 +157,9 @@
 	if r.phase != phaseQueued && r.phase != phaseHeld {
 		return
 	}
+	reason := "the caller would leave before the first token" + r.whyHeld()
 	s.drop(r)
-	s.refuse(r, result.DeadlineTooNear, "the caller would leave before the first token"+r.whyHeld())
+	s.refuse(r, result.DeadlineTooNear, reason)
 }
 
 // becomeLate moves a waiting request behind all that can meet their objective, or
--- a/internal/pool/objective_test.go
+++ b/internal/pool/objective_test.go
@@ -22,8 +22,10 @@
 	arrived   map[ident.Request]time.Duration
 	first     map[ident.Request]time.Duration
 	refused   map[ident.Request]time.Duration
-	tokens    map[ident.Request]int
-	team      map[ident.Request]ident.Team
+	// reasons are those of all refusals.
+	reasons []string
+	tokens  map[ident.Request]int
+	team    map[ident.Request]ident.Team
 	// lengths returns the tokens of the n-th request, teams its team.
 	lengths func(n int) int
 	teams   func(n int) ident.Team
@@ -103,6 +105,7 @@
 			}})
 		case pool.Refuse:
 			b.refused[e.ID] = b.now
+			b.reasons = append(b.reasons, e.Reason)
 		}
 	}
 	if len(started) > 0 {
@@ -280,6 +283,9 @@
 			inVain++
 		}
 	}
+	for _, reason := range b.reasons {
+		g.Expect(reason).NotTo(ContainSubstring("held: "), "every endpoint suits it")
+	}
 	for id, at := range b.refused {
 		if at-b.arrived[id] > b.patience/2 {
 			held++
@@ -392,5 +398,6 @@
 		}
 		g.Expect(refused).NotTo(BeNil(), "late %v", late)
 		g.Expect(b.now).To(BeNumerically("<", held.Patience), "late %v", late)
+		g.Expect(refused.Reason).To(ContainSubstring("held: "), "late %v", late)
 	}
 }
--- a/internal/pool/queue.go
+++ b/internal/pool/queue.go
@@ -44,7 +44,6 @@
 // teamQueue is one team's part of a tier's queue.
 type teamQueue struct {
 	team *team
-	tier *tierQueue
 	// start is the virtual start tag of the team's next request.
 	start float64
 	// index is the place in the tier's heap plus one; 0 when not in it.
@@ -101,7 +100,7 @@
 	t := q.tier(r.order())
 	tq := t.teams[r.Team]
 	if tq == nil {
-		tq = &teamQueue{team: of, tier: t}
+		tq = &teamQueue{team: of}
 		t.teams[r.Team] = tq
 	}
 	if len(tq.requests) == 0 {
--- a/internal/pool/scheduler_test.go
+++ b/internal/pool/scheduler_test.go
@@ -162,3 +162,13 @@
 		})
 	}
 }
+
+// TestOnlyAHeldRequestSaysWhyItIsHeld has a request that was held and has gone back to its
+// queue as a late one.
+func TestOnlyAHeldRequestSaysWhyItIsHeld(t *testing.T) {
+	g := NewWithT(t)
+	r := &request{phase: phaseHeld, blocked: reasonReserved}
+	g.Expect(r.whyHeld()).To(ContainSubstring(reasonReserved))
+	r.phase = phaseQueued
+	g.Expect(r.whyHeld()).To(BeEmpty())
+}
--- a/internal/pool/table.go
+++ b/internal/pool/table.go
@@ -48,7 +48,7 @@
 	// that the request was held to wait for it.
 	home        *endpoint
 	heldForHome bool
-	// blocked says why no endpoint suited it when it was held.
+	// blocked says why no endpoint suited it when it was last held.
 	blocked string
 	// recheck is the earliest time at which it may be found hopeless.
 	recheck time.Duration
@@ -65,9 +65,9 @@
 	timer    timer
 }
 
-// whyHeld adds to a refusal's reason why a request was held.
+// whyHeld adds to a refusal's reason why a request is held; empty if it isn't.
 func (r *request) whyHeld() string {
-	if r.blocked == "" {
+	if r.phase != phaseHeld {
 		return ""
 	}
 	return ", held: " + r.blocked
--- a/internal/system/custody/custody_test.go
+++ b/internal/system/custody/custody_test.go
@@ -229,3 +229,33 @@
 		}
 	}
 }
+
+// TestGrantOfAnOlderEpochIsDeclined has a request wait at a scheduler that was replaced and
+// doesn't know it: once a grant of the next one was used, an older one's are not.
+func TestGrantOfAnOlderEpochIsDeclined(t *testing.T) {
+	v := &view{scheduler: schedulers[0], has: true, state: resource.EndpointActive}
+	s := New(Config{Self: "self", View: v})
+	var out system.Outbox
+	grant := func(id ident.Request, from Scheduler, epoch uint64) []Directive {
+		s.Granted(0, from, &peerpb.Grant{
+			Request: string(id), Target: "m", Domain: "a", Endpoint: "e", Attempt: epoch, Epoch: epoch,
+			ExpiresAtUs: grantLife.Microseconds(),
+		}, &out)
+		return s.Take()
+	}
+	arrive := func(id ident.Request) {
+		s.Arrive(0, Arrival{ID: id, Target: "m", Idempotent: true, Deadline: time.Minute}, &out)
+	}
+	arrive("waits")
+	v.scheduler = schedulers[2]
+	arrive("goes")
+	if got := grant("goes", schedulers[2], 2); len(got) != 1 || got[0].Kind != Connect {
+		t.Fatalf("the newer grant led to %v", got)
+	}
+	if got := grant("waits", schedulers[0], 1); len(got) != 0 {
+		t.Errorf("a grant of an older epoch led to %v", got)
+	}
+	if got := grant("waits", schedulers[0], 3); len(got) != 1 || got[0].Kind != Connect {
+		t.Errorf("a grant of a newer epoch led to %v", got)
+	}
+}
--- a/internal/system/custody/tick.go
+++ b/internal/system/custody/tick.go
@@ -142,7 +142,8 @@
 	out.Send(from.Host, peerpb.Wrap(&peerpb.Envelope_Holdings{Holdings: h}))
 }
 
-// schedules reports whether this host takes a process for the scheduler of a pool.
+// schedules reports whether this host takes another for the scheduler of a pool. Which of
+// its processes asks doesn't matter: membership may not know of the latest yet.
 func (s *System) schedules(from Scheduler, pool ident.Pool) bool {
 	sched, ok := s.cfg.View.Scheduler(pool)
 	return ok && sched.Host == from.Host
--- a/internal/system/scheduling/epoch_test.go
+++ b/internal/system/scheduling/epoch_test.go
@@ -8,7 +8,6 @@
 
 	"github.com/trefoilchute/trefoilchute/internal/ident"
 	"github.com/trefoilchute/trefoilchute/internal/peer/peerpb"
-	"github.com/trefoilchute/trefoilchute/internal/resource"
 	"github.com/trefoilchute/trefoilchute/internal/system"
 )
 
@@ -18,27 +17,17 @@
 func TestSupersededSchedulerGoesOn(t *testing.T) {
 	g := NewWithT(t)
 	var out system.Outbox
-	p := ident.Pool{Target: "m", Domain: "a"}
-	s := New(Config{Self: "self", Domain: "a", View: alone{}})
-	snap := resource.NewSnapshot()
-	snap.Revision = 1
-	snap.Endpoints["e"] = resource.Endpoint{Name: "e", Domain: "a", Target: "m", State: resource.EndpointActive, Slots: 1}
-	s.Configure(0, snap, &out)
+	s := newAlone(&out)
 	now := 10 * time.Millisecond
 	receive := func(m *peerpb.Envelope) {
 		now += 10 * time.Millisecond
 		s.Receive(now, Process{"other", 1}, m, &out)
 	}
-	held := func(epoch uint64, waiting ...*peerpb.Submit) *peerpb.Envelope {
-		return peerpb.Wrap(&peerpb.Envelope_Holdings{Holdings: &peerpb.Holdings{
-			Target: "m", Domain: "a", TakeOver: true, Epoch: epoch, Waiting: waiting,
-		}})
-	}
 	submit := func(id string) *peerpb.Submit {
 		return &peerpb.Submit{Request: id, Target: "m", Domain: "a", Team: "t", PromptTokens: 10, MaxTokens: 10, DeadlineUs: time.Minute.Microseconds()}
 	}
-	s.Receive(now, Process{"self", 1}, held(0), &out)
-	receive(held(0))
+	s.Receive(now, Process{"self", 1}, told(0), &out)
+	receive(told(0))
 	receive(peerpb.Wrap(&peerpb.Envelope_Submit{Submit: submit("runs")}))
 	first := lastGrant(out)
 	g.Expect(first.GetRequest()).To(Equal("runs"))
@@ -51,7 +40,7 @@
 	out = system.Outbox{}
 	receive(peerpb.Wrap(&peerpb.Envelope_Submit{Submit: waits}))
 
-	status := s.Status(p)
+	status := s.Status(testPool)
 	g.Expect(status).NotTo(BeNil(), "no warm-up")
 	g.Expect(status.Epoch).To(BeNumerically(">", waits.GetEpoch()))
 	g.Expect(status.Endpoints[0].InFlight).To(Equal(1), "the ledger is kept")
@@ -63,7 +52,7 @@
 	}
 	g.Expect(asked).To(Equal(map[ident.Host]bool{"other": true, "self": true}))
 
-	receive(held(waits.GetEpoch(), waits))
+	receive(told(waits.GetEpoch(), waits))
 	grant := lastGrant(out)
 	g.Expect(grant.GetRequest()).To(Equal("waits"), "the other scheduler was told that the first one ended")
 	g.Expect(grant.GetEpoch()).To(Equal(status.Epoch))
--- a/internal/system/scheduling/receive.go
+++ b/internal/system/scheduling/receive.go
@@ -182,7 +182,8 @@
 	in.queue(restore)
 	grace := missingGrace
 	if m.GetTakeOver() {
-		// The host was asked and told all: what it started before is in the list.
+		// The host was asked and told all. Messages of one host come in their order, so
+		// what it had started before is in the list.
 		grace = 0
 	}
 	for _, key := range in.missing(now, from.Host, listed, grace) {
