Name the soak's figures, and know when each of its keys was added

The time of a key was guessed as that of the newest revocation, which excused a 401 for an older key. It is kept now, with two cases of the check. What is derived or unused is gone from its world; an error on removing logs is told.

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -11,8 +11,28 @@
 	"github.com/trefoilchute/trefoilchute/internal/standin/runner"
 )
 
-// callers is how many callers send requests at a time.
-const callers = 12
+const (
+	// callers is how many callers send requests at a time.
+	callers = 12
+	// callLimit is how long a caller waits: longer than a stream of the stand-ins takes.
+	callLimit = 4 * time.Second
+	// leastPause and morePause bound the time between two requests of a caller.
+	leastPause = 10 * time.Millisecond
+	morePause  = 50 * time.Millisecond
+	// newConnection, oldKey and oldRoute are the odds, one in so many, that a caller
+	// opens a new connection after an answer, or uses a key or a route that was
+	// taken away.
+	newConnection = 20
+	oldKey        = 6
+	oldRoute      = 10
+	// askInterval is the time between two questions of the balancer to a host, and
+	// missesAllowed how many in a row a host may miss before it gets no callers, as
+	// on the platform.
+	askInterval   = 300 * time.Millisecond
+	missesAllowed = 1
+	// minPrompt, maxPrompt and maxOutput bound the tokens of a stream's request.
+	minPrompt, maxPrompt, maxOutput = 100, 3100, 200
+)
 
 // observed is a request with what came back.
 type observed struct {
@@ -38,7 +58,7 @@
 		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(300 * time.Millisecond):
+		case <-time.After(askInterval):
 		}
 	}
 }
@@ -50,7 +70,7 @@
 	defer w.mu.Unlock()
 	var list []*host
 	for _, h := range w.hosts {
-		if misses, asked := w.ready[h.name]; asked && misses < 2 {
+		if misses, asked := w.ready[h.name]; asked && misses <= missesAllowed {
 			list = append(list, h)
 		}
 	}
@@ -75,13 +95,13 @@
 		a := c.Do(q)
 		o := observed{request: q, answer: a, route: route, host: h.name}
 		w.judge(&o)
-		if a.Err != nil || r.IntN(20) == 0 {
+		if a.Err != nil || r.IntN(newConnection) == 0 {
 			c.Close()
 			c = nil
 		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(time.Duration(10+r.IntN(50)) * time.Millisecond):
+		case <-time.After(leastPause + time.Duration(r.Int64N(int64(morePause)))):
 		}
 	}
 	if c != nil {
@@ -96,25 +116,25 @@
 	route := routes[r.IntN(len(routes))]
 	key := w.config.keys[r.IntN(len(w.config.keys))]
 	for old := range w.revoked {
-		if r.IntN(6) == 0 {
+		if r.IntN(oldKey) == 0 {
 			key = old
 		}
 	}
 	for old := range w.removed {
-		if r.IntN(10) == 0 {
+		if r.IntN(oldRoute) == 0 {
 			route = old
 		}
 	}
 	w.mu.Unlock()
 	q := caller.Request{
 		Method: "POST", Host: "app.test", Path: "/" + route + "/" + attempt, Attempt: attempt, Key: key,
-		Limit: 4 * time.Second, Body: "body of " + attempt,
+		Limit: callLimit, Body: "body of " + attempt,
 	}
 	switch route {
 	case "safe":
 		q.Method, q.Body = "GET", ""
 	case "stream", "resumable":
-		q.PromptTokens, q.MaxTokens = 100+r.IntN(3000), 200
+		q.PromptTokens, q.MaxTokens = minPrompt+r.IntN(maxPrompt-minPrompt), maxOutput
 	}
 	return q, route
 }
--- a/internal/soak/checks.go
+++ b/internal/soak/checks.go
@@ -1,8 +1,6 @@
 package soak
 
 import (
-	"time"
-
 	"github.com/trefoilchute/trefoilchute/internal/standin/caller"
 	"github.com/trefoilchute/trefoilchute/internal/standin/runner"
 )
@@ -81,7 +79,8 @@
 		w.broken = append(w.broken, attempt+" at "+o.host+": 404 on a route that is there")
 	}
 	_, revoked := w.revoked[o.request.Key]
-	if a.Status == 401 && !revoked && o.request.Key[:4] == "key-" && w.calm(a.Began, a.Ended, "", "") && a.Began.Sub(w.keyAdded(o.request.Key)) > configBound {
+	// The first keys were there from the start, the zero time.
+	if a.Status == 401 && !revoked && w.calm(a.Began, a.Ended, "", "") && a.Began.Sub(w.keyed[o.request.Key]) > configBound {
 		w.broken = append(w.broken, attempt+" at "+o.host+": 401 for a key that is there")
 	}
 	// A request that crosses the end of its connection was not read: its caller sends
@@ -92,21 +91,6 @@
 	}
 }
 
-// keyAdded returns when a key was added; the first were there from the start. A key
-// comes with the revocation of another.
-func (w *world) keyAdded(key string) time.Time {
-	newest := time.Time{}
-	for _, at := range w.revoked {
-		if at.After(newest) {
-			newest = at
-		}
-	}
-	if key == "key-0" || key == "key-1" {
-		return time.Time{}
-	}
-	return newest
-}
-
 // stopping reports whether a request was sent to a host in a planned stop, early enough
 // to end in it.
 func (w *world) stopping(o *observed) bool {
--- a/internal/soak/checks_test.go
+++ b/internal/soak/checks_test.go
@@ -18,7 +18,7 @@
 
 // newTestWorld returns a world without processes.
 func newTestWorld() *world {
-	return &world{revoked: map[string]time.Time{}, added: map[string]time.Time{}, removed: map[string]time.Time{}}
+	return &world{revoked: map[string]time.Time{}, keyed: map[string]time.Time{}, added: map[string]time.Time{}, removed: map[string]time.Time{}}
 }
 
 // seen returns a request on a route with its answer.
@@ -39,6 +39,7 @@
 	const whole, short = time.Second, 50 * time.Millisecond
 	stop := func(w *world) { w.spans = []spoilt{{what: "term", host: "host-0", from: at(-time.Second)}} }
 	none := func(*world) {}
+	added := func(ago time.Duration) func(*world) { return func(w *world) { w.keyed["key-0"] = at(-ago) } }
 	for _, c := range []struct {
 		name   string
 		world  func(*world)
@@ -55,6 +56,8 @@
 		{"answered by nobody", none, seen("safe", 200, whole), nil, 1},
 		{"a route that is there", none, seen("safe", 404, whole), nil, 1},
 		{"a key that is there", none, seen("safe", 401, whole), nil, 1},
+		{"a key that was just added", added(configBound), seen("safe", 401, whole), nil, 0},
+		{"a key that was added a while ago", added(2 * configBound), seen("safe", 401, whole), nil, 1},
 		{"lost in a planned stop", stop, seen("safe", 0, whole), nil, 1},
 		{"crossed the end of its connection", stop, seen("safe", 0, short), nil, 0},
 		{"lost without a planned stop", none, seen("safe", 0, whole), nil, 0},
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"syscall"
 	"time"
 
@@ -20,7 +21,20 @@
 	span time.Duration
 }
 
-// faults are all kinds of them.
+const (
+	// slowStore is what a slow store adds to each answer, lateWrite how late a write may
+	// be done after its answer was lost.
+	slowStore = 300 * time.Millisecond
+	lateWrite = 500 * time.Millisecond
+	// mostSpoilt bounds the runs of an endpoint that one fault loses or fails.
+	mostSpoilt = 5
+)
+
+// refusals are the statuses of a store that refuses calls.
+var refusals = []int{http.StatusTooManyRequests, http.StatusServiceUnavailable}
+
+// faults are all kinds of them. Those that stand here twice are drawn twice as often: the
+// users' bounds are about planned work.
 var faults = []fault{
 	{"term", func(w *world, d draws) { w.term(w.hosts[d.a%hosts]) }},
 	{"term", func(w *world, d draws) { w.term(w.hosts[d.a%hosts]) }},
@@ -42,11 +56,11 @@
 		w.during("pause", h.name, d.span, func() { h.signal(syscall.SIGSTOP) }, func() { h.signal(syscall.SIGCONT) })
 	}},
 	{"hup", func(w *world, d draws) { w.hosts[d.a%hosts].hup() }},
-	{"store refuses", func(w *world, d draws) { w.spoilStore(d, store.Faults{Refuse: 429 + 74*(d.a%2)}) }},
+	{"store refuses", func(w *world, d draws) { w.spoilStore(d, store.Faults{Refuse: refusals[d.a%len(refusals)]}) }},
 	{"store silent", func(w *world, d draws) { w.spoilStore(d, store.Faults{Silent: true}) }},
-	{"store slow", func(w *world, d draws) { w.spoilStore(d, store.Faults{Delay: 300 * time.Millisecond}) }},
+	{"store slow", func(w *world, d draws) { w.spoilStore(d, store.Faults{Delay: slowStore}) }},
 	{"store loses answers", func(w *world, d draws) {
-		w.spoilStore(d, store.Faults{LoseWrites: true, LateWrites: time.Duration(d.a%2) * 500 * time.Millisecond})
+		w.spoilStore(d, store.Faults{LoseWrites: true, LateWrites: time.Duration(d.a%2) * lateWrite})
 	}},
 	{"store forgets", func(w *world, _ draws) { w.store.Forget() }},
 	{"store link", func(w *world, d draws) {
@@ -62,7 +76,7 @@
 	{"answers lost", func(w *world, d draws) {
 		if s := w.pick(d.a); s != nil {
 			end := w.spoil("answers lost", "")
-			s.runner.Lose(1 + d.b%5)
+			s.runner.Lose(1 + d.b%mostSpoilt)
 			time.Sleep(d.span)
 			s.runner.Lose(0)
 			end()
@@ -70,7 +84,7 @@
 	}},
 	{"runs fail", func(w *world, d draws) {
 		if s := w.pick(d.a); s != nil {
-			s.runner.Fail(1 + d.b%5)
+			s.runner.Fail(1 + d.b%mostSpoilt)
 		}
 	}},
 	{"endpoint leaves", func(w *world, d draws) { w.leave(d) }},
@@ -179,9 +193,8 @@
 	time.Sleep(d.span)
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	gone := *s
-	gone.gone = true
-	w.all = append(w.all, &gone)
+	before := *s
+	w.all = append(w.all, &before)
 	if err := s.begin(); err != nil {
 		w.broken = append(w.broken, fmt.Sprintf("endpoint %s does not start: %v", s.id, err))
 		return
@@ -220,9 +233,10 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	old := w.config.keys[0]
-	w.config.keys = append(w.config.keys[1:], fmt.Sprintf("key-%d", len(w.revoked)+2))
+	added := fmt.Sprintf("key-%d", len(w.revoked)+firstKeys)
+	w.config.keys = append(w.config.keys[1:], added)
 	w.writeConfiguration()
-	w.revoked[old] = time.Now()
+	w.revoked[old], w.keyed[added] = time.Now(), time.Now()
 }
 
 // changeRoutes adds a route, or removes one that was added.
--- a/internal/soak/host.go
+++ b/internal/soak/host.go
@@ -182,9 +182,12 @@
 	_ = h.log.Close()
 }
 
+// answerTime is how long a host has to answer the balancer.
+const answerTime = 500 * time.Millisecond
+
 // isReady asks the host as a balancer does.
 func (h *host) isReady(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, 500*time.Millisecond)
+	ctx, cancel := context.WithTimeout(ctx, answerTime)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+h.ready+"/v1/ready", nil)
 	if err != nil {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -30,10 +30,14 @@
 }
 
 const (
+	// brokenShown is how many broken promises of a seed are printed.
+	brokenShown = 10
 	// startTime is how long hosts have to become ready at the start of a run.
 	startTime = 10 * time.Second
 	// recoverTime is how long they have to serve again after the last fault.
 	recoverTime = 12 * time.Second
+	// afterTime is how long requests are watched after the recovery.
+	afterTime = 2 * time.Second
 	// faultsPerSecond is how many faults begin in a second.
 	faultsPerSecond = 0.8
 	// lastSpan bounds how long a fault lasts.
@@ -66,7 +70,7 @@
 			}
 			_, _ = fmt.Fprintf(o.Out, "seed %d: %s, %d broken promises\n", seed, summary, len(broken))
 			for n, b := range broken {
-				if n == 10 {
+				if n == brokenShown {
 					_, _ = fmt.Fprintf(o.Out, "  and %d more\n", len(broken)-n)
 					break
 				}
@@ -95,7 +99,6 @@
 	if err != nil {
 		return nil, "not started", err
 	}
-	w.ready = map[string]int{}
 	life, end := context.WithCancel(ctx)
 	w.group.Add(1)
 	go w.balancer(life)
@@ -112,16 +115,16 @@
 		w.fail("not every host was ready %v after the last fault", recoverTime)
 	}
 	calm := time.Now()
-	sleep(life, 2*time.Second)
+	sleep(life, afterTime)
 	end()
 	w.close()
 	w.check()
-	served := w.checkRecovered(calm)
-	summary = fmt.Sprintf("%d requests, served after recovery %.0f %%, statuses there %v, faults %v", len(w.seen), 100*served, w.after, names)
+	served, statuses := w.checkRecovered(calm)
+	summary = fmt.Sprintf("%d requests, served after recovery %.0f %%, statuses there %v, faults %v", len(w.seen), 100*served, statuses, names)
 	if len(w.broken) == 0 {
-		removeAll(dir)
+		err = errors.Wrap(os.RemoveAll(dir), "remove the logs of a run that passed")
 	}
-	return w.broken, summary, nil
+	return w.broken, summary, err
 }
 
 // inject draws faults and lets them happen, overlapping. It returns their names when
@@ -183,10 +186,11 @@
 	return false
 }
 
-// checkRecovered returns the part of the requests that were served after the recovery.
-func (w *world) checkRecovered(since time.Time) float64 {
+// checkRecovered returns the part of the requests that were served after the recovery,
+// and counts their answers by status; 0: none came.
+func (w *world) checkRecovered(since time.Time) (share float64, statuses map[int]int) {
 	served, sent := 0, 0
-	w.after = map[int]int{}
+	statuses = map[int]int{}
 	for i := range w.seen {
 		o := &w.seen[i]
 		if _, revoked := w.revoked[o.request.Key]; revoked || o.answer.Began.Before(since) {
@@ -196,16 +200,16 @@
 			continue
 		}
 		sent++
-		w.after[o.answer.Status]++
+		statuses[o.answer.Status]++
 		if o.answer.Status == 200 && o.answer.Whole {
 			served++
 		}
 	}
-	share := float64(served) / float64(max(1, sent))
+	share = float64(served) / float64(max(1, sent))
 	if share < servedShare {
 		w.broken = append(w.broken, fmt.Sprintf("%d of %d requests served after the recovery", served, sent))
 	}
-	return share
+	return share, statuses
 }
 
 // sleep waits for a time or until ctx ends.
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -8,7 +8,6 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
-	"os"
 	"sync"
 	"time"
 
@@ -19,6 +18,8 @@
 const (
 	// hosts, engines and services are the size of a run.
 	hosts, engines, services = 3, 3, 2
+	// firstKeys is how many keys the team has at any time.
+	firstKeys = 2
 	// revokeBound, drainBound and configBound are the users' bounds for keys that were
 	// taken away, endpoints that leave and changes of the configuration.
 	revokeBound = 5 * time.Second
@@ -41,7 +42,6 @@
 	proxy  *proxy
 	// leaves is when it wrote that it leaves; zero: it doesn't.
 	leaves time.Time
-	gone   bool
 	beat   int
 	born   int64
 }
@@ -60,7 +60,6 @@
 	program string
 	rand    *rand.Rand
 	store   *store.Server
-	storeAt string
 	hosts   []*host
 	stop    chan struct{}
 	group   sync.WaitGroup
@@ -71,15 +70,14 @@
 	all    []*server
 	spans  []spoilt
 	config configuration
-	// revoked holds when each key was taken away, added and removed when a route was.
-	revoked        map[string]time.Time
+	// revoked and keyed hold when each key was taken away and added, added and removed
+	// when a route was.
+	revoked, keyed map[string]time.Time
 	added, removed map[string]time.Time
 	// ready counts the questions in a row that each host has missed.
 	ready  map[string]int
 	seen   []observed
 	broken []string
-	// after counts the answers after the recovery by status; 0: none came.
-	after map[int]int
 }
 
 // configuration is what the operator has written.
@@ -93,15 +91,18 @@
 func newWorld(dir, program string, seed uint64) (*world, error) {
 	w := &world{
 		dir: dir, program: program, rand: rand.New(rand.NewPCG(seed, 1)), store: store.New(), stop: make(chan struct{}),
-		revoked: map[string]time.Time{}, added: map[string]time.Time{}, removed: map[string]time.Time{},
+		revoked: map[string]time.Time{}, keyed: map[string]time.Time{}, added: map[string]time.Time{}, removed: map[string]time.Time{},
+		ready: map[string]int{},
 	}
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	w.storeAt = ln.Addr().String()
 	go func() { _ = w.store.Serve(ln) }()
-	w.config = configuration{keys: []string{"key-0", "key-1"}, routes: []string{"safe", "unsafe", "stream", "resumable"}}
+	w.config = configuration{routes: []string{"safe", "unsafe", "stream", "resumable"}}
+	for n := range firstKeys {
+		w.config.keys = append(w.config.keys, fmt.Sprintf("key-%d", n))
+	}
 	w.writeConfiguration()
 	for range engines {
 		if err := w.addServer("llm"); err != nil {
@@ -116,7 +117,7 @@
 	w.group.Add(1)
 	go w.beats()
 	for i := range hosts {
-		h, err := newHost(dir, i, w.storeAt)
+		h, err := newHost(dir, i, ln.Addr().String())
 		if err != nil {
 			return nil, err
 		}
@@ -269,6 +270,3 @@
 	}
 	return true
 }
-
-// removeAll removes the directory of a run.
-func removeAll(dir string) { _ = os.RemoveAll(dir) }
