Put a run behind each promise on the users' platform

Two stood without a test that fails: whether a request may run twice, asked before a further try, since the tests' routes for such requests allowed one try, and the order by length of short requests, since the bound of its test was below the 'all but the long ones' that it states. The first has a test over sockets now; the second's bound is 0.9, as stated.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -216,10 +216,6 @@
 }
 
 func TestEndpointThatDidNotRunTheRequest(t *testing.T) {
-	full := func(e *exchanged) bool {
-		e.write("HTTP/1.1 503 X\r\nAttempt-Id: " + e.attempt() + "\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n")
-		return true
-	}
 	moved := func(e *exchanged) bool {
 		e.write("HTTP/1.1 421 X\r\nAttempt-Id: " + e.attempt() + "\r\nRunner-Id: other\r\nContent-Length: 0\r\n\r\n")
 		return true
@@ -265,6 +261,42 @@
 	})
 }
 
+// TestWhatMayHaveRunIsNotSentAgain has the first endpoint take a request that may run once,
+// on a route that allows two tries. Only if it says that it did not run the request may
+// another get it.
+func TestWhatMayHaveRunIsNotSentAgain(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		first  script
+		status int
+		again  int
+	}{
+		{"no answer", func(*exchanged) bool { return false }, 502, 0},
+		{"an answer to another request", func(e *exchanged) bool {
+			e.write(sealed(200, "other") + "Content-Length: 0\r\n\r\n")
+			return false
+		}, 502, 0},
+		{"an answer without a seal", func(e *exchanged) bool {
+			e.write("HTTP/1.1 200 OK\r\nAttempt-Id: " + e.attempt() + "\r\nContent-Length: 0\r\n\r\n")
+			return true
+		}, 502, 0},
+		{"a run that failed", func(e *exchanged) bool {
+			e.whole(500, "sorry")
+			return true
+		}, 500, 0},
+		{"not run", full, 200, 1},
+	} {
+		for _, route := range []string{"unsafe-twice", "stream-twice"} {
+			t.Run(route+", "+c.name, func(t *testing.T) {
+				h := start(t, c.first, okay)
+				got := h.ask(get("/"+route+"/x", "id1"))
+				h.Expect(got.status).To(Equal(c.status))
+				h.Expect(h.endpoints[1].seen).To(HaveLen(c.again))
+			})
+		}
+	}
+}
+
 func TestEarlyAnswerToALongBody(t *testing.T) {
 	h := start(t, func(e *exchanged) bool {
 		e.whole(400, "no")
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -62,6 +62,8 @@
 	resumable := route("resumable", ruleset.Stream, 2)
 	resumable.Resumable = true
 	r.Routes = append(r.Routes, resumable)
+	// Those that may run once, on routes that allow more tries.
+	r.Routes = append(r.Routes, route("unsafe-twice", ruleset.Unsafe, 2), route("stream-twice", ruleset.Stream, 2))
 	public := route("public", ruleset.Unsafe, 1)
 	public.Public = true
 	r.Routes = append(r.Routes, public)
@@ -285,3 +287,9 @@
 	e.whole(200, "hello")
 	return true
 }
+
+// full answers every request as an endpoint that has no room and didn't run it.
+func full(e *exchanged) bool {
+	e.write("HTTP/1.1 503 X\r\nAttempt-Id: " + e.attempt() + "\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+	return true
+}
--- a/internal/pool/objective_test.go
+++ b/internal/pool/objective_test.go
@@ -218,7 +218,7 @@
 	})
 	onTime, served := b.onTime(burstStart, burstEnd)
 	t.Logf("in the burst: %.2f on time, %.2f served", onTime, served)
-	g.Expect(onTime).To(BeNumerically(">=", 0.85), "all but the long ones")
+	g.Expect(onTime).To(BeNumerically(">=", 0.9), "all but the long ones, one in ten")
 	g.Expect(served).To(BeNumerically(">=", 0.9), "nine in ten are short")
 	var longs, longsServed float64
 	for id := range b.arrived {
