--- a/internal/pool/hopeless.go
+++ b/internal/pool/hopeless.go
@@ -50,15 +50,14 @@
 		s.watch(r)
 		return
 	}
-	held := r.whyHeld()
 	s.drop(r)
 	switch {
 	case s.now >= r.Deadline:
-		s.refuse(r, result.Expired, "the deadline passed in the queue"+held)
+		s.refuse(r, result.Expired, "the deadline passed in the queue")
 	case !ok:
 		s.refuse(r, result.NoEndpoint, "no endpoint of the pool takes work")
 	default:
-		s.refuse(r, result.DeadlineTooNear, "no endpoint can answer it before its deadline any more"+held)
+		s.refuse(r, result.DeadlineTooNear, "no endpoint can answer it before its deadline any more")
 	}
 }
 
