Learn the speed of engines from a neutral start and from their likes

Change: an engine of which nothing is known starts from neutral rates in the speed package; one that has done no work takes the mean of those that have, once a second.

--- a/internal/naive/events.go
+++ b/internal/naive/events.go
@@ -280,7 +280,10 @@
 	e := s.endpoint(d.Name)
 	if !was || e.PrefillRate != d.PrefillRate || e.DecodeRate != d.DecodeRate {
 		e.speed = speed.NewEndpoint(d.PrefillRate, d.DecodeRate)
-		if d.SpeedsAssumed {
+		switch {
+		case d.SpeedsAssumed && d.PrefillRate == 0 && d.DecodeRate == 0 && d.Type == resource.EndpointEngine:
+			e.speed = speed.NewEngine()
+		case d.SpeedsAssumed:
 			e.speed = speed.NewAssumed(d.PrefillRate, d.DecodeRate)
 		}
 	}
--- a/internal/naive/policy.go
+++ b/internal/naive/policy.go
@@ -9,6 +9,7 @@
 	"github.com/trefoilchute/trefoilchute/internal/ident"
 	"github.com/trefoilchute/trefoilchute/internal/pool"
 	"github.com/trefoilchute/trefoilchute/internal/pool/rules"
+	"github.com/trefoilchute/trefoilchute/internal/pool/speed"
 	"github.com/trefoilchute/trefoilchute/internal/prefix"
 	"github.com/trefoilchute/trefoilchute/internal/resource"
 	"github.com/trefoilchute/trefoilchute/internal/result"
@@ -34,6 +35,11 @@
 	if s.now < s.averageUntil {
 		return s.average
 	}
+	var likes []*speed.Endpoint
+	for _, e := range s.endpoints {
+		likes = append(likes, &e.speed)
+	}
+	speed.Adopt(likes)
 	var prefill, decode, sum float64
 	for _, e := range s.endpoints {
 		w := float64(max(1, e.Slots))
--- a/internal/pool/endpoint.go
+++ b/internal/pool/endpoint.go
@@ -90,7 +90,10 @@
 
 // newSpeed returns the speed of an endpoint as it is declared.
 func newSpeed(d resource.Endpoint) speed.Endpoint {
-	if d.SpeedsAssumed {
+	switch {
+	case d.SpeedsAssumed && d.PrefillRate == 0 && d.DecodeRate == 0 && d.Type == resource.EndpointEngine:
+		return speed.NewEngine()
+	case d.SpeedsAssumed:
 		return speed.NewAssumed(d.PrefillRate, d.DecodeRate)
 	}
 	return speed.NewEndpoint(d.PrefillRate, d.DecodeRate)
@@ -195,6 +198,11 @@
 	if now < t.averageUntil {
 		return t.mean
 	}
+	likes := make([]*speed.Endpoint, len(t.rows))
+	for i, e := range t.rows {
+		likes[i] = &e.speed
+	}
+	speed.Adopt(likes)
 	var prefill, decode, weight float64
 	for _, e := range t.rows {
 		w := float64(max(1, e.Slots))
--- a/internal/pool/objective_test.go
+++ b/internal/pool/objective_test.go
@@ -35,6 +35,8 @@
 	granted map[ident.Request]ident.Endpoint
 	// patience is how long callers wait for a first token; 0: until their limit.
 	patience time.Duration
+	// rate is the speed of the engines in tokens a second.
+	rate float64
 }
 
 type end struct {
@@ -75,18 +77,24 @@
 		scheduler: pool.New(pool.Config{Pool: ident.Pool{Target: "m", Domain: "d"}, Epoch: 1}),
 		arrived:   map[ident.Request]time.Duration{}, first: map[ident.Request]time.Duration{},
 		refused: map[ident.Request]time.Duration{}, tokens: map[ident.Request]int{}, team: map[ident.Request]ident.Team{},
-		granted: map[ident.Request]ident.Endpoint{},
+		granted: map[ident.Request]ident.Endpoint{}, rate: burstTokens,
 		lengths: func(int) int { return burstTokens }, teams: func(int) ident.Team { return "t" },
 	}
+	b.configure(100_000, 330, domains...)
+	return b
+}
+
+// configure declares an engine in each of some failure domains, with speeds in tokens a
+// second that are assumed of them; 0: nothing is known.
+func (b *burst) configure(prefill, decode float64, domains ...ident.Domain) {
 	c := pool.Configure{Tiers: []resource.Tier{{Rank: 0}}, Teams: []resource.Team{{Name: "t"}, {Name: "flood"}}}
 	for i, domain := range domains {
 		c.Endpoints = append(c.Endpoints, resource.Endpoint{
 			Name: ident.Endpoint(fmt.Sprintf("e%d", i)), Domain: domain, Scope: "d", Target: "m", Type: resource.EndpointEngine,
-			State: resource.EndpointActive, Slots: burstSlots / 2, PrefillRate: 100_000, DecodeRate: 330, SpeedsAssumed: true,
+			State: resource.EndpointActive, Slots: burstSlots / 2, PrefillRate: prefill, DecodeRate: decode, SpeedsAssumed: true,
 		})
 	}
 	b.step(c)
-	return b
 }
 
 // step takes events and lets granted requests run.
@@ -98,7 +106,7 @@
 			b.first[e.ID], b.granted[e.ID] = b.now, e.Endpoint
 			started = append(started, pool.Started{ID: e.ID, Attempt: e.Attempt},
 				pool.FirstToken{ID: e.ID, Attempt: e.Attempt, After: 25 * time.Millisecond})
-			service := time.Duration(b.tokens[e.ID]) * time.Second / burstTokens
+			service := time.Duration(float64(b.tokens[e.ID]) / b.rate * float64(time.Second))
 			heap.Push(&b.ends, end{b.now + service, pool.Finished{
 				ID: e.ID, Attempt: e.Attempt, Outcome: pool.OutcomeWhole, CachedTokens: -1, OutputTokens: b.tokens[e.ID],
 				FirstToken: 25 * time.Millisecond, Total: service,
--- a/internal/pool/speed/speed.go
+++ b/internal/pool/speed/speed.go
@@ -12,6 +12,10 @@
 	// that declares no speed.
 	defaultPrefill = 4000
 	defaultDecode  = 30
+	// neutralPrefill and neutralDecode are tokens per second of an engine before any of
+	// its likes has served a request: the middle of what engines of large models do.
+	neutralPrefill = 40_000
+	neutralDecode  = 150
 	// batchSlope is by how much each further request in flight is taken to
 	// slow the decoding of every one.
 	batchSlope = 0.05
@@ -64,14 +68,40 @@
 	return Endpoint{prefill: prefill, decode: decode, pace: 1}
 }
 
-// NewAssumed returns the speed of an endpoint whose own rates nobody has declared,
-// by those of endpoints like it.
+// NewAssumed returns the speed of an endpoint whose own rates nobody has declared, by
+// those of endpoints like it; rates of 0 if these aren't known either.
 func NewAssumed(prefill, decode float64) Endpoint {
 	e := NewEndpoint(prefill, decode)
 	e.assumed = true
 	return e
 }
 
+// NewEngine returns the speed of an engine of which nothing is known.
+func NewEngine() Endpoint {
+	return NewAssumed(neutralPrefill, neutralDecode)
+}
+
+// Adopt gives the endpoints whose rates are assumed, and of which no work was seen, the
+// mean rates of those that have done some.
+func Adopt(likes []*Endpoint) {
+	var prefill, decode, n float64
+	for _, e := range likes {
+		if e.assumed && e.samples > 0 {
+			prefill += math.Log(e.prefill)
+			decode += math.Log(e.decode)
+			n++
+		}
+	}
+	if n == 0 {
+		return
+	}
+	for _, e := range likes {
+		if e.assumed && e.samples == 0 {
+			e.prefill, e.decode = math.Exp(prefill/n), math.Exp(decode/n)
+		}
+	}
+}
+
 // PrefillRate returns the long-run rate in tokens per second.
 func (e *Endpoint) PrefillRate() float64 { return e.prefill }
 
