Bound what is taken of endpoints' answers, and bring changed settings into force

Cause, answers: nothing bounded the head of an answer, nor an event of a stream that may be resumed, in bytes; the rest of an answer that nobody wants was waited for until the request's limit, because the library's Close reads a body to its end. Change: heads end at head_limit, events at event_limit; the rest of an answer to nobody is waited for discard_wait, that of a failed run 250 ms where another try may do better. What is not taken counts in trefoilchute_answers_dropped_total by reason. Cause, settings: a changed settings file was noted and read at the next start. Change: it is read again on SIGHUP or when the file has changed; keys that can change do, the others are named; a file in error changes nothing. Each request is served by the settings that were in force when it came. Their version, a hash over all keys, stands in the log lines of start, reload and answers, and in metrics.

--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -46,34 +46,59 @@
 	if err != nil {
 		return err
 	}
-	logs.With(log, logs.Settings).WithField("file", path).Info()
+	logs.With(log, logs.Settings).WithField("file", path).WithField("version", s.Version()).Info()
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	h, err := platformhost.New(*s, log)
+	reread := func() (*settings.Gateway, error) { return settings.ReadGateway(path) }
+	h, err := platformhost.New(*s, reread, log)
 	if err != nil {
 		return errors.Wrap(err, "gateway")
 	}
-	return errors.Wrap(h.Run(ctx, reloads(ctx)), "gateway")
+	return errors.Wrap(h.Run(ctx, reloads(ctx, path)), "gateway")
 }
 
-// reloads returns a channel that tells of each SIGHUP.
-func reloads(ctx context.Context) <-chan struct{} {
+// lookInterval is the time between two looks at whether the settings file has changed.
+const lookInterval = 2 * time.Second
+
+// reloads returns a channel that tells of each SIGHUP, and of each change of the settings
+// file that came without one.
+func reloads(ctx context.Context, path string) <-chan struct{} {
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGHUP)
 	out := make(chan struct{}, 1)
 	go func() {
 		defer signal.Stop(signals)
+		ticker := time.NewTicker(lookInterval)
+		defer ticker.Stop()
+		seen := modified(path)
 		for {
 			select {
 			case <-ctx.Done():
 				return
 			case <-signals:
-				select {
-				case out <- struct{}{}:
-				default:
+				seen = modified(path)
+			case <-ticker.C:
+				at := modified(path)
+				if at.Equal(seen) {
+					continue
 				}
+				seen = at
+			}
+			select {
+			case out <- struct{}{}:
+			default:
 			}
 		}
 	}()
 	return out
 }
+
+// modified returns when a file was last changed; the zero time if it can't be told, as
+// while it is replaced.
+func modified(path string) time.Time {
+	info, err := os.Stat(path)
+	if err != nil {
+		return time.Time{}
+	}
+	return info.ModTime()
+}
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -1,6 +1,13 @@
 package gateway
 
-import "bytes"
+import (
+	"bytes"
+
+	"github.com/pkg/errors"
+)
+
+// errEventTooLong says that an event didn't end within the bound.
+var errEventTooLong = errors.New("an event of the stream is too long")
 
 // events cuts a stream into whole events, so that one at which an endpoint stopped
 // half-way is never passed on, and keeps the id of the last.
@@ -9,6 +16,8 @@
 	tail []byte
 	// last is the id of the last whole event; empty before the first.
 	last string
+	// most bounds the start of an event that isn't whole, in bytes.
+	most int
 }
 
 // idField begins the line with an event's id, idLine that of a later event.
@@ -19,22 +28,25 @@
 
 // add takes bytes as they come and returns those that end whole events. The result is
 // valid until the next call.
-func (e *events) add(b []byte) []byte {
+func (e *events) add(b []byte) ([]byte, error) {
 	if len(e.tail) == 0 && bytes.HasSuffix(b, eventEnd) {
 		e.note(b)
-		return b
+		return b, nil
 	}
 	e.tail = append(e.tail, b...)
 	end := bytes.LastIndex(e.tail, eventEnd)
 	if end < 0 {
-		return nil
+		if len(e.tail) > e.most {
+			return nil, errEventTooLong
+		}
+		return nil, nil
 	}
 	end += len(eventEnd)
 	whole := e.tail[:end]
 	e.note(whole)
 	// The rest moves to another array, since the caller still reads this one.
 	e.tail = append([]byte(nil), e.tail[end:]...)
-	return whole
+	return whole, nil
 }
 
 // note keeps the id of the last of some whole events.
--- a/internal/gateway/events_test.go
+++ b/internal/gateway/events_test.go
@@ -27,11 +27,15 @@
 			stream += event
 		}
 		stream = stream[:min(end, len(stream))]
-		var e events
+		e := events{most: len(stream)}
 		got := ""
 		for stream != "" {
 			k := rapid.IntRange(1, len(stream)).Draw(rt, "piece")
-			got += string(e.add([]byte(stream[:k])))
+			passed, err := e.add([]byte(stream[:k]))
+			if err != nil {
+				rt.Fatal(err)
+			}
+			got += string(passed)
 			stream = stream[k:]
 		}
 		if got != whole || e.last != last {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -28,6 +28,9 @@
 	maxForeign = 2
 	// maxSkipped bounds the body of an answer that is skipped or held, in bytes.
 	maxSkipped = 64 << 10
+	// failureWait is how long the rest of a failed run's answer is waited for where
+	// another try can do better.
+	failureWait = 250 * time.Millisecond
 	// copyBuffer is the size of the buffer between endpoint and caller, in bytes:
 	// what is there to be read goes on at once.
 	copyBuffer = 8 << 10
@@ -86,19 +89,27 @@
 	// closes the connection after it, broken that the connection failed.
 	whole, closes, broken bool
 	rejected              bool
+	// until is when the answer has to be whole.
+	until time.Time
 }
 
 // run sends the request and deals with its answer.
 func (x *exchange) run() tryEnd {
 	g := x.call.gateway
 	left := x.call.limit - g.opts.Now()
-	_ = x.conn.SetDeadline(time.Now().Add(left + endMargin))
+	x.until = time.Now().Add(left + endMargin)
+	_ = x.conn.SetDeadline(x.until)
 	x.send(left)
 	resp, end := x.receive()
 	if resp == nil {
 		return end
 	}
-	defer func() { _ = resp.Body.Close() }()
+	defer func() {
+		// Close reads a body to its end; the connection of one that isn't whole is closed.
+		if x.whole {
+			_ = resp.Body.Close()
+		}
+	}()
 	answer := platform.ReadAnswer(resp.StatusCode, resp.Header)
 	switch {
 	case answer.NotRun:
@@ -153,14 +164,18 @@
 // may be left on the connection, are skipped.
 func (x *exchange) receive() (*http.Response, tryEnd) {
 	for range maxForeign + 1 {
-		resp, err := x.conn.ReadAnswer(x.call.r.Method)
+		resp, err := x.conn.ReadAnswer(x.call.r.Method, x.call.tuning.HeadLimit)
 		if err != nil {
 			x.broken = true
+			if errors.Is(err, upstream.ErrHeadTooLong) {
+				x.drop(DropHead)
+			}
 			return nil, failed(unknown, "no answer: "+err.Error())
 		}
 		if platform.Belongs(resp.Header, x.call.headers.Attempt) {
 			return resp, tryEnd{}
 		}
+		x.drop(DropForeign)
 		if !x.skip(resp) {
 			break
 		}
@@ -170,23 +185,47 @@
 	return nil, failed(unknown, "answers to other requests came")
 }
 
-// skip reads the rest of an answer that goes to nobody.
+// drop counts an answer, or the rest of one, that was not taken.
+func (x *exchange) drop(reason Drop) {
+	x.call.gateway.opts.Dropped(reason)
+}
+
+// readRest reads the rest of an answer for up to a time. It returns false if it isn't
+// whole then, or too long.
+func (x *exchange) readRest(resp *http.Response, wait time.Duration) ([]byte, bool) {
+	until := time.Now().Add(wait)
+	if until.After(x.until) {
+		until = x.until
+	}
+	_ = x.conn.SetReadDeadline(until)
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxSkipped))
+	_ = x.conn.SetReadDeadline(x.until)
+	if err != nil || len(body) == maxSkipped {
+		x.drop(DropRest)
+		return nil, false
+	}
+	x.whole, x.closes = true, resp.Close
+	return body, true
+}
+
+// skip reads the rest of an answer that goes to nobody, to keep the connection. What
+// doesn't come at once is not waited for.
 func (x *exchange) skip(resp *http.Response) bool {
-	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxSkipped))
-	_ = resp.Body.Close()
-	x.whole = err == nil && n < maxSkipped
-	x.closes = resp.Close
-	return x.whole
+	_, whole := x.readRest(resp, x.call.tuning.DiscardWait)
+	return whole
 }
 
 // hold keeps the answer of a run that failed: another try may do better.
 func (x *exchange) hold(resp *http.Response) tryEnd {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxSkipped))
-	if err != nil || len(body) == maxSkipped {
+	wait := time.Until(x.until)
+	if x.call.mayTryAgain(ranBadly) {
+		wait = failureWait
+	}
+	body, whole := x.readRest(resp, wait)
+	if !whole {
 		x.broken = true
 		return failed(unknown, "the answer with status "+strconv.Itoa(resp.StatusCode)+" was not whole")
 	}
-	x.whole, x.closes = true, resp.Close
 	x.call.fallback = &heldAnswer{resp.StatusCode, resp.Header, body}
 	return failed(ranBadly, "the endpoint answered with status "+strconv.Itoa(resp.StatusCode))
 }
@@ -268,7 +307,12 @@
 		n, err := resp.Body.Read(*buf)
 		out := (*buf)[:n]
 		if c.route.Resumable && streams {
-			out = x.wholeEvents(out, err)
+			var tooLong error
+			if out, tooLong = x.wholeEvents(out, err); tooLong != nil {
+				x.drop(DropEvent)
+				c.events.drop()
+				return tooLong
+			}
 		}
 		if len(out) > 0 {
 			x.noteBytes(out, streams)
@@ -288,12 +332,12 @@
 
 // wholeEvents returns what of a resumable stream goes on now. An endpoint's silence
 // doesn't end its run: whether another could go on in time isn't known beforehand.
-func (x *exchange) wholeEvents(b []byte, err error) []byte {
-	out := x.call.events.add(b)
-	if errors.Is(err, io.EOF) {
-		return append(out, x.call.events.rest()...)
+func (x *exchange) wholeEvents(b []byte, err error) ([]byte, error) {
+	out, tooLong := x.call.events.add(b)
+	if tooLong == nil && errors.Is(err, io.EOF) {
+		return append(out, x.call.events.rest()...), nil
 	}
-	return out
+	return out, tooLong
 }
 
 // noteBytes notes when a part of the answer came.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -48,16 +48,42 @@
 	// ConfigurationAge returns the time since the configuration was last known to
 	// be the newest one; false if it never was.
 	ConfigurationAge func() (time.Duration, bool)
+	// Tuning is what may change while the gateway serves.
+	Tuning Tuning
+	// Observe is told of each final answer, Gap of the time between two parts of one, and
+	// Dropped of each answer of an endpoint that was not taken whole.
+	Observe func(*Outcome)
+	Gap     func(ruleset.Kind, time.Duration)
+	Dropped func(Drop)
+}
+
+// Tuning is what may change while the gateway serves.
+type Tuning struct {
+	// Version names the settings.
+	Version string
 	// KeyLife is the configuration's age from which on keys are not accepted.
 	KeyLife time.Duration
 	// RetryRatio, RetryExtra and RetryWindow bound further tries, over all hosts.
 	RetryRatio, RetryExtra float64
 	RetryWindow            time.Duration
-	// Observe is told of each final answer, and Gap of the time between two parts of one.
-	Observe func(*Outcome)
-	Gap     func(ruleset.Kind, time.Duration)
+	// HeadLimit bounds the head of an endpoint's answer, EventLimit one event of a
+	// stream that may be resumed, in bytes.
+	HeadLimit, EventLimit int
+	// DiscardWait is how long the rest of an answer that goes to nobody is waited for.
+	DiscardWait time.Duration
 }
 
+// Drop says why an endpoint's answer was not taken whole.
+type Drop string
+
+// Reasons of Drop.
+const (
+	DropHead    Drop = "head_too_long"
+	DropForeign Drop = "another_request"
+	DropRest    Drop = "rest_not_taken"
+	DropEvent   Drop = "event_too_long"
+)
+
 // Gateway serves callers.
 type Gateway struct {
 	*jobs
@@ -66,6 +92,7 @@
 	conns  *upstream.Pool
 
 	rules    atomic.Pointer[ruleset.Ruleset]
+	tuning   atomic.Pointer[Tuning]
 	stopping atomic.Pointer[time.Time]
 	active   atomic.Int64
 	sequence atomic.Uint64
@@ -83,6 +110,7 @@
 		budgets: map[string]*limit.Budget{},
 	}
 	g.hosts.Store(1)
+	g.tuning.Store(&opts.Tuning)
 	g.server = &http.Server{
 		Handler:           g,
 		ReadHeaderTimeout: headTimeout,
@@ -92,6 +120,25 @@
 	return g
 }
 
+// Tune brings other settings into force for the requests that come from now on.
+func (g *Gateway) Tune(t Tuning) {
+	before := g.tuning.Swap(&t)
+	if before.RetryRatio == t.RetryRatio && before.RetryWindow == t.RetryWindow {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	// What was used in the window so far counts on in the new budgets.
+	for _, b := range g.budgets {
+		b.Resize(g.opts.Now(), t.RetryRatio, t.RetryWindow)
+	}
+}
+
+// Tuning returns the settings in force.
+func (g *Gateway) Tuning() Tuning {
+	return *g.tuning.Load()
+}
+
 // Configure brings a configuration into force.
 func (g *Gateway) Configure(r *ruleset.Ruleset) {
 	g.rules.Store(r)
@@ -176,12 +223,12 @@
 func (g *Gateway) budget(target string) *limit.Budget {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	b := g.budgets[target]
+	b, tuning := g.budgets[target], g.tuning.Load()
 	if b == nil {
-		b = limit.NewBudget(g.opts.RetryRatio, 0, g.opts.RetryWindow)
+		b = limit.NewBudget(tuning.RetryRatio, 0, tuning.RetryWindow)
 		g.budgets[target] = b
 	}
-	b.Share(retryShare * g.opts.RetryExtra / float64(g.hosts.Load()))
+	b.Share(retryShare * tuning.RetryExtra / float64(g.hosts.Load()))
 	return b
 }
 
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -42,6 +42,7 @@
 
 	mu       sync.Mutex
 	outcomes chan Outcome
+	dropped  chan Drop
 	ended    []custody.End
 	withdrew chan ident.Request
 }
@@ -81,7 +82,7 @@
 // start starts a gateway before endpoints that answer as scripted.
 func start(t *testing.T, scripts ...script) *harness {
 	h := &harness{
-		WithT: NewWithT(t), t: t, outcomes: make(chan Outcome, 64), withdrew: make(chan ident.Request, 64),
+		WithT: NewWithT(t), t: t, outcomes: make(chan Outcome, 64), dropped: make(chan Drop, 64), withdrew: make(chan ident.Request, 64),
 	}
 	for i, s := range scripts {
 		h.endpoints = append(h.endpoints, serveScript(t, fmt.Sprintf("e%d", i), s))
@@ -92,8 +93,12 @@
 	h.gateway = New(Options{
 		Host: "h", Log: log, Post: h.post, Now: func() time.Duration { return time.Since(began) },
 		ConfigurationAge: func() (time.Duration, bool) { return time.Duration(h.age.Load()), true },
-		KeyLife:          5 * time.Second, RetryRatio: 0.2, RetryExtra: 20, RetryWindow: 10 * time.Second,
+		Tuning: Tuning{
+			KeyLife: 5 * time.Second, RetryRatio: 0.2, RetryExtra: 20, RetryWindow: 10 * time.Second,
+			HeadLimit: 64 << 10, EventLimit: 1 << 20, DiscardWait: 100 * time.Millisecond,
+		},
 		Observe: func(o *Outcome) { h.outcomes <- *o }, Gap: func(ruleset.Kind, time.Duration) {},
+		Dropped: func(d Drop) { h.dropped <- d },
 	})
 	h.gateway.Configure(rules())
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -39,6 +39,8 @@
 	r       *http.Request
 	// ctx ends when the caller has left.
 	ctx context.Context
+	// tuning is what was in force when the request came: all of it is served by that.
+	tuning *Tuning
 
 	headers platform.Call
 	target  string
@@ -75,6 +77,8 @@
 	// the request came it was last known to be the newest.
 	Version          uint64
 	ConfigurationAge time.Duration
+	// Settings is the version of the settings that it was served by.
+	Settings string
 	// Tries is the number of endpoints that it was sent to; Endpoint is the last
 	// and Why the scheduler's reason for it.
 	Tries    int
@@ -97,7 +101,8 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.active.Add(1)
 	defer g.active.Add(-1)
-	c := &call{gateway: g, w: w, r: r, ctx: r.Context(), arrived: g.opts.Now()}
+	c := &call{gateway: g, w: w, r: r, ctx: r.Context(), arrived: g.opts.Now(), tuning: g.tuning.Load()}
+	c.events.most, c.outcome.Settings = c.tuning.EventLimit, c.tuning.Version
 	if g.Stopping() != nil {
 		w.Header().Set("Connection", "close")
 	}
@@ -172,7 +177,7 @@
 // without this host knowing.
 func (c *call) checkFresh() *result.Error {
 	age, ok := c.gateway.opts.ConfigurationAge()
-	if ok && age < c.gateway.opts.KeyLife-keyMargin {
+	if ok && age < c.tuning.KeyLife-keyMargin {
 		return nil
 	}
 	return &result.Error{
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -48,12 +48,7 @@
 		if end.delivered {
 			return
 		}
-		state := tryState{
-			failure: end.failure, idempotent: c.route.Idempotent(),
-			tries: c.outcome.Tries, maxTries: c.route.MaxTries,
-			left: c.limit - c.gateway.opts.Now(), callerGone: c.ctx.Err() != nil,
-		}
-		if !mayTryAgain(state) || !budget.Take(c.gateway.opts.Now()) {
+		if !c.mayTryAgain(end.failure) || !budget.Take(c.gateway.opts.Now()) {
 			if c.outcome.Status == 0 {
 				c.fail(end)
 			}
@@ -65,6 +60,16 @@
 	}
 }
 
+// mayTryAgain reports whether a further try may follow one that failed, if the budget
+// allows it.
+func (c *call) mayTryAgain(f failure) bool {
+	return mayTryAgain(tryState{
+		failure: f, idempotent: c.route.Idempotent(),
+		tries: c.outcome.Tries, maxTries: c.route.MaxTries,
+		left: c.limit - c.gateway.opts.Now(), callerGone: c.ctx.Err() != nil,
+	})
+}
+
 // giveUp answers a request that found no place. A failed run's answer goes before
 // the refusal: the request has run.
 func (c *call) giveUp(e *result.Error) {
--- a/internal/inifile/field.go
+++ b/internal/inifile/field.go
@@ -24,6 +24,8 @@
 	Range string
 	// Meaning is one sentence.
 	Meaning string
+	// ReadAtStart says that a change takes effect at the next start.
+	ReadAtStart bool
 }
 
 // Field is one key of a section that fills a T.
@@ -33,6 +35,8 @@
 	Set func(v *T, text string) error
 	// Get returns the text that Set would parse to the same value.
 	Get func(v *T) string
+	// Copy sets the value in one T to that in another.
+	Copy func(to, from *T)
 }
 
 // Optional returns the field with a default.
@@ -42,6 +46,12 @@
 	return f
 }
 
+// AtStart makes the field one that is read at the start alone.
+func (f Field[T]) AtStart() Field[T] {
+	f.ReadAtStart = true
+	return f
+}
+
 // Decode fills v from the section: defaults first, then the entries. It
 // returns every problem found.
 func Decode[T any](file string, section Section, fields []Field[T], v *T) Problems {
@@ -110,7 +120,8 @@
 			*at(v) = value
 			return nil
 		},
-		Get: func(v *T) string { return text(*at(v)) },
+		Get:  func(v *T) string { return text(*at(v)) },
+		Copy: func(to, from *T) { *at(to) = *at(from) },
 	}
 }
 
--- a/internal/inifile/markdown.go
+++ b/internal/inifile/markdown.go
@@ -8,7 +8,7 @@
 	b.WriteString("| Key | Unit | Default | Range | Meaning |\n")
 	b.WriteString("| --- | --- | --- | --- | --- |\n")
 	for _, doc := range docs {
-		cells := []string{"`" + doc.Key + "`", doc.Unit, doc.defaultText(), doc.Range, doc.Meaning}
+		cells := []string{"`" + doc.Key + "`", doc.Unit, doc.defaultText(), doc.Range, doc.Meaning + doc.startText()}
 		for i, cell := range cells {
 			cells[i] = strings.ReplaceAll(cell, "|", "\\|")
 		}
@@ -17,6 +17,14 @@
 	return b.String()
 }
 
+// startText tells of a key that is read at the start alone.
+func (d Doc) startText() string {
+	if d.ReadAtStart {
+		return " Read at the start alone."
+	}
+	return ""
+}
+
 // defaultText returns the default as the documentation shows it.
 func (d Doc) defaultText() string {
 	if d.Required {
--- a/internal/limit/budget.go
+++ b/internal/limit/budget.go
@@ -50,6 +50,23 @@
 	b.extra = extra
 }
 
+// Resize sets the ratio and the window. Tries of a longer window before count as made
+// just now, so that no window has more than the budget of either.
+func (b *Budget) Resize(now time.Duration, ratio float64, window time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	at := b.slice(now)
+	b.firsts.roll(at)
+	b.others.roll(at)
+	used := b.others.sum
+	b.ratio, b.window = ratio, window
+	at = b.slice(now)
+	b.firsts = series{slices: make([]int, budgetSlices), last: at}
+	b.others = series{slices: make([]int, budgetSlices+1), last: at}
+	b.others.slices[at%int64(len(b.others.slices))] = used
+	b.others.sum = used
+}
+
 // First counts the first try of a request.
 func (b *Budget) First(now time.Duration) {
 	b.mu.Lock()
--- a/internal/logs/event.go
+++ b/internal/logs/event.go
@@ -29,6 +29,7 @@
 	DependencyLost        Event = "dependency_lost"
 	DependencyRegained    Event = "dependency_regained"
 	Settings              Event = "settings"
+	SettingsRejected      Event = "settings_rejected"
 	PoolScheduler         Event = "pool_scheduler"
 	PoolState             Event = "pool_state"
 	SchedulerSilent       Event = "scheduler_silent"
@@ -103,7 +104,8 @@
 	{EndpointSkipped, "A row in the endpoints' table names no endpoint to use."},
 	{DependencyLost, "A call that the host depends on failed; it goes on with what it has and tries again."},
 	{DependencyRegained, "A dependency works again."},
-	{Settings, "The settings file was read."},
+	{Settings, "The settings file was read, at the start or again; version names the settings in force, applied the keys that changed, at_start those that the next start changes."},
+	{SettingsRejected, "A settings file that was read again is in error, as the reason says; the settings in force stay."},
 	{PoolScheduler, "The host that schedules a pool, as this host sees it, has changed."},
 	{SchedulerSilent, "A host left a submission unanswered; for a while its pools are taken to be another host's."},
 	{PoolState, "The state of a pool that is scheduled here: what waits, what holds the slots, and each endpoint's requests in flight of the most it may have."},
--- a/internal/metrics/instruments.go
+++ b/internal/metrics/instruments.go
@@ -13,7 +13,7 @@
 type instruments struct {
 	requests, goodput, refusals     metric.Int64Counter
 	prefill, output, platformCalls  metric.Int64Counter
-	retries                         metric.Int64Counter
+	retries, reloads, dropped       metric.Int64Counter
 	duration, queueWait, firstToken metric.Float64Histogram
 	tokenGap, platformTime          metric.Float64Histogram
 }
@@ -69,6 +69,8 @@
 		output:        b.counter(nameOutput),
 		platformCalls: b.counter(namePlatformCalls),
 		retries:       b.counter(nameRetries),
+		reloads:       b.counter(nameReloads),
+		dropped:       b.counter(nameDropped),
 		duration:      b.histogram(nameDuration, requestBounds),
 		queueWait:     b.histogram(nameQueueWait, requestBounds),
 		firstToken:    b.histogram(nameFirstToken, requestBounds),
@@ -88,6 +90,7 @@
 	left := b.floatGauge(nameRetriesLeft)
 	share := b.floatGauge(nameRateShare)
 	age := b.floatGauge(nameAge)
+	settings := b.gauge(nameSettings)
 	if b.err != nil {
 		return
 	}
@@ -108,8 +111,11 @@
 		for of, since := range s.Age {
 			o.ObserveFloat64(age, since.Seconds(), metric.WithAttributes(attribute.String(labelOf, of)))
 		}
+		if s.Settings != "" {
+			o.ObserveInt64(settings, 1, metric.WithAttributes(attribute.String(labelVersion, s.Settings)))
+		}
 		return nil
-	}, revision, members, waiting, inFlight, slots, endpoints, left, share, age)
+	}, revision, members, waiting, inFlight, slots, endpoints, left, share, age, settings)
 	b.note(err)
 }
 
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -49,6 +49,8 @@
 	Slots, Endpoints map[NameState]int
 	// Age is the time since what is known was the newest, by what it is.
 	Age map[string]time.Duration
+	// Settings is the version of the settings in force; empty: none is known.
+	Settings string
 }
 
 // NameState is what things that have a state are counted by.
@@ -136,6 +138,16 @@
 	m.set.tokenGap.Record(context.Background(), gap.Seconds(), m.by(labelTier, string(tier)))
 }
 
+// Reloaded counts a settings file that was read again, by what came of it.
+func (m *Metrics) Reloaded(outcome string) {
+	m.set.reloads.Add(context.Background(), 1, m.by(labelOutcome, outcome))
+}
+
+// Dropped counts an endpoint's answer that was not taken whole.
+func (m *Metrics) Dropped(reason string) {
+	m.set.dropped.Add(context.Background(), 1, m.by(labelReason, reason))
+}
+
 // Values of the label kind of the prefill counter.
 const (
 	prefillCached = "cached"
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -40,6 +40,7 @@
 			Slots:     map[NameState]int{{Name: "llm@a", State: "decoding"}: 4},
 			Endpoints: map[NameState]int{{Name: "llm", State: "active"}: 6},
 			Age:       map[string]time.Duration{"configuration": 500 * time.Millisecond},
+			Settings:  "5e771465",
 		}
 	})
 	if err != nil {
@@ -56,6 +57,8 @@
 	m.Answered(&Answer{Tier: "urgent", Code: result.ShedTier})
 	m.Answered(&Answer{Tier: "urgent", Code: result.OutcomeUnknown})
 	m.TokenGap("urgent", time.Millisecond)
+	m.Reloaded("applied")
+	m.Dropped("head_too_long")
 	m.Tokens("urgent", 100, 30, 10, true)
 	m.Tokens("urgent", 100, 0, 0, false)
 	_, _ = m.Table(failingTable{errors.Wrap(platform.ErrAmbiguous, "lost")}).Commit(t.Context(), platform.Txn{})
--- a/internal/metrics/table.go
+++ b/internal/metrics/table.go
@@ -29,6 +29,9 @@
 	unitShare    = "{part}"
 	unitSlots    = "{slot}"
 	unitEndpoint = "{endpoint}"
+	unitReloads  = "{reload}"
+	unitAnswers  = "{answer}"
+	unitProcess  = "{process}"
 )
 
 // Names of the metrics.
@@ -54,6 +57,9 @@
 	nameSlots         = "trefoilchute.slots"
 	nameEndpoints     = "trefoilchute.endpoints"
 	nameAge           = "trefoilchute.age"
+	nameSettings      = "trefoilchute.settings"
+	nameReloads       = "trefoilchute.settings.reloads"
+	nameDropped       = "trefoilchute.answers.dropped"
 )
 
 // Labels of the metrics.
@@ -68,6 +74,8 @@
 	labelTeam      = "team"
 	labelPool      = "pool"
 	labelOf        = "of"
+	labelVersion   = "version"
+	labelReason    = "reason"
 )
 
 // Info describes a metric for the documentation.
@@ -103,6 +111,9 @@
 	{nameSlots, kindGauge, unitSlots, []string{labelPool, labelState}, "Slots in the pools that this host schedules: granted (not known to be used yet), prefilling, decoding or orphaned (of lost hosts)."},
 	{nameEndpoints, kindGauge, unitEndpoint, []string{labelTarget, labelState}, "Endpoints as this host knows them: active or leaving."},
 	{nameAge, kindGauge, unitSeconds, []string{labelOf}, "Time since this host knew the configuration, or the endpoints, to be the newest."},
+	{nameSettings, kindGauge, unitProcess, []string{labelVersion}, "1 for the version of the settings in force in this process."},
+	{nameReloads, kindCounter, unitReloads, []string{labelOutcome}, "Settings files that were read again: applied, unchanged, at_start (keys that wait for a start) or rejected."},
+	{nameDropped, kindCounter, unitAnswers, []string{labelReason}, "Answers of endpoints that were not taken whole: head_too_long, event_too_long, another_request or rest_not_taken."},
 }
 
 // lookup returns the description of a metric that must be in Table.
--- a/internal/platformhost/host.go
+++ b/internal/platformhost/host.go
@@ -45,7 +45,11 @@
 
 // Host is the process of an entry host.
 type Host struct {
-	settings    settings.Gateway
+	// settings are those in force.
+	settings atomic.Pointer[settings.Gateway]
+	// reread reads the settings file again.
+	reread      func() (*settings.Gateway, error)
+	logger      *logrus.Logger
 	incarnation uint64
 	log         logrus.FieldLogger
 	started     time.Duration
@@ -69,14 +73,16 @@
 	linked atomic.Bool
 }
 
-// New assembles a host and opens its addresses. It serves nothing yet.
-func New(s settings.Gateway, log logrus.FieldLogger) (*Host, error) {
-	debug.SetMemoryLimit(int64(memoryShare * float64(s.Memory) * (1 << 20)))
+// New assembles a host and opens its addresses. It serves nothing yet. reread reads the
+// settings file again when it has changed.
+func New(s settings.Gateway, reread func() (*settings.Gateway, error), log *logrus.Logger) (*Host, error) {
 	debug.SetGCPercent(gcPercent)
 	h := &Host{
-		settings: s, incarnation: uint64(time.Now().UnixMilli()), started: clock.Boot(),
-		log: log.WithField("host", s.Host),
+		reread: reread, incarnation: uint64(time.Now().UnixMilli()), started: clock.Boot(),
+		logger: log, log: log.WithField("host", s.Host),
 	}
+	h.settings.Store(&s)
+	limitMemory(&s)
 	h.store = platform.NewStore(s.Store, h.storeCalled)
 	h.life, h.end = context.WithCancel(context.Background())
 	var err error
@@ -97,9 +103,8 @@
 	})
 	h.gateway = gateway.New(gateway.Options{
 		Host: s.Host, Domain: s.Domain, Log: h.log, Post: h.loop.Post, Now: h.loop.Now,
-		ConfigurationAge: h.follower.ConfigurationAge, KeyLife: s.KeyLife,
-		RetryRatio: s.RetryRatio, RetryExtra: s.RetryExtra, RetryWindow: s.RetryWindow,
-		Observe: h.observe, Gap: h.gap,
+		ConfigurationAge: h.follower.ConfigurationAge, Tuning: tuning(&s),
+		Observe: h.observe, Gap: h.gap, Dropped: h.dropped,
 	})
 	return h, nil
 }
@@ -112,14 +117,15 @@
 
 // listen opens the addresses.
 func (h *Host) listen() error {
+	s := h.settings.Load()
 	for _, l := range []struct {
 		address string
 		to      *net.Listener
 	}{
-		{h.settings.Listen, &h.callers},
-		{h.settings.ReadyListen, &h.readiness},
-		{h.settings.MetricsListen, &h.scrapes},
-		{h.settings.PeerListen, &h.links},
+		{s.Listen, &h.callers},
+		{s.ReadyListen, &h.readiness},
+		{s.MetricsListen, &h.scrapes},
+		{s.PeerListen, &h.links},
 	} {
 		ln, err := net.Listen("tcp", l.address)
 		if err != nil {
@@ -140,13 +146,14 @@
 	}
 }
 
-// Run serves until ctx ends, then stops without cutting a request. reload brings
-// the signal that the settings file has changed.
+// Run serves until ctx ends, then stops without cutting a request. reload tells when the
+// settings file is to be read again.
 func (h *Host) Run(ctx context.Context, reload <-chan struct{}) error {
 	defer h.end()
+	s := h.settings.Load()
 	logs.With(h.log, logs.Ready).WithFields(logrus.Fields{
-		"listen": h.settings.Listen, "peer_listen": h.settings.PeerListen,
-		"domain": h.settings.Domain, "incarnation": h.incarnation,
+		"listen": s.Listen, "peer_listen": s.PeerListen,
+		"domain": s.Domain, "incarnation": h.incarnation, "settings": s.Version(),
 	}).Info()
 	h.group.Go(func() { h.follower.FollowRules(h.life) })
 	h.group.Go(func() { h.follower.FollowEndpoints(h.life) })
@@ -185,8 +192,7 @@
 		case err := <-failed:
 			return err
 		case <-reload:
-			// Every setting needs a restart; what the operators change is in the store.
-			logs.With(h.log, logs.Settings).WithField("detail", "a change takes effect at the next start").Info()
+			h.reload()
 		}
 	}
 }
--- a/internal/platformhost/host_test.go
+++ b/internal/platformhost/host_test.go
@@ -48,7 +48,7 @@
 				Listen: anyPort, ReadyListen: anyPort, MetricsListen: anyPort, PeerListen: anyPort,
 			}
 			set(&s, at)
-			_, err := New(s, quiet())
+			_, err := New(s, nil, quiet())
 			g.Expect(err).To(MatchError(ContainSubstring(at)))
 		})
 	}
--- a/internal/platformhost/join.go
+++ b/internal/platformhost/join.go
@@ -28,9 +28,10 @@
 // join registers this host, starts the links to the others and control. It returns
 // an error if the links can't be started: a host without them is no use to the others.
 func (h *Host) join(ctx context.Context) error {
+	s := h.settings.Load()
 	secret, ok := retry(ctx, h, func(ctx context.Context) (string, error) {
 		if err := h.store.Register(ctx, platform.Host{
-			Name: string(h.settings.Host), Address: h.settings.PeerListen, Domain: string(h.settings.Region),
+			Name: string(s.Host), Address: s.PeerListen, Domain: string(s.Region),
 		}); err != nil && !errors.Is(err, platform.ErrAmbiguous) {
 			return "", err
 		}
@@ -94,10 +95,11 @@
 
 // link starts the links to the other hosts and connects control.
 func (h *Host) link(secret string) error {
+	s := h.settings.Load()
 	var err error
 	h.peers, err = peer.New(peer.Options{
-		Host: h.settings.Host, Incarnation: h.incarnation, Domain: h.settings.Region,
-		Listen: h.settings.PeerListen, Listener: h.links, Secret: []byte(secret), Deliver: h.deliver, Logger: h.log,
+		Host: s.Host, Incarnation: h.incarnation, Domain: s.Region,
+		Listen: s.PeerListen, Listener: h.links, Secret: []byte(secret), Deliver: h.deliver, Logger: h.log,
 	})
 	if err != nil {
 		return errors.Wrap(err, "links")
--- a/internal/platformhost/record.go
+++ b/internal/platformhost/record.go
@@ -53,7 +53,7 @@
 	line := logs.With(h.log, logs.Answered).WithFields(logrus.Fields{
 		"request": o.Attempt, "try": o.ID, "route": o.Route, "kind": o.Kind.String(), "team": o.Team,
 		"target": o.Target, "rank": o.Rank, "cost": o.Cost, "endpoint": o.Endpoint, "tries": o.Tries, "why": o.Why,
-		"version": o.Version, "version_age_ms": o.ConfigurationAge.Milliseconds(),
+		"version": o.Version, "version_age_ms": o.ConfigurationAge.Milliseconds(), "settings": o.Settings,
 		"code": int(o.Code), "result": o.Code.String(), "status": o.Status, "on_time": o.OnTime,
 		"queue_ms": o.Queue.Milliseconds(), "first_ms": o.First.Milliseconds(),
 		"total_ms": o.Total.Milliseconds(), "gap_ms": o.MaxGap.Milliseconds(), "bytes": o.Bytes,
@@ -73,6 +73,11 @@
 	h.metrics.TokenGap(ident.Tier(kind.String()), took)
 }
 
+// dropped counts an endpoint's answer that was not taken whole.
+func (h *Host) dropped(reason gateway.Drop) {
+	h.metrics.Dropped(string(reason))
+}
+
 // storeCalled counts a call of the platform's store.
 func (h *Host) storeCalled(path string, took time.Duration, err error) {
 	h.metrics.Called(path, storeOutcome(err), took)
@@ -100,7 +105,7 @@
 func (h *Host) status() metrics.Status {
 	s := metrics.Status{
 		Members: map[string]int{}, Waiting: map[ident.Tier]int{}, Slots: map[metrics.NameState]int{},
-		Endpoints: map[metrics.NameState]int{}, Age: map[string]time.Duration{}, RetriesLeft: h.gateway.RetriesLeft(),
+		Settings: h.settings.Load().Version(), Endpoints: map[metrics.NameState]int{}, Age: map[string]time.Duration{}, RetriesLeft: h.gateway.RetriesLeft(),
 	}
 	if rules := h.gateway.Rules(); rules != nil {
 		s.Revision = rules.Version
--- /dev/null
+++ b/internal/platformhost/reload.go
@@ -0,0 +1,78 @@
+package platformhost
+
+import (
+	"runtime/debug"
+	"strings"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/trefoilchute/trefoilchute/internal/gateway"
+	"github.com/trefoilchute/trefoilchute/internal/logs"
+	"github.com/trefoilchute/trefoilchute/internal/settings"
+)
+
+// Outcomes of a reload, as the metrics name them.
+const (
+	reloadApplied   = "applied"
+	reloadUnchanged = "unchanged"
+	reloadAtStart   = "at_start"
+	reloadRejected  = "rejected"
+)
+
+// reload reads the settings file again and brings into force what can change without a
+// start. A file in error changes nothing.
+func (h *Host) reload() {
+	before := h.settings.Load()
+	read, err := h.reread()
+	if err != nil {
+		h.metrics.Reloaded(reloadRejected)
+		logs.With(h.log, logs.SettingsRejected).WithField("version", before.Version()).WithError(err).Error()
+		return
+	}
+	change := before.Reload(read)
+	h.apply(change.InForce)
+	outcome := reloadUnchanged
+	switch {
+	case len(change.AtStart) > 0:
+		outcome = reloadAtStart
+	case len(change.Applied) > 0:
+		outcome = reloadApplied
+	}
+	h.metrics.Reloaded(outcome)
+	line := logs.With(h.log, logs.Settings).WithFields(logrus.Fields{
+		"version": change.InForce.Version(), "before": before.Version(), "outcome": outcome,
+		"applied": strings.Join(change.Applied, " "), "at_start": strings.Join(change.AtStart, " "),
+	})
+	if len(change.AtStart) > 0 {
+		line.Warn()
+		return
+	}
+	line.Info()
+}
+
+// apply brings settings into force.
+func (h *Host) apply(s *settings.Gateway) {
+	h.settings.Store(s)
+	limitMemory(s)
+	if level, err := logrus.ParseLevel(s.LogLevel); err == nil {
+		h.logger.SetLevel(level)
+	}
+	h.gateway.Tune(tuning(s))
+	h.view.mu.Lock()
+	h.publishLimits()
+	h.view.mu.Unlock()
+}
+
+// limitMemory tells the runtime how much memory the process may use.
+func limitMemory(s *settings.Gateway) {
+	debug.SetMemoryLimit(int64(memoryShare * float64(s.Memory) * (1 << 20)))
+}
+
+// tuning returns what of the settings concerns the gateway.
+func tuning(s *settings.Gateway) gateway.Tuning {
+	return gateway.Tuning{
+		Version: s.Version(), KeyLife: s.KeyLife,
+		RetryRatio: s.RetryRatio, RetryExtra: s.RetryExtra, RetryWindow: s.RetryWindow,
+		HeadLimit: s.HeadLimit, EventLimit: s.EventLimit, DiscardWait: s.DiscardWait,
+	}
+}
--- a/internal/platformhost/stop.go
+++ b/internal/platformhost/stop.go
@@ -28,7 +28,7 @@
 		return
 	}
 	h.loop.Post(control.Leave{})
-	limit, cancelLimit := context.WithDeadline(context.Background(), now.Add(h.settings.StopGrace-endMargin))
+	limit, cancelLimit := context.WithDeadline(context.Background(), now.Add(h.settings.Load().StopGrace-endMargin))
 	defer cancelLimit()
 	select {
 	case <-limit.Done():
--- a/internal/platformhost/view.go
+++ b/internal/platformhost/view.go
@@ -37,15 +37,9 @@
 
 // adoptRules brings a configuration into force.
 func (h *Host) adoptRules(r *ruleset.Ruleset, source string) {
-	limits := map[ident.Team]quota.Limit{}
-	for i := range r.Teams {
-		t := &r.Teams[i]
-		limit := quota.Limit{Rate: t.Rate, Burst: t.Burst, Debt: debtShare * h.settings.QuotaSlack}
-		limits[t.Name] = limit.Over(h.settings.QuotaWindow)
-	}
-	h.loop.Post(control.Limits{Teams: limits})
 	h.view.mu.Lock()
 	h.view.rules = r
+	h.publishLimits()
 	h.publish()
 	h.view.mu.Unlock()
 	h.gateway.Configure(r)
@@ -55,6 +49,22 @@
 	}).Info()
 }
 
+// publishLimits hands control the teams' rates, by the configuration and the settings in
+// force. The caller holds the view.
+func (h *Host) publishLimits() {
+	if h.view.rules == nil {
+		return
+	}
+	s := h.settings.Load()
+	limits := map[ident.Team]quota.Limit{}
+	for i := range h.view.rules.Teams {
+		t := &h.view.rules.Teams[i]
+		limit := quota.Limit{Rate: t.Rate, Burst: t.Burst, Debt: debtShare * s.QuotaSlack}
+		limits[t.Name] = limit.Over(s.QuotaWindow)
+	}
+	h.loop.Post(control.Limits{Teams: limits})
+}
+
 // adoptEndpoints takes the endpoints of now.
 func (h *Host) adoptEndpoints(list []platform.Endpoint) {
 	h.view.mu.Lock()
@@ -128,7 +138,7 @@
 // endpoint returns an endpoint as a resource.
 func (h *Host) endpoint(e platform.Endpoint) resource.Endpoint {
 	out := resource.Endpoint{
-		Name: e.Name, Address: e.Address, Domain: e.Domain, Scope: h.settings.Region, Target: e.Target,
+		Name: e.Name, Address: e.Address, Domain: e.Domain, Scope: h.settings.Load().Region, Target: e.Target,
 		State: resource.EndpointActive, Slots: e.Slots, SpeedsAssumed: true, EndsWithConnection: true,
 	}
 	if e.Leaving {
@@ -140,7 +150,6 @@
 		return out
 	}
 	out.Type, out.CacheTokens = resource.EndpointEngine, t.Engine.CacheTokens
-	out.PrefillRate, out.DecodeRate = h.settings.PrefillRate, h.settings.DecodeRate
 	return out
 }
 
--- a/internal/settings/fields.go
+++ b/internal/settings/fields.go
@@ -13,16 +13,16 @@
 
 // Sections of the settings.
 const (
-	sectionHost     = "host"
-	sectionCallers  = "callers"
-	sectionAdmin    = "admin"
-	sectionPeer     = "peer"
-	sectionPlatform = "platform"
-	sectionLog      = "log"
-	sectionMetrics  = "metrics"
-	sectionRetry    = "retry"
-	sectionQuota    = "quota"
-	sectionEngine   = "engine"
+	sectionHost      = "host"
+	sectionCallers   = "callers"
+	sectionAdmin     = "admin"
+	sectionPeer      = "peer"
+	sectionPlatform  = "platform"
+	sectionLog       = "log"
+	sectionMetrics   = "metrics"
+	sectionRetry     = "retry"
+	sectionQuota     = "quota"
+	sectionEndpoints = "endpoints"
 )
 
 // Bounds of settings.
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -46,10 +46,12 @@
 	QuotaSlack float64
 	// QuotaWindow is the window over which teams' rates and bursts are counted.
 	QuotaWindow time.Duration
-	// PrefillRate and DecodeRate are the speed of an engine in tokens a second that
-	// is assumed until it has been learned.
-	PrefillRate, DecodeRate float64
-	LogLevel                string
+	// HeadLimit bounds the head of an endpoint's answer, EventLimit one event of a
+	// stream that may be resumed, in bytes.
+	HeadLimit, EventLimit int
+	// DiscardWait is how long the rest of an answer that goes to nobody is waited for.
+	DiscardWait time.Duration
+	LogLevel    string
 }
 
 // Bounds of the gateway's settings.
@@ -61,43 +63,47 @@
 	maxCores  = 1024
 	maxExtra  = 1e6
 	maxTokens = 1e9
+
+	minHead, maxHead   = 4 << 10, 1 << 20
+	minEvent, maxEvent = 4 << 10, 16 << 20
+	maxDiscard         = 10 * time.Second
 )
 
 // gatewayGroups holds every section of a gateway's settings.
 var gatewayGroups = []group[Gateway]{
 	{sectionHost, []inifile.Field[Gateway]{
 		inifile.Name("name", "Name of the host, unique in the deployment.",
-			func(g *Gateway) *ident.Host { return &g.Host }),
+			func(g *Gateway) *ident.Host { return &g.Host }).AtStart(),
 		inifile.Name("domain", "Failure domain that the host stands in.",
-			func(g *Gateway) *ident.Domain { return &g.Domain }),
+			func(g *Gateway) *ident.Domain { return &g.Domain }).AtStart(),
 		inifile.Name("region", "Group of failure domains whose hosts schedule their endpoints together.",
-			func(g *Gateway) *ident.Domain { return &g.Region }),
+			func(g *Gateway) *ident.Domain { return &g.Region }).AtStart(),
 		inifile.Int("memory_mb", "MiB", "Memory that the process may use.", minMemory, maxMemory,
 			func(g *Gateway) *int { return &g.Memory }),
 		inifile.Float("cores", "Speed of the processor, in cores.", minCores, maxCores,
-			func(g *Gateway) *float64 { return &g.Cores }),
+			func(g *Gateway) *float64 { return &g.Cores }).AtStart(),
 		inifile.Float("core_share", "Part of the processor that the process may use.", minCores, 1,
-			func(g *Gateway) *float64 { return &g.CoreShare }),
+			func(g *Gateway) *float64 { return &g.CoreShare }).AtStart(),
 		inifile.Duration("stop_grace", "Time from the signal to stop to the end of the process.", minGrace, maxGrace,
 			func(g *Gateway) *time.Duration { return &g.StopGrace }),
 	}},
 	{sectionCallers, []inifile.Field[Gateway]{
 		inifile.Address("listen", "Where callers connect.",
-			func(g *Gateway) *string { return &g.Listen }),
+			func(g *Gateway) *string { return &g.Listen }).AtStart(),
 		inifile.Address("ready_listen", "Where the balancer asks whether callers are to be sent here.",
-			func(g *Gateway) *string { return &g.ReadyListen }),
+			func(g *Gateway) *string { return &g.ReadyListen }).AtStart(),
 	}},
 	{sectionPeer, []inifile.Field[Gateway]{
 		inifile.Address("listen", "Where the other entry hosts connect; also the address they are told.",
-			func(g *Gateway) *string { return &g.PeerListen }),
+			func(g *Gateway) *string { return &g.PeerListen }).AtStart(),
 	}},
 	{sectionMetrics, []inifile.Field[Gateway]{
 		inifile.Address("listen", "Where metrics are scraped.",
-			func(g *Gateway) *string { return &g.MetricsListen }),
+			func(g *Gateway) *string { return &g.MetricsListen }).AtStart(),
 	}},
 	{sectionPlatform, []inifile.Field[Gateway]{
 		inifile.Address("store", "The platform's metadata store.",
-			func(g *Gateway) *string { return &g.Store }),
+			func(g *Gateway) *string { return &g.Store }).AtStart(),
 		inifile.Duration("key_life", "How long keys are accepted without a confirmation that the configuration is the newest.",
 			minGrace, maxGrace, func(g *Gateway) *time.Duration { return &g.KeyLife }),
 	}},
@@ -115,11 +121,13 @@
 		inifile.Duration("window", "Window in which what teams send is counted.", minGrace, maxWindow,
 			func(g *Gateway) *time.Duration { return &g.QuotaWindow }),
 	}},
-	{sectionEngine, []inifile.Field[Gateway]{
-		inifile.Rate("prefill", "Speed of reading prompts that is assumed of an engine until it is learned.", maxTokens,
-			func(g *Gateway) *float64 { return &g.PrefillRate }),
-		inifile.Rate("decode", "Speed of generating that is assumed of an engine until it is learned.", maxTokens,
-			func(g *Gateway) *float64 { return &g.DecodeRate }),
+	{sectionEndpoints, []inifile.Field[Gateway]{
+		inifile.Size("head_limit", "Longest head of an endpoint's answer; one that goes on counts as no answer.", minHead, maxHead,
+			func(g *Gateway) *int { return &g.HeadLimit }).Optional("64KiB"),
+		inifile.Size("event_limit", "Longest event of a stream that may be resumed; one that goes on ends the run.", minEvent, maxEvent,
+			func(g *Gateway) *int { return &g.EventLimit }).Optional("1MiB"),
+		inifile.Duration("discard_wait", "How long the rest of an answer that goes to nobody is waited for, to keep its connection.",
+			0, maxDiscard, func(g *Gateway) *time.Duration { return &g.DiscardWait }).Optional("100ms"),
 	}},
 	{sectionLog, []inifile.Field[Gateway]{
 		inifile.Choice("level", "Least level that is logged.", levels(),
--- a/internal/soak/host.go
+++ b/internal/soak/host.go
@@ -94,9 +94,6 @@
 [quota]
 slack = 0
 window = 8s
-[engine]
-prefill = 100000 tokens/s
-decode = 330 tokens/s
 `, h.name, i%2, grace, ports[0], ports[1], ports[2], ports[3], p.address(), revokeBound)
 	if err := os.WriteFile(h.settings, []byte(text), 0o600); err != nil {
 		return nil, err
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -6,6 +6,7 @@
 import (
 	"bufio"
 	"context"
+	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -33,6 +34,9 @@
 	readBuffer = 4 << 10
 )
 
+// ErrHeadTooLong says that the head of an answer was longer than the bound.
+var ErrHeadTooLong = errors.New("upstream: the answer's head is too long")
+
 // Conn is one connection to an endpoint, used by one exchange at a time.
 type Conn struct {
 	net.Conn
@@ -41,14 +45,40 @@
 
 	address string
 	r       *bufio.Reader
+	head    *headReader
 	idleAt  time.Time
 	keep    time.Duration
 }
 
-// ReadAnswer reads the head of an answer to a request with the given method. The
-// body is to be read before anything else is done with the connection.
-func (c *Conn) ReadAnswer(method string) (*http.Response, error) {
+// headReader bounds what is read from a connection while a head is.
+type headReader struct {
+	net.Conn
+	// left is the number of bytes that may still be read.
+	left int
+}
+
+// unbounded is the bound while no head is read.
+const unbounded = math.MaxInt
+
+// Read implements io.Reader.
+func (r *headReader) Read(p []byte) (int, error) {
+	if r.left <= 0 {
+		return 0, ErrHeadTooLong
+	}
+	n, err := r.Conn.Read(p[:min(len(p), r.left)])
+	if r.left != unbounded {
+		r.left -= n
+	}
+	return n, err
+}
+
+// ReadAnswer reads the head of an answer to a request with the given method, of about
+// the given number of bytes at most: read buffers count as a whole. The body is to be
+// read before anything else is done with the connection.
+func (c *Conn) ReadAnswer(method string, most int) (*http.Response, error) {
+	c.head.left = most
 	resp, err := http.ReadResponse(c.r, &http.Request{Method: method})
+	c.head.left = unbounded
 	if err != nil {
 		return nil, errors.Wrap(err, "upstream: read answer")
 	}
@@ -116,7 +146,8 @@
 		return nil, err
 	}
 	p.dialed.Add(1)
-	return &Conn{Conn: raw, address: address, r: bufio.NewReaderSize(raw, readBuffer), keep: idleLimit}, nil
+	head := &headReader{Conn: raw, left: unbounded}
+	return &Conn{Conn: raw, address: address, head: head, r: bufio.NewReaderSize(head, readBuffer), keep: idleLimit}, nil
 }
 
 // Put gives a connection back whose last request was sent whole and whose last
