--- a/internal/platformhost/host.go
+++ b/internal/platformhost/host.go
@@ -199,7 +199,10 @@
 
 // serveHTTP serves a handler until ctx ends.
 func serveHTTP(ctx context.Context, ln net.Listener, handler http.Handler) error {
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: sideTimeout}
+	server := &http.Server{
+		Handler: handler, ReadTimeout: sideTimeout, WriteTimeout: sideTimeout, IdleTimeout: sideIdle,
+		MaxHeaderBytes: sideHead,
+	}
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
 	if err := server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
@@ -208,8 +211,16 @@
 	return nil
 }
 
-// sideTimeout bounds the reading of a question of the balancer or a scrape.
-const sideTimeout = 5 * time.Second
+const (
+	// sideTimeout bounds the reading of a question of the balancer or a scrape, and the
+	// writing of its answer.
+	sideTimeout = 5 * time.Second
+	// sideIdle is how long their unused connections are kept: longer than the pauses
+	// between scrapes.
+	sideIdle = 60 * time.Second
+	// sideHead bounds their heads, in bytes.
+	sideHead = 16 << 10
+)
 
 // ready answers the balancer.
 func (h *Host) ready(w http.ResponseWriter, _ *http.Request) {
