Ask other hosts about the store when its readers know nothing new

Change: a host whose readers have no fresh answer asks another host in turn, keeps to one that has one, and goes on asking the readers now and then. Hosts that read for nobody come back to a failing store after up to 2 s, with jitter.

--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -134,6 +134,11 @@
 	return rendezvous.Pick("store", c.able(hosts), storeReaders)
 }
 
+// LiveHosts returns the hosts of the own failure domain that membership thinks alive.
+func (c *Core) LiveHosts() []ident.Host {
+	return c.members.Alive(c.cfg.Domain)
+}
+
 const (
 	// unresponsiveTime is how long a host that left a submission without an answer
 	// schedules no pool for this host: membership has found out by then whether it
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -34,9 +35,15 @@
 	wholeEvery = 30
 	// callTimeout bounds one call beyond the time that it waits.
 	callTimeout = 1200 * time.Millisecond
-	// firstRetry and lastRetry bound the wait after a failed call, which doubles.
-	firstRetry = 100 * time.Millisecond
-	lastRetry  = 500 * time.Millisecond
+	// firstRetry and lastRetry bound the wait after a failed call, which doubles. A host
+	// that reads for nobody else waits up to lastOwnRetry: others tell it as soon as one
+	// of them reaches the store.
+	firstRetry   = 100 * time.Millisecond
+	lastRetry    = 500 * time.Millisecond
+	lastOwnRetry = 2 * time.Second
+	// retryJitter is the part by which waits differ, so that hosts that lost the store at
+	// one moment don't come back to it at one.
+	retryJitter = 0.3
 	// restLimit bounds the sleep of a host that has no need to read.
 	restLimit = 500 * time.Millisecond
 )
@@ -52,6 +59,8 @@
 	Log   logrus.FieldLogger
 	// Readers returns the hosts that read the store for the others.
 	Readers func() []ident.Host
+	// Hosts returns all hosts that live, as far as is known.
+	Hosts func() []ident.Host
 	// Send queues a message for another host.
 	Send func(ident.Host, *peerpb.Envelope) bool
 	// Rules is told of each newer configuration and of whom it came from.
@@ -73,6 +82,10 @@
 	seq   uint64
 	asked ask
 	turn  int
+	// misses counts the questions in a row that no reader had a fresh answer to, and
+	// helper is another host that has had one since; empty: none.
+	misses int
+	helper ident.Host
 }
 
 // New returns a follower that doesn't run yet.
@@ -143,6 +156,8 @@
 	// since is when the first failure came.
 	since time.Duration
 	wait  time.Duration
+	// reading reports whether this host reads the store for others.
+	reading func() bool
 }
 
 // settled notes the end of a call and, after a failure, waits until the next is due.
@@ -164,9 +179,13 @@
 		d.lost, d.since, d.wait = true, clock.Boot(), firstRetry
 		logs.With(d.log, logs.DependencyLost).WithField("dependency", d.name).WithError(err).Warn()
 	}
-	wait := d.wait
-	d.wait = min(2*d.wait, lastRetry)
-	return wait
+	last := lastOwnRetry
+	if d.reading() {
+		last = lastRetry
+	}
+	wait := min(d.wait, last)
+	d.wait = min(2*wait, last)
+	return time.Duration(float64(wait) * (1 + retryJitter*(rand.Float64()-0.5)))
 }
 
 // worked notes a call that succeeded.
@@ -181,7 +200,7 @@
 
 // FollowRules reads the configuration until ctx ends, while this host has to.
 func (f *Follower) FollowRules(ctx context.Context) {
-	dep := dependency{log: f.opts.Log, name: "configuration"}
+	dep := dependency{log: f.opts.Log, name: "configuration", reading: f.reading.Load}
 	var after uint64
 	for ctx.Err() == nil {
 		if f.rest(ctx, f.woken[0]) {
@@ -237,7 +256,7 @@
 
 // FollowEndpoints reads the endpoints until ctx ends, while this host has to.
 func (f *Follower) FollowEndpoints(ctx context.Context) {
-	dep := dependency{log: f.opts.Log, name: "endpoints"}
+	dep := dependency{log: f.opts.Log, name: "endpoints", reading: f.reading.Load}
 	table := NewEndpoints()
 	var after uint64
 	for n := 1; ctx.Err() == nil; n++ {
--- a/internal/follow/peers.go
+++ b/internal/follow/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -33,6 +34,8 @@
 	seq uint64
 	to  ident.Host
 	at  time.Duration
+	// reader says that it was asked as one of the readers.
+	reader bool
 }
 
 // FollowPeers asks the readers of the store until ctx ends, unless this host is one.
@@ -48,28 +51,67 @@
 			continue
 		}
 		if to, ok := f.chooseReader(readers); ok {
-			f.askReader(to)
+			f.askReader(to, slices.Contains(readers, to))
 		}
 	}
 }
 
-// chooseReader returns the reader to ask: the first, or another after one that left
-// the last question unanswered. Hosts begin with unlike readers.
+// readerEvery is how often a host that others help asks a reader all the same, in
+// questions: the readers are the ones that are to be asked.
+const readerEvery = 3
+
+// chooseReader returns the host to ask: a reader, or another after one that left the
+// last question unanswered. Hosts begin with unlike readers. When no reader has a fresh
+// answer, because the store turns them away or they are cut off, another host may have:
+// those that the store serves read it by themselves.
 func (f *Follower) chooseReader(readers []ident.Host) (ident.Host, bool) {
-	others := slices.DeleteFunc(slices.Clone(readers), func(h ident.Host) bool { return h == f.opts.Self })
-	if len(others) == 0 {
-		return "", false
-	}
+	others := f.without(readers)
 	f.askMu.Lock()
 	defer f.askMu.Unlock()
 	if f.asked.seq != 0 && clock.Boot()-f.asked.at >= answerTimeout {
-		f.turn++
+		f.missed(f.asked.to)
+	}
+	beyond := f.misses - len(others)
+	if len(others) > 0 && (beyond < 0 || beyond%readerEvery == readerEvery-1) {
+		return others[f.turn%len(others)], true
+	}
+	if f.helper != "" {
+		return f.helper, true
+	}
+	hosts := f.without(f.opts.Hosts())
+	if len(hosts) == 0 {
+		return "", false
+	}
+	return hosts[rand.IntN(len(hosts))], true
+}
+
+// without returns a list of hosts without this one.
+func (f *Follower) without(hosts []ident.Host) []ident.Host {
+	return slices.DeleteFunc(slices.Clone(hosts), func(h ident.Host) bool { return h == f.opts.Self })
+}
+
+// missed notes that a host had no fresh answer: the next question goes to another. The
+// caller holds askMu.
+func (f *Follower) missed(host ident.Host) {
+	f.turn++
+	f.misses++
+	if host == f.helper {
+		f.helper = ""
 	}
-	return others[f.turn%len(others)], true
+}
+
+// helped notes that a host had a fresh answer. The caller holds askMu.
+func (f *Follower) helped(host ident.Host, reader bool) {
+	if reader {
+		f.misses, f.helper = 0, ""
+		return
+	}
+	f.misses++
+	f.helper = host
 }
 
 // askReader sends a question.
-func (f *Follower) askReader(to ident.Host) {
+func (f *Follower) askReader(to ident.Host, reader bool) {
 	f.state.mu.Lock()
 	m := &peerpb.StoreAsk{Endpoints: f.state.sum}
 	if f.state.rules != nil {
@@ -79,7 +121,7 @@
 	f.askMu.Lock()
 	f.seq++
 	m.Seq = f.seq
-	f.asked = ask{seq: f.seq, to: to, at: clock.Boot()}
+	f.asked = ask{seq: f.seq, to: to, at: clock.Boot(), reader: reader}
 	f.askMu.Unlock()
 	f.opts.Send(to, peerpb.Wrap(&peerpb.Envelope_StoreAsk{StoreAsk: m}))
 }
@@ -138,10 +180,11 @@
 		return
 	}
 	f.asked = ask{}
-	if at := m.GetEndpointsAgeUs(); at < 0 || micros(at) >= freshAge {
-		// It has been cut off, or knows nothing for sure: the next question goes to
-		// another.
-		f.turn++
+	if isFresh(m.GetVersionAgeUs()) && isFresh(m.GetEndpointsAgeUs()) {
+		f.helped(from, asked.reader)
+	} else {
+		// It has been cut off, or knows nothing for sure.
+		f.missed(from)
 	}
 	f.askMu.Unlock()
 	if m.GetVersionAgeUs() >= 0 {
@@ -160,6 +203,12 @@
 	}
 }
 
+// isFresh reports whether an age in an answer, in microseconds, is young enough to go on
+// with; it is negative for what was never known.
+func isFresh(us int64) bool {
+	return us >= 0 && micros(us) < freshAge
+}
+
 // toldRules takes what an answer says of the configuration.
 func (f *Follower) toldRules(from ident.Host, m *peerpb.StoreTell, at time.Duration) {
 	if len(m.GetConfiguration()) == 0 {
--- a/internal/platformhost/host.go
+++ b/internal/platformhost/host.go
@@ -98,7 +98,7 @@
 	})
 	h.loop = control.NewLoopAt(h.core, h.now)
 	h.follower = follow.New(follow.Options{
-		Self: s.Host, Store: h.store, Log: h.log, Readers: h.storeReaders, Send: h.send,
+		Self: s.Host, Store: h.store, Log: h.log, Readers: h.storeReaders, Hosts: h.liveHosts, Send: h.send,
 		Rules: h.adoptRules, Endpoints: h.adoptEndpoints,
 	})
 	h.gateway = gateway.New(gateway.Options{
@@ -254,12 +254,24 @@
 	if !h.linked.Load() {
 		return nil
 	}
-	var readers []ident.Host
+	return h.hostsOf((*control.Core).StoreReaders)
+}
+
+// liveHosts returns the hosts that live.
+func (h *Host) liveHosts() []ident.Host {
+	if !h.linked.Load() {
+		return nil
+	}
+	return h.hostsOf((*control.Core).LiveHosts)
+}
+
+// hostsOf asks control for a list of hosts. It is empty if control is too busy to say.
+func (h *Host) hostsOf(list func(*control.Core) []ident.Host) []ident.Host {
+	var hosts []ident.Host
 	ctx, cancel := context.WithTimeout(context.Background(), inspectTimeout)
 	defer cancel()
-	if err := h.loop.Inspect(ctx, func(c *control.Core) { readers = c.StoreReaders() }); err != nil {
-		// Control is too busy to say: this host reads for itself.
+	if err := h.loop.Inspect(ctx, func(c *control.Core) { hosts = list(c) }); err != nil {
 		return nil
 	}
-	return readers
+	return hosts
 }
