Let the highest rank wait for its prefix as the others do, where it has an objective

Cause: 0.15 of the spare time was meant for deadlines; of an objective of 600 ms it is 80 ms, in which no slot of a full endpoint comes free. Change: half of the spare time to the objective, for every rank.

--- a/internal/naive/grant.go
+++ b/internal/naive/grant.go
@@ -248,7 +248,7 @@
 }
 
 func holdSlack(r *request) float64 {
-	if r.Rank == 0 {
+	if r.Rank == 0 && r.FirstDue == 0 {
 		return rules.TopHoldSlack
 	}
 	return rules.HoldSlack
--- a/internal/pool/prefix.go
+++ b/internal/pool/prefix.go
@@ -136,7 +136,7 @@
 }
 
 func (r *request) holdSlack() float64 {
-	if r.Rank == 0 {
+	if r.Rank == 0 && r.FirstDue == 0 {
 		return rules.TopHoldSlack
 	}
 	return rules.HoldSlack
--- a/internal/pool/rules/rules.go
+++ b/internal/pool/rules/rules.go
@@ -141,8 +141,9 @@
 	// times of the prefill that it saves, and MaxHold the most.
 	HoldPerPrefill = 10
 	MaxHold        = 15 * time.Second
-	// HoldSlack is the part of the time left that a request may spend on
-	// waiting for its prefix; in the highest tier it is TopHoldSlack.
+	// HoldSlack is the part of the time left that a request may spend on waiting for
+	// its prefix; in the highest tier it is TopHoldSlack, unless the request has an
+	// objective, against which it waits then.
 	HoldSlack    = 0.5
 	TopHoldSlack = 0.15
 )
