Keep the longest requests of a tier from starving

Change: requests are counted by length class on arrival and grant; one of the longest of its tier, 0.3 of what arrives, is not put behind shorter ones while these are granted less than 0.6 as often as all. Test: an overload that lasts, one in ten four times as long.

--- a/internal/naive/events.go
+++ b/internal/naive/events.go
@@ -60,6 +60,11 @@
 	}
 	row.cost = s.costOf(row)
 	s.meter.Arrive(r.Rank, row.cost)
+	if r.FirstDue > 0 {
+		class := rules.SizeClass(row.cost)
+		s.sizes.Arrive(s.now, r.Rank, class)
+		row.favoured = s.sizes.Starved(s.now, r.Rank, class, rules.LongestPart, rules.LongestFloor)
+	}
 	if s.admit(row) {
 		s.requests = append(s.requests, row)
 		s.enqueue(row)
--- a/internal/naive/grant.go
+++ b/internal/naive/grant.go
@@ -367,6 +367,7 @@
 	s.meter.Grant(r.cost)
 	if r.FirstDue > 0 {
 		s.grantedTo.Grant(s.now, r.Rank, r.cost)
+		s.sizes.Grant(s.now, r.Rank, rules.SizeClass(r.cost))
 	}
 	s.totals.free--
 	if s.longPrefill(a.uncached) {
--- a/internal/naive/naive.go
+++ b/internal/naive/naive.go
@@ -43,6 +43,7 @@
 	surprise  speed.Surprise
 	meter     meter.Meter
 	grantedTo meter.Shares
+	sizes     meter.Sizes
 	// objectives holds the ranks that have requests with objectives.
 	objectives []int
 
@@ -79,6 +80,8 @@
 	mean     float64
 	best     int
 	home     *endpoint
+	// favoured says that its length is no reason to let others go first.
+	favoured bool
 	// heldForHome says that it was held to wait for home.
 	heldForHome bool
 	urgent      bool
@@ -240,9 +243,17 @@
 	case r.FirstDue == 0:
 		return r.Deadline
 	case r.late:
-		return r.Deadline + r.cost
+		return r.Deadline + r.length()
 	}
-	return r.FirstDue + r.cost
+	return r.FirstDue + r.length()
+}
+
+// length is the slot time by which others go first.
+func (r *request) length() time.Duration {
+	if r.favoured {
+		return 0
+	}
+	return r.cost
 }
 
 // inTier returns the requests of an order that are queued or held.
--- a/internal/naive/policy.go
+++ b/internal/naive/policy.go
@@ -105,7 +105,7 @@
 func noLonger(list []*request, r *request) []*request {
 	var out []*request
 	for _, x := range list {
-		if rules.SizeClass(x.cost) <= rules.SizeClass(r.cost) {
+		if rules.SizeClass(x.cost) <= rules.SizeClass(r.length()) {
 			out = append(out, x)
 		}
 	}
--- a/internal/pool/intake.go
+++ b/internal/pool/intake.go
@@ -53,6 +53,7 @@
 	row.mean = s.outputs(&r)
 	row.cost = s.costOf(row)
 	s.meter.Arrive(r.Rank, row.cost)
+	s.favour(row)
 	if !s.admit(row) {
 		return
 	}
--- a/internal/pool/ledger.go
+++ b/internal/pool/ledger.go
@@ -85,6 +85,7 @@
 	s.meter.Grant(r.cost)
 	if r.FirstDue > 0 {
 		s.shares.Grant(s.now, r.Rank, r.cost)
+		s.sizes.Grant(s.now, r.Rank, rules.SizeClass(r.cost))
 	}
 	s.totalFree--
 	if s.longPrefill(a.uncached) {
--- a/internal/pool/objective.go
+++ b/internal/pool/objective.go
@@ -35,9 +35,28 @@
 	case r.FirstDue == 0:
 		return r.Deadline
 	case r.late:
-		return r.Deadline + r.cost
+		return r.Deadline + r.length()
 	}
-	return r.FirstDue + r.cost
+	return r.FirstDue + r.length()
+}
+
+// length is the slot time by which a request lets others go first.
+func (r *request) length() time.Duration {
+	if r.favoured {
+		return 0
+	}
+	return r.cost
+}
+
+// favour counts a request that arrives by its length, and favours one of the longest of
+// its tier if these are served too seldom.
+func (s *Scheduler) favour(r *request) {
+	if r.FirstDue == 0 {
+		return
+	}
+	class := rules.SizeClass(r.cost)
+	s.sizes.Arrive(s.now, r.Rank, class)
+	r.favoured = s.sizes.Starved(s.now, r.Rank, class, rules.LongestPart, rules.LongestFloor)
 }
 
 // waitOf is the time until a request with an objective is served among those of an
--- a/internal/pool/queue.go
+++ b/internal/pool/queue.go
@@ -63,7 +63,7 @@
 
 // upTo sums up what is no longer than a request.
 func (b *backlog) upTo(r *request) time.Duration {
-	return sumOf(b[:rules.SizeClass(r.cost)+1])
+	return sumOf(b[:rules.SizeClass(r.length())+1])
 }
 
 // total sums up all of it.
--- a/internal/pool/rules/rules.go
+++ b/internal/pool/rules/rules.go
@@ -106,6 +106,11 @@
 	// gets first, while it has requests that can meet their objective: the kinds of
 	// request that are cheapest to serve would else starve behind long ones.
 	TierFloor = 0.025
+	// LongestPart is the part of a tier's requests that counts as the longest, and
+	// LongestFloor how often these are to be granted beside all of the tier. Users want
+	// the longest tenth, and the fifth below it, served half as often as all.
+	LongestPart  = 0.3
+	LongestFloor = 0.6
 	// AvoidPenalty is what placing a request costs where an earlier try of it
 	// failed.
 	AvoidPenalty = time.Second
--- a/internal/pool/scheduler.go
+++ b/internal/pool/scheduler.go
@@ -38,6 +38,7 @@
 	blocks    *blocks.Index
 	meter     meter.Meter
 	shares    meter.Shares
+	sizes     meter.Sizes
 	// objectives holds the ranks that have requests with objectives.
 	objectives map[int]bool
 	suspects   *suspectTable
--- /dev/null
+++ b/internal/pool/sizes_test.go
@@ -0,0 +1,40 @@
+package pool_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// TestTheLongestRequestsKeepTheirFloor plays an overload that lasts, in which one request
+// in ten is four times as long as the others: it is served at least half as often as all.
+func TestTheLongestRequestsKeepTheirFloor(t *testing.T) {
+	for _, load := range []float64{1.2, 1.5, 2.5, 4} {
+		g := NewWithT(t)
+		const short, long = burstTokens / 2, 2 * burstTokens
+		const mean = (9*float64(short) + long) / 10 / burstTokens
+		b := newBurst()
+		b.patience = 3 * time.Second
+		b.lengths = func(n int) int {
+			if n%10 == 0 {
+				return long
+			}
+			return short
+		}
+		b.play(true, func(time.Duration) float64 { return load * burstSlots / mean })
+		var longs, longsServed float64
+		for id := range b.arrived {
+			if b.tokens[id] == long {
+				longs++
+				if _, ok := b.first[id]; ok {
+					longsServed++
+				}
+			}
+		}
+		onTime, all := b.onTime(0, burstOver)
+		t.Logf("at %v: on time %.2f, served %.2f, of the long ones %.2f", load, onTime, all, longsServed/longs)
+		g.Expect(longsServed/longs).To(BeNumerically(">=", all/2), "at %v of the capacity", load)
+		g.Expect(all).To(BeNumerically(">=", 0.9/load*0.9), "at %v of the capacity: the slots are in use", load)
+	}
+}
--- a/internal/pool/table.go
+++ b/internal/pool/table.go
@@ -40,6 +40,9 @@
 	attempt *attempt
 	// cost is the estimated slot time on an endpoint of average speed.
 	cost time.Duration
+	// favoured says that its length is no reason to let others go first: the longest of
+	// its tier have been served too seldom.
+	favoured bool
 	// mean is the number of tokens expected to be generated.
 	mean float64
 	// best is the most prompt tokens cached at any endpoint when last looked.
