Favour only the longest seventh of a tier, and read the store less at a start

Store: a host that knew of no readers yet, in the first seconds of all, read the store each 0.6 s; now when what it knows is 1.3 s old.

--- a/internal/follow/peers.go
+++ b/internal/follow/peers.go
@@ -43,7 +43,8 @@
 	for ctx.Err() == nil {
 		sleep(ctx, askInterval)
 		readers := f.opts.Readers()
-		f.reading.Store(len(readers) == 0 || slices.Contains(readers, f.opts.Self))
+		// A host that knows of no readers yet reads when what it knows has grown old.
+		f.reading.Store(slices.Contains(readers, f.opts.Self))
 		if f.needsStore() {
 			f.wake()
 		}
--- a/internal/pool/rules/rules.go
+++ b/internal/pool/rules/rules.go
@@ -109,8 +109,8 @@
 	// LongestPart is the part of a tier's requests that counts as the longest, and
 	// LongestFloor how often these are to be granted beside all of the tier. Users want
 	// the longest tenth, and the fifth below it, served half as often as all.
-	LongestPart  = 0.3
-	LongestFloor = 0.6
+	LongestPart  = 0.15
+	LongestFloor = 0.55
 	// AvoidPenalty is what placing a request costs where an earlier try of it
 	// failed.
 	AvoidPenalty = time.Second
