--- a/internal/gateway/bounds_test.go
+++ b/internal/gateway/bounds_test.go
@@ -190,3 +190,46 @@
 func chunk(text string) string {
 	return fmt.Sprintf("%x\r\n%s\r\n", len(text), text)
 }
+
+// TestSlowButSoundStreamsLive has a stream whose events are far apart: it is passed on
+// whole.
+func TestSlowButSoundStreamsLive(t *testing.T) {
+	const events = 4
+	h := start(t, func(e *exchanged) bool {
+		e.write(sealed(200, e.attempt()) + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
+		for i := range events {
+			time.Sleep(300 * time.Millisecond)
+			e.write(chunk(fmt.Sprintf("id: %d\ndata: x\n\n", i)))
+		}
+		e.write("0\r\n\r\n")
+		return true
+	})
+	for _, path := range []string{"/stream/x", "/resumable/x"} {
+		a := h.ask(get(path, "a"+path[1:3]))
+		h.Expect(a.err).NotTo(HaveOccurred())
+		h.Expect(strings.Count(a.body, "data: x")).To(Equal(events), path)
+	}
+}
+
+// TestStalledStreamsEnd has a stream that stalls but for a byte now and then: it ends with
+// the request's limit, and the caller is not told that it is whole.
+func TestStalledStreamsEnd(t *testing.T) {
+	for _, path := range []string{"/stream/x", "/resumable/x"} {
+		h := start(t, func(e *exchanged) bool {
+			e.write(sealed(200, e.attempt()) + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n" +
+				chunk("id: 0\ndata: x\n\n"))
+			for until := time.Now().Add(eventually); time.Now().Before(until); {
+				time.Sleep(50 * time.Millisecond)
+				if _, err := e.conn.Write([]byte(chunk(":"))); err != nil {
+					break
+				}
+			}
+			return false
+		})
+		request := strings.Replace(get(path, "a1"), "Deadline-Ms: 8000", "Deadline-Ms: 700", 1)
+		began := time.Now()
+		a := h.ask(request)
+		h.Expect(a.err).To(HaveOccurred(), path)
+		h.Expect(time.Since(began)).To(BeNumerically("<", soon), path)
+	}
+}
