Look for the end of an event in what is new alone

Cause: a stream whose event doesn't end was searched from its start with every read, up to event_limit: 64 MB for one of 1 MiB, half a second of the smallest host's processor.

--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -33,15 +33,17 @@
 		e.note(b)
 		return b, nil
 	}
+	// What was kept before has no end of an event, but may have the start of one.
+	from := max(0, len(e.tail)-len(eventEnd)+1)
 	e.tail = append(e.tail, b...)
-	end := bytes.LastIndex(e.tail, eventEnd)
+	end := bytes.LastIndex(e.tail[from:], eventEnd)
 	if end < 0 {
 		if len(e.tail) > e.most {
 			return nil, errEventTooLong
 		}
 		return nil, nil
 	}
-	end += len(eventEnd)
+	end += from + len(eventEnd)
 	whole := e.tail[:end]
 	e.note(whole)
 	// The rest moves to another array, since the caller still reads this one.
