--- a/internal/gateway/bounds_test.go
+++ b/internal/gateway/bounds_test.go
@@ -173,14 +173,16 @@
 func TestBytesBehindAnAnswer(t *testing.T) {
 	for name, wait := range map[string]time.Duration{"at once": 0, "later": 50 * time.Millisecond} {
 		t.Run(name, func(t *testing.T) {
+			sent := make(chan struct{}, 8)
 			h := start(t, func(e *exchanged) bool {
 				e.whole(200, e.attempt())
 				time.Sleep(wait)
 				e.write(sealed(200, "b2") + "Content-Length: 5\r\n\r\nwrong")
+				sent <- struct{}{}
 				return true
 			})
 			h.Expect(h.ask(get("/unsafe/x", "a1")).body).To(Equal("a1"))
-			time.Sleep(4 * wait)
+			h.Eventually(sent, eventually).Should(Receive())
 			h.Expect(h.ask(get("/unsafe/x", "b2")).body).To(Equal("b2"))
 		})
 	}
