--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -8,6 +8,8 @@
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/trefoilchute/trefoilchute/internal/ident"
 	"github.com/trefoilchute/trefoilchute/internal/result"
 	"github.com/trefoilchute/trefoilchute/internal/ruleset"
@@ -66,11 +68,13 @@
 	// Attempt is the caller's name for its request.
 	Attempt string
 	ID      ident.Request
-	Route   string
-	Kind    ruleset.Kind
-	Team    ident.Team
-	Target  string
-	Rank    int
+	// Fingerprint is the same for all sendings of one request.
+	Fingerprint uint64
+	Route       string
+	Kind        ruleset.Kind
+	Team        ident.Team
+	Target      string
+	Rank        int
 	// Cost is what it counts against its team's rate.
 	Cost float64
 	// Version is the configuration's version, and ConfigurationAge how long before
@@ -109,6 +113,7 @@
 	if err := c.read(); err != nil {
 		c.refuse(err)
 	} else {
+		c.outcome.Fingerprint = c.fingerprint()
 		c.serve()
 	}
 	c.outcome.Total = g.opts.Now() - c.arrived
@@ -220,6 +225,18 @@
 	return nil
 }
 
+// fingerprint returns a hash that is the same at every host for all sendings of one
+// request: the same target, caller and body.
+func (c *call) fingerprint() uint64 {
+	d := xxhash.New()
+	_, _ = d.WriteString(string(c.outcome.Team))
+	_, _ = d.Write([]byte{0})
+	_, _ = d.WriteString(c.target)
+	_, _ = d.Write([]byte{0})
+	_, _ = d.Write(c.body)
+	return d.Sum64()
+}
+
 // drawSeed makes the choice among a route's targets differ between processes.
 var drawSeed = maphash.MakeSeed()
 
--- a/internal/logs/event.go
+++ b/internal/logs/event.go
@@ -26,6 +26,7 @@
 	EndpointLeaving       Event = "endpoint_leaving"
 	EndpointGone          Event = "endpoint_gone"
 	EndpointSkipped       Event = "endpoint_skipped"
+	EndpointClosed        Event = "endpoint_closed"
 	DependencyLost        Event = "dependency_lost"
 	DependencyRegained    Event = "dependency_regained"
 	Settings              Event = "settings"
@@ -101,6 +102,7 @@
 	{EndpointIn, "An endpoint was registered or came back; it may get requests."},
 	{EndpointLeaving, "An endpoint takes its leave; it gets no new requests."},
 	{EndpointGone, "An endpoint's entry is gone; it gets no new requests."},
+	{EndpointClosed, "A pool's scheduler gives an endpoint no requests for a while; reason says why, failures which failure in a row it is, requests what was in flight there."},
 	{EndpointSkipped, "A row in the endpoints' table names no endpoint to use."},
 	{DependencyLost, "A call that the host depends on failed; it goes on with what it has and tries again."},
 	{DependencyRegained, "A dependency works again."},
--- a/internal/metrics/instruments.go
+++ b/internal/metrics/instruments.go
@@ -14,6 +14,7 @@
 	requests, goodput, refusals     metric.Int64Counter
 	prefill, output, platformCalls  metric.Int64Counter
 	retries, reloads, dropped       metric.Int64Counter
+	closings                        metric.Int64Counter
 	duration, queueWait, firstToken metric.Float64Histogram
 	tokenGap, platformTime          metric.Float64Histogram
 }
@@ -71,6 +72,7 @@
 		retries:       b.counter(nameRetries),
 		reloads:       b.counter(nameReloads),
 		dropped:       b.counter(nameDropped),
+		closings:      b.counter(nameClosings),
 		duration:      b.histogram(nameDuration, requestBounds),
 		queueWait:     b.histogram(nameQueueWait, requestBounds),
 		firstToken:    b.histogram(nameFirstToken, requestBounds),
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -148,6 +148,11 @@
 	m.set.dropped.Add(context.Background(), 1, m.by(labelReason, reason))
 }
 
+// EndpointClosed counts an endpoint that was closed for a while.
+func (m *Metrics) EndpointClosed(reason string) {
+	m.set.closings.Add(context.Background(), 1, m.by(labelReason, reason))
+}
+
 // Values of the label kind of the prefill counter.
 const (
 	prefillCached = "cached"
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -59,6 +59,7 @@
 	m.TokenGap("urgent", time.Millisecond)
 	m.Reloaded("applied")
 	m.Dropped("head_too_long")
+	m.EndpointClosed("lost")
 	m.Tokens("urgent", 100, 30, 10, true)
 	m.Tokens("urgent", 100, 0, 0, false)
 	_, _ = m.Table(failingTable{errors.Wrap(platform.ErrAmbiguous, "lost")}).Commit(t.Context(), platform.Txn{})
--- a/internal/platformhost/record.go
+++ b/internal/platformhost/record.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -26,10 +27,13 @@
 // configured notes that control has taken a snapshot.
 func (h *Host) configured(*resource.Snapshot) {}
 
-// record logs what the pool schedulers of this host refused. What they placed
-// stands in the line of the host that holds the request.
+// record logs what the pool schedulers of this host refused, and which endpoints they
+// closed. What they placed stands in the line of the host that holds the request.
 func (h *Host) record(steps []scheduling.Step, _ []custody.Directive) {
 	for _, step := range steps {
+		for i := range step.Closings {
+			h.tellClosing(step.Config.Pool, &step.Closings[i])
+		}
 		for _, e := range step.Effects {
 			r, ok := e.(pool.Refuse)
 			if !ok {
@@ -44,6 +48,22 @@
 	}
 }
 
+// maxHolding bounds the requests that a line about a closed endpoint names.
+const maxHolding = 16
+
+// tellClosing logs and counts that an endpoint gets no requests for a while.
+func (h *Host) tellClosing(p ident.Pool, c *pool.Closing) {
+	h.metrics.EndpointClosed(string(c.For))
+	var names []string
+	for _, id := range c.Holding[:min(len(c.Holding), maxHolding)] {
+		names = append(names, string(id))
+	}
+	logs.With(h.log, logs.EndpointClosed).WithFields(logrus.Fields{
+		"pool": p.String(), "endpoint": c.Endpoint, "reason": string(c.For), "for_ms": c.Time.Milliseconds(),
+		"failures": c.Failures, "holding": len(c.Holding), "requests": strings.Join(names, " "),
+	}).Info()
+}
+
 // observe takes the final answer of a request: one line and the metrics.
 func (h *Host) observe(o *gateway.Outcome) {
 	h.metrics.Answered(&metrics.Answer{
@@ -51,7 +71,7 @@
 		QueueWait: o.Queue, FirstToken: o.First, Total: o.Total, Tries: o.Tries,
 	})
 	line := logs.With(h.log, logs.Answered).WithFields(logrus.Fields{
-		"request": o.Attempt, "try": o.ID, "route": o.Route, "kind": o.Kind.String(), "team": o.Team,
+		"request": o.Attempt, "try": o.ID, "fingerprint": strconv.FormatUint(o.Fingerprint, 16), "route": o.Route, "kind": o.Kind.String(), "team": o.Team,
 		"target": o.Target, "rank": o.Rank, "cost": o.Cost, "endpoint": o.Endpoint, "tries": o.Tries, "why": o.Why,
 		"version": o.Version, "version_age_ms": o.ConfigurationAge.Milliseconds(), "settings": o.Settings,
 		"code": int(o.Code), "result": o.Code.String(), "status": o.Status, "on_time": o.OnTime,
--- a/internal/pool/intake.go
+++ b/internal/pool/intake.go
@@ -144,7 +144,7 @@
 		return
 	}
 	if e.Unreachable {
-		s.endpointFailed(a.endpoint)
+		s.endpointFailed(a.endpoint, ClosedUnreachable)
 	}
 	s.settle(a)
 	r := s.requests[e.ID]
--- a/internal/pool/learn.go
+++ b/internal/pool/learn.go
@@ -30,14 +30,14 @@
 	switch f.Outcome {
 	case OutcomeLost:
 		s.crashed(e)
-		s.endpointFailed(e)
+		s.endpointFailed(e, ClosedLost)
 		return
 	case OutcomeRejected:
 		s.endpointFull(e)
 		return
 	case OutcomeBroken:
 		if e.errors.Saw(s.now, true) {
-			s.endpointFailed(e)
+			s.endpointFailed(e, ClosedFailing)
 		}
 		return
 	}
--- a/internal/pool/scheduler.go
+++ b/internal/pool/scheduler.go
@@ -62,6 +62,8 @@
 	// unseen is the rank of which requests were not looked at since the last
 	// sweep; noRank if there is none.
 	unseen int
+	// closings are those of the last step.
+	closings []Closing
 	// home is scratch space of onlyHome.
 	home [1]*endpoint
 	// scratch is the candidate that is looked at.
@@ -104,7 +106,7 @@
 // time pass.
 func (s *Scheduler) Step(now time.Duration, events []Event) []Effect {
 	s.now = max(s.now, now)
-	s.out = nil
+	s.out, s.closings = nil, nil
 	s.meter.Roll(s.now, s.queue.waiting())
 	for _, e := range events {
 		s.take(e)
--- a/internal/system/scheduling/scheduling.go
+++ b/internal/system/scheduling/scheduling.go
@@ -84,6 +84,8 @@
 	Now     time.Duration
 	Events  []pool.Event
 	Effects []pool.Effect
+	// Closings are the endpoints that it closed.
+	Closings []pool.Closing
 }
 
 // New returns a system without pools.
--- a/internal/system/scheduling/step.go
+++ b/internal/system/scheduling/step.go
@@ -24,7 +24,9 @@
 	}
 	in.pending = nil
 	effects := in.scheduler.Step(now, events)
-	s.steps = append(s.steps, Step{Config: in.config, Now: now, Events: events, Effects: effects})
+	s.steps = append(s.steps, Step{
+		Config: in.config, Now: now, Events: events, Effects: effects, Closings: in.scheduler.Closings(),
+	})
 	for _, e := range effects {
 		s.send(in, e, out)
 	}
