Show that a request which ends endpoints is sent to them on and on

Three gateways before stand-ins: an endpoint that begins to run one body ends and is back 2 s later.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -177,25 +177,29 @@
 	return list[n%len(list)]
 }
 
-// crash ends an endpoint's process and starts it again with the same id, at another
-// address.
+// crash ends an endpoint's process and starts it again.
 func (w *world) crash(d draws) {
 	s := w.pick(d.a)
 	if s == nil {
 		return
 	}
 	defer w.spoil("endpoint crash", "")()
-	old := s.runner
-	_ = old.Close()
+	_ = s.runner.Close()
+	w.bringBack(s, d.span)
+}
+
+// bringBack starts an endpoint whose process has ended again after a time, with the same
+// id at another address.
+func (w *world) bringBack(s *server, down time.Duration) {
 	w.mu.Lock()
 	s.proxy.close()
 	w.mu.Unlock()
-	time.Sleep(d.span)
+	time.Sleep(down)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	before := *s
 	w.all = append(w.all, &before)
-	if err := s.begin(); err != nil {
+	if err := w.begin(s); err != nil {
 		w.broken = append(w.broken, fmt.Sprintf("endpoint %s does not start: %v", s.id, err))
 		return
 	}
--- /dev/null
+++ b/internal/soak/poison_test.go
@@ -0,0 +1,67 @@
+package soak
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/onsi/gomega/gexec"
+
+	"github.com/trefoilchute/trefoilchute/internal/standin/caller"
+)
+
+const (
+	// poisonSpan is how long the request is sent in the test, and calmSpan the last part
+	// of it, in which others are to be served.
+	poisonSpan, calmSpan = 16 * time.Second, 5 * time.Second
+	// otherEvery is the time between two requests of other callers.
+	otherEvery = 100 * time.Millisecond
+)
+
+// TestRequestThatEndsEndpointsIsStopped guards against a request that is sent on and on to
+// endpoints which it ends, and against endpoints that stay closed after that.
+func TestRequestThatEndsEndpointsIsStopped(t *testing.T) {
+	g := NewWithT(t)
+	program, err := gexec.Build("github.com/trefoilchute/trefoilchute/cmd/trefoilchute")
+	g.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(gexec.CleanupBuildArtifacts)
+	w, err := newWorld(t.ArtifactDir(), program, 1)
+	g.Expect(err).NotTo(HaveOccurred())
+	defer w.close()
+	g.Expect(w.addServer("app")).To(Succeed())
+	g.Expect(w.awaitReady(t.Context(), startTime)).To(BeTrue())
+
+	done := make(chan []caller.Answer)
+	go func() { done <- w.sendPoison(t.Context(), poisonSpan) }()
+	began := time.Now()
+	sent, served, statuses := 0, 0, map[int]int{}
+	for n := 0; time.Since(began) < poisonSpan; n++ {
+		c := caller.New(w.hosts[n%len(w.hosts)].address)
+		attempt := fmt.Sprintf("other-%d", n)
+		a := c.Do(caller.Request{
+			Method: "POST", Host: "app.test", Path: "/unsafe/" + attempt, Attempt: attempt,
+			Key: w.firstKey(), Limit: callLimit, Body: "body of " + attempt,
+		})
+		c.Close()
+		if a.Began.Sub(began) > poisonSpan-calmSpan {
+			sent++
+			statuses[a.Status]++
+			if a.Status == 200 {
+				served++
+			}
+		}
+		sleep(t.Context(), otherEvery)
+	}
+	var ends []string
+	for _, at := range w.crashes {
+		ends = append(ends, fmt.Sprintf("%.1f", at.Sub(began).Seconds()))
+	}
+	refused := map[int]int{}
+	for _, a := range <-done {
+		refused[a.Status]++
+	}
+	t.Logf("endpoints ended at %v s; its answers by status %v; others at the end %v", ends, refused, statuses)
+	g.Expect(w.lateRuns()).To(BeNumerically("<=", poisonRuns), "runs of the request after it was known")
+	g.Expect(served).To(Equal(sent), "other callers, with every endpoint back")
+}
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -75,9 +75,11 @@
 	revoked, keyed map[string]time.Time
 	added, removed map[string]time.Time
 	// ready counts the questions in a row that each host has missed.
-	ready  map[string]int
-	seen   []observed
-	broken []string
+	ready map[string]int
+	// crashes holds when a request ended the endpoint that began to run it.
+	crashes []time.Time
+	seen    []observed
+	broken  []string
 }
 
 // configuration is what the operator has written.
@@ -155,7 +157,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	s := &server{id: fmt.Sprintf("%s-%d", target, len(w.all)), target: target}
-	if err := s.begin(); err != nil {
+	if err := w.begin(s); err != nil {
 		return err
 	}
 	w.servers, w.all = append(w.servers, s), append(w.all, s)
@@ -164,9 +166,10 @@
 }
 
 // begin starts the endpoint's process, anew after a crash.
-func (s *server) begin() error {
+func (w *world) begin(s *server) error {
 	r := runner.New(runner.Options{
 		ID: s.id, Slots: 8, Streams: s.target == "llm", EventTime: 15 * time.Millisecond, Work: 20 * time.Millisecond,
+		Poison: poisonBody, Ended: func() { w.poisoned(s) },
 	})
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/internal/standin/runner/runner.go
+++ b/internal/standin/runner/runner.go
@@ -35,6 +35,10 @@
 	Streams   bool
 	EventTime time.Duration
 	Work      time.Duration
+	// Poison is a body that ends the endpoint as it begins to run it; empty: none does.
+	Poison string
+	// Ended is told when Poison has ended the endpoint; nil: nobody is.
+	Ended func()
 }
 
 // Run is one run of a request.
@@ -118,6 +122,13 @@
 		return
 	}
 	r.record(req, attempt, string(body))
+	if r.opts.Poison != "" && string(body) == r.opts.Poison {
+		_ = r.Close()
+		if r.opts.Ended != nil {
+			r.opts.Ended()
+		}
+		return
+	}
 	w.Header().Set(headerSeal, r.opts.ID+"."+attempt)
 	if r.fail.Add(-1) >= 0 {
 		http.Error(w, "failed", http.StatusInternalServerError)
