Open an endpoint that has started anew

Callers got 503, no_endpoint, for up to 1.6 s after every endpoint of a service was back from a crash. Cause: how long an endpoint is closed, and how many failures in a row that counts, was kept by its name across its lifetimes; endpoint_closed shows failures=3 for_ms=4000 for one that had just come back with a new start. A lifetime now comes with the declaration, and a new one begins with an open, empty endpoint. The test fails before (no grant).

--- a/internal/naive/differential_test.go
+++ b/internal/naive/differential_test.go
@@ -70,6 +70,7 @@
 			Ahead:              rapid.SampledFrom([]int{0, 0, 1}).Draw(w.t, "ahead"),
 			PrefillRate:        rapid.SampledFrom([]float64{0, 2000, 9000}).Draw(w.t, "prefill"),
 			DecodeRate:         rapid.SampledFrom([]float64{0, 20, 70}).Draw(w.t, "decode"),
+			Started:            rapid.SampledFrom([]int64{0, 0, 1, 2}).Draw(w.t, "started"),
 			CacheTokens:        64 * rapid.IntRange(0, 20).Draw(w.t, "cache"),
 		})
 	}
--- a/internal/naive/events.go
+++ b/internal/naive/events.go
@@ -9,6 +9,7 @@
 	"github.com/trefoilchute/trefoilchute/internal/pool"
 	"github.com/trefoilchute/trefoilchute/internal/pool/rules"
 	"github.com/trefoilchute/trefoilchute/internal/pool/speed"
+	"github.com/trefoilchute/trefoilchute/internal/pool/window"
 	"github.com/trefoilchute/trefoilchute/internal/prefix"
 	"github.com/trefoilchute/trefoilchute/internal/resource"
 	"github.com/trefoilchute/trefoilchute/internal/result"
@@ -295,6 +296,11 @@
 	if !was {
 		e.trust = 1
 	}
+	if e.Started != d.Started {
+		e.closedUntil, e.failures = 0, 0
+		e.errors, e.window, e.load = speed.Errors{}, window.Window{}, window.Reported{}
+		e.trust, e.cache = 1, nil
+	}
 	if d.SpeedsAssumed {
 		e.window.Batch()
 	}
--- a/internal/pool/endpoint.go
+++ b/internal/pool/endpoint.go
@@ -35,9 +35,11 @@
 	changed bool
 	// isolating says that the endpoint is kept for a suspect.
 	isolating bool
-	speed     speed.Endpoint
-	errors    speed.Errors
-	window    window.Window
+	// anew says that a new lifetime has begun since its cache was last cleared.
+	anew   bool
+	speed  speed.Endpoint
+	errors speed.Errors
+	window window.Window
 	// trust is the part of the expected cached tokens that the engine finds.
 	trust float64
 	load  window.Reported
@@ -79,6 +81,9 @@
 	if !e.declared {
 		e.trust = 1
 	}
+	if e.Started != d.Started {
+		e.beginAnew()
+	}
 	if d.SpeedsAssumed {
 		e.window.Batch()
 	}
@@ -88,6 +93,14 @@
 	e.declared = true
 }
 
+// beginAnew forgets what an earlier lifetime of the endpoint did. Its speed stays: the
+// machine is mostly the same.
+func (e *endpoint) beginAnew() {
+	e.closedUntil, e.failures = 0, 0
+	e.errors, e.window, e.load = speed.Errors{}, window.Window{}, window.Reported{}
+	e.trust, e.anew = 1, true
+}
+
 // newSpeed returns the speed of an endpoint as it is declared.
 func newSpeed(d resource.Endpoint) speed.Endpoint {
 	switch {
@@ -118,10 +131,6 @@
 
 // configure updates the rows and returns the numbers of those removed.
 func (t *endpointTable) configure(pool ident.Pool, declared []resource.Endpoint) []int32 {
-	was := map[ident.Endpoint]bool{}
-	for _, e := range t.rows {
-		was[e.Name] = e.declared
-	}
 	named := map[ident.Endpoint]bool{}
 	for _, d := range declared {
 		if d.Pool() == pool {
--- /dev/null
+++ b/internal/pool/failure_test.go
@@ -0,0 +1,57 @@
+package pool
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/trefoilchute/trefoilchute/internal/ident"
+	"github.com/trefoilchute/trefoilchute/internal/pool/rules"
+	"github.com/trefoilchute/trefoilchute/internal/resource"
+)
+
+// endpointOf returns an endpoint in one of its lifetimes.
+func endpointOf(lifetime int64) resource.Endpoint {
+	e := testEndpoint("a", 2)
+	e.Started = lifetime
+	return e
+}
+
+// lose has one request find an endpoint unreachable and returns for how long that closes.
+func lose(g Gomega, s *Scheduler, now time.Duration, id string) time.Duration {
+	r := testRequest(id, 0)
+	r.Deadline = now + time.Minute
+	out := grants(s.Step(now, []Event{Arrive{r}}))
+	g.Expect(out).To(HaveLen(1), id)
+	s.Step(now, []Event{Declined{ID: r.ID, Attempt: out[0].Attempt, Unreachable: true}})
+	g.Expect(s.Closings()).To(HaveLen(1), id)
+	return s.Closings()[0].Time
+}
+
+// TestNewLifetimeIsNotClosedForTheLast guards against endpoints that stay closed, for
+// longer each time, for what their earlier processes did.
+func TestNewLifetimeIsNotClosedForTheLast(t *testing.T) {
+	g := NewWithT(t)
+	s := newTestScheduler(endpointOf(1))
+	now := time.Duration(0)
+	for range 3 {
+		now += lose(g, s, now, "before"+now.String())
+	}
+	g.Expect(s.endpoints.rows[0].failures).To(Equal(3))
+	lose(g, s, now, "last")
+
+	now += 100 * time.Millisecond
+	s.Step(now, []Event{Configure{Revision: 2, Endpoints: []resource.Endpoint{endpointOf(2)}}})
+	r, other := testRequest("after", 0), testRequest("beside", 0)
+	r.Deadline, other.Deadline = now+time.Minute, now+time.Minute
+	out := grants(s.Step(now, []Event{Arrive{r}, Arrive{other}}))
+	g.Expect(out).To(HaveLen(2), "a new process has all its slots")
+	for _, x := range out {
+		s.Step(now, []Event{Started{ID: x.ID, Attempt: x.Attempt}, Finished{ID: x.ID, Attempt: x.Attempt}})
+	}
+	g.Expect(lose(g, s, now, "first of its own")).To(Equal(rules.FirstClosed))
+
+	s.Step(now, []Event{Configure{Revision: 3, Endpoints: []resource.Endpoint{endpointOf(2)}}})
+	g.Expect(s.endpoints.byName[ident.Endpoint("a")].takesWork(now)).To(BeFalse(), "the same lifetime stays closed")
+}
--- a/internal/pool/intake.go
+++ b/internal/pool/intake.go
@@ -184,6 +184,10 @@
 		s.blocks.Remove(number)
 	}
 	for _, row := range s.endpoints.rows {
+		if row.anew {
+			row.anew = false
+			s.blocks.Clear(row.number)
+		}
 		s.blocks.Resize(row.number, row.CacheTokens)
 	}
 	if !s.endpoints.anyActive() {
--- a/internal/resource/resource.go
+++ b/internal/resource/resource.go
@@ -101,6 +101,9 @@
 	// SpeedsAssumed says that the rates are those of endpoints like it. Operators
 	// don't declare it.
 	SpeedsAssumed bool `json:"speeds_assumed,omitempty"`
+	// Started tells the lifetimes of the endpoint apart, in Unix milliseconds; 0 if not
+	// known. Operators don't declare it.
+	Started int64 `json:"started,omitempty"`
 	// EndsWithConnection says that a request stops when its connection closes: it can't
 	// be resumed. Operators don't declare it.
 	EndsWithConnection bool `json:"ends_with_connection,omitempty"`
