--- a/internal/control/route.go
+++ b/internal/control/route.go
@@ -30,7 +30,7 @@
 	case *peerpb.Envelope_Spill:
 		c.custody.Spilled(c.now, from, body.Spill, &c.out)
 	case *peerpb.Envelope_TakeOver:
-		c.custody.TakeOver(c.now, from, body.TakeOver, c.scheduling.Suspects(), &c.out)
+		c.custody.TakeOver(c.now, from, body.TakeOver, c.scheduling.Suspects(c.now), &c.out)
 	case *peerpb.Envelope_KeyNote, *peerpb.Envelope_KeyAnswer:
 		c.keys.Receive(c.now, m, &c.out)
 	case *peerpb.Envelope_Join, *peerpb.Envelope_Part:
--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -51,7 +51,7 @@
 
 // Suspects returns what is known of requests that crashed endpoints.
 func (c *Core) Suspects() []*peerpb.Suspect {
-	return c.scheduling.Suspects()
+	return c.scheduling.Suspects(c.now)
 }
 
 // Orders returns the condition of every declared order of this domain, as this
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/trefoilchute/trefoilchute/internal/control"
@@ -73,6 +74,9 @@
 	if x.broken && conn.Reused {
 		t.call.gateway.conns.Drop(t.address)
 	}
+	if x.ended && t.call.ctx.Err() == nil {
+		x.lost = t.call.gateway.conns.Refused(t.call.ctx, t.address)
+	}
 	t.finish(x.phase(end))
 	return end
 }
@@ -89,6 +93,9 @@
 	// closes the connection after it, broken that the connection failed.
 	whole, closes, broken bool
 	rejected              bool
+	// ended says that the endpoint ended the connection before its answer was whole, lost
+	// that it takes no more connections: it has ended itself.
+	ended, lost bool
 	// until is when the answer has to be whole.
 	until time.Time
 }
@@ -166,7 +173,7 @@
 	for range maxForeign + 1 {
 		resp, err := x.conn.ReadAnswer(x.call.r.Method, x.call.tuning.HeadLimit)
 		if err != nil {
-			x.broken = true
+			x.broken, x.ended = true, endedByPeer(err)
 			if errors.Is(err, upstream.ErrHeadTooLong) {
 				x.drop(DropHead)
 			}
@@ -185,6 +192,12 @@
 	return nil, failed(unknown, "answers to other requests came")
 }
 
+// endedByPeer reports whether an error in reading says that the other end closed or reset
+// the connection.
+func endedByPeer(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET)
+}
+
 // drop counts an answer, or the rest of one, that was not taken.
 func (x *exchange) drop(reason Drop) {
 	x.call.gateway.opts.Dropped(reason)
@@ -270,7 +283,7 @@
 	case c.ctx.Err() != nil:
 		c.outcome.Code, c.outcome.Reason = result.CallerGone, "the caller left before the answer was whole"
 	default:
-		x.broken = true
+		x.broken, x.ended = true, endedByPeer(err)
 		c.outcome.Code, c.outcome.Reason = result.AnswerCut, err.Error()
 		return tryEnd{
 			delivered: !c.route.Resumable || !streams || errors.Is(err, errCaller), broken: true,
@@ -420,6 +433,8 @@
 	switch {
 	case x.rejected:
 		return peerpb.Report_PHASE_REJECTED
+	case x.lost:
+		return peerpb.Report_PHASE_LOST
 	case end.delivered && x.whole:
 		return peerpb.Report_PHASE_FINISHED
 	case c.ctx.Err() != nil, c.gateway.opts.Now() >= c.limit:
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -44,6 +44,8 @@
 	outcomes chan Outcome
 	dropped  chan Drop
 	ended    []custody.End
+	// arrived holds what control was told of each try.
+	arrived  []custody.Arrival
 	withdrew chan ident.Request
 }
 
@@ -117,6 +119,9 @@
 func (h *harness) post(e control.Event) {
 	switch e := e.(type) {
 	case control.Arrived:
+		h.mu.Lock()
+		h.arrived = append(h.arrived, e.Arrival)
+		h.mu.Unlock()
 		if h.refuse != nil {
 			h.gateway.Apply(custody.Directive{Kind: custody.Refuse, ID: e.Arrival.ID, Verdict: h.refuse})
 			return
@@ -228,8 +233,9 @@
 
 // endpoint is a scripted endpoint.
 type endpoint struct {
-	name    ident.Endpoint
-	address string
+	name     ident.Endpoint
+	address  string
+	listener net.Listener
 	// seen holds every request that came.
 	seen chan *exchanged
 	// conns counts the connections, closed tells when one has ended.
@@ -244,7 +250,7 @@
 		t.Fatal(err)
 	}
 	e := &endpoint{
-		name: ident.Endpoint(name), address: ln.Addr().String(),
+		name: ident.Endpoint(name), address: ln.Addr().String(), listener: ln,
 		seen: make(chan *exchanged, 64), closed: make(chan struct{}, 64),
 	}
 	t.Cleanup(func() { _ = ln.Close() })
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -256,7 +256,7 @@
 	if !ok {
 		info.Status = http.StatusInternalServerError
 	}
-	c.outcome.Status = info.Status
+	c.outcome.Status = platform.RefusalStatus(info.Status)
 	h := c.w.Header()
 	platform.SetAttempt(h, c.headers.Attempt)
 	h.Set("Content-Type", "application/json")
@@ -264,6 +264,6 @@
 	if e.RetryAfter > 0 {
 		platform.SetRetryAfter(h, e.RetryAfter)
 	}
-	c.w.WriteHeader(info.Status)
+	c.w.WriteHeader(c.outcome.Status)
 	_, _ = c.w.Write(e.Body())
 }
--- a/internal/naive/events.go
+++ b/internal/naive/events.go
@@ -299,7 +299,10 @@
 	if e.Started != d.Started {
 		e.closedUntil, e.failures = 0, 0
 		e.errors, e.window, e.load = speed.Errors{}, window.Window{}, window.Reported{}
-		e.trust, e.cache = 1, nil
+		e.trust = 1
+		if e.Started != 0 {
+			e.cache = nil
+		}
 	}
 	if d.SpeedsAssumed {
 		e.window.Batch()
--- a/internal/platformhost/record.go
+++ b/internal/platformhost/record.go
@@ -27,27 +27,48 @@
 // configured notes that control has taken a snapshot.
 func (h *Host) configured(*resource.Snapshot) {}
 
-// record logs what the pool schedulers of this host refused, and which endpoints they
-// closed. What they placed stands in the line of the host that holds the request.
+// record logs what the pool schedulers of this host refused, which endpoints they closed
+// and which requests they suspect. What they placed stands in the line of the host that holds the request.
 func (h *Host) record(steps []scheduling.Step, _ []custody.Directive) {
 	for _, step := range steps {
 		for i := range step.Closings {
 			h.tellClosing(step.Config.Pool, &step.Closings[i])
 		}
 		for _, e := range step.Effects {
-			r, ok := e.(pool.Refuse)
-			if !ok {
-				continue
+			switch e := e.(type) {
+			case pool.Refuse:
+				h.tellRefusal(step.Config.Pool, &e)
+			case pool.Publish:
+				h.tellSuspects(step.Config.Pool, e.List)
 			}
-			logs.With(h.log, logs.Refused).WithFields(logrus.Fields{
-				"request": r.ID, "custodian": r.Host, "pool": step.Config.Pool.String(),
-				"code": int(r.Code), "result": r.Code.String(), "reason": r.Reason,
-				"retry_after_ms": r.RetryAfter.Milliseconds(),
-			}).Info()
 		}
 	}
 }
 
+// tellRefusal logs what a pool's scheduler refused.
+func (h *Host) tellRefusal(p ident.Pool, r *pool.Refuse) {
+	logs.With(h.log, logs.Refused).WithFields(logrus.Fields{
+		"request": r.ID, "custodian": r.Host, "pool": p.String(),
+		"code": int(r.Code), "result": r.Code.String(), "reason": r.Reason,
+		"retry_after_ms": r.RetryAfter.Milliseconds(),
+	}).Info()
+}
+
+// tellSuspects logs what a pool's scheduler found of requests that endpoints ended under.
+func (h *Host) tellSuspects(p ident.Pool, list []pool.Suspect) {
+	for _, x := range list {
+		logs.With(h.log, logs.Suspected).WithFields(logrus.Fields{
+			"pool": p.String(), "fingerprint": fingerprintText(x.Fingerprint), "crashes": x.Crashes,
+			"quarantined": x.Quarantined,
+		}).Info()
+	}
+}
+
+// fingerprintText is how logs write a request's fingerprint.
+func fingerprintText(fingerprint uint64) string {
+	return strconv.FormatUint(fingerprint, 16)
+}
+
 // maxHolding bounds the requests that a line about a closed endpoint names.
 const maxHolding = 16
 
@@ -71,7 +92,7 @@
 		QueueWait: o.Queue, FirstToken: o.First, Total: o.Total, Tries: o.Tries,
 	})
 	line := logs.With(h.log, logs.Answered).WithFields(logrus.Fields{
-		"request": o.Attempt, "try": o.ID, "fingerprint": strconv.FormatUint(o.Fingerprint, 16), "route": o.Route, "kind": o.Kind.String(), "team": o.Team,
+		"request": o.Attempt, "try": o.ID, "fingerprint": fingerprintText(o.Fingerprint), "route": o.Route, "kind": o.Kind.String(), "team": o.Team,
 		"target": o.Target, "rank": o.Rank, "cost": o.Cost, "endpoint": o.Endpoint, "tries": o.Tries, "why": o.Why,
 		"version": o.Version, "version_age_ms": o.ConfigurationAge.Milliseconds(), "settings": o.Settings,
 		"code": int(o.Code), "result": o.Code.String(), "status": o.Status, "on_time": o.OnTime,
--- a/internal/pool/admit.go
+++ b/internal/pool/admit.go
@@ -14,7 +14,7 @@
 	total, ok := s.fastest(r)
 	x := s.suspects.find(r.KeyHash, r.Fingerprint)
 	switch {
-	case x != nil && x.Quarantined:
+	case x != nil && x.Quarantined && !s.takeTrial(x):
 		s.emit(*s.quarantined(r))
 	case r.Deadline <= s.now:
 		s.refuse(r, result.Expired, "the deadline passed before the request arrived")
@@ -24,6 +24,7 @@
 		s.refuse(r, result.DeadlineTooNear,
 			fmt.Sprintf("the fastest endpoint needs about %v", total.Round(time.Millisecond)))
 	default:
+		r.trial = x != nil && x.Quarantined
 		return s.admitToQueue(r, total)
 	}
 	return false
--- a/internal/pool/body.go
+++ b/internal/pool/body.go
@@ -28,15 +28,24 @@
 	return &bodyTable{rows: map[uint64]*body{}, proven: map[uint64]bool{}}
 }
 
-// busy says whether a request has to wait for another with the same body.
-func (t *bodyTable) busy(r *request) bool {
-	if r.Fingerprint == 0 || t.proven[r.Fingerprint] {
+// bodyBusy says whether a request has to wait for another with the same body.
+func (s *Scheduler) bodyBusy(r *request) bool {
+	if r.Fingerprint == 0 || !s.oneAtATime(r) {
 		return false
 	}
-	row := t.rows[r.Fingerprint]
+	row := s.bodies.rows[r.Fingerprint]
 	return row != nil && row.inFlight > 0
 }
 
+// oneAtATime says whether requests with the body of one wait for one another: until the
+// body has run whole, or, where callers repeat it anyway, while it is suspected.
+func (s *Scheduler) oneAtATime(r *request) bool {
+	if r.Repeats {
+		return s.suspects.find(r.KeyHash, r.Fingerprint) != nil
+	}
+	return !s.bodies.proven[r.Fingerprint]
+}
+
 func (t *bodyTable) get(fingerprint uint64) *body {
 	row := t.rows[fingerprint]
 	if row == nil {
@@ -94,7 +103,7 @@
 		return
 	}
 	waiting := slices.Clone(row.waiting)
-	if !s.bodies.proven[fingerprint] && len(waiting) > 1 {
+	if len(waiting) > 1 && s.oneAtATime(waiting[0]) {
 		waiting = waiting[:1]
 	}
 	for _, r := range waiting {
--- a/internal/pool/endpoint.go
+++ b/internal/pool/endpoint.go
@@ -35,8 +35,8 @@
 	changed bool
 	// isolating says that the endpoint is kept for a suspect.
 	isolating bool
-	// anew says that a new lifetime has begun since its cache was last cleared.
-	anew   bool
+	// lost holds the runs that broke lately, in the order of their ends.
+	lost   []lostRun
 	speed  speed.Endpoint
 	errors speed.Errors
 	window window.Window
@@ -73,8 +73,8 @@
 }
 
 // update takes in the endpoint's declaration. Learned speeds stand unless the
-// declared ones changed.
-func (e *endpoint) update(d resource.Endpoint) {
+// declared ones changed. It reports whether a new lifetime of the endpoint has begun.
+func (e *endpoint) update(d resource.Endpoint) (anew bool) {
 	if !e.declared || e.PrefillRate != d.PrefillRate || e.DecodeRate != d.DecodeRate {
 		e.speed = newSpeed(d)
 	}
@@ -82,6 +82,7 @@
 		e.trust = 1
 	}
 	if e.Started != d.Started {
+		anew = e.Started != 0
 		e.beginAnew()
 	}
 	if d.SpeedsAssumed {
@@ -91,6 +92,7 @@
 	e.Endpoint = d
 	e.changed = true
 	e.declared = true
+	return anew
 }
 
 // beginAnew forgets what an earlier lifetime of the endpoint did. Its speed stays: the
@@ -98,7 +100,7 @@
 func (e *endpoint) beginAnew() {
 	e.closedUntil, e.failures = 0, 0
 	e.errors, e.window, e.load = speed.Errors{}, window.Window{}, window.Reported{}
-	e.trust, e.anew = 1, true
+	e.trust = 1
 }
 
 // newSpeed returns the speed of an endpoint as it is declared.
@@ -129,20 +131,29 @@
 	return &endpointTable{byName: map[ident.Endpoint]*endpoint{}}
 }
 
-// configure updates the rows and returns the numbers of those removed.
-func (t *endpointTable) configure(pool ident.Pool, declared []resource.Endpoint) []int32 {
+// configure updates the rows. It returns the numbers of those removed and the endpoints
+// of which a lifetime has ended without notice.
+func (t *endpointTable) configure(pool ident.Pool, declared []resource.Endpoint) (removed []int32, ended []*endpoint) {
 	named := map[ident.Endpoint]bool{}
 	for _, d := range declared {
-		if d.Pool() == pool {
-			t.get(d.Name).update(d)
-			named[d.Name] = true
+		if d.Pool() != pool {
+			continue
+		}
+		named[d.Name] = true
+		e := t.get(d.Name)
+		leaving := e.State == resource.EndpointDrain
+		if e.update(d) && !leaving {
+			ended = append(ended, e)
 		}
 	}
 	for _, e := range t.rows {
+		if e.declared && !named[e.Name] && e.State != resource.EndpointDrain {
+			ended = append(ended, e)
+		}
 		e.declared = named[e.Name]
 	}
 	t.averageUntil = 0
-	return t.sweep()
+	return t.sweep(), ended
 }
 
 // sweep removes undeclared rows without requests.
--- a/internal/pool/event.go
+++ b/internal/pool/event.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/trefoilchute/trefoilchute/internal/ident"
+	"github.com/trefoilchute/trefoilchute/internal/pool/rules"
 	"github.com/trefoilchute/trefoilchute/internal/resource"
 	"github.com/trefoilchute/trefoilchute/internal/result"
 )
@@ -49,7 +50,10 @@
 	KeyHash uint64
 	// Fingerprint is the hash of the team-independent body.
 	Fingerprint uint64
-	Idempotent  bool
+	// Repeats says that honest callers send the same body again and again, at once too: a
+	// loss says less of it than of a request with a key.
+	Repeats    bool `cbor:",omitempty"`
+	Idempotent bool
 	// Spilled marks a request that another domain passed on. It is not passed
 	// on again.
 	Spilled bool
@@ -206,6 +210,23 @@
 	Fingerprint uint64
 	Crashes     int
 	Quarantined bool
+	// Repeats is that of its requests.
+	Repeats bool `cbor:",omitempty"`
+	// Age is the time since its last crash, where one host tells another of it.
+	Age time.Duration `cbor:",omitempty"`
+}
+
+// Isolates reports whether a suspect runs alone.
+func (x *Suspect) Isolates() bool {
+	return !x.Repeats || x.Crashes >= rules.RepeatedToIsolate
+}
+
+// Memory is how long a suspect is remembered after its last crash.
+func (x *Suspect) Memory() time.Duration {
+	if x.Quarantined {
+		return rules.QuarantineMemory
+	}
+	return rules.SuspectMemory
 }
 
 // Effect is something to do. Its concrete types are in this file.
--- a/internal/pool/failure.go
+++ b/internal/pool/failure.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"slices"
 	"time"
 
 	"github.com/trefoilchute/trefoilchute/internal/ident"
@@ -36,6 +37,57 @@
 	return s.closings
 }
 
+// lostRun is a run whose connection broke, or that was given up at its deadline.
+type lostRun struct {
+	request       Request
+	granted, lost time.Duration
+}
+
+// noteLost remembers a run that failed until it is known whether its endpoint has ended.
+func (s *Scheduler) noteLost(a *attempt) {
+	r := a.request
+	if !r.Repeats || a.blamed || !a.started {
+		return
+	}
+	e := a.endpoint
+	e.lost = slices.DeleteFunc(e.lost, func(l lostRun) bool { return s.now-l.lost > rules.LostMemory })
+	if len(e.lost) == rules.MaxLost {
+		e.lost = slices.Delete(e.lost, 0, 1)
+	}
+	e.lost = append(e.lost, lostRun{
+		request: Request{KeyHash: r.KeyHash, Fingerprint: r.Fingerprint, Repeats: true}, granted: a.granted, lost: s.now,
+	})
+}
+
+// accuseLost returns the suspects among the runs that broke lately on an endpoint that
+// has ended.
+func (s *Scheduler) accuseLost(e *endpoint) []*suspect {
+	var found []*suspect
+	for _, l := range e.lost {
+		if s.now-l.lost <= rules.LostMemory {
+			found = s.accuse(found, l.request, l.granted, l.lost)
+		}
+	}
+	e.lost = nil
+	return found
+}
+
+// lifetimeEnded takes in that an endpoint has ended that didn't say that it leaves. One
+// whose entry is gone may still run what it has, so only what broke counts.
+func (s *Scheduler) lifetimeEnded(e *endpoint) {
+	found := s.accuseLost(e)
+	if e.declared {
+		s.blocks.Clear(e.number)
+		for _, a := range s.attempts.on(e) {
+			if a.request.Repeats && a.started && !a.blamed {
+				a.blamed = true
+				found = s.accuse(found, a.request, a.granted, s.now)
+			}
+		}
+	}
+	s.blameAll(found)
+}
+
 // endpointFailed closes an endpoint for a while after it was lost or took no
 // connection. Its cache is taken to be empty and its window starts anew. More
 // reports of the same failure change nothing.
--- a/internal/pool/grant.go
+++ b/internal/pool/grant.go
@@ -84,7 +84,7 @@
 		if r.phase != phaseQueued && r.phase != phaseHeld || r.order() > s.unseen {
 			continue
 		}
-		if s.bodies.busy(r) {
+		if s.bodyBusy(r) {
 			s.park(r)
 			continue
 		}
@@ -119,7 +119,7 @@
 			i++
 			continue
 		}
-		if s.bodies.busy(r) {
+		if s.bodyBusy(r) {
 			s.park(r)
 			continue
 		}
@@ -191,7 +191,7 @@
 // stands there, and whether any endpoint looked at had a free slot.
 func (s *Scheduler) grantHead(tq *teamQueue, among []*endpoint) (served, room bool) {
 	r := tq.head()
-	if s.bodies.busy(r) {
+	if s.bodyBusy(r) {
 		s.park(r)
 		return true, true
 	}
--- a/internal/pool/intake.go
+++ b/internal/pool/intake.go
@@ -69,7 +69,7 @@
 func (s *Scheduler) enqueue(r *request) {
 	r.attempt = nil
 	s.watch(r)
-	if s.suspects.find(r.KeyHash, r.Fingerprint) != nil {
+	if x := s.suspects.find(r.KeyHash, r.Fingerprint); x != nil && x.Isolates() {
 		r.phase = phaseIsolated
 		s.isolation.add(r)
 		return
@@ -180,14 +180,14 @@
 	s.tiers.configure(e.Tiers)
 	s.teams.configure(e.Teams)
 	s.queue.reweigh()
-	for _, number := range s.endpoints.configure(s.config.Pool, e.Endpoints) {
+	removed, ended := s.endpoints.configure(s.config.Pool, e.Endpoints)
+	for _, row := range ended {
+		s.lifetimeEnded(row)
+	}
+	for _, number := range removed {
 		s.blocks.Remove(number)
 	}
 	for _, row := range s.endpoints.rows {
-		if row.anew {
-			row.anew = false
-			s.blocks.Clear(row.number)
-		}
 		s.blocks.Resize(row.number, row.CacheTokens)
 	}
 	if !s.endpoints.anyActive() {
--- a/internal/pool/isolate.go
+++ b/internal/pool/isolate.go
@@ -3,7 +3,10 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
+	"github.com/trefoilchute/trefoilchute/internal/pool/rules"
+	"github.com/trefoilchute/trefoilchute/internal/resource"
 	"github.com/trefoilchute/trefoilchute/internal/result"
 )
 
@@ -16,6 +19,9 @@
 	endpoint *endpoint
 	// attempt is the suspect's attempt; nil while the endpoint empties.
 	attempt *attempt
+	// since is when the endpoint was chosen.
+	since time.Duration
+	timer timer
 }
 
 func (i *isolation) add(r *request) {
@@ -55,19 +61,65 @@
 		return
 	}
 	r := i.waiting[0]
+	if r.Repeats && s.lastOpen() {
+		i.release()
+		return
+	}
 	if i.endpoint == nil || !i.endpoint.takesWork(s.now) {
 		i.release()
-		i.endpoint = s.emptiest(r)
+		i.endpoint, i.since = s.emptiest(r), s.now
 	}
 	if i.endpoint == nil {
 		return
 	}
 	i.endpoint.isolating = true
-	if i.endpoint.inFlight > 0 || i.endpoint.slots() < 1 {
+	if !s.emptied(r) {
 		return
 	}
+	e := i.endpoint
 	s.withdraw(r)
-	s.issueIsolated(r, i.endpoint)
+	s.issueIsolated(r, e)
+	s.timers.stop(&i.timer)
+	if r.Repeats {
+		s.timers.set(&i.timer, s.now+rules.AloneTime, i.release)
+	}
+}
+
+// emptied reports whether the endpoint is ready for a suspect. For one that repeats it is
+// emptied for a short time only: long streams would else keep the other slots unused.
+func (s *Scheduler) emptied(r *request) bool {
+	i := &s.isolation
+	e := i.endpoint
+	if e.slots() < 1 {
+		return false
+	}
+	if e.inFlight == 0 {
+		return true
+	}
+	if !r.Repeats {
+		return false
+	}
+	if until := i.since + rules.EmptyTime; s.now < until {
+		s.timers.set(&i.timer, until, func() {})
+		return false
+	}
+	return e.freeSlots() > 0
+}
+
+// lastOpen reports whether a single endpoint takes work while others are closed: a suspect
+// could take the last one away from everybody.
+func (s *Scheduler) lastOpen() bool {
+	open, closed := 0, 0
+	for _, e := range s.endpoints.rows {
+		switch {
+		case !e.declared || e.State == resource.EndpointDrain:
+		case e.takesWork(s.now):
+			open++
+		default:
+			closed++
+		}
+	}
+	return open == 1 && closed > 0
 }
 
 // emptiest returns the endpoint with the fewest requests in flight that can
--- a/internal/pool/learn.go
+++ b/internal/pool/learn.go
@@ -36,11 +36,15 @@
 		s.endpointFull(e)
 		return
 	case OutcomeBroken:
+		s.noteLost(a)
 		if e.errors.Saw(s.now, true) {
 			s.endpointFailed(e, ClosedFailing)
 		}
 		return
 	}
+	if f.Outcome == OutcomeCanceled && s.now >= a.request.Deadline {
+		s.noteLost(a)
+	}
 	if f.Outcome == OutcomeWhole || s.now >= a.request.Deadline {
 		s.surprise.Saw(a.expected, f.Total, f.Outcome != OutcomeWhole)
 	}
@@ -59,7 +63,9 @@
 	}
 	e.failures = 0
 	e.errors.Saw(s.now, false)
-	s.bodies.prove(a.request.Fingerprint)
+	if !a.request.Repeats {
+		s.bodies.prove(a.request.Fingerprint)
+	}
 	if e.Type == resource.EndpointEngine {
 		s.lengths.Saw(a.request.Team, a.request.MaxTokens, f.OutputTokens)
 	}
--- a/internal/pool/place.go
+++ b/internal/pool/place.go
@@ -36,7 +36,7 @@
 var (
 	filters   = []filter{prefillFilter{}, objectiveFilter{}, deadlineFilter{}}
 	scorers   = []scorer{finishScore{}, neighbourScore{}, prefixScore{}, failureScore{}, domainScore{}}
-	reservers = []reserver{longWorkReserve{}, longPrefillReserve{}}
+	reservers = []reserver{suspectReserve{}, longWorkReserve{}, longPrefillReserve{}}
 )
 
 // Reasons of filters and reservers.
@@ -47,6 +47,7 @@
 	reasonTooLate  = "it would end after its deadline there"
 	reasonPrefills = "enough endpoints are busy with long prompts"
 	reasonReserved = "the last slots are kept from long work"
+	reasonSuspect  = "it was lost with an endpoint, and only one takes work"
 	reasonHome     = "it waits for the endpoint that has its prefix cached"
 )
 
@@ -212,6 +213,20 @@
 	return rules.PrefixPenalty * c.endpoint.speed.Prefill(s.now, c.best-c.cached)
 }
 
+// suspectReserve keeps the last endpoint that takes work from requests that were lost
+// with others.
+type suspectReserve struct{}
+
+func (suspectReserve) reserve(s *Scheduler, r *request) string {
+	if len(s.suspects.rows) == 0 || !r.Repeats || s.suspects.find(r.KeyHash, r.Fingerprint) == nil {
+		return ""
+	}
+	if s.lastOpen() {
+		return reasonSuspect
+	}
+	return ""
+}
+
 // longWorkReserve keeps the last free slots of the pool from long work below
 // the highest tier, so that short and high requests find a slot soon.
 type longWorkReserve struct{}
--- /dev/null
+++ b/internal/pool/repeat_test.go
@@ -0,0 +1,350 @@
+package pool
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/trefoilchute/trefoilchute/internal/ident"
+	"github.com/trefoilchute/trefoilchute/internal/pool/rules"
+	"github.com/trefoilchute/trefoilchute/internal/resource"
+	"github.com/trefoilchute/trefoilchute/internal/result"
+)
+
+// yard is a pool whose endpoints can end and come back while time passes.
+type yard struct {
+	g         Gomega
+	s         *Scheduler
+	now       time.Duration
+	endpoints []resource.Endpoint
+	revision  uint64
+	next      int
+	// granted holds the grants that nobody has used, refused the last refusals.
+	granted []Grant
+	refused []Refuse
+}
+
+// newYard returns a pool of plain endpoints with a number of slots each.
+func newYard(t *testing.T, endpoints, slots int) *yard {
+	y := &yard{g: NewWithT(t), s: New(Config{Pool: testPool, Epoch: 1})}
+	for i := range endpoints {
+		e := testEndpoint(fmt.Sprintf("e%d", i), slots)
+		e.Started = 1
+		y.endpoints = append(y.endpoints, e)
+	}
+	y.configure()
+	return y
+}
+
+func (y *yard) step(events ...Event) {
+	for _, e := range y.s.Step(y.now, events) {
+		switch e := e.(type) {
+		case Grant:
+			y.granted = append(y.granted, e)
+		case Refuse:
+			y.refused = append(y.refused, e)
+		}
+	}
+}
+
+// pass lets time pass in small steps.
+func (y *yard) pass(d time.Duration) {
+	for until := y.now + d; y.now < until; {
+		y.now = min(until, y.now+50*time.Millisecond)
+		y.step()
+	}
+}
+
+func (y *yard) configure() {
+	y.revision++
+	y.step(Configure{Revision: y.revision, Endpoints: append([]resource.Endpoint(nil), y.endpoints...)})
+}
+
+// send brings a request with a body and returns its grant, if it gets one at once.
+func (y *yard) send(body uint64) (Grant, bool) {
+	y.next++
+	r := testRequest(fmt.Sprintf("r%d", y.next), 0)
+	r.Fingerprint, r.Repeats, r.Deadline = body, true, y.now+10*time.Second
+	y.refused = nil
+	y.step(Arrive{r})
+	for i, x := range y.granted {
+		if x.ID == r.ID {
+			y.granted = append(y.granted[:i:i], y.granted[i+1:]...)
+			y.step(Started{ID: x.ID, Attempt: x.Attempt})
+			return x, true
+		}
+	}
+	return Grant{}, false
+}
+
+// take waits for the grant of any request and starts it.
+func (y *yard) take() Grant {
+	for range 400 {
+		if len(y.granted) > 0 {
+			x := y.granted[0]
+			y.granted = y.granted[1:]
+			y.step(Started{ID: x.ID, Attempt: x.Attempt})
+			return x
+		}
+		y.pass(50 * time.Millisecond)
+	}
+	y.g.Expect(y.granted).NotTo(BeEmpty(), "a grant")
+	return Grant{}
+}
+
+func (y *yard) finish(x Grant, o Outcome) {
+	y.step(Finished{ID: x.ID, Attempt: x.Attempt, Outcome: o})
+}
+
+// restart lets an endpoint begin another lifetime.
+func (y *yard) restart(name ident.Endpoint) {
+	for i := range y.endpoints {
+		if y.endpoints[i].Name == name {
+			y.endpoints[i].Started++
+		}
+	}
+	y.configure()
+}
+
+// crash loses an endpoint with what runs there and lets it begin anew.
+func (y *yard) crash(x Grant) {
+	y.finish(x, OutcomeLost)
+	y.restart(x.Endpoint)
+}
+
+// TestRepeatedRequestThatEndsEndpointsIsRefused sends a body every 0.3 s for a minute to
+// three endpoints that end under it and come back after 2 s.
+func TestRepeatedRequestThatEndsEndpointsIsRefused(t *testing.T) {
+	y := newYard(t, 3, 8)
+	back := map[ident.Endpoint]time.Duration{}
+	var crashes []time.Duration
+	for y.now < time.Minute {
+		y.send(7)
+		for name, at := range back {
+			if y.now >= at {
+				delete(back, name)
+				y.restart(name)
+			}
+		}
+		taken := y.granted
+		y.granted = nil
+		for _, x := range taken {
+			y.step(Started{ID: x.ID, Attempt: x.Attempt})
+		}
+		for _, a := range y.s.attempts.rows {
+			if a.started {
+				crashes = append(crashes, y.now)
+				back[a.endpoint.Name] = y.now + 2*time.Second
+				y.finish(Grant{ID: a.request.ID, Attempt: a.id}, OutcomeLost)
+				break
+			}
+		}
+		y.g.Expect(len(back)).To(BeNumerically("<", 3), "an endpoint is left at %v", y.now)
+		y.pass(300 * time.Millisecond)
+	}
+	y.g.Expect(len(crashes)).To(BeNumerically(">=", 3), "crashes at %v", crashes)
+	late := 0
+	for _, at := range crashes[3:] {
+		if at > crashes[2]+3*time.Second {
+			late++
+		}
+	}
+	y.g.Expect(late).To(BeNumerically("<=", 3), "crashes at %v", crashes)
+	y.g.Expect(y.refused).To(HaveLen(1))
+	y.g.Expect(y.refused[0].Code).To(Equal(result.Quarantined))
+	y.g.Expect(y.refused[0].RetryAfter).To(BeZero())
+}
+
+// TestInnocentRequestAtThreeCrashesIsServed has one request in flight each time when another
+// ends an endpoint.
+func TestInnocentRequestAtThreeCrashesIsServed(t *testing.T) {
+	y := newYard(t, 3, 8)
+	for range 3 {
+		innocent, ok := y.send(1)
+		y.g.Expect(ok).To(BeTrue())
+		y.pass(100 * time.Millisecond)
+		y.crash(innocent)
+		y.pass(time.Second)
+	}
+	y.g.Expect(y.s.suspects.find(0, 1).Crashes).To(Equal(3))
+	again, ok := y.send(1)
+	y.g.Expect(ok).To(BeTrue())
+	y.g.Expect(again.Isolated).To(BeTrue())
+	y.finish(again, OutcomeWhole)
+	y.g.Expect(y.s.suspects.find(0, 1)).To(BeNil(), "cleared by running whole")
+	_, ok = y.send(1)
+	y.g.Expect(ok).To(BeTrue())
+}
+
+// TestManyEndpointsLostAtOnceBlameNobody loses five endpoints at one moment with the same
+// honest request on each, and again a while later.
+func TestManyEndpointsLostAtOnceBlameNobody(t *testing.T) {
+	y := newYard(t, 5, 1)
+	for round := 1; round <= 2; round++ {
+		var list []Grant
+		for range 5 {
+			x, ok := y.send(1)
+			y.g.Expect(ok).To(Equal(round == 1 || len(list) == 0), "one at a time while suspected")
+			if ok {
+				list = append(list, x)
+			}
+		}
+		y.pass(100 * time.Millisecond)
+		for _, x := range list {
+			y.crash(x)
+		}
+		y.g.Expect(y.s.suspects.find(0, 1).Crashes).To(Equal(round))
+		y.pass(11 * time.Second)
+	}
+}
+
+// TestHonestRequestsThatRepeatRunAtOnce checks that equal bodies don't wait for each other.
+func TestHonestRequestsThatRepeatRunAtOnce(t *testing.T) {
+	y := newYard(t, 3, 8)
+	for range 12 {
+		_, ok := y.send(1)
+		y.g.Expect(ok).To(BeTrue())
+	}
+}
+
+// TestSuspectLeavesTheLastEndpointToOthers closes all endpoints but one.
+func TestSuspectLeavesTheLastEndpointToOthers(t *testing.T) {
+	y := newYard(t, 2, 4)
+	x, _ := y.send(7)
+	y.finish(x, OutcomeLost)
+	_, ok := y.send(7)
+	y.g.Expect(ok).To(BeFalse(), "the other endpoint is closed")
+	_, ok = y.send(1)
+	y.g.Expect(ok).To(BeTrue(), "others go there")
+	y.restart(x.Endpoint)
+	y.g.Expect(y.take().Endpoint).NotTo(BeEmpty(), "when the other is back")
+
+	alone := newYard(t, 1, 4)
+	x, _ = alone.send(7)
+	alone.crash(x)
+	_, ok = alone.send(7)
+	alone.g.Expect(ok).To(BeTrue(), "there is no other endpoint to wait for")
+}
+
+// TestEndpointIsEmptiedForASuspectForAShortTime runs long requests on every endpoint.
+func TestEndpointIsEmptiedForASuspectForAShortTime(t *testing.T) {
+	y := newYard(t, 2, 4)
+	for range rules.RepeatedToIsolate {
+		x, _ := y.send(7)
+		y.pass(50 * time.Millisecond)
+		y.crash(x)
+	}
+	for body := uint64(1); body <= 6; body++ {
+		_, ok := y.send(body)
+		y.g.Expect(ok).To(BeTrue())
+	}
+	_, ok := y.send(7)
+	y.g.Expect(ok).To(BeFalse(), "others run everywhere")
+	began := y.now
+	suspect := y.take()
+	y.g.Expect(y.now-began).To(BeNumerically("~", rules.EmptyTime, 100*time.Millisecond))
+	kept := 0
+	for body := uint64(10); body < 13; body++ {
+		if x, ok := y.send(body); ok && x.Endpoint == suspect.Endpoint {
+			kept++
+		}
+	}
+	y.g.Expect(kept).To(BeZero(), "it begins alone")
+	y.pass(rules.AloneTime + 100*time.Millisecond)
+	y.g.Expect(y.s.endpoints.byName[suspect.Endpoint].isolating).To(BeFalse(), "then others are let in")
+}
+
+// TestQuarantinedRequestGetsATrial lets a request that repeats be refused, and run whole
+// when its time has come.
+func TestQuarantinedRequestGetsATrial(t *testing.T) {
+	y := newYard(t, 2, 4)
+	lose := func() {
+		y.send(7)
+		for _, a := range y.s.attempts.rows {
+			y.crash(Grant{ID: a.request.ID, Attempt: a.id, Endpoint: a.endpoint.Name})
+		}
+		y.pass(50 * time.Millisecond)
+	}
+	for range rules.RepeatedToQuarantine {
+		lose()
+	}
+	_, ok := y.send(7)
+	y.g.Expect(ok).To(BeFalse())
+	y.g.Expect(y.refused).To(HaveLen(1))
+	y.pass(rules.FirstTrial)
+	trial, ok := y.send(7)
+	y.g.Expect(ok).To(BeTrue())
+	_, ok = y.send(7)
+	y.g.Expect(ok).To(BeFalse(), "one trial at a time")
+	y.finish(trial, OutcomeWhole)
+	_, ok = y.send(7)
+	y.g.Expect(ok).To(BeTrue(), "cleared")
+
+	for range rules.RepeatedToQuarantine {
+		for _, a := range y.s.attempts.rows {
+			y.finish(Grant{ID: a.request.ID, Attempt: a.id}, OutcomeCanceled)
+		}
+		lose()
+	}
+	wait := time.Duration(rules.FirstTrial)
+	for range rules.MostTrials {
+		y.pass(wait)
+		trial, ok = y.send(7)
+		y.g.Expect(ok).To(BeTrue())
+		y.crash(trial)
+		wait *= rules.TrialGrowth
+	}
+	y.now += 2 * time.Hour
+	_, ok = y.send(7)
+	y.g.Expect(ok).To(BeFalse(), "no trial is left")
+}
+
+// TestRunThatBrokeIsBlamedWhenItsEndpointHasEnded learns of the end by the new lifetime, or
+// by the entry's end, and not where the endpoint lives on or leaves as planned.
+func TestRunThatBrokeIsBlamedWhenItsEndpointHasEnded(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		then   func(y *yard, x Grant)
+		blamed bool
+	}{
+		{"it lives", func(y *yard, _ Grant) { y.configure() }, false},
+		{"it has started anew", func(y *yard, x Grant) { y.restart(x.Endpoint) }, true},
+		{"its entry is gone", func(y *yard, _ Grant) { y.endpoints = nil; y.configure() }, true},
+		{"it left as planned", func(y *yard, _ Grant) {
+			y.endpoints[0].State = resource.EndpointDrain
+			y.configure()
+			y.endpoints = nil
+			y.configure()
+		}, false},
+		{"it has started anew much later", func(y *yard, x Grant) {
+			y.pass(rules.LostMemory + time.Second)
+			y.restart(x.Endpoint)
+		}, false},
+	} {
+		y := newYard(t, 1, 4)
+		x, _ := y.send(7)
+		y.finish(x, OutcomeBroken)
+		c.then(y, x)
+		y.g.Expect(y.s.suspects.find(0, 7) != nil).To(Equal(c.blamed), c.name)
+	}
+
+	y := newYard(t, 1, 4)
+	x, _ := y.send(7)
+	y.restart(x.Endpoint)
+	y.g.Expect(y.s.suspects.find(0, 7)).NotTo(BeNil(), "still in flight at an endpoint that fell silent")
+}
+
+// TestSuspectsAreBounded loses more requests than are remembered.
+func TestSuspectsAreBounded(t *testing.T) {
+	y := newYard(t, 2, 4)
+	for body := range uint64(2 * rules.MaxSuspects) {
+		y.s.learnSuspects([]Suspect{{Fingerprint: body + 1, Crashes: 1, Repeats: true}})
+	}
+	y.g.Expect(y.s.suspects.rows).To(HaveLen(rules.MaxSuspects))
+	y.g.Expect(y.s.suspects.byBody).To(HaveLen(rules.MaxSuspects))
+	y.now += rules.SuspectMemory + time.Second
+	y.step()
+	y.g.Expect(y.s.suspects.rows).To(BeEmpty())
+}
--- a/internal/pool/rules/rules.go
+++ b/internal/pool/rules/rules.go
@@ -179,6 +179,30 @@
 	// quarantined request are remembered after the last crash.
 	SuspectMemory    = 15 * time.Minute
 	QuarantineMemory = 24 * time.Hour
+	// MaxSuspects bounds the suspects that a scheduler remembers.
+	MaxSuspects = 1024
 	// MaxProven bounds the bodies that are remembered to have run whole.
 	MaxProven = 8192
 )
+
+// Suspects among requests that honest callers repeat.
+const (
+	// RepeatedToIsolate and RepeatedToQuarantine are how many endpoints, one after the
+	// other, such a request may have been lost with before it runs alone, and before it
+	// is refused. Users allow three, and three runs later.
+	RepeatedToIsolate    = 2
+	RepeatedToQuarantine = 4
+	// FirstTrial is how long it is refused before it may run once more; each further
+	// time is TrialGrowth times longer. After MostTrials it is refused for good.
+	FirstTrial  = 20 * time.Second
+	TrialGrowth = 8
+	MostTrials  = 2
+	// EmptyTime is how long an endpoint is emptied for it at most, and AloneTime how long
+	// others are kept away while it begins to run.
+	EmptyTime = 2 * time.Second
+	AloneTime = time.Second
+	// LostMemory is how long a run whose connection broke is remembered, until the
+	// endpoint is known to have ended, and MaxLost bounds these for one endpoint.
+	LostMemory = 10 * time.Second
+	MaxLost    = 64
+)
--- a/internal/pool/suspect.go
+++ b/internal/pool/suspect.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/trefoilchute/trefoilchute/internal/pool/rules"
 )
@@ -11,7 +12,13 @@
 // keys.
 type suspect struct {
 	Suspect
-	timer timer
+	// crashedAt is when it last crashed an endpoint, as far as that was heard of.
+	crashedAt time.Duration
+	// lostAt is when the last run that counts against it was lost.
+	lostAt time.Duration
+	// trialAt is when it may run once more though it is quarantined; 0: never.
+	trialAt time.Duration
+	timer   timer
 }
 
 // suspectTable holds the suspects.
@@ -37,11 +44,22 @@
 	return nil
 }
 
+// add keeps a suspect. The oldest that isn't quarantined gives way to it if there are
+// too many.
 func (t *suspectTable) add(x *suspect) {
+	if len(t.rows) >= rules.MaxSuspects {
+		t.drop()
+	}
 	t.rows = append(t.rows, x)
 	t.index(x)
 }
 
+// drop removes the oldest suspect that isn't quarantined, or else the oldest.
+func (t *suspectTable) drop() {
+	i := max(0, slices.IndexFunc(t.rows, func(x *suspect) bool { return !x.Quarantined }))
+	t.remove(t.rows[i])
+}
+
 func (t *suspectTable) index(x *suspect) {
 	if x.KeyHash != 0 {
 		t.byKey[x.KeyHash] = x
@@ -66,17 +84,30 @@
 // crashed marks everything in flight on an endpoint as suspect, once for each
 // attempt: every custodian reports its own.
 func (s *Scheduler) crashed(e *endpoint) {
-	var found []*suspect
+	found := s.accuseLost(e)
 	for _, a := range s.attempts.on(e) {
-		if a.blamed {
-			continue
-		}
-		a.blamed = true
-		x := s.suspectOf(a.request)
-		if x != nil && !slices.Contains(found, x) {
-			found = append(found, x)
+		if !a.blamed {
+			a.blamed = true
+			found = s.accuse(found, a.request, a.granted, s.now)
 		}
 	}
+	s.blameAll(found)
+}
+
+// accuse adds the suspect that a request is, granted at one time and lost at another. Of
+// those that repeat, a crash counts once against all that ran at that moment: where many
+// endpoints are lost at once, no request is the cause of all that.
+func (s *Scheduler) accuse(found []*suspect, r Request, granted, lost time.Duration) []*suspect {
+	x := s.suspectOf(r)
+	if x == nil || slices.Contains(found, x) || r.Repeats && x.Crashes > 0 && granted < x.lostAt {
+		return found
+	}
+	x.lostAt = max(x.lostAt, lost)
+	return append(found, x)
+}
+
+// blameAll counts a crash against each of some suspects and tells the other hosts.
+func (s *Scheduler) blameAll(found []*suspect) {
 	if len(found) == 0 {
 		return
 	}
@@ -97,7 +128,7 @@
 	}
 	x := s.suspects.find(r.KeyHash, r.Fingerprint)
 	if x == nil {
-		x = &suspect{Suspect: Suspect{KeyHash: r.KeyHash, Fingerprint: r.Fingerprint}}
+		x = &suspect{Suspect: Suspect{KeyHash: r.KeyHash, Fingerprint: r.Fingerprint, Repeats: r.Repeats}}
 		s.suspects.add(x)
 	}
 	return x
@@ -107,27 +138,53 @@
 // body were in flight on the endpoint.
 func (s *Scheduler) blame(x *suspect) {
 	x.Crashes++
-	x.Quarantined = x.Quarantined || x.Crashes >= rules.CrashesToQuarantine
+	x.crashedAt = s.now
+	most := rules.CrashesToQuarantine
+	if x.Repeats {
+		most = rules.RepeatedToQuarantine
+	}
+	x.Quarantined = x.Quarantined || x.Crashes >= most
 	s.remember(x)
 }
 
+// planTrial sets when a quarantined request that repeats may run once more: it may have
+// been at endpoints that ended for another reason.
+func (x *suspect) planTrial(now time.Duration) {
+	x.trialAt = 0
+	trials := x.Crashes - rules.RepeatedToQuarantine
+	if !x.Repeats || !x.Quarantined || trials >= rules.MostTrials {
+		return
+	}
+	wait := rules.FirstTrial
+	for range trials {
+		wait *= rules.TrialGrowth
+	}
+	x.trialAt = now + wait
+}
+
+// takeTrial reports whether a quarantined request may run once more, now.
+func (s *Scheduler) takeTrial(x *suspect) bool {
+	if x.trialAt == 0 || s.now < x.trialAt {
+		return false
+	}
+	x.planTrial(s.now)
+	return true
+}
+
 // remember keeps a suspect for its time.
 func (s *Scheduler) remember(x *suspect) {
-	keep := rules.SuspectMemory
-	if x.Quarantined {
-		keep = rules.QuarantineMemory
-	}
-	s.timers.set(&x.timer, s.now+keep, func() { s.suspects.remove(x) })
+	s.timers.set(&x.timer, x.crashedAt+x.Memory(), func() { s.suspects.remove(x) })
+	x.planTrial(x.crashedAt)
 }
 
 // clearSuspect takes back the suspicion of a request that has run whole.
 func (s *Scheduler) clearSuspect(r Request) {
 	x := s.suspects.find(r.KeyHash, r.Fingerprint)
-	if x == nil || x.Quarantined {
+	if x == nil || x.Quarantined && !x.Repeats {
 		return
 	}
 	s.forgetSuspect(x)
-	s.emit(Publish{List: []Suspect{{KeyHash: x.KeyHash, Fingerprint: x.Fingerprint}}})
+	s.emit(Publish{List: []Suspect{{KeyHash: x.KeyHash, Fingerprint: x.Fingerprint, Repeats: x.Repeats}}})
 	s.sortOutSuspects()
 }
 
@@ -148,16 +205,18 @@
 func (s *Scheduler) learnSuspect(d Suspect) {
 	x := s.suspects.find(d.KeyHash, d.Fingerprint)
 	if d.Crashes == 0 {
-		if x != nil && !x.Quarantined {
+		if x != nil && (!x.Quarantined || x.Repeats) {
 			s.forgetSuspect(x)
 		}
 		return
 	}
 	if x == nil {
-		x = &suspect{Suspect: d}
+		x = &suspect{Suspect: d, crashedAt: s.now - d.Age}
+		x.Age = 0
 		s.suspects.add(x)
 	}
 	x.Crashes = max(x.Crashes, d.Crashes)
+	x.crashedAt = max(x.crashedAt, s.now-d.Age)
 	x.Quarantined = x.Quarantined || d.Quarantined
 	s.remember(x)
 }
@@ -172,12 +231,12 @@
 
 func (s *Scheduler) sortOut(r *request) {
 	x := s.suspects.find(r.KeyHash, r.Fingerprint)
-	isolated := r.phase == phaseIsolated
+	alone := x != nil && x.Isolates()
 	switch {
-	case x != nil && x.Quarantined:
+	case x != nil && x.Quarantined && !r.trial:
 		s.drop(r)
 		s.emit(*s.quarantined(r))
-	case x == nil && isolated, x != nil && !isolated:
+	case alone != (r.phase == phaseIsolated), x == nil && r.Repeats && r.phase == phaseParked:
 		s.withdraw(r)
 		s.enqueue(r)
 	}
--- a/internal/pool/table.go
+++ b/internal/pool/table.go
@@ -55,6 +55,8 @@
 	blocked string
 	// recheck is the earliest time at which it may be found hopeless.
 	recheck time.Duration
+	// trial says that it runs though it is quarantined.
+	trial bool
 	// urgent says that there is no time left for caution.
 	urgent bool
 	// late says that the objective for the first token can't be met any more.
--- a/internal/system/custody/custody.go
+++ b/internal/system/custody/custody.go
@@ -81,7 +81,9 @@
 	Key         string
 	KeyHash     uint64
 	Fingerprint uint64
-	Idempotent  bool
+	// Repeats says that honest callers send requests with the same fingerprint.
+	Repeats    bool
+	Idempotent bool
 	// Cost is what the request counts against its team's rate; 0: nothing.
 	Cost float64
 	// FirstAttempt says that the caller declares this the key's first sending.
--- a/internal/system/custody/message.go
+++ b/internal/system/custody/message.go
@@ -20,7 +20,7 @@
 		PromptTokens: int64(r.PromptTokens), MaxTokens: int64(r.MaxTokens),
 		DeadlineUs: (r.Deadline - now).Microseconds(),
 		Prefix:     r.Prefix, KeyHash: r.KeyHash, Fingerprint: r.Fingerprint,
-		Idempotent: r.Idempotent, Spilled: r.spilled, ClockUs: now.Microseconds(),
+		Repeats: r.Repeats, Idempotent: r.Idempotent, Spilled: r.spilled, ClockUs: now.Microseconds(),
 		Epoch: epoch, ExpectedTokens: int64(r.ExpectedTokens), Avoid: string(r.Avoid), Cost: r.Cost,
 		Near: string(r.Near),
 	}
--- a/internal/system/scheduling/receive.go
+++ b/internal/system/scheduling/receive.go
@@ -2,12 +2,14 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
 	"github.com/trefoilchute/trefoilchute/internal/ident"
 	"github.com/trefoilchute/trefoilchute/internal/peer/peerpb"
 	"github.com/trefoilchute/trefoilchute/internal/pool"
+	"github.com/trefoilchute/trefoilchute/internal/pool/rules"
 	"github.com/trefoilchute/trefoilchute/internal/system"
 )
 
@@ -66,7 +68,7 @@
 		PromptTokens: int(m.GetPromptTokens()), MaxTokens: int(m.GetMaxTokens()),
 		Deadline: now + time.Duration(m.GetDeadlineUs())*time.Microsecond,
 		Prefix:   m.GetPrefix(), KeyHash: m.GetKeyHash(), Fingerprint: m.GetFingerprint(),
-		Idempotent: m.GetIdempotent(), Spilled: m.GetSpilled(),
+		Repeats: m.GetRepeats(), Idempotent: m.GetIdempotent(), Spilled: m.GetSpilled(),
 		ExpectedTokens: int(m.GetExpectedTokens()), Avoid: ident.Endpoint(m.GetAvoid()),
 		Near: ident.Domain(m.GetNear()),
 	}
@@ -236,8 +238,9 @@
 		suspect := pool.Suspect{
 			KeyHash: m.GetKeyHash(), Fingerprint: m.GetFingerprint(),
 			Crashes: int(m.GetCrashes()), Quarantined: m.GetQuarantined(),
+			Repeats: m.GetRepeats(), Age: micros(m.GetAgeUs()),
 		}
-		if s.keepSuspect(suspect) {
+		if s.keepSuspect(now, suspect) {
 			news = append(news, suspect)
 		}
 	}
@@ -250,27 +253,62 @@
 	}
 }
 
+// suspectRow is a suspect with the time of its last crash.
+type suspectRow struct {
+	pool.Suspect
+	crashedAt time.Duration
+}
+
+// at returns the suspect as it is to be told at a time.
+func (x suspectRow) at(now time.Duration) pool.Suspect {
+	out := x.Suspect
+	out.Age = now - x.crashedAt
+	return out
+}
+
 // keepSuspect records a suspect and reports whether that was news. One without
 // crashes was cleared.
-func (s *System) keepSuspect(x pool.Suspect) bool {
+func (s *System) keepSuspect(now time.Duration, x pool.Suspect) bool {
 	key := suspectKey{x.KeyHash, x.Fingerprint}
 	old, known := s.suspects[key]
 	if x.Crashes == 0 && !x.Quarantined {
 		delete(s.suspects, key)
 		return known
 	}
-	if known && old.Crashes >= x.Crashes && (old.Quarantined || !x.Quarantined) {
+	if x.Age > x.Memory() || known && old.Crashes >= x.Crashes && (old.Quarantined || !x.Quarantined) {
 		return false
 	}
-	s.suspects[key] = x
+	if !known && len(s.suspects) >= rules.MaxSuspects {
+		s.dropSuspect()
+	}
+	s.suspects[key] = suspectRow{x, now - x.Age}
 	return true
 }
 
+// dropSuspect forgets the suspect whose last crash is the longest ago, of those that are
+// not quarantined if there are any.
+func (s *System) dropSuspect() {
+	var oldest suspectKey
+	found, quarantined := false, false
+	for key, x := range s.suspects {
+		old := s.suspects[oldest]
+		if !found || quarantined && !x.Quarantined || quarantined == x.Quarantined && x.crashedAt < old.crashedAt {
+			oldest, found, quarantined = key, true, x.Quarantined
+		}
+	}
+	delete(s.suspects, oldest)
+}
+
+// sweepSuspects forgets those whose time is over.
+func (s *System) sweepSuspects(now time.Duration) {
+	maps.DeleteFunc(s.suspects, func(_ suspectKey, x suspectRow) bool { return now-x.crashedAt > x.Memory() })
+}
+
 // Suspects lists what is known of crashes, in a fixed order.
-func (s *System) Suspects() []*peerpb.Suspect {
+func (s *System) Suspects(now time.Duration) []*peerpb.Suspect {
 	list := make([]*peerpb.Suspect, 0, len(s.suspects))
 	for _, x := range s.suspects {
-		list = append(list, suspectMessage(x))
+		list = append(list, suspectMessage(x.at(now)))
 	}
 	slices.SortFunc(list, func(a, b *peerpb.Suspect) int {
 		return cmp.Or(cmp.Compare(a.KeyHash, b.KeyHash), cmp.Compare(a.Fingerprint, b.Fingerprint))
@@ -283,5 +321,6 @@
 	return &peerpb.Suspect{
 		KeyHash: x.KeyHash, Fingerprint: x.Fingerprint,
 		Crashes: int32(x.Crashes), Quarantined: x.Quarantined,
+		Repeats: x.Repeats, AgeUs: x.Age.Microseconds(),
 	}
 }
--- a/internal/system/scheduling/scheduling.go
+++ b/internal/system/scheduling/scheduling.go
@@ -70,7 +70,7 @@
 	snapshot  *resource.Snapshot
 	instances map[ident.Pool]*instance
 	// suspects is what the hosts of the domain know of crashes.
-	suspects map[suspectKey]pool.Suspect
+	suspects map[suspectKey]suspectRow
 	// held says that no pool may start, see Hold.
 	held     bool
 	statusAt time.Duration
@@ -93,7 +93,7 @@
 	return &System{
 		cfg:       cfg,
 		instances: map[ident.Pool]*instance{},
-		suspects:  map[suspectKey]pool.Suspect{},
+		suspects:  map[suspectKey]suspectRow{},
 	}
 }
 
@@ -257,7 +257,8 @@
 	}
 	if now >= s.statusAt {
 		s.statusAt = now + statusInterval
-		s.sendStatus(out)
+		s.sweepSuspects(now)
+		s.sendStatus(now, out)
 	}
 }
 
--- a/internal/system/scheduling/step.go
+++ b/internal/system/scheduling/step.go
@@ -16,7 +16,7 @@
 		if s.held || !in.warm(now) {
 			return
 		}
-		s.start(in)
+		s.start(now, in)
 	}
 	events := in.pending
 	if wake, ok := in.scheduler.NextWake(); len(events) == 0 && (!ok || wake > now) {
@@ -28,35 +28,35 @@
 		Config: in.config, Now: now, Events: events, Effects: effects, Closings: in.scheduler.Closings(),
 	})
 	for _, e := range effects {
-		s.send(in, e, out)
+		s.send(now, in, e, out)
 	}
 }
 
 // start ends the warm-up. The epoch is above every epoch that a live host has
 // seen, so that custodians can tell an earlier scheduler's grants.
-func (s *System) start(in *instance) {
+func (s *System) start(now time.Duration, in *instance) {
 	in.epoch = in.seenEpoch + 1
 	in.awaited = nil
 	in.config = pool.Config{Pool: in.pool, Epoch: in.epoch, Seed: s.cfg.Seed}
 	in.scheduler = pool.New(in.config)
 	first := []pool.Event{configure(s.snapshot, in.pool)}
-	if list := s.suspectList(); len(list) > 0 {
+	if list := s.suspectList(now); len(list) > 0 {
 		first = append(first, pool.Suspects{List: list})
 	}
 	in.pending = append(first, in.pending...)
 }
 
 // suspectList returns the known suspects in a fixed order.
-func (s *System) suspectList() []pool.Suspect {
+func (s *System) suspectList(now time.Duration) []pool.Suspect {
 	var list []pool.Suspect
-	for _, m := range s.Suspects() {
-		list = append(list, s.suspects[suspectKey{m.GetKeyHash(), m.GetFingerprint()}])
+	for _, m := range s.Suspects(now) {
+		list = append(list, s.suspects[suspectKey{m.GetKeyHash(), m.GetFingerprint()}].at(now))
 	}
 	return list
 }
 
 // send turns a decision into messages.
-func (s *System) send(in *instance, e pool.Effect, out *system.Outbox) {
+func (s *System) send(now time.Duration, in *instance, e pool.Effect, out *system.Outbox) {
 	switch e := e.(type) {
 	case pool.Grant:
 		out.Send(e.Host, peerpb.Wrap(&peerpb.Envelope_Grant{Grant: grant(in, e)}))
@@ -72,7 +72,7 @@
 			ToDomain: string(e.Domain),
 		}}))
 	case pool.Publish:
-		s.publish(e, out)
+		s.publish(now, e, out)
 	}
 }
 
@@ -87,10 +87,10 @@
 }
 
 // publish tells every live host about suspects.
-func (s *System) publish(e pool.Publish, out *system.Outbox) {
+func (s *System) publish(now time.Duration, e pool.Publish, out *system.Outbox) {
 	m := &peerpb.Quarantine{}
 	for _, x := range e.List {
-		s.keepSuspect(x)
+		s.keepSuspect(now, x)
 		m.Suspects = append(m.Suspects, suspectMessage(x))
 	}
 	for _, h := range s.cfg.View.Alive() {
@@ -101,8 +101,8 @@
 }
 
 // sendStatus tells the schedulers of the same target in other domains how much
-// room there is here.
-func (s *System) sendStatus(out *system.Outbox) {
+// room there is here, and of suspects: a cut may have kept from them what was published.
+func (s *System) sendStatus(now time.Duration, out *system.Outbox) {
 	for _, p := range s.owned() {
 		in := s.instances[p]
 		if in.scheduler == nil || in.movedAt > 0 {
@@ -115,6 +115,9 @@
 			host, ok := s.cfg.View.Scheduler(other)
 			if ok && d != s.cfg.Domain {
 				out.Send(host, peerpb.Wrap(&peerpb.Envelope_PoolStatus{PoolStatus: room(in)}))
+				if list := s.Suspects(now); len(list) > 0 {
+					out.Send(host, peerpb.Wrap(&peerpb.Envelope_Quarantine{Quarantine: &peerpb.Quarantine{Suspects: list}}))
+				}
 			}
 		}
 	}
--- a/internal/system/scheduling/suspect_test.go
+++ b/internal/system/scheduling/suspect_test.go
@@ -28,7 +28,7 @@
 		{cleared, true, nil},
 	}
 	for i, step := range steps {
-		g.Expect(s.keepSuspect(step.suspect)).To(Equal(step.news), "step %d", i)
-		g.Expect(s.suspectList()).To(Equal(step.kept), "step %d", i)
+		g.Expect(s.keepSuspect(0, step.suspect)).To(Equal(step.news), "step %d", i)
+		g.Expect(s.suspectList(0)).To(Equal(step.kept), "step %d", i)
 	}
 }
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -150,6 +151,23 @@
 	return &Conn{Conn: raw, address: address, head: head, r: bufio.NewReaderSize(head, readBuffer), keep: idleLimit}, nil
 }
 
+// refusedTimeout bounds the look at whether an endpoint still takes connections: a caller
+// waits for what follows.
+const refusedTimeout = 100 * time.Millisecond
+
+// Refused reports whether an address refuses connections: nothing listens there any more.
+// A connection that it takes is kept.
+func (p *Pool) Refused(ctx context.Context, address string) bool {
+	ctx, cancel := context.WithTimeout(ctx, refusedTimeout)
+	defer cancel()
+	c, err := p.dial(ctx, address)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	p.keepUnused(c)
+	return false
+}
+
 // Put gives a connection back whose last request was sent whole and whose last
 // answer was read to its end. One with bytes left that belong to no answer is
 // closed.
@@ -159,6 +177,10 @@
 		return
 	}
 	c.Reused = true
+	p.keepUnused(c)
+}
+
+func (p *Pool) keepUnused(c *Conn) {
 	c.idleAt = time.Now()
 	p.unused.Put(c.address, c)
 }
