Close no endpoint for what a host saw of its earlier lifetime

Reports of lost and unreachable endpoints now name the lifetime whose address was used. The test fails without the check.

--- a/internal/pool/endpoint.go
+++ b/internal/pool/endpoint.go
@@ -103,6 +103,12 @@
 	e.trust = 1
 }
 
+// outlived reports whether a lifetime of the endpoint is known to have been followed by
+// another: hosts hear of that at different times.
+func (e *endpoint) outlived(lifetime int64) bool {
+	return lifetime != 0 && lifetime < e.Started
+}
+
 // newSpeed returns the speed of an endpoint as it is declared.
 func newSpeed(d resource.Endpoint) speed.Endpoint {
 	switch {
--- a/internal/pool/event.go
+++ b/internal/pool/event.go
@@ -80,8 +80,9 @@
 	Attempt ident.Attempt
 	// Requeue says that the request still waits.
 	Requeue bool
-	// Unreachable says that the endpoint took no connection.
+	// Unreachable says that the endpoint took no connection, in a lifetime; 0: not known.
 	Unreachable bool
+	Lifetime    int64 `cbor:",omitempty"`
 }
 
 // FirstToken says that the first token came.
@@ -113,9 +114,11 @@
 
 // Finished says that a dispatched request left its endpoint.
 type Finished struct {
-	ID           ident.Request
-	Attempt      ident.Attempt
-	Outcome      Outcome
+	ID      ident.Request
+	Attempt ident.Attempt
+	Outcome Outcome
+	// Lifetime is that of the endpoint in which the request ran; 0: not known.
+	Lifetime     int64 `cbor:",omitempty"`
 	PromptTokens int
 	// CachedTokens is the part of the prompt that the engine found cached; negative
 	// if it doesn't say.
--- a/internal/pool/failure_test.go
+++ b/internal/pool/failure_test.go
@@ -55,3 +55,31 @@
 	s.Step(now, []Event{Configure{Revision: 3, Endpoints: []resource.Endpoint{endpointOf(2)}}})
 	g.Expect(s.endpoints.byName[ident.Endpoint("a")].takesWork(now)).To(BeFalse(), "the same lifetime stays closed")
 }
+
+// TestFailureOfAnEarlierLifetimeClosesNoEndpoint guards against endpoints that are closed
+// because a host that hasn't heard of their new start still tries the old address.
+func TestFailureOfAnEarlierLifetimeClosesNoEndpoint(t *testing.T) {
+	g := NewWithT(t)
+	s := newTestScheduler(endpointOf(2))
+	for lifetime, closes := range []int{0: 1, 1: 0, 2: 1, 3: 1} {
+		now := time.Duration(lifetime) * time.Minute
+		r, beside := testRequest("r"+now.String(), 0), testRequest("beside"+now.String(), 0)
+		r.Deadline, beside.Deadline = now+time.Minute, now+time.Minute
+		out := grants(s.Step(now, []Event{Arrive{r}, Arrive{beside}}))
+		g.Expect(out).NotTo(BeEmpty())
+		s.Step(now, []Event{Declined{ID: out[0].ID, Attempt: out[0].Attempt, Unreachable: true, Lifetime: int64(lifetime)}})
+		g.Expect(s.Closings()).To(HaveLen(closes), "lifetime %d, unreachable", lifetime)
+		s.Step(now, []Event{Cancel{ID: r.ID}, Cancel{ID: beside.ID}})
+	}
+	now := time.Hour
+	r := testRequest("lost", 0)
+	r.Deadline, r.Fingerprint, r.Repeats = now+time.Minute, 7, true
+	out := grants(s.Step(now, []Event{Arrive{r}}))
+	g.Expect(out).To(HaveLen(1))
+	s.Step(now, []Event{
+		Started{ID: r.ID, Attempt: out[0].Attempt},
+		Finished{ID: r.ID, Attempt: out[0].Attempt, Outcome: OutcomeLost, Lifetime: 1},
+	})
+	g.Expect(s.Closings()).To(BeEmpty(), "lost with the earlier lifetime")
+	g.Expect(s.suspects.find(0, 7).Crashes).To(Equal(1), "but lost")
+}
--- a/internal/pool/intake.go
+++ b/internal/pool/intake.go
@@ -143,7 +143,7 @@
 	if a == nil || a.started {
 		return
 	}
-	if e.Unreachable {
+	if e.Unreachable && !a.endpoint.outlived(e.Lifetime) {
 		s.endpointFailed(a.endpoint, ClosedUnreachable)
 	}
 	s.settle(a)
--- a/internal/pool/learn.go
+++ b/internal/pool/learn.go
@@ -29,6 +29,10 @@
 	e := a.endpoint
 	switch f.Outcome {
 	case OutcomeLost:
+		if e.outlived(f.Lifetime) {
+			s.lostBefore(a)
+			return
+		}
 		s.crashed(e)
 		s.endpointFailed(e, ClosedLost)
 		return
--- a/internal/pool/suspect.go
+++ b/internal/pool/suspect.go
@@ -94,6 +94,15 @@
 	s.blameAll(found)
 }
 
+// lostBefore takes in that an attempt was lost with an earlier lifetime of its endpoint.
+func (s *Scheduler) lostBefore(a *attempt) {
+	if a.blamed {
+		return
+	}
+	a.blamed = true
+	s.blameAll(s.accuse(nil, a.request, a.granted, s.now))
+}
+
 // accuse adds the suspect that a request is, granted at one time and lost at another. Of
 // those that repeat, a crash counts once against all that ran at that moment: where many
 // endpoints are lost at once, no request is the cause of all that.
--- a/internal/system/custody/custody.go
+++ b/internal/system/custody/custody.go
@@ -130,6 +130,8 @@
 	claimed  bool
 	attempt  ident.Attempt
 	endpoint ident.Endpoint
+	// lifetime is that of the endpoint whose address was used.
+	lifetime int64
 	// why is the scheduler's reason for the endpoint.
 	why          string
 	grantExpires time.Duration
--- a/internal/system/custody/grant.go
+++ b/internal/system/custody/grant.go
@@ -71,7 +71,7 @@
 // connect asks for a connection to the granted endpoint.
 func (s *System) connect(r *row) {
 	e, _ := s.cfg.View.Endpoint(r.endpoint)
-	r.state = stateGranted
+	r.state, r.lifetime = stateGranted, e.Started
 	s.direct(Directive{
 		Kind: Connect, ID: r.ID, Endpoint: r.endpoint, Address: e.Address, Attempt: r.attempt,
 		Why: r.why,
@@ -140,7 +140,7 @@
 // with an older configuration is not asked in a tight loop.
 func (s *System) giveBack(now time.Duration, r *row, unreachable bool, out *system.Outbox) {
 	s.report(now, r, &peerpb.Report{
-		Phase: peerpb.Report_PHASE_DECLINED, Unreachable: unreachable,
+		Phase: peerpb.Report_PHASE_DECLINED, Unreachable: unreachable, Lifetime: r.lifetime,
 	}, out)
 	r.state = stateQueued
 	r.accepted = false
@@ -203,7 +203,7 @@
 	}
 	delete(s.rows, id)
 	s.report(now, r, &peerpb.Report{
-		Phase:        end.Phase,
+		Phase: end.Phase, Lifetime: r.lifetime,
 		PromptTokens: int64(end.PromptTokens), CachedTokens: int64(end.CachedTokens),
 		OutputTokens: int64(end.OutputTokens),
 		FirstTokenUs: end.FirstToken.Microseconds(), TotalUs: end.Total.Microseconds(),
--- a/internal/system/scheduling/receive.go
+++ b/internal/system/scheduling/receive.go
@@ -120,7 +120,7 @@
 	case peerpb.Report_PHASE_DECLINED:
 		in.queue(pool.Declined{
 			ID: key.request, Attempt: key.attempt,
-			Requeue: m.GetRequeue(), Unreachable: m.GetUnreachable(),
+			Requeue: m.GetRequeue(), Unreachable: m.GetUnreachable(), Lifetime: m.GetLifetime(),
 		})
 	default:
 		delete(in.running, key)
@@ -143,7 +143,7 @@
 		outcome = pool.OutcomeBroken
 	}
 	return pool.Finished{
-		ID: key.request, Attempt: key.attempt, Outcome: outcome,
+		ID: key.request, Attempt: key.attempt, Outcome: outcome, Lifetime: m.GetLifetime(),
 		PromptTokens: int(m.GetPromptTokens()), CachedTokens: int(m.GetCachedTokens()),
 		OutputTokens: int(m.GetOutputTokens()),
 		FirstToken:   micros(m.GetFirstTokenUs()), Total: micros(m.GetTotalUs()),
