Keep the last endpoint of a pool open while it only fails some answers

Cause: each endpoint is closed by itself after five failed answers in a row, whatever is left. The last one that takes work now stays open for failed answers. If it is lost or can't be reached, every closed endpoint is tried again after a second: before, those behind a cut stayed closed for up to 16 s after it had healed. Both tests fail before. The naive scheduler follows.

--- a/internal/naive/events.go
+++ b/internal/naive/events.go
@@ -145,7 +145,7 @@
 		return
 	}
 	if e.Unreachable {
-		s.failed(a.endpoint)
+		s.failed(a.endpoint, false)
 	}
 	s.settle(a)
 	r := s.find(e.ID)
@@ -193,7 +193,7 @@
 	switch f.Outcome {
 	case pool.OutcomeLost:
 		s.crashed(e)
-		s.failed(e)
+		s.failed(e, false)
 		return
 	case pool.OutcomeRejected:
 		if until := s.now + rules.RejectedClosed; until > e.closedUntil {
@@ -203,7 +203,7 @@
 		return
 	case pool.OutcomeBroken:
 		if e.errors.Saw(s.now, true) {
-			s.failed(e)
+			s.failed(e, true)
 		}
 		return
 	}
@@ -418,11 +418,24 @@
 	s.removeAttempt(a)
 }
 
-func (s *Scheduler) failed(e *endpoint) {
+func (s *Scheduler) failed(e *endpoint, failing bool) {
 	if s.now < e.closedUntil {
 		return
 	}
+	last := !slices.ContainsFunc(s.endpoints, func(x *endpoint) bool { return x != e && s.takesWork(x) })
+	if last && failing {
+		return
+	}
 	closed := min(rules.FirstClosed<<min(e.failures, 8), rules.LastClosed)
+	if last {
+		closed = rules.FirstClosed
+		for _, x := range s.endpoints {
+			if x.closedUntil > s.now+closed {
+				x.closedUntil = s.now + closed
+				s.set(x, "reopen", x.closedUntil, func() { x.changed = true })
+			}
+		}
+	}
 	e.failures++
 	e.closedUntil = s.now + closed
 	e.window.Restart()
--- a/internal/pool/failure.go
+++ b/internal/pool/failure.go
@@ -91,11 +91,22 @@
 // endpointFailed closes an endpoint for a while after it was lost or took no
 // connection. Its cache is taken to be empty and its window starts anew. More
 // reports of the same failure change nothing.
+//
+// The last one that takes work stays open while it only fails some answers: some are
+// better than none. If it is gone, all are tried again soon.
 func (s *Scheduler) endpointFailed(e *endpoint, why ClosedFor) {
 	if s.now < e.closedUntil {
 		return
 	}
+	last := !s.othersTakeWork(e)
+	if last && why == ClosedFailing {
+		return
+	}
 	closed := min(rules.FirstClosed<<min(e.failures, 8), rules.LastClosed)
+	if last {
+		closed = rules.FirstClosed
+		s.openBy(s.now + closed)
+	}
 	e.failures++
 	e.closedUntil = s.now + closed
 	e.window.Restart()
@@ -108,6 +119,21 @@
 	s.closings = append(s.closings, closing)
 }
 
+// othersTakeWork reports whether an endpoint beside one takes work.
+func (s *Scheduler) othersTakeWork(e *endpoint) bool {
+	return slices.ContainsFunc(s.endpoints.rows, func(x *endpoint) bool { return x != e && x.takesWork(s.now) })
+}
+
+// openBy ends what closes the endpoints at a time at the latest.
+func (s *Scheduler) openBy(at time.Duration) {
+	for _, e := range s.endpoints.rows {
+		if e.closedUntil > at {
+			e.closedUntil = at
+			s.timers.set(&e.reopen, at, func() { e.changed = true })
+		}
+	}
+}
+
 // endpointFull closes an endpoint for a moment after it refused a request for want
 // of room: others than this scheduler may have filled it.
 func (s *Scheduler) endpointFull(e *endpoint) {
--- a/internal/pool/failure_test.go
+++ b/internal/pool/failure_test.go
@@ -83,3 +83,41 @@
 	g.Expect(s.Closings()).To(BeEmpty(), "lost with the earlier lifetime")
 	g.Expect(s.suspects.find(0, 7).Crashes).To(Equal(1), "but lost")
 }
+
+// TestLastEndpointThatFailsStaysOpen guards against a service that takes nothing because
+// each of its endpoints fails a part of its calls.
+func TestLastEndpointThatFailsStaysOpen(t *testing.T) {
+	y := newYard(t, 3, 8)
+	closed := 0
+	for n := range 200 {
+		x, ok := y.send(uint64(n + 1))
+		y.g.Expect(ok).To(BeTrue(), "call %d", n)
+		y.pass(20 * time.Millisecond)
+		y.finish(x, OutcomeBroken)
+		closed += len(y.s.Closings())
+	}
+	y.g.Expect(closed).To(BeNumerically(">", 2), "others are closed")
+}
+
+// TestEndpointsThatAreAllGoneAreTriedSoon has every endpoint refuse connections for a
+// while, as behind a cut that has healed.
+func TestEndpointsThatAreAllGoneAreTriedSoon(t *testing.T) {
+	y := newYard(t, 3, 8)
+	for y.now < 20*time.Second {
+		y.pass(100 * time.Millisecond)
+		y.next++
+		r := testRequest("gone"+y.now.String(), 0)
+		r.Deadline = y.now + time.Minute
+		y.step(Arrive{r})
+		for len(y.granted) > 0 {
+			x := y.granted[0]
+			y.granted = y.granted[1:]
+			y.step(Declined{ID: x.ID, Attempt: x.Attempt, Unreachable: true, Requeue: true})
+		}
+		y.step(Cancel{ID: r.ID})
+	}
+	y.granted = nil
+	y.pass(rules.FirstClosed)
+	_, ok := y.send(1)
+	y.g.Expect(ok).To(BeTrue())
+}
