Take a restarted host for responsive again

A custodian passes over a host that left a submission unanswered for 3 s, also when that host runs another process by then: its pool has two schedulers meanwhile. The silence is now that of a process.

--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -69,7 +69,7 @@
 	// heard is when each host's last message came, and unresponsive when it last
 	// left a submission without an answer.
 	heard        map[ident.Host]time.Duration
-	unresponsive map[ident.Host]time.Duration
+	unresponsive map[ident.Host]silence
 	// reached is when each other domain could last be reached, or was first known.
 	reached map[ident.Domain]time.Duration
 	// adopted holds the claims of dead holders whose answers are being rescued.
@@ -80,7 +80,7 @@
 func New(cfg Config) *Core {
 	c := &Core{
 		cfg: cfg, gated: map[ident.Request]custody.Arrival{}, adopted: map[ident.Request]adoption{},
-		heard: map[ident.Host]time.Duration{}, unresponsive: map[ident.Host]time.Duration{},
+		heard: map[ident.Host]time.Duration{}, unresponsive: map[ident.Host]silence{},
 		reached: map[ident.Domain]time.Duration{},
 	}
 	c.members = membership.New(membership.Config{
--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -4,6 +4,7 @@
 	"maps"
 	"slices"
 	"strconv"
+	"time"
 
 	"github.com/trefoilchute/trefoilchute/internal/ident"
 	"github.com/trefoilchute/trefoilchute/internal/rendezvous"
@@ -34,10 +35,25 @@
 
 // Unresponsive says that a host left a submission without an answer.
 func (v custodyView) Unresponsive(h ident.Host) {
-	if at, known := v.core.unresponsive[h]; !known || v.core.now-at >= unresponsiveTime {
+	if !v.core.silent(h) {
 		v.core.effect.Unresponsive = append(v.core.effect.Unresponsive, h)
 	}
-	v.core.unresponsive[h] = v.core.now
+	m, _ := v.core.members.Member(h)
+	v.core.unresponsive[h] = silence{v.core.now, m.Incarnation}
+}
+
+// silence is when a process of a host left a submission without an answer.
+type silence struct {
+	at          time.Duration
+	incarnation uint64
+}
+
+// silent reports whether the process that a host runs left a submission without an answer
+// lately. One that has started since then has not.
+func (c *Core) silent(h ident.Host) bool {
+	x, known := c.unresponsive[h]
+	m, _ := c.members.Member(h)
+	return known && c.now-x.at < unresponsiveTime && m.Incarnation <= x.incarnation
 }
 
 // Endpoint returns a declared endpoint.
@@ -165,7 +181,7 @@
 		if h == c.cfg.Self {
 			return true
 		}
-		if at, ok := c.unresponsive[h]; ok && c.now-at < unresponsiveTime {
+		if c.silent(h) {
 			return false
 		}
 		return !probesAll || c.now-c.heard[h] < silenceLimit
