Let the soak send a request that ends endpoints, and count its runs

Among the other faults one body ends each endpoint that begins to run it; what hosts in touch send of it later than 3 s after the third is counted, as the users word it.

--- a/internal/soak/checks.go
+++ b/internal/soak/checks.go
@@ -24,6 +24,9 @@
 	for attempt, o := range requests {
 		w.checkRequest(o, runs[attempt])
 	}
+	if late := w.lateRuns(); late > poisonRuns {
+		w.fail("a request that had ended %d endpoints ended %d more later than %v after that", poisonCrashes, late, calmTime)
+	}
 }
 
 // checkRun checks one run.
--- a/internal/soak/checks_test.go
+++ b/internal/soak/checks_test.go
@@ -110,3 +110,20 @@
 		})
 	}
 }
+
+// TestRunsOfARequestThatEndsEndpointsAreCounted counts those by hosts in touch later than a
+// while after the third.
+func TestRunsOfARequestThatEndsEndpointsAreCounted(t *testing.T) {
+	g := NewWithT(t)
+	w := newTestWorld()
+	for _, s := range []float64{0, 1, 2, 4, 4.9, 5.1, 6, 20, 21} {
+		w.crashes = append(w.crashes, at(time.Duration(s*float64(time.Second))))
+	}
+	g.Expect(w.lateRuns()).To(Equal(4))
+	w.spans = []spoilt{{what: "endpoint crash", from: at(0), to: at(time.Minute)}}
+	g.Expect(w.lateRuns()).To(Equal(4), "an endpoint's crash is no excuse")
+	w.spans = append(w.spans, spoilt{what: "kill", from: at(15 * time.Second), to: at(18 * time.Second)})
+	g.Expect(w.lateRuns()).To(Equal(3), "a host was started again 2 s before")
+	w.crashes = w.crashes[:2]
+	g.Expect(w.lateRuns()).To(BeZero())
+}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -73,6 +73,7 @@
 		}
 	}},
 	{"endpoint crash", func(w *world, d draws) { w.crash(d) }},
+	{"poison", func(w *world, d draws) { w.sendPoison(w.life, d.span) }},
 	{"answers lost", func(w *world, d draws) {
 		if s := w.pick(d.a); s != nil {
 			end := w.spoil("answers lost", "")
--- a/internal/soak/poison.go
+++ b/internal/soak/poison.go
@@ -37,7 +37,11 @@
 func (w *world) sendPoison(ctx context.Context, span time.Duration) []caller.Answer {
 	var answers []caller.Answer
 	until := time.Now().Add(span)
-	for n := 0; ctx.Err() == nil && time.Now().Before(until); n++ {
+	for ctx.Err() == nil && time.Now().Before(until) {
+		w.mu.Lock()
+		n := w.poisons
+		w.poisons++
+		w.mu.Unlock()
 		c := caller.New(w.hosts[n%len(w.hosts)].address)
 		answers = append(answers, c.Do(caller.Request{
 			Method: "POST", Host: "app.test", Path: "/unsafe/poison", Attempt: fmt.Sprintf("poison-%d", n),
@@ -57,7 +61,7 @@
 }
 
 // lateRuns returns the runs of the request that ends endpoints which began later than
-// calmTime after it had ended the last one that it may.
+// calmTime after it had ended the last one that it may, sent by hosts in touch.
 func (w *world) lateRuns() int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -66,7 +70,7 @@
 	}
 	late := 0
 	for _, at := range w.crashes[poisonCrashes:] {
-		if at.Sub(w.crashes[poisonCrashes-1]) > calmTime {
+		if at.Sub(w.crashes[poisonCrashes-1]) > calmTime && w.inTouch(at) {
 			late++
 		}
 	}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -100,6 +100,7 @@
 		return nil, "not started", err
 	}
 	life, end := context.WithCancel(ctx)
+	w.life = life
 	w.group.Add(1)
 	go w.balancer(life)
 	if !w.awaitReady(life, startTime) {
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -4,6 +4,7 @@
 package soak
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
@@ -63,6 +64,8 @@
 	hosts   []*host
 	stop    chan struct{}
 	group   sync.WaitGroup
+	// life ends with the faults and the requests.
+	life context.Context
 
 	mu      sync.Mutex
 	servers []*server
@@ -78,6 +81,8 @@
 	ready map[string]int
 	// crashes holds when a request ended the endpoint that began to run it.
 	crashes []time.Time
+	// poisons counts the sendings of that request.
+	poisons int
 	seen    []observed
 	broken  []string
 }
@@ -260,6 +265,19 @@
 	}
 }
 
+// aboutEndpoints are the kinds of spans that leave every host in touch.
+var aboutEndpoints = map[string]bool{"endpoint crash": true, "endpoint link": true, "answers lost": true}
+
+// inTouch reports whether no host nor the store was spoilt for a while before a time.
+func (w *world) inTouch(at time.Time) bool {
+	for _, s := range w.spans {
+		if !aboutEndpoints[s.what] && s.from.Before(at) && (s.to.IsZero() || s.to.After(at.Add(-calmTime))) {
+			return false
+		}
+	}
+	return true
+}
+
 // calm reports whether nothing was spoilt from a while before one time until another,
 // but for spans of one kind at a host.
 func (w *world) calm(from, to time.Time, but, host string) bool {
