Leave an endpoint alone from the first answer in which it says that it leaves

Nothing read the header. The soak lets endpoints say so among its other faults and checks DRAIN as the users word it.

--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -56,7 +56,11 @@
 	keys          *keyledger.System
 	quotas        *quota.System
 
-	snapshot    *resource.Snapshot
+	// declared is the configuration in force, and snapshot the same with the endpoints
+	// in left draining.
+	declared, snapshot *resource.Snapshot
+	// left holds the lifetimes of endpoints that said in their answers that they leave.
+	left        map[ident.Endpoint]int64
 	viewVersion uint64
 	duties      duties
 	// paused says that the view of the hosts may be stale.
@@ -81,7 +85,7 @@
 	c := &Core{
 		cfg: cfg, gated: map[ident.Request]custody.Arrival{}, adopted: map[ident.Request]adoption{},
 		heard: map[ident.Host]time.Duration{}, unresponsive: map[ident.Host]silence{},
-		reached: map[ident.Domain]time.Duration{},
+		reached: map[ident.Domain]time.Duration{}, left: map[ident.Endpoint]int64{},
 	}
 	c.members = membership.New(membership.Config{
 		Self: cfg.Self, Incarnation: cfg.Incarnation, Domain: cfg.Domain,
@@ -158,6 +162,8 @@
 		c.replied(e.Reply)
 	case Observed:
 		c.scheduling.Observe(c.now, e.Pool, e.Event, &c.out)
+	case EndpointLeaves:
+		c.leaves(LeavingEndpoint{e.Endpoint, e.Lifetime, c.cfg.Self})
 	case Limits:
 		c.quotas.Configure(c.now, e.Teams)
 	case Listed:
@@ -269,13 +275,13 @@
 	if snap == nil || (c.snapshot != nil && snap.Revision <= c.snapshot.Revision) {
 		return false
 	}
-	c.snapshot = snap
+	c.declared, c.snapshot = snap, c.withLeaving(snap)
 	c.watchDue = c.now
 	c.effect.Snapshot = snap
 	if !c.cfg.External {
 		c.members.SetRevision(snap.Revision)
 	}
-	c.scheduling.Configure(c.now, snap, &c.out)
+	c.scheduling.Configure(c.now, c.snapshot, &c.out)
 	c.orders.Configure(snap)
 	return true
 }
--- a/internal/control/event.go
+++ b/internal/control/event.go
@@ -85,6 +85,15 @@
 // Changed brings the configuration that a change made at this host has led to.
 type Changed struct{ Snapshot *resource.Snapshot }
 
+// EndpointLeaves says that an endpoint told in an answer that it leaves.
+type EndpointLeaves struct {
+	Endpoint ident.Endpoint
+	// Lifetime is that of the endpoint that answered; 0: not known.
+	Lifetime int64
+}
+
+func (EndpointLeaves) event() {}
+
 // Limits brings the teams' rates over all hosts.
 type Limits struct{ Teams map[ident.Team]quota.Limit }
 
@@ -168,6 +177,8 @@
 	WatchChanged bool
 	// Store holds messages about what the platform's store tells.
 	Store []*peerpb.Envelope
+	// Leaving holds the endpoints that were found to leave by their answers.
+	Leaving []LeavingEndpoint
 	// Unresponsive holds the hosts that left a submission of this one unanswered.
 	Unresponsive []ident.Host
 	// Orders asks for exchanges with endpoints about orders.
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -57,6 +57,8 @@
 	Superseded func()
 	// Store takes messages about what the platform's store tells.
 	Store func(*peerpb.Envelope)
+	// Leaving is told of endpoints that were found to leave by their answers.
+	Leaving func(LeavingEndpoint)
 	// Unresponsive is told of hosts that leave submissions unanswered.
 	Unresponsive func(ident.Host)
 	// Record is told of the pool schedulers' steps and the directives of
@@ -178,6 +180,9 @@
 	for _, m := range effects.Store {
 		l.ports.Store(m)
 	}
+	for _, x := range effects.Leaving {
+		l.ports.Leaving(x)
+	}
 	for _, h := range effects.Unresponsive {
 		l.ports.Unresponsive(h)
 	}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -118,6 +118,9 @@
 		}
 	}()
 	answer := platform.ReadAnswer(resp.StatusCode, resp.Header)
+	if answer.Leaving {
+		g.opts.Post(control.EndpointLeaves{Endpoint: x.try.endpoint, Lifetime: x.try.lifetime})
+	}
 	switch {
 	case answer.NotRun:
 		x.rejected = true
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -44,6 +44,8 @@
 	outcomes chan Outcome
 	dropped  chan Drop
 	ended    []custody.End
+	// left holds the endpoints that were found to leave.
+	left []ident.Endpoint
 	// arrived holds what control was told of each try.
 	arrived  []custody.Arrival
 	withdrew chan ident.Request
@@ -136,6 +138,10 @@
 		})
 	case control.Connected:
 		h.gateway.Apply(custody.Directive{Kind: custody.Commit, ID: e.ID, Attempt: e.Attempt, Go: true})
+	case control.EndpointLeaves:
+		h.mu.Lock()
+		h.left = append(h.left, e.Endpoint)
+		h.mu.Unlock()
 	case control.Gone:
 		h.withdrew <- e.ID
 	case control.Ended:
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -112,6 +112,7 @@
 	directives <-chan custody.Directive
 	endpoint   ident.Endpoint
 	address    string
+	lifetime   int64
 	// began is when it was dispatched, on control's clock.
 	began time.Duration
 	end   custody.End
@@ -215,7 +216,7 @@
 		g.opts.Post(control.Unreachable{ID: t.id, Attempt: d.Attempt})
 		return nil
 	}
-	t.endpoint, t.address = d.Endpoint, d.Address
+	t.endpoint, t.address, t.lifetime = d.Endpoint, d.Address, d.Lifetime
 	t.call.outcome.Endpoint, t.call.outcome.Why = d.Endpoint, d.Why
 	g.opts.Post(control.Connected{ID: t.id, Attempt: d.Attempt})
 	return conn
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -210,7 +210,7 @@
 	h.loop.Connect(control.Ports{
 		Table: table, Objects: objects, Send: h.send, SetPeers: h.peers.SetPeers,
 		Traffic: h.runner, Configure: h.configure, Watch: h.watcher.Set, Record: h.record,
-		Unresponsive: h.unresponsive, Store: func(*peerpb.Envelope) {},
+		Unresponsive: h.unresponsive, Leaving: func(control.LeavingEndpoint) {}, Store: func(*peerpb.Envelope) {},
 		Order: h.orders.Do, Superseded: h.superseded.end,
 	})
 	return nil
--- a/internal/logs/event.go
+++ b/internal/logs/event.go
@@ -101,7 +101,7 @@
 	{AcceptedElsewhere, "Another host accepted the request and knows more."},
 	{ConfigurationRejected, "A configuration couldn't be read; the last one stays in force."},
 	{EndpointIn, "An endpoint was registered or came back; it may get requests."},
-	{EndpointLeaving, "An endpoint takes its leave; it gets no new requests."},
+	{EndpointLeaving, "An endpoint takes its leave, by its entry or, with source, by what it said in an answer to that host; it gets no new requests."},
 	{EndpointGone, "An endpoint's entry is gone; it gets no new requests."},
 	{EndpointClosed, "A pool's scheduler gives an endpoint no requests for a while; reason says why, failures which failure in a row it is, requests what was in flight there."},
 	{EndpointSkipped, "A row in the endpoints' table names no endpoint to use."},
--- a/internal/platformhost/join.go
+++ b/internal/platformhost/join.go
@@ -107,7 +107,7 @@
 	h.loop.Connect(control.Ports{
 		Send: h.send, SetPeers: h.setPeers, Traffic: h.gateway, Configure: h.configured,
 		Watch: ignoreWatch, Record: h.record, Order: ignoreOrder, Superseded: h.end,
-		Unresponsive: h.unresponsive, Store: h.follower.Receive,
+		Unresponsive: h.unresponsive, Leaving: h.leaving, Store: h.follower.Receive,
 	})
 	return errors.Wrap(h.peers.Start(h.life), "links")
 }
--- a/internal/platformhost/record.go
+++ b/internal/platformhost/record.go
@@ -215,6 +215,13 @@
 	return ident.Tier("rank-" + strconv.Itoa(rank))
 }
 
+// leaving logs that an endpoint leaves by its own word, whatever its entry says.
+func (h *Host) leaving(x control.LeavingEndpoint) {
+	logs.With(h.log, logs.EndpointLeaving).WithFields(logrus.Fields{
+		"endpoint": x.Endpoint, "lifetime": x.Lifetime, "source": x.Source, "reason": "it says so in an answer",
+	}).Info()
+}
+
 // unresponsive logs that a host left a submission unanswered: its pools are taken
 // for another's for a while.
 func (h *Host) unresponsive(other ident.Host) {
--- a/internal/pool/repeat_test.go
+++ b/internal/pool/repeat_test.go
@@ -244,7 +244,7 @@
 	y.g.Expect(ok).To(BeFalse(), "others run everywhere")
 	began := y.now
 	suspect := y.take()
-	y.g.Expect(y.now-began).To(BeNumerically("~", rules.EmptyTime, 100*time.Millisecond))
+	y.g.Expect(y.now - began).To(BeNumerically("~", rules.EmptyTime, 100*time.Millisecond))
 	kept := 0
 	for body := uint64(10); body < 13; body++ {
 		if x, ok := y.send(body); ok && x.Endpoint == suspect.Endpoint {
--- a/internal/soak/checks.go
+++ b/internal/soak/checks.go
@@ -1,24 +1,26 @@
 package soak
 
 import (
+	"slices"
+	"time"
+
 	"github.com/trefoilchute/trefoilchute/internal/standin/caller"
 	"github.com/trefoilchute/trefoilchute/internal/standin/runner"
 )
 
 // check holds everything seen by callers against everything run by endpoints.
 func (w *world) check() {
+	requests := w.requests()
 	w.mu.Lock()
-	seen, all := w.seen, w.all
+	all := w.all
 	w.mu.Unlock()
-	requests := map[string]*observed{}
-	for i := range seen {
-		requests[seen[i].request.Attempt] = &seen[i]
-	}
 	runs := map[string][]runner.Run{}
 	for _, s := range all {
+		said := firstSaid(s, requests)
 		for _, r := range s.runner.Runs() {
 			runs[r.Attempt] = append(runs[r.Attempt], r)
 			w.checkRun(s, r, requests[r.Attempt])
+			w.checkLeft(s, r, requests[r.Attempt], said)
 		}
 	}
 	for attempt, o := range requests {
@@ -61,6 +63,55 @@
 	}
 }
 
+// requests returns what was observed by the names of the requests.
+func (w *world) requests() map[string]*observed {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	requests := make(map[string]*observed, len(w.seen))
+	for i := range w.seen {
+		requests[w.seen[i].request.Attempt] = &w.seen[i]
+	}
+	return requests
+}
+
+// firstSaid returns when each host had first passed an answer on in which an endpoint said
+// that it leaves.
+func firstSaid(s *server, requests map[string]*observed) map[string]time.Time {
+	said := map[string]time.Time{}
+	for _, r := range s.runner.Runs() {
+		o := requests[r.Attempt]
+		if o == nil || !o.answer.Leaving() || !o.answer.Whole || o.answer.Header.Get("Runner-Id") != s.id {
+			continue
+		}
+		if first, ok := said[o.host]; !ok || o.answer.Ended.Before(first) {
+			said[o.host] = o.answer.Ended
+		}
+	}
+	return said
+}
+
+// checkLeft checks that a host sends an endpoint nothing that came to it later than a bound
+// after it had passed on that the endpoint leaves. A restart or a pause since then is an
+// excuse.
+func (w *world) checkLeft(s *server, r runner.Run, o *observed, said map[string]time.Time) {
+	if o == nil {
+		return
+	}
+	first, ok := said[o.host]
+	if !ok || o.answer.Began.Sub(first) <= drainBound {
+		return
+	}
+	w.mu.Lock()
+	excused := slices.ContainsFunc(w.spans, func(x spoilt) bool {
+		return x.host == o.host && (x.what == "kill" || x.what == "term" || x.what == "pause") &&
+			x.from.Before(r.Began) && (x.to.IsZero() || x.to.After(first))
+	})
+	w.mu.Unlock()
+	if !excused {
+		w.fail("%s at %s: run at %s, sent %v after that had said there that it leaves", r.Attempt, o.host, s.id, o.answer.Began.Sub(first))
+	}
+}
+
 // checkRequest checks a request with all its runs.
 func (w *world) checkRequest(o *observed, runs []runner.Run) {
 	a, attempt := &o.answer, o.request.Attempt
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -90,6 +90,8 @@
 	}},
 	{"endpoint leaves", func(w *world, d draws) { w.leave(d) }},
 	{"endpoint leaves", func(w *world, d draws) { w.leave(d) }},
+	{"endpoint says it leaves", func(w *world, d draws) { w.sayLeaving(d) }},
+	{"endpoint says it leaves", func(w *world, d draws) { w.sayLeaving(d) }},
 	{"key revoked", func(w *world, d draws) { w.revoke() }},
 	{"route changes", func(w *world, d draws) { w.changeRoutes(d) }},
 	{"route changes", func(w *world, d draws) { w.changeRoutes(d) }},
@@ -233,6 +235,22 @@
 	w.store.Remove("servers", "", s.id)
 }
 
+// sayLeaving lets an endpoint say in its answers alone that it leaves, and starts it anew
+// after a time.
+func (w *world) sayLeaving(d draws) {
+	s := w.pick(d.a)
+	if s == nil {
+		return
+	}
+	w.mu.Lock()
+	r := s.runner
+	w.mu.Unlock()
+	r.Leave()
+	time.Sleep(drainBound + d.span)
+	_ = r.Close()
+	w.bringBack(s, 0)
+}
+
 // revoke takes the oldest key away and adds a new one.
 func (w *world) revoke() {
 	w.mu.Lock()
--- a/internal/soak/poison_test.go
+++ b/internal/soak/poison_test.go
@@ -19,19 +19,26 @@
 	otherEvery = 100 * time.Millisecond
 )
 
-// TestRequestThatEndsEndpointsIsStopped guards against a request that is sent on and on to
-// endpoints which it ends, and against endpoints that stay closed after that.
-func TestRequestThatEndsEndpointsIsStopped(t *testing.T) {
+// startWorld starts the hosts before three endpoints of each kind and waits until they are
+// ready.
+func startWorld(t *testing.T) *world {
 	g := NewWithT(t)
 	program, err := gexec.Build("github.com/trefoilchute/trefoilchute/cmd/trefoilchute")
 	g.Expect(err).NotTo(HaveOccurred())
 	t.Cleanup(gexec.CleanupBuildArtifacts)
 	w, err := newWorld(t.ArtifactDir(), program, 1)
 	g.Expect(err).NotTo(HaveOccurred())
-	defer w.close()
+	t.Cleanup(w.close)
 	g.Expect(w.addServer("app")).To(Succeed())
 	g.Expect(w.awaitReady(t.Context(), startTime)).To(BeTrue())
+	return w
+}
 
+// TestRequestThatEndsEndpointsIsStopped guards against a request that is sent on and on to
+// endpoints which it ends, and against endpoints that stay closed after that.
+func TestRequestThatEndsEndpointsIsStopped(t *testing.T) {
+	g := NewWithT(t)
+	w := startWorld(t)
 	done := make(chan []caller.Answer)
 	go func() { done <- w.sendPoison(t.Context(), poisonSpan) }()
 	began := time.Now()
--- a/internal/standin/caller/caller.go
+++ b/internal/standin/caller/caller.go
@@ -124,6 +124,11 @@
 	return a.Header.Get("Runner-Seal") != ""
 }
 
+// Leaving reports whether the endpoint said in its answer that it leaves.
+func (a *Answer) Leaving() bool {
+	return a.Header.Get("Server-Leaving") == "1"
+}
+
 // Attempt returns the name of the request that an answer is to; empty if it says none.
 func (a *Answer) Attempt() string {
 	return a.Header.Get("Attempt-Id")
--- a/internal/standin/runner/runner.go
+++ b/internal/standin/runner/runner.go
@@ -24,6 +24,7 @@
 	headerRunner    = "Runner-Id"
 	headerTeam      = "Tenant"
 	headerLastEvent = "Last-Event-Id"
+	headerLeaving   = "Server-Leaving"
 )
 
 // Options configures a Runner.
@@ -63,6 +64,8 @@
 	// lose is how many of the next answers are lost after their run, fail how many
 	// of the next runs fail.
 	lose, fail atomic.Int64
+	// leaving says that every answer tells that the endpoint leaves.
+	leaving atomic.Bool
 
 	mu   sync.Mutex
 	runs []Run
@@ -91,6 +94,9 @@
 // Fail lets the next n runs fail.
 func (r *Runner) Fail(n int) { r.fail.Store(int64(n)) }
 
+// Leave lets every answer from now on tell that the endpoint leaves.
+func (r *Runner) Leave() { r.leaving.Store(true) }
+
 // Runs returns every run so far.
 func (r *Runner) Runs() []Run {
 	r.mu.Lock()
@@ -103,6 +109,9 @@
 	attempt := req.Header.Get(headerAttempt)
 	w.Header().Set(headerRunner, r.opts.ID)
 	w.Header().Set(headerAttempt, attempt)
+	if r.leaving.Load() {
+		w.Header().Set(headerLeaving, "1")
+	}
 	body, err := io.ReadAll(req.Body)
 	switch {
 	case err != nil:
--- a/internal/system/custody/directive.go
+++ b/internal/system/custody/directive.go
@@ -37,6 +37,8 @@
 	// Address is the endpoint's IP address and port, with Connect.
 	Address string
 	Attempt ident.Attempt
+	// Lifetime is that of the endpoint at this address, with Connect; 0: not known.
+	Lifetime int64
 	// Why is the scheduler's reason for the endpoint, with Connect.
 	Why string
 	// Go is the answer of Commit.
--- a/internal/system/custody/grant.go
+++ b/internal/system/custody/grant.go
@@ -73,8 +73,8 @@
 	e, _ := s.cfg.View.Endpoint(r.endpoint)
 	r.state, r.lifetime = stateGranted, e.Started
 	s.direct(Directive{
-		Kind: Connect, ID: r.ID, Endpoint: r.endpoint, Address: e.Address, Attempt: r.attempt,
-		Why: r.why,
+		Kind: Connect, ID: r.ID, Endpoint: r.endpoint, Address: e.Address, Lifetime: e.Started,
+		Attempt: r.attempt, Why: r.why,
 	})
 }
 
