Wait as long as an endpoint asks this host to

An endpoint that turns a request away with 503 and Retry-After went on getting requests of the same host: 21 to 25 in 3 s, with 10 callers, in the new test on the binary before. Nothing read the header. The host keeps to it before each dispatch and the pool's scheduler places elsewhere; where every endpoint of a pool asked for it, callers are told when the first one wants them again.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -12,6 +13,7 @@
 	"time"
 
 	"github.com/trefoilchute/trefoilchute/internal/control"
+	"github.com/trefoilchute/trefoilchute/internal/logs"
 	"github.com/trefoilchute/trefoilchute/internal/peer/peerpb"
 	"github.com/trefoilchute/trefoilchute/internal/result"
 	"github.com/trefoilchute/trefoilchute/internal/ruleset"
@@ -121,6 +123,9 @@
 	if answer.Leaving {
 		g.opts.Post(control.EndpointLeaves{Endpoint: x.try.endpoint, Lifetime: x.try.lifetime})
 	}
+	if answer.Backoff > 0 || answer.BadBackoff != "" {
+		x.backOff(&answer)
+	}
 	switch {
 	case answer.NotRun:
 		x.rejected = true
@@ -201,6 +206,21 @@
 	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET)
 }
 
+// backOff notes for how long the endpoint wants nothing from this host. A refusal says so
+// without a seal; no other answer without one counts.
+func (x *exchange) backOff(answer *platform.Answer) {
+	if !answer.Sealed && !answer.NotRun {
+		return
+	}
+	g, most := x.call.gateway, x.call.tuning.MaxBackoff
+	x.try.end.Backoff = min(answer.Backoff, most)
+	if (answer.BadBackoff != "" || answer.Backoff > most) && g.mayTellBackoff(time.Now()) {
+		logs.With(g.opts.Log, logs.BackoffBounded).WithField("endpoint", x.try.endpoint).
+			WithField("said", cmp.Or(answer.BadBackoff, answer.Backoff.String())).
+			WithField("used_ms", x.try.end.Backoff.Milliseconds()).Warn()
+	}
+}
+
 // drop counts an answer, or the rest of one, that was not taken.
 func (x *exchange) drop(reason Drop) {
 	x.call.gateway.opts.Dropped(reason)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -71,6 +71,8 @@
 	HeadLimit, EventLimit int
 	// DiscardWait is how long the rest of an answer that goes to nobody is waited for.
 	DiscardWait time.Duration
+	// MaxBackoff bounds for how long an endpoint may want nothing from this host.
+	MaxBackoff time.Duration
 }
 
 // Drop says why an endpoint's answer was not taken whole.
@@ -96,6 +98,8 @@
 	stopping atomic.Pointer[time.Time]
 	active   atomic.Int64
 	sequence atomic.Uint64
+	// backoffTold is the second of the last line about a bounded backoff, in Unix time.
+	backoffTold atomic.Int64
 	// hosts is how many hosts share the budget of further tries.
 	hosts atomic.Int64
 
@@ -244,6 +248,12 @@
 	return left
 }
 
+// mayTellBackoff reports whether a line about a bounded backoff may be logged: one a
+// second, whatever endpoints send.
+func (g *Gateway) mayTellBackoff(now time.Time) bool {
+	return g.backoffTold.Swap(now.Unix()) != now.Unix()
+}
+
 // retryShare is the part of the budget beside the ratio that the hosts use. A host
 // that is killed forgets what it has used and starts with its share anew.
 const retryShare = 0.5
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -100,6 +100,7 @@
 		Tuning: Tuning{
 			KeyLife: 5 * time.Second, RetryRatio: 0.2, RetryExtra: 20, RetryWindow: 10 * time.Second,
 			HeadLimit: 64 << 10, EventLimit: 1 << 20, DiscardWait: 100 * time.Millisecond,
+			MaxBackoff: time.Minute,
 		},
 		Observe: func(o *Outcome) { h.outcomes <- *o }, Gap: func(ruleset.Kind, time.Duration) {},
 		Dropped: func(d Drop) { h.dropped <- d },
--- a/internal/logs/event.go
+++ b/internal/logs/event.go
@@ -27,6 +27,7 @@
 	EndpointGone          Event = "endpoint_gone"
 	EndpointSkipped       Event = "endpoint_skipped"
 	EndpointClosed        Event = "endpoint_closed"
+	BackoffBounded        Event = "backoff_bounded"
 	DependencyLost        Event = "dependency_lost"
 	DependencyRegained    Event = "dependency_regained"
 	Settings              Event = "settings"
@@ -103,7 +104,8 @@
 	{EndpointIn, "An endpoint was registered or came back; it may get requests."},
 	{EndpointLeaving, "An endpoint takes its leave, by its entry or, with source, by what it said in an answer to that host; it gets no new requests."},
 	{EndpointGone, "An endpoint's entry is gone; it gets no new requests."},
-	{EndpointClosed, "A pool's scheduler gives an endpoint no requests for a while; reason says why, failures which failure in a row it is, requests what was in flight there."},
+	{EndpointClosed, "A pool's scheduler gives an endpoint no requests for a while; reason says why, of_host which host's requests if not all, failures which failure in a row it is, requests what was in flight there."},
+	{BackoffBounded, "An endpoint asked to be left alone for longer than the settings allow, or with something that is no time; used_ms is what counts. At most one line a second."},
 	{EndpointSkipped, "A row in the endpoints' table names no endpoint to use."},
 	{DependencyLost, "A call that the host depends on failed; it goes on with what it has and tries again."},
 	{DependencyRegained, "A dependency works again."},
--- a/internal/platformhost/record.go
+++ b/internal/platformhost/record.go
@@ -81,7 +81,7 @@
 	}
 	logs.With(h.log, logs.EndpointClosed).WithFields(logrus.Fields{
 		"pool": p.String(), "endpoint": c.Endpoint, "reason": string(c.For), "for_ms": c.Time.Milliseconds(),
-		"failures": c.Failures, "holding": len(c.Holding), "requests": strings.Join(names, " "),
+		"of_host": c.Host, "failures": c.Failures, "holding": len(c.Holding), "requests": strings.Join(names, " "),
 	}).Info()
 }
 
--- a/internal/platformhost/reload.go
+++ b/internal/platformhost/reload.go
@@ -74,5 +74,6 @@
 		Version: s.Version(), KeyLife: s.KeyLife,
 		RetryRatio: s.RetryRatio, RetryExtra: s.RetryExtra, RetryWindow: s.RetryWindow,
 		HeadLimit: s.HeadLimit, EventLimit: s.EventLimit, DiscardWait: s.DiscardWait,
+		MaxBackoff: s.MaxBackoff,
 	}
 }
--- a/internal/pool/admit.go
+++ b/internal/pool/admit.go
@@ -23,6 +23,7 @@
 	case s.now+total > r.Deadline:
 		s.refuse(r, result.DeadlineTooNear,
 			fmt.Sprintf("the fastest endpoint needs about %v", total.Round(time.Millisecond)))
+	case s.refuseInVain(r, total):
 	default:
 		r.trial = x != nil && x.Quarantined
 		return s.admitToQueue(r, total)
@@ -30,6 +31,16 @@
 	return false
 }
 
+// refuseInVain refuses a request that would wait in vain for endpoints that asked its host
+// to wait.
+func (s *Scheduler) refuseInVain(r *request, total time.Duration) bool {
+	refusal := s.waitsInVain(r, total)
+	if refusal != nil {
+		s.emit(*refusal)
+	}
+	return refusal != nil
+}
+
 // spillOr passes a request to another domain or refuses it.
 func (s *Scheduler) spillOr(r *request, code result.Code, reason string) {
 	if !s.spill(r, reason) {
--- /dev/null
+++ b/internal/pool/backoff.go
@@ -0,0 +1,125 @@
+package pool
+
+import (
+	"fmt"
+	"maps"
+	"time"
+
+	"github.com/trefoilchute/trefoilchute/internal/ident"
+	"github.com/trefoilchute/trefoilchute/internal/pool/rules"
+	"github.com/trefoilchute/trefoilchute/internal/resource"
+	"github.com/trefoilchute/trefoilchute/internal/result"
+)
+
+// ClosedBackoff: the endpoint asked one host to send it nothing for a time.
+const ClosedBackoff ClosedFor = "asked_to_wait"
+
+// backOff keeps the requests of a host from an endpoint for a time. A later word can make
+// that longer, not shorter: the earlier one stands.
+func (s *Scheduler) backOff(e *endpoint, host ident.Host, wait time.Duration) {
+	if wait <= 0 {
+		return
+	}
+	until := s.now + wait
+	if until <= e.backoffs[host] {
+		return
+	}
+	if !e.backsOff(host, s.now) {
+		s.closings = append(s.closings, Closing{Endpoint: e.Name, For: ClosedBackoff, Time: wait, Host: host})
+	}
+	maps.DeleteFunc(e.backoffs, func(_ ident.Host, until time.Duration) bool { return until <= s.now })
+	if e.backoffs == nil {
+		e.backoffs = map[ident.Host]time.Duration{}
+	}
+	e.backoffs[host] = until
+	s.watchBackoffs(e)
+	s.refuseBackedOff(host)
+}
+
+// watchBackoffs wakes the scheduler when the next host may send to an endpoint again.
+func (s *Scheduler) watchBackoffs(e *endpoint) {
+	next := time.Duration(0)
+	for _, until := range e.backoffs {
+		if until > s.now && (next == 0 || until < next) {
+			next = until
+		}
+	}
+	if next == 0 {
+		return
+	}
+	s.timers.set(&e.backoffTimer, next, func() {
+		e.changed = true
+		s.watchBackoffs(e)
+	})
+}
+
+// backsOff reports whether an endpoint asked a host to send it nothing now.
+func (e *endpoint) backsOff(host ident.Host, now time.Duration) bool {
+	return now < e.backoffs[host]
+}
+
+// backoffEnd returns when the first endpoint wants requests of a host again, if every one
+// that takes work has asked it to wait.
+func (s *Scheduler) backoffEnd(host ident.Host) (time.Duration, bool) {
+	first, all := time.Duration(0), false
+	for _, e := range s.endpoints.rows {
+		if !e.declared || e.State == resource.EndpointDrain {
+			continue
+		}
+		until := max(e.backoffs[host], e.closedUntil)
+		if !e.backsOff(host, s.now) {
+			if e.takesWork(s.now) {
+				return 0, false
+			}
+			continue
+		}
+		if !all || until < first {
+			first, all = until, true
+		}
+	}
+	return first, all
+}
+
+// waitsInVain returns the refusal of a request whose host every endpoint has asked to wait,
+// for longer than its caller does or than is worth waiting: other hosts may be served. It
+// returns nil if there is none.
+func (s *Scheduler) waitsInVain(r *request, total time.Duration) *Refuse {
+	end, all := s.backoffEnd(r.Host)
+	leaves := r.Deadline
+	if r.Patience > 0 {
+		leaves = min(leaves, r.Patience)
+	}
+	if !all || end-s.now <= rules.BackoffWait && end+total <= leaves {
+		return nil
+	}
+	wait := end - s.now
+	return s.refusal(r, result.NoEndpoint, wait, fmt.Sprintf(
+		"every endpoint of the pool asked this host to wait, the first for another %v", wait.Round(time.Millisecond)))
+}
+
+// refuseBackedOff refuses what waits of a host in vain, if that has come to be so.
+func (s *Scheduler) refuseBackedOff(host ident.Host) {
+	if _, all := s.backoffEnd(host); !all {
+		return
+	}
+	for _, r := range s.waiting() {
+		if r.Host != host {
+			continue
+		}
+		total, _ := s.fastest(r)
+		if refusal := s.waitsInVain(r, total); refusal != nil {
+			s.drop(r)
+			s.emit(*refusal)
+		}
+	}
+}
+
+// backoffFilter keeps the requests of a host from endpoints that asked it to wait.
+type backoffFilter struct{}
+
+func (backoffFilter) filter(s *Scheduler, r *request, c *candidate) string {
+	if c.endpoint.backsOff(r.Host, s.now) {
+		return reasonBackoff
+	}
+	return ""
+}
--- a/internal/pool/endpoint.go
+++ b/internal/pool/endpoint.go
@@ -35,6 +35,9 @@
 	changed bool
 	// isolating says that the endpoint is kept for a suspect.
 	isolating bool
+	// backoffs holds until when each host was asked to send nothing.
+	backoffs     map[ident.Host]time.Duration
+	backoffTimer timer
 	// lost holds the runs that broke lately, in the order of their ends.
 	lost   []lostRun
 	speed  speed.Endpoint
@@ -100,7 +103,7 @@
 func (e *endpoint) beginAnew() {
 	e.closedUntil, e.failures = 0, 0
 	e.errors, e.window, e.load = speed.Errors{}, window.Window{}, window.Reported{}
-	e.trust = 1
+	e.trust, e.backoffs = 1, nil
 }
 
 // outlived reports whether a lifetime of the endpoint is known to have been followed by
--- a/internal/pool/event.go
+++ b/internal/pool/event.go
@@ -83,6 +83,8 @@
 	// Unreachable says that the endpoint took no connection, in a lifetime; 0: not known.
 	Unreachable bool
 	Lifetime    int64 `cbor:",omitempty"`
+	// Backoff is for how long the endpoint wants nothing from the request's host.
+	Backoff time.Duration `cbor:",omitempty"`
 }
 
 // FirstToken says that the first token came.
@@ -118,7 +120,9 @@
 	Attempt ident.Attempt
 	Outcome Outcome
 	// Lifetime is that of the endpoint in which the request ran; 0: not known.
-	Lifetime     int64 `cbor:",omitempty"`
+	Lifetime int64 `cbor:",omitempty"`
+	// Backoff is for how long the endpoint wants nothing from the request's host.
+	Backoff      time.Duration `cbor:",omitempty"`
 	PromptTokens int
 	// CachedTokens is the part of the prompt that the engine found cached; negative
 	// if it doesn't say.
--- a/internal/pool/failure.go
+++ b/internal/pool/failure.go
@@ -28,6 +28,8 @@
 	// Time is how long, and Failures which failure in a row it is.
 	Time     time.Duration
 	Failures int
+	// Host is the one that may send nothing; empty: none may.
+	Host ident.Host
 	// Holding are the requests that were in flight there, in the order of their grants.
 	Holding []ident.Request
 }
--- a/internal/pool/intake.go
+++ b/internal/pool/intake.go
@@ -146,6 +146,9 @@
 	if e.Unreachable && !a.endpoint.outlived(e.Lifetime) {
 		s.endpointFailed(a.endpoint, ClosedUnreachable)
 	}
+	if !a.endpoint.outlived(e.Lifetime) {
+		s.backOff(a.endpoint, a.request.Host, e.Backoff)
+	}
 	s.settle(a)
 	r := s.requests[e.ID]
 	if r == nil || r.attempt != a {
@@ -165,6 +168,9 @@
 		return
 	}
 	s.learn(a, e)
+	if !a.endpoint.outlived(e.Lifetime) {
+		s.backOff(a.endpoint, a.request.Host, e.Backoff)
+	}
 	s.settle(a)
 	if e.Outcome == OutcomeWhole {
 		s.clearSuspect(a.request)
--- a/internal/pool/isolate.go
+++ b/internal/pool/isolate.go
@@ -65,7 +65,7 @@
 		i.release()
 		return
 	}
-	if i.endpoint == nil || !i.endpoint.takesWork(s.now) {
+	if i.endpoint == nil || !i.endpoint.takesWork(s.now) || i.endpoint.backsOff(r.Host, s.now) {
 		i.release()
 		i.endpoint, i.since = s.emptiest(r), s.now
 	}
@@ -127,7 +127,7 @@
 func (s *Scheduler) emptiest(r *request) *endpoint {
 	var best *endpoint
 	for _, e := range s.endpoints.rows {
-		if !e.takesWork(s.now) || s.now+s.estimateOn(e, r, 0, 0, 0).total > r.Deadline {
+		if !e.takesWork(s.now) || e.backsOff(r.Host, s.now) || s.now+s.estimateOn(e, r, 0, 0, 0).total > r.Deadline {
 			continue
 		}
 		if best == nil || e.inFlight < best.inFlight {
--- a/internal/pool/place.go
+++ b/internal/pool/place.go
@@ -34,7 +34,7 @@
 
 // The plugins in the order in which they run.
 var (
-	filters   = []filter{prefillFilter{}, objectiveFilter{}, deadlineFilter{}}
+	filters   = []filter{backoffFilter{}, prefillFilter{}, objectiveFilter{}, deadlineFilter{}}
 	scorers   = []scorer{finishScore{}, neighbourScore{}, prefixScore{}, failureScore{}, domainScore{}}
 	reservers = []reserver{suspectReserve{}, longWorkReserve{}, longPrefillReserve{}}
 )
@@ -48,6 +48,7 @@
 	reasonPrefills = "enough endpoints are busy with long prompts"
 	reasonReserved = "the last slots are kept from long work"
 	reasonSuspect  = "it was lost with an endpoint, and only one takes work"
+	reasonBackoff  = "it asked the request's host to wait"
 	reasonHome     = "it waits for the endpoint that has its prefix cached"
 )
 
--- a/internal/pool/rules/rules.go
+++ b/internal/pool/rules/rules.go
@@ -121,6 +121,9 @@
 	// RejectedClosed is how long an endpoint is closed after it said that it had no
 	// room: about the time in which one of its requests ends.
 	RejectedClosed = 200 * time.Millisecond
+	// BackoffWait is how long a request waits at most while every endpoint has asked its
+	// host to send nothing.
+	BackoffWait = 500 * time.Millisecond
 	// BrokenToClose is how many failed answers in a row close an endpoint as one that
 	// was lost.
 	BrokenToClose = 5
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -51,7 +51,9 @@
 	HeadLimit, EventLimit int
 	// DiscardWait is how long the rest of an answer that goes to nobody is waited for.
 	DiscardWait time.Duration
-	LogLevel    string
+	// MaxBackoff bounds for how long an endpoint may want nothing from this host.
+	MaxBackoff time.Duration
+	LogLevel   string
 }
 
 // Bounds of the gateway's settings.
@@ -67,6 +69,7 @@
 	minHead, maxHead   = 4 << 10, 1 << 20
 	minEvent, maxEvent = 4 << 10, 16 << 20
 	maxDiscard         = 10 * time.Second
+	maxBackoff         = 1 * time.Hour
 )
 
 // gatewayGroups holds every section of a gateway's settings.
@@ -126,6 +129,8 @@
 			func(g *Gateway) *int { return &g.HeadLimit }).Optional("64KiB"),
 		inifile.Size("event_limit", "Longest event of a stream that may be resumed; one that goes on ends the run.", minEvent, maxEvent,
 			func(g *Gateway) *int { return &g.EventLimit }).Optional("1MiB"),
+		inifile.Duration("max_backoff", "Longest time for which an endpoint's Retry-After keeps requests from it; a longer one is cut to this, and 0 heeds none.",
+			0, maxBackoff, func(g *Gateway) *time.Duration { return &g.MaxBackoff }).Optional("5m"),
 		inifile.Duration("discard_wait", "How long the rest of an answer that goes to nobody is waited for, to keep its connection.",
 			0, maxDiscard, func(g *Gateway) *time.Duration { return &g.DiscardWait }).Optional("100ms"),
 	}},
--- a/internal/soak/checks.go
+++ b/internal/soak/checks.go
@@ -22,6 +22,7 @@
 			w.checkRun(s, r, requests[r.Attempt])
 			w.checkLeft(s, r, requests[r.Attempt], said)
 		}
+		w.checkTurnedAway(s, requests)
 	}
 	for attempt, o := range requests {
 		w.checkRequest(o, runs[attempt])
@@ -112,6 +113,41 @@
 	}
 }
 
+const (
+	// turnSlack is how long after it was turned away a host may still send, and mostAfter
+	// how many requests it may send in the time in which it is to send none.
+	turnSlack = 500 * time.Millisecond
+	mostAfter = 2
+)
+
+// checkTurnedAway checks that a host sends an endpoint nothing while that has asked it to
+// wait. A restart, a pause or a cut of the host since then is an excuse.
+func (w *world) checkTurnedAway(s *server, requests map[string]*observed) {
+	arrivals := s.runner.Arrivals()
+	for _, away := range s.runner.TurnedAway() {
+		o := requests[away.Attempt]
+		if o == nil {
+			continue
+		}
+		end := away.At.Add(away.Wait)
+		after := 0
+		for _, a := range arrivals {
+			other := requests[a.Attempt]
+			if other != nil && other.host == o.host && a.At.After(away.At.Add(turnSlack)) && a.At.Before(end) {
+				after++
+			}
+		}
+		w.mu.Lock()
+		excused := slices.ContainsFunc(w.spans, func(x spoilt) bool {
+			return x.host == o.host && x.from.Before(end) && (x.to.IsZero() || x.to.After(away.At))
+		})
+		w.mu.Unlock()
+		if after > mostAfter && !excused {
+			w.fail("%s at %s: %d more requests sent to %s, which had asked to wait for %v", away.Attempt, o.host, after, s.id, away.Wait)
+		}
+	}
+}
+
 // checkRequest checks a request with all its runs.
 func (w *world) checkRequest(o *observed, runs []runner.Run) {
 	a, attempt := &o.answer, o.request.Attempt
--- a/internal/soak/checks_test.go
+++ b/internal/soak/checks_test.go
@@ -1,6 +1,8 @@
 package soak
 
 import (
+	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -127,3 +129,49 @@
 	w.crashes = w.crashes[:2]
 	g.Expect(w.lateRuns()).To(BeZero())
 }
+
+// TestRequestsToAnEndpointThatAskedToWaitAreSeen holds the check against a host that keeps
+// to what an endpoint asked, one that doesn't, and one that was started again.
+func TestRequestsToAnEndpointThatAskedToWaitAreSeen(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		sent   int
+		span   string
+		broken int
+	}{
+		{"two more", 2, "", 0},
+		{"three more", 3, "", 1},
+		{"three more, after a restart", 3, "kill", 0},
+		{"three more, beside an endpoint's crash", 3, "endpoint crash", 1},
+	} {
+		w := newTestWorld()
+		r := runner.New(runner.Options{ID: "s", Slots: 1})
+		r.TurnAway(1, 2*time.Second)
+		requests := map[string]*observed{}
+		ask := func(name string) {
+			requests[name] = &observed{host: "host-0"}
+			r.ServeHTTP(httptest.NewRecorder(), named(name))
+		}
+		ask("first")
+		time.Sleep(turnSlack + 10*time.Millisecond)
+		for n := range c.sent {
+			ask(string(rune('a' + n)))
+		}
+		if c.span != "" {
+			host := "host-0"
+			if c.span == "endpoint crash" {
+				host = ""
+			}
+			w.spans = []spoilt{{what: c.span, host: host, from: time.Now().Add(-100 * time.Millisecond), to: time.Now()}}
+		}
+		w.checkTurnedAway(&server{id: "s", runner: r}, requests)
+		NewWithT(t).Expect(w.broken).To(HaveLen(c.broken), c.name)
+	}
+}
+
+// named returns a request with a name.
+func named(attempt string) *http.Request {
+	r := httptest.NewRequest(http.MethodPost, "/unsafe/1", http.NoBody)
+	r.Header.Set("Attempt-Id", attempt)
+	return r
+}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -28,6 +28,8 @@
 	lateWrite = 500 * time.Millisecond
 	// mostSpoilt bounds the runs of an endpoint that one fault loses or fails.
 	mostSpoilt = 5
+	// mostTurned bounds the requests that one fault turns away.
+	mostTurned = 8
 )
 
 // refusals are the statuses of a store that refuses calls.
@@ -92,6 +94,11 @@
 	{"endpoint leaves", func(w *world, d draws) { w.leave(d) }},
 	{"endpoint says it leaves", func(w *world, d draws) { w.sayLeaving(d) }},
 	{"endpoint says it leaves", func(w *world, d draws) { w.sayLeaving(d) }},
+	{"endpoint turns away", func(w *world, d draws) {
+		if s := w.pick(d.a); s != nil {
+			s.runner.TurnAway(1+d.b%mostTurned, d.span)
+		}
+	}},
 	{"key revoked", func(w *world, d draws) { w.revoke() }},
 	{"route changes", func(w *world, d draws) { w.changeRoutes(d) }},
 	{"route changes", func(w *world, d draws) { w.changeRoutes(d) }},
--- a/internal/soak/leaving_test.go
+++ b/internal/soak/leaving_test.go
@@ -35,6 +35,17 @@
 	group.Wait()
 }
 
+// served counts the requests that were.
+func (w *world) served() int {
+	n := 0
+	for i := range w.seen {
+		if w.seen[i].answer.Status == 200 {
+			n++
+		}
+	}
+	return n
+}
+
 // TestEndpointThatSaysItLeavesIsLeftAlone guards against requests to an endpoint that says
 // in its answers that it leaves while its entry says ready.
 func TestEndpointThatSaysItLeavesIsLeftAlone(t *testing.T) {
@@ -51,11 +62,24 @@
 	g.Expect(firstSaid(leaving, w.requests())).NotTo(BeEmpty(), "a host has passed it on")
 	w.check()
 	g.Expect(w.broken).To(BeEmpty())
-	served := 0
-	for i := range w.seen {
-		if w.seen[i].answer.Status == 200 {
-			served++
+	g.Expect(w.served()).To(Equal(len(w.seen)), "the others serve all")
+}
+
+// TestEndpointThatAsksToWaitIsLeftAlone guards against requests to an endpoint that turned
+// one away with a time, from the host that sent it.
+func TestEndpointThatAsksToWaitIsLeftAlone(t *testing.T) {
+	g := NewWithT(t)
+	w := startWorld(t)
+	var asks *server
+	for _, s := range w.servers {
+		if s.target == "app" {
+			asks = s
 		}
 	}
-	g.Expect(served).To(Equal(len(w.seen)), "the others serve all")
+	time.AfterFunc(time.Second, func() { asks.runner.TurnAway(len(w.hosts), 3*time.Second) })
+	w.load(t, 10, 6*time.Second)
+	g.Expect(asks.runner.TurnedAway()).To(HaveLen(len(w.hosts)))
+	w.check()
+	g.Expect(w.broken).To(BeEmpty())
+	g.Expect(w.served()).To(Equal(len(w.seen)), "the others serve all")
 }
--- a/internal/standin/runner/runner.go
+++ b/internal/standin/runner/runner.go
@@ -25,6 +25,7 @@
 	headerTeam      = "Tenant"
 	headerLastEvent = "Last-Event-Id"
 	headerLeaving   = "Server-Leaving"
+	headerRetry     = "Retry-After"
 )
 
 // Options configures a Runner.
@@ -66,9 +67,30 @@
 	lose, fail atomic.Int64
 	// leaving says that every answer tells that the endpoint leaves.
 	leaving atomic.Bool
+	// turn is how many of the next requests are turned away, and wait for how long, in
+	// milliseconds.
+	turn, wait atomic.Int64
 
 	mu   sync.Mutex
 	runs []Run
+	// away are the requests that were turned away with a time to wait, and arrived all that
+	// came.
+	away    []Away
+	arrived []Arrival
+}
+
+// Arrival is a request that came, run or not.
+type Arrival struct {
+	Attempt string
+	At      time.Time
+}
+
+// Away is a request that was turned away.
+type Away struct {
+	Attempt string
+	At      time.Time
+	// Wait is for how long its sender is to send nothing more.
+	Wait time.Duration
 }
 
 // New returns a runner that isn't serving.
@@ -97,6 +119,26 @@
 // Leave lets every answer from now on tell that the endpoint leaves.
 func (r *Runner) Leave() { r.leaving.Store(true) }
 
+// TurnAway lets the next n requests be turned away, and their senders asked to wait.
+func (r *Runner) TurnAway(n int, wait time.Duration) {
+	r.wait.Store(wait.Milliseconds())
+	r.turn.Store(int64(n))
+}
+
+// TurnedAway returns the requests that were, and Arrivals all that came.
+func (r *Runner) TurnedAway() []Away {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]Away(nil), r.away...)
+}
+
+// Arrivals returns every request that came.
+func (r *Runner) Arrivals() []Arrival {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]Arrival(nil), r.arrived...)
+}
+
 // Runs returns every run so far.
 func (r *Runner) Runs() []Run {
 	r.mu.Lock()
@@ -123,6 +165,9 @@
 		r.refuse(w, http.StatusMisdirectedRequest)
 		return
 	}
+	if r.turnsAway(w, attempt) {
+		return
+	}
 	select {
 	case r.slots <- struct{}{}:
 		defer func() { <-r.slots }()
@@ -156,6 +201,24 @@
 	_, _ = io.WriteString(w, Body(attempt))
 }
 
+// turnsAway notes a request and turns it away if that is asked for.
+func (r *Runner) turnsAway(w http.ResponseWriter, attempt string) bool {
+	now := time.Now()
+	r.mu.Lock()
+	r.arrived = append(r.arrived, Arrival{attempt, now})
+	r.mu.Unlock()
+	if r.turn.Add(-1) < 0 {
+		return false
+	}
+	wait := time.Duration(r.wait.Load()) * time.Millisecond
+	r.mu.Lock()
+	r.away = append(r.away, Away{attempt, now, wait})
+	r.mu.Unlock()
+	w.Header().Set(headerRetry, strconv.FormatFloat(wait.Seconds(), 'f', -1, 64))
+	r.refuse(w, http.StatusServiceUnavailable)
+	return true
+}
+
 // refuse answers that the request was not run.
 func (r *Runner) refuse(w http.ResponseWriter, status int) {
 	w.Header().Set(headerNotRun, "1")
--- a/internal/system/custody/custody.go
+++ b/internal/system/custody/custody.go
@@ -150,6 +150,8 @@
 	// reported holds the pools for which the last holdings were not empty.
 	reported   map[ident.Pool]bool
 	holdingsAt time.Duration
+	// backoffs holds the endpoints that asked this host to send nothing.
+	backoffs   map[ident.Endpoint]backoff
 	directives []Directive
 }
 
@@ -160,6 +162,7 @@
 		rows:     map[ident.Request]*row{},
 		epochs:   map[ident.Pool]uint64{},
 		reported: map[ident.Pool]bool{},
+		backoffs: map[ident.Endpoint]backoff{},
 	}
 }
 
--- a/internal/system/custody/grant.go
+++ b/internal/system/custody/grant.go
@@ -34,6 +34,8 @@
 	r.endpoint = ident.Endpoint(g.GetEndpoint())
 	r.why = g.GetWhy()
 	r.grantExpires = time.Duration(g.GetExpiresAtUs()) * time.Microsecond
+	e, _ := s.cfg.View.Endpoint(r.endpoint)
+	r.lifetime = e.Started
 	if !s.usable(now, r) {
 		s.giveBack(now, r, false, out)
 		return
@@ -60,7 +62,32 @@
 // stale scheduler can't give work to an endpoint that is to leave.
 func (s *System) usable(now time.Duration, r *row) bool {
 	e, ok := s.cfg.View.Endpoint(r.endpoint)
-	return ok && e.State == resource.EndpointActive && now < r.grantExpires
+	return ok && e.State == resource.EndpointActive && now < r.grantExpires && s.backoffLeft(now, e) == 0
+}
+
+// backoff is what an endpoint asked of this host.
+type backoff struct {
+	until    time.Duration
+	lifetime int64
+}
+
+// backOff keeps this host's requests from an endpoint for a time. The longest of its words
+// stands.
+func (s *System) backOff(now time.Duration, r *row, wait time.Duration) {
+	old, known := s.backoffs[r.endpoint]
+	if known && old.lifetime == r.lifetime && old.until > now+wait {
+		return
+	}
+	s.backoffs[r.endpoint] = backoff{now + wait, r.lifetime}
+}
+
+// backoffLeft returns for how long an endpoint still wants nothing from this host.
+func (s *System) backoffLeft(now time.Duration, e resource.Endpoint) time.Duration {
+	b, known := s.backoffs[e.Name]
+	if !known || b.lifetime != e.Started {
+		return 0
+	}
+	return max(0, b.until-now)
 }
 
 // needsClaim reports whether a claim row has to be written before the dispatch.
@@ -139,8 +166,12 @@
 // request is submitted anew at the next tick, not at once, so that a scheduler
 // with an older configuration is not asked in a tight loop.
 func (s *System) giveBack(now time.Duration, r *row, unreachable bool, out *system.Outbox) {
+	var wait time.Duration
+	if e, ok := s.cfg.View.Endpoint(r.endpoint); ok {
+		wait = s.backoffLeft(now, e)
+	}
 	s.report(now, r, &peerpb.Report{
-		Phase: peerpb.Report_PHASE_DECLINED, Unreachable: unreachable, Lifetime: r.lifetime,
+		Phase: peerpb.Report_PHASE_DECLINED, Unreachable: unreachable, Lifetime: r.lifetime, BackoffUs: wait.Microseconds(),
 	}, out)
 	r.state = stateQueued
 	r.accepted = false
@@ -182,6 +213,8 @@
 	// FirstToken and Total are times since dispatch.
 	FirstToken time.Duration
 	Total      time.Duration
+	// Backoff is for how long the endpoint wants nothing from this host.
+	Backoff time.Duration
 }
 
 // Started tells the scheduler that the first token came.
@@ -202,8 +235,11 @@
 		return
 	}
 	delete(s.rows, id)
+	if end.Backoff > 0 {
+		s.backOff(now, r, end.Backoff)
+	}
 	s.report(now, r, &peerpb.Report{
-		Phase: end.Phase, Lifetime: r.lifetime,
+		BackoffUs: end.Backoff.Microseconds(), Phase: end.Phase, Lifetime: r.lifetime,
 		PromptTokens: int64(end.PromptTokens), CachedTokens: int64(end.CachedTokens),
 		OutputTokens: int64(end.OutputTokens),
 		FirstTokenUs: end.FirstToken.Microseconds(), TotalUs: end.Total.Microseconds(),
--- a/internal/system/custody/lifetime_test.go
+++ b/internal/system/custody/lifetime_test.go
@@ -38,3 +38,49 @@
 	g.Expect(last.GetUnreachable()).To(BeTrue())
 	g.Expect(last.GetLifetime()).To(BeEquivalentTo(5))
 }
+
+// TestHostKeepsToABackoffWhateverIsGranted has a scheduler that doesn't know of it grant the
+// endpoint, and lets the endpoint begin another lifetime.
+func TestHostKeepsToABackoffWhateverIsGranted(t *testing.T) {
+	g := NewWithT(t)
+	var out system.Outbox
+	from := Scheduler{Host: "s", Incarnation: 1}
+	v := &lifetimes{view: view{scheduler: from, has: true}, started: 5}
+	s := New(Config{Self: "h", View: v})
+	grant := func(now time.Duration, id ident.Request) (connects int, declined *peerpb.Report) {
+		s.Arrive(now, Arrival{ID: id, Target: "m", Deadline: time.Minute}, &out)
+		out = system.Outbox{}
+		s.Take()
+		s.Granted(now, from, &peerpb.Grant{Request: string(id), Target: "m", Domain: "a", Endpoint: "e", Attempt: 1, Epoch: 1, ExpiresAtUs: time.Hour.Microseconds()}, &out)
+		for _, d := range s.Take() {
+			if d.Kind == Connect {
+				connects++
+			}
+		}
+		for _, send := range out.Sends {
+			declined = send.Message.GetReport()
+		}
+		return connects, declined
+	}
+	connects, _ := grant(0, "first")
+	g.Expect(connects).To(Equal(1))
+	s.Connected(0, "first", 1, &out)
+	s.Ended(time.Second, "first", End{Phase: peerpb.Report_PHASE_REJECTED, Backoff: 3 * time.Second}, &out)
+	last := out.Sends[len(out.Sends)-1].Message.GetReport()
+	g.Expect(last.GetBackoffUs()).To(Equal((3 * time.Second).Microseconds()))
+
+	connects, declined := grant(2*time.Second, "second")
+	g.Expect(connects).To(BeZero())
+	g.Expect(declined.GetPhase()).To(Equal(peerpb.Report_PHASE_DECLINED))
+	g.Expect(declined.GetBackoffUs()).To(Equal((2 * time.Second).Microseconds()))
+	g.Expect(declined.GetLifetime()).To(BeEquivalentTo(5))
+
+	v.started = 6
+	connects, _ = grant(2*time.Second, "third")
+	g.Expect(connects).To(Equal(1), "another lifetime")
+	v.started = 5
+	connects, _ = grant(4*time.Second, "fourth")
+	g.Expect(connects).To(Equal(1), "the time is over")
+	s.Tick(4*time.Second, &out)
+	g.Expect(s.backoffs).To(BeEmpty())
+}
--- a/internal/system/custody/tick.go
+++ b/internal/system/custody/tick.go
@@ -1,6 +1,7 @@
 package custody
 
 import (
+	"maps"
 	"time"
 
 	"github.com/trefoilchute/trefoilchute/internal/ident"
@@ -24,6 +25,7 @@
 	}
 	clear(s.order[len(kept):])
 	s.order = kept
+	maps.DeleteFunc(s.backoffs, func(_ ident.Endpoint, b backoff) bool { return b.until <= now })
 	if now >= s.holdingsAt {
 		s.holdingsAt = now + holdingsInterval
 		s.sendHoldings(now, out)
--- a/internal/system/scheduling/receive.go
+++ b/internal/system/scheduling/receive.go
@@ -121,6 +121,7 @@
 		in.queue(pool.Declined{
 			ID: key.request, Attempt: key.attempt,
 			Requeue: m.GetRequeue(), Unreachable: m.GetUnreachable(), Lifetime: m.GetLifetime(),
+			Backoff: micros(m.GetBackoffUs()),
 		})
 	default:
 		delete(in.running, key)
@@ -144,6 +145,7 @@
 	}
 	return pool.Finished{
 		ID: key.request, Attempt: key.attempt, Outcome: outcome, Lifetime: m.GetLifetime(),
+		Backoff:      micros(m.GetBackoffUs()),
 		PromptTokens: int(m.GetPromptTokens()), CachedTokens: int(m.GetCachedTokens()),
 		OutputTokens: int(m.GetOutputTokens()),
 		FirstToken:   micros(m.GetFirstTokenUs()), Total: micros(m.GetTotalUs()),
