Ask the others what they hold before a host that has just started schedules

Cause: a host that starts knows of no other for some 10 to 300 ms, takes the pool over without anyone to ask and never asks later; its first epoch can be that of the process before, so nothing superseded it. It now schedules nothing until another host has answered, for 300 ms at most, and asks each process that it hears of later.

--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -64,8 +64,12 @@
 	viewVersion uint64
 	duties      duties
 	// paused says that the view of the hosts may be stale.
-	paused  bool
-	watched []resource.Endpoint
+	paused bool
+	// joining says that this host has just started, see awaitsOthers; listed that it knows
+	// whom to look for. configuredAt is when its first configuration came; 0: not yet.
+	joining, listed bool
+	configuredAt    time.Duration
+	watched         []resource.Endpoint
 	// watchDue is when the endpoints to watch are looked through again.
 	watchDue time.Duration
 	// gated holds what claims and keys need to know of the requests in custody.
@@ -87,6 +91,7 @@
 		heard: map[ident.Host]time.Duration{}, unresponsive: map[ident.Host]silence{},
 		reached: map[ident.Domain]time.Duration{}, left: map[ident.Endpoint]int64{},
 	}
+	c.joining = cfg.External
 	c.members = membership.New(membership.Config{
 		Self: cfg.Self, Incarnation: cfg.Incarnation, Domain: cfg.Domain,
 		Address: cfg.Address, Seed: cfg.Seed, Capacity: cfg.Capacity,
@@ -138,7 +143,21 @@
 // granted until the view is known to be fresh.
 func (c *Core) noticePause() {
 	c.paused = c.members.Paused(c.now)
-	c.scheduling.Hold(c.now, c.paused, &c.out)
+	c.joining = c.joining && c.awaitsOthers()
+	c.scheduling.Hold(c.now, c.paused || c.joining, &c.out)
+}
+
+// joinLimit bounds how long a host that has just started schedules nothing while it has
+// heard of no other: links take a few round trips to come up.
+const joinLimit = 300 * time.Millisecond
+
+// awaitsOthers reports whether this host may soon hear of others that know what runs, and
+// which requests endpoints end under. The time counts from its first configuration.
+func (c *Core) awaitsOthers() bool {
+	if c.configuredAt > 0 && c.now >= c.configuredAt+joinLimit {
+		return false
+	}
+	return !c.listed || c.members.Fresh()
 }
 
 // take applies one event.
@@ -168,6 +187,7 @@
 		c.quotas.Configure(c.now, e.Teams)
 	case Listed:
 		c.members.Seeds(e.Hosts)
+		c.listed = true
 		c.effect.Peers = c.peerAddresses()
 	case Stop:
 		c.custody.RefuseWaiting(c.now, stopping(), &c.out)
@@ -276,6 +296,9 @@
 		return false
 	}
 	c.declared, c.snapshot = snap, c.withLeaving(snap)
+	if c.configuredAt == 0 {
+		c.configuredAt = max(1, c.now)
+	}
 	c.watchDue = c.now
 	c.effect.Snapshot = snap
 	if !c.cfg.External {
@@ -330,6 +353,7 @@
 		take(c.keys.NextWake())
 		take(c.orders.NextWake())
 	}
+	take(c.configuredAt+joinLimit, c.joining && c.configuredAt > 0)
 	take(c.quotas.NextWake())
 	take(c.custody.NextWake(c.now))
 	take(c.scheduling.NextWake())
--- /dev/null
+++ b/internal/control/joining_test.go
@@ -0,0 +1,45 @@
+package control
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/trefoilchute/trefoilchute/internal/platform"
+	"github.com/trefoilchute/trefoilchute/internal/system/custody"
+)
+
+// TestStartedHostSchedulesNothingBeforeItHasHeardOfOthers guards against a scheduler that
+// doesn't know what runs and which requests endpoints end under.
+func TestStartedHostSchedulesNothingBeforeItHasHeardOfOthers(t *testing.T) {
+	other := []platform.HostEntry{{Host: "other", Domain: "a", Address: "127.0.0.1:1"}}
+	for _, c := range []struct {
+		name   string
+		listed *Listed
+		after  time.Duration
+	}{
+		{"there are no others", &Listed{}, 0},
+		{"another doesn't answer", &Listed{Hosts: other}, joinLimit},
+		{"the list doesn't come", nil, joinLimit},
+	} {
+		g := NewWithT(t)
+		s := &seen{Core: New(Config{Self: "self", Incarnation: 1, Domain: "a", External: true})}
+		if c.listed != nil {
+			s.step(*c.listed)
+		}
+		s.declare(1, 5)
+		began, granted := s.now, time.Duration(-1)
+		events := []Event{Arrived{Arrival: custody.Arrival{ID: "r", Target: "m", Deadline: time.Minute}}}
+		for s.now-began < time.Second && granted < 0 {
+			for _, d := range s.Step(s.now, 0, events).Directives {
+				if d.Kind == custody.Connect {
+					granted = s.now - began
+				}
+			}
+			events = nil
+			s.now = max(s.now+time.Millisecond, s.NextWake())
+		}
+		g.Expect(granted).To(BeNumerically("~", c.after, 30*time.Millisecond), c.name)
+	}
+}
--- a/internal/control/leaving_test.go
+++ b/internal/control/leaving_test.go
@@ -134,6 +134,7 @@
 func TestNoRequestIsGrantedAtAnEndpointThatLeaves(t *testing.T) {
 	g := NewWithT(t)
 	s := &seen{Core: New(Config{Self: "self", Incarnation: 1, Domain: "a", External: true})}
+	s.step(Listed{})
 	s.declare(1, 5)
 	connects := func(id ident.Request) int {
 		n := 0
--- a/internal/soak/poison_test.go
+++ b/internal/soak/poison_test.go
@@ -72,3 +72,24 @@
 	g.Expect(w.lateRuns()).To(BeNumerically("<=", poisonRuns), "runs of the request after it was known")
 	g.Expect(served).To(Equal(sent), "other callers, with every endpoint back")
 }
+
+// TestRequestThatEndsEndpointsStaysRefusedWhenHostsAreLost guards against hosts that forget
+// it: each is killed and started again in turn while the request is sent on.
+func TestRequestThatEndsEndpointsStaysRefusedWhenHostsAreLost(t *testing.T) {
+	g := NewWithT(t)
+	w := startWorld(t)
+	const known, between = 7 * time.Second, 3 * time.Second
+	done := make(chan []caller.Answer)
+	go func() { done <- w.sendPoison(t.Context(), known+between*time.Duration(len(w.hosts))) }()
+	sleep(t.Context(), known)
+	w.mu.Lock()
+	before := len(w.crashes)
+	w.mu.Unlock()
+	g.Expect(before).To(BeNumerically(">=", poisonCrashes))
+	for _, h := range w.hosts {
+		w.kill(h, between/6)
+		sleep(t.Context(), between*5/6)
+	}
+	<-done
+	g.Expect(w.crashes).To(HaveLen(before))
+}
--- a/internal/system/scheduling/instance.go
+++ b/internal/system/scheduling/instance.go
@@ -45,6 +45,8 @@
 	warmUntil time.Duration
 	// awaited holds the hosts whose holdings haven't come.
 	awaited map[ident.Host]bool
+	// asked holds the incarnations of the hosts that were asked for what they hold.
+	asked map[ident.Host]uint64
 	// pending holds the events for the next step.
 	pending []pool.Event
 	running map[runningKey]runningRow
@@ -64,6 +66,7 @@
 		pool:       p,
 		warmUntil:  now + warmUpLimit,
 		awaited:    map[ident.Host]bool{},
+		asked:      map[ident.Host]uint64{},
 		running:    map[runningKey]runningRow{},
 		charged:    map[ident.Request]charge{},
 		custodians: map[ident.Host]custodian{},
@@ -93,11 +96,6 @@
 	return in.scheduler.NextWake()
 }
 
-// awaitedHosts lists the hosts whose holdings are wanted.
-func (in *instance) awaitedHosts() []ident.Host {
-	return slices.Sorted(maps.Keys(in.awaited))
-}
-
 // hosts lists the custodians heard of.
 func (in *instance) hosts() []ident.Host {
 	return slices.Sorted(maps.Keys(in.custodians))
--- a/internal/system/scheduling/scheduling.go
+++ b/internal/system/scheduling/scheduling.go
@@ -198,10 +198,23 @@
 	in := newInstance(now, p, s.cfg.View.Alive())
 	s.instances[p] = in
 	s.chargeAnew(now)
-	ask(p, in.awaitedHosts(), out)
+	s.askNew(in, out)
 	return in
 }
 
+// askNew asks the processes that have come to be known for what they hold. A host that
+// has just started schedules before it has heard of all others.
+func (s *System) askNew(in *instance, out *system.Outbox) {
+	for _, h := range s.cfg.View.Alive() {
+		incarnation := s.cfg.View.Incarnation(h)
+		if known, ok := in.asked[h]; ok && known >= incarnation {
+			continue
+		}
+		in.asked[h] = incarnation
+		ask(in.pool, []ident.Host{h}, out)
+	}
+}
+
 // ask asks hosts for what they hold of a pool.
 func ask(p ident.Pool, hosts []ident.Host, out *system.Outbox) {
 	for _, h := range hosts {
@@ -215,6 +228,7 @@
 // moved to another host or out of the configuration.
 func (s *System) reviewHosts(now time.Duration, in *instance, out *system.Outbox) {
 	alive := s.cfg.View.Alive()
+	s.askNew(in, out)
 	for _, h := range in.hosts() {
 		restarted := s.cfg.View.Incarnation(h) > in.custodians[h].incarnation
 		if restarted || !slices.Contains(alive, h) {
