Keep requests that endpoints ended under where hosts that are all lost find them again

What is known of it was in the memory of the hosts alone. From the second loss on it has a row beside the secret of the links, which each host reads at its start anyway: no further call for a start, one write for each change.

--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -183,6 +183,8 @@
 		c.scheduling.Observe(c.now, e.Pool, e.Event, &c.out)
 	case EndpointLeaves:
 		c.leaves(LeavingEndpoint{e.Endpoint, e.Lifetime, c.cfg.Self})
+	case Suspected:
+		c.scheduling.Learn(c.now, e.List, &c.out)
 	case Limits:
 		c.quotas.Configure(c.now, e.Teams)
 	case Listed:
--- a/internal/control/event.go
+++ b/internal/control/event.go
@@ -94,6 +94,12 @@
 
 func (EndpointLeaves) event() {}
 
+// Suspected brings requests that endpoints ended under, as they were kept for hosts that
+// start.
+type Suspected struct{ List []pool.Suspect }
+
+func (Suspected) event() {}
+
 // Limits brings the teams' rates over all hosts.
 type Limits struct{ Teams map[ident.Team]quota.Limit }
 
--- a/internal/control/leaving_test.go
+++ b/internal/control/leaving_test.go
@@ -24,7 +24,7 @@
 
 func newSeen() *seen {
 	s := &seen{Core: New(Config{Self: "self", Incarnation: 1, Domain: "a", External: true})}
-	s.hear("other", &peerpb.Ping{Members: []*peerpb.Member{{Host: "other", Incarnation: 1, Domain: "a", Address: "127.0.0.1:1"}}})
+	s.hear(&peerpb.Ping{Members: []*peerpb.Member{{Host: "other", Incarnation: 1, Domain: "a", Address: "127.0.0.1:1"}}})
 	return s
 }
 
@@ -34,7 +34,8 @@
 	s.sends, s.leaving = out.Sends, out.Leaving
 }
 
-func (s *seen) hear(from ident.Host, body any) {
+// hear brings a message of the other host.
+func (s *seen) hear(body any) {
 	var m *peerpb.Envelope
 	switch body := body.(type) {
 	case *peerpb.Ping:
@@ -44,7 +45,7 @@
 	case *peerpb.Grant:
 		m = peerpb.Wrap(&peerpb.Envelope_Grant{Grant: body})
 	}
-	m.From, m.Incarnation = string(from), 1
+	m.From, m.Incarnation = "other", 1
 	s.step(Received{Message: m})
 }
 
@@ -105,7 +106,7 @@
 	g := NewWithT(t)
 	s := newSeen()
 	s.declare(1, 5)
-	s.hear("other", &peerpb.Leaving{Endpoint: "e", Lifetime: 6})
+	s.hear(&peerpb.Leaving{Endpoint: "e", Lifetime: 6})
 	g.Expect(s.state()).To(Equal(resource.EndpointActive))
 	g.Expect(s.told()).To(BeEmpty())
 	s.declare(2, 6)
@@ -119,7 +120,7 @@
 	s := newSeen()
 	s.declare(1, 5)
 	s.step(EndpointLeaves{Endpoint: "e", Lifetime: 5})
-	s.hear("other", &peerpb.Grant{Request: "r", Target: "m", Domain: "a", Endpoint: "e", Attempt: 1, Epoch: 1})
+	s.hear(&peerpb.Grant{Request: "r", Target: "m", Domain: "a", Endpoint: "e", Attempt: 1, Epoch: 1})
 	g.Expect(s.told()).To(Equal([]ident.Host{"other"}))
 	declined := 0
 	for _, send := range s.sends {
@@ -160,7 +161,7 @@
 	s.declare(1, 5)
 	s.step(EndpointLeaves{Endpoint: "e", Lifetime: 5})
 	for n := range 2 * maxLeaving {
-		s.hear("other", &peerpb.Leaving{Endpoint: fmt.Sprintf("x%d", n), Lifetime: 1})
+		s.hear(&peerpb.Leaving{Endpoint: fmt.Sprintf("x%d", n), Lifetime: 1})
 	}
 	g.Expect(len(s.left)).To(BeNumerically("<=", maxLeaving))
 	g.Expect(s.state()).To(Equal(resource.EndpointDrain), "the one that is declared is kept")
--- a/internal/logs/event.go
+++ b/internal/logs/event.go
@@ -28,6 +28,7 @@
 	EndpointSkipped       Event = "endpoint_skipped"
 	EndpointClosed        Event = "endpoint_closed"
 	BackoffBounded        Event = "backoff_bounded"
+	SuspectNotKept        Event = "suspect_not_kept"
 	DependencyLost        Event = "dependency_lost"
 	DependencyRegained    Event = "dependency_regained"
 	Settings              Event = "settings"
@@ -106,6 +107,7 @@
 	{EndpointGone, "An endpoint's entry is gone; it gets no new requests."},
 	{EndpointClosed, "A pool's scheduler gives an endpoint no requests for a while; reason says why, of_host which host's requests if not all, failures which failure in a row it is, requests what was in flight there."},
 	{BackoffBounded, "An endpoint asked to be left alone for longer than the settings allow, or with something that is no time; used_ms is what counts. At most one line a second."},
+	{SuspectNotKept, "What is known of a request that endpoints ended under couldn't be written to the store; hosts that are all lost forget it."},
 	{EndpointSkipped, "A row in the endpoints' table names no endpoint to use."},
 	{DependencyLost, "A call that the host depends on failed; it goes on with what it has and tries again."},
 	{DependencyRegained, "A dependency works again."},
--- a/internal/platformhost/host.go
+++ b/internal/platformhost/host.go
@@ -62,6 +62,7 @@
 	peers    *peer.Transport
 	metrics  *metrics.Metrics
 	view     view
+	suspects suspects
 
 	callers, readiness, scrapes, links net.Listener
 
@@ -81,6 +82,7 @@
 		reread: reread, incarnation: uint64(time.Now().UnixMilli()), started: clock.Boot(),
 		logger: log, log: log.WithField("host", s.Host),
 	}
+	h.suspects.init()
 	h.settings.Store(&s)
 	limitMemory(&s)
 	h.store = platform.NewStore(s.Store, h.storeCalled)
@@ -160,6 +162,7 @@
 	h.group.Go(func() { h.follower.FollowPeers(h.life) })
 	h.group.Go(func() { h.sweep(h.life) })
 	h.group.Go(func() { h.watchPools(h.life) })
+	h.group.Go(func() { h.writeSuspects(h.life) })
 	failed := make(chan error, 4)
 	h.group.Go(func() {
 		if err := h.join(h.life); err != nil {
--- a/internal/platformhost/join.go
+++ b/internal/platformhost/join.go
@@ -29,22 +29,23 @@
 // an error if the links can't be started: a host without them is no use to the others.
 func (h *Host) join(ctx context.Context) error {
 	s := h.settings.Load()
-	secret, ok := retry(ctx, h, func(ctx context.Context) (string, error) {
+	shared, ok := retry(ctx, h, func(ctx context.Context) (platform.Shared, error) {
 		if err := h.store.Register(ctx, platform.Host{
 			Name: string(s.Host), Address: s.PeerListen, Domain: string(s.Region),
 		}); err != nil && !errors.Is(err, platform.ErrAmbiguous) {
-			return "", err
+			return platform.Shared{}, err
 		}
-		return h.store.Secret(ctx, newSecret())
+		return h.store.Shared(ctx, newSecret())
 	})
 	if !ok {
 		return nil
 	}
-	if err := h.link(secret); err != nil {
+	if err := h.link(shared.Secret); err != nil {
 		return err
 	}
 	h.group.Go(func() { h.loop.Run(h.life) })
 	h.linked.Store(true)
+	h.learnSuspects(shared.Suspects)
 	for range 2 {
 		hosts, ok := retry(ctx, h, func(ctx context.Context) ([]platform.Host, error) {
 			hosts, skipped, err := h.store.Hosts(ctx)
--- a/internal/platformhost/record.go
+++ b/internal/platformhost/record.go
@@ -57,6 +57,7 @@
 // tellSuspects logs what a pool's scheduler found of requests that endpoints ended under.
 func (h *Host) tellSuspects(p ident.Pool, list []pool.Suspect) {
 	for _, x := range list {
+		h.keepSuspect(x)
 		logs.With(h.log, logs.Suspected).WithFields(logrus.Fields{
 			"pool": p.String(), "fingerprint": fingerprintText(x.Fingerprint), "crashes": x.Crashes,
 			"quarantined": x.Quarantined,
--- a/internal/pool/backoff.go
+++ b/internal/pool/backoff.go
@@ -11,7 +11,7 @@
 	"github.com/trefoilchute/trefoilchute/internal/result"
 )
 
-// ClosedBackoff: the endpoint asked one host to send it nothing for a time.
+// ClosedBackoff says that the endpoint asked one host to send it nothing for a time.
 const ClosedBackoff ClosedFor = "asked_to_wait"
 
 // backOff keeps the requests of a host from an endpoint for a time. A later word can make
--- a/internal/pool/repeat_test.go
+++ b/internal/pool/repeat_test.go
@@ -288,7 +288,7 @@
 		}
 		lose()
 	}
-	wait := time.Duration(rules.FirstTrial)
+	wait := rules.FirstTrial
 	for range rules.MostTrials {
 		y.pass(wait)
 		trial, ok = y.send(7)
--- a/internal/soak/poison_test.go
+++ b/internal/soak/poison_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -74,22 +75,38 @@
 }
 
 // TestRequestThatEndsEndpointsStaysRefusedWhenHostsAreLost guards against hosts that forget
-// it: each is killed and started again in turn while the request is sent on.
+// it: each is killed and started again in turn, and all at once, while it is sent on.
 func TestRequestThatEndsEndpointsStaysRefusedWhenHostsAreLost(t *testing.T) {
-	g := NewWithT(t)
-	w := startWorld(t)
-	const known, between = 7 * time.Second, 3 * time.Second
-	done := make(chan []caller.Answer)
-	go func() { done <- w.sendPoison(t.Context(), known+between*time.Duration(len(w.hosts))) }()
-	sleep(t.Context(), known)
-	w.mu.Lock()
-	before := len(w.crashes)
-	w.mu.Unlock()
-	g.Expect(before).To(BeNumerically(">=", poisonCrashes))
-	for _, h := range w.hosts {
-		w.kill(h, between/6)
-		sleep(t.Context(), between*5/6)
+	const known, between, down = 7 * time.Second, 3 * time.Second, 500 * time.Millisecond
+	for name, lose := range map[string]func(w *world){
+		"in turn": func(w *world) {
+			for _, h := range w.hosts {
+				w.kill(h, down)
+				sleep(t.Context(), between-down)
+			}
+		},
+		"at once": func(w *world) {
+			var group sync.WaitGroup
+			for _, h := range w.hosts {
+				group.Go(func() { w.kill(h, down) })
+			}
+			group.Wait()
+			sleep(t.Context(), 2*between)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			w := startWorld(t)
+			done := make(chan []caller.Answer)
+			go func() { done <- w.sendPoison(t.Context(), known+between*time.Duration(len(w.hosts))) }()
+			sleep(t.Context(), known)
+			w.mu.Lock()
+			before := len(w.crashes)
+			w.mu.Unlock()
+			g.Expect(before).To(BeNumerically(">=", poisonCrashes))
+			lose(w)
+			<-done
+			g.Expect(w.crashes).To(HaveLen(before))
+		})
 	}
-	<-done
-	g.Expect(w.crashes).To(HaveLen(before))
 }
--- a/internal/system/scheduling/receive.go
+++ b/internal/system/scheduling/receive.go
@@ -233,15 +233,23 @@
 	fingerprint uint64
 }
 
-// learnSuspects keeps what is new about suspects and tells the own pools.
+// learnSuspects takes in what another host knows of suspects.
 func (s *System) learnSuspects(now time.Duration, list []*peerpb.Suspect, out *system.Outbox) {
-	var news []pool.Suspect
-	for _, m := range list {
-		suspect := pool.Suspect{
+	suspects := make([]pool.Suspect, len(list))
+	for i, m := range list {
+		suspects[i] = pool.Suspect{
 			KeyHash: m.GetKeyHash(), Fingerprint: m.GetFingerprint(),
 			Crashes: int(m.GetCrashes()), Quarantined: m.GetQuarantined(),
 			Repeats: m.GetRepeats(), Age: micros(m.GetAgeUs()),
 		}
+	}
+	s.Learn(now, suspects, out)
+}
+
+// Learn keeps what is new about suspects and tells the own pools.
+func (s *System) Learn(now time.Duration, list []pool.Suspect, out *system.Outbox) {
+	var news []pool.Suspect
+	for _, suspect := range list {
 		if s.keepSuspect(now, suspect) {
 			news = append(news, suspect)
 		}
