Hold only runs that broke against a request, and those that broke after their endpoint was gone

And runs that fell silent with an endpoint and broke after its entry was gone counted nothing. Both have a test.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -453,6 +453,7 @@
 func (x *exchange) phase(end tryEnd) peerpb.Report_Phase {
 	c := x.call
 	x.try.end.OutputTokens, x.try.end.CachedTokens = c.outputTokens(), cachedUnknown
+	x.try.end.Answered = x.whole && !x.rejected
 	switch {
 	case x.rejected:
 		return peerpb.Report_PHASE_REJECTED
--- a/internal/gateway/lost_test.go
+++ b/internal/gateway/lost_test.go
@@ -28,21 +28,23 @@
 // answer, in the middle of one, and with all that the endpoint listens on.
 func TestEndpointThatEndsIsToldFromAnAnswerThatIsLost(t *testing.T) {
 	for _, c := range []struct {
-		name    string
-		partial bool
-		ends    bool
-		phase   peerpb.Report_Phase
+		name   string
+		answer string
+		ends   bool
+		phase  peerpb.Report_Phase
+		whole  bool
 	}{
-		{"an answer is lost", false, false, peerpb.Report_PHASE_BROKEN},
-		{"the endpoint ends", false, true, peerpb.Report_PHASE_LOST},
-		{"an answer breaks off", true, false, peerpb.Report_PHASE_BROKEN},
-		{"the endpoint ends within an answer", true, true, peerpb.Report_PHASE_LOST},
+		{"an answer is lost", "", false, peerpb.Report_PHASE_BROKEN, false},
+		{"the endpoint ends", "", true, peerpb.Report_PHASE_LOST, false},
+		{"an answer breaks off", "Content-Length: 100\r\n\r\nhalf", false, peerpb.Report_PHASE_BROKEN, false},
+		{"the endpoint ends within an answer", "Content-Length: 100\r\n\r\nhalf", true, peerpb.Report_PHASE_LOST, false},
+		{"the endpoint ends after an answer", "Content-Length: 4\r\n\r\ndone", true, peerpb.Report_PHASE_FINISHED, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			var h *harness
 			h = start(t, func(e *exchanged) bool {
-				if c.partial {
-					e.write(sealed(200, e.attempt()) + "Content-Length: 100\r\n\r\nhalf")
+				if c.answer != "" {
+					e.write(sealed(200, e.attempt()) + c.answer)
 				}
 				if c.ends {
 					_ = h.endpoints[0].listener.Close()
@@ -51,6 +53,7 @@
 			})
 			h.ask(post("/unsafe/1", "a1", "body"))
 			h.Expect(h.phase()).To(Equal(c.phase))
+			h.Expect(h.ended[0].Answered).To(Equal(c.whole))
 		})
 	}
 }
@@ -97,3 +100,14 @@
 	h.Expect(a.header.Get("Attempt-Id")).To(Equal("a1"))
 	h.Expect(a.header.Get(headerCode)).To(Equal(codeText(result.Quarantined)))
 }
+
+// TestRunThatFailsIsAnAnswer has an endpoint say that a run failed.
+func TestRunThatFailsIsAnAnswer(t *testing.T) {
+	h := start(t, func(e *exchanged) bool {
+		e.whole(500, "failed")
+		return true
+	})
+	h.Expect(h.ask(post("/unsafe/1", "a1", "body")).status).To(Equal(http.StatusInternalServerError))
+	h.Expect(h.phase()).To(Equal(peerpb.Report_PHASE_BROKEN))
+	h.Expect(h.ended[0].Answered).To(BeTrue())
+}
--- a/internal/pool/event.go
+++ b/internal/pool/event.go
@@ -122,7 +122,10 @@
 	// Lifetime is that of the endpoint in which the request ran; 0: not known.
 	Lifetime int64 `cbor:",omitempty"`
 	// Backoff is for how long the endpoint wants nothing from the request's host.
-	Backoff      time.Duration `cbor:",omitempty"`
+	Backoff time.Duration `cbor:",omitempty"`
+	// Answered says that a whole answer came, though the run may have failed: the endpoint
+	// did not end under it.
+	Answered     bool `cbor:",omitempty"`
 	PromptTokens int
 	// CachedTokens is the part of the prompt that the engine found cached; negative
 	// if it doesn't say.
--- a/internal/pool/failure.go
+++ b/internal/pool/failure.go
@@ -6,6 +6,7 @@
 
 	"github.com/trefoilchute/trefoilchute/internal/ident"
 	"github.com/trefoilchute/trefoilchute/internal/pool/rules"
+	"github.com/trefoilchute/trefoilchute/internal/resource"
 )
 
 // ClosedFor says why an endpoint was closed.
@@ -45,13 +46,18 @@
 	granted, lost time.Duration
 }
 
-// noteLost remembers a run that failed until it is known whether its endpoint has ended.
+// noteLost remembers a run that failed until it is known whether its endpoint has ended:
+// at once, if its entry is gone without notice.
 func (s *Scheduler) noteLost(a *attempt) {
 	r := a.request
 	if !r.Repeats || a.blamed || !a.started {
 		return
 	}
 	e := a.endpoint
+	if !e.declared && e.State != resource.EndpointDrain {
+		s.lostBefore(a)
+		return
+	}
 	e.lost = slices.DeleteFunc(e.lost, func(l lostRun) bool { return s.now-l.lost > rules.LostMemory })
 	if len(e.lost) == rules.MaxLost {
 		e.lost = slices.Delete(e.lost, 0, 1)
--- a/internal/pool/intake.go
+++ b/internal/pool/intake.go
@@ -172,7 +172,7 @@
 		s.backOff(a.endpoint, a.request.Host, e.Backoff)
 	}
 	s.settle(a)
-	if e.Outcome == OutcomeWhole {
+	if e.Outcome == OutcomeWhole || e.Answered {
 		s.clearSuspect(a.request)
 	}
 	if r := s.requests[e.ID]; r != nil {
--- a/internal/pool/learn.go
+++ b/internal/pool/learn.go
@@ -40,7 +40,9 @@
 		s.endpointFull(e)
 		return
 	case OutcomeBroken:
-		s.noteLost(a)
+		if !f.Answered {
+			s.noteLost(a)
+		}
 		if e.errors.Saw(s.now, true) {
 			s.endpointFailed(e, ClosedFailing)
 		}
--- a/internal/pool/repeat_test.go
+++ b/internal/pool/repeat_test.go
@@ -330,6 +330,20 @@
 		y.g.Expect(y.s.suspects.find(0, 7) != nil).To(Equal(c.blamed), c.name)
 	}
 
+	gone := newYard(t, 1, 4)
+	late, _ := gone.send(7)
+	gone.endpoints = nil
+	gone.configure()
+	gone.g.Expect(gone.s.suspects.find(0, 7)).To(BeNil(), "it may still run")
+	gone.finish(late, OutcomeBroken)
+	gone.g.Expect(gone.s.suspects.find(0, 7)).NotTo(BeNil(), "it broke after its entry was gone")
+
+	failed := newYard(t, 1, 4)
+	ran, _ := failed.send(7)
+	failed.step(Finished{ID: ran.ID, Attempt: ran.Attempt, Outcome: OutcomeBroken, Answered: true})
+	failed.restart(ran.Endpoint)
+	failed.g.Expect(failed.s.suspects.find(0, 7)).To(BeNil(), "its run failed, and the endpoint said so")
+
 	y := newYard(t, 1, 4)
 	x, _ := y.send(7)
 	y.restart(x.Endpoint)
--- a/internal/system/custody/grant.go
+++ b/internal/system/custody/grant.go
@@ -215,6 +215,8 @@
 	Total      time.Duration
 	// Backoff is for how long the endpoint wants nothing from this host.
 	Backoff time.Duration
+	// Answered says that a whole answer came, also of a run that failed.
+	Answered bool
 }
 
 // Started tells the scheduler that the first token came.
@@ -239,7 +241,7 @@
 		s.backOff(now, r, end.Backoff)
 	}
 	s.report(now, r, &peerpb.Report{
-		BackoffUs: end.Backoff.Microseconds(), Phase: end.Phase, Lifetime: r.lifetime,
+		BackoffUs: end.Backoff.Microseconds(), Answered: end.Answered, Phase: end.Phase, Lifetime: r.lifetime,
 		PromptTokens: int64(end.PromptTokens), CachedTokens: int64(end.CachedTokens),
 		OutputTokens: int64(end.OutputTokens),
 		FirstTokenUs: end.FirstToken.Microseconds(), TotalUs: end.Total.Microseconds(),
--- a/internal/system/scheduling/receive.go
+++ b/internal/system/scheduling/receive.go
@@ -145,7 +145,7 @@
 	}
 	return pool.Finished{
 		ID: key.request, Attempt: key.attempt, Outcome: outcome, Lifetime: m.GetLifetime(),
-		Backoff:      micros(m.GetBackoffUs()),
+		Backoff: micros(m.GetBackoffUs()), Answered: m.GetAnswered(),
 		PromptTokens: int(m.GetPromptTokens()), CachedTokens: int(m.GetCachedTokens()),
 		OutputTokens: int(m.GetOutputTokens()),
 		FirstToken:   micros(m.GetFirstTokenUs()), Total: micros(m.GetTotalUs()),
