Count no endpoint that is closed for a moment as one that asked a host to wait

Cause: endpoints that were closed for another reason were left out of the search for the first that takes requests of the host. The new test failed before.

--- a/internal/pool/backoff.go
+++ b/internal/pool/backoff.go
@@ -58,48 +58,46 @@
 	return now < e.backoffs[host]
 }
 
-// backoffEnd returns when the first endpoint wants requests of a host again, if every one
-// that takes work has asked it to wait.
+// backoffEnd returns when the first endpoint takes requests of a host again, if none does
+// now and one of them asked the host to wait.
 func (s *Scheduler) backoffEnd(host ident.Host) (time.Duration, bool) {
-	first, all := time.Duration(0), false
+	first, asked := time.Duration(0), false
 	for _, e := range s.endpoints.rows {
 		if !e.declared || e.State == resource.EndpointDrain {
 			continue
 		}
 		until := max(e.backoffs[host], e.closedUntil)
-		if !e.backsOff(host, s.now) {
-			if e.takesWork(s.now) {
-				return 0, false
-			}
-			continue
+		if until <= s.now {
+			return 0, false
 		}
-		if !all || until < first {
-			first, all = until, true
+		asked = asked || e.backsOff(host, s.now)
+		if first == 0 || until < first {
+			first = until
 		}
 	}
-	return first, all
+	return first, asked
 }
 
-// waitsInVain returns the refusal of a request whose host every endpoint has asked to wait,
-// for longer than its caller does or than is worth waiting: other hosts may be served. It
+// waitsInVain returns the refusal of a request whose host no endpoint takes requests of, as
+// some have asked, for longer than its caller does or than is worth waiting: other hosts may be served. It
 // returns nil if there is none.
 func (s *Scheduler) waitsInVain(r *request, total time.Duration) *Refuse {
-	end, all := s.backoffEnd(r.Host)
+	end, asked := s.backoffEnd(r.Host)
 	leaves := r.Deadline
 	if r.Patience > 0 {
 		leaves = min(leaves, r.Patience)
 	}
-	if !all || end-s.now <= rules.BackoffWait && end+total <= leaves {
+	if !asked || end-s.now <= rules.BackoffWait && end+total <= leaves {
 		return nil
 	}
 	wait := end - s.now
 	return s.refusal(r, result.NoEndpoint, wait, fmt.Sprintf(
-		"every endpoint of the pool asked this host to wait, the first for another %v", wait.Round(time.Millisecond)))
+		"no endpoint of the pool takes work of this host, as some asked, the first for another %v", wait.Round(time.Millisecond)))
 }
 
 // refuseBackedOff refuses what waits of a host in vain, if that has come to be so.
 func (s *Scheduler) refuseBackedOff(host ident.Host) {
-	if _, all := s.backoffEnd(host); !all {
+	if _, asked := s.backoffEnd(host); !asked {
 		return
 	}
 	for _, r := range s.waiting() {
--- a/internal/pool/backoff_test.go
+++ b/internal/pool/backoff_test.go
@@ -118,3 +118,18 @@
 	y.g.Expect(y.refused).To(HaveLen(1))
 	y.g.Expect(y.refused[0].RetryAfter).To(Equal(8 * time.Second))
 }
+
+// TestEndpointThatIsClosedForAMomentIsWaitedFor guards against refusals that count a full
+// endpoint as one that asked the host to wait.
+func TestEndpointThatIsClosedForAMomentIsWaitedFor(t *testing.T) {
+	y := newYard(t, 2, 8)
+	asks, _ := y.sendFrom("h1")
+	y.turnAway(asks, 5*time.Second)
+	full, ok := y.sendFrom("h1")
+	y.g.Expect(ok).To(BeTrue())
+	y.finish(full, OutcomeRejected)
+	_, ok = y.sendFrom("h1")
+	y.g.Expect(ok).To(BeFalse())
+	y.g.Expect(y.refused).To(BeEmpty())
+	y.g.Expect(y.take().Endpoint).To(Equal(full.Endpoint))
+}
--- a/internal/pool/learn.go
+++ b/internal/pool/learn.go
@@ -37,7 +37,10 @@
 		s.endpointFailed(e, ClosedLost)
 		return
 	case OutcomeRejected:
-		s.endpointFull(e)
+		// One that asks its sender to wait says nothing about other hosts.
+		if f.Backoff == 0 {
+			s.endpointFull(e)
+		}
 		return
 	case OutcomeBroken:
 		if !f.Answered {
