--- a/internal/standin/runner/runner.go
+++ b/internal/standin/runner/runner.go
@@ -32,6 +32,8 @@
 type Options struct {
 	ID    string
 	Slots int
+	// Queue is how many requests may wait for a slot.
+	Queue int
 	// Streams makes every answer a stream of events, EventTime apart; otherwise an
 	// answer takes Work.
 	Streams   bool
@@ -62,6 +64,8 @@
 	opts  Options
 	http  *http.Server
 	slots chan struct{}
+	// places holds a place for each request that runs or waits.
+	places chan struct{}
 	// lose is how many of the next answers are lost after their run, fail how many
 	// of the next runs fail.
 	lose, fail atomic.Int64
@@ -95,7 +99,7 @@
 
 // New returns a runner that isn't serving.
 func New(opts Options) *Runner {
-	r := &Runner{opts: opts, slots: make(chan struct{}, opts.Slots)}
+	r := &Runner{opts: opts, slots: make(chan struct{}, opts.Slots), places: make(chan struct{}, opts.Slots+opts.Queue)}
 	r.http = &http.Server{Handler: r}
 	return r
 }
@@ -169,12 +173,18 @@
 		return
 	}
 	select {
-	case r.slots <- struct{}{}:
-		defer func() { <-r.slots }()
+	case r.places <- struct{}{}:
+		defer func() { <-r.places }()
 	default:
 		r.refuse(w, http.StatusServiceUnavailable)
 		return
 	}
+	select {
+	case r.slots <- struct{}{}:
+		defer func() { <-r.slots }()
+	case <-req.Context().Done():
+		return
+	}
 	r.record(req, attempt, string(body))
 	if r.opts.Poison != "" && string(body) == r.opts.Poison {
 		_ = r.Close()
