--- a/internal/soak/leaving_test.go
+++ b/internal/soak/leaving_test.go
@@ -11,11 +11,14 @@
 	"github.com/trefoilchute/trefoilchute/internal/standin/caller"
 )
 
+// loadCallers is how many callers load sends requests of.
+const loadCallers = 10
+
 // load sends requests of several callers to the plain service for a time.
-func (w *world) load(t *testing.T, callers int, span time.Duration) {
+func (w *world) load(t *testing.T, span time.Duration) {
 	var group sync.WaitGroup
 	until := time.Now().Add(span)
-	for id := range callers {
+	for id := range loadCallers {
 		group.Go(func() {
 			h := w.hosts[id%len(w.hosts)]
 			c := caller.New(h.address)
@@ -64,10 +67,10 @@
 func TestEndpointThatSaysItLeavesIsLeftAlone(t *testing.T) {
 	g := NewWithT(t)
 	w := startWorld(t)
-	w.load(t, 10, time.Second)
+	w.load(t, time.Second)
 	leaving := w.busiest("app")
 	leaving.runner.Leave()
-	w.load(t, 10, 5*time.Second)
+	w.load(t, 5*time.Second)
 	g.Expect(firstSaid(leaving, w.requests())).NotTo(BeEmpty(), "a host has passed it on")
 	w.check()
 	g.Expect(w.broken).To(BeEmpty())
@@ -79,10 +82,10 @@
 func TestEndpointThatAsksToWaitIsLeftAlone(t *testing.T) {
 	g := NewWithT(t)
 	w := startWorld(t)
-	w.load(t, 10, time.Second)
+	w.load(t, time.Second)
 	asks := w.busiest("app")
 	asks.runner.TurnAway(len(w.hosts), 3*time.Second)
-	w.load(t, 10, 5*time.Second)
+	w.load(t, 5*time.Second)
 	g.Expect(asks.runner.TurnedAway()).NotTo(BeEmpty())
 	w.check()
 	g.Expect(w.broken).To(BeEmpty())
