--- a/internal/soak/poison.go
+++ b/internal/soak/poison.go
@@ -35,6 +35,11 @@
 // sendPoison sends one request again and again at the hosts in turn, each time as another
 // attempt.
 func (w *world) sendPoison(ctx context.Context, span time.Duration) []caller.Answer {
+	return w.sendPoisonTo(ctx, w.hosts, span)
+}
+
+// sendPoisonTo is sendPoison at some of the hosts.
+func (w *world) sendPoisonTo(ctx context.Context, to []*host, span time.Duration) []caller.Answer {
 	var answers []caller.Answer
 	until := time.Now().Add(span)
 	for ctx.Err() == nil && time.Now().Before(until) {
@@ -42,7 +47,7 @@
 		n := w.poisons
 		w.poisons++
 		w.mu.Unlock()
-		c := caller.New(w.hosts[n%len(w.hosts)].address)
+		c := caller.New(to[n%len(to)].address)
 		answers = append(answers, c.Do(caller.Request{
 			Method: "POST", Host: "app.test", Path: "/unsafe/poison", Attempt: fmt.Sprintf("poison-%d", n),
 			Key: w.firstKey(), Limit: callLimit, Body: poisonBody,
--- a/internal/soak/poison_test.go
+++ b/internal/soak/poison_test.go
@@ -23,11 +23,16 @@
 // startWorld starts the hosts before three endpoints of each kind and waits until they are
 // ready.
 func startWorld(t *testing.T) *world {
+	return startWorldIn(t, region, region, region)
+}
+
+// startWorldIn is startWorld with a host in each of some regions.
+func startWorldIn(t *testing.T, regions ...string) *world {
 	g := NewWithT(t)
 	program, err := gexec.Build("github.com/trefoilchute/trefoilchute/cmd/trefoilchute")
 	g.Expect(err).NotTo(HaveOccurred())
 	t.Cleanup(gexec.CleanupBuildArtifacts)
-	w, err := newWorld(t.ArtifactDir(), program, 1)
+	w, err := newWorldIn(t.ArtifactDir(), program, 1, regions)
 	g.Expect(err).NotTo(HaveOccurred())
 	t.Cleanup(w.close)
 	g.Expect(w.addServer("app")).To(Succeed())
@@ -110,3 +115,17 @@
 		})
 	}
 }
+
+// TestRequestThatEndsEndpointsIsRefusedInEveryRegion guards against a region that learns for
+// itself, at the price of its endpoints, what another has found.
+func TestRequestThatEndsEndpointsIsRefusedInEveryRegion(t *testing.T) {
+	g := NewWithT(t)
+	w := startWorldIn(t, "north", "north", "south")
+	north, south := w.hosts[:2], w.hosts[2:]
+	w.sendPoisonTo(t.Context(), north, 7*time.Second)
+	found := len(w.crashes)
+	g.Expect(found).To(BeNumerically(">=", poisonCrashes))
+	answers := w.sendPoisonTo(t.Context(), south, 3*time.Second)
+	g.Expect(w.crashes).To(HaveLen(found))
+	g.Expect(answers[len(answers)-1].Header.Get("Trefoilchute-Code")).To(Equal("209"))
+}
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -19,6 +20,8 @@
 const (
 	// hosts, engines and services are the size of a run.
 	hosts, engines, services = 3, 3, 2
+	// region is where all hosts are, unless a run says otherwise.
+	region = "region"
 	// firstKeys is how many keys the team has at any time.
 	firstKeys = 2
 	// revokeBound, drainBound and configBound are the users' bounds for keys that were
@@ -96,6 +99,11 @@
 
 // newWorld starts the store and the endpoints and prepares the hosts.
 func newWorld(dir, program string, seed uint64) (*world, error) {
+	return newWorldIn(dir, program, seed, slices.Repeat([]string{region}, hosts))
+}
+
+// newWorldIn is newWorld with a host in each of some regions.
+func newWorldIn(dir, program string, seed uint64, regions []string) (*world, error) {
 	w := &world{
 		dir: dir, program: program, rand: rand.New(rand.NewPCG(seed, 1)), store: store.New(), stop: make(chan struct{}),
 		revoked: map[string]time.Time{}, keyed: map[string]time.Time{}, added: map[string]time.Time{}, removed: map[string]time.Time{},
@@ -123,8 +131,8 @@
 	}
 	w.group.Add(1)
 	go w.beats()
-	for i := range hosts {
-		h, err := newHost(dir, i, ln.Addr().String())
+	for i, region := range regions {
+		h, err := newHost(dir, i, ln.Addr().String(), region)
 		if err != nil {
 			return nil, err
 		}
