--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -95,6 +95,11 @@
 	return v.core.domains(target)
 }
 
+// HostDomains lists the failure domains that have a host.
+func (v schedulingView) HostDomains() []ident.Domain {
+	return v.core.members.Domains()
+}
+
 // scheduler returns the first host of the rendezvous hash of a pool over its
 // domain's live hosts, or over those that are leaving when there are no others.
 // A domain that can't be reached has none: its hosts may live or not.
--- a/internal/system/scheduling/hold_test.go
+++ b/internal/system/scheduling/hold_test.go
@@ -19,6 +19,7 @@
 func (alone) Alive() []ident.Host                     { return []ident.Host{"other", "self"} }
 func (alone) Incarnation(ident.Host) uint64           { return 1 }
 func (alone) Domains(string) []ident.Domain           { return []ident.Domain{"a"} }
+func (alone) HostDomains() []ident.Domain             { return []ident.Domain{"a"} }
 
 // testPool is the pool of newAlone.
 var testPool = ident.Pool{Target: "m", Domain: "a"}
--- a/internal/system/scheduling/scheduling.go
+++ b/internal/system/scheduling/scheduling.go
@@ -51,6 +51,8 @@
 	Incarnation(ident.Host) uint64
 	// Domains lists the failure domains with an active endpoint of the target.
 	Domains(target string) []ident.Domain
+	// HostDomains lists the failure domains that have a host.
+	HostDomains() []ident.Domain
 }
 
 // Config is fixed for the life of a System.
@@ -272,7 +274,8 @@
 	if now >= s.statusAt {
 		s.statusAt = now + statusInterval
 		s.sweepSuspects(now)
-		s.sendStatus(now, out)
+		s.sendStatus(out)
+		s.tellSuspects(now, out)
 	}
 }
 
--- a/internal/system/scheduling/step.go
+++ b/internal/system/scheduling/step.go
@@ -101,8 +101,8 @@
 }
 
 // sendStatus tells the schedulers of the same target in other domains how much
-// room there is here, and of suspects: a cut may have kept from them what was published.
-func (s *System) sendStatus(now time.Duration, out *system.Outbox) {
+// room there is here.
+func (s *System) sendStatus(out *system.Outbox) {
 	for _, p := range s.owned() {
 		in := s.instances[p]
 		if in.scheduler == nil || in.movedAt > 0 {
@@ -115,9 +115,25 @@
 			host, ok := s.cfg.View.Scheduler(other)
 			if ok && d != s.cfg.Domain {
 				out.Send(host, peerpb.Wrap(&peerpb.Envelope_PoolStatus{PoolStatus: room(in)}))
-				if list := s.Suspects(now); len(list) > 0 {
-					out.Send(host, peerpb.Wrap(&peerpb.Envelope_Quarantine{Quarantine: &peerpb.Quarantine{Suspects: list}}))
-				}
+			}
+		}
+	}
+}
+
+// tellSuspects tells the schedulers of the same targets in other domains of suspects: a
+// cut may have kept from them what was published.
+func (s *System) tellSuspects(now time.Duration, out *system.Outbox) {
+	list := s.Suspects(now)
+	if len(list) == 0 {
+		return
+	}
+	told := map[ident.Host]bool{s.cfg.Self: true}
+	for _, p := range s.owned() {
+		for _, d := range s.cfg.View.HostDomains() {
+			host, ok := s.cfg.View.Scheduler(ident.Pool{Target: p.Target, Domain: d})
+			if ok && !told[host] {
+				told[host] = true
+				out.Send(host, peerpb.Wrap(&peerpb.Envelope_Quarantine{Quarantine: &peerpb.Quarantine{Suspects: list}}))
 			}
 		}
 	}
--- a/internal/system/scheduling/suspect_age_test.go
+++ b/internal/system/scheduling/suspect_age_test.go
@@ -38,8 +38,12 @@
 	g.Expect(kept[1].Fingerprint).To(BeEquivalentTo(10+rules.MaxSuspects+1), "the oldest gave way")
 }
 
-// far is a view in which another domain has the same target.
-type far struct{ alone }
+// far is a view in which another domain has hosts, and maybe endpoints of the same target
+// that are its own.
+type far struct {
+	alone
+	endpoints []ident.Domain
+}
 
 func (far) Scheduler(p ident.Pool) (ident.Host, bool) {
 	if p.Domain == "b" {
@@ -47,15 +51,22 @@
 	}
 	return "self", true
 }
-func (far) Domains(string) []ident.Domain { return []ident.Domain{"a", "b"} }
+func (v far) Domains(string) []ident.Domain { return v.endpoints }
+func (far) HostDomains() []ident.Domain     { return []ident.Domain{"a", "b"} }
 
 // TestOtherDomainsHearOfSuspectsAfterACut checks that the scheduler of the same target in
 // another domain is told again and again, in case it wasn't reached before.
 func TestOtherDomainsHearOfSuspectsAfterACut(t *testing.T) {
+	// On the users' platform each region takes all endpoints for its own.
+	t.Run("endpoints in both", func(t *testing.T) { tellFar(t, "a", "b") })
+	t.Run("each has all endpoints", func(t *testing.T) { tellFar(t, "a") })
+}
+
+func tellFar(t *testing.T, endpoints ...ident.Domain) {
 	g := NewWithT(t)
 	var out system.Outbox
 	s := newAlone(&out)
-	s.cfg.View = far{}
+	s.cfg.View = far{endpoints: endpoints}
 	for _, h := range []ident.Host{"other", "self"} {
 		s.Receive(time.Millisecond, Process{h, 1}, told(0), &out)
 	}
