Say once what was written twice, derive what can be, and rename what needed explaining

Retrying a call of the store and hashing a request stood in two places each; whether a kept suspect is refused follows from its count; a Closing has a reason and a length in place of For and Time; what blamed and accused now adds suspects and counts crashes; a host that writes no more rows of suspects says so. No decision changes.

--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -56,13 +56,12 @@
 	keys          *keyledger.System
 	quotas        *quota.System
 
-	// declared is the configuration in force, and snapshot the same with the endpoints
-	// in left draining.
+	// declared is the configuration in force, and snapshot the same with those endpoints
+	// draining that said in their answers that they leave: leavingEndpoints holds their lifetimes.
 	declared, snapshot *resource.Snapshot
-	// left holds the lifetimes of endpoints that said in their answers that they leave.
-	left        map[ident.Endpoint]int64
-	viewVersion uint64
-	duties      duties
+	leavingEndpoints   map[ident.Endpoint]int64
+	viewVersion        uint64
+	duties             duties
 	// paused says that the view of the hosts may be stale.
 	paused bool
 	// joining says that this host has just started, see awaitsOthers; listed that it knows
@@ -89,7 +88,7 @@
 	c := &Core{
 		cfg: cfg, gated: map[ident.Request]custody.Arrival{}, adopted: map[ident.Request]adoption{},
 		heard: map[ident.Host]time.Duration{}, unresponsive: map[ident.Host]silence{},
-		reached: map[ident.Domain]time.Duration{}, left: map[ident.Endpoint]int64{},
+		reached: map[ident.Domain]time.Duration{}, leavingEndpoints: map[ident.Endpoint]int64{},
 	}
 	c.joining = cfg.External
 	c.members = membership.New(membership.Config{
@@ -182,7 +181,7 @@
 	case Observed:
 		c.scheduling.Observe(c.now, e.Pool, e.Event, &c.out)
 	case EndpointLeaves:
-		c.leaves(LeavingEndpoint{e.Endpoint, e.Lifetime, c.cfg.Self})
+		c.endpointLeaves(LeavingEndpoint{e.Endpoint, e.Lifetime, c.cfg.Self})
 	case Suspected:
 		c.scheduling.Learn(c.now, e.List, &c.out)
 	case Limits:
--- a/internal/control/leaving.go
+++ b/internal/control/leaving.go
@@ -19,16 +19,16 @@
 	Source ident.Host
 }
 
-// leaves takes in that a lifetime of an endpoint leaves, whatever its declaration says.
+// endpointLeaves takes in that a lifetime of an endpoint leaves, whatever its declaration says.
 // What an answer to this host told goes on to the others.
-func (c *Core) leaves(x LeavingEndpoint) {
-	if known, ok := c.left[x.Endpoint]; ok && known >= x.Lifetime {
+func (c *Core) endpointLeaves(x LeavingEndpoint) {
+	if known, ok := c.leavingEndpoints[x.Endpoint]; ok && known >= x.Lifetime {
 		return
 	}
-	if len(c.left) >= maxLeaving {
+	if len(c.leavingEndpoints) >= maxLeaving {
 		c.forgetGone()
 	}
-	c.left[x.Endpoint] = x.Lifetime
+	c.leavingEndpoints[x.Endpoint] = x.Lifetime
 	c.effect.Leaving = append(c.effect.Leaving, x)
 	if x.Source == c.cfg.Self {
 		for _, h := range (schedulingView{c}).Alive() {
@@ -46,14 +46,14 @@
 // forgetGone makes room in the table of leaving endpoints: those that are not declared any
 // more go first.
 func (c *Core) forgetGone() {
-	maps.DeleteFunc(c.left, func(name ident.Endpoint, _ int64) bool {
+	maps.DeleteFunc(c.leavingEndpoints, func(name ident.Endpoint, _ int64) bool {
 		return c.declared == nil || c.declared.Endpoints[string(name)].Name == ""
 	})
-	for name := range c.left {
-		if len(c.left) < maxLeaving {
+	for name := range c.leavingEndpoints {
+		if len(c.leavingEndpoints) < maxLeaving {
 			return
 		}
-		delete(c.left, name)
+		delete(c.leavingEndpoints, name)
 	}
 }
 
@@ -65,13 +65,13 @@
 // drain. Another lifetime has said nothing yet.
 func (c *Core) withLeaving(snap *resource.Snapshot) *resource.Snapshot {
 	var out *resource.Snapshot
-	for name, lifetime := range c.left {
+	for name, lifetime := range c.leavingEndpoints {
 		e, ok := snap.Endpoints[string(name)]
 		switch {
 		case !ok || e.Started < lifetime:
 			continue
 		case e.Started > lifetime:
-			delete(c.left, name)
+			delete(c.leavingEndpoints, name)
 			continue
 		}
 		if out == nil {
@@ -91,7 +91,7 @@
 // remindOfLeaving tells a scheduler that grants an endpoint which leaves: it may have begun
 // to schedule, or been out of reach, since others were told.
 func (c *Core) remindOfLeaving(from ident.Host, endpoint ident.Endpoint) {
-	lifetime, ok := c.left[endpoint]
+	lifetime, ok := c.leavingEndpoints[endpoint]
 	if !ok || from == c.cfg.Self {
 		return
 	}
--- a/internal/control/leaving_test.go
+++ b/internal/control/leaving_test.go
@@ -163,6 +163,6 @@
 	for n := range 2 * maxLeaving {
 		s.hear(&peerpb.Leaving{Endpoint: fmt.Sprintf("x%d", n), Lifetime: 1})
 	}
-	g.Expect(len(s.left)).To(BeNumerically("<=", maxLeaving))
+	g.Expect(len(s.leavingEndpoints)).To(BeNumerically("<=", maxLeaving))
 	g.Expect(s.state()).To(Equal(resource.EndpointDrain), "the one that is declared is kept")
 }
--- a/internal/control/route.go
+++ b/internal/control/route.go
@@ -22,7 +22,7 @@
 	case *peerpb.Envelope_ConfigOffer, *peerpb.Envelope_ConfigPull, *peerpb.Envelope_ConfigState:
 		c.configuration.Receive(c.now, m, &c.out)
 	case *peerpb.Envelope_Leaving:
-		c.leaves(LeavingEndpoint{ident.Endpoint(body.Leaving.GetEndpoint()), body.Leaving.GetLifetime(), from.Host})
+		c.endpointLeaves(LeavingEndpoint{ident.Endpoint(body.Leaving.GetEndpoint()), body.Leaving.GetLifetime(), from.Host})
 	case *peerpb.Envelope_Grant:
 		c.remindOfLeaving(from.Host, ident.Endpoint(body.Grant.GetEndpoint()))
 		c.custody.Granted(c.now, from, body.Grant, &c.out)
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -10,6 +10,7 @@
 	"github.com/gofiber/fiber/v2"
 
 	"github.com/trefoilchute/trefoilchute/internal/engine"
+	"github.com/trefoilchute/trefoilchute/internal/fingerprint"
 	"github.com/trefoilchute/trefoilchute/internal/ident"
 	"github.com/trefoilchute/trefoilchute/internal/prefix"
 	"github.com/trefoilchute/trefoilchute/internal/resource"
@@ -81,7 +82,7 @@
 	if err := p.readBody(c, x, body); err != nil {
 		return nil, err
 	}
-	p.arrival.Fingerprint = fingerprint(path, body)
+	p.arrival.Fingerprint = fingerprint.Of(body, path)
 	if err := p.readDeadline(c, s.opts.Now(), tier); err != nil {
 		return nil, err
 	}
@@ -230,12 +231,3 @@
 	p.arrival.FirstAttempt = attempt == 1
 	return nil
 }
-
-// fingerprint returns the hash of a path and body.
-func fingerprint(path string, body []byte) uint64 {
-	d := xxhash.New()
-	_, _ = d.WriteString(path)
-	_, _ = d.Write([]byte{0})
-	_, _ = d.Write(body)
-	return d.Sum64()
-}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -8,8 +8,7 @@
 	"strings"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
+	"github.com/trefoilchute/trefoilchute/internal/fingerprint"
 	"github.com/trefoilchute/trefoilchute/internal/ident"
 	"github.com/trefoilchute/trefoilchute/internal/result"
 	"github.com/trefoilchute/trefoilchute/internal/ruleset"
@@ -113,7 +112,7 @@
 	if err := c.read(); err != nil {
 		c.refuse(err)
 	} else {
-		c.outcome.Fingerprint = c.fingerprint()
+		c.outcome.Fingerprint = fingerprint.Of(c.body, string(c.outcome.Team), c.target)
 		c.serve()
 	}
 	c.outcome.Total = g.opts.Now() - c.arrived
@@ -225,18 +224,6 @@
 	return nil
 }
 
-// fingerprint returns a hash that is the same at every host for all sendings of one
-// request: the same target, caller and body.
-func (c *call) fingerprint() uint64 {
-	d := xxhash.New()
-	_, _ = d.WriteString(string(c.outcome.Team))
-	_, _ = d.Write([]byte{0})
-	_, _ = d.WriteString(c.target)
-	_, _ = d.Write([]byte{0})
-	_, _ = d.Write(c.body)
-	return d.Sum64()
-}
-
 // drawSeed makes the choice among a route's targets differ between processes.
 var drawSeed = maphash.MakeSeed()
 
--- a/internal/platformhost/join.go
+++ b/internal/platformhost/join.go
@@ -29,7 +29,7 @@
 // an error if the links can't be started: a host without them is no use to the others.
 func (h *Host) join(ctx context.Context) error {
 	s := h.settings.Load()
-	shared, ok := retry(ctx, h, func(ctx context.Context) (platform.Shared, error) {
+	shared, ok := retry(ctx, h, logs.HostList, func(ctx context.Context) (platform.Shared, error) {
 		if err := h.store.Register(ctx, platform.Host{
 			Name: string(s.Host), Address: s.PeerListen, Domain: string(s.Region),
 		}); err != nil && !errors.Is(err, platform.ErrAmbiguous) {
@@ -47,7 +47,7 @@
 	h.linked.Store(true)
 	h.learnSuspects(shared.Suspects)
 	for range 2 {
-		hosts, ok := retry(ctx, h, func(ctx context.Context) ([]platform.Host, error) {
+		hosts, ok := retry(ctx, h, logs.HostList, func(ctx context.Context) ([]platform.Host, error) {
 			hosts, skipped, err := h.store.Hosts(ctx)
 			for _, row := range skipped {
 				logs.With(h.log, logs.HostList).WithField("row", row).Warn("the row is no host's")
@@ -67,8 +67,9 @@
 	return nil
 }
 
-// retry calls the store until a call succeeds. It returns false when ctx ends.
-func retry[T any](ctx context.Context, h *Host, call func(context.Context) (T, error)) (T, bool) {
+// retry calls the store until a call succeeds, and logs those that don't as an event. It
+// returns false when ctx ends.
+func retry[T any](ctx context.Context, h *Host, event logs.Event, call func(context.Context) (T, error)) (T, bool) {
 	for {
 		bounded, cancel := context.WithTimeout(ctx, joinTimeout)
 		value, err := call(bounded)
@@ -76,7 +77,7 @@
 		if err == nil {
 			return value, true
 		}
-		logs.With(h.log, logs.HostList).WithError(err).Warn()
+		logs.With(h.log, event).WithError(err).Warn()
 		select {
 		case <-ctx.Done():
 			return value, false
--- a/internal/platformhost/record.go
+++ b/internal/platformhost/record.go
@@ -75,13 +75,13 @@
 
 // tellClosing logs and counts that an endpoint gets no requests for a while.
 func (h *Host) tellClosing(p ident.Pool, c *pool.Closing) {
-	h.metrics.EndpointClosed(string(c.For))
+	h.metrics.EndpointClosed(string(c.Reason))
 	var names []string
 	for _, id := range c.Holding[:min(len(c.Holding), maxHolding)] {
 		names = append(names, string(id))
 	}
 	logs.With(h.log, logs.EndpointClosed).WithFields(logrus.Fields{
-		"pool": p.String(), "endpoint": c.Endpoint, "reason": string(c.For), "for_ms": c.Time.Milliseconds(),
+		"pool": p.String(), "endpoint": c.Endpoint, "reason": string(c.Reason), "for_ms": c.For.Milliseconds(),
 		"of_host": c.Host, "failures": c.Failures, "holding": len(c.Holding), "requests": strings.Join(names, " "),
 	}).Info()
 }
--- a/internal/platformhost/suspects.go
+++ b/internal/platformhost/suspects.go
@@ -13,8 +13,8 @@
 )
 
 const (
-	// suspectTries is how often a suspect's row is written or removed at most.
-	suspectTries = 40
+	// suspectWriteTime bounds the tries to write or remove a suspect's row.
+	suspectWriteTime = 10 * time.Second
 	// mostSuspectRows bounds the rows that one host writes, and the changes that wait.
 	mostSuspectRows = 64
 )
@@ -42,7 +42,10 @@
 	defer s.mu.Unlock()
 	known := s.rows[x.Fingerprint]
 	switch {
-	case !x.Repeats, x.Crashes == 0 && !known, x.Crashes > 0 && !x.Isolates(), !known && len(s.rows) >= mostSuspectRows:
+	case !x.Repeats, x.Crashes == 0 && !known, x.Crashes > 0 && !x.Isolates():
+		return
+	case !known && len(s.rows) >= mostSuspectRows:
+		h.tellNotKept(x, "this host has written as many rows as it may")
 		return
 	}
 	select {
@@ -53,8 +56,7 @@
 			delete(s.rows, x.Fingerprint)
 		}
 	default:
-		logs.With(h.log, logs.SuspectNotKept).WithField("fingerprint", fingerprintText(x.Fingerprint)).
-			Warn("too many wait to be written")
+		h.tellNotKept(x, "too many wait to be written")
 	}
 }
 
@@ -72,25 +74,22 @@
 
 func (h *Host) writeSuspect(ctx context.Context, x pool.Suspect) {
 	at := time.Now()
-	var err error
-	for range suspectTries {
-		bounded, cancel := context.WithTimeout(ctx, joinTimeout)
+	ctx, cancel := context.WithTimeout(ctx, suspectWriteTime)
+	defer cancel()
+	_, ok := retry(ctx, h, logs.SuspectNotKept, func(ctx context.Context) (struct{}, error) {
 		if x.Crashes == 0 {
-			err = h.store.ForgetSuspect(bounded, x.Fingerprint)
-		} else {
-			err = h.store.KeepSuspect(bounded, platform.Suspect{Fingerprint: x.Fingerprint, Ended: x.Crashes, Refused: x.Quarantined, At: at})
-		}
-		cancel()
-		if err == nil {
-			return
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(joinRetry):
+			return struct{}{}, h.store.ForgetSuspect(ctx, x.Fingerprint)
 		}
+		return struct{}{}, h.store.KeepSuspect(ctx, platform.Suspect{Fingerprint: x.Fingerprint, Ended: x.Crashes, At: at})
+	})
+	if !ok {
+		h.tellNotKept(x, "the store took no row in time")
 	}
-	logs.With(h.log, logs.SuspectNotKept).WithError(err).WithField("fingerprint", fingerprintText(x.Fingerprint)).Warn()
+}
+
+// tellNotKept logs that a suspect's row is not what it should be.
+func (h *Host) tellNotKept(x pool.Suspect, why string) {
+	logs.With(h.log, logs.SuspectNotKept).WithField("fingerprint", fingerprintText(x.Fingerprint)).Warn(why)
 }
 
 // learnSuspects brings the suspects that are kept in the store to control. Rows whose time
@@ -98,11 +97,10 @@
 func (h *Host) learnSuspects(rows []platform.Suspect) {
 	var list []pool.Suspect
 	for _, row := range rows {
-		x := pool.Suspect{Fingerprint: row.Fingerprint, Crashes: row.Ended, Quarantined: row.Refused, Repeats: true}
+		x := pool.RepeatedSuspect(row.Fingerprint, row.Ended, max(0, time.Since(row.At)))
 		h.suspects.mu.Lock()
 		h.suspects.rows[x.Fingerprint] = true
 		h.suspects.mu.Unlock()
-		x.Age = max(0, time.Since(row.At))
 		if x.Age > rules.QuarantineMemory {
 			x.Crashes = 0
 			h.keepSuspect(x)
--- a/internal/pool/backoff.go
+++ b/internal/pool/backoff.go
@@ -11,9 +11,6 @@
 	"github.com/trefoilchute/trefoilchute/internal/result"
 )
 
-// ClosedBackoff says that the endpoint asked one host to send it nothing for a time.
-const ClosedBackoff ClosedFor = "asked_to_wait"
-
 // backOff keeps the requests of a host from an endpoint for a time. A later word can make
 // that longer, not shorter: the earlier one stands.
 func (s *Scheduler) backOff(e *endpoint, host ident.Host, wait time.Duration) {
@@ -25,7 +22,7 @@
 		return
 	}
 	if !e.backsOff(host, s.now) {
-		s.closings = append(s.closings, Closing{Endpoint: e.Name, For: ClosedBackoff, Time: wait, Host: host})
+		s.closings = append(s.closings, Closing{Endpoint: e.Name, Reason: ClosedBackoff, For: wait, Host: host})
 	}
 	maps.DeleteFunc(e.backoffs, func(_ ident.Host, until time.Duration) bool { return until <= s.now })
 	if e.backoffs == nil {
@@ -78,9 +75,9 @@
 	return first, asked
 }
 
-// waitsInVain returns the refusal of a request whose host no endpoint takes requests of, as
-// some have asked, for longer than its caller does or than is worth waiting: other hosts may be served. It
-// returns nil if there is none.
+// waitsInVain returns the refusal of a request that no endpoint takes from its host for longer
+// than its caller waits, or than is worth waiting: other hosts may be served. It returns nil
+// where one does, or where none asked the host to wait.
 func (s *Scheduler) waitsInVain(r *request, total time.Duration) *Refuse {
 	end, asked := s.backoffEnd(r.Host)
 	leaves := r.Deadline
@@ -92,7 +89,7 @@
 	}
 	wait := end - s.now
 	return s.refusal(r, result.NoEndpoint, wait, fmt.Sprintf(
-		"no endpoint of the pool takes work of this host, as some asked, the first for another %v", wait.Round(time.Millisecond)))
+		"no endpoint of the pool takes requests of this host, the first does in %v", wait.Round(time.Millisecond)))
 }
 
 // refuseBackedOff refuses what waits of a host in vain, if that has come to be so.
--- a/internal/pool/event.go
+++ b/internal/pool/event.go
@@ -231,6 +231,22 @@
 	return !x.Repeats || x.Crashes >= rules.RepeatedToIsolate
 }
 
+// RepeatedSuspect returns a suspect among requests that repeat, by how often and how long
+// ago endpoints were lost with it.
+func RepeatedSuspect(fingerprint uint64, crashes int, age time.Duration) Suspect {
+	x := Suspect{Fingerprint: fingerprint, Crashes: crashes, Repeats: true, Age: age}
+	x.Quarantined = x.Crashes >= x.mostCrashes()
+	return x
+}
+
+// mostCrashes is from how many crashes on a suspect is quarantined.
+func (x *Suspect) mostCrashes() int {
+	if x.Repeats {
+		return rules.RepeatedToQuarantine
+	}
+	return rules.CrashesToQuarantine
+}
+
 // Memory is how long a suspect is remembered after its last crash.
 func (x *Suspect) Memory() time.Duration {
 	if x.Quarantined {
--- a/internal/pool/failure.go
+++ b/internal/pool/failure.go
@@ -9,25 +9,27 @@
 	"github.com/trefoilchute/trefoilchute/internal/resource"
 )
 
-// ClosedFor says why an endpoint was closed.
-type ClosedFor string
+// CloseReason says why an endpoint was closed.
+type CloseReason string
 
-// Reasons of ClosedFor.
+// Reasons to close an endpoint.
 const (
 	// ClosedUnreachable: it took no connection.
-	ClosedUnreachable ClosedFor = "unreachable"
+	ClosedUnreachable CloseReason = "unreachable"
 	// ClosedLost: it was lost with requests in flight.
-	ClosedLost ClosedFor = "lost"
+	ClosedLost CloseReason = "lost"
 	// ClosedFailing: several answers in a row failed.
-	ClosedFailing ClosedFor = "failing"
+	ClosedFailing CloseReason = "failing"
+	// ClosedBackoff: it asked one host to send it nothing for a time.
+	ClosedBackoff CloseReason = "asked_to_wait"
 )
 
 // Closing tells that an endpoint gets no requests for a while.
 type Closing struct {
 	Endpoint ident.Endpoint
-	For      ClosedFor
-	// Time is how long, and Failures which failure in a row it is.
-	Time     time.Duration
+	Reason   CloseReason
+	// For is how long, and Failures which failure in a row it is.
+	For      time.Duration
 	Failures int
 	// Host is the one that may send nothing; empty: none may.
 	Host ident.Host
@@ -55,7 +57,7 @@
 	}
 	e := a.endpoint
 	if !e.declared && e.State != resource.EndpointDrain {
-		s.lostBefore(a)
+		s.countLoss(a)
 		return
 	}
 	e.lost = slices.DeleteFunc(e.lost, func(l lostRun) bool { return s.now-l.lost > rules.LostMemory })
@@ -67,13 +69,13 @@
 	})
 }
 
-// accuseLost returns the suspects among the runs that broke lately on an endpoint that
+// suspectsLostWith returns the suspects among the runs that broke lately on an endpoint that
 // has ended.
-func (s *Scheduler) accuseLost(e *endpoint) []*suspect {
+func (s *Scheduler) suspectsLostWith(e *endpoint) []*suspect {
 	var found []*suspect
 	for _, l := range e.lost {
 		if s.now-l.lost <= rules.LostMemory {
-			found = s.accuse(found, l.request, l.granted, l.lost)
+			found = s.addSuspect(found, l.request, l.granted, l.lost)
 		}
 	}
 	e.lost = nil
@@ -83,17 +85,17 @@
 // lifetimeEnded takes in that an endpoint has ended that didn't say that it leaves. One
 // whose entry is gone may still run what it has, so only what broke counts.
 func (s *Scheduler) lifetimeEnded(e *endpoint) {
-	found := s.accuseLost(e)
+	found := s.suspectsLostWith(e)
 	if e.declared {
 		s.blocks.Clear(e.number)
 		for _, a := range s.attempts.on(e) {
 			if a.request.Repeats && a.started && !a.blamed {
 				a.blamed = true
-				found = s.accuse(found, a.request, a.granted, s.now)
+				found = s.addSuspect(found, a.request, a.granted, s.now)
 			}
 		}
 	}
-	s.blameAll(found)
+	s.countCrash(found)
 }
 
 // endpointFailed closes an endpoint for a while after it was lost or took no
@@ -102,7 +104,7 @@
 //
 // The last one that takes work stays open while it only fails some answers: some are
 // better than none. If it is gone, all are tried again soon.
-func (s *Scheduler) endpointFailed(e *endpoint, why ClosedFor) {
+func (s *Scheduler) endpointFailed(e *endpoint, why CloseReason) {
 	if s.now < e.closedUntil {
 		return
 	}
@@ -120,7 +122,7 @@
 	e.window.Restart()
 	s.blocks.Clear(e.number)
 	s.timers.set(&e.reopen, e.closedUntil, func() { e.changed = true })
-	closing := Closing{Endpoint: e.Name, For: why, Time: closed, Failures: e.failures}
+	closing := Closing{Endpoint: e.Name, Reason: why, For: closed, Failures: e.failures}
 	for _, a := range s.attempts.on(e) {
 		closing.Holding = append(closing.Holding, a.request.ID)
 	}
--- a/internal/pool/failure_test.go
+++ b/internal/pool/failure_test.go
@@ -26,7 +26,7 @@
 	g.Expect(out).To(HaveLen(1), id)
 	s.Step(now, []Event{Declined{ID: r.ID, Attempt: out[0].Attempt, Unreachable: true}})
 	g.Expect(s.Closings()).To(HaveLen(1), id)
-	return s.Closings()[0].Time
+	return s.Closings()[0].For
 }
 
 // TestNewLifetimeIsNotClosedForTheLast guards against endpoints that stay closed, for
--- a/internal/pool/learn.go
+++ b/internal/pool/learn.go
@@ -30,7 +30,7 @@
 	switch f.Outcome {
 	case OutcomeLost:
 		if e.outlived(f.Lifetime) {
-			s.lostBefore(a)
+			s.countLoss(a)
 			return
 		}
 		s.crashed(e)
--- a/internal/pool/suspect.go
+++ b/internal/pool/suspect.go
@@ -84,29 +84,30 @@
 // crashed marks everything in flight on an endpoint as suspect, once for each
 // attempt: every custodian reports its own.
 func (s *Scheduler) crashed(e *endpoint) {
-	found := s.accuseLost(e)
+	found := s.suspectsLostWith(e)
 	for _, a := range s.attempts.on(e) {
 		if !a.blamed {
 			a.blamed = true
-			found = s.accuse(found, a.request, a.granted, s.now)
+			found = s.addSuspect(found, a.request, a.granted, s.now)
 		}
 	}
-	s.blameAll(found)
+	s.countCrash(found)
 }
 
-// lostBefore takes in that an attempt was lost with an earlier lifetime of its endpoint.
-func (s *Scheduler) lostBefore(a *attempt) {
+// countLoss counts the loss of one attempt, with a lifetime of its endpoint that others know
+// to be over.
+func (s *Scheduler) countLoss(a *attempt) {
 	if a.blamed {
 		return
 	}
 	a.blamed = true
-	s.blameAll(s.accuse(nil, a.request, a.granted, s.now))
+	s.countCrash(s.addSuspect(nil, a.request, a.granted, s.now))
 }
 
-// accuse adds the suspect that a request is, granted at one time and lost at another. Of
-// those that repeat, a crash counts once against all that ran at that moment: where many
-// endpoints are lost at once, no request is the cause of all that.
-func (s *Scheduler) accuse(found []*suspect, r Request, granted, lost time.Duration) []*suspect {
+// addSuspect adds the suspect that a request is, granted at one time and lost at another. Of
+// requests that repeat, those that ran at one moment count once: where many endpoints are
+// lost together, no request is the cause.
+func (s *Scheduler) addSuspect(found []*suspect, r Request, granted, lost time.Duration) []*suspect {
 	x := s.suspectOf(r)
 	if x == nil || slices.Contains(found, x) || r.Repeats && x.Crashes > 0 && granted < x.lostAt {
 		return found
@@ -115,8 +116,8 @@
 	return append(found, x)
 }
 
-// blameAll counts a crash against each of some suspects and tells the other hosts.
-func (s *Scheduler) blameAll(found []*suspect) {
+// countCrash counts a crash against each of some suspects and tells the other hosts.
+func (s *Scheduler) countCrash(found []*suspect) {
 	if len(found) == 0 {
 		return
 	}
@@ -148,11 +149,7 @@
 func (s *Scheduler) blame(x *suspect) {
 	x.Crashes++
 	x.crashedAt = s.now
-	most := rules.CrashesToQuarantine
-	if x.Repeats {
-		most = rules.RepeatedToQuarantine
-	}
-	x.Quarantined = x.Quarantined || x.Crashes >= most
+	x.Quarantined = x.Quarantined || x.Crashes >= x.mostCrashes()
 	s.remember(x)
 }
 
