Answer a caller whose body doesn't come within its time limit

The read ended in time, but the server reads the rest of a body before it answers on a connection that it keeps, by then without a deadline.

--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"hash/maphash"
 	"io"
 	"net/http"
+	"os"
 	"strings"
 	"time"
 
@@ -215,15 +217,27 @@
 	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, most))
 	_ = controller.SetReadDeadline(time.Time{})
 	if err != nil {
-		if c.ctx.Err() != nil {
-			return result.New(result.CallerGone, "the caller left before its body was whole")
-		}
-		return result.New(result.BadRequest, "the body could not be read: "+err.Error())
+		return c.bodyFailed(err)
 	}
 	c.body = body
 	return nil
 }
 
+// bodyFailed returns the answer to a request whose body could not be read. It goes out at
+// once: on a connection that is kept the server would read the rest of the body first.
+func (c *call) bodyFailed(err error) *result.Error {
+	c.w.Header().Set("Connection", "close")
+	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return &result.Error{
+			Code: result.LimitInQueue, RetryAfter: retryNotRun, Reason: "the time limit passed before the body was whole",
+		}
+	case c.ctx.Err() != nil:
+		return result.New(result.CallerGone, "the caller left before its body was whole")
+	}
+	return result.New(result.BadRequest, "the body could not be read: "+err.Error())
+}
+
 // drawSeed makes the choice among a route's targets differ between processes.
 var drawSeed = maphash.MakeSeed()
 
