--- a/internal/gateway/callers_test.go
+++ b/internal/gateway/callers_test.go
@@ -49,6 +49,13 @@
 		h.Expect(answer).To(BeEmpty())
 		h.Expect(h.endpoints[0].seen).To(BeEmpty())
 	})
+	t.Run("body of a request that is refused", func(t *testing.T) {
+		t.Parallel()
+		h := start(t, okay)
+		took, answer := dripUntilClosed(t, h.address, head("POST", "/nowhere/x", "a1")+"Content-Length: 100000\r\n\r\n", eventually)
+		h.Expect(took).To(BeNumerically("<", soon))
+		h.Expect(answer).To(Equal("HTTP/1.1 404"))
+	})
 	t.Run("body", func(t *testing.T) {
 		t.Parallel()
 		h := start(t, okay)
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -31,6 +31,9 @@
 	// keyMargin is taken off the life of keys: the platform's store may leave a poll
 	// without word of a change for a second, and clocks are read at both ends.
 	keyMargin = 1200 * time.Millisecond
+	// unreadBodyWait is how long the body of a request that is refused before it was read
+	// may take: on a connection that is kept it has to be read.
+	unreadBodyWait = 1 * time.Second
 	// elsewhereRetry is when to come back where another host can serve at once.
 	elsewhereRetry = 50 * time.Millisecond
 )
@@ -257,6 +260,10 @@
 	if !ok {
 		info.Status = http.StatusInternalServerError
 	}
+	if c.limit == 0 {
+		// Its body was not read. The server reads the rest before it answers.
+		_ = http.NewResponseController(c.w).SetReadDeadline(time.Now().Add(unreadBodyWait))
+	}
 	c.outcome.Status = platform.RefusalStatus(info.Status)
 	h := c.w.Header()
 	platform.SetAttempt(h, c.headers.Attempt)
--- a/internal/system/custody/lifetime_test.go
+++ b/internal/system/custody/lifetime_test.go
@@ -22,16 +22,20 @@
 	return resource.Endpoint{Name: name, Address: "a:1", State: resource.EndpointActive, Started: v.started}, true
 }
 
+// newLifetimes returns a system before an endpoint in a lifetime.
+func newLifetimes(started int64) (*System, *lifetimes) {
+	v := &lifetimes{view: view{scheduler: Scheduler{Host: "s", Incarnation: 1}, has: true}, started: started}
+	return New(Config{Self: "h", View: v}), v
+}
+
 // TestReportsNameTheLifetimeThatWasUsed lets the endpoint begin another between the grant
 // and its use.
 func TestReportsNameTheLifetimeThatWasUsed(t *testing.T) {
 	g := NewWithT(t)
 	var out system.Outbox
-	from := Scheduler{Host: "s", Incarnation: 1}
-	v := &lifetimes{view: view{scheduler: from, has: true}, started: 5}
-	s := New(Config{Self: "h", View: v})
+	s, v := newLifetimes(5)
 	s.Arrive(0, Arrival{ID: "r", Target: "m", Deadline: time.Minute}, &out)
-	s.Granted(0, from, &peerpb.Grant{Request: "r", Target: "m", Domain: "a", Endpoint: "e", Attempt: 1, Epoch: 1, ExpiresAtUs: time.Second.Microseconds()}, &out)
+	s.Granted(0, v.scheduler, &peerpb.Grant{Request: "r", Target: "m", Domain: "a", Endpoint: "e", Attempt: 1, Epoch: 1, ExpiresAtUs: time.Second.Microseconds()}, &out)
 	v.started = 6
 	s.Unreachable(0, "r", 1, &out)
 	last := out.Sends[len(out.Sends)-1].Message.GetReport()
@@ -44,14 +48,12 @@
 func TestHostKeepsToABackoffWhateverIsGranted(t *testing.T) {
 	g := NewWithT(t)
 	var out system.Outbox
-	from := Scheduler{Host: "s", Incarnation: 1}
-	v := &lifetimes{view: view{scheduler: from, has: true}, started: 5}
-	s := New(Config{Self: "h", View: v})
+	s, v := newLifetimes(5)
 	grant := func(now time.Duration, id ident.Request) (connects int, declined *peerpb.Report) {
 		s.Arrive(now, Arrival{ID: id, Target: "m", Deadline: time.Minute}, &out)
 		out = system.Outbox{}
 		s.Take()
-		s.Granted(now, from, &peerpb.Grant{Request: string(id), Target: "m", Domain: "a", Endpoint: "e", Attempt: 1, Epoch: 1, ExpiresAtUs: time.Hour.Microseconds()}, &out)
+		s.Granted(now, v.scheduler, &peerpb.Grant{Request: string(id), Target: "m", Domain: "a", Endpoint: "e", Attempt: 1, Epoch: 1, ExpiresAtUs: time.Hour.Microseconds()}, &out)
 		for _, d := range s.Take() {
 			if d.Kind == Connect {
 				connects++
