--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -74,6 +74,8 @@
 	ID      ident.Request
 	// Fingerprint is the same each time the request is sent.
 	Fingerprint uint64
+	// Parts holds the fingerprints of the prompt parts that other requests may share.
+	Parts []uint64
 	Route       string
 	Kind        ruleset.Kind
 	Team        ident.Team
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/trefoilchute/trefoilchute/internal/control"
+	"github.com/trefoilchute/trefoilchute/internal/fingerprint"
 	"github.com/trefoilchute/trefoilchute/internal/ident"
 	"github.com/trefoilchute/trefoilchute/internal/logs"
 	"github.com/trefoilchute/trefoilchute/internal/peer/peerpb"
@@ -29,6 +30,9 @@
 func (c *call) serve() {
 	target := c.route.ChooseTarget(c.weightDraw())
 	c.outcome.Target = target
+	for _, id := range c.headers.SharedParts {
+		c.outcome.Parts = append(c.outcome.Parts, fingerprint.OfPart(target, id))
+	}
 	budget := c.gateway.budget(target)
 	var avoid ident.Endpoint
 	for {
--- a/internal/platformhost/record.go
+++ b/internal/platformhost/record.go
@@ -70,6 +70,18 @@
 	return strconv.FormatUint(fingerprint, 16)
 }
 
+// maxLoggedParts bounds the prompt parts in the log line of an answer.
+const maxLoggedParts = 8
+
+// formatParts formats the first fingerprints of a request's prompt parts for the logs.
+func formatParts(parts []uint64) string {
+	var list []string
+	for _, part := range parts[:min(len(parts), maxLoggedParts)] {
+		list = append(list, formatFingerprint(part))
+	}
+	return strings.Join(list, " ")
+}
+
 // maxLoggedRequests bounds the request IDs in the log line of a closed endpoint.
 const maxLoggedRequests = 16
 
@@ -82,7 +94,7 @@
 	}
 	logs.With(h.log, logs.EndpointClosed).WithFields(logrus.Fields{
 		"pool": p.String(), "endpoint": c.Endpoint, "reason": string(c.Reason), "for_ms": c.For.Milliseconds(),
-		"of_host": c.Host, "failures": c.Failures, "holding": len(c.Holding), "requests": strings.Join(names, " "),
+		"of_host": c.Host, "failures": c.Failures, "holding": len(c.Holding), "answering": c.Answering, "requests": strings.Join(names, " "),
 	}).Info()
 }
 
@@ -100,6 +112,9 @@
 		"queue_ms": o.QueueTime.Milliseconds(), "first_ms": o.FirstByte.Milliseconds(),
 		"total_ms": o.Total.Milliseconds(), "gap_ms": o.MaxGap.Milliseconds(), "bytes": o.Bytes,
 	})
+	if len(o.Parts) > 0 {
+		line = line.WithField("parts", formatParts(o.Parts))
+	}
 	if o.Reason != "" {
 		line = line.WithField("reason", o.Reason)
 	}
--- a/internal/pool/failure.go
+++ b/internal/pool/failure.go
@@ -34,7 +34,9 @@
 	// Host is the only host that may not send requests; if it is empty, none may.
 	Host ident.Host
 	// Holding are the requests that were in flight there, in the order of their grants.
-	Holding []ident.Request
+	// Answering is the number of them whose answers had begun.
+	Holding   []ident.Request
+	Answering int
 }
 
 // Closings returns the endpoints that the last step closed.
@@ -126,6 +128,9 @@
 	closing := Closing{Endpoint: e.Name, Reason: why, For: duration, Failures: e.failures}
 	for _, a := range s.attempts.onEndpoint(e) {
 		closing.Holding = append(closing.Holding, a.request.ID)
+		if a.sawFirstToken {
+			closing.Answering++
+		}
 	}
 	s.closings = append(s.closings, closing)
 }
