Add a failing test for prompt parts that crash endpoints

Three gateways before stand-ins; requests with one part in common, no two alike, crash each engine that begins to answer them, every 0.3 s for 20 s. Others share their key and first part, every 0.1 s.

--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -75,12 +75,12 @@
 	// Fingerprint is the same each time the request is sent.
 	Fingerprint uint64
 	// Parts holds the fingerprints of the prompt parts that other requests may share.
-	Parts []uint64
-	Route       string
-	Kind        ruleset.Kind
-	Team        ident.Team
-	Target      string
-	Rank        int
+	Parts  []uint64
+	Route  string
+	Kind   ruleset.Kind
+	Team   ident.Team
+	Target string
+	Rank   int
 	// Cost is what the request counts against its team's rate limit.
 	Cost float64
 	// Version is the version of the configuration, and ConfigurationAge the time since it
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -86,8 +86,12 @@
 	crashes []time.Time
 	// poisons counts the sendings of that request.
 	poisons int
-	seen    []observed
-	broken  []string
+	// partCrashes holds when a prompt part crashed an endpoint, and taintedRequests counts
+	// the requests sent with that part.
+	partCrashes     []time.Time
+	taintedRequests int
+	seen            []observed
+	broken          []string
 }
 
 // configuration is what the operator has written.
@@ -183,6 +187,7 @@
 	r := runner.New(runner.Options{
 		ID: s.id, Slots: 8, Queue: 4, Streams: s.target == "llm", EventTime: 15 * time.Millisecond, Work: 20 * time.Millisecond,
 		Poison: poisonBody, Ended: func() { w.poisoned(s) },
+		PoisonPart: poisonPart, PartEnded: func() { w.partPoisoned(s) },
 	})
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/internal/standin/caller/caller.go
+++ b/internal/standin/caller/caller.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"fmt"
 	"io"
 	"net"
@@ -20,6 +21,8 @@
 	Body  string
 	// PromptTokens and MaxTokens are sent if they aren't 0.
 	PromptTokens, MaxTokens int
+	// Parts is the list of the prompt's parts, as ID:TOKENS; empty: one part.
+	Parts string
 }
 
 // Answer is what came back.
@@ -102,7 +105,8 @@
 		head += "Credential: " + q.Key + "\r\n"
 	}
 	if q.PromptTokens > 0 {
-		head += fmt.Sprintf("Model: m\r\nToken-Usage: %d,%d\r\nPrompt-Prefix: aa:%d\r\n", q.PromptTokens, q.MaxTokens, q.PromptTokens)
+		parts := cmp.Or(q.Parts, fmt.Sprintf("aa:%d", q.PromptTokens))
+		head += fmt.Sprintf("Model: m\r\nToken-Usage: %d,%d\r\nPrompt-Prefix: %s\r\n", q.PromptTokens, q.MaxTokens, parts)
 	}
 	if q.Method != http.MethodGet {
 		head += fmt.Sprintf("Content-Length: %d\r\n", len(q.Body))
--- a/internal/standin/runner/runner.go
+++ b/internal/standin/runner/runner.go
@@ -26,6 +26,7 @@
 	headerLastEvent = "Last-Event-Id"
 	headerLeaving   = "Server-Leaving"
 	headerRetry     = "Retry-After"
+	headerParts     = "Prompt-Prefix"
 )
 
 // Options configures a Runner.
@@ -43,6 +44,10 @@
 	Poison string
 	// Ended is told when Poison has ended the endpoint; nil: nobody is.
 	Ended func()
+	// PoisonPart is the ID of a prompt part that ends a streaming endpoint as it begins to
+	// answer a request with it; empty: none does. PartEnded is called then, if not nil.
+	PoisonPart string
+	PartEnded  func()
 }
 
 // Run is one run of a request.
@@ -260,6 +265,14 @@
 		next = last + 1
 	}
 	flusher := http.NewResponseController(w)
+	if r.opts.PoisonPart != "" && hasPart(req.Header.Get(headerParts), r.opts.PoisonPart) {
+		_ = flusher.Flush()
+		_ = r.Close()
+		if r.opts.PartEnded != nil {
+			r.opts.PartEnded()
+		}
+		return
+	}
 	for i := next; i < Events(attempt); i++ {
 		select {
 		case <-time.After(r.opts.EventTime):
@@ -276,6 +289,16 @@
 	}
 }
 
+// hasPart reports whether a list of ID:TOKENS has a part with an ID.
+func hasPart(list, id string) bool {
+	for part := range strings.SplitSeq(list, ",") {
+		if name, _, _ := strings.Cut(part, ":"); name == id {
+			return true
+		}
+	}
+	return false
+}
+
 // hashOf spreads attempts evenly.
 func hashOf(attempt string) uint64 {
 	h := fnv.New64a()
