Count crashes by prompt part, and quarantine a part that crashes endpoints

Callers saw one endpoint after the other crash under requests that are all different but for one part of their prompt, and whatever ran beside them was lost; most others were refused for want of endpoints.

What crashes the endpoint is a part that requests share, so no fingerprint came back and nothing was ever refused.

A request now carries the fingerprints of its shared parts to the scheduler. A crash counts against the parts of the requests that were not being answered yet; a run that is answered clears its parts. A part that was lost once runs one at a time, lost twice isolated, and is quarantined at three. A sound part that was always beside a deadly one is told from it by the requests that hold it alone: these run, isolated, until one is answered or crashes.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -99,6 +99,8 @@
 	// closedByPeer is set if the endpoint closed the connection before its response was
 	// complete, and endpointLost if it refuses new connections too: it has ended.
 	closedByPeer, endpointLost bool
+	// generated is set if the endpoint generated at least a part of a successful answer.
+	generated bool
 	// deadline is when the response has to be complete.
 	deadline time.Time
 }
@@ -299,7 +301,9 @@
 		x.broken = true
 		return tryResult{broken: true, failure: outcomeUnknown, reason: "the stream was not resumed: status " + strconv.Itoa(resp.StatusCode)}
 	}
+	eventsBefore := c.outcome.Events
 	err := x.copy(resp, streams)
+	x.generated = resp.StatusCode < http.StatusMultipleChoices && (streams && c.outcome.Events > eventsBefore || !streams && err == nil)
 	switch {
 	case err == nil:
 		x.complete = true
@@ -457,6 +461,7 @@
 	c := x.call
 	x.try.end.OutputTokens, x.try.end.CachedTokens = c.outputTokens(), cachedUnknown
 	x.try.end.Answered = x.complete && !x.rejected
+	x.try.end.Generated = x.generated
 	switch {
 	case x.rejected:
 		return peerpb.Report_PHASE_REJECTED
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -132,7 +132,7 @@
 		ID: t.id, Rank: c.rank(), Team: c.outcome.Team, Target: target,
 		PromptTokens: c.headers.PromptTokens, MaxTokens: c.headers.MaxTokens,
 		ExpectedTokens: c.headers.ExpectedTokens, Deadline: c.deadline,
-		Fingerprint: c.outcome.Fingerprint, Repeats: true, Idempotent: c.route.Idempotent(), Avoid: avoid, Near: g.opts.Domain,
+		Fingerprint: c.outcome.Fingerprint, Parts: c.outcome.Parts, Repeats: true, Idempotent: c.route.Idempotent(), Avoid: avoid, Near: g.opts.Domain,
 	}
 	switch {
 	case c.outcome.Bytes > 0 && c.route.GapObjective > 0:
--- a/internal/platformhost/record.go
+++ b/internal/platformhost/record.go
@@ -57,10 +57,16 @@
 // logSuspects stores and logs a pool scheduler's findings on requests that ran on crashed endpoints.
 func (h *Host) logSuspects(p ident.Pool, list []pool.Suspect) {
 	for _, x := range list {
-		h.storeSuspect(x)
+		if !x.Trial {
+			h.storeSuspect(x)
+		}
+		kind := "request"
+		if x.Part {
+			kind = "part"
+		}
 		logs.With(h.log, logs.Suspected).WithFields(logrus.Fields{
-			"pool": p.String(), "fingerprint": formatFingerprint(x.Fingerprint), "crashes": x.Crashes,
-			"quarantined": x.Quarantined,
+			"pool": p.String(), "kind": kind, "fingerprint": formatFingerprint(x.Fingerprint), "crashes": x.Crashes,
+			"quarantined": x.Quarantined, "companions": formatParts(x.Companions), "trial": x.Trial,
 		}).Info()
 	}
 }
--- a/internal/platformhost/suspects.go
+++ b/internal/platformhost/suspects.go
@@ -26,12 +26,18 @@
 	changes chan pool.Suspect
 
 	mu sync.Mutex
-	// stored holds the fingerprints of the rows in the store, as far as this host knows.
-	stored map[uint64]bool
+	// stored holds the rows in the store, as far as this host knows.
+	stored map[storedSuspect]bool
+}
+
+// storedSuspect identifies the row of a suspect.
+type storedSuspect struct {
+	fingerprint uint64
+	part        bool
 }
 
 func (s *suspects) init() {
-	s.changes, s.stored = make(chan pool.Suspect, maxSuspectRows), map[uint64]bool{}
+	s.changes, s.stored = make(chan pool.Suspect, maxSuspectRows), map[storedSuspect]bool{}
 }
 
 // storeSuspect queues the row of a suspect for writing, or for removal if the suspect was
@@ -41,7 +47,8 @@
 	s := &h.suspects
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	stored := s.stored[x.Fingerprint]
+	key := storedSuspect{x.Fingerprint, x.Part}
+	stored := s.stored[key]
 	switch {
 	case !x.Repeats, x.Crashes == 0 && !stored, x.Crashes > 0 && !x.RequiresIsolation():
 		return
@@ -52,9 +59,9 @@
 	select {
 	case s.changes <- x:
 		if x.Crashes > 0 {
-			s.stored[x.Fingerprint] = true
+			s.stored[key] = true
 		} else {
-			delete(s.stored, x.Fingerprint)
+			delete(s.stored, key)
 		}
 	default:
 		h.logNotStored(x, "too many wait to be written")
@@ -79,10 +86,11 @@
 	ctx, cancel := context.WithTimeout(ctx, suspectWriteTimeout)
 	defer cancel()
 	_, ok := retry(ctx, h, logs.SuspectNotKept, func(ctx context.Context) (struct{}, error) {
+		row := platform.Suspect{Fingerprint: x.Fingerprint, Part: x.Part, Companions: x.Companions, Crashes: x.Crashes, At: at}
 		if x.Crashes == 0 {
-			return struct{}{}, h.store.DeleteSuspect(ctx, x.Fingerprint)
+			return struct{}{}, h.store.DeleteSuspect(ctx, row)
 		}
-		return struct{}{}, h.store.PutSuspect(ctx, platform.Suspect{Fingerprint: x.Fingerprint, Crashes: x.Crashes, At: at})
+		return struct{}{}, h.store.PutSuspect(ctx, row)
 	})
 	if !ok {
 		h.logNotStored(x, "the store took no row in time")
@@ -99,9 +107,13 @@
 func (h *Host) restoreSuspects(rows []platform.Suspect) {
 	var list []pool.Suspect
 	for _, row := range rows {
-		x := pool.NewRepeatedSuspect(row.Fingerprint, row.Crashes, max(0, time.Since(row.At)))
+		age := max(0, time.Since(row.At))
+		x := pool.NewRepeatedSuspect(row.Fingerprint, row.Crashes, age)
+		if row.Part {
+			x = pool.NewSuspectPart(row.Fingerprint, row.Companions, row.Crashes, age)
+		}
 		h.suspects.mu.Lock()
-		h.suspects.stored[x.Fingerprint] = true
+		h.suspects.stored[storedSuspect{x.Fingerprint, x.Part}] = true
 		h.suspects.mu.Unlock()
 		if x.Age > rules.QuarantineRetention {
 			x.Crashes = 0
--- a/internal/platformhost/suspects_test.go
+++ b/internal/platformhost/suspects_test.go
@@ -57,3 +57,18 @@
 	g.Expect(changes[0].Fingerprint).To(BeEquivalentTo(1))
 	g.Expect(changes[0].Crashes).To(BeZero())
 }
+
+// TestSuspectPartsAreStoredApartFromRequests stores a part and a request with the same fingerprint.
+func TestSuspectPartsAreStoredApartFromRequests(t *testing.T) {
+	g := NewWithT(t)
+	h := &Host{log: discardLogger()}
+	h.suspects.init()
+	part := pool.NewSuspectPart(1, []uint64{2}, 3, 0)
+	request := pool.NewRepeatedSuspect(1, 2, 0)
+	cleared := pool.Suspect{Fingerprint: 1, Part: true, Repeats: true}
+	for _, x := range []pool.Suspect{part, request, cleared} {
+		h.storeSuspect(x)
+	}
+	g.Expect(h.pendingChanges()).To(Equal([]pool.Suspect{part, request, cleared}))
+	g.Expect(h.suspects.stored).To(Equal(map[storedSuspect]bool{{1, false}: true}))
+}
--- a/internal/pool/admit.go
+++ b/internal/pool/admit.go
@@ -12,10 +12,10 @@
 // another domain.
 func (s *Scheduler) admit(r *request) bool {
 	total, ok := s.fastestTotal(r)
-	x := s.suspects.find(r.KeyHash, r.Fingerprint)
+	x := s.quarantinedBy(&r.Request)
 	switch {
-	case x != nil && x.Quarantined && !s.useTrial(x):
-		s.emit(*s.quarantined(r))
+	case x != nil && !s.useTrial(x):
+		s.emit(*s.quarantined(r, x))
 	case r.Deadline <= s.now:
 		s.refuse(r, result.Expired, "the deadline passed before the request arrived")
 	case !ok:
@@ -25,7 +25,7 @@
 			fmt.Sprintf("the fastest endpoint needs about %v", total.Round(time.Millisecond)))
 	case s.refuseIfBackedOff(r, total):
 	default:
-		r.onTrial = x != nil && x.Quarantined
+		r.onTrial = x != nil
 		return s.admitToQueue(r, total)
 	}
 	return false
--- a/internal/pool/apply.go
+++ b/internal/pool/apply.go
@@ -70,7 +70,7 @@
 func (s *Scheduler) enqueue(r *request) {
 	r.attempt = nil
 	s.setDeadlineTimer(r)
-	if x := s.suspects.find(r.KeyHash, r.Fingerprint); x != nil && x.RequiresIsolation() {
+	if s.requiresIsolation(&r.Request) {
 		r.phase = phaseIsolated
 		s.isolation.add(r)
 		return
@@ -92,7 +92,7 @@
 	case phaseHeld:
 		s.queue.unhold(r)
 	case phaseParked:
-		s.bodies.unpark(r)
+		s.unpark(r)
 	case phaseIsolated:
 		s.isolation.remove(r)
 	default:
@@ -176,6 +176,9 @@
 	if e.Outcome == OutcomeCompleted || e.Answered {
 		s.clearSuspect(a.request)
 	}
+	if e.Outcome == OutcomeCompleted && e.Generated || e.Outcome != OutcomeLost && s.provesParts(a) {
+		s.clearParts(a)
+	}
 	if r := s.requests[e.ID]; r != nil {
 		s.withdraw(r)
 		delete(s.requests, e.ID)
@@ -246,6 +249,9 @@
 		granted:  s.now - r.Age,
 		started:  true,
 	}
+	if r.FirstTokenAge > 0 {
+		a.sawFirstToken, a.firstTokenAt = true, s.now-r.FirstTokenAge
+	}
 	s.attempts.add(a)
 	s.occupySlot(a)
 	row := s.requests[r.Request.ID]
--- a/internal/pool/body.go
+++ b/internal/pool/body.go
@@ -92,14 +92,36 @@
 	t.removeUnused(r.Fingerprint)
 }
 
-// park sets a request aside until the one with the same body has ended.
+// mustWait reports whether a request has to wait until another with the same body, or
+// with the same suspected prompt part, ends.
+func (s *Scheduler) mustWait(r *request) bool {
+	return s.mustWaitForBody(r) || s.unprovenPart(&r.Request) != nil
+}
+
+// park sets a request aside until the one for which it has to wait has ended.
 func (s *Scheduler) park(r *request) {
 	s.withdraw(r)
 	r.phase = phaseParked
-	s.bodies.park(r)
+	if x := s.unprovenPart(&r.Request); x != nil && !s.mustWaitForBody(r) {
+		r.parkedOn = x
+		x.parked = append(x.parked, r)
+	} else {
+		s.bodies.park(r)
+	}
 	s.setDeadlineTimer(r)
 }
 
+// unpark removes a request from those that wait for its body or for a prompt part.
+func (s *Scheduler) unpark(r *request) {
+	x := r.parkedOn
+	if x == nil {
+		s.bodies.unpark(r)
+		return
+	}
+	r.parkedOn = nil
+	x.parked = slices.DeleteFunc(x.parked, func(y *request) bool { return y == r })
+}
+
 // resumeParked queues the requests that wait for a body: all of them if it may run
 // concurrently, otherwise the first.
 func (s *Scheduler) resumeParked(fingerprint uint64) {
--- a/internal/pool/event.go
+++ b/internal/pool/event.go
@@ -50,6 +50,9 @@
 	KeyHash uint64
 	// Fingerprint is the hash of the body, independent of the team.
 	Fingerprint uint64
+	// Parts holds the fingerprints of the prompt's parts that other requests may share,
+	// wherever they stand in the prompt.
+	Parts []uint64 `cbor:",omitempty"`
 	// Repeats means that legitimate callers send the same body repeatedly, also
 	// concurrently. The loss of an endpoint is then weaker evidence against the request
 	// than it is against a request with a key.
@@ -125,7 +128,9 @@
 	Backoff time.Duration `cbor:",omitempty"`
 	// Answered means that a complete answer arrived although the run may have failed:
 	// the endpoint did not crash during the run.
-	Answered     bool `cbor:",omitempty"`
+	Answered bool `cbor:",omitempty"`
+	// Generated means that the endpoint generated at least a part of a successful answer.
+	Generated    bool `cbor:",omitempty"`
 	PromptTokens int
 	// CachedTokens is the part of the prompt that the engine found in its cache;
 	// negative if the engine doesn't report it.
@@ -168,8 +173,10 @@
 	Request  Request
 	Endpoint ident.Endpoint
 	Attempt  ident.Attempt
-	// Age is the time since dispatch.
-	Age time.Duration
+	// Age is the time since dispatch, and FirstTokenAge that since the first token; 0: none
+	// has arrived.
+	Age           time.Duration
+	FirstTokenAge time.Duration `cbor:",omitempty"`
 }
 
 // Restore brings the requests of one host after a takeover. Waiting requests are
@@ -214,12 +221,20 @@
 func (Remote) event()     {}
 func (Suspects) event()   {}
 
-// Suspect is a request that was in flight on an endpoint that crashed.
+// Suspect is a request, or a part of prompts, that was in flight on an endpoint that
+// crashed.
 type Suspect struct {
 	KeyHash     uint64
 	Fingerprint uint64
 	Crashes     int
 	Quarantined bool
+	// Part means that Fingerprint is that of a prompt part. Companions are then the other
+	// parts that are at least as suspicious: requests with only some of them may be
+	// harmless.
+	Part       bool     `cbor:",omitempty"`
+	Companions []uint64 `cbor:",omitempty"`
+	// Trial announces that a quarantined suspect is being run once more.
+	Trial bool `cbor:",omitempty"`
 	// Repeats is the Repeats field of its requests.
 	Repeats bool `cbor:",omitempty"`
 	// Age is the time since the last crash, when one host tells another about the
@@ -240,10 +255,21 @@
 	return x
 }
 
+// NewSuspectPart returns a suspected prompt part, with its companions, the number of
+// endpoint crashes and the time since the last of them.
+func NewSuspectPart(fingerprint uint64, companions []uint64, crashes int, age time.Duration) Suspect {
+	x := Suspect{Fingerprint: fingerprint, Crashes: crashes, Part: true, Companions: companions, Repeats: true, Age: age}
+	x.Quarantined = x.Crashes >= x.quarantineThreshold()
+	return x
+}
+
 // quarantineThreshold returns the number of crashes from which the suspect is
 // quarantined.
 func (x *Suspect) quarantineThreshold() int {
-	if x.Repeats {
+	switch {
+	case x.Part:
+		return rules.PartCrashesToQuarantine
+	case x.Repeats:
 		return rules.RepeatedCrashesToQuarantine
 	}
 	return rules.CrashesToQuarantine
--- a/internal/pool/failure.go
+++ b/internal/pool/failure.go
@@ -67,37 +67,47 @@
 		e.brokenRuns = slices.Delete(e.brokenRuns, 0, 1)
 	}
 	e.brokenRuns = append(e.brokenRuns, brokenRun{
-		request: Request{KeyHash: r.KeyHash, Fingerprint: r.Fingerprint, Repeats: true}, granted: a.granted, endedAt: s.now,
+		request: Request{KeyHash: r.KeyHash, Fingerprint: r.Fingerprint, Repeats: true, Parts: s.unprovenParts(a)},
+		granted: a.granted, endedAt: s.now,
 	})
 }
 
-// takeBrokenRunSuspects removes the broken runs of an endpoint that has ended, and
-// returns the suspects among the recent ones.
-func (s *Scheduler) takeBrokenRunSuspects(e *endpoint) []*suspect {
-	var found []*suspect
+// unprovenParts returns the parts of an attempt's prompt unless it proves them harmless.
+func (s *Scheduler) unprovenParts(a *attempt) []uint64 {
+	if s.provesParts(a) {
+		return nil
+	}
+	return a.request.Parts
+}
+
+// takeBrokenRuns removes the broken runs of an endpoint that has ended, and returns the
+// recent ones as a crash.
+func (s *Scheduler) takeBrokenRuns(e *endpoint) *crash {
+	c := &crash{}
 	for _, l := range e.brokenRuns {
 		if s.now-l.endedAt <= rules.BrokenRunRetention {
-			found = s.collectSuspect(found, l.request, l.granted, l.endedAt)
+			s.collectRequest(c, l.request, l.granted, l.endedAt)
+			c.addParts(l.request.Parts, l.granted, l.endedAt)
 		}
 	}
 	e.brokenRuns = nil
-	return found
+	return c
 }
 
 // lifetimeEnded handles the unplanned end of an endpoint's lifetime. An endpoint whose
 // entry was removed may still run its requests, so only its broken runs count.
 func (s *Scheduler) lifetimeEnded(e *endpoint) {
-	found := s.takeBrokenRunSuspects(e)
+	c := s.takeBrokenRuns(e)
 	if e.declared {
 		s.blocks.Clear(e.number)
 		for _, a := range s.attempts.onEndpoint(e) {
 			if a.request.Repeats && a.started && !a.blamed {
 				a.blamed = true
-				found = s.collectSuspect(found, a.request, a.granted, s.now)
+				s.collectAttempt(c, a)
 			}
 		}
 	}
-	s.countCrash(found)
+	s.countCrash(c)
 }
 
 // closeAfterFailure closes an endpoint for a time after it was lost or accepted no
--- a/internal/pool/grant.go
+++ b/internal/pool/grant.go
@@ -84,7 +84,7 @@
 		if r.phase != phaseQueued && r.phase != phaseHeld || r.priority() > s.unexaminedPriority {
 			continue
 		}
-		if s.mustWaitForBody(r) {
+		if s.mustWait(r) {
 			s.park(r)
 			continue
 		}
@@ -118,7 +118,7 @@
 			i++
 			continue
 		}
-		if s.mustWaitForBody(r) {
+		if s.mustWait(r) {
 			s.park(r)
 			continue
 		}
@@ -191,7 +191,7 @@
 // the head; room reports whether an examined endpoint had a free slot.
 func (s *Scheduler) grantHead(tq *teamQueue, among []*endpoint) (served, sawFreeSlot bool) {
 	r := tq.head()
-	if s.mustWaitForBody(r) {
+	if s.mustWait(r) {
 		s.park(r)
 		return true, true
 	}
--- a/internal/pool/isolate.go
+++ b/internal/pool/isolate.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"time"
 
@@ -56,11 +57,12 @@
 	if i.attempt != nil {
 		return
 	}
-	if len(i.waiting) == 0 {
+	next := slices.IndexFunc(i.waiting, func(r *request) bool { return s.unprovenPart(&r.Request) == nil })
+	if next < 0 {
 		i.release()
 		return
 	}
-	r := i.waiting[0]
+	r := i.waiting[next]
 	if r.Repeats && s.onlyOneAvailable() {
 		i.release()
 		return
@@ -149,6 +151,11 @@
 	s.isolation.attempt = r.attempt
 }
 
-func (s *Scheduler) quarantined(r *request) *Refuse {
-	return s.refusal(r, result.Quarantined, 0, "endpoints that ran this request crashed")
+// quarantined returns the refusal of a request for a quarantined suspect.
+func (s *Scheduler) quarantined(r *request, x *suspect) *Refuse {
+	reason := "endpoints that ran this request crashed"
+	if x.Part {
+		reason = fmt.Sprintf("endpoints that began to answer requests with part %x of the prompt crashed", x.Fingerprint)
+	}
+	return s.refusal(r, result.Quarantined, 0, reason)
 }
--- a/internal/pool/learn.go
+++ b/internal/pool/learn.go
@@ -14,7 +14,8 @@
 	if a.holdsSlot {
 		a.endpoint.pendingTokens -= a.uncached
 	}
-	a.sawFirstToken = true
+	a.sawFirstToken, a.firstTokenAt = true, s.now
+	s.setProofTimer(a)
 	a.endpoint.changed = true
 	if a.endpoint.Type == resource.EndpointService {
 		return
--- a/internal/pool/ledger.go
+++ b/internal/pool/ledger.go
@@ -18,6 +18,7 @@
 	}
 	s.runningByRank[a.request.Rank]++
 	s.holdBody(a)
+	s.holdParts(a)
 	s.teams.get(a.request.Team).inFlight++
 }
 
@@ -52,6 +53,7 @@
 	}
 	s.runningByRank[a.request.Rank]--
 	s.releaseBody(a)
+	s.releaseParts(a)
 	if s.isolation.attempt == a {
 		s.isolation.release()
 	}
--- a/internal/pool/place.go
+++ b/internal/pool/place.go
@@ -220,7 +220,7 @@
 type suspectReserve struct{}
 
 func (suspectReserve) reserve(s *Scheduler, r *request) string {
-	if len(s.suspects.rows) == 0 || !r.Repeats || s.suspects.find(r.KeyHash, r.Fingerprint) == nil {
+	if !r.Repeats || s.suspects.find(r.KeyHash, r.Fingerprint) == nil && len(s.findParts(&r.Request)) == 0 {
 		return ""
 	}
 	if s.onlyOneAvailable() {
--- a/internal/pool/rules/rules.go
+++ b/internal/pool/rules/rules.go
@@ -221,6 +221,21 @@
 	// away while it begins to run.
 	MaxIsolationDrainTime = 2 * time.Second
 	IsolationTime         = time.Second
+	// PartCrashesToQuarantine is the number of successive endpoint crashes after which a
+	// prompt part is quarantined. The run before the last crash was isolated. Users allow
+	// five crashes, and three later runs.
+	PartCrashesToQuarantine = 3
+	// AnsweringProof is how long a run has to go on after its first token to prove that
+	// its prompt parts don't crash endpoints: a first event may still get out before a
+	// crash.
+	AnsweringProof = 500 * time.Millisecond
+	// MaxSuspectParts bounds the prompt parts that a scheduler suspects. It exceeds the
+	// parts of three requests with the longest headers.
+	MaxSuspectParts = 4096
+	// MaxCompanions bounds the parts that are kept for a suspected part as equally
+	// suspicious, and MaxPublishedParts the parts published after one crash.
+	MaxCompanions     = 16
+	MaxPublishedParts = 64
 	// BrokenRunRetention is how long a run whose connection broke is kept, until
 	// the endpoint is known to have ended. MaxBrokenRuns bounds these runs for one
 	// endpoint.
--- a/internal/pool/scheduler.go
+++ b/internal/pool/scheduler.go
@@ -44,9 +44,11 @@
 	// ranksWithObjectives holds the ranks that have had requests with objectives.
 	ranksWithObjectives map[int]bool
 	suspects            *suspectTable
-	isolation           isolation
-	bodies              *bodyTable
-	remotes             remoteTable
+	// parts holds the suspects among prompt parts, by their fingerprint.
+	parts     *suspectTable
+	isolation isolation
+	bodies    *bodyTable
+	remotes   remoteTable
 	// runningByRank counts the attempts that occupy a slot.
 	runningByRank map[int]int
 	sweepTimer    timer
@@ -94,7 +96,8 @@
 		blocks:              blocks.NewIndex(),
 		meter:               meter.New(),
 		ranksWithObjectives: map[int]bool{},
-		suspects:            newSuspectTable(),
+		suspects:            newSuspectTable(rules.MaxSuspects),
+		parts:               newSuspectTable(rules.MaxSuspectParts),
 		bodies:              newBodyTable(),
 		runningByRank:       map[int]int{},
 		unexaminedPriority:  noPriority,
--- a/internal/pool/status.go
+++ b/internal/pool/status.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"slices"
 	"time"
 
 	"github.com/trefoilchute/trefoilchute/internal/ident"
@@ -99,7 +100,7 @@
 	for _, a := range s.attempts.rows {
 		out.Holders.count(a)
 	}
-	for _, x := range s.suspects.rows {
+	for _, x := range slices.Concat(s.suspects.rows, s.parts.rows) {
 		out.Suspects = append(out.Suspects, x.Suspect)
 	}
 	for _, x := range s.remotes.rows {
--- a/internal/pool/suspect.go
+++ b/internal/pool/suspect.go
@@ -1,15 +1,16 @@
 package pool
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
 	"github.com/trefoilchute/trefoilchute/internal/pool/rules"
 )
 
-// suspect is the row of a request that was in flight on an endpoint that crashed. It
-// is found by its key or by its body, because callers send the same body again under
-// new keys.
+// suspect is the row of a request that was in flight on an endpoint that crashed, or of a
+// prompt part. A request is found by its key or by its body, because callers send the
+// same body again under new keys.
 type suspect struct {
 	Suspect
 	// lastCrash is when the suspect last crashed an endpoint, as far as is known.
@@ -20,18 +21,23 @@
 	// never.
 	trialAt time.Duration
 	timer   timer
+	// unproven counts the runs in flight with a suspected part that may still crash their
+	// endpoint, and parked are the requests that wait for these to end.
+	unproven int
+	parked   []*request
 }
 
 // suspectTable holds the suspects.
 type suspectTable struct {
 	byKey  map[uint64]*suspect
 	byBody map[uint64]*suspect
-	// rows is in the order in which the suspects were found.
+	// rows is in the order in which the suspects were found, and has at most max.
 	rows []*suspect
+	max  int
 }
 
-func newSuspectTable() *suspectTable {
-	return &suspectTable{byKey: map[uint64]*suspect{}, byBody: map[uint64]*suspect{}}
+func newSuspectTable(limit int) *suspectTable {
+	return &suspectTable{byKey: map[uint64]*suspect{}, byBody: map[uint64]*suspect{}, max: limit}
 }
 
 // find returns the suspect with a key or body, or nil. A hash of 0 matches none.
@@ -45,21 +51,29 @@
 	return nil
 }
 
-// add adds a suspect. If there are too many, the oldest that isn't quarantined is
-// evicted.
-func (t *suspectTable) add(x *suspect) {
-	if len(t.rows) >= rules.MaxSuspects {
-		t.evictOldest()
+// add adds a suspect. It returns the one that was evicted for it, if there were too many.
+func (t *suspectTable) add(x *suspect) (evicted *suspect) {
+	if len(t.rows) >= t.max {
+		evicted = t.leastSuspicious()
+		t.remove(evicted)
 	}
 	t.rows = append(t.rows, x)
 	t.index(x)
+	return evicted
 }
 
-// evictOldest removes the oldest suspect that isn't quarantined, or if there is none,
-// the oldest.
-func (t *suspectTable) evictOldest() {
-	i := max(0, slices.IndexFunc(t.rows, func(x *suspect) bool { return !x.Quarantined }))
-	t.remove(t.rows[i])
+// leastSuspicious returns the suspect with the fewest crashes that isn't quarantined, or
+// if there is none, that with the fewest; the oldest of several.
+func (t *suspectTable) leastSuspicious() *suspect {
+	return slices.MinFunc(t.rows, func(a, b *suspect) int {
+		switch {
+		case a.Quarantined && !b.Quarantined:
+			return 1
+		case b.Quarantined && !a.Quarantined:
+			return -1
+		}
+		return cmp.Compare(a.Crashes, b.Crashes)
+	})
 }
 
 func (t *suspectTable) index(x *suspect) {
@@ -86,14 +100,14 @@
 // blameAllOn counts a crash of an endpoint against every request in flight on it. Each
 // attempt is blamed once, although every custodian reports the loss of its own.
 func (s *Scheduler) blameAllOn(e *endpoint) {
-	found := s.takeBrokenRunSuspects(e)
+	c := s.takeBrokenRuns(e)
 	for _, a := range s.attempts.onEndpoint(e) {
 		if !a.blamed {
 			a.blamed = true
-			found = s.collectSuspect(found, a.request, a.granted, s.now)
+			s.collectAttempt(c, a)
 		}
 	}
-	s.countCrash(found)
+	s.countCrash(c)
 }
 
 // blameAttempt counts the loss of one attempt in a lifetime of its endpoint that is
@@ -103,32 +117,53 @@
 		return
 	}
 	a.blamed = true
-	s.countCrash(s.collectSuspect(nil, a.request, a.granted, s.now))
+	c := &crash{}
+	s.collectAttempt(c, a)
+	s.countCrash(c)
+}
+
+// crash collects what was in flight on an endpoint that crashed.
+type crash struct {
+	// requests are the suspects among the requests, and parts the prompt parts of those
+	// that had not been answered for long enough to prove them harmless.
+	requests []*suspect
+	parts    []lostPart
+	// indexOf holds the indexes of parts by fingerprint.
+	indexOf map[uint64]int
 }
 
-// collectSuspect appends to found the suspect of a request that was granted at one
-// time and lost at another. Of requests that repeat, concurrent runs count once: when
-// many endpoints are lost together, no request is the cause.
-func (s *Scheduler) collectSuspect(found []*suspect, r Request, granted, lost time.Duration) []*suspect {
+// collectAttempt adds an attempt that is lost now to a crash.
+func (s *Scheduler) collectAttempt(c *crash, a *attempt) {
+	s.collectRequest(c, a.request, a.granted, s.now)
+	if !s.provesParts(a) {
+		c.addParts(a.request.Parts, a.granted, s.now)
+	}
+}
+
+// collectRequest adds to a crash the suspect of a request that was granted at one time
+// and lost at another. Of requests that repeat, concurrent runs count once: when many
+// endpoints are lost together, no request is the cause.
+func (s *Scheduler) collectRequest(c *crash, r Request, granted, lost time.Duration) {
 	x := s.findOrAddSuspect(r)
-	if x == nil || slices.Contains(found, x) || r.Repeats && x.Crashes > 0 && granted < x.lastLoss {
-		return found
+	if x == nil || slices.Contains(c.requests, x) || r.Repeats && x.Crashes > 0 && granted < x.lastLoss {
+		return
 	}
 	x.lastLoss = max(x.lastLoss, lost)
-	return append(found, x)
+	c.requests = append(c.requests, x)
 }
 
-// countCrash counts a crash against each of the suspects and tells the other hosts.
-func (s *Scheduler) countCrash(found []*suspect) {
-	if len(found) == 0 {
+// countCrash counts a crash against each of its suspects and tells the other hosts.
+func (s *Scheduler) countCrash(c *crash) {
+	parts := s.suspectParts(c)
+	if len(c.requests)+len(parts) == 0 {
 		return
 	}
 	var list []Suspect
-	for _, x := range found {
+	for _, x := range c.requests {
 		s.recordCrash(x)
 		list = append(list, x.Suspect)
 	}
-	s.emit(Publish{List: list})
+	s.emit(Publish{List: append(list, s.countPartCrash(parts)...)})
 	s.reclassifyWaiting()
 }
 
@@ -141,7 +176,7 @@
 	x := s.suspects.find(r.KeyHash, r.Fingerprint)
 	if x == nil {
 		x = &suspect{Suspect: Suspect{KeyHash: r.KeyHash, Fingerprint: r.Fingerprint, Repeats: r.Repeats}}
-		s.suspects.add(x)
+		s.addSuspect(s.suspects, x)
 	}
 	return x
 }
@@ -159,7 +194,7 @@
 // endpoints that it was lost with may have ended for another reason.
 func (x *suspect) scheduleTrial(now time.Duration) {
 	x.trialAt = 0
-	trials := x.Crashes - rules.RepeatedCrashesToQuarantine
+	trials := x.Crashes - x.quarantineThreshold()
 	if !x.Repeats || !x.Quarantined || trials >= rules.MaxTrials {
 		return
 	}
@@ -170,19 +205,22 @@
 	x.trialAt = now + wait
 }
 
-// useTrial reports whether a quarantined request may run once more now. If so, it
-// schedules the next trial.
+// useTrial reports whether a quarantined suspect may run once more now. If so, it
+// schedules the next trial, and tells the schedulers of other domains to wait as long.
 func (s *Scheduler) useTrial(x *suspect) bool {
 	if x.trialAt == 0 || s.now < x.trialAt {
 		return false
 	}
 	x.scheduleTrial(s.now)
+	announced := x.Suspect
+	announced.Trial = true
+	s.emit(Publish{List: []Suspect{announced}})
 	return true
 }
 
 // setExpiry sets when a suspect expires and when it may run on trial.
 func (s *Scheduler) setExpiry(x *suspect) {
-	s.timers.set(&x.timer, x.lastCrash+x.Retention(), func() { s.suspects.remove(x) })
+	s.timers.set(&x.timer, x.lastCrash+x.Retention(), func() { s.removeSuspect(x) })
 	x.scheduleTrial(x.lastCrash)
 }
 
@@ -199,6 +237,12 @@
 
 func (s *Scheduler) removeSuspect(x *suspect) {
 	s.timers.stop(&x.timer)
+	if x.Part {
+		s.parts.remove(x)
+		s.forgetCompanion(x.Fingerprint)
+		s.resumePartWaiters(x, true)
+		return
+	}
 	s.suspects.remove(x)
 }
 
@@ -212,17 +256,29 @@
 }
 
 func (s *Scheduler) mergeSuspect(d Suspect) {
-	x := s.suspects.find(d.KeyHash, d.Fingerprint)
-	if d.Crashes == 0 {
+	table := s.suspects
+	if d.Part {
+		table = s.parts
+	}
+	x := table.find(d.KeyHash, d.Fingerprint)
+	switch {
+	case d.Crashes == 0:
 		if x != nil && (!x.Quarantined || x.Repeats) {
 			s.removeSuspect(x)
 		}
 		return
-	}
-	if x == nil {
+	case d.Trial:
+		if x != nil {
+			x.scheduleTrial(s.now)
+		}
+		return
+	case x == nil:
 		x = &suspect{Suspect: d, lastCrash: s.now - d.Age}
 		x.Age = 0
-		s.suspects.add(x)
+		s.addSuspect(table, x)
+	}
+	if d.Crashes >= x.Crashes {
+		x.Companions = d.Companions
 	}
 	x.Crashes = max(x.Crashes, d.Crashes)
 	x.lastCrash = max(x.lastCrash, s.now-d.Age)
@@ -230,6 +286,18 @@
 	s.setExpiry(x)
 }
 
+// addSuspect adds a suspect to its table, and counts the runs in flight with it if it is a
+// part.
+func (s *Scheduler) addSuspect(table *suspectTable, x *suspect) {
+	if evicted := table.add(x); evicted != nil {
+		s.timers.stop(&evicted.timer)
+		s.resumePartWaiters(evicted, true)
+	}
+	if x.Part {
+		s.countUnproven(x)
+	}
+}
+
 // reclassifyWaiting refuses or requeues the waiting requests whose suspicion has
 // changed.
 func (s *Scheduler) reclassifyWaiting() {
@@ -243,13 +311,29 @@
 // cleared while it is parked behind its body.
 func (s *Scheduler) reclassify(r *request) {
 	x := s.suspects.find(r.KeyHash, r.Fingerprint)
-	alone := x != nil && x.RequiresIsolation()
+	quarantined := s.quarantinedBy(&r.Request)
+	alone := s.requiresIsolation(&r.Request)
 	switch {
-	case x != nil && x.Quarantined && !r.onTrial:
+	case quarantined != nil && !r.onTrial:
 		s.drop(r)
-		s.emit(*s.quarantined(r))
-	case alone != (r.phase == phaseIsolated), x == nil && r.Repeats && r.phase == phaseParked:
+		s.emit(*s.quarantined(r, quarantined))
+	case alone != (r.phase == phaseIsolated), x == nil && r.Repeats && r.phase == phaseParked && r.parkedOn == nil:
 		s.withdraw(r)
 		s.enqueue(r)
 	}
 }
+
+// quarantinedBy returns the suspect for which a request is refused, or nil.
+func (s *Scheduler) quarantinedBy(r *Request) *suspect {
+	if x := s.suspects.find(r.KeyHash, r.Fingerprint); x != nil && x.Quarantined {
+		return x
+	}
+	return s.quarantinedPart(r)
+}
+
+// requiresIsolation reports whether a request, or a part of its prompt, has to run in
+// isolation.
+func (s *Scheduler) requiresIsolation(r *Request) bool {
+	x := s.suspects.find(r.KeyHash, r.Fingerprint)
+	return x != nil && x.RequiresIsolation() || s.isolatesPart(r)
+}
--- a/internal/pool/table.go
+++ b/internal/pool/table.go
@@ -21,7 +21,8 @@
 	// phaseHeld means that the request has been selected and waits for a suitable
 	// endpoint.
 	phaseHeld
-	// phaseParked means that the request waits until another with the same body ends.
+	// phaseParked means that the request waits until another with the same body, or with
+	// the same suspected prompt part, ends.
 	phaseParked
 	// phaseIsolated means that the request waits to run in isolation.
 	phaseIsolated
@@ -57,6 +58,8 @@
 	holdReason string
 	// recheckAt is the earliest time at which the request may be refused as too late.
 	recheckAt time.Duration
+	// parkedOn is the part for which the request waits while it is parked; nil: its body.
+	parkedOn *suspect
 	// onTrial means that the request may run although it is quarantined.
 	onTrial bool
 	// urgent means that the cautious estimate no longer fits the deadline.
@@ -107,6 +110,10 @@
 	// expectedTotal is the estimated time of the whole request.
 	expectedTotal time.Duration
 	sawFirstToken bool
+	firstTokenAt  time.Duration
+	// heldParts are the suspected parts for which the attempt counts as unproven.
+	heldParts  []*suspect
+	proofTimer timer
 	// blamed means that a crash of the endpoint has been counted against the request.
 	blamed bool
 	// holdsSlot means that the attempt counts in its endpoint's in-flight number.
--- a/internal/system/custody/custody.go
+++ b/internal/system/custody/custody.go
@@ -82,6 +82,8 @@
 	Key         string
 	KeyHash     uint64
 	Fingerprint uint64
+	// Parts holds the fingerprints of the prompt's parts; see pool.Request.
+	Parts []uint64
 	// Repeats says that legitimate callers send requests with this fingerprint
 	// repeatedly.
 	Repeats    bool
@@ -138,6 +140,8 @@
 	why          string
 	grantExpires time.Duration
 	dispatchedAt time.Duration
+	// firstTokenAt is when the first token arrived; 0: none has.
+	firstTokenAt time.Duration
 }
 
 // System holds the requests in custody.
--- a/internal/system/custody/grant.go
+++ b/internal/system/custody/grant.go
@@ -217,6 +217,8 @@
 	Backoff time.Duration
 	// Answered says that a complete answer was received, even if the run failed.
 	Answered bool
+	// Generated says that the endpoint generated at least a part of a successful answer.
+	Generated bool
 }
 
 // FirstToken reports the first token of a dispatched request to the scheduler.
@@ -225,6 +227,7 @@
 	if r == nil || r.state != stateDispatched {
 		return
 	}
+	r.firstTokenAt = now
 	s.report(now, r, &peerpb.Report{
 		Phase: peerpb.Report_PHASE_FIRST_TOKEN, FirstTokenUs: after.Microseconds(),
 	}, out)
@@ -242,7 +245,7 @@
 		s.extendBackoff(now, r, end.Backoff)
 	}
 	s.report(now, r, &peerpb.Report{
-		BackoffUs: end.Backoff.Microseconds(), Answered: end.Answered, Phase: end.Phase, Lifetime: r.lifetime,
+		BackoffUs: end.Backoff.Microseconds(), Answered: end.Answered, Generated: end.Generated, Phase: end.Phase, Lifetime: r.lifetime,
 		PromptTokens: int64(end.PromptTokens), CachedTokens: int64(end.CachedTokens),
 		OutputTokens: int64(end.OutputTokens),
 		FirstTokenUs: end.FirstToken.Microseconds(), TotalUs: end.Total.Microseconds(),
--- a/internal/system/custody/message.go
+++ b/internal/system/custody/message.go
@@ -19,7 +19,7 @@
 		TierRank: int32(r.Rank), Team: string(r.Team),
 		PromptTokens: int64(r.PromptTokens), MaxTokens: int64(r.MaxTokens),
 		DeadlineUs: (r.Deadline - now).Microseconds(),
-		Prefix:     r.Prefix, KeyHash: r.KeyHash, Fingerprint: r.Fingerprint,
+		Prefix:     r.Prefix, KeyHash: r.KeyHash, Fingerprint: r.Fingerprint, Parts: r.Parts,
 		Repeats: r.Repeats, Idempotent: r.Idempotent, Spilled: r.spilled, ClockUs: now.Microseconds(),
 		Epoch: epoch, ExpectedTokens: int64(r.ExpectedTokens), Avoid: string(r.Avoid), Cost: r.Cost,
 		Near: string(r.Near),
@@ -42,10 +42,14 @@
 func (r *entry) running(now time.Duration) *peerpb.Running {
 	request := r.submission(now, 0)
 	request.Prefix, request.PrefixTokens = nil, nil
-	return &peerpb.Running{
+	m := &peerpb.Running{
 		Request: request, Endpoint: string(r.endpoint), Attempt: uint64(r.attempt),
 		AgeUs: (now - r.dispatchedAt).Microseconds(),
 	}
+	if r.firstTokenAt > 0 {
+		m.FirstTokenAgeUs = max(1, (now - r.firstTokenAt).Microseconds())
+	}
+	return m
 }
 
 // report fills in the request's identity and sends the report to the pool's
--- a/internal/system/scheduling/receive.go
+++ b/internal/system/scheduling/receive.go
@@ -67,7 +67,7 @@
 		Team:         ident.Team(m.GetTeam()),
 		PromptTokens: int(m.GetPromptTokens()), MaxTokens: int(m.GetMaxTokens()),
 		Deadline: now + time.Duration(m.GetDeadlineUs())*time.Microsecond,
-		Prefix:   m.GetPrefix(), KeyHash: m.GetKeyHash(), Fingerprint: m.GetFingerprint(),
+		Prefix:   m.GetPrefix(), KeyHash: m.GetKeyHash(), Fingerprint: m.GetFingerprint(), Parts: m.GetParts(),
 		Repeats: m.GetRepeats(), Idempotent: m.GetIdempotent(), Spilled: m.GetSpilled(),
 		ExpectedTokens: int(m.GetExpectedTokens()), Avoid: ident.Endpoint(m.GetAvoid()),
 		Near: ident.Domain(m.GetNear()),
@@ -145,7 +145,7 @@
 	}
 	return pool.Finished{
 		ID: key.request, Attempt: key.attempt, Outcome: outcome, Lifetime: m.GetLifetime(),
-		Backoff: micros(m.GetBackoffUs()), Answered: m.GetAnswered(),
+		Backoff: micros(m.GetBackoffUs()), Answered: m.GetAnswered(), Generated: m.GetGenerated(),
 		PromptTokens: int(m.GetPromptTokens()), CachedTokens: int(m.GetCachedTokens()),
 		OutputTokens: int(m.GetOutputTokens()),
 		FirstToken:   micros(m.GetFirstTokenUs()), Total: micros(m.GetTotalUs()),
@@ -177,7 +177,7 @@
 		in.noteRunning(now, from.Host, key)
 		restore.Running = append(restore.Running, pool.Running{
 			Request: poolRequest(now, from.Host, r.GetRequest()), Endpoint: ident.Endpoint(r.GetEndpoint()),
-			Attempt: key.attempt, Age: micros(r.GetAgeUs()),
+			Attempt: key.attempt, Age: micros(r.GetAgeUs()), FirstTokenAge: micros(r.GetFirstTokenAgeUs()),
 		})
 	}
 	for _, w := range m.GetWaiting() {
@@ -232,6 +232,11 @@
 type suspectKey struct {
 	key         uint64
 	fingerprint uint64
+	part        bool
+}
+
+func keyOf(x *pool.Suspect) suspectKey {
+	return suspectKey{x.KeyHash, x.Fingerprint, x.Part}
 }
 
 // receiveSuspects merges the suspects known to another host.
@@ -242,6 +247,7 @@
 			KeyHash: m.GetKeyHash(), Fingerprint: m.GetFingerprint(),
 			Crashes: int(m.GetCrashes()), Quarantined: m.GetQuarantined(),
 			Repeats: m.GetRepeats(), Age: micros(m.GetAgeUs()),
+			Part: m.GetPart(), Companions: m.GetCompanions(), Trial: m.GetTrial(),
 		}
 	}
 	s.MergeSuspects(now, suspects, out)
@@ -278,37 +284,66 @@
 	return out
 }
 
-// recordSuspect records a suspect and reports whether that changed anything. A suspect
-// without crashes was cleared and is removed.
+// recordSuspect records a suspect and reports whether that concerns the pools of this
+// host. A suspect without crashes was cleared and is removed.
 func (s *System) recordSuspect(now time.Duration, x pool.Suspect) bool {
-	key := suspectKey{x.KeyHash, x.Fingerprint}
+	key := keyOf(&x)
 	old, known := s.suspects[key]
-	if x.Crashes == 0 && !x.Quarantined {
+	switch {
+	case x.Trial:
+		return true
+	case x.Crashes == 0 && !x.Quarantined:
 		delete(s.suspects, key)
+		if x.Part {
+			s.forgetCompanion(x.Fingerprint)
+		}
 		return known
 	}
 	if x.Age > x.Retention() || known && old.Crashes >= x.Crashes && (old.Quarantined || !x.Quarantined) {
 		return false
 	}
-	if !known && len(s.suspects) >= rules.MaxSuspects {
-		s.evictSuspect()
+	if !known {
+		s.makeRoom(x.Part)
 	}
 	s.suspects[key] = suspectEntry{x, now - x.Age}
 	return true
 }
 
-// evictSuspect removes the suspect with the oldest last crash. Quarantined suspects are
-// removed only if there are no others.
-func (s *System) evictSuspect() {
-	var oldest suspectKey
-	found, quarantined := false, false
+// forgetCompanion removes a part that was cleared from the companions of the others.
+func (s *System) forgetCompanion(fingerprint uint64) {
+	for key, x := range s.suspects {
+		if slices.Contains(x.Companions, fingerprint) {
+			x.Companions = slices.DeleteFunc(slices.Clone(x.Companions), func(p uint64) bool { return p == fingerprint })
+			s.suspects[key] = x
+		}
+	}
+}
+
+// makeRoom evicts a suspect if there are too many parts, or requests. Requests and parts
+// are bounded apart, so that neither evict the others.
+func (s *System) makeRoom(part bool) {
+	var least suspectKey
+	count := 0
 	for key, x := range s.suspects {
-		old := s.suspects[oldest]
-		if !found || quarantined && !x.Quarantined || quarantined == x.Quarantined && x.crashedAt < old.crashedAt {
-			oldest, found, quarantined = key, true, x.Quarantined
+		if key.part != part {
+			continue
 		}
+		if count++; count == 1 || x.lessSuspicious(s.suspects[least]) {
+			least = key
+		}
+	}
+	if part && count >= rules.MaxSuspectParts || !part && count >= rules.MaxSuspects {
+		delete(s.suspects, least)
+	}
+}
+
+// lessSuspicious reports whether x is evicted before y: quarantined suspects go last, and of
+// the others those with the fewest crashes, or with the oldest last one, go first.
+func (x suspectEntry) lessSuspicious(y suspectEntry) bool {
+	if x.Quarantined != y.Quarantined {
+		return y.Quarantined
 	}
-	delete(s.suspects, oldest)
+	return cmp.Or(cmp.Compare(x.Crashes, y.Crashes), cmp.Compare(x.crashedAt, y.crashedAt)) < 0
 }
 
 // expireSuspects removes the suspects that are older than their retention.
@@ -323,16 +358,26 @@
 		list = append(list, suspectMessage(x.aged(now)))
 	}
 	slices.SortFunc(list, func(a, b *peerpb.Suspect) int {
-		return cmp.Or(cmp.Compare(a.KeyHash, b.KeyHash), cmp.Compare(a.Fingerprint, b.Fingerprint))
+		return cmp.Or(cmp.Compare(a.KeyHash, b.KeyHash), cmp.Compare(a.Fingerprint, b.Fingerprint),
+			cmp.Compare(boolOrder(a.Part), boolOrder(b.Part)))
 	})
 	return list
 }
 
+// boolOrder orders false before true.
+func boolOrder(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
 // suspectMessage converts a suspect to its message.
 func suspectMessage(x pool.Suspect) *peerpb.Suspect {
 	return &peerpb.Suspect{
 		KeyHash: x.KeyHash, Fingerprint: x.Fingerprint,
 		Crashes: int32(x.Crashes), Quarantined: x.Quarantined,
 		Repeats: x.Repeats, AgeUs: x.Age.Microseconds(),
+		Part: x.Part, Companions: x.Companions, Trial: x.Trial,
 	}
 }
--- a/internal/system/scheduling/step.go
+++ b/internal/system/scheduling/step.go
@@ -50,7 +50,7 @@
 func (s *System) sortedSuspects(now time.Duration) []pool.Suspect {
 	var list []pool.Suspect
 	for _, m := range s.Suspects(now) {
-		list = append(list, s.suspects[suspectKey{m.GetKeyHash(), m.GetFingerprint()}].aged(now))
+		list = append(list, s.suspects[suspectKey{m.GetKeyHash(), m.GetFingerprint(), m.GetPart()}].aged(now))
 	}
 	return list
 }
