--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -198,17 +198,26 @@
 	w.bringBack(s, d.span)
 }
 
-// bringBack starts an endpoint whose process has ended again after a time, with the same
-// id at another address.
+// bringBack starts an endpoint whose process has ended again after a time, at another
+// address and, unless w.ends says otherwise, with the same id.
 func (w *world) bringBack(s *server, down time.Duration) {
+	up := time.Now().Add(down)
+	if w.ends.silent {
+		time.Sleep(down)
+	}
+	time.Sleep(w.ends.linger)
 	w.mu.Lock()
 	s.proxy.close()
 	w.mu.Unlock()
-	time.Sleep(down)
+	time.Sleep(time.Until(up))
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	before := *s
 	w.all = append(w.all, &before)
+	if w.ends.renamed {
+		w.store.Remove("servers", "", s.id)
+		s.id = fmt.Sprintf("%s-%d", s.target, len(w.all))
+	}
 	if err := w.begin(s); err != nil {
 		w.broken = append(w.broken, fmt.Sprintf("endpoint %s does not start: %v", s.id, err))
 		return
--- a/internal/soak/poison.go
+++ b/internal/soak/poison.go
@@ -22,6 +22,10 @@
 
 // poisoned notes that a request ended an endpoint, which comes back.
 func (w *world) poisoned(s *server) {
+	if w.ends.silent {
+		_ = s.proxy.listener.Close()
+		s.proxy.set(silent)
+	}
 	w.mu.Lock()
 	w.crashes = append(w.crashes, time.Now())
 	w.mu.Unlock()
--- a/internal/soak/poison_test.go
+++ b/internal/soak/poison_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -28,12 +30,20 @@
 
 // startWorldIn is startWorld with a host in each of some regions.
 func startWorldIn(t *testing.T, regions ...string) *world {
+	return startWorldWith(t, endings{}, regions...)
+}
+
+// startWorldWith is startWorldIn with endpoints that end in some way.
+func startWorldWith(t *testing.T, ends endings, regions ...string) *world {
 	g := NewWithT(t)
 	program, err := gexec.Build("github.com/trefoilchute/trefoilchute/cmd/trefoilchute")
 	g.Expect(err).NotTo(HaveOccurred())
 	t.Cleanup(gexec.CleanupBuildArtifacts)
 	w, err := newWorldIn(t.ArtifactDir(), program, 1, regions)
 	g.Expect(err).NotTo(HaveOccurred())
+	w.mu.Lock()
+	w.ends = ends
+	w.mu.Unlock()
 	t.Cleanup(w.close)
 	g.Expect(w.addServer("app")).To(Succeed())
 	g.Expect(w.awaitReady(t.Context(), startTime)).To(BeTrue())
@@ -79,6 +89,76 @@
 	g.Expect(served).To(Equal(sent), "other callers, with every endpoint back")
 }
 
+// TestRequestIsStoppedHoweverItsEndpointsEnd guards against a verdict that rests on how an endpoint
+// ends: the request is sent three times a second whatever becomes of it, among a few others.
+func TestRequestIsStoppedHoweverItsEndpointsEnd(t *testing.T) {
+	const interval = time.Second / 3
+	for name, ends := range map[string]endings{
+		"at once":                       {},
+		"its listener last":             {linger: 5 * time.Millisecond},
+		"its listener last and undated": {linger: 5 * time.Millisecond, undated: true},
+		"silent":                        {silent: true},
+		"silent and renamed":            {silent: true, renamed: true},
+		"silent and undated":            {silent: true, undated: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			w := startWorldWith(t, ends, region, region, region)
+			began := time.Now()
+			var group sync.WaitGroup
+			var others []caller.Answer
+			var mu sync.Mutex
+			for n := 0; time.Since(began) < poisonSpan; n++ {
+				address := w.hosts[n%len(w.hosts)].address
+				group.Go(func() { w.callOnce(address, fmt.Sprintf("poison-%d", n), "/unsafe/poison", poisonBody) })
+				group.Go(func() {
+					attempt := fmt.Sprintf("other-%d", n)
+					a := w.callOnce(address, attempt, "/unsafe/"+attempt, "body of "+attempt)
+					mu.Lock()
+					defer mu.Unlock()
+					others = append(others, a)
+				})
+				sleep(t.Context(), interval)
+			}
+			group.Wait()
+			arrivals, late := w.poisonArrivals(began)
+			sent, ok := served(others, time.Time{}, time.Now())
+			t.Logf("the request came to endpoints at %v s; others served %d of %d", arrivals, ok, sent)
+			g.Expect(late).To(BeNumerically("<=", poisonRuns))
+		})
+	}
+}
+
+// callOnce sends a request on a connection of its own.
+func (w *world) callOnce(address, attempt, path, body string) caller.Answer {
+	c := caller.New(address)
+	defer c.Close()
+	return c.Do(caller.Request{
+		Method: "POST", Host: "app.test", Path: path, Attempt: attempt, Key: w.firstKey(), Limit: callLimit, Body: body,
+	})
+}
+
+// poisonArrivals returns when the request came to endpoints, in seconds, and how often it did later
+// than calmTime after it had ended the last one that it may.
+func (w *world) poisonArrivals(began time.Time) (seconds []string, late int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, s := range w.all {
+		for _, a := range s.runner.Arrivals() {
+			if !strings.HasPrefix(a.Attempt, "poison-") {
+				continue
+			}
+			seconds = append(seconds, fmt.Sprintf("%04.1f", a.At.Sub(began).Seconds()))
+			if len(w.crashes) >= poisonCrashes && a.At.Sub(w.crashes[poisonCrashes-1]) > calmTime {
+				late++
+			}
+		}
+	}
+	slices.Sort(seconds)
+	return seconds, late
+}
+
 // TestRequestThatEndsEndpointsStaysRefusedWhenHostsAreLost guards against hosts that forget
 // it: each is killed and started again in turn, and all at once, while it is sent on.
 func TestRequestThatEndsEndpointsStaysRefusedWhenHostsAreLost(t *testing.T) {
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -58,6 +58,17 @@
 	host string
 }
 
+// endings says how an endpoint ends when a request crashes it, and how it comes back.
+type endings struct {
+	// linger is for how long it still takes connections, and closes them, after it closed
+	// those that it had.
+	linger time.Duration
+	// silent leaves its connections open, without an answer, until it is back.
+	silent bool
+	// renamed gives it another id, and undated leaves the time of its start out of its row.
+	renamed, undated bool
+}
+
 // world is one run.
 type world struct {
 	dir     string
@@ -82,6 +93,8 @@
 	added, removed map[string]time.Time
 	// ready counts the questions in a row that each host has missed.
 	ready map[string]int
+	// ends says how endpoints end; it is set before the run begins.
+	ends endings
 	// crashes holds when a request ended the endpoint that began to run it.
 	crashes []time.Time
 	// poisons counts the sendings of that request.
@@ -209,9 +222,12 @@
 		state = "draining"
 	}
 	s.beat++
-	w.store.Put("servers", "", s.id, fmt.Appendf(nil,
-		`{"service":%q,"address":%q,"zone":"zone-0","slots":8,"state":%q,"sequence":%d,"born":%d}`,
-		s.target, s.proxy.address(), state, s.beat, s.born))
+	row := fmt.Appendf(nil, `{"service":%q,"address":%q,"zone":"zone-0","slots":8,"state":%q,"sequence":%d`,
+		s.target, s.proxy.address(), state, s.beat)
+	if !w.ends.undated {
+		row = fmt.Appendf(row, `,"born":%d`, s.born)
+	}
+	w.store.Put("servers", "", s.id, append(row, '}'))
 }
 
 // beats writes the endpoints' reports.
--- a/internal/standin/runner/runner.go
+++ b/internal/standin/runner/runner.go
@@ -192,10 +192,10 @@
 	}
 	r.record(req, attempt, string(body))
 	if r.opts.Poison != "" && string(body) == r.opts.Poison {
-		_ = r.Close()
 		if r.opts.Ended != nil {
 			r.opts.Ended()
 		}
+		_ = r.Close()
 		return
 	}
 	w.Header().Set(headerSeal, r.opts.ID+"."+attempt)
