Run isolated suspects one at a time also while an endpoint is silent

Callers saw endpoint after endpoint fall silent: a request that had crashed two of them was granted another one each second, while it wasn't known yet that the one before had crashed too. Isolation ends one second after its grant for requests that repeat, and the choice of the next suspect didn't look at what was still in flight.

TestIsolatedSuspectsRunOneAtATime fails before.

--- a/internal/pool/isolate.go
+++ b/internal/pool/isolate.go
@@ -57,7 +57,8 @@
 	if i.attempt != nil {
 		return
 	}
-	next := slices.IndexFunc(i.waiting, func(r *request) bool { return s.unprovenPart(&r.Request) == nil })
+	// The endpoint of an earlier run may have ended without its connections breaking.
+	next := slices.IndexFunc(i.waiting, func(r *request) bool { return !r.Repeats || !s.mustWait(r) })
 	if next < 0 {
 		i.release()
 		return
--- a/internal/pool/repeat_test.go
+++ b/internal/pool/repeat_test.go
@@ -367,3 +367,24 @@
 	h.step()
 	h.g.Expect(h.s.suspects.rows).To(BeEmpty())
 }
+
+// TestIsolatedSuspectsRunOneAtATime guards against a second run of a suspect while the first one's
+// endpoint is silent, so that it isn't known yet whether it crashed.
+func TestIsolatedSuspectsRunOneAtATime(t *testing.T) {
+	h := newHarness(t, 3, 8)
+	for range rules.RepeatedCrashesToIsolate {
+		x, ok := h.send(7)
+		h.g.Expect(ok).To(BeTrue())
+		h.crash(x)
+		h.advance(100 * time.Millisecond)
+	}
+	first, ok := h.send(7)
+	h.g.Expect(ok).To(BeTrue())
+	h.g.Expect(first.Isolated).To(BeTrue())
+	_, ok = h.send(7)
+	h.g.Expect(ok).To(BeFalse())
+	h.advance(2 * rules.IsolationTime)
+	h.g.Expect(h.granted).To(BeEmpty())
+	h.crash(first)
+	h.g.Expect(h.awaitGrant().Isolated).To(BeTrue())
+}
