Take an endpoint at another address for a new lifetime

Callers saw a request crash endpoints on and on whose rows don't tell when they started: a run that breaks counts as a crash once the endpoint's lifetime has ended, and only the start in its row told that. A process keeps its address, so another one is another lifetime too.

TestEndpointAtAnotherAddressHasEnded fails before.

--- a/internal/pool/endpoint.go
+++ b/internal/pool/endpoint.go
@@ -78,7 +78,8 @@
 }
 
 // update applies the endpoint's declaration. Learned speeds are kept unless the
-// declared ones changed. It reports whether a new lifetime of the endpoint has begun.
+// declared ones changed. It reports whether a new lifetime of the endpoint has begun: no
+// process changes its address, even if its declaration doesn't tell when it started.
 func (e *endpoint) update(d resource.Endpoint) (restarted bool) {
 	if !e.declared || e.PrefillRate != d.PrefillRate || e.DecodeRate != d.DecodeRate {
 		e.speed = newSpeed(d)
@@ -86,8 +87,9 @@
 	if !e.declared {
 		e.cacheTrust = 1
 	}
-	if e.Started != d.Started {
-		restarted = e.Started != 0
+	moved := e.declared && e.Started == d.Started && e.Address != d.Address
+	if moved || e.Started != d.Started {
+		restarted = moved || e.Started != 0
 		e.resetLifetime()
 	}
 	if d.SpeedsAssumed {
--- a/internal/pool/repeat_test.go
+++ b/internal/pool/repeat_test.go
@@ -388,3 +388,24 @@
 	h.crash(first)
 	h.g.Expect(h.awaitGrant().Isolated).To(BeTrue())
 }
+
+// TestEndpointAtAnotherAddressHasEnded moves an endpoint whose declaration doesn't tell when it
+// started, after a run broke there.
+func TestEndpointAtAnotherAddressHasEnded(t *testing.T) {
+	h := newHarness(t, 2, 4)
+	for i := range h.endpoints {
+		h.endpoints[i].Started, h.endpoints[i].Address = 0, "before"
+	}
+	h.configure()
+	x, _ := h.send(7)
+	h.finish(x, OutcomeFailed)
+	h.configure()
+	h.g.Expect(h.s.suspects.find(0, 7)).To(BeNil())
+	for i := range h.endpoints {
+		if h.endpoints[i].Name == x.Endpoint {
+			h.endpoints[i].Address = "after"
+		}
+	}
+	h.configure()
+	h.g.Expect(h.s.suspects.find(0, 7).Crashes).To(Equal(1))
+}
