--- a/internal/soak/poison_test.go
+++ b/internal/soak/poison_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"os"
 	"slices"
 	"strings"
 	"sync"
@@ -22,6 +23,18 @@
 	otherEvery = 100 * time.Millisecond
 )
 
+// buildProgram builds the program that the hosts run, once for all tests.
+var buildProgram = sync.OnceValues(func() (string, error) {
+	return gexec.Build("github.com/trefoilchute/trefoilchute/cmd/trefoilchute")
+})
+
+// TestMain removes the program after the tests.
+func TestMain(m *testing.M) {
+	code := m.Run()
+	gexec.CleanupBuildArtifacts()
+	os.Exit(code)
+}
+
 // startWorld starts the hosts before three endpoints of each kind and waits until they are
 // ready.
 func startWorld(t *testing.T) *world {
@@ -36,9 +49,8 @@
 // startWorldWith is startWorldIn with endpoints that end in some way.
 func startWorldWith(t *testing.T, ends endings, regions ...string) *world {
 	g := NewWithT(t)
-	program, err := gexec.Build("github.com/trefoilchute/trefoilchute/cmd/trefoilchute")
+	program, err := buildProgram()
 	g.Expect(err).NotTo(HaveOccurred())
-	t.Cleanup(gexec.CleanupBuildArtifacts)
 	w, err := newWorldIn(t.ArtifactDir(), program, 1, regions)
 	g.Expect(err).NotTo(HaveOccurred())
 	w.mu.Lock()
