Probe an endpoint again that closed a connection but accepted another

A process that ends closes its connections and its listener one after the other; if the probe came in between, the crash was taken for a lost answer until the endpoint's next lifetime was known, seconds later. Such an endpoint is probed again after 100 ms; only the report to the scheduler waits for that.

TestEndpointThatClosesItsListenerLastIsLost fails before (BROKEN).

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -79,10 +79,31 @@
 	if x.closedByPeer && t.call.ctx.Err() == nil {
 		x.endpointLost = t.call.gateway.conns.Refuses(t.call.ctx, t.address)
 	}
-	t.reportEnd(x.reportPhase(res))
+	phase := x.reportPhase(res)
+	t.end.Total = t.call.gateway.opts.Now() - t.began
+	if phase == peerpb.Report_PHASE_BROKEN && x.closedByPeer {
+		go t.reportBroken()
+	} else {
+		t.reportEnd(phase)
+	}
 	return res
 }
 
+// lossRecheckDelay is the time until an endpoint that closed a connection is probed again. A
+// process that ends closes its connections and its listener one after the other.
+const lossRecheckDelay = 100 * time.Millisecond
+
+// reportBroken reports the end of a try whose endpoint closed the connection but accepted
+// another, once it is known whether it accepts them still. The caller doesn't wait for that.
+func (t *try) reportBroken() {
+	time.Sleep(lossRecheckDelay)
+	phase := peerpb.Report_PHASE_BROKEN
+	if t.call.gateway.conns.Refuses(context.Background(), t.address) {
+		phase = peerpb.Report_PHASE_LOST
+	}
+	t.reportEnd(phase)
+}
+
 // exchange is one request and its response on one connection.
 type exchange struct {
 	try  *try
--- a/internal/gateway/lost_test.go
+++ b/internal/gateway/lost_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -58,6 +59,20 @@
 	}
 }
 
+// TestEndpointThatClosesItsListenerLastIsLost closes the connection first, as the kernel may when a
+// process ends. The caller doesn't wait for the verdict.
+func TestEndpointThatClosesItsListenerLastIsLost(t *testing.T) {
+	var h *harness
+	h = start(t, func(e *scriptedExchange) bool {
+		time.AfterFunc(lossRecheckDelay/2, func() { _ = h.endpoints[0].listener.Close() })
+		return false
+	})
+	began := time.Now()
+	h.ask(post("/unsafe/1", "a1", "body"))
+	h.Expect(time.Since(began)).To(BeNumerically("<", lossRecheckDelay))
+	h.Expect(h.firstPhase()).To(Equal(peerpb.Report_PHASE_LOST))
+}
+
 // TestProbeConnectionIsReused checks that probing a live endpoint leaves a connection that the
 // next request uses.
 func TestProbeConnectionIsReused(t *testing.T) {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -188,6 +188,7 @@
 				}
 				// The process was stalled since the grant. Nothing was sent.
 				t.releaseConn(conn)
+				t.end.Total = g.opts.Now() - t.began
 				t.reportEnd(peerpb.Report_PHASE_CANCELED)
 				return nil, queueTimeout()
 			case custody.Refuse:
@@ -247,7 +248,6 @@
 func (t *try) reportEnd(phase peerpb.Report_Phase) {
 	g := t.call.gateway
 	t.end.Phase = phase
-	t.end.Total = g.opts.Now() - t.began
 	g.remove(t.id)
 	g.opts.Post(control.Ended{ID: t.id, End: t.end})
 }
