Blame a run that its caller abandoned unanswered if its endpoint had ended

A canceled run without an answer is now kept as a broken one is. A run that the endpoint completes later clears both: it has survived them.

TestAbandonedRunOfEndedEndpointCounts fails before.

--- a/internal/pool/failure.go
+++ b/internal/pool/failure.go
@@ -44,7 +44,7 @@
 	return s.closings
 }
 
-// brokenRun is a run whose connection broke, or that was abandoned at its deadline.
+// brokenRun is a run whose connection broke, or that was abandoned unanswered.
 type brokenRun struct {
 	request          Request
 	granted, endedAt time.Duration
@@ -72,6 +72,12 @@
 	})
 }
 
+// forgetBrokenRuns removes the broken runs that ended before a time. The endpoint has
+// completed a run that began after it, so none of them has crashed it.
+func (e *endpoint) forgetBrokenRuns(before time.Duration) {
+	e.brokenRuns = slices.DeleteFunc(e.brokenRuns, func(l brokenRun) bool { return l.endedAt < before })
+}
+
 // unprovenParts returns the parts of an attempt's prompt unless it proves them harmless.
 func (s *Scheduler) unprovenParts(a *attempt) []uint64 {
 	if s.provesParts(a) {
--- a/internal/pool/learn.go
+++ b/internal/pool/learn.go
@@ -52,7 +52,8 @@
 		}
 		return
 	}
-	if f.Outcome == OutcomeCanceled && s.now >= a.request.Deadline {
+	// A caller that left without an answer may have waited for an endpoint that had ended.
+	if f.Outcome == OutcomeCanceled && (s.now >= a.request.Deadline || e.declared && !a.sawFirstToken) {
 		s.recordBrokenRun(a)
 	}
 	if f.Outcome == OutcomeCompleted || s.now >= a.request.Deadline {
@@ -72,6 +73,9 @@
 		return
 	}
 	e.failures = 0
+	if f.Lifetime <= e.Started {
+		e.forgetBrokenRuns(a.granted)
+	}
 	e.errors.Observe(s.now, false)
 	if !a.request.Repeats {
 		s.bodies.markProven(a.request.Fingerprint)
--- a/internal/pool/repeat_test.go
+++ b/internal/pool/repeat_test.go
@@ -409,3 +409,23 @@
 	h.configure()
 	h.g.Expect(h.s.suspects.find(0, 7).Crashes).To(Equal(1))
 }
+
+// TestAbandonedRunOfEndedEndpointCounts lets callers leave unanswered before their endpoint is known
+// to have ended. A run that was completed in between shows that the endpoint survived the first.
+func TestAbandonedRunOfEndedEndpointCounts(t *testing.T) {
+	h := newHarness(t, 1, 4)
+	survived, _ := h.send(7)
+	h.finish(survived, OutcomeCanceled)
+	h.advance(100 * time.Millisecond)
+	other, _ := h.send(9)
+	h.finish(other, OutcomeCompleted)
+	answered, _ := h.send(10)
+	h.step(FirstToken{ID: answered.ID, Attempt: answered.Attempt})
+	h.finish(answered, OutcomeCanceled)
+	abandoned, _ := h.send(8)
+	h.finish(abandoned, OutcomeCanceled)
+	h.restart(abandoned.Endpoint)
+	h.g.Expect(h.s.suspects.find(0, 8).Crashes).To(Equal(1))
+	h.g.Expect(h.s.suspects.find(0, 7)).To(BeNil())
+	h.g.Expect(h.s.suspects.find(0, 10)).To(BeNil())
+}
