Treat a stream that ends with its connection inside an event as broken off

Callers got a part of an event and an orderly end: where a stream has neither a length nor chunks, only the end of its connection ends it, and the gateway passed any such end on as that of a complete answer, on resumable routes with the incomplete event. Such a stream is complete after a complete event only. Otherwise it is resumed at another endpoint, or the caller's connection is closed.

--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"slices"
 
 	"github.com/pkg/errors"
 )
@@ -80,3 +81,39 @@
 func (e *eventSplitter) discardPartial() {
 	e.partial = nil
 }
+
+// fieldNames begin the lines of an event; a line that begins with a colon is a comment.
+var fieldNames = []string{"id", "data", "event", "retry", ":"}
+
+// beginsWithEvent reports whether the first bytes of a body may be those of an event.
+func beginsWithEvent(b []byte) bool {
+	return slices.ContainsFunc(fieldNames, func(name string) bool {
+		n := min(len(name), len(b))
+		return name[:n] == string(b[:n])
+	})
+}
+
+// streamTail holds the last bytes of a stream, from which it can be told whether an event is
+// complete: as many as two line ends have.
+type streamTail struct {
+	last [4]byte
+	n    int
+}
+
+// add appends bytes of the stream.
+func (t *streamTail) add(b []byte) {
+	b = b[max(0, len(b)-len(t.last)):]
+	kept := min(t.n, len(t.last)-len(b))
+	copy(t.last[:], t.last[t.n-kept:t.n])
+	t.n = kept + copy(t.last[kept:], b)
+}
+
+// eventEnds are the ends of an event's last line and of the empty line after it. A line may end
+// with LF, CR or both.
+var eventEnds = [][]byte{[]byte("\n\n"), []byte("\r\r"), []byte("\r\n\r"), []byte("\n\r\n")}
+
+// endsEvent reports whether the stream so far ends with a complete event. An empty stream does
+// not.
+func (t *streamTail) endsEvent() bool {
+	return slices.ContainsFunc(eventEnds, func(end []byte) bool { return bytes.HasSuffix(t.last[:t.n], end) })
+}
--- a/internal/gateway/events_test.go
+++ b/internal/gateway/events_test.go
@@ -91,6 +91,71 @@
 	}
 }
 
+// untilClose responds with a stream that has neither a length nor chunks and ends with its
+// connection.
+func untilClose(header, stream string) script {
+	return func(e *scriptedExchange) bool {
+		e.write(sealedHead(200, e.attempt()) + header + "\r\n" + stream)
+		return false
+	}
+}
+
+// TestStreamWithoutLengthThatEndsInsideAnEventIsIncomplete ends streams without a length or chunks at
+// several places. The caller must not take a part of one for the whole.
+func TestStreamWithoutLengthThatEndsInsideAnEventIsIncomplete(t *testing.T) {
+	const event, next = "id: 0\ndata: x\n\n", "id: 1\ndata: y\n\n"
+	for _, c := range []struct {
+		name, stream string
+		complete     bool
+	}{
+		{"after an event", event, true},
+		{"after an event of lines that end with CRLF", "id: 0\r\ndata: x\r\n\r\n", true},
+		{"after an event of lines that end with CR", "id: 0\rdata: x\r\r", true},
+		{"inside the first event", "id: 0\nda", false},
+		{"inside a line", event + "id: 1\nda", false},
+		{"after a line", event + "id: 1\ndata: y\n", false},
+		{"after a line that ends with CRLF", event + "id: 1\r\ndata: y\r\n", false},
+		{"before the first event", "", false},
+	} {
+		for _, header := range []string{"", "Content-Type: text/event-stream\r\n", "Content-Type: text/event-stream; charset=utf-8\r\n"} {
+			t.Run(c.name+"/"+header, func(t *testing.T) {
+				h := start(t, untilClose(header, c.stream))
+				got := h.ask(post("/stream/x", "id1", "prompt"))
+				h.Expect(c.stream).To(HavePrefix(got.body))
+				h.Expect(got.err == nil).To(Equal(c.complete), "%v", got.err)
+				o := <-h.outcomes
+				h.Expect(o.Code == result.OK).To(Equal(c.complete))
+
+				h = start(t, untilClose(header, c.stream), untilClose(header, next))
+				got = h.ask(post("/resumable/x", "id2", "prompt"))
+				h.Expect(got.err).NotTo(HaveOccurred())
+				switch {
+				case c.complete:
+					h.Expect(got.body).To(Equal(c.stream))
+				case strings.HasPrefix(c.stream, event):
+					h.Expect(got.body).To(Equal(event + next))
+				default:
+					h.Expect(got.body).To(Equal(next))
+				}
+			})
+		}
+	}
+}
+
+// TestBodyWithoutLengthIsDelivered ends a plain answer, and an answer on a stream's route that is no
+// event stream, with the connection.
+func TestBodyWithoutLengthIsDelivered(t *testing.T) {
+	for _, path := range []string{"/unsafe/x", "/stream/x", "/resumable/x"} {
+		h := start(t, func(e *scriptedExchange) bool {
+			e.write(sealedHead(200, e.attempt()) + "Content-Type: application/json\r\n\r\n{}")
+			return false
+		})
+		got := h.ask(post(path, "id1", "body"))
+		h.Expect(got.err).NotTo(HaveOccurred())
+		h.Expect(got.body).To(Equal("{}"))
+	}
+}
+
 func TestUnresumableStreamIsTruncated(t *testing.T) {
 	t.Run("second endpoint truncates it too", func(t *testing.T) {
 		h := start(t, streamEvents(0, 1, false), streamEvents(2, 3, false), streamEvents(4, 5, false))
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -361,14 +362,26 @@
 var errCallerGone = errors.New("the caller takes no more of the answer")
 
 // copy forwards the body. Bytes are sent as soon as they can be read; of a resumable
-// stream, only complete events are.
+// stream, only complete events are. If nothing but the end of its connection ends a stream,
+// it is complete only after a complete event.
 func (x *exchange) copy(resp *http.Response, streams bool) error {
 	c := x.call
 	buf := copyBuffers.Get().(*[]byte)
 	defer copyBuffers.Put(buf)
+	endsWithConn := x.mayBeEventStream(resp) && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+	var tail streamTail
 	for {
 		n, err := resp.Body.Read(*buf)
 		out := (*buf)[:n]
+		if endsWithConn && tail.n == 0 && n > 0 && resp.Header.Get("Content-Type") == "" {
+			endsWithConn = beginsWithEvent(out)
+		}
+		if endsWithConn {
+			tail.add(out)
+			if errors.Is(err, io.EOF) && !tail.endsEvent() {
+				err = io.ErrUnexpectedEOF
+			}
+		}
 		if c.route.Resumable && streams {
 			var tooLong error
 			if out, tooLong = x.completeEvents(out, err); tooLong != nil {
@@ -393,6 +406,14 @@
 	}
 }
 
+// mayBeEventStream reports whether a response is a stream of events, or doesn't declare what
+// it is.
+func (x *exchange) mayBeEventStream(resp *http.Response) bool {
+	contentType := resp.Header.Get("Content-Type")
+	return x.call.route.Kind == ruleset.Stream && resp.StatusCode == http.StatusOK &&
+		(contentType == "" || strings.HasPrefix(contentType, "text/event-stream"))
+}
+
 // completeEvents returns the complete events of a resumable stream. A pause of the endpoint
 // does not end its run, because it is not known in advance whether another endpoint could
 // resume the stream in time.
