--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"syscall"
 	"time"
 
@@ -35,6 +36,13 @@
 // refusals are the statuses of a store that refuses calls.
 var refusals = []int{http.StatusTooManyRequests, http.StatusServiceUnavailable}
 
+// oddRows are values of rows among those of endpoints that name none.
+var oddRows = []string{
+	strings.Repeat("[", 40_000), `{"service":"app","slots":1e999}`, "\xff\xfe",
+	`{"service":"app","address":"127.0.0.1:70000","zone":"zone-0","slots":8,"state":"ready","sequence":1,"born":1}`,
+	`{"service":"app","address":"127.0.0.1:1","zone":"zone-0","slots":9223372036854775807,"state":"ready","sequence":1,"born":1}`,
+}
+
 // faults are all kinds of them. Those that stand here twice are drawn twice as often: the
 // users' bounds are about planned work.
 var faults = []fault{
@@ -99,6 +107,13 @@
 			s.runner.TurnAway(1+d.b%mostTurned, d.span)
 		}
 	}},
+	{"odd row", func(w *world, d draws) {
+		key := fmt.Sprintf("odd-%d", d.b)
+		w.store.Put("servers", "", key, []byte(oddRows[d.a%len(oddRows)]))
+		time.Sleep(d.span)
+		w.store.Remove("servers", "", key)
+	}},
+	{"prompt part crashes engines", func(w *world, d draws) { w.sendTainted(w.life, w.hosts, 2*d.span) }},
 	{"key revoked", func(w *world, d draws) { w.revoke() }},
 	{"route changes", func(w *world, d draws) { w.changeRoutes(d) }},
 	{"route changes", func(w *world, d draws) { w.changeRoutes(d) }},
