Never send a request again on a connection on which it was refused

Here the attempt ID keeps such a refusal from the next request, but not from the same one: a request that may be sent to two endpoints can come back to the one that refused it, on the same connection, and the repeated refusal was taken for its answer. The second try now gets another connection.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -155,6 +155,7 @@
 	switch {
 	case answer.NotRun:
 		x.rejected = true
+		x.call.refusedOn = append(x.call.refusedOn, x.conn)
 		x.discardBody(resp)
 		return failedTry(notRun, "the endpoint did not run it: status "+strconv.Itoa(resp.StatusCode))
 	case !answer.Sealed, platform.GuaranteesNotRun(resp.StatusCode), resp.Header.Get("Content-Encoding") != "":
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -7,6 +7,8 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -234,6 +236,50 @@
 	}
 }
 
+// repeatsRefusal is an endpoint that refuses its first request, and runs all others. On the connection
+// of the refusal, it writes that once more before each answer.
+func repeatsRefusal(runs *atomic.Int64) script {
+	var refused net.Conn
+	var mu sync.Mutex
+	var refusal string
+	return func(e *scriptedExchange) bool {
+		mu.Lock()
+		defer mu.Unlock()
+		if refused == nil {
+			refused = e.conn
+			refusal = "HTTP/1.1 503 X\r\nAttempt-Id: " + e.attempt() + "\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+			e.write(refusal)
+			return true
+		}
+		runs.Add(1)
+		if e.conn == refused {
+			e.write(refusal)
+		}
+		return answerOK(e)
+	}
+}
+
+// TestRepeatedRefusalIsNotTakenForAnAnswer guards against telling a caller that its request did not
+// run, or running it elsewhere, because an endpoint wrote an earlier refusal once more.
+func TestRepeatedRefusalIsNotTakenForAnAnswer(t *testing.T) {
+	t.Run("to the next request", func(t *testing.T) {
+		var runs atomic.Int64
+		h := start(t, repeatsRefusal(&runs))
+		h.Expect(h.ask(get("/unsafe/x", "id1")).status).To(Equal(http.StatusServiceUnavailable))
+		h.Expect(h.ask(get("/unsafe/x", "id2")).status).To(Equal(http.StatusOK))
+		h.Expect(runs.Load()).To(BeEquivalentTo(1))
+		h.Expect(h.endpoints[0].conns.Load()).To(BeEquivalentTo(1), "a kept connection")
+	})
+	for _, route := range []string{"unsafe-twice", "stream-twice", "safe"} {
+		t.Run("to the same request, "+route, func(t *testing.T) {
+			var runs atomic.Int64
+			h := start(t, repeatsRefusal(&runs))
+			h.Expect(h.ask(get("/"+route+"/x", "id1")).status).To(Equal(http.StatusOK))
+			h.Expect(runs.Load()).To(BeEquivalentTo(1))
+		})
+	}
+}
+
 func TestFailedRuns(t *testing.T) {
 	fails := func(e *scriptedExchange) bool {
 		e.writeComplete(500, "sorry")
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -14,6 +14,7 @@
 	"github.com/trefoilchute/trefoilchute/internal/ident"
 	"github.com/trefoilchute/trefoilchute/internal/result"
 	"github.com/trefoilchute/trefoilchute/internal/ruleset"
+	"github.com/trefoilchute/trefoilchute/internal/upstream"
 	"github.com/trefoilchute/trefoilchute/platform"
 )
 
@@ -62,6 +63,8 @@
 	// events splits the response stream, and lastByteAt is when its last part was sent.
 	events     eventSplitter
 	lastByteAt time.Duration
+	// refusedOn holds the connections on which endpoints refused the request.
+	refusedOn []*upstream.Conn
 	// fallback is the response of an endpoint whose run failed. The caller gets it if no
 	// retry succeeds.
 	fallback *heldResponse
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
@@ -215,7 +216,7 @@
 func (t *try) connect(d custody.Directive, old *upstream.Conn) *upstream.Conn {
 	t.releaseConn(old)
 	g := t.call.gateway
-	conn, err := g.conns.Get(t.call.ctx, d.Address)
+	conn, err := t.call.freshConn(d.Address)
 	if err != nil {
 		g.opts.Post(control.Unreachable{ID: t.id, Attempt: d.Attempt})
 		return nil
@@ -226,6 +227,18 @@
 	return conn
 }
 
+// freshConn returns a connection to an address on which this request was not refused before. An
+// endpoint may write that refusal once more there, and it would be taken for the answer.
+func (c *call) freshConn(address string) (*upstream.Conn, error) {
+	for {
+		conn, err := c.gateway.conns.Get(c.ctx, address)
+		if err != nil || !slices.Contains(c.refusedOn, conn) {
+			return conn, err
+		}
+		_ = conn.Close()
+	}
+}
+
 // releaseConn returns a connection that was not used.
 func (t *try) releaseConn(conn *upstream.Conn) {
 	if conn != nil {
