Resume a stream only with events

Reported by operators of systems like ours: a stream broke off, the next endpoint answered with an error, and callers found its text in the middle of their stream, or an orderly end. Of 16 kinds of answers 13 end the caller's connection here; a success that is no event stream (declared as another type, or of no type and without a field name at its start) was appended to the stream, which then ended as complete. Such an answer is now a failed try.

--- a/internal/gateway/events_test.go
+++ b/internal/gateway/events_test.go
@@ -180,3 +180,49 @@
 		h.Expect(got.body).NotTo(ContainSubstring("no"))
 	})
 }
+
+// TestErrorAfterABrokenStreamIsNotPartOfIt breaks a stream off and has the next endpoint answer with
+// something else than the rest of it. The caller gets none of that, and no orderly end.
+func TestErrorAfterABrokenStreamIsNotPartOfIt(t *testing.T) {
+	const text = "Content-Type: application/json\r\n"
+	const length, chunked, unframed = "Content-Length: 13\r\n\r\n{\"error\":\"x\"}", "Transfer-Encoding: chunked\r\n\r\nd\r\n{\"error\":\"x\"}\r\n0\r\n\r\n", "\r\n{\"error\":\"x\"}"
+	const unsealed = "HTTP/1.1 500 X\r\nAttempt-Id: id1\r\n"
+	for name, answer := range map[string]string{
+		"failure":                     sealedHead(500, "id1") + text + length,
+		"chunked failure":             sealedHead(500, "id1") + text + chunked,
+		"failure without a length":    sealedHead(500, "id1") + text + unframed,
+		"failure as events":           sealedHead(500, "id1") + "Content-Type: text/event-stream\r\n" + chunked,
+		"failure without a seal":      unsealed + length,
+		"client error":                sealedHead(404, "id1") + text + chunked,
+		"refusal":                     "HTTP/1.1 503 X\r\nAttempt-Id: id1\r\nNot-Executed: 1\r\n" + length,
+		"success with a length":       sealedHead(200, "id1") + text + length,
+		"chunked success":             sealedHead(200, "id1") + text + chunked,
+		"success without a length":    sealedHead(200, "id1") + text + unframed,
+		"success of no declared type": sealedHead(200, "id1") + chunked,
+		"answer to another request":   sealedHead(200, "other") + "Content-Type: text/event-stream\r\n" + chunked,
+		"two heads":                   sealedHead(200, "id1") + "Content-Type: text/event-stream\r\n\r\n" + sealedHead(500, "id1") + length,
+		"no HTTP":                     "{\"error\":\"x\"}\r\n\r\n",
+		"nothing":                     "",
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := start(t, streamEvents(0, 1, false), func(e *scriptedExchange) bool {
+				e.write(answer)
+				return false
+			})
+			got := h.ask(post("/resumable/x", "id1", "prompt"))
+			h.Expect(got.body).To(Equal("id: 0\ndata: x\n\nid: 1\ndata: x\n\n"))
+			h.Expect(got.err).To(HaveOccurred())
+			h.Expect((<-h.outcomes).Code).To(Equal(result.AnswerCut))
+		})
+	}
+	t.Run("no endpoint", func(t *testing.T) {
+		var h *harness
+		h = start(t, func(e *scriptedExchange) bool {
+			h.refuse = result.New(result.NoEndpoint, "no endpoint")
+			return streamEvents(0, 1, false)(e)
+		})
+		got := h.ask(post("/resumable/x", "id1", "prompt"))
+		h.Expect(got.body).To(Equal("id: 0\ndata: x\n\nid: 1\ndata: x\n\n"))
+		h.Expect(got.err).To(HaveOccurred())
+	})
+}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -121,6 +121,8 @@
 	// closedByPeer is set if the endpoint closed the connection before its response was
 	// complete, and endpointLost if it refuses new connections too: it has ended.
 	closedByPeer, endpointLost bool
+	// resumes is set if the response continues a stream of which the caller has a part.
+	resumes bool
 	// generated is set if the endpoint generated at least a part of a successful answer.
 	generated bool
 	// deadline is when the response has to be complete.
@@ -317,10 +319,11 @@
 	c := x.call
 	x.closeAfter = resp.Close
 	streams := resp.ContentLength < 0
+	x.resumes = c.outcome.Status != 0
 	switch {
-	case c.outcome.Status == 0:
+	case !x.resumes:
 		x.writeHead(resp)
-	case !streams || resp.StatusCode != http.StatusOK:
+	case !streams || !x.mayBeEventStream(resp):
 		x.broken = true
 		return tryResult{broken: true, failure: outcomeUnknown, reason: "the stream was not resumed: status " + strconv.Itoa(resp.StatusCode)}
 	}
@@ -359,6 +362,9 @@
 	_ = http.NewResponseController(c.w).SetWriteDeadline(time.Now().Add(c.deadline - c.gateway.opts.Now() + callerWriteMargin))
 }
 
+// errNotResumed is returned when the rest of a stream was requested and something else came.
+var errNotResumed = errors.New("the stream was not resumed: no events came")
+
 // errCallerGone is returned when the caller cannot be written to.
 var errCallerGone = errors.New("the caller takes no more of the answer")
 
@@ -370,12 +376,19 @@
 	buf := copyBuffers.Get().(*[]byte)
 	defer copyBuffers.Put(buf)
 	endsWithConn := x.mayBeEventStream(resp) && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+	undeclared := resp.Header.Get("Content-Type") == ""
 	var tail streamTail
 	for {
 		n, err := resp.Body.Read(*buf)
 		out := (*buf)[:n]
-		if endsWithConn && tail.n == 0 && n > 0 && resp.Header.Get("Content-Type") == "" {
-			endsWithConn = beginsWithEvent(out)
+		if undeclared && n > 0 {
+			undeclared = false
+			if !beginsWithEvent(out) {
+				if x.resumes {
+					return errNotResumed
+				}
+				endsWithConn = false
+			}
 		}
 		if endsWithConn {
 			tail.add(out)
