--- a/internal/soak/tainted_test.go
+++ b/internal/soak/tainted_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"sync"
 	"testing"
 	"time"
@@ -9,6 +10,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/trefoilchute/trefoilchute/internal/standin/caller"
+	"github.com/trefoilchute/trefoilchute/internal/standin/store"
 )
 
 const (
@@ -84,3 +86,82 @@
 	g.Expect(min(sent, sentBefore)).To(BeNumerically(">=", leastBystanders))
 	g.Expect(2*ok*sentBefore).To(BeNumerically(">=", okBefore*sent), "others that share the key and the first part")
 }
+
+// TestPromptPartStaysRefusedWhenHostsAreLost guards against hosts that forget what they know of a part:
+// each is killed and started again in turn, or all at once, also if the store was away when the
+// part was found.
+func TestPromptPartStaysRefusedWhenHostsAreLost(t *testing.T) {
+	const known, between, down = 7 * time.Second, 3 * time.Second, 500 * time.Millisecond
+	inTurn := func(w *world) {
+		for _, h := range w.hosts {
+			w.kill(h, down)
+			sleep(t.Context(), between-down)
+		}
+	}
+	atOnce := func(w *world) {
+		var group sync.WaitGroup
+		for _, h := range w.hosts {
+			group.Go(func() { w.kill(h, down) })
+		}
+		group.Wait()
+		sleep(t.Context(), 2*between)
+	}
+	for name, c := range map[string]struct {
+		lose func(w *world)
+		// away is for how long the store refuses every call from the first request on.
+		away time.Duration
+	}{
+		"in turn":                           {inTurn, 0},
+		"at once":                           {atOnce, 0},
+		"at once, after the store was away": {atOnce, 4 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			w := startWorld(t)
+			if c.away > 0 {
+				w.store.Set(store.Faults{Refuse: http.StatusServiceUnavailable})
+				time.AfterFunc(c.away, func() { w.store.Set(store.Faults{}) })
+			}
+			done := make(chan []caller.Answer)
+			go func() { done <- w.sendTainted(t.Context(), w.hosts, known+between*time.Duration(len(w.hosts))) }()
+			sleep(t.Context(), known)
+			w.mu.Lock()
+			before := len(w.partCrashes)
+			w.mu.Unlock()
+			g.Expect(before).To(And(BeNumerically(">", 0), BeNumerically("<=", partCrashesAllowed)))
+			c.lose(w)
+			answers := <-done
+			g.Expect(w.partCrashes).To(HaveLen(before))
+			g.Expect(answers[len(answers)-1].Header.Get("Trefoilchute-Code")).To(Equal("209"))
+		})
+	}
+}
+
+// TestPromptPartIsRefusedInEveryRegion guards against a region that learns for itself, at the price of
+// its endpoints, what another has found, and against regions that don't add up what they see.
+func TestPromptPartIsRefusedInEveryRegion(t *testing.T) {
+	t.Run("after another region", func(t *testing.T) {
+		t.Parallel()
+		g := NewWithT(t)
+		w := startWorldIn(t, "north", "north", "south")
+		w.sendTainted(t.Context(), w.hosts[:2], 7*time.Second)
+		found := len(w.partCrashes)
+		g.Expect(found).To(And(BeNumerically(">", 0), BeNumerically("<=", partCrashesAllowed)))
+		answers := w.sendTainted(t.Context(), w.hosts[2:], 3*time.Second)
+		g.Expect(w.partCrashes).To(HaveLen(found))
+		g.Expect(answers[len(answers)-1].Header.Get("Trefoilchute-Code")).To(Equal("209"))
+	})
+	t.Run("in both at once", func(t *testing.T) {
+		t.Parallel()
+		g := NewWithT(t)
+		w := startWorldIn(t, "north", "north", "south")
+		var group sync.WaitGroup
+		for _, to := range [][]*host{w.hosts[:2], w.hosts[2:]} {
+			group.Go(func() { w.sendTainted(t.Context(), to, taintedSpan) })
+		}
+		group.Wait()
+		t.Logf("%d engines crashed", len(w.partCrashes))
+		g.Expect(w.lateTainted()).To(BeNumerically("<=", taintedAllowed))
+	})
+}
