--- a/internal/metrics/instruments.go
+++ b/internal/metrics/instruments.go
@@ -89,6 +89,7 @@
 	inFlight := b.gauge(nameInFlight)
 	slots := b.gauge(nameSlots)
 	endpoints := b.gauge(nameEndpoints)
+	suspects := b.gauge(nameSuspects)
 	left := b.floatGauge(nameRetriesLeft)
 	share := b.floatGauge(nameRateShare)
 	age := b.floatGauge(nameAge)
@@ -104,6 +105,7 @@
 		observeEach(o, waiting, labelTier, s.Waiting)
 		observeStates(o, slots, labelPool, s.Slots)
 		observeStates(o, endpoints, labelTarget, s.Endpoints)
+		observeStates(o, suspects, labelKind, s.Suspects)
 		for target, tries := range s.RetriesLeft {
 			o.ObserveFloat64(left, tries, metric.WithAttributes(attribute.String(labelTarget, target)))
 		}
@@ -117,7 +119,7 @@
 			o.ObserveInt64(settings, 1, metric.WithAttributes(attribute.String(labelVersion, s.Settings)))
 		}
 		return nil
-	}, revision, members, waiting, inFlight, slots, endpoints, left, share, age, settings)
+	}, revision, members, waiting, inFlight, slots, endpoints, suspects, left, share, age, settings)
 	b.note(err)
 }
 
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -39,6 +39,7 @@
 			RetriesLeft: map[string]float64{"llm": 2.5}, RateShare: map[ident.Team]float64{"clerks": 0.25},
 			Slots:     map[NameState]int{{Name: "llm@a", State: "decoding"}: 4},
 			Endpoints: map[NameState]int{{Name: "llm", State: "active"}: 6},
+			Suspects:  map[NameState]int{{Name: "part", State: "quarantined"}: 1},
 			Age:       map[string]time.Duration{"configuration": 500 * time.Millisecond},
 			Settings:  "5e771465",
 		}
--- a/internal/metrics/table.go
+++ b/internal/metrics/table.go
@@ -33,6 +33,7 @@
 	unitAnswers  = "{answer}"
 	unitClosings = "{closing}"
 	unitProcess  = "{process}"
+	unitSuspects = "{suspect}"
 )
 
 // Names of the metrics.
@@ -62,6 +63,7 @@
 	nameReloads       = "trefoilchute.settings.reloads"
 	nameDropped       = "trefoilchute.answers.dropped"
 	nameClosings      = "trefoilchute.endpoint.closings"
+	nameSuspects      = "trefoilchute.suspects"
 )
 
 // Labels of the metrics.
@@ -117,6 +119,7 @@
 	{nameReloads, kindCounter, unitReloads, []string{labelOutcome}, "Settings files that were read again: applied, unchanged, at_start (keys that wait for a start) or rejected."},
 	{nameDropped, kindCounter, unitAnswers, []string{labelReason}, "Answers of endpoints that were not taken whole: head_too_long, event_too_long, another_request or rest_not_taken."},
 	{nameClosings, kindCounter, unitClosings, []string{labelReason}, "Endpoints that a pool scheduled here closed for a while: unreachable, lost, failing, or asked_to_wait (for one host)."},
+	{nameSuspects, kindGauge, unitSuspects, []string{labelKind, labelState}, "Requests (request) and prompt parts (part) that this host knows to be suspected of crashing endpoints: suspect or quarantined."},
 }
 
 // lookup returns the description of a metric that must be in Table.
--- a/internal/platformhost/record.go
+++ b/internal/platformhost/record.go
@@ -60,17 +60,29 @@
 		if !x.Trial {
 			h.storeSuspect(x)
 		}
-		kind := "request"
-		if x.Part {
-			kind = "part"
-		}
 		logs.With(h.log, logs.Suspected).WithFields(logrus.Fields{
-			"pool": p.String(), "kind": kind, "fingerprint": formatFingerprint(x.Fingerprint), "crashes": x.Crashes,
+			"pool": p.String(), "kind": suspectKind(x.Part), "fingerprint": formatFingerprint(x.Fingerprint), "crashes": x.Crashes,
 			"quarantined": x.Quarantined, "companions": formatParts(x.Companions), "trial": x.Trial,
 		}).Info()
 	}
 }
 
+// suspectKind returns the name of a kind of suspect in logs and metrics, and suspectState that of
+// its state.
+func suspectKind(part bool) string {
+	if part {
+		return "part"
+	}
+	return "request"
+}
+
+func suspectState(quarantined bool) string {
+	if quarantined {
+		return "quarantined"
+	}
+	return "suspect"
+}
+
 // formatFingerprint formats a request's fingerprint for the logs.
 func formatFingerprint(fingerprint uint64) string {
 	return strconv.FormatUint(fingerprint, 16)
@@ -168,6 +180,7 @@
 func (h *Host) status() metrics.Status {
 	s := metrics.Status{
 		Members: map[string]int{}, Waiting: map[ident.Tier]int{}, Slots: map[metrics.NameState]int{},
+		Suspects: map[metrics.NameState]int{},
 		Settings: h.settings.Load().Version(), Endpoints: map[metrics.NameState]int{}, Age: map[string]time.Duration{}, RetriesLeft: h.gateway.RetriesLeft(),
 	}
 	if rules := h.gateway.Ruleset(); rules != nil {
@@ -194,6 +207,9 @@
 		for _, p := range c.Pools() {
 			countPool(&s, p)
 		}
+		for _, x := range c.Suspects() {
+			s.Suspects[metrics.NameState{Name: suspectKind(x.GetPart()), State: suspectState(x.GetQuarantined())}]++
+		}
 	})
 	return s
 }
