Query each host once before any is queried again

While the store serves neither of its readers, hosts drew the next host to query at random among all of them, so that the one that is served may stay unfound for long; half of the draws went to the readers or to hosts tried before. Each other host is now queried once, in an order of the querying host's own, before any is queried again.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -87,6 +87,8 @@
 	// is another host that has answered one since; empty if there is none.
 	misses int
 	helper ident.Host
+	// untried are the hosts that have not been queried in the current round over all hosts.
+	untried []ident.Host
 }
 
 // New returns a follower that is not running yet.
--- a/internal/follow/peers.go
+++ b/internal/follow/peers.go
@@ -79,11 +79,30 @@
 	if f.helper != "" {
 		return f.helper, true
 	}
-	hosts := f.withoutSelf(f.opts.Hosts())
+	return f.nextHelper(readers)
+}
+
+// nextHelper returns a host that is not a reader, in an order that differs between hosts. Each is
+// returned once before any is returned again. If there are only readers, it returns one of them.
+// The caller must hold queryMu.
+func (f *Follower) nextHelper(readers []ident.Host) (ident.Host, bool) {
+	all := f.withoutSelf(f.opts.Hosts())
+	hosts := slices.DeleteFunc(slices.Clone(all), func(h ident.Host) bool { return slices.Contains(readers, h) })
 	if len(hosts) == 0 {
-		return "", false
+		hosts = all
+	}
+	for len(hosts) > 0 {
+		if len(f.untried) == 0 {
+			f.untried = slices.Clone(hosts)
+			rand.Shuffle(len(f.untried), func(i, j int) { f.untried[i], f.untried[j] = f.untried[j], f.untried[i] })
+		}
+		next := f.untried[0]
+		f.untried = f.untried[1:]
+		if slices.Contains(hosts, next) {
+			return next, true
+		}
 	}
-	return hosts[rand.IntN(len(hosts))], true
+	return "", false
 }
 
 // withoutSelf returns a list of hosts without this one.
