Don't blame a part that is being answered elsewhere

After each crash, requests with a part that many share ran one at a time until one of them had been answered for half a second, although others with it were being answered all the while. These prove it harmless at once.

TestPartThatIsAnsweredElsewhereIsNotBlamed fails before.

--- a/internal/pool/part.go
+++ b/internal/pool/part.go
@@ -53,9 +53,11 @@
 	})
 	var found []*suspect
 	var added []lostPart
-	for _, p := range c.parts {
+	proven := s.provenParts(c)
+	for i, p := range c.parts {
 		x := s.parts.find(0, p.fingerprint)
 		switch {
+		case proven[i]:
 		case x == nil:
 			added = append(added, p)
 		case explained && !x.Quarantined:
@@ -77,6 +79,26 @@
 	return found
 }
 
+// provenParts reports which parts of a crash are also in requests that have been answered
+// for long enough.
+func (s *Scheduler) provenParts(c *crash) []bool {
+	proven := make([]bool, len(c.parts))
+	if len(c.parts) == 0 {
+		return proven
+	}
+	for _, a := range s.attempts.rows {
+		if !a.holdsSlot || !s.provesParts(a) {
+			continue
+		}
+		for _, p := range a.request.Parts {
+			if i, lost := c.indexOf[p]; lost {
+				proven[i] = true
+			}
+		}
+	}
+	return proven
+}
+
 // countPartCrash counts a crash against parts and returns those to publish, the most
 // suspicious first.
 func (s *Scheduler) countPartCrash(found []*suspect) []Suspect {
--- a/internal/pool/part_test.go
+++ b/internal/pool/part_test.go
@@ -137,6 +137,21 @@
 	h.g.Expect(h.s.parts.find(0, deadly)).NotTo(BeNil())
 }
 
+// TestPartThatIsAnsweredElsewhereIsNotBlamed crashes an endpoint while another answers a request with one
+// of the parts in flight.
+func TestPartThatIsAnsweredElsewhereIsNotBlamed(t *testing.T) {
+	h := newHarness(t, 2, 1)
+	answered, _ := h.sendParts(shared)
+	h.step(FirstToken{ID: answered.ID, Attempt: answered.Attempt})
+	h.advance(rules.AnsweringProof)
+	lost, ok := h.sendParts(shared, deadly)
+	h.g.Expect(ok).To(BeTrue())
+	h.g.Expect(lost.Endpoint).NotTo(Equal(answered.Endpoint))
+	h.crash(lost)
+	h.g.Expect(h.s.parts.find(0, shared)).To(BeNil())
+	h.g.Expect(h.s.parts.find(0, deadly)).NotTo(BeNil())
+}
+
 // TestSuspectPartRunsOneAtATime sends several requests with a part that was lost once.
 func TestSuspectPartRunsOneAtATime(t *testing.T) {
 	h := newHarness(t, 3, 8)
