Resend only parts of two crashes and more to other regions

Parts of a single crash are published once and left out of these. Tests for the suspects that hosts keep.

--- a/internal/system/scheduling/step.go
+++ b/internal/system/scheduling/step.go
@@ -1,6 +1,7 @@
 package scheduling
 
 import (
+	"slices"
 	"time"
 
 	"github.com/trefoilchute/trefoilchute/internal/ident"
@@ -120,10 +121,11 @@
 	}
 }
 
-// resendSuspects sends all suspects to the schedulers of the same targets in other
-// domains, which may have missed publications during a network partition.
+// resendSuspects sends the suspects to the schedulers of the same targets in other
+// domains, which may have missed publications during a network partition. Parts of a
+// single crash are left out: they can be many, and are weak evidence.
 func (s *System) resendSuspects(now time.Duration, out *system.Outbox) {
-	list := s.Suspects(now)
+	list := slices.DeleteFunc(s.Suspects(now), func(x *peerpb.Suspect) bool { return x.GetPart() && x.GetCrashes() < 2 })
 	if len(list) == 0 {
 		return
 	}
--- a/internal/system/scheduling/suspect_test.go
+++ b/internal/system/scheduling/suspect_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
 	"github.com/trefoilchute/trefoilchute/internal/pool"
+	"github.com/trefoilchute/trefoilchute/internal/pool/rules"
 )
 
 // TestSuspectsAreKeptUntilCleared checks the suspects that a host passes to a new
@@ -33,3 +35,40 @@
 		g.Expect(s.sortedSuspects(0)).To(Equal(step.kept), "step %d", i)
 	}
 }
+
+// TestSuspectPartsAreKeptApart checks that parts and requests with equal fingerprints differ, that a
+// cleared part is no companion any more, and that a trial concerns the pools but changes nothing.
+func TestSuspectPartsAreKeptApart(t *testing.T) {
+	g := NewWithT(t)
+	s := New(Config{})
+	request := pool.NewRepeatedSuspect(7, 2, 0)
+	part := pool.NewSuspectPart(7, []uint64{8}, 3, 0)
+	companion := pool.NewSuspectPart(8, []uint64{7}, 3, 0)
+	for _, x := range []pool.Suspect{request, part, companion} {
+		g.Expect(s.recordSuspect(0, x)).To(BeTrue())
+	}
+	g.Expect(s.sortedSuspects(0)).To(Equal([]pool.Suspect{request, part, companion}))
+	trial := part
+	trial.Trial = true
+	g.Expect(s.recordSuspect(0, trial)).To(BeTrue())
+	g.Expect(s.recordSuspect(0, pool.Suspect{Fingerprint: 8, Part: true})).To(BeTrue())
+	part.Companions = []uint64{}
+	g.Expect(s.sortedSuspects(0)).To(Equal([]pool.Suspect{request, part}))
+}
+
+// TestRecordedSuspectPartsAreBounded records more parts than are kept. Requests stay, and so does the
+// part that crashed most endpoints.
+func TestRecordedSuspectPartsAreBounded(t *testing.T) {
+	g := NewWithT(t)
+	s := New(Config{})
+	known := pool.NewSuspectPart(1, nil, 2, 0)
+	request := pool.NewRepeatedSuspect(1, 1, 0)
+	s.recordSuspect(0, known)
+	s.recordSuspect(0, request)
+	for i := range uint64(rules.MaxSuspectParts + 100) {
+		s.recordSuspect(time.Duration(i), pool.NewSuspectPart(100+i, nil, 1, 0))
+	}
+	g.Expect(s.suspects).To(HaveLen(rules.MaxSuspectParts + 1))
+	g.Expect(s.suspects).To(HaveKey(keyOf(&known)))
+	g.Expect(s.suspects).To(HaveKey(keyOf(&request)))
+}
