Wait for a delivery, not for a passing state, in a test of the links

A pause of 100 ms before the first poll, on a scratch copy, fails it in the same way every time. The test now waits until the message has been delivered, which the link must have been open for and which stays true, and with the same pause it passes. Nothing else is changed: the link has to close, and to open again on demand.

--- a/internal/peer/transport_test.go
+++ b/internal/peer/transport_test.go
@@ -285,7 +285,8 @@
 		a.SetPeers(map[ident.Host]string{"b": b.Addr()})
 		a.Send("b", ping(1))
 		connected := func() bool { return a.Stats().Peers["b"].Connected }
-		Eventually(connected, wide).Should(BeTrue())
+		// The delivery shows that the link was open; by now it may be closed again.
+		Eventually(func() []uint64 { return b.pings("a") }, wide).Should(ContainElement(uint64(1)))
 		Eventually(connected, wide).Should(BeFalse())
 		Eventually(func() []uint64 {
 			a.Send("b", ping(2))
