Let a suspect wait for the verdict on its last run

Callers saw a suspected request, or one with a suspected prompt part, reach another endpoint as soon as the caller of the run before had left: 'one at a time' ended with the run, not with the verdict on it. Where an endpoint is silent that comes seconds later, so that each impatient caller cost another endpoint. A broken or abandoned run of a suspect now counts as in flight until its endpoint is known to have ended or has completed a later run, 4 s at most.

TestSuspectWaitsForTheVerdictOnItsLastRun and the one for parts fail before.

--- a/internal/pool/endpoint.go
+++ b/internal/pool/endpoint.go
@@ -40,7 +40,7 @@
 	backoffTimer timer
 	// brokenRuns holds the runs whose connection broke recently, in the order in which
 	// they ended.
-	brokenRuns []brokenRun
+	brokenRuns []*brokenRun
 	speed      speed.Endpoint
 	errors     speed.Errors
 	window     window.Window
--- a/internal/pool/failure.go
+++ b/internal/pool/failure.go
@@ -48,6 +48,11 @@
 type brokenRun struct {
 	request          Request
 	granted, endedAt time.Duration
+	// holdsBody and heldParts are the attempt's: while it isn't known whether a suspect has
+	// crashed the endpoint, it counts as in flight. timer bounds that.
+	holdsBody bool
+	heldParts []*suspect
+	timer     timer
 }
 
 // recordBrokenRun keeps a failed run until it is known whether its endpoint has ended.
@@ -62,20 +67,54 @@
 		s.blameAttempt(a)
 		return
 	}
-	e.brokenRuns = slices.DeleteFunc(e.brokenRuns, func(l brokenRun) bool { return s.now-l.endedAt > rules.BrokenRunRetention })
+	s.forgetBrokenRuns(e, s.now-rules.BrokenRunRetention)
 	if len(e.brokenRuns) == rules.MaxBrokenRuns {
+		s.releaseBrokenRun(e.brokenRuns[0])
 		e.brokenRuns = slices.Delete(e.brokenRuns, 0, 1)
 	}
-	e.brokenRuns = append(e.brokenRuns, brokenRun{
+	l := &brokenRun{
 		request: Request{KeyHash: r.KeyHash, Fingerprint: r.Fingerprint, Repeats: true, Parts: s.unprovenParts(a)},
 		granted: a.granted, endedAt: s.now,
-	})
+	}
+	e.brokenRuns = append(e.brokenRuns, l)
+	if s.suspects.find(r.KeyHash, r.Fingerprint) != nil {
+		l.holdsBody, a.holdsBody = a.holdsBody, false
+	}
+	l.heldParts, a.heldParts = a.heldParts, nil
+	if l.holdsBody || len(l.heldParts) > 0 {
+		s.timers.set(&l.timer, s.now+rules.UnresolvedRunHold, func() { s.releaseBrokenRun(l) })
+	}
 }
 
-// forgetBrokenRuns removes the broken runs that ended before a time. The endpoint has
-// completed a run that began after it, so none of them has crashed it.
-func (e *endpoint) forgetBrokenRuns(before time.Duration) {
-	e.brokenRuns = slices.DeleteFunc(e.brokenRuns, func(l brokenRun) bool { return l.endedAt < before })
+// releaseBrokenRun stops counting a broken run as in flight.
+func (s *Scheduler) releaseBrokenRun(l *brokenRun) {
+	s.timers.stop(&l.timer)
+	held, fingerprint := l.heldParts, l.request.Fingerprint
+	l.heldParts = nil
+	if l.holdsBody {
+		l.holdsBody = false
+		s.bodies.get(fingerprint).inFlight--
+		s.resumeParked(fingerprint)
+	}
+	s.releaseHeldParts(held)
+}
+
+// forgetBrokenRuns removes the broken runs that ended before a time.
+func (s *Scheduler) forgetBrokenRuns(e *endpoint, before time.Duration) {
+	kept := e.brokenRuns[:0]
+	var forgotten []*brokenRun
+	for _, l := range e.brokenRuns {
+		if l.endedAt < before {
+			forgotten = append(forgotten, l)
+		} else {
+			kept = append(kept, l)
+		}
+	}
+	clear(e.brokenRuns[len(kept):])
+	e.brokenRuns = kept
+	for _, l := range forgotten {
+		s.releaseBrokenRun(l)
+	}
 }
 
 // unprovenParts returns the parts of an attempt's prompt unless it proves them harmless.
@@ -90,13 +129,15 @@
 // recent ones as a crash.
 func (s *Scheduler) takeBrokenRuns(e *endpoint) *crash {
 	c := &crash{}
-	for _, l := range e.brokenRuns {
+	ended := e.brokenRuns
+	e.brokenRuns = nil
+	for _, l := range ended {
+		s.releaseBrokenRun(l)
 		if s.now-l.endedAt <= rules.BrokenRunRetention {
 			s.collectRequest(c, l.request, l.granted, l.endedAt)
 			c.addParts(l.request.Parts, l.granted, l.endedAt)
 		}
 	}
-	e.brokenRuns = nil
 	return c
 }
 
--- a/internal/pool/learn.go
+++ b/internal/pool/learn.go
@@ -74,7 +74,8 @@
 	}
 	e.failures = 0
 	if f.Lifetime <= e.Started {
-		e.forgetBrokenRuns(a.granted)
+		// The endpoint has survived the runs that ended before this one began.
+		s.forgetBrokenRuns(e, a.granted)
 	}
 	e.errors.Observe(s.now, false)
 	if !a.request.Repeats {
--- a/internal/pool/part.go
+++ b/internal/pool/part.go
@@ -231,6 +231,11 @@
 	held := a.heldParts
 	a.heldParts = nil
 	s.timers.stop(&a.proofTimer)
+	s.releaseHeldParts(held)
+}
+
+// releaseHeldParts ends the hold of a run on its suspected parts.
+func (s *Scheduler) releaseHeldParts(held []*suspect) {
 	for _, x := range held {
 		x.unproven--
 		s.resumePartWaiters(x, false)
--- a/internal/pool/part_test.go
+++ b/internal/pool/part_test.go
@@ -338,3 +338,19 @@
 	h.restart(x.Endpoint)
 	h.g.Expect(h.s.parts.find(0, deadly)).NotTo(BeNil())
 }
+
+// TestSuspectPartWaitsForTheVerdictOnItsLastRun is TestSuspectWaitsForTheVerdictOnItsLastRun for a part.
+func TestSuspectPartWaitsForTheVerdictOnItsLastRun(t *testing.T) {
+	h := newHarness(t, 3, 8)
+	x, _ := h.sendParts(deadly)
+	h.crash(x)
+	h.advance(100 * time.Millisecond)
+	x, ok := h.sendParts(deadly)
+	h.g.Expect(ok).To(BeTrue())
+	h.finish(x, OutcomeCanceled)
+	_, ok = h.sendParts(deadly)
+	h.g.Expect(ok).To(BeFalse())
+	h.restart(x.Endpoint)
+	h.g.Expect(h.s.parts.find(0, deadly).Crashes).To(Equal(2))
+	h.g.Expect(h.awaitGrant().Isolated).To(BeTrue())
+}
--- a/internal/pool/repeat_test.go
+++ b/internal/pool/repeat_test.go
@@ -429,3 +429,39 @@
 	h.g.Expect(h.s.suspects.find(0, 7)).To(BeNil())
 	h.g.Expect(h.s.suspects.find(0, 10)).To(BeNil())
 }
+
+// TestSuspectWaitsForTheVerdictOnItsLastRun guards against another run of a suspect at once when the caller
+// of the one before has left unanswered, at an endpoint that is silent.
+func TestSuspectWaitsForTheVerdictOnItsLastRun(t *testing.T) {
+	suspected := func() (*harness, Grant) {
+		h := newHarness(t, 3, 8)
+		x, _ := h.send(7)
+		h.crash(x)
+		h.advance(100 * time.Millisecond)
+		x, ok := h.send(7)
+		h.g.Expect(ok).To(BeTrue())
+		h.finish(x, OutcomeCanceled)
+		_, ok = h.send(7)
+		h.g.Expect(ok).To(BeFalse())
+		h.advance(time.Second)
+		h.g.Expect(h.granted).To(BeEmpty())
+		return h, x
+	}
+	h, x := suspected()
+	h.restart(x.Endpoint)
+	h.g.Expect(h.s.suspects.find(0, 7).Crashes).To(Equal(2))
+	h.g.Expect(h.awaitGrant().Isolated).To(BeTrue())
+
+	h, x = suspected()
+	for range 8 {
+		if other, _ := h.send(9); other.Endpoint == x.Endpoint {
+			h.finish(other, OutcomeCompleted)
+			break
+		}
+	}
+	h.g.Expect(h.granted).To(HaveLen(1), "the endpoint is alive")
+
+	h, _ = suspected()
+	h.advance(rules.UnresolvedRunHold)
+	h.g.Expect(h.granted).To(HaveLen(1), "not for ever")
+}
--- a/internal/pool/rules/rules.go
+++ b/internal/pool/rules/rules.go
@@ -240,5 +240,9 @@
 	// the endpoint is known to have ended. MaxBrokenRuns bounds these runs for one
 	// endpoint.
 	BrokenRunRetention = 10 * time.Second
-	MaxBrokenRuns      = 64
+	// UnresolvedRunHold is how long a suspect waits at most until it is known whether its
+	// last run, which broke or was abandoned, has crashed its endpoint. The entry of a
+	// crashed endpoint is removed after three missed reports, 1.2 s apart.
+	UnresolvedRunHold = 4 * time.Second
+	MaxBrokenRuns     = 64
 )
