Show the hosts' logs when a test's hosts don't become ready

In one run of TestRequestIsStoppedHoweverItsEndpointsEnd (6 worlds, each building the program at the same time) the hosts of one world were not ready after 10 s, and nothing was kept that says why.

--- a/internal/soak/poison_test.go
+++ b/internal/soak/poison_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"context"
 	"fmt"
 	"os"
 	"slices"
@@ -58,10 +59,23 @@
 	w.mu.Unlock()
 	t.Cleanup(w.close)
 	g.Expect(w.addServer("app")).To(Succeed())
-	g.Expect(w.awaitReady(t.Context(), startTime)).To(BeTrue())
+	g.Expect(w.awaitReady(t.Context(), startTime)).To(BeTrue(), w.hostStates)
 	return w
 }
 
+// maxLoggedBytes bounds what is shown of a host's log.
+const maxLoggedBytes = 4 << 10
+
+// hostStates describes the hosts for a failure, with the start of their logs.
+func (w *world) hostStates() string {
+	var b strings.Builder
+	for _, h := range w.hosts {
+		log, err := os.ReadFile(h.log.Name())
+		fmt.Fprintf(&b, "%s: ready %v, ended %v, log error %v\n%s\n", h.name, h.isReady(context.Background()), h.wait(0), err, log[:min(len(log), maxLoggedBytes)])
+	}
+	return b.String()
+}
+
 // TestRequestThatEndsEndpointsIsStopped guards against a request that is sent on and on to
 // endpoints which it ends, and against endpoints that stay closed after that.
 func TestRequestThatEndsEndpointsIsStopped(t *testing.T) {
