Ignore the commit of an earlier grant

The denied commit of the first grant released the connection of the second, and the second commit sent the request on no connection, a nil pointer. The fault is older than this incident. A commit that isn't of the latest grant is ignored now.

TestCommitOfAnEarlierGrantIsIgnored fails before with the same panic.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -236,6 +236,18 @@
 	}
 }
 
+// TestCommitOfAnEarlierGrantIsIgnored guards against releasing the connection of a grant because the
+// commit of the one before was denied, which reaches the request after its second grant.
+func TestCommitOfAnEarlierGrantIsIgnored(t *testing.T) {
+	h := start(t, answerOK, answerOK)
+	h.regrant = true
+	for i := range 3 {
+		h.Expect(h.ask(post("/unsafe/x", fmt.Sprintf("id%d", i), "body")).status).To(Equal(http.StatusOK))
+	}
+	h.Expect(h.endpoints[0].seen).To(BeEmpty(), "the first grant is void")
+	h.Expect(h.endpoints[1].seen).To(HaveLen(3))
+}
+
 // repeatsRefusal is an endpoint that refuses its first request, and runs all others. On the connection
 // of the refusal, it writes that once more before each answer.
 func repeatsRefusal(runs *atomic.Int64) script {
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -39,6 +39,8 @@
 	age atomic.Int64
 	// refuse, if set, is control's answer to every request.
 	refuse *result.Error
+	// regrant grants each request a second time before it is connected for the first.
+	regrant bool
 
 	mu       sync.Mutex
 	outcomes chan Outcome
@@ -132,13 +134,20 @@
 		if len(h.endpoints) == 0 {
 			return
 		}
-		n := h.granted.Add(1) - 1
-		x := h.endpoints[int(n)%len(h.endpoints)]
-		h.gateway.Apply(custody.Directive{
-			Kind: custody.Connect, ID: e.Arrival.ID, Endpoint: x.name, Address: x.address, Attempt: ident.Attempt(n + 1),
-		})
+		grants := 1
+		if h.regrant {
+			grants = 2
+		}
+		for range grants {
+			n := h.granted.Add(1) - 1
+			x := h.endpoints[int(n)%len(h.endpoints)]
+			h.gateway.Apply(custody.Directive{
+				Kind: custody.Connect, ID: e.Arrival.ID, Endpoint: x.name, Address: x.address, Attempt: ident.Attempt(n + 1),
+			})
+		}
 	case control.Connected:
-		h.gateway.Apply(custody.Directive{Kind: custody.Commit, ID: e.ID, Attempt: e.Attempt, Proceed: true})
+		latest := int64(e.Attempt) == h.granted.Load()
+		h.gateway.Apply(custody.Directive{Kind: custody.Commit, ID: e.ID, Attempt: e.Attempt, Proceed: !h.regrant || latest})
 	case control.EndpointLeaving:
 		h.mu.Lock()
 		h.leaving = append(h.leaving, e.Endpoint)
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -171,13 +171,18 @@
 	timeout := time.NewTimer(c.deadline - g.opts.Now())
 	defer timeout.Stop()
 	var conn *upstream.Conn
+	var granted ident.Attempt
 	for {
 		select {
 		case d := <-t.directives:
 			switch d.Kind {
 			case custody.Connect:
-				conn = t.connect(d, conn)
+				conn, granted = t.connect(d, conn), d.Attempt
 			case custody.Commit:
+				if d.Attempt != granted {
+					// The connection of an earlier grant was released with the next one.
+					continue
+				}
 				if !d.Proceed {
 					t.releaseConn(conn)
 					conn = nil
