Check again that an idle link was open before it closes

The check is back; the test now sends until it has seen the link open, so that a poll that comes late finds it opened anew.

With a pause of 100 ms before the first poll the test passes (it timed out with the original); with a connected state that is never true it fails.

--- a/internal/peer/transport_test.go
+++ b/internal/peer/transport_test.go
@@ -283,10 +283,12 @@
 		idle := func(o *Options) { o.Keepalive, o.Idle = 10*time.Millisecond, 50*time.Millisecond }
 		a, b := start("a", 1, idle), start("b", 1, idle)
 		a.SetPeers(map[ident.Host]string{"b": b.Addr()})
-		a.Send("b", ping(1))
 		connected := func() bool { return a.Stats().Peers["b"].Connected }
-		// The delivery shows that the link was open; by now it may be closed again.
-		Eventually(func() []uint64 { return b.pings("a") }, wide).Should(ContainElement(uint64(1)))
+		// Repeated sends keep the link from becoming idle before it was seen open.
+		Eventually(func() bool {
+			a.Send("b", ping(1))
+			return connected()
+		}, wide).Should(BeTrue())
 		Eventually(connected, wide).Should(BeFalse())
 		Eventually(func() []uint64 {
 			a.Send("b", ping(2))
