--- a/internal/platformhost/suspects.go
+++ b/internal/platformhost/suspects.go
@@ -86,11 +86,15 @@
 	ctx, cancel := context.WithTimeout(ctx, suspectWriteTimeout)
 	defer cancel()
 	_, ok := retry(ctx, h, logs.SuspectNotKept, func(ctx context.Context) (struct{}, error) {
-		row := platform.Suspect{Fingerprint: x.Fingerprint, Part: x.Part, Companions: x.Companions, Crashes: x.Crashes, At: at}
-		if x.Crashes == 0 {
-			return struct{}{}, h.store.DeleteSuspect(ctx, row)
+		switch {
+		case x.Crashes > 0:
+			return struct{}{}, h.store.PutSuspect(ctx, platform.Suspect{
+				Fingerprint: x.Fingerprint, Part: x.Part, Companions: x.Companions, Crashes: x.Crashes, At: at,
+			})
+		case x.Part:
+			return struct{}{}, h.store.DeleteSuspectPart(ctx, x.Fingerprint)
 		}
-		return struct{}{}, h.store.PutSuspect(ctx, row)
+		return struct{}{}, h.store.DeleteSuspect(ctx, x.Fingerprint)
 	})
 	if !ok {
 		h.logNotStored(x, "the store took no row in time")
