Keep the check that hosts become ready as it was

They are now logged when a test has failed, whichever check of it did, and the check's line is as it was.

--- a/internal/soak/poison_test.go
+++ b/internal/soak/poison_test.go
@@ -59,7 +59,12 @@
 	w.mu.Unlock()
 	t.Cleanup(w.close)
 	g.Expect(w.addServer("app")).To(Succeed())
-	g.Expect(w.awaitReady(t.Context(), startTime)).To(BeTrue(), w.hostStates)
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Log(w.hostStates())
+		}
+	})
+	g.Expect(w.awaitReady(t.Context(), startTime)).To(BeTrue())
 	return w
 }
 
