Name the soak's requests with a crashing prompt part one way

They were 'tainted', their part a 'poison part', and the part of the tests in internal/pool 'deadly'; the ways in which endpoints crash were 'endings', some of them 'undated'. Requests with poisonPart, crashMode and withoutStart need no explanation. No check is changed.

--- a/internal/gateway/lost_test.go
+++ b/internal/gateway/lost_test.go
@@ -60,7 +60,7 @@
 }
 
 // TestEndpointThatClosesItsListenerLastIsLost closes the connection first, as the kernel may when a
-// process ends. The caller doesn't wait for the verdict.
+// process ends. The caller doesn't wait for the second probe.
 func TestEndpointThatClosesItsListenerLastIsLost(t *testing.T) {
 	var h *harness
 	h = start(t, func(e *scriptedExchange) bool {
--- a/internal/soak/checks.go
+++ b/internal/soak/checks.go
@@ -30,7 +30,7 @@
 	if late := w.lateRuns(); late > poisonRuns {
 		w.fail("a request that had ended %d endpoints ended %d more later than %v after that", poisonCrashes, late, calmTime)
 	}
-	if late := w.lateTainted(); late > taintedAllowed {
+	if late := w.latePoisonPartRuns(); late > poisonPartRuns {
 		w.fail("%d requests with a part that had crashed %d engines reached one later than %v after that", late, partCrashesAllowed, calmTime)
 	}
 }
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -113,7 +113,7 @@
 		time.Sleep(d.span)
 		w.store.Remove("servers", "", key)
 	}},
-	{"prompt part crashes engines", func(w *world, d draws) { w.sendTainted(w.life, w.hosts, 2*d.span) }},
+	{"prompt part crashes engines", func(w *world, d draws) { w.sendPoisonPart(w.life, w.hosts, 2*d.span) }},
 	{"key revoked", func(w *world, d draws) { w.revoke() }},
 	{"route changes", func(w *world, d draws) { w.changeRoutes(d) }},
 	{"route changes", func(w *world, d draws) { w.changeRoutes(d) }},
@@ -214,13 +214,13 @@
 }
 
 // bringBack starts an endpoint whose process has ended again after a time, at another
-// address and, unless w.ends says otherwise, with the same id.
+// address and, unless w.crashMode says otherwise, with the same id.
 func (w *world) bringBack(s *server, down time.Duration) {
 	up := time.Now().Add(down)
-	if w.ends.silent {
+	if w.crashMode.silent {
 		time.Sleep(down)
 	}
-	time.Sleep(w.ends.linger)
+	time.Sleep(w.crashMode.linger)
 	w.mu.Lock()
 	s.proxy.close()
 	w.mu.Unlock()
@@ -229,7 +229,7 @@
 	defer w.mu.Unlock()
 	before := *s
 	w.all = append(w.all, &before)
-	if w.ends.renamed {
+	if w.crashMode.renamed {
 		w.store.Remove("servers", "", s.id)
 		s.id = fmt.Sprintf("%s-%d", s.target, len(w.all))
 	}
--- a/internal/soak/poison.go
+++ b/internal/soak/poison.go
@@ -22,7 +22,7 @@
 
 // poisoned notes that a request ended an endpoint, which comes back.
 func (w *world) poisoned(s *server) {
-	if w.ends.silent {
+	if w.crashMode.silent {
 		_ = s.proxy.listener.Close()
 		s.proxy.set(silent)
 	}
--- a/internal/soak/tainted.go
+++ b/internal/soak/poison_part.go
@@ -13,14 +13,14 @@
 	// poisonPart is the ID of the prompt part that crashes engines, and sharedPart that of a
 	// sound part that stands before it and in the requests of other callers.
 	poisonPart, sharedPart = "dead0001", "f1"
-	// taintedInterval is the time between two requests with poisonPart.
-	taintedInterval = 300 * time.Millisecond
+	// poisonPartInterval is the time between two requests with poisonPart.
+	poisonPartInterval = 300 * time.Millisecond
 	// partCrashesAllowed is how many engines the part may crash before later requests with
-	// it count, and taintedAllowed how many of these may reach an engine later than calmTime
+	// it count, and poisonPartRuns how many of these may reach an engine later than calmTime
 	// after that.
-	partCrashesAllowed, taintedAllowed = 5, 3
-	// taintedPrefix begins the attempt IDs of requests with poisonPart.
-	taintedPrefix = "tainted-"
+	partCrashesAllowed, poisonPartRuns = 5, 3
+	// poisonPartPrefix begins the attempt IDs of requests with poisonPart.
+	poisonPartPrefix = "part-"
 )
 
 // partPoisoned records that poisonPart crashed an engine and brings the engine back.
@@ -35,16 +35,16 @@
 	}()
 }
 
-// sendTainted sends requests with poisonPart, no two alike, at some of the hosts in turn.
-func (w *world) sendTainted(ctx context.Context, to []*host, span time.Duration) []caller.Answer {
+// sendPoisonPart sends requests with poisonPart, no two alike, at some of the hosts in turn.
+func (w *world) sendPoisonPart(ctx context.Context, to []*host, span time.Duration) []caller.Answer {
 	var answers []caller.Answer
-	for until := time.Now().Add(span); ctx.Err() == nil && time.Now().Before(until); sleep(ctx, taintedInterval) {
+	for until := time.Now().Add(span); ctx.Err() == nil && time.Now().Before(until); sleep(ctx, poisonPartInterval) {
 		w.mu.Lock()
-		n := w.taintedRequests
-		w.taintedRequests++
+		n := w.poisonPartRequests
+		w.poisonPartRequests++
 		w.mu.Unlock()
 		c := caller.New(to[n%len(to)].address)
-		answers = append(answers, c.Do(w.partRequest(fmt.Sprintf("%s%d", taintedPrefix, n), sharedPart, poisonPart)))
+		answers = append(answers, c.Do(w.partRequest(fmt.Sprintf("%s%d", poisonPartPrefix, n), sharedPart, poisonPart)))
 		c.Close()
 	}
 	return answers
@@ -64,9 +64,9 @@
 	}
 }
 
-// lateTainted returns how many requests with poisonPart reached an engine later than calmTime
+// latePoisonPartRuns returns how many requests with poisonPart reached an engine later than calmTime
 // after the part had crashed the last engine that it may, sent by hosts in touch.
-func (w *world) lateTainted() int {
+func (w *world) latePoisonPartRuns() int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if len(w.partCrashes) < partCrashesAllowed {
@@ -76,7 +76,7 @@
 	late := 0
 	for _, s := range w.all {
 		for _, a := range s.runner.Arrivals() {
-			if strings.HasPrefix(a.Attempt, taintedPrefix) && a.At.Sub(last) > calmTime && w.inTouch(a.At) {
+			if strings.HasPrefix(a.Attempt, poisonPartPrefix) && a.At.Sub(last) > calmTime && w.inTouch(a.At) {
 				late++
 			}
 		}
--- a/internal/soak/tainted_test.go
+++ b/internal/soak/poison_part_test.go
@@ -14,13 +14,13 @@
 )
 
 const (
-	// taintedSpan is how long requests with poisonPart are sent in the tests.
-	taintedSpan = 20 * time.Second
+	// poisonPartSpan is how long requests with poisonPart are sent in the tests.
+	poisonPartSpan = 20 * time.Second
 	// leastBystanders is the number of other requests from which their share counts.
 	leastBystanders = 20
 )
 
-// bystanders sends sound requests that share sharedPart and their key with the tainted ones for
+// bystanders sends sound requests that share sharedPart and their key with those with poisonPart for
 // a time, at the hosts in turn, and returns their answers in order.
 func (w *world) bystanders(t *testing.T, span time.Duration) []caller.Answer {
 	var group sync.WaitGroup
@@ -67,8 +67,8 @@
 	began := time.Now()
 	sentBefore, okBefore := served(before, began.Add(-time.Hour), began)
 	done := make(chan []caller.Answer)
-	go func() { done <- w.sendTainted(t.Context(), w.hosts, taintedSpan) }()
-	during := w.bystanders(t, taintedSpan)
+	go func() { done <- w.sendPoisonPart(t.Context(), w.hosts, poisonPartSpan) }()
+	during := w.bystanders(t, poisonPartSpan)
 	codes := map[string]int{}
 	for _, a := range <-done {
 		codes[fmt.Sprintf("%d/%s", a.Status, a.Header.Get("Trefoilchute-Code"))]++
@@ -79,10 +79,10 @@
 	}
 	g.Expect(w.partCrashes).NotTo(BeEmpty())
 	calm := w.partCrashes[min(len(w.partCrashes), partCrashesAllowed)-1].Add(2 * calmTime)
-	sent, ok := served(during, calm, began.Add(taintedSpan))
+	sent, ok := served(during, calm, began.Add(poisonPartSpan))
 	t.Logf("engines crashed at %v s; answers with the part %v; others served %d of %d before, %d of %d later than %v after the last crash allowed",
 		crashes, codes, okBefore, sentBefore, ok, sent, 2*calmTime)
-	g.Expect(w.lateTainted()).To(BeNumerically("<=", taintedAllowed), "requests with the part at engines after it was known")
+	g.Expect(w.latePoisonPartRuns()).To(BeNumerically("<=", poisonPartRuns), "requests with the part at engines after it was known")
 	g.Expect(min(sent, sentBefore)).To(BeNumerically(">=", leastBystanders))
 	g.Expect(2*ok*sentBefore).To(BeNumerically(">=", okBefore*sent), "others that share the key and the first part")
 }
@@ -124,7 +124,7 @@
 				time.AfterFunc(c.away, func() { w.store.Set(store.Faults{}) })
 			}
 			done := make(chan []caller.Answer)
-			go func() { done <- w.sendTainted(t.Context(), w.hosts, known+between*time.Duration(len(w.hosts))) }()
+			go func() { done <- w.sendPoisonPart(t.Context(), w.hosts, known+between*time.Duration(len(w.hosts))) }()
 			sleep(t.Context(), known)
 			w.mu.Lock()
 			before := len(w.partCrashes)
@@ -145,10 +145,10 @@
 		t.Parallel()
 		g := NewWithT(t)
 		w := startWorldIn(t, "north", "north", "south")
-		w.sendTainted(t.Context(), w.hosts[:2], 7*time.Second)
+		w.sendPoisonPart(t.Context(), w.hosts[:2], 7*time.Second)
 		found := len(w.partCrashes)
 		g.Expect(found).To(And(BeNumerically(">", 0), BeNumerically("<=", partCrashesAllowed)))
-		answers := w.sendTainted(t.Context(), w.hosts[2:], 3*time.Second)
+		answers := w.sendPoisonPart(t.Context(), w.hosts[2:], 3*time.Second)
 		g.Expect(w.partCrashes).To(HaveLen(found))
 		g.Expect(answers[len(answers)-1].Header.Get("Trefoilchute-Code")).To(Equal("209"))
 	})
@@ -158,10 +158,10 @@
 		w := startWorldIn(t, "north", "north", "south")
 		var group sync.WaitGroup
 		for _, to := range [][]*host{w.hosts[:2], w.hosts[2:]} {
-			group.Go(func() { w.sendTainted(t.Context(), to, taintedSpan) })
+			group.Go(func() { w.sendPoisonPart(t.Context(), to, poisonPartSpan) })
 		}
 		group.Wait()
 		t.Logf("%d engines crashed", len(w.partCrashes))
-		g.Expect(w.lateTainted()).To(BeNumerically("<=", taintedAllowed))
+		g.Expect(w.latePoisonPartRuns()).To(BeNumerically("<=", poisonPartRuns))
 	})
 }
--- a/internal/soak/poison_test.go
+++ b/internal/soak/poison_test.go
@@ -44,18 +44,18 @@
 
 // startWorldIn is startWorld with a host in each of some regions.
 func startWorldIn(t *testing.T, regions ...string) *world {
-	return startWorldWith(t, endings{}, regions...)
+	return startWorldWith(t, crashMode{}, regions...)
 }
 
-// startWorldWith is startWorldIn with endpoints that end in some way.
-func startWorldWith(t *testing.T, ends endings, regions ...string) *world {
+// startWorldWith is startWorldIn with endpoints that crash in some mode.
+func startWorldWith(t *testing.T, mode crashMode, regions ...string) *world {
 	g := NewWithT(t)
 	program, err := buildProgram()
 	g.Expect(err).NotTo(HaveOccurred())
 	w, err := newWorldIn(t.ArtifactDir(), program, 1, regions)
 	g.Expect(err).NotTo(HaveOccurred())
 	w.mu.Lock()
-	w.ends = ends
+	w.crashMode = mode
 	w.mu.Unlock()
 	t.Cleanup(w.close)
 	g.Expect(w.addServer("app")).To(Succeed())
@@ -124,18 +124,18 @@
 // ends: the request is sent three times a second whatever becomes of it, among a few others.
 func TestRequestIsStoppedHoweverItsEndpointsEnd(t *testing.T) {
 	const interval = time.Second / 3
-	for name, ends := range map[string]endings{
-		"at once":                       {},
-		"its listener last":             {linger: 5 * time.Millisecond},
-		"its listener last and undated": {linger: 5 * time.Millisecond, undated: true},
-		"silent":                        {silent: true},
-		"silent and renamed":            {silent: true, renamed: true},
-		"silent and undated":            {silent: true, undated: true},
+	for name, mode := range map[string]crashMode{
+		"at once":                            {},
+		"its listener last":                  {linger: 5 * time.Millisecond},
+		"its listener last and withoutStart": {linger: 5 * time.Millisecond, withoutStart: true},
+		"silent":                             {silent: true},
+		"silent and renamed":                 {silent: true, renamed: true},
+		"silent and withoutStart":            {silent: true, withoutStart: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			g := NewWithT(t)
-			w := startWorldWith(t, ends, region, region, region)
+			w := startWorldWith(t, mode, region, region, region)
 			began := time.Now()
 			var group sync.WaitGroup
 			var others []caller.Answer
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -58,15 +58,15 @@
 	host string
 }
 
-// endings says how an endpoint ends when a request crashes it, and how it comes back.
-type endings struct {
+// crashMode is how an endpoint ends when a request crashes it, and how it comes back.
+type crashMode struct {
 	// linger is for how long it still takes connections, and closes them, after it closed
 	// those that it had.
 	linger time.Duration
 	// silent leaves its connections open, without an answer, until it is back.
 	silent bool
-	// renamed gives it another id, and undated leaves the time of its start out of its row.
-	renamed, undated bool
+	// renamed gives it another id, and withoutStart leaves the time of its start out of its row.
+	renamed, withoutStart bool
 }
 
 // world is one run.
@@ -93,18 +93,18 @@
 	added, removed map[string]time.Time
 	// ready counts the questions in a row that each host has missed.
 	ready map[string]int
-	// ends says how endpoints end; it is set before the run begins.
-	ends endings
+	// crashMode is set before the run begins.
+	crashMode crashMode
 	// crashes holds when a request ended the endpoint that began to run it.
 	crashes []time.Time
 	// poisons counts the sendings of that request.
 	poisons int
-	// partCrashes holds when a prompt part crashed an endpoint, and taintedRequests counts
+	// partCrashes holds when a prompt part crashed an endpoint, and poisonPartRequests counts
 	// the requests sent with that part.
-	partCrashes     []time.Time
-	taintedRequests int
-	seen            []observed
-	broken          []string
+	partCrashes        []time.Time
+	poisonPartRequests int
+	seen               []observed
+	broken             []string
 }
 
 // configuration is what the operator has written.
@@ -224,7 +224,7 @@
 	s.beat++
 	row := fmt.Appendf(nil, `{"service":%q,"address":%q,"zone":"zone-0","slots":8,"state":%q,"sequence":%d`,
 		s.target, s.proxy.address(), state, s.beat)
-	if !w.ends.undated {
+	if !w.crashMode.withoutStart {
 		row = fmt.Appendf(row, `,"born":%d`, s.born)
 	}
 	w.store.Put("servers", "", s.id, append(row, '}'))
