--- a/internal/platformhost/record.go
+++ b/internal/platformhost/record.go
@@ -62,7 +62,7 @@
 		}
 		logs.With(h.log, logs.Suspected).WithFields(logrus.Fields{
 			"pool": p.String(), "kind": suspectKind(x.Part), "fingerprint": formatFingerprint(x.Fingerprint), "crashes": x.Crashes,
-			"quarantined": x.Quarantined, "companions": formatParts(x.Companions), "trial": x.Trial,
+			"quarantined": x.Quarantined, "co_suspects": formatParts(x.CoSuspects), "trial": x.Trial,
 		}).Info()
 	}
 }
--- a/internal/platformhost/suspects.go
+++ b/internal/platformhost/suspects.go
@@ -89,7 +89,7 @@
 		switch {
 		case x.Crashes > 0:
 			return struct{}{}, h.store.PutSuspect(ctx, platform.Suspect{
-				Fingerprint: x.Fingerprint, Part: x.Part, Companions: x.Companions, Crashes: x.Crashes, At: at,
+				Fingerprint: x.Fingerprint, Part: x.Part, CoSuspects: x.CoSuspects, Crashes: x.Crashes, At: at,
 			})
 		case x.Part:
 			return struct{}{}, h.store.DeleteSuspectPart(ctx, x.Fingerprint)
@@ -114,7 +114,7 @@
 		age := max(0, time.Since(row.At))
 		x := pool.NewRepeatedSuspect(row.Fingerprint, row.Crashes, age)
 		if row.Part {
-			x = pool.NewSuspectPart(row.Fingerprint, row.Companions, row.Crashes, age)
+			x = pool.NewSuspectPart(row.Fingerprint, row.CoSuspects, row.Crashes, age)
 		}
 		h.suspects.mu.Lock()
 		h.suspects.stored[storedSuspect{x.Fingerprint, x.Part}] = true
--- a/internal/pool/event.go
+++ b/internal/pool/event.go
@@ -228,11 +228,11 @@
 	Fingerprint uint64
 	Crashes     int
 	Quarantined bool
-	// Part means that Fingerprint is that of a prompt part. Companions are then the other
+	// Part means that Fingerprint is that of a prompt part. CoSuspects are then the other
 	// parts that are at least as suspicious: requests with only some of them may be
 	// harmless.
 	Part       bool     `cbor:",omitempty"`
-	Companions []uint64 `cbor:",omitempty"`
+	CoSuspects []uint64 `cbor:",omitempty"`
 	// Trial announces that a quarantined suspect is being run once more.
 	Trial bool `cbor:",omitempty"`
 	// Repeats is the Repeats field of its requests.
@@ -255,10 +255,10 @@
 	return x
 }
 
-// NewSuspectPart returns a suspected prompt part, with its companions, the number of
+// NewSuspectPart returns a suspected prompt part, with its co-suspects, the number of
 // endpoint crashes and the time since the last of them.
-func NewSuspectPart(fingerprint uint64, companions []uint64, crashes int, age time.Duration) Suspect {
-	x := Suspect{Fingerprint: fingerprint, Crashes: crashes, Part: true, Companions: companions, Repeats: true, Age: age}
+func NewSuspectPart(fingerprint uint64, coSuspects []uint64, crashes int, age time.Duration) Suspect {
+	x := Suspect{Fingerprint: fingerprint, Crashes: crashes, Part: true, CoSuspects: coSuspects, Repeats: true, Age: age}
 	x.Quarantined = x.Crashes >= x.quarantineThreshold()
 	return x
 }
--- a/internal/pool/part.go
+++ b/internal/pool/part.go
@@ -108,7 +108,7 @@
 	slices.SortStableFunc(found, func(a, b *suspect) int { return cmp.Compare(b.Crashes, a.Crashes) })
 	var list []Suspect
 	for _, x := range found {
-		x.Companions = companions(x, found)
+		x.CoSuspects = coSuspectsOf(x, found)
 		if len(list) < rules.MaxPublishedParts {
 			list = append(list, x.Suspect)
 		}
@@ -116,12 +116,12 @@
 	return list
 }
 
-// companions returns the parts among those of a crash, sorted by their crashes, that are
+// coSuspectsOf returns the parts among those of a crash, sorted by their crashes, that are
 // at least as suspicious as x.
-func companions(x *suspect, found []*suspect) []uint64 {
+func coSuspectsOf(x *suspect, found []*suspect) []uint64 {
 	var list []uint64
 	for _, y := range found {
-		if y.Crashes < x.Crashes || len(list) == rules.MaxCompanions {
+		if y.Crashes < x.Crashes || len(list) == rules.MaxCoSuspects {
 			break
 		}
 		if y != x {
@@ -131,11 +131,11 @@
 	return list
 }
 
-// forgetCompanion removes a part that is no longer suspected from the companions of the
+// forgetCoSuspect removes a part that is no longer suspected from the co-suspects of the
 // others.
-func (s *Scheduler) forgetCompanion(fingerprint uint64) {
+func (s *Scheduler) forgetCoSuspect(fingerprint uint64) {
 	for _, x := range s.parts.rows {
-		x.Companions = withoutPart(x.Companions, fingerprint)
+		x.CoSuspects = withoutPart(x.CoSuspects, fingerprint)
 	}
 }
 
@@ -163,11 +163,11 @@
 }
 
 // quarantinedPart returns a quarantined part of a request, or nil. A request without all
-// of the part's companions isn't refused: it shows, in isolation, which of them crashes
+// of the part's co-suspects isn't refused: it shows, in isolation, which of them crashes
 // endpoints.
 func (s *Scheduler) quarantinedPart(r *Request) *suspect {
 	for _, x := range s.findParts(r) {
-		if x.Quarantined && !slices.ContainsFunc(x.Companions, func(p uint64) bool { return !slices.Contains(r.Parts, p) }) {
+		if x.Quarantined && !slices.ContainsFunc(x.CoSuspects, func(p uint64) bool { return !slices.Contains(r.Parts, p) }) {
 			return x
 		}
 	}
--- a/internal/pool/part_test.go
+++ b/internal/pool/part_test.go
@@ -12,8 +12,8 @@
 	"github.com/trefoilchute/trefoilchute/internal/result"
 )
 
-// deadly is a part that crashes endpoints, and shared a sound part that stands beside it.
-const deadly, shared uint64 = 666, 77
+// crashingPart is a part that crashes endpoints, and sharedPart a sound part that stands beside it.
+const crashingPart, sharedPart uint64 = 666, 77
 
 // sendParts sends a request that is like no other, with some prompt parts, and returns its grant,
 // if it gets one at once.
@@ -57,7 +57,7 @@
 	return h.awaitGrant(), true
 }
 
-// quarantine crashes endpoints with deadly until it is quarantined.
+// quarantine crashes endpoints with crashingPart until it is quarantined.
 func (h *harness) quarantine(parts ...uint64) {
 	for range rules.PartCrashesToQuarantine {
 		x, ok := h.runWithPart(parts...)
@@ -76,22 +76,22 @@
 }
 
 // TestPartOfUnlikeRequestsIsQuarantined sends requests of two kinds for a minute: those with
-// deadly crash the endpoint that begins to answer them, which is back after 2 s. All share
+// crashingPart crash the endpoint that begins to answer them, which is back after 2 s. All share
 // another part.
 func TestPartOfUnlikeRequestsIsQuarantined(t *testing.T) {
 	h := newHarness(t, 6, 8)
 	back := map[ident.Endpoint]time.Duration{}
-	tainted := map[ident.Request]bool{}
+	crashing := map[ident.Request]bool{}
 	crashes, sound, answered := []time.Duration{}, 0, 0
 	for n := 0; h.now < time.Minute; n++ {
-		parts := []uint64{shared}
+		parts := []uint64{sharedPart}
 		if n%3 == 0 {
-			parts = []uint64{shared, deadly}
+			parts = []uint64{sharedPart, crashingPart}
 		} else {
 			sound++
 		}
 		id := ident.Request(fmt.Sprintf("p%d", h.next+2))
-		tainted[id] = n%3 == 0
+		crashing[id] = n%3 == 0
 		if x, ok := h.sendParts(parts...); ok {
 			h.granted = append(h.granted, x)
 		}
@@ -105,7 +105,7 @@
 			x := h.granted[0]
 			h.granted = h.granted[1:]
 			h.step(Started{ID: x.ID, Attempt: x.Attempt})
-			if !tainted[x.ID] {
+			if !crashing[x.ID] {
 				h.answer(x)
 				answered++
 				continue
@@ -118,7 +118,7 @@
 	}
 	h.g.Expect(len(crashes)).To(BeNumerically("<=", 5), "crashes at %v", crashes)
 	h.g.Expect(answered).To(Equal(sound))
-	h.expectRefused(deadly)
+	h.expectRefused(crashingPart)
 }
 
 // TestPartIsNotBlamedWhileAnswered crashes an endpoint with three requests in flight. Only those
@@ -130,47 +130,47 @@
 	h.advance(rules.AnsweringProof)
 	short, _ := h.sendParts(2)
 	h.step(FirstToken{ID: short.ID, Attempt: short.Attempt})
-	lost, _ := h.sendParts(deadly)
+	lost, _ := h.sendParts(crashingPart)
 	h.crash(lost)
 	h.g.Expect(h.s.parts.find(0, 1)).To(BeNil())
 	h.g.Expect(h.s.parts.find(0, 2)).NotTo(BeNil(), "its first event may have come just before a crash")
-	h.g.Expect(h.s.parts.find(0, deadly)).NotTo(BeNil())
+	h.g.Expect(h.s.parts.find(0, crashingPart)).NotTo(BeNil())
 }
 
 // TestPartThatIsAnsweredElsewhereIsNotBlamed crashes an endpoint while another answers a request with one
 // of the parts in flight.
 func TestPartThatIsAnsweredElsewhereIsNotBlamed(t *testing.T) {
 	h := newHarness(t, 2, 1)
-	answered, _ := h.sendParts(shared)
+	answered, _ := h.sendParts(sharedPart)
 	h.step(FirstToken{ID: answered.ID, Attempt: answered.Attempt})
 	h.advance(rules.AnsweringProof)
-	lost, ok := h.sendParts(shared, deadly)
+	lost, ok := h.sendParts(sharedPart, crashingPart)
 	h.g.Expect(ok).To(BeTrue())
 	h.g.Expect(lost.Endpoint).NotTo(Equal(answered.Endpoint))
 	h.crash(lost)
-	h.g.Expect(h.s.parts.find(0, shared)).To(BeNil())
-	h.g.Expect(h.s.parts.find(0, deadly)).NotTo(BeNil())
+	h.g.Expect(h.s.parts.find(0, sharedPart)).To(BeNil())
+	h.g.Expect(h.s.parts.find(0, crashingPart)).NotTo(BeNil())
 }
 
 // TestSuspectPartRunsOneAtATime sends several requests with a part that was lost once.
 func TestSuspectPartRunsOneAtATime(t *testing.T) {
 	h := newHarness(t, 3, 8)
-	x, _ := h.sendParts(deadly)
+	x, _ := h.sendParts(crashingPart)
 	h.crash(x)
 	h.advance(time.Second)
-	first, ok := h.sendParts(deadly)
+	first, ok := h.sendParts(crashingPart)
 	h.g.Expect(ok).To(BeTrue())
-	_, ok = h.sendParts(deadly)
+	_, ok = h.sendParts(crashingPart)
 	h.g.Expect(ok).To(BeFalse(), "one is in flight")
-	_, ok = h.sendParts(shared)
+	_, ok = h.sendParts(sharedPart)
 	h.g.Expect(ok).To(BeTrue(), "another part")
 	h.finish(first, OutcomeFailed)
 	second := h.awaitGrant()
 	h.step(FirstToken{ID: second.ID, Attempt: second.Attempt})
 	h.advance(rules.AnsweringProof)
-	h.g.Expect(h.s.parts.find(0, deadly)).To(BeNil(), "answered for long enough")
+	h.g.Expect(h.s.parts.find(0, crashingPart)).To(BeNil(), "answered for long enough")
 	for range 2 {
-		_, ok = h.sendParts(deadly)
+		_, ok = h.sendParts(crashingPart)
 		h.g.Expect(ok).To(BeTrue())
 	}
 }
@@ -178,29 +178,29 @@
 // TestFailedAnswerDoesNotClearPart ends a run with an error of the endpoint: it generated nothing.
 func TestFailedAnswerDoesNotClearPart(t *testing.T) {
 	h := newHarness(t, 2, 8)
-	x, _ := h.sendParts(deadly)
+	x, _ := h.sendParts(crashingPart)
 	h.crash(x)
 	h.advance(time.Second)
-	again, _ := h.sendParts(deadly)
+	again, _ := h.sendParts(crashingPart)
 	h.step(Finished{ID: again.ID, Attempt: again.Attempt, Outcome: OutcomeCompleted})
-	h.g.Expect(h.s.parts.find(0, deadly)).NotTo(BeNil())
+	h.g.Expect(h.s.parts.find(0, crashingPart)).NotTo(BeNil())
 }
 
-// TestSoundPartBesideDeadlyOneIsTold quarantines two parts that were always together. A request with
+// TestSoundPartIsToldFromCrashingOne quarantines two parts that were always together. A request with
 // the sound one alone is still run, and clears it.
-func TestSoundPartBesideDeadlyOneIsTold(t *testing.T) {
+func TestSoundPartIsToldFromCrashingOne(t *testing.T) {
 	h := newHarness(t, 3, 8)
-	h.quarantine(shared, deadly)
-	h.expectRefused(shared, deadly)
-	h.g.Expect(h.s.parts.find(0, shared).Quarantined).To(BeTrue())
-	x, ok := h.runWithPart(shared)
+	h.quarantine(sharedPart, crashingPart)
+	h.expectRefused(sharedPart, crashingPart)
+	h.g.Expect(h.s.parts.find(0, sharedPart).Quarantined).To(BeTrue())
+	x, ok := h.runWithPart(sharedPart)
 	h.g.Expect(ok).To(BeTrue(), "no evidence against it alone")
 	h.g.Expect(x.Isolated).To(BeTrue())
 	h.answer(x)
-	h.g.Expect(h.s.parts.find(0, shared)).To(BeNil())
-	h.expectRefused(deadly)
-	h.expectRefused(shared, deadly)
-	_, ok = h.sendParts(shared)
+	h.g.Expect(h.s.parts.find(0, sharedPart)).To(BeNil())
+	h.expectRefused(crashingPart)
+	h.expectRefused(sharedPart, crashingPart)
+	_, ok = h.sendParts(sharedPart)
 	h.g.Expect(ok).To(BeTrue())
 }
 
@@ -210,68 +210,68 @@
 	h := newHarness(t, 3, 8)
 	fresh := uint64(10_000)
 	for range rules.PartCrashesToQuarantine {
-		parts := []uint64{shared}
+		parts := []uint64{sharedPart}
 		for range 1200 {
 			fresh++
 			parts = append(parts, fresh)
 		}
-		x, ok := h.runWithPart(append(parts, deadly)...)
+		x, ok := h.runWithPart(append(parts, crashingPart)...)
 		h.g.Expect(ok).To(BeTrue())
 		h.crash(x)
 		h.advance(100 * time.Millisecond)
 	}
-	h.expectRefused(shared, deadly)
-	x, ok := h.runWithPart(shared)
+	h.expectRefused(sharedPart, crashingPart)
+	x, ok := h.runWithPart(sharedPart)
 	h.g.Expect(ok).To(BeTrue())
 	h.answer(x)
-	_, ok = h.sendParts(shared)
+	_, ok = h.sendParts(sharedPart)
 	h.g.Expect(ok).To(BeTrue())
-	h.expectRefused(shared, deadly)
+	h.expectRefused(sharedPart, crashingPart)
 }
 
 // TestCrashWithQuarantinedPartBlamesNoOther crashes endpoints with a quarantined part, as on trial,
 // while others are in flight.
 func TestCrashWithQuarantinedPartBlamesNoOther(t *testing.T) {
 	h := newHarness(t, 3, 8)
-	h.quarantine(deadly)
+	h.quarantine(crashingPart)
 	h.advance(rules.FirstTrialDelay)
-	sound, _ := h.sendParts(shared)
-	trial, ok := h.runWithPart(deadly)
+	sound, _ := h.sendParts(sharedPart)
+	trial, ok := h.runWithPart(crashingPart)
 	h.g.Expect(ok).To(BeTrue())
 	h.s.attempts.find(sound.ID, sound.Attempt).endpoint = h.s.attempts.find(trial.ID, trial.Attempt).endpoint
 	h.finish(trial, OutcomeLost)
-	h.g.Expect(h.s.parts.find(0, shared)).To(BeNil())
-	h.g.Expect(h.s.parts.find(0, deadly).Crashes).To(Equal(rules.PartCrashesToQuarantine + 1))
+	h.g.Expect(h.s.parts.find(0, sharedPart)).To(BeNil())
+	h.g.Expect(h.s.parts.find(0, crashingPart).Crashes).To(Equal(rules.PartCrashesToQuarantine + 1))
 }
 
 // TestWronglyQuarantinedPartComesBack answers the trial of a part that was lost with endpoints that
 // ended for another reason.
 func TestWronglyQuarantinedPartComesBack(t *testing.T) {
 	h := newHarness(t, 3, 8)
-	h.quarantine(shared)
+	h.quarantine(sharedPart)
 	h.advance(rules.FirstTrialDelay - time.Second)
-	h.expectRefused(shared)
+	h.expectRefused(sharedPart)
 	h.advance(time.Second)
-	trial, ok := h.runWithPart(shared)
+	trial, ok := h.runWithPart(sharedPart)
 	h.g.Expect(ok).To(BeTrue())
-	h.expectRefused(shared)
+	h.expectRefused(sharedPart)
 	h.answer(trial)
-	_, ok = h.sendParts(shared)
+	_, ok = h.sendParts(sharedPart)
 	h.g.Expect(ok).To(BeTrue())
 }
 
 // TestTrialIsAnnouncedToOtherSchedulers guards against one trial in each region at a time.
 func TestTrialIsAnnouncedToOtherSchedulers(t *testing.T) {
 	here, there := newHarness(t, 3, 8), newHarness(t, 3, 8)
-	here.quarantine(deadly)
+	here.quarantine(crashingPart)
 	there.now = here.now
 	there.step(Suspects{List: here.s.Status().Suspects})
-	there.expectRefused(deadly)
+	there.expectRefused(crashingPart)
 	here.advance(rules.FirstTrialDelay)
 	there.advance(rules.FirstTrialDelay)
 	here.now += time.Millisecond
 	r := testRequest("trial", 0)
-	r.Parts, r.Repeats, r.Deadline = []uint64{deadly}, true, here.now+10*time.Second
+	r.Parts, r.Repeats, r.Deadline = []uint64{crashingPart}, true, here.now+10*time.Second
 	var published []Suspect
 	for _, e := range here.s.Step(here.now, []Event{Arrive{r}}) {
 		if p, ok := e.(Publish); ok {
@@ -280,7 +280,7 @@
 	}
 	h := there
 	h.step(Suspects{List: published})
-	h.expectRefused(deadly)
+	h.expectRefused(crashingPart)
 }
 
 // TestSimultaneousLossesCountPartOnce loses five endpoints together, each with the same part.
@@ -288,7 +288,7 @@
 	h := newHarness(t, 6, 1)
 	var runs []Grant
 	for range 5 {
-		x, ok := h.sendParts(shared)
+		x, ok := h.sendParts(sharedPart)
 		h.g.Expect(ok).To(BeTrue())
 		runs = append(runs, x)
 	}
@@ -296,21 +296,21 @@
 	for _, x := range runs {
 		h.finish(x, OutcomeLost)
 	}
-	h.g.Expect(h.s.parts.find(0, shared).Crashes).To(Equal(1))
+	h.g.Expect(h.s.parts.find(0, sharedPart).Crashes).To(Equal(1))
 }
 
 // TestSuspectPartsAreBounded adds more parts than are kept: those that crashed most stay.
 func TestSuspectPartsAreBounded(t *testing.T) {
 	h := newHarness(t, 3, 8)
-	h.quarantine(deadly)
-	h.s.mergeSuspects([]Suspect{{Fingerprint: shared, Crashes: 2, Part: true, Repeats: true}})
+	h.quarantine(crashingPart)
+	h.s.mergeSuspects([]Suspect{{Fingerprint: sharedPart, Crashes: 2, Part: true, Repeats: true}})
 	for part := range uint64(2 * rules.MaxSuspectParts) {
 		h.s.mergeSuspects([]Suspect{{Fingerprint: 1000 + part, Crashes: 1, Part: true, Repeats: true}})
 	}
 	h.g.Expect(h.s.parts.rows).To(HaveLen(rules.MaxSuspectParts))
 	h.g.Expect(h.s.parts.byBody).To(HaveLen(rules.MaxSuspectParts))
-	h.g.Expect(h.s.parts.find(0, shared)).NotTo(BeNil())
-	h.expectRefused(deadly)
+	h.g.Expect(h.s.parts.find(0, sharedPart)).NotTo(BeNil())
+	h.expectRefused(crashingPart)
 	h.g.Expect(h.s.suspects.rows).To(HaveLen(rules.PartCrashesToQuarantine), "parts evict no requests")
 }
 
@@ -323,34 +323,34 @@
 		r.Parts, r.Repeats, r.Deadline = []uint64{part}, true, h.now+10*time.Second
 		return Running{Request: r, Endpoint: "e0", Attempt: ident.Attempt(len(id)), Age: 2 * time.Second, FirstTokenAge: answered}
 	}
-	h.step(Restore{Host: "h1", Running: []Running{run("a", deadly, 0), run("bb", shared, time.Second)}})
+	h.step(Restore{Host: "h1", Running: []Running{run("a", crashingPart, 0), run("bb", sharedPart, time.Second)}})
 	h.finish(Grant{ID: "a", Attempt: 1}, OutcomeLost)
-	h.g.Expect(h.s.parts.find(0, deadly)).NotTo(BeNil())
-	h.g.Expect(h.s.parts.find(0, shared)).To(BeNil())
+	h.g.Expect(h.s.parts.find(0, crashingPart)).NotTo(BeNil())
+	h.g.Expect(h.s.parts.find(0, sharedPart)).To(BeNil())
 }
 
 // TestBrokenRunIsBlamedForItsParts breaks a run before its endpoint is known to have ended.
 func TestBrokenRunIsBlamedForItsParts(t *testing.T) {
 	h := newHarness(t, 2, 8)
-	x, _ := h.sendParts(deadly)
+	x, _ := h.sendParts(crashingPart)
 	h.finish(x, OutcomeFailed)
-	h.g.Expect(h.s.parts.find(0, deadly)).To(BeNil())
+	h.g.Expect(h.s.parts.find(0, crashingPart)).To(BeNil())
 	h.restart(x.Endpoint)
-	h.g.Expect(h.s.parts.find(0, deadly)).NotTo(BeNil())
+	h.g.Expect(h.s.parts.find(0, crashingPart)).NotTo(BeNil())
 }
 
-// TestSuspectPartWaitsForTheVerdictOnItsLastRun is TestSuspectWaitsForTheVerdictOnItsLastRun for a part.
-func TestSuspectPartWaitsForTheVerdictOnItsLastRun(t *testing.T) {
+// TestSuspectPartWaitsUntilItsLastRunIsResolved is TestSuspectWaitsUntilItsLastRunIsResolved for a part.
+func TestSuspectPartWaitsUntilItsLastRunIsResolved(t *testing.T) {
 	h := newHarness(t, 3, 8)
-	x, _ := h.sendParts(deadly)
+	x, _ := h.sendParts(crashingPart)
 	h.crash(x)
 	h.advance(100 * time.Millisecond)
-	x, ok := h.sendParts(deadly)
+	x, ok := h.sendParts(crashingPart)
 	h.g.Expect(ok).To(BeTrue())
 	h.finish(x, OutcomeCanceled)
-	_, ok = h.sendParts(deadly)
+	_, ok = h.sendParts(crashingPart)
 	h.g.Expect(ok).To(BeFalse())
 	h.restart(x.Endpoint)
-	h.g.Expect(h.s.parts.find(0, deadly).Crashes).To(Equal(2))
+	h.g.Expect(h.s.parts.find(0, crashingPart).Crashes).To(Equal(2))
 	h.g.Expect(h.awaitGrant().Isolated).To(BeTrue())
 }
--- a/internal/pool/repeat_test.go
+++ b/internal/pool/repeat_test.go
@@ -430,9 +430,9 @@
 	h.g.Expect(h.s.suspects.find(0, 10)).To(BeNil())
 }
 
-// TestSuspectWaitsForTheVerdictOnItsLastRun guards against another run of a suspect at once when the caller
+// TestSuspectWaitsUntilItsLastRunIsResolved guards against another run of a suspect at once when the caller
 // of the one before has left unanswered, at an endpoint that is silent.
-func TestSuspectWaitsForTheVerdictOnItsLastRun(t *testing.T) {
+func TestSuspectWaitsUntilItsLastRunIsResolved(t *testing.T) {
 	suspected := func() (*harness, Grant) {
 		h := newHarness(t, 3, 8)
 		x, _ := h.send(7)
--- a/internal/pool/rules/rules.go
+++ b/internal/pool/rules/rules.go
@@ -229,12 +229,12 @@
 	// its prompt parts don't crash endpoints: a first event may still get out before a
 	// crash.
 	AnsweringProof = 500 * time.Millisecond
-	// MaxSuspectParts bounds the prompt parts that a scheduler suspects. It exceeds the
-	// parts of three requests with the longest headers.
+	// MaxSuspectParts bounds the prompt parts that a scheduler suspects. Requests with the
+	// longest headers have about 1,200, which must not evict a part between two crashes.
 	MaxSuspectParts = 4096
-	// MaxCompanions bounds the parts that are kept for a suspected part as equally
+	// MaxCoSuspects bounds the parts that are kept for a suspected part as equally
 	// suspicious, and MaxPublishedParts the parts published after one crash.
-	MaxCompanions     = 16
+	MaxCoSuspects     = 16
 	MaxPublishedParts = 64
 	// BrokenRunRetention is how long a run whose connection broke is kept, until
 	// the endpoint is known to have ended. MaxBrokenRuns bounds these runs for one
--- a/internal/pool/suspect.go
+++ b/internal/pool/suspect.go
@@ -239,7 +239,7 @@
 	s.timers.stop(&x.timer)
 	if x.Part {
 		s.parts.remove(x)
-		s.forgetCompanion(x.Fingerprint)
+		s.forgetCoSuspect(x.Fingerprint)
 		s.resumePartWaiters(x, true)
 		return
 	}
@@ -278,7 +278,7 @@
 		s.addSuspect(table, x)
 	}
 	if d.Crashes >= x.Crashes {
-		x.Companions = d.Companions
+		x.CoSuspects = d.CoSuspects
 	}
 	x.Crashes = max(x.Crashes, d.Crashes)
 	x.lastCrash = max(x.lastCrash, s.now-d.Age)
--- a/internal/system/scheduling/receive.go
+++ b/internal/system/scheduling/receive.go
@@ -247,7 +247,7 @@
 			KeyHash: m.GetKeyHash(), Fingerprint: m.GetFingerprint(),
 			Crashes: int(m.GetCrashes()), Quarantined: m.GetQuarantined(),
 			Repeats: m.GetRepeats(), Age: micros(m.GetAgeUs()),
-			Part: m.GetPart(), Companions: m.GetCompanions(), Trial: m.GetTrial(),
+			Part: m.GetPart(), CoSuspects: m.GetCoSuspects(), Trial: m.GetTrial(),
 		}
 	}
 	s.MergeSuspects(now, suspects, out)
@@ -295,7 +295,7 @@
 	case x.Crashes == 0 && !x.Quarantined:
 		delete(s.suspects, key)
 		if x.Part {
-			s.forgetCompanion(x.Fingerprint)
+			s.forgetCoSuspect(x.Fingerprint)
 		}
 		return known
 	}
@@ -309,11 +309,11 @@
 	return true
 }
 
-// forgetCompanion removes a part that was cleared from the companions of the others.
-func (s *System) forgetCompanion(fingerprint uint64) {
+// forgetCoSuspect removes a part that was cleared from the co-suspects of the others.
+func (s *System) forgetCoSuspect(fingerprint uint64) {
 	for key, x := range s.suspects {
-		if slices.Contains(x.Companions, fingerprint) {
-			x.Companions = slices.DeleteFunc(slices.Clone(x.Companions), func(p uint64) bool { return p == fingerprint })
+		if slices.Contains(x.CoSuspects, fingerprint) {
+			x.CoSuspects = slices.DeleteFunc(slices.Clone(x.CoSuspects), func(p uint64) bool { return p == fingerprint })
 			s.suspects[key] = x
 		}
 	}
@@ -378,6 +378,6 @@
 		KeyHash: x.KeyHash, Fingerprint: x.Fingerprint,
 		Crashes: int32(x.Crashes), Quarantined: x.Quarantined,
 		Repeats: x.Repeats, AgeUs: x.Age.Microseconds(),
-		Part: x.Part, Companions: x.Companions, Trial: x.Trial,
+		Part: x.Part, CoSuspects: x.CoSuspects, Trial: x.Trial,
 	}
 }
--- a/internal/system/scheduling/suspect_test.go
+++ b/internal/system/scheduling/suspect_test.go
@@ -37,22 +37,22 @@
 }
 
 // TestSuspectPartsAreKeptApart checks that parts and requests with equal fingerprints differ, that a
-// cleared part is no companion any more, and that a trial concerns the pools but changes nothing.
+// cleared part is no co-suspect any more, and that a trial concerns the pools but changes nothing.
 func TestSuspectPartsAreKeptApart(t *testing.T) {
 	g := NewWithT(t)
 	s := New(Config{})
 	request := pool.NewRepeatedSuspect(7, 2, 0)
 	part := pool.NewSuspectPart(7, []uint64{8}, 3, 0)
-	companion := pool.NewSuspectPart(8, []uint64{7}, 3, 0)
-	for _, x := range []pool.Suspect{request, part, companion} {
+	other := pool.NewSuspectPart(8, []uint64{7}, 3, 0)
+	for _, x := range []pool.Suspect{request, part, other} {
 		g.Expect(s.recordSuspect(0, x)).To(BeTrue())
 	}
-	g.Expect(s.sortedSuspects(0)).To(Equal([]pool.Suspect{request, part, companion}))
+	g.Expect(s.sortedSuspects(0)).To(Equal([]pool.Suspect{request, part, other}))
 	trial := part
 	trial.Trial = true
 	g.Expect(s.recordSuspect(0, trial)).To(BeTrue())
 	g.Expect(s.recordSuspect(0, pool.Suspect{Fingerprint: 8, Part: true})).To(BeTrue())
-	part.Companions = []uint64{}
+	part.CoSuspects = []uint64{}
 	g.Expect(s.sortedSuspects(0)).To(Equal([]pool.Suspect{request, part}))
 }
 
