--- /dev/null
+++ b/review/standin/cases.go
@@ -0,0 +1,176 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+)
+
+// deployment starts runners of the plain service and gateways.
+func deployment(rec *record, cfg map[string]any, gateways int, runners ...*runner) (*world, error) {
+	w, err := newWorld(rec, cfg)
+	if err != nil {
+		return nil, err
+	}
+	for i, r := range runners {
+		r.id, r.service, r.zone = fmt.Sprintf("i-%d", i), "app", fmt.Sprintf("zone-%d", i%2)
+		if err := w.addRunner(r); err != nil {
+			return w, err
+		}
+	}
+	return w, w.addGateways(gateways)
+}
+
+// keepLogs leaves the gateways' logs for reading.
+func keepLogs() bool {
+	return os.Getenv("KEEP_LOGS") == "1"
+}
+
+// usualWork is how long the requests of the users' plain service run: about 60 ms.
+func usualWork(attempt string) time.Duration {
+	return time.Duration((30 + 60*draw(attempt, "work")) * float64(time.Millisecond))
+}
+
+const (
+	// stopInterval is the time between two orders, and stopWork how long an order runs on average.
+	// The twelve places of the service are not quite enough for that.
+	stopInterval = 150 * time.Millisecond
+	stopWork     = 2500 * time.Millisecond
+	// stopLimit is the route's timeout and the callers' time limit.
+	stopLimit = 12 * time.Second
+	// stopTraffic is how long orders come, and stopAt when the machine gets SIGTERM.
+	stopTraffic = 50 * time.Second
+	stopAt      = 30 * time.Second
+	// lossSlack is the users' bound loss_slack_ms.
+	lossSlack = 200 * time.Millisecond
+)
+
+// queuedStop stops one machine as planned while orders wait for a place at a busy service.
+func queuedStop(rec *record, trouble bool) ([]string, error) {
+	work := func(attempt string) time.Duration {
+		return time.Duration((0.8 + 0.4*draw(attempt, "work")) * float64(stopWork))
+	}
+	w, err := deployment(rec, config(route("order", "unsafe", "app", 1, stopLimit, stopLimit)), 3,
+		&runner{slots: 6, queue: 24, work: work}, &runner{slots: 6, queue: 24, work: work})
+	if w != nil {
+		defer w.close(keepLogs())
+	}
+	if err != nil {
+		return nil, err
+	}
+	var mu sync.Mutex
+	var outcomes []outcome
+	var group sync.WaitGroup
+	begin := time.Now()
+	leaves := w.gateways[0]
+	if trouble {
+		group.Go(func() {
+			time.Sleep(time.Until(begin.Add(stopAt)))
+			rec.add("SIGTERM host=%s", leaves.name)
+			leaves.terminate()
+			rec.add("ended host=%s", leaves.name)
+		})
+	}
+	balancer := w.balance()
+	for i := 0; time.Since(begin) < stopTraffic; i++ {
+		g := balancer.choose(i)
+		group.Go(func() {
+			c := &channel{gateway: g}
+			defer c.close()
+			out := c.do(rec, newRequest(http.MethodPost, "/order/"+fmt.Sprint(i), stopLimit))
+			mu.Lock()
+			outcomes = append(outcomes, out)
+			mu.Unlock()
+		})
+		time.Sleep(time.Until(begin.Add(time.Duration(i+1) * stopInterval)))
+	}
+	group.Wait()
+	return judgeStop(rec, w, outcomes), nil
+}
+
+// judgeStop returns the requests that ended with a closed channel, but for those that a runner
+// still worked on.
+func judgeStop(rec *record, w *world, outcomes []outcome) []string {
+	count := map[string]int{}
+	var lost []string
+	for _, out := range outcomes {
+		ran := 0
+		for _, r := range w.runners {
+			ran += r.ran(out.request.attempt)
+		}
+		switch {
+		case out.closed && out.took > lossSlack && ran == 0 && out.took < stopLimit:
+			count["closed unanswered, at no runner"]++
+			lost = append(lost, out.request.attempt)
+		case out.closed:
+			count["closed unanswered, at a runner"]++
+		case out.err != nil:
+			count["no answer in time"]++
+		default:
+			count[fmt.Sprint("status ", out.status)]++
+		}
+	}
+	rec.add("summary %v", count)
+	if len(lost) == 0 {
+		return nil
+	}
+	return []string{fmt.Sprintf("LOST: %d orders waited at the machine that was stopped, and their channels ended without an answer, the first is %s", len(lost), lost[0])}
+}
+
+const (
+	// spoiltShare is the share of the answers of half of the runners that are spoilt.
+	spoiltShare    = 0.02
+	spoiltCallers  = 8
+	spoiltTraffic  = 40 * time.Second
+	spoiltInterval = 200 * time.Millisecond
+)
+
+// spoilt has a faulty runner send a wrong byte in the status of some of its answers.
+func spoilt(rec *record, trouble bool) ([]string, error) {
+	var runners []*runner
+	for i := range 4 {
+		r := &runner{slots: 6, queue: 24, work: usualWork}
+		if trouble && i%2 == 0 {
+			r.spoils = func(attempt string) bool { return draw(attempt, "spoil") < spoiltShare }
+		}
+		runners = append(runners, r)
+	}
+	w, err := deployment(rec, config(route("order", "unsafe", "app", 1, 1500*time.Millisecond, 300*time.Millisecond)), 3, runners...)
+	if w != nil {
+		defer w.close(keepLogs())
+	}
+	if err != nil {
+		return nil, err
+	}
+	var mu sync.Mutex
+	served := 0
+	var wrong []string
+	var group sync.WaitGroup
+	end := time.Now().Add(spoiltTraffic)
+	for i := range spoiltCallers {
+		group.Go(func() {
+			c := &channel{gateway: w.gateways[i%len(w.gateways)]}
+			defer c.close()
+			for time.Now().Before(end) {
+				out := c.do(rec, newRequest(http.MethodPost, "/order/"+fmt.Sprint(i), 3*time.Second))
+				mu.Lock()
+				if out.status/100 == 2 {
+					if served++; out.body != body(out.request.attempt) || out.seal == "" {
+						wrong = append(wrong, out.request.attempt)
+						rec.add("wrong attempt=%s status=%d bytes=%d of %d", out.request.attempt, out.status, len(out.body), len(body(out.request.attempt)))
+					}
+				}
+				mu.Unlock()
+				time.Sleep(spoiltInterval)
+			}
+		})
+	}
+	group.Wait()
+	rec.add("summary successes=%d wrong=%d", served, len(wrong))
+	if len(wrong) == 0 {
+		return nil, nil
+	}
+	return []string{fmt.Sprintf("MIXED: %d of %d successes did not have the runner's whole body, the first is %s", len(wrong), served, wrong[0])}, nil
+}
