--- a/review/standin/caller.go
+++ b/review/standin/caller.go
@@ -25,7 +25,9 @@
 // request is one requester attempt.
 type request struct {
 	attempt, method, path, body string
-	limit                       time.Duration
+	// headers are further header lines, each with its end.
+	headers string
+	limit   time.Duration
 }
 
 // outcome is how a request ended at its caller.
@@ -110,7 +112,10 @@
 	if r.body != "" {
 		head += fmt.Sprintf("Content-Length: %d\r\n", len(r.body))
 	}
-	if _, out.err = io.WriteString(c.conn, head+"\r\n"+r.body); out.err != nil {
+	if _, out.err = io.WriteString(c.conn, head+r.headers+"\r\n"); out.err != nil {
+		return
+	}
+	if _, out.err = io.WriteString(c.conn, r.body); out.err != nil {
 		return
 	}
 	var resp *http.Response
--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"os"
+	"strings"
 	"sync"
 	"time"
 )
@@ -16,6 +17,9 @@
 	}
 	for i, r := range runners {
 		r.id, r.service, r.zone = fmt.Sprintf("i-%d", i), "app", fmt.Sprintf("zone-%d", i%2)
+		if r.events > 0 {
+			r.service = "llm"
+		}
 		if err := w.addRunner(r); err != nil {
 			return w, err
 		}
@@ -174,3 +178,79 @@
 	}
 	return []string{fmt.Sprintf("MIXED: %d of %d successes did not have the runner's whole body, the first is %s", len(wrong), served, wrong[0])}, nil
 }
+
+const (
+	// memoryLimit is the machines' memory_mb, in bytes.
+	memoryLimit = 284 << 20
+	// longBody is the configuration's max_body_bytes, and usualBody the mean of the users' prompts.
+	longBody  = 4194304
+	usualBody = 12000
+	// memoryInterval is the time between two requests, over all machines: as many for each as on the
+	// users' site. memoryWork is how long a request runs.
+	memoryInterval = time.Second / 66
+	memoryWork     = 3 * time.Second
+	memoryTraffic  = 25 * time.Second
+	memoryStep     = 20 * time.Millisecond
+	// restartDelay is the time until the platform starts a process again.
+	restartDelay = 500 * time.Millisecond
+	// mostEnds and mostMachines are the rule's: as many ends on as many machines break it.
+	mostEnds, mostMachines = 3, 2
+)
+
+// memory has callers send bodies as long as the configuration allows.
+func memory(rec *record, trouble bool) ([]string, error) {
+	var runners []*runner
+	for range 18 {
+		runners = append(runners, &runner{slots: 10, queue: 60, events: 30, work: func(string) time.Duration { return memoryWork }})
+	}
+	w, err := deployment(rec, config(route("dossier", "streaming", "llm", 1, 12*time.Second, 600*time.Millisecond)), 3, runners...)
+	if w != nil {
+		defer w.close(keepLogs())
+	}
+	if err != nil {
+		return nil, err
+	}
+	size := usualBody
+	if trouble {
+		size = longBody
+	}
+	prompt := strings.Repeat("x", size)
+	ends := w.limitMemory()
+	balancer := w.balance()
+	var mu sync.Mutex
+	count := map[string]int{}
+	var group sync.WaitGroup
+	begin := time.Now()
+	for i := 0; time.Since(begin) < memoryTraffic; i++ {
+		g := balancer.choose(i)
+		group.Go(func() {
+			c := &channel{gateway: g}
+			defer c.close()
+			r := newRequest(http.MethodPost, "/dossier/"+fmt.Sprint(i), 12*time.Second)
+			r.body = prompt
+			r.headers = fmt.Sprintf("Model: m\r\nToken-Usage: 6610,385\r\nPrompt-Prefix: 5c1e07a2:60,%x:6550\r\n", i+1)
+			out := c.do(rec, r)
+			mu.Lock()
+			defer mu.Unlock()
+			if out.err != nil {
+				count["unanswered"]++
+			} else {
+				count[fmt.Sprint("status ", out.status)]++
+			}
+		})
+		time.Sleep(time.Until(begin.Add(time.Duration(i+1) * memoryInterval)))
+	}
+	group.Wait()
+	rec.add("summary %v", count)
+	machines, total := 0, 0
+	for i, n := range ends() {
+		rec.add("summary host=%s killed for memory: %d", w.gateways[i].name, n)
+		if total += n; n >= mostEnds {
+			machines++
+		}
+	}
+	if machines < mostMachines {
+		return nil, nil
+	}
+	return []string{fmt.Sprintf("Fault: %d processes had more than memory_mb, on %d of %d machines three times or more", total, machines, len(w.gateways))}, nil
+}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -20,6 +20,7 @@
 var cases = map[string]func(rec *record, trouble bool) (broken []string, err error){
 	"queued-stop": queuedStop,
 	"spoilt":      spoilt,
+	"memory":      memory,
 }
 
 func main() {
@@ -67,11 +68,17 @@
 	}
 }
 
-// config is the configuration with these routes of one service.
+// config is the configuration with these routes of a plain service and of model runners.
 func config(routes ...map[string]any) map[string]any {
 	return map[string]any{
 		"version": 7, "routes": routes,
-		"services": []any{map[string]any{"name": "app", "health_path": "/health", "max_connections": 110, "protocol": "h1", "tls": false}},
+		"services": []any{
+			map[string]any{"name": "app", "health_path": "/health", "max_connections": 110, "protocol": "h1", "tls": false},
+			map[string]any{
+				"name": "llm", "health_path": "/health", "max_connections": 300, "protocol": "h1", "tls": false,
+				"engine": map[string]any{"slots": 10, "kv_capacity": 771464, "stride": 7, "models": []any{map[string]any{"name": "m"}}},
+			},
+		},
 		"limits": map[string]any{
 			"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": idleLimit.Milliseconds(),
 		},
--- a/review/standin/runner.go
+++ b/review/standin/runner.go
@@ -23,6 +23,9 @@
 	fails func(attempt string) bool
 	// spoils reports whether the first digit of the answer's status is sent wrongly.
 	spoils func(attempt string) bool
+	// events is the number of events of an answer; 0: the answer is no stream. They come in equal
+	// steps over the time that the request runs.
+	events int
 
 	http    *http.Server
 	address string
@@ -109,6 +112,10 @@
 	r.mu.Unlock()
 	r.rec.add("run attempt=%s runner=%s", attempt, r.id)
 	h.Set("Runner-Seal", r.id+"."+attempt)
+	if r.events > 0 {
+		r.stream(w, req, attempt)
+		return
+	}
 	select {
 	case <-time.After(r.work(attempt)):
 	case <-limit:
@@ -143,6 +150,23 @@
 	_, _ = io.WriteString(w, text)
 }
 
+// stream answers a run with events.
+func (r *runner) stream(w http.ResponseWriter, req *http.Request, attempt string) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	step := r.work(attempt) / time.Duration(r.events)
+	for i := range r.events {
+		select {
+		case <-time.After(step):
+		case <-req.Context().Done():
+			r.rec.add("dropped attempt=%s runner=%s", attempt, r.id)
+			return
+		}
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s.%d\n\n", i, attempt, i)
+		_ = http.NewResponseController(w).Flush()
+	}
+	r.rec.add("ran attempt=%s runner=%s status=200", attempt, r.id)
+}
+
 // spoil answers a run with one wrong byte, the first digit of the status, and ends the channel.
 func (r *runner) spoil(w http.ResponseWriter, attempt string) {
 	conn, _, err := http.NewResponseController(w).Hijack()
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -292,3 +292,57 @@
 	}
 	return in[i%len(in)]
 }
+
+// limitMemory plays the platform: it kills a process that has more memory than its machine allows,
+// and starts it again. The function that it returns tells how often, by gateway.
+func (w *world) limitMemory() func() []int {
+	var mu sync.Mutex
+	ends, most := make([]int, len(w.gateways)), make([]int, len(w.gateways))
+	for i, g := range w.gateways {
+		w.group.Go(func() {
+			for {
+				select {
+				case <-w.stop:
+					return
+				case <-time.After(memoryStep):
+				}
+				used := residentBytes(g.process.Process.Pid)
+				mu.Lock()
+				most[i] = max(most[i], used)
+				mu.Unlock()
+				if used <= memoryLimit {
+					continue
+				}
+				g.kill()
+				w.rec.add("killed host=%s memory=%d MB", g.name, used>>20)
+				mu.Lock()
+				ends[i]++
+				mu.Unlock()
+				time.Sleep(restartDelay)
+				if err := g.begin(); err != nil {
+					w.rec.add("no start host=%s error=%q", g.name, err)
+					return
+				}
+			}
+		})
+	}
+	return func() []int {
+		mu.Lock()
+		defer mu.Unlock()
+		w.rec.add("summary most memory, in bytes, by host: %v", most)
+		return ends
+	}
+}
+
+// residentBytes returns the resident memory of a process, or 0 if it has ended.
+func residentBytes(pid int) int {
+	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", pid))
+	if err != nil {
+		return 0
+	}
+	var size, resident int
+	if _, err := fmt.Sscan(string(b), &size, &resident); err != nil {
+		return 0
+	}
+	return resident * os.Getpagesize()
+}
