--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -254,3 +254,69 @@
 	}
 	return []string{fmt.Sprintf("Fault: %d processes had more than memory_mb, on %d of %d machines three times or more", total, machines, len(w.gateways))}, nil
 }
+
+const (
+	// cutShare is the share of the answers of half of the runners that end inside an event.
+	cutShare    = 0.02
+	cutCallers  = 12
+	cutTraffic  = 45 * time.Second
+	cutInterval = 100 * time.Millisecond
+	cutEvents   = 12
+	cutWork     = 240 * time.Millisecond
+)
+
+// cutEvent has a faulty runner end some of its streams inside an event.
+func cutEvent(rec *record, trouble bool) ([]string, error) {
+	var runners []*runner
+	for i := range 6 {
+		r := &runner{slots: 10, queue: 60, events: cutEvents, work: func(string) time.Duration { return cutWork }}
+		if trouble && i%2 == 0 {
+			r.cutsOff = func(attempt string) bool { return draw(attempt, "cut") < cutShare }
+		}
+		runners = append(runners, r)
+	}
+	resumable := route("reply", "streaming", "llm", 2, 12*time.Second, 300*time.Millisecond)
+	resumable["resumable"] = true
+	w, err := deployment(rec, config(resumable, route("triage", "streaming", "llm", 1, 3*time.Second, 400*time.Millisecond)), 3, runners...)
+	if w != nil {
+		defer w.close(keepLogs())
+	}
+	if err != nil {
+		return nil, err
+	}
+	var mu sync.Mutex
+	count := map[string]int{}
+	var group sync.WaitGroup
+	end := time.Now().Add(cutTraffic)
+	for i := range cutCallers {
+		path := []string{"/reply/", "/triage/"}[i%2]
+		group.Go(func() {
+			c := &channel{gateway: w.gateways[i%len(w.gateways)]}
+			defer c.close()
+			for n := 0; time.Now().Before(end); n++ {
+				r := newRequest(http.MethodPost, path+fmt.Sprint(i), 3*time.Second)
+				r.headers = fmt.Sprintf("Model: m\r\nToken-Usage: 628,84\r\nPrompt-Prefix: 5c1e07a2:60,%x:568\r\n", n*cutCallers+i+1)
+				out := c.do(rec, r)
+				mu.Lock()
+				switch {
+				case out.err != nil:
+					count[path+" broken off"]++
+				case out.status == http.StatusOK && out.body != stream(r.attempt, cutEvents):
+					count[path+" ended as complete"]++
+					rec.add("wrong attempt=%s ended as complete with %q", r.attempt, out.body[max(0, len(out.body)-40):])
+				default:
+					count[fmt.Sprint(path, " status ", out.status)]++
+				}
+				mu.Unlock()
+				time.Sleep(cutInterval)
+			}
+		})
+	}
+	group.Wait()
+	rec.add("summary %v", count)
+	wrong := count["/reply/ ended as complete"] + count["/triage/ ended as complete"]
+	if wrong == 0 {
+		return nil, nil
+	}
+	return []string{fmt.Sprintf("ORDER: %d streams ended as complete inside an event", wrong)}, nil
+}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -21,6 +21,7 @@
 	"queued-stop": queuedStop,
 	"spoilt":      spoilt,
 	"memory":      memory,
+	"cut-event":   cutEvent,
 }
 
 func main() {
--- a/review/standin/runner.go
+++ b/review/standin/runner.go
@@ -23,6 +23,8 @@
 	fails func(attempt string) bool
 	// spoils reports whether the first digit of the answer's status is sent wrongly.
 	spoils func(attempt string) bool
+	// cutsOff reports whether a stream is ended inside an event, properly to HTTP.
+	cutsOff func(attempt string) bool
 	// events is the number of events of an answer; 0: the answer is no stream. They come in equal
 	// steps over the time that the request runs.
 	events int
@@ -150,21 +152,45 @@
 	_, _ = io.WriteString(w, text)
 }
 
-// stream answers a run with events.
+// stream answers a run with the events behind the last that the caller has.
 func (r *runner) stream(w http.ResponseWriter, req *http.Request, attempt string) {
 	w.Header().Set("Content-Type", "text/event-stream")
+	first := 0
+	if last, err := strconv.Atoi(req.Header.Get("Last-Event-Id")); err == nil {
+		first = last + 1
+	}
 	step := r.work(attempt) / time.Duration(r.events)
-	for i := range r.events {
+	for i := first; i < r.events; i++ {
 		select {
 		case <-time.After(step):
 		case <-req.Context().Done():
 			r.rec.add("dropped attempt=%s runner=%s", attempt, r.id)
 			return
 		}
-		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s.%d\n\n", i, attempt, i)
+		text := event(attempt, i)
+		if i == r.events/2 && r.cutsOff != nil && r.cutsOff(attempt) {
+			// The handler returns, so that the body ends with its last chunk.
+			_, _ = io.WriteString(w, text[:len(text)/2])
+			r.rec.add("cut-off attempt=%s runner=%s inside-event=%d of=%d", attempt, r.id, i, r.events)
+			return
+		}
+		_, _ = io.WriteString(w, text)
 		_ = http.NewResponseController(w).Flush()
 	}
-	r.rec.add("ran attempt=%s runner=%s status=200", attempt, r.id)
+	r.rec.add("ran attempt=%s runner=%s status=200 from-event=%d", attempt, r.id, first)
+}
+
+// event is one event of the answer to an attempt, and stream are the first n.
+func event(attempt string, i int) string {
+	return fmt.Sprintf("id: %d\ndata: %s.%d\n\n", i, attempt, i)
+}
+
+func stream(attempt string, n int) string {
+	var b strings.Builder
+	for i := range n {
+		b.WriteString(event(attempt, i))
+	}
+	return b.String()
 }
 
 // spoil answers a run with one wrong byte, the first digit of the status, and ends the channel.
