End a stream that stops inside an event as incomplete, whatever its framing

Callers saw: a 200 with half of the last event and a proper end.

Cause: the end of the body was taken for the end of the stream, unless nothing but the connection's end framed it. HTTP's framing tells whether the transport is complete; whether the stream is, only its events tell.

Change: internal/sse tracks where events end (LF, CR, CRLF, comments). The gateway checks the end of each stream in every framing, at any status, on first and resumed runs; a stream of declared length is forwarded in chunks, so that a cut can show. A service's answer on the own interface is checked as well. Answers that are no streams of events are no longer split as events.

--- a/internal/gateway/events_test.go
+++ b/internal/gateway/events_test.go
@@ -1,8 +1,11 @@
 package gateway
 
 import (
+	"bufio"
 	"fmt"
+	"io"
 	"net"
+	"net/http"
 	"strings"
 	"testing"
 
@@ -142,6 +145,131 @@
 	}
 }
 
+// framings are the ways in which a response's body may end.
+var framings = map[string]func(body string) string{
+	"chunks": func(body string) string {
+		if body == "" {
+			return "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"
+		}
+		return "Transfer-Encoding: chunked\r\n\r\n" + chunk(body) + "0\r\n\r\n"
+	},
+	"length":     func(body string) string { return fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body) },
+	"connection": func(body string) string { return "\r\n" + body },
+}
+
+// framed responds with a status, headers and a framed body, and closes the connection.
+func framed(status int, header, framing, body string) script {
+	return func(e *scriptedExchange) bool {
+		e.write(sealedHead(status, e.attempt()) + header + framings[framing](body))
+		return false
+	}
+}
+
+// TestStreamThatEndsProperlyInsideAnEventIsIncomplete ends streams inside an event by an orderly
+// end of HTTP. The caller must not take a part of one for the whole.
+func TestStreamThatEndsProperlyInsideAnEventIsIncomplete(t *testing.T) {
+	const event, next = "id: 0\ndata: x\n\n", "id: 1\ndata: y\n\n"
+	const declared = "Content-Type: text/event-stream\r\n"
+	for _, part := range []string{"id: 1\nda", "id: 1\ndata: y\n", "id: 1\r\ndata: y\r\n", "id", "data: {}"} {
+		for framing := range framings {
+			for _, header := range []string{"", declared, "Content-Type: Text/Event-Stream;charset=utf-8\r\n"} {
+				for _, status := range []int{200, 201} {
+					t.Run(fmt.Sprintf("%q/%s/%s/%d", part, framing, header, status), func(t *testing.T) {
+						h := start(t, framed(status, header, framing, event+part))
+						got := h.ask(post("/stream/x", "id1", "prompt"))
+						h.Expect(event + part).To(HavePrefix(got.body))
+						h.Expect(got.err).To(HaveOccurred())
+						h.Expect((<-h.outcomes).Code).To(Equal(result.AnswerCut))
+
+						h = start(t, framed(status, header, framing, event+part), framed(status, header, framing, next))
+						got = h.ask(post("/resumable/x", "id2", "prompt"))
+						h.Expect(got.err).NotTo(HaveOccurred())
+						h.Expect(got.body).To(Equal(event + next))
+						<-h.endpoints[0].seen
+						h.Expect((<-h.endpoints[1].seen).request.Header.Get("Last-Event-Id")).To(Equal("0"))
+
+						h = start(t, framed(status, header, framing, event+part), framed(status, header, framing, next+part))
+						got = h.ask(post("/resumable/x", "id3", "prompt"))
+						h.Expect(got.body).To(Equal(event + next))
+						h.Expect(got.err).To(HaveOccurred())
+					})
+				}
+			}
+		}
+	}
+	for _, status := range []int{404, 500} {
+		h := start(t, framed(status, declared, "chunks", event+"da"))
+		got := h.ask(post("/unsafe/x", "id1", "body"))
+		h.Expect(got.err != nil || got.status == http.StatusBadGateway).To(BeTrue(), "a declared stream at status %d", status)
+	}
+}
+
+// TestSoundAnswerOfAStreamRouteIsDelivered sends whole streams with unusual line ends and comments,
+// and answers that are no streams, in every framing.
+func TestSoundAnswerOfAStreamRouteIsDelivered(t *testing.T) {
+	const events = "Content-Type: text/event-stream\r\n"
+	long := strings.Repeat("x", 2<<20)
+	for name, c := range map[string]struct{ header, body string }{
+		"CRLF":                       {events, "id: 0\r\ndata: x\r\n\r\nid: 1\r\ndata: y\r\n\r\n"},
+		"CR":                         {events, "id: 0\rdata: x\r\rid: 1\rdata: y\r\r"},
+		"mixed line ends":            {events, "id: 0\rdata: x\n\r\nid: 1\r\ndata: y\n\r"},
+		"comment behind the last":    {events, "data: x\n\n: ping\n"},
+		"empty line behind the last": {events, "data: x\n\n\n"},
+		"undeclared":                 {"", "\n: ping\n\ndata: x\n\n"},
+		"undeclared, byte order":     {"", "\xef\xbb\xbfdata: x\n\n"},
+		"undeclared JSON":            {"", "{\"id\": 1}\n"},
+		"undeclared text":            {"", "identity and data: none"},
+		"JSON":                       {"Content-Type: application/json\r\n", "{\"data\":\n\n1}"},
+		"longer than an event":       {"Content-Type: application/json\r\n", long},
+	} {
+		for framing := range framings {
+			for _, path := range []string{"/stream/x", "/resumable/x"} {
+				t.Run(name+"/"+framing+path, func(t *testing.T) {
+					h := start(t, framed(200, c.header, framing, c.body))
+					got := h.ask(post(path, "id1", "prompt"))
+					h.Expect(got.err).NotTo(HaveOccurred())
+					h.Expect(got.body == c.body).To(BeTrue(), "got %d of %d bytes", len(got.body), len(c.body))
+					h.Expect((<-h.outcomes).Tries).To(Equal(1))
+				})
+			}
+		}
+	}
+	for _, framing := range []string{"chunks", "length"} {
+		h := start(t, framed(200, events, framing, ""))
+		got := h.ask(post("/stream/x", "id1", "prompt"))
+		h.Expect(got.err).NotTo(HaveOccurred(), framing)
+		h.Expect(got.status).To(Equal(http.StatusOK))
+	}
+}
+
+// TestEventsAreForwardedAsTheyEnd has events of every line end wait before the next one comes.
+func TestEventsAreForwardedAsTheyEnd(t *testing.T) {
+	for _, end := range []string{"\n", "\r", "\r\n"} {
+		release := make(chan struct{})
+		h := start(t, func(e *scriptedExchange) bool {
+			first := strings.ReplaceAll("id: 0\ndata: x\n\n", "\n", end)
+			e.write(sealedHead(200, e.attempt()) + "Transfer-Encoding: chunked\r\n\r\n" + chunk(first))
+			<-release
+			e.write(chunk(first) + "0\r\n\r\n")
+			return true
+		})
+		conn := h.dial()
+		_, err := io.WriteString(conn, post("/resumable/x", "id1", "prompt"))
+		h.Expect(err).NotTo(HaveOccurred())
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		h.Expect(err).NotTo(HaveOccurred())
+		got := make([]byte, len("id: 0 data: x")+2*len(end)-len(" ")+len(end))
+		_, err = io.ReadFull(resp.Body, got)
+		h.Expect(err).NotTo(HaveOccurred(), "%q", end)
+		close(release)
+		_, err = io.ReadAll(resp.Body)
+		h.Expect(err).NotTo(HaveOccurred())
+		o := <-h.outcomes
+		h.Expect(o.Events).To(Equal(2))
+		_ = resp.Body.Close()
+	}
+}
+
 // TestBodyWithoutLengthIsDelivered ends a plain answer, and an answer on a stream's route that is no
 // event stream, with the connection.
 func TestBodyWithoutLengthIsDelivered(t *testing.T) {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -1,14 +1,12 @@
 package gateway
 
 import (
-	"bytes"
 	"cmp"
 	"context"
 	"errors"
 	"io"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -18,6 +16,7 @@
 	"github.com/trefoilchute/trefoilchute/internal/peer/peerpb"
 	"github.com/trefoilchute/trefoilchute/internal/result"
 	"github.com/trefoilchute/trefoilchute/internal/ruleset"
+	"github.com/trefoilchute/trefoilchute/internal/sse"
 	"github.com/trefoilchute/trefoilchute/internal/upstream"
 	"github.com/trefoilchute/trefoilchute/platform"
 )
@@ -123,6 +122,9 @@
 	closedByPeer, endpointLost bool
 	// resumes is set if the response continues a stream of which the caller has a part.
 	resumes bool
+	// format is the format of the response's body, and declared if it declares to be events.
+	format   format
+	declared bool
 	// generated is set if the endpoint generated at least a part of a successful answer.
 	generated bool
 	// deadline is when the response has to be complete.
@@ -287,7 +289,7 @@
 		wait = failedRunWait
 	}
 	body, whole := x.readRest(resp, wait)
-	if !whole {
+	if !whole || x.call.formatOf(resp) == formatEvents && sse.EndsInside(body) {
 		x.broken = true
 		return failedTry(outcomeUnknown, "the answer with status "+strconv.Itoa(resp.StatusCode)+" was not whole")
 	}
@@ -318,18 +320,23 @@
 func (x *exchange) deliver(resp *http.Response) tryResult {
 	c := x.call
 	x.closeAfter = resp.Close
-	streams := resp.ContentLength < 0
+	x.format = c.formatOf(resp)
+	x.declared = x.format == formatEvents
 	x.resumes = c.outcome.Status != 0
 	switch {
 	case !x.resumes:
 		x.writeHead(resp)
-	case !streams || !x.mayBeEventStream(resp):
+	case x.format == formatOther || !isSuccess(resp.StatusCode):
 		x.broken = true
 		return tryResult{broken: true, failure: outcomeUnknown, reason: "the stream was not resumed: status " + strconv.Itoa(resp.StatusCode)}
 	}
+	if x.resumes {
+		// What joins the events that the caller has must begin with an event, whatever it declares.
+		x.format = formatUndeclared
+	}
 	eventsBefore := c.outcome.Events
-	err := x.copy(resp, streams)
-	x.generated = resp.StatusCode < http.StatusMultipleChoices && (streams && c.outcome.Events > eventsBefore || !streams && err == nil)
+	err := x.copy(resp)
+	x.generated = isSuccess(resp.StatusCode) && (c.outcome.Events > eventsBefore || x.format == formatOther && err == nil)
 	switch {
 	case err == nil:
 		x.complete = true
@@ -340,21 +347,28 @@
 	default:
 		x.broken, x.closedByPeer = true, isPeerClose(err)
 		c.outcome.Code, c.outcome.Reason = result.AnswerCut, err.Error()
+		resumable := c.route.Resumable && x.format != formatOther && isSuccess(resp.StatusCode)
 		return tryResult{
-			delivered: !c.route.Resumable || !streams || errors.Is(err, errCallerGone), broken: true,
+			delivered: !resumable || errors.Is(err, errCallerGone), broken: true,
 			failure: outcomeUnknown, reason: err.Error(),
 		}
 	}
 	return tryResult{delivered: true}
 }
 
+// isSuccess reports whether a status is a success.
+func isSuccess(status int) bool {
+	return status >= http.StatusOK && status < http.StatusMultipleChoices
+}
+
 // writeHead sends the head of a response to the caller.
 func (x *exchange) writeHead(resp *http.Response) {
 	c := x.call
 	h := c.w.Header()
 	platform.CopyAnswerHeaders(h, resp.Header)
 	suppressSniffing(h)
-	if resp.ContentLength >= 0 {
+	// A stream that turns out to be incomplete must not reach its declared length.
+	if resp.ContentLength >= 0 && x.format == formatOther {
 		h.Set("Content-Length", strconv.FormatInt(resp.ContentLength, 10))
 	}
 	c.outcome.Status = resp.StatusCode
@@ -368,79 +382,86 @@
 // errCallerGone is returned when the caller cannot be written to.
 var errCallerGone = errors.New("the caller takes no more of the answer")
 
+// errInsideEvent is returned when a response ends properly, but inside an event.
+var errInsideEvent = errors.New("the stream ended inside an event")
+
 // copy forwards the body. Bytes are sent as soon as they can be read; of a resumable
-// stream, only complete events are. If nothing but the end of its connection ends a stream,
-// it is complete only after a complete event.
-func (x *exchange) copy(resp *http.Response, streams bool) error {
-	c := x.call
+// stream, only complete events are. A stream that ends inside an event is incomplete, whatever
+// its framing.
+func (x *exchange) copy(resp *http.Response) error {
 	buf := copyBuffers.Get().(*[]byte)
 	defer copyBuffers.Put(buf)
-	endsWithConn := x.mayBeEventStream(resp) && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
-	undeclared := resp.Header.Get("Content-Type") == ""
-	var tail streamTail
+	endsWithConn := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+	received, held := false, 0
 	for {
-		n, err := resp.Body.Read(*buf)
-		out := (*buf)[:n]
-		if undeclared && n > 0 {
-			undeclared = false
-			if !beginsWithEvent(out) {
-				if x.resumes {
-					return errNotResumed
-				}
-				endsWithConn = false
+		n, err := resp.Body.Read((*buf)[held:])
+		b := (*buf)[:held+n]
+		held, received = 0, received || n > 0
+		if x.format == formatUndeclared {
+			if x.format = detectFormat(b); x.format == formatUndeclared && err == nil && len(b) < len(*buf) {
+				held = len(b)
+				continue
 			}
-		}
-		if endsWithConn {
-			tail.add(out)
-			if errors.Is(err, io.EOF) && !tail.endsEvent() {
-				err = io.ErrUnexpectedEOF
+			switch {
+			case x.resumes && (x.format == formatOther || !received && !x.declared && errors.Is(err, io.EOF)):
+				return errNotResumed
+			case x.format == formatUndeclared && received:
+				x.format = formatEvents
 			}
 		}
-		if c.route.Resumable && streams {
-			var tooLong error
-			if out, tooLong = x.completeEvents(out, err); tooLong != nil {
-				x.countDrop(DropEventTooLong)
-				c.events.discardPartial()
-				return tooLong
-			}
-		}
-		if len(out) > 0 {
-			x.recordBytes(out, streams)
-			if writeErr := c.writeToCaller(out, streams); writeErr != nil {
-				return writeErr
-			}
+		streams := x.format != formatOther || resp.ContentLength < 0
+		if writeErr := x.forward(b, streams); writeErr != nil {
+			return writeErr
 		}
 		if errors.Is(err, io.EOF) {
-			return nil
+			return x.checkEnd(received, endsWithConn)
 		}
 		if err != nil {
-			c.events.discardPartial()
+			x.call.events.discardPartial()
 			return err
 		}
 	}
 }
 
-// mayBeEventStream reports whether a response is a stream of events, or doesn't declare what
-// it is.
-func (x *exchange) mayBeEventStream(resp *http.Response) bool {
-	contentType := resp.Header.Get("Content-Type")
-	return x.call.route.Kind == ruleset.Stream && resp.StatusCode == http.StatusOK &&
-		(contentType == "" || strings.HasPrefix(contentType, "text/event-stream"))
+// forward sends a part of the body to the caller. A pause of the endpoint does not end its run,
+// because it is not known in advance whether another endpoint could resume the stream in time.
+func (x *exchange) forward(b []byte, streams bool) error {
+	c := x.call
+	switch {
+	case x.format != formatEvents:
+	case c.route.Resumable:
+		var tooLong error
+		if b, tooLong = c.events.add(b); tooLong != nil {
+			x.countDrop(DropEventTooLong)
+			c.events.discardPartial()
+			return tooLong
+		}
+	default:
+		c.events.Scan(b)
+	}
+	if len(b) == 0 {
+		return nil
+	}
+	x.recordBytes(b)
+	return c.writeToCaller(b, streams)
 }
 
-// completeEvents returns the complete events of a resumable stream. A pause of the endpoint
-// does not end its run, because it is not known in advance whether another endpoint could
-// resume the stream in time.
-func (x *exchange) completeEvents(b []byte, err error) ([]byte, error) {
-	out, tooLong := x.call.events.add(b)
-	if tooLong == nil && errors.Is(err, io.EOF) {
-		return append(out, x.call.events.takePartial()...), nil
+// checkEnd returns an error if the body ended before it was complete. Without a length or chunks,
+// a stream without any bytes can't be told from one that broke off.
+func (x *exchange) checkEnd(received, endsWithConn bool) error {
+	incomplete := x.format != formatOther && (x.call.events.Inside() || endsWithConn && !received)
+	x.call.events.discardPartial()
+	switch {
+	case !incomplete:
+		return nil
+	case endsWithConn:
+		return io.ErrUnexpectedEOF
 	}
-	return out, tooLong
+	return errInsideEvent
 }
 
 // recordBytes records the time and size of a part of the response.
-func (x *exchange) recordBytes(b []byte, streams bool) {
+func (x *exchange) recordBytes(b []byte) {
 	c, at := x.call, x.call.gateway.opts.Now()
 	if c.outcome.Bytes == 0 {
 		c.outcome.FirstByte = at - c.arrived
@@ -451,9 +472,7 @@
 	}
 	c.lastByteAt = at
 	c.outcome.Bytes += len(b)
-	if streams {
-		c.outcome.Events += bytes.Count(b, eventTerminator)
-	}
+	c.outcome.Events = c.events.Events()
 }
 
 // writeToCaller writes a part of a response to the caller.
@@ -467,9 +486,6 @@
 	return nil
 }
 
-// eventTerminator is the empty line that ends an event of a stream.
-var eventTerminator = []byte("\n\n")
-
 // copyBuffers holds the buffers between endpoints and callers.
 var copyBuffers = sync.Pool{New: func() any {
 	b := make([]byte, copyBufferBytes)
--- a/internal/traffic/service.go
+++ b/internal/traffic/service.go
@@ -9,6 +9,7 @@
 	"github.com/trefoilchute/trefoilchute/internal/endpoint"
 	"github.com/trefoilchute/trefoilchute/internal/peer/peerpb"
 	"github.com/trefoilchute/trefoilchute/internal/result"
+	"github.com/trefoilchute/trefoilchute/internal/sse"
 )
 
 // serviceTimeout bounds the wait for a plain service's answer. A service can't be
@@ -27,11 +28,15 @@
 		x.lost(result.OutcomeUnknown, err.Error())
 		return
 	}
+	contentType := string(resp.Header.ContentType())
+	if sse.IsStream(contentType) && sse.EndsInside(body) {
+		x.lost(result.OutcomeUnknown, "the service's answer ended inside an event")
+		return
+	}
 	x.end.FirstToken = time.Since(x.began)
 	x.job.Answer.Append(body)
 	final := answer.Final{
-		Code: result.OK, Status: resp.StatusCode(),
-		ContentType: string(resp.Header.ContentType()),
+		Code: result.OK, Status: resp.StatusCode(), ContentType: contentType,
 	}
 	x.finish(peerpb.Report_PHASE_FINISHED, final)
 }
