Take a response with an impossible head for no answer

With a status below 100 the connection closed and the endpoint's slot was never freed.

Cause: every status below 500 was an answer. net/http parses any three digits, gives some statuses no body, sends a 1xx on as interim and then ends with its own 200, and panics in WriteHeader below 100, before the end of the try was reported.

Change: both HTTP clients read up to the final response and refuse statuses outside 200 to 599, responses without a body that declare one, sealed interim responses, and chunks under HTTP/1.0. A try reports its end also if its handler panics. Valid interim responses are skipped, as they should have been.

--- a/internal/endpoint/conn.go
+++ b/internal/endpoint/conn.go
@@ -5,6 +5,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"io"
 	"net"
 	"time"
@@ -14,6 +15,7 @@
 
 	"github.com/trefoilchute/trefoilchute/internal/engine"
 	"github.com/trefoilchute/trefoilchute/internal/idle"
+	"github.com/trefoilchute/trefoilchute/internal/responsehead"
 	"github.com/trefoilchute/trefoilchute/internal/sockpeek"
 )
 
@@ -61,11 +63,45 @@
 // Receive reads a response's header. The body is read from resp.BodyStream.
 func (c *Conn) Receive(resp *fasthttp.Response) error {
 	resp.StreamBody = true
-	if err := resp.Read(c.r); err != nil {
+	if err := c.receiveHead(resp); err != nil {
 		return errors.Wrap(err, "endpoint: receive")
 	}
 	c.Boot = string(resp.Header.Peek(engine.HeaderBoot))
-	return nil
+	switch resp.StatusCode() {
+	case fasthttp.StatusNoContent, fasthttp.StatusNotModified:
+		return nil
+	}
+	return errors.Wrap(resp.ReadBody(c.r, 0), "endpoint: receive")
+}
+
+// status000 begins a response whose status is zero.
+const status000 = "HTTP/1.1 000"
+
+// chunkedLength is the content length that fasthttp reports for a chunked body.
+const chunkedLength = -1
+
+// errTooManyInterim reports that no final response followed the interim ones.
+var errTooManyInterim = errors.New("too many interim responses")
+
+// receiveHead reads the head of the next final response.
+func (c *Conn) receiveHead(resp *fasthttp.Response) error {
+	for range responsehead.MaxInterim + 1 {
+		// fasthttp reports status 000 as 200.
+		if start, err := c.r.Peek(len(status000)); err == nil && bytes.HasSuffix(start, []byte(" 000")) {
+			return responsehead.Check(0, true)
+		}
+		if err := resp.Header.Read(c.r); err != nil {
+			return err
+		}
+		length := resp.Header.ContentLength()
+		if err := responsehead.Check(resp.StatusCode(), length > 0 || length == chunkedLength); err != nil {
+			return err
+		}
+		if !responsehead.IsInterim(resp.StatusCode()) {
+			return nil
+		}
+	}
+	return errTooManyInterim
 }
 
 // maxAnswerBytes limits the body of a response that is read into memory.
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"sync"
 	"syscall"
@@ -14,6 +15,7 @@
 	"github.com/trefoilchute/trefoilchute/internal/control"
 	"github.com/trefoilchute/trefoilchute/internal/logs"
 	"github.com/trefoilchute/trefoilchute/internal/peer/peerpb"
+	"github.com/trefoilchute/trefoilchute/internal/responsehead"
 	"github.com/trefoilchute/trefoilchute/internal/result"
 	"github.com/trefoilchute/trefoilchute/internal/ruleset"
 	"github.com/trefoilchute/trefoilchute/internal/sse"
@@ -65,6 +67,14 @@
 // exchange sends the request on a connection and forwards the response to the caller.
 func (t *try) exchange(conn *upstream.Conn) tryResult {
 	x := &exchange{try: t, call: t.call, conn: conn}
+	returned := false
+	defer func() {
+		// The endpoint's slot is taken until the end is reported, also if the handler panics.
+		if !returned {
+			_ = conn.Close()
+			t.reportEnd(peerpb.Report_PHASE_BROKEN)
+		}
+	}()
 	stop := context.AfterFunc(t.call.ctx, func() { _ = conn.Close() })
 	res := x.run()
 	// If stop returns false, the connection was closed because the caller disconnected.
@@ -81,6 +91,7 @@
 	}
 	phase := x.reportPhase(res)
 	t.end.Total = t.call.gateway.opts.Now() - t.began
+	returned = true
 	if phase == peerpb.Report_PHASE_BROKEN && x.closedByPeer {
 		go t.reportBroken()
 	} else {
@@ -210,11 +221,14 @@
 // requests, which may be left over on the connection.
 func (x *exchange) receive() (*http.Response, tryResult) {
 	for range maxOtherResponses + 1 {
-		resp, err := x.conn.ReadResponseHead(x.call.r.Method, x.call.tuning.HeadLimit)
+		resp, err := x.receiveFinal()
 		if err != nil {
 			x.broken, x.closedByPeer = true, isPeerClose(err)
-			if errors.Is(err, upstream.ErrHeadTooLong) {
+			switch {
+			case errors.Is(err, upstream.ErrHeadTooLong):
 				x.countDrop(DropHeadTooLong)
+			case !x.closedByPeer && !errors.Is(err, os.ErrDeadlineExceeded):
+				x.countDrop(DropInvalidHead)
 			}
 			return nil, failedTry(outcomeUnknown, "no answer: "+err.Error())
 		}
@@ -231,6 +245,50 @@
 	return nil, failedTry(outcomeUnknown, "answers to other requests came")
 }
 
+var (
+	// errTooManyInterim is returned when no final response follows the interim ones.
+	errTooManyInterim = errors.New("too many interim responses")
+	// errFinalInterim is returned for an interim response with a seal or a refusal, which only
+	// final ones have. Its status was garbled.
+	errFinalInterim = errors.New("an interim response with the headers of a final one")
+)
+
+// receiveFinal reads the head of the next final response.
+func (x *exchange) receiveFinal() (*http.Response, error) {
+	for range responsehead.MaxInterim + 1 {
+		resp, err := x.conn.ReadResponseHead(x.call.r.Method, x.call.tuning.HeadLimit)
+		if err != nil {
+			return nil, err
+		}
+		if err := responsehead.Check(resp.StatusCode, x.declaresBody(resp)); err != nil {
+			return nil, err
+		}
+		if !responsehead.IsInterim(resp.StatusCode) {
+			return resp, nil
+		}
+		if answer := platform.ReadAnswer(resp.StatusCode, resp.Header); answer.Sealed || answer.NotRun {
+			return nil, errFinalInterim
+		}
+	}
+	return nil, errTooManyInterim
+}
+
+// declaresBody reports whether a response's head declares a body. The response to HEAD, or to a
+// conditional request, may tell the length of one that it doesn't have.
+func (x *exchange) declaresBody(resp *http.Response) bool {
+	r := x.call.r
+	if r.Method == http.MethodHead || resp.StatusCode == http.StatusNotModified && isConditional(r.Header) {
+		return false
+	}
+	length := resp.Header.Get("Content-Length")
+	return length != "" && length != "0" || len(resp.TransferEncoding) > 0
+}
+
+// isConditional reports whether a request may be answered without the body that the caller has.
+func isConditional(h http.Header) bool {
+	return h.Get("If-None-Match") != "" || h.Get("If-Modified-Since") != ""
+}
+
 // isPeerClose reports whether a read error means that the peer closed or reset the
 // connection.
 func isPeerClose(err error) bool {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -81,6 +81,7 @@
 // Drop reasons.
 const (
 	DropHeadTooLong  DropReason = "head_too_long"
+	DropInvalidHead  DropReason = "invalid_head"
 	DropOtherRequest DropReason = "another_request"
 	DropUnread       DropReason = "rest_not_taken"
 	DropEventTooLong DropReason = "event_too_long"
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -5,6 +5,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"math"
 	"net"
@@ -38,6 +39,10 @@
 // ErrHeadTooLong is returned when the head of a response exceeds the limit.
 var ErrHeadTooLong = errors.New("upstream: the answer's head is too long")
 
+// ErrBadVersion is returned for a response whose HTTP version is unknown or has no chunks, though
+// the response declares them.
+var ErrBadVersion = errors.New("upstream: the answer's HTTP version doesn't fit its head")
+
 // Conn is a connection to an endpoint. It is used by one exchange at a time.
 type Conn struct {
 	net.Conn
@@ -78,15 +83,41 @@
 // be read before the connection is used for anything else.
 func (c *Conn) ReadResponseHead(method string, maxBytes int) (*http.Response, error) {
 	c.head.bytesLeft = maxBytes
+	mayBeChunked := c.mayBeChunkedHTTP10()
 	resp, err := http.ReadResponse(c.r, &http.Request{Method: method})
 	c.head.bytesLeft = unbounded
-	if err != nil {
+	switch {
+	case err != nil:
 		return nil, errors.Wrap(err, "upstream: read answer")
+	case resp.ProtoMajor != 1, mayBeChunked && resp.ContentLength < 0:
+		return nil, ErrBadVersion
 	}
 	c.maxIdle = maxIdleFor(resp.Header)
 	return resp, nil
 }
 
+// http10 begins a response of the version that has no chunks.
+var http10 = []byte("HTTP/1.0 ")
+
+// mayBeChunkedHTTP10 reports whether the next response is of HTTP/1.0 and its head, as far as it
+// fits the buffer, doesn't show that its body isn't chunked. net/http removes Transfer-Encoding
+// from such a response and would return the chunks as the body.
+func (c *Conn) mayBeChunkedHTTP10() bool {
+	start, _ := c.r.Peek(len(http10))
+	if !bytes.Equal(start, http10) {
+		return false
+	}
+	for n := len(http10); ; n = max(n+1, c.r.Buffered()) {
+		head, err := c.r.Peek(n)
+		if end := bytes.Index(head, []byte("\r\n\r\n")); end >= 0 {
+			return bytes.Contains(bytes.ToLower(head[:end]), []byte("\ntransfer-encoding:"))
+		}
+		if err != nil {
+			return true
+		}
+	}
+}
+
 // Buffered returns the number of bytes that were read from the connection but not consumed.
 func (c *Conn) Buffered() int {
 	return c.r.Buffered()
--- a/test/traffic/framing_test.go
+++ b/test/traffic/framing_test.go
@@ -76,3 +76,31 @@
 	Entry("inside a line", "data: a\n\ndata: b", result.OutcomeUnknown),
 	Entry("inside an event", "data: a\n\ndata: b\n", result.OutcomeUnknown),
 )
+
+var _ = DescribeTable("a service's answer with a garbled status is no answer",
+	func(line string) {
+		for name, frame := range bodyFramings {
+			if name == "connection" {
+				continue
+			}
+			inner := "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\ninner"
+			got := bookRaw(func(conn net.Conn) { _, _ = io.WriteString(conn, line+"\r\n"+frame(inner)) })
+			Expect(got.errorCode()).To(Equal(result.OutcomeUnknown), name)
+		}
+	},
+	Entry("000", "HTTP/1.1 000 OK"), Entry("020", "HTTP/1.1 020 OK"), Entry("100", "HTTP/1.1 100 OK"),
+	Entry("101", "HTTP/1.1 101 OK"), Entry("199", "HTTP/1.1 199 OK"), Entry("204", "HTTP/1.1 204 OK"),
+	Entry("304", "HTTP/1.1 304 OK"), Entry("600", "HTTP/1.1 600 OK"), Entry("999", "HTTP/1.1 999 OK"),
+)
+
+var _ = DescribeTable("a service's unusual but valid head is accepted",
+	func(text string, status int, body string) {
+		got := bookRaw(func(conn net.Conn) { _, _ = io.WriteString(conn, text) })
+		Expect(got.status).To(Equal(status))
+		Expect(got.code).To(Equal(result.OK))
+		Expect(got.body).To(Equal(body))
+	},
+	Entry("interim", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 X\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", 200, "ok"),
+	Entry("HTTP/1.0", "HTTP/1.0 200 OK\r\n\r\nok", 200, "ok"),
+	Entry("an error of its own", "HTTP/1.1 599 X\r\nContent-Length: 2\r\n\r\nno", 599, "no"),
+)
