Answer a service's response without a body on the own interface

Callers saw: no answer at all to a request that a plain service had answered with 204; its slot stayed taken.

Cause: endpoint.Conn.ReadAll read from the body stream of a response that has none, and the panic ended the job's goroutine.

Evidence: the entry "no content" of test/traffic got no answer in 30 s before, the 204 now.

--- a/internal/endpoint/conn.go
+++ b/internal/endpoint/conn.go
@@ -119,6 +119,9 @@
 	if err := c.Receive(resp); err != nil {
 		return nil, err
 	}
+	if resp.BodyStream() == nil {
+		return nil, nil
+	}
 	body, err := io.ReadAll(io.LimitReader(resp.BodyStream(), maxAnswerBytes+1))
 	if err != nil {
 		return nil, errors.Wrap(err, "endpoint: read")
--- a/test/traffic/framing_test.go
+++ b/test/traffic/framing_test.go
@@ -101,6 +101,7 @@
 		Expect(got.body).To(Equal(body))
 	},
 	Entry("interim", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 X\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", 200, "ok"),
+	Entry("no content", "HTTP/1.1 204 No Content\r\n\r\n", 204, ""),
 	Entry("HTTP/1.0", "HTTP/1.0 200 OK\r\n\r\nok", 200, "ok"),
 	Entry("an error of its own", "HTTP/1.1 599 X\r\nContent-Length: 2\r\n\r\nno", 599, "no"),
 )
