Dispatch nothing in the second half of a planned stop

Cause: only the product's own host posted DrainTimedOut, at the very end, and that refused what waited at the moment, not what arrived later.

Change: both hosts post it after half of the grace period, and control refuses what arrives after it. The refusal says 50 ms instead of 1 s: another host can queue the request at once.

Evidence: before, TestNothingIsDispatchedAfterTheDrainPeriod, TestRequestsThatWaitAtAPlannedStopAreAnswered and TestRequestReadLateInAStopIsNotDispatched failed ("unexpected EOF" in the last two).

--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -69,6 +69,8 @@
 	// joining is set after a start until awaitsPeers is false. hostListKnown is set once
 	// the platform's list of hosts has arrived.
 	joining, hostListKnown bool
+	// drained is set when the drain period of a planned stop is over.
+	drained bool
 	// configuredAt is the time of the first configuration; 0 before.
 	configuredAt time.Duration
 	watched      []resource.Endpoint
@@ -196,6 +198,7 @@
 		c.hostListKnown = true
 		c.effects.Peers = c.peerAddresses()
 	case DrainTimedOut:
+		c.drained = true
 		c.custody.RefuseWaiting(c.now, stoppingError(), &c.out)
 	case Leave:
 		c.members.Leave(c.now, &c.out)
@@ -214,24 +217,29 @@
 	}
 }
 
-// stoppingError returns the refusal for requests that still wait when the host's drain
+// otherHostRetryAfter is the Retry-After where another host can take the request at once.
+const otherHostRetryAfter = 50 * time.Millisecond
+
+// stoppingError returns the refusal for requests that are not dispatched when the host's drain
 // period is over.
 func stoppingError() *result.Error {
 	return &result.Error{
-		Code: result.Stopping, RetryAfter: time.Second, Reason: "the host stops and its time to finish is over",
+		Code: result.Stopping, RetryAfter: otherHostRetryAfter, Reason: "the host stops and its time to finish is over",
 	}
 }
 
 // arrive takes a request into custody. It refuses the request if there is no
-// configuration yet.
+// configuration yet, or if the drain period is over.
 func (c *Core) arrive(a custody.Arrival) {
-	if c.snapshot == nil {
-		c.effects.Directives = append(c.effects.Directives, custody.Directive{
-			Kind: custody.Refuse, ID: a.ID,
-			Err: &result.Error{
-				Code: result.NotReady, RetryAfter: time.Second, Reason: "no configuration yet",
-			},
-		})
+	var refusal *result.Error
+	switch {
+	case c.drained:
+		refusal = stoppingError()
+	case c.snapshot == nil:
+		refusal = &result.Error{Code: result.NotReady, RetryAfter: time.Second, Reason: "no configuration yet"}
+	}
+	if refusal != nil {
+		c.effects.Directives = append(c.effects.Directives, custody.Directive{Kind: custody.Refuse, ID: a.ID, Err: refusal})
 		return
 	}
 	if a.Key != "" {
--- a/internal/control/event.go
+++ b/internal/control/event.go
@@ -109,8 +109,8 @@
 // Leave begins a planned stop: other hosts take over the pools.
 type Leave struct{}
 
-// DrainTimedOut ends the drain period of a planned stop: requests that still wait are
-// refused.
+// DrainTimedOut ends the drain period of a planned stop: requests that still wait, and those that
+// arrive later, are refused.
 type DrainTimedOut struct{}
 
 func (DrainTimedOut) event() {}
--- a/internal/host/stop.go
+++ b/internal/host/stop.go
@@ -14,6 +14,9 @@
 	balancerDelay = 2 * time.Second
 	// departDelay is how long the last messages to the other hosts have to go out.
 	departDelay = 200 * time.Millisecond
+	// dispatchShare is the fraction of the drain grace in which requests are still dispatched. In
+	// the rest those that run are to end.
+	dispatchShare = 0.5
 	// drainPoll is the time between two looks at what a stopping host has left.
 	drainPoll = 50 * time.Millisecond
 )
@@ -26,6 +29,10 @@
 	h.stopping.Store(true)
 	h.entry.Drain()
 	h.loop.Post(control.Leave{})
+	drain := time.AfterFunc(time.Duration(dispatchShare*float64(h.settings.DrainGrace)), func() {
+		h.loop.Post(control.DrainTimedOut{})
+	})
+	defer drain.Stop()
 	time.Sleep(min(balancerDelay, h.settings.DrainGrace))
 	shut := make(chan struct{})
 	h.group.Go(func() {
--- a/internal/platformhost/stop.go
+++ b/internal/platformhost/stop.go
@@ -12,6 +12,9 @@
 	// loadBalancerDelay is how long a stopping host still accepts new callers. The load
 	// balancer checks readiness once a second and removes a host after two failed checks.
 	loadBalancerDelay = 2500 * time.Millisecond
+	// dispatchShare is the fraction of the stop grace period in which requests are still
+	// dispatched. In the rest those that run are to end.
+	dispatchShare = 0.5
 	// answerDelay is the time allowed for answering the requests that are aborted.
 	answerDelay = 100 * time.Millisecond
 	// departDelay is the time allowed for sending the last messages to the other hosts.
@@ -36,6 +39,8 @@
 		return
 	}
 	h.loop.Post(control.Leave{})
+	drain := time.AfterFunc(time.Duration(dispatchShare*float64(grace)), func() { h.loop.Post(control.DrainTimedOut{}) })
+	defer drain.Stop()
 	abort := time.AfterFunc(grace-exitMargin, h.abort)
 	defer abort.Stop()
 	time.Sleep(min(loadBalancerDelay, grace-exitMargin))
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -34,6 +34,10 @@
 	lossSlack = 200 * time.Millisecond
 	// calmTime is how long nothing may have been spoilt for a bound to hold.
 	calmTime = 3 * time.Second
+	// plainWork is how long a plain request runs.
+	plainWork = 20 * time.Millisecond
+	// routeTimeout is the routes' timeout.
+	routeTimeout = 6 * time.Second
 	// beatInterval is the time between two reports of an endpoint.
 	beatInterval = 400 * time.Millisecond
 )
@@ -95,6 +99,10 @@
 	ready map[string]int
 	// crashMode is set before the run begins.
 	crashMode crashMode
+	// work is how long a plain request runs at endpoints that start from now on.
+	work time.Duration
+	// timeout is that of the routes in the configurations written from now on.
+	timeout time.Duration
 	// crashes holds when a request ended the endpoint that began to run it.
 	crashes []time.Time
 	// poisons counts the sendings of that request.
@@ -124,7 +132,7 @@
 	w := &world{
 		dir: dir, program: program, rand: rand.New(rand.NewPCG(seed, 1)), store: store.New(), stop: make(chan struct{}),
 		revoked: map[string]time.Time{}, keyed: map[string]time.Time{}, added: map[string]time.Time{}, removed: map[string]time.Time{},
-		ready: map[string]int{},
+		ready: map[string]int{}, work: plainWork, timeout: routeTimeout,
 	}
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -198,7 +206,7 @@
 // begin starts the endpoint's process, anew after a crash.
 func (w *world) begin(s *server) error {
 	r := runner.New(runner.Options{
-		ID: s.id, Slots: 8, Queue: 4, Streams: s.target == "llm", EventTime: 15 * time.Millisecond, Work: 20 * time.Millisecond,
+		ID: s.id, Slots: 8, Queue: 4, Streams: s.target == "llm", EventTime: 15 * time.Millisecond, Work: w.work,
 		Poison: poisonBody, Ended: func() { w.poisoned(s) },
 		PoisonPart: poisonPart, PartEnded: func() { w.partPoisoned(s) },
 	})
@@ -254,7 +262,7 @@
 	routes := []route{}
 	for _, name := range w.config.routes {
 		r := route{
-			"name": name, "host": "app.test", "prefix": "/" + name + "/", "kind": "unsafe", "timeout_ms": 6000,
+			"name": name, "host": "app.test", "prefix": "/" + name + "/", "kind": "unsafe", "timeout_ms": w.timeout.Milliseconds(),
 			"target_latency_ms": 500, "service": "app", "max_attempts": 2,
 		}
 		switch name {
