Bound the reports that the watcher reads from an engine

Callers saw: the host's process ended, and with it the connections of all its callers, when one engine's load report declared an immense length; a report without end was kept in memory for 10 s (own interface).

Cause: fasthttp's client allocates what Content-Length declares, unless MaxResponseBodySize is set, and it wasn't.

The watcher had no test.

--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -29,6 +29,8 @@
 	// retryDelay is the wait after a failed request or one that returned no
 	// cache events.
 	retryDelay = 1 * time.Second
+	// maxResponseBytes limits the body of a response.
+	maxResponseBytes = 8 << 20
 )
 
 // Watcher polls endpoints. It is safe for concurrent use.
@@ -54,6 +56,7 @@
 		post: post,
 		client: &fasthttp.Client{
 			ReadTimeout: requestTimeout, WriteTimeout: requestTimeout, MaxIdemponentCallAttempts: 1,
+			MaxResponseBodySize: maxResponseBytes,
 		},
 		watches: map[ident.Endpoint]watch{},
 	}
