Bound an engine's answer on the own interface

Callers saw: nothing yet. A faulty engine that sends valid chunks without end fills the host's memory: 458 MB were kept of one request in 5 s.

Cause: a stream's lines and faults were bounded, the collected answer was not.

Change: beyond 32 MiB the answer ends as cut and is canceled at the engine.

Evidence: "an engine's answer without end is not kept" in test/traffic, 458 MB before, below 64 MiB now. The other tests of this commit passed without a change: they show that endless bodies (gateway, services) and heads that break off at any byte do no harm.

--- a/internal/gateway/bounds_test.go
+++ b/internal/gateway/bounds_test.go
@@ -1,8 +1,11 @@
 package gateway
 
 import (
+	"bufio"
 	"fmt"
+	"io"
 	"net/http"
+	"runtime"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -238,3 +241,62 @@
 		h.Expect(time.Since(began)).To(BeNumerically("<", promptLimit), path)
 	}
 }
+
+// TestEndlessBodyIsNotKept has endpoints send bodies without end, to a caller that reads and to one that
+// doesn't. The request ends at its deadline, looks incomplete, and takes little memory until then.
+func TestEndlessBodyIsNotKept(t *testing.T) {
+	const events = "Content-Type: text/event-stream\r\n"
+	long := strings.Repeat("x", 32<<10)
+	for name, c := range map[string]struct{ path, header, part string }{
+		"plain, chunks":           {"/unsafe/x", "Transfer-Encoding: chunked\r\n\r\n", chunk(long)},
+		"plain, connection":       {"/unsafe/x", "\r\n", long},
+		"plain, length":           {"/unsafe/x", fmt.Sprintf("Content-Length: %d\r\n\r\n", int64(1)<<50), long},
+		"stream, one event":       {"/stream/x", events + "\r\n", long},
+		"stream, no events":       {"/stream/x", "\r\n", "\x00" + long},
+		"resumable, no events":    {"/resumable/x", "\r\n", "\x00" + long},
+		"resumable, empty lines":  {"/resumable/x", "\r\n", strings.Repeat("\r\n", 16<<10)},
+		"resumable, other type":   {"/resumable/x", "Content-Type: text/plain\r\n\r\n", long},
+		"resumable, many events":  {"/resumable/x", events + "\r\n", strings.Repeat("data: x\n\n", 4<<10)},
+		"resumable, comment":      {"/resumable/x", events + "\r\n", ":" + long},
+		"resumable, many lines":   {"/resumable/x", events + "\r\n", strings.Repeat("data: x\n", 4<<10)},
+		"failure":                 {"/unsafe/x", "", long},
+		"refusal":                 {"/safe/x", "", long},
+		"stream, declared length": {"/stream/x", events + fmt.Sprintf("Content-Length: %d\r\n\r\n", int64(1)<<50), long},
+	} {
+		for _, reads := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%s, reads %v", name, reads), func(t *testing.T) {
+				t.Parallel()
+				var taken atomic.Int64
+				h := start(t, func(e *scriptedExchange) bool {
+					first := sealedHead(200, e.attempt()) + c.header
+					switch name {
+					case "failure":
+						first = sealedHead(500, e.attempt()) + "\r\n"
+					case "refusal":
+						first = "HTTP/1.1 503 X\r\nAttempt-Id: " + e.attempt() + "\r\nNot-Executed: 1\r\n\r\n"
+					}
+					return writeEndlessly(e, &taken, first, c.part)
+				})
+				request := strings.Replace(get(c.path, "a1"), "Deadline-Ms: 8000", "Deadline-Ms: 500", 1)
+				conn := h.dial()
+				_, err := io.WriteString(conn, request)
+				h.Expect(err).NotTo(HaveOccurred())
+				if reads {
+					// Where nothing could be forwarded, not even a head came.
+					if resp, err := http.ReadResponse(bufio.NewReader(conn), nil); err == nil {
+						n, err := io.Copy(io.Discard, resp.Body)
+						h.Expect(err != nil || resp.StatusCode >= 400).To(BeTrue(), "status %d with %d bytes looks complete", resp.StatusCode, n)
+					}
+				}
+				h.Eventually(h.endpoints[0].closed, waitTimeout).Should(Receive())
+				if !reads {
+					h.Expect(taken.Load()).To(BeNumerically("<", maxTakenBytes))
+				}
+				runtime.GC()
+				var m runtime.MemStats
+				runtime.ReadMemStats(&m)
+				h.Expect(m.HeapAlloc).To(BeNumerically("<", maxTakenBytes), "bytes of the body are kept")
+			})
+		}
+	}
+}
--- a/internal/gateway/status_test.go
+++ b/internal/gateway/status_test.go
@@ -1,8 +1,11 @@
 package gateway
 
 import (
+	"fmt"
+	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -116,3 +119,54 @@
 	h.Expect(h.firstPhase()).To(Equal(peerpb.Report_PHASE_BROKEN))
 	h.Eventually(h.endpoints[0].closed, waitTimeout).Should(Receive())
 }
+
+// TestTruncatedHeadIsNoAnswer ends the connection after each byte of a response's head, orderly and by a
+// reset. The caller must not get a success, nor the start of the response.
+func TestTruncatedHeadIsNoAnswer(t *testing.T) {
+	const event = "id: 0\ndata: x\n\n"
+	for framing := range framings {
+		for _, reset := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, reset %v", framing, reset), func(t *testing.T) {
+				for _, path := range []string{"/unsafe/x", "/stream/x"} {
+					var cut atomic.Int64
+					truncated := func(e *scriptedExchange) bool {
+						whole := sealedHead(200, e.attempt()) + framings[framing](event)
+						head := whole[:strings.Index(whole, "\r\n\r\n")+len("\r\n\r\n")]
+						e.write(head[:min(int(cut.Load()), len(head)-1)])
+						if reset {
+							_ = e.conn.(*net.TCPConn).SetLinger(0)
+						}
+						return false
+					}
+					h := start(t, truncated)
+					length := len(sealedHead(200, "a1") + framings[framing](event))
+					for n := range length - len(event) {
+						cut.Store(int64(n))
+						a := h.ask(post(path, "a1", "body"))
+						h.Expect(a.err).NotTo(HaveOccurred(), "after %d bytes", n)
+						h.Expect(a.status).To(Equal(http.StatusBadGateway), "after %d bytes", n)
+						h.Expect(a.header).NotTo(HaveKey("Runner-Seal"))
+						<-h.outcomes
+						<-h.endpoints[0].seen
+						<-h.endpoints[0].closed
+						for len(h.dropped) > 0 {
+							<-h.dropped
+						}
+					}
+				}
+			})
+		}
+	}
+	t.Run("resumed", func(t *testing.T) {
+		whole := sealedHead(200, "a1") + "Content-Type: text/event-stream\r\n\r\n"
+		for n := range len(whole) {
+			h := start(t, streamEvents(0, 1, false), func(e *scriptedExchange) bool {
+				e.write(whole[:n])
+				return false
+			})
+			a := h.ask(post("/resumable/x", "a1", "prompt"))
+			h.Expect(a.body).To(Equal("id: 0\ndata: x\n\nid: 1\ndata: x\n\n"))
+			h.Expect(a.err).To(HaveOccurred(), "after %d bytes", n)
+		}
+	})
+}
--- a/internal/traffic/engine.go
+++ b/internal/traffic/engine.go
@@ -34,8 +34,13 @@
 	quietMost = 2 * time.Minute
 	// maxFaults bounds the streams of one request that ended with a fault.
 	maxFaults = 8
+	// maxAnswerBytes bounds an engine's answer, which is kept until its caller has it.
+	maxAnswerBytes = 32 << 20
 )
 
+// errAnswerTooLarge reports an answer of more than maxAnswerBytes.
+var errAnswerTooLarge = errors.New("traffic: the engine's answer is too large")
+
 // errNotSeen says that the engine that the request was sent to runs on, but
 // hasn't read the request yet.
 var errNotSeen = errors.New("traffic: the endpoint has not seen the request")
@@ -93,6 +98,9 @@
 		x.finish(peerpb.Report_PHASE_CANCELED, answer.Final{
 			Code: result.EndpointError, Reason: err.Error(),
 		})
+	case errors.Is(err, errAnswerTooLarge):
+		x.cancelRun()
+		x.finish(peerpb.Report_PHASE_CANCELED, answer.Final{Code: result.AnswerCut, Reason: err.Error()})
 	default:
 		return false
 	}
@@ -148,6 +156,9 @@
 		if err != nil {
 			return err
 		}
+		if x.job.Answer.Size()+len(chunk.Data) > maxAnswerBytes {
+			return errAnswerTooLarge
+		}
 		x.part(chunk)
 	}
 }
@@ -234,17 +245,23 @@
 		x.lost(result.OutcomeUnknown, "the host stopped")
 		return
 	}
+	x.cancelRun()
+	x.lost(result.OutcomeUnknown, "the caller closed its connection while the request ran")
+}
+
+// cancelRun cancels the request at the engine.
+func (x *run) cancelRun() {
 	conn, err := endpoint.Dial(x.address)
-	if err == nil {
-		req := fasthttp.AcquireRequest()
-		req.Header.SetMethod(fasthttp.MethodDelete)
-		req.SetRequestURI(engine.PathResume + string(x.job.ID))
-		req.SetHost(x.address)
-		_ = conn.Send(req)
-		fasthttp.ReleaseRequest(req)
-		x.drop(conn)
+	if err != nil {
+		return
 	}
-	x.lost(result.OutcomeUnknown, "the caller closed its connection while the request ran")
+	req := fasthttp.AcquireRequest()
+	req.Header.SetMethod(fasthttp.MethodDelete)
+	req.SetRequestURI(engine.PathResume + string(x.job.ID))
+	req.SetHost(x.address)
+	_ = conn.Send(req)
+	fasthttp.ReleaseRequest(req)
+	x.drop(conn)
 }
 
 // drop reads one answer and closes the connection, so that the request before
--- a/test/traffic/framing_test.go
+++ b/test/traffic/framing_test.go
@@ -6,17 +6,21 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/trefoilchute/trefoilchute/internal/engine"
 	"github.com/trefoilchute/trefoilchute/internal/entry"
 	"github.com/trefoilchute/trefoilchute/internal/result"
 )
 
 // serveRaw serves connections with write, after the request was read, and closes them. It returns the
 // server's address.
-func serveRaw(write func(net.Conn)) string {
+func serveRaw(write func(net.Conn, *http.Request)) string {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
 	done := make(chan struct{})
@@ -33,7 +37,7 @@
 			}
 			if req, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
 				_, _ = io.Copy(io.Discard, req.Body)
-				write(conn)
+				write(conn, req)
 			}
 			_ = conn.Close()
 		}
@@ -44,7 +48,8 @@
 // bookRaw books at a service that writes raw bytes.
 func bookRaw(write func(net.Conn)) reply {
 	b := newBench(200)
-	b.control.with(func(c *fakeControl) { c.addresses[bookings] = serveRaw(write) })
+	address := serveRaw(func(conn net.Conn, _ *http.Request) { write(conn) })
+	b.control.with(func(c *fakeControl) { c.addresses[bookings] = address })
 	return b.send(http.MethodPost, bookingPath, []byte(`{}`), entry.HeaderKey, "k1")
 }
 
@@ -105,3 +110,70 @@
 	Entry("HTTP/1.0", "HTTP/1.0 200 OK\r\n\r\nok", 200, "ok"),
 	Entry("an error of its own", "HTTP/1.1 599 X\r\nContent-Length: 2\r\n\r\nno", 599, "no"),
 )
+
+// endlessTime bounds the time for which an endpoint writes without end.
+const endlessTime = 5 * time.Second
+
+// writeEndlessly writes a start and then a part again and again, and counts the bytes.
+func writeEndlessly(conn net.Conn, taken *atomic.Int64, start, part string) {
+	_, _ = io.WriteString(conn, start)
+	for until := time.Now().Add(endlessTime); time.Now().Before(until); {
+		n, err := io.WriteString(conn, part)
+		taken.Add(int64(n))
+		if err != nil {
+			return
+		}
+	}
+}
+
+var _ = DescribeTable("a service's answer without end is not kept",
+	func(start, part string) {
+		var taken atomic.Int64
+		got := bookRaw(func(conn net.Conn) { writeEndlessly(conn, &taken, start, strings.Repeat(part, 32<<10/len(part))) })
+		Expect(got.errorCode()).To(Equal(result.OutcomeUnknown))
+		Expect(taken.Load()).To(BeNumerically("<", 32<<20))
+	},
+	Entry("status line", "HTTP/1.1 200 ", "x"),
+	Entry("no status line", "", "x"),
+	Entry("field", "HTTP/1.1 200 OK\r\nX: ", "x"),
+	Entry("fields", "HTTP/1.1 200 OK\r\n", "X: y\r\n"),
+	Entry("interim", "", "HTTP/1.1 103 Early Hints\r\n\r\n"),
+	Entry("chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", chunkOf(strings.Repeat("x", 1000))),
+	Entry("to the end of the connection", "HTTP/1.1 200 OK\r\n\r\n", "x"),
+	Entry("length", "HTTP/1.1 200 OK\r\nContent-Length: 1000000000000\r\n\r\n", "x"),
+)
+
+// chunkOf returns a chunk of a body.
+func chunkOf(text string) string {
+	return fmt.Sprintf("%x\r\n%s\r\n", len(text), text)
+}
+
+var _ = It("an engine's answer without end is not kept", func() {
+	b := newBench(200)
+	var taken atomic.Int64
+	address := serveRaw(func(conn net.Conn, req *http.Request) {
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n")
+		text := strings.Repeat("x", 16<<10)
+		id := req.Header.Get(engine.HeaderRequest)
+		for n, until := 0, time.Now().Add(endlessTime); time.Now().Before(until); n++ {
+			written, err := fmt.Fprintf(conn, "data: {\"id\":%q,\"seq\":%d,\"x\":%q}\n\n", id, n, text)
+			taken.Add(int64(written))
+			if err != nil {
+				return
+			}
+		}
+	})
+	b.control.with(func(c *fakeControl) { c.addresses[model] = address })
+	body, _ := question("endless", 8)
+	got := b.send(http.MethodPost, chatPath, body)
+	Expect(got.errorCode()).To(Equal(result.AnswerCut))
+	Expect(taken.Load()).To(BeNumerically("<", 64<<20))
+})
+
+var _ = It("a service's head that breaks off is no answer", func() {
+	const head = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 2\r\n\r\n"
+	for n := range len(head) {
+		got := bookRaw(func(conn net.Conn) { _, _ = io.WriteString(conn, head[:n]) })
+		Expect(got.errorCode()).To(Equal(result.OutcomeUnknown), "after %d bytes", n)
+	}
+})
