Let endpoints of the soak garble their answers

Streams that end inside an event, statuses that no valid answer has, heads that break off, and heads and bodies without end.

--- a/internal/gateway/bounds_test.go
+++ b/internal/gateway/bounds_test.go
@@ -284,6 +284,7 @@
 				if reads {
 					// Where nothing could be forwarded, not even a head came.
 					if resp, err := http.ReadResponse(bufio.NewReader(conn), nil); err == nil {
+						defer resp.Body.Close()
 						n, err := io.Copy(io.Discard, resp.Body)
 						h.Expect(err != nil || resp.StatusCode >= 400).To(BeTrue(), "status %d with %d bytes looks complete", resp.StatusCode, n)
 					}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -7,6 +7,7 @@
 	"syscall"
 	"time"
 
+	"github.com/trefoilchute/trefoilchute/internal/standin/runner"
 	"github.com/trefoilchute/trefoilchute/internal/standin/store"
 )
 
@@ -98,6 +99,8 @@
 			s.runner.Fail(1 + d.b%mostSpoilt)
 		}
 	}},
+	{"answers garbled", func(w *world, d draws) { w.garble(d) }},
+	{"answers garbled", func(w *world, d draws) { w.garble(d) }},
 	{"endpoint leaves", func(w *world, d draws) { w.leave(d) }},
 	{"endpoint leaves", func(w *world, d draws) { w.leave(d) }},
 	{"endpoint says it leaves", func(w *world, d draws) { w.sayLeaving(d) }},
@@ -186,6 +189,15 @@
 	})
 }
 
+// garble lets an endpoint spoil some of its answers.
+func (w *world) garble(d draws) {
+	if s := w.pick(d.a); s != nil {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		s.runner.Garble(1+d.b%mostSpoilt, runner.Garbling(d.b%int(runner.Garblings)))
+	}
+}
+
 // pick returns an endpoint that stays.
 func (w *world) pick(n int) *server {
 	w.mu.Lock()
--- a/internal/standin/runner/runner.go
+++ b/internal/standin/runner/runner.go
@@ -79,6 +79,8 @@
 	// turn is how many of the next requests are turned away, and wait for how long, in
 	// milliseconds.
 	turn, wait atomic.Int64
+	// garble is how many of the next answers are spoilt, and how in which way.
+	garble, how atomic.Int64
 
 	mu   sync.Mutex
 	runs []Run
@@ -203,6 +205,9 @@
 		http.Error(w, "failed", http.StatusInternalServerError)
 		return
 	}
+	if r.garbled(w, attempt) {
+		return
+	}
 	if r.opts.Streams {
 		r.stream(w, req, attempt)
 		return
