Reset the connection of a cut answer towards HTTP/1.0 callers

Callers saw: with HTTP/1.0, a cut answer that looked complete: its only framing is the end of the connection, and that was orderly.

Cause: the handler's abort closes the connection; only chunks or a length show there that the answer is incomplete.

Evidence: TestCutAnswerIsIncompleteForCallersWithoutChunks failed before in both cases (no error from the read), and passes 20 of 20 times now.

--- a/internal/gateway/events_test.go
+++ b/internal/gateway/events_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 
 	. "github.com/onsi/gomega"
@@ -242,6 +243,28 @@
 	}
 }
 
+// TestCutAnswerIsIncompleteForCallersWithoutChunks breaks answers off whose only framing towards an
+// HTTP/1.0 caller is the end of the connection.
+func TestCutAnswerIsIncompleteForCallersWithoutChunks(t *testing.T) {
+	for name, s := range map[string]script{
+		"inside an event": framed(200, "Content-Type: text/event-stream\r\n", "chunks", "id: 0\ndata: x\n\nid: 1"),
+		"in the body": func(e *scriptedExchange) bool {
+			e.write(sealedHead(200, e.attempt()) + "Transfer-Encoding: chunked\r\n\r\n" + chunk("hello"))
+			return false
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := start(t, s)
+			a := h.ask(strings.Replace(post("/stream/x", "a1", "prompt"), "HTTP/1.1", "HTTP/1.0", 1))
+			h.Expect(a.err).To(MatchError(syscall.ECONNRESET), "got %q", a.body)
+		})
+	}
+	h := start(t, streamEvents(0, lastEvent, false))
+	a := h.ask(strings.Replace(post("/stream/x", "a1", "prompt"), "HTTP/1.1", "HTTP/1.0", 1))
+	h.Expect(a.err).NotTo(HaveOccurred())
+	h.Expect(strings.Count(a.body, "data: x")).To(Equal(lastEvent + 1))
+}
+
 // TestEventsAreForwardedAsTheyEnd has events of every line end wait before the next one comes.
 func TestEventsAreForwardedAsTheyEnd(t *testing.T) {
 	for _, end := range []string{"\n", "\r", "\r\n"} {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -126,10 +126,16 @@
 		ReadHeaderTimeout: headTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
+			return context.WithValue(ctx, callerConn{}, conn)
+		},
 	}
 	return g
 }
 
+// callerConn is the context key of a caller's connection.
+type callerConn struct{}
+
 // SetTuning applies new settings to the requests that arrive from now on.
 func (g *Gateway) SetTuning(t Tuning) {
 	before := g.tuning.Swap(&t)
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -5,6 +5,7 @@
 	"errors"
 	"hash/maphash"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"strings"
@@ -132,7 +133,10 @@
 	g.opts.OnOutcome(&c.outcome)
 	if c.outcome.Code == result.AnswerCut {
 		// Abort the connection, so that the caller does not take a truncated response for a
-		// complete one.
+		// complete one. Towards HTTP/1.0 its orderly end would complete the response.
+		if conn, ok := r.Context().Value(callerConn{}).(*net.TCPConn); ok && !r.ProtoAtLeast(1, 1) {
+			_ = conn.SetLinger(0)
+		}
 		panic(http.ErrAbortHandler)
 	}
 }
