--- a/internal/standin/runner/garble.go
+++ b/internal/standin/runner/garble.go
@@ -11,6 +11,7 @@
 // Garbling is how a faulty endpoint spoils an answer after its run.
 type Garbling int
 
+// Kinds of garbling.
 const (
 	// CutEvent ends the body properly, inside the first event.
 	CutEvent Garbling = iota
