Measure the heap of endless bodies one at a time

Now the subtests with a heap bound run alone, with the same bound; those whose caller doesn't read are bounded by the buffers of both connections.

--- a/internal/gateway/bounds_test.go
+++ b/internal/gateway/bounds_test.go
@@ -265,7 +265,10 @@
 	} {
 		for _, reads := range []bool{true, false} {
 			t.Run(fmt.Sprintf("%s, reads %v", name, reads), func(t *testing.T) {
-				t.Parallel()
+				if !reads {
+					// The gateway waits for callerWriteMargin. These run after all others, beside one another.
+					t.Parallel()
+				}
 				var taken atomic.Int64
 				h := start(t, func(e *scriptedExchange) bool {
 					first := sealedHead(200, e.attempt()) + c.header
@@ -291,7 +294,9 @@
 				}
 				h.Eventually(h.endpoints[0].closed, waitTimeout).Should(Receive())
 				if !reads {
-					h.Expect(taken.Load()).To(BeNumerically("<", maxTakenBytes))
+					// The kernel buffers on the way to the gateway and on the way to the caller.
+					h.Expect(taken.Load()).To(BeNumerically("<", 2*maxTakenBytes))
+					return
 				}
 				runtime.GC()
 				var m runtime.MemStats
