Find the end of an HTTP/1.0 head whose lines end with LF

The new entry of TestUnusualButValidHeadsAreAccepted failed before (no answer in 5 s). Connection failures no longer count as invalid_head.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -5,8 +5,8 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
-	"os"
 	"strconv"
 	"sync"
 	"syscall"
@@ -224,10 +224,11 @@
 		resp, err := x.receiveFinal()
 		if err != nil {
 			x.broken, x.closedByPeer = true, isPeerClose(err)
+			var connFailure *net.OpError
 			switch {
 			case errors.Is(err, upstream.ErrHeadTooLong):
 				x.countDrop(DropHeadTooLong)
-			case !x.closedByPeer && !errors.Is(err, os.ErrDeadlineExceeded):
+			case !x.closedByPeer && !errors.As(err, &connFailure):
 				x.countDrop(DropInvalidHead)
 			}
 			return nil, failedTry(outcomeUnknown, "no answer: "+err.Error())
--- a/internal/gateway/status_test.go
+++ b/internal/gateway/status_test.go
@@ -90,12 +90,16 @@
 		"HTTP/1.0 to its end": {func(a string) string {
 			return old(a) + "X: " + strings.Repeat("transfer-encoding: ", 100) + "\r\n\r\nhello"
 		}, "", 200, "hello"},
+		"HTTP/1.0 with LF": {func(a string) string {
+			return strings.ReplaceAll(old(a)+"Connection: keep-alive\r\n"+hello, "\r\n", "\n")
+		}, "", 200, "hello"},
 		"highest status": {func(a string) string { return sealedHead(499, a) + hello }, "", 499, "hello"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			h := start(t, func(e *scriptedExchange) bool {
-				e.write(c.answer(e.attempt()))
-				return false
+				answer := c.answer(e.attempt())
+				e.write(answer)
+				return strings.Contains(answer, "Content-Length")
 			})
 			a := h.ask(head("GET", "/unsafe/x", "a1") + c.header + "\r\n")
 			h.Expect(a.err).NotTo(HaveOccurred())
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -99,6 +99,9 @@
 // http10 begins a response of the version that has no chunks.
 var http10 = []byte("HTTP/1.0 ")
 
+// emptyLines end a head. net/http accepts lines that end with LF alone.
+var emptyLines = [][]byte{[]byte("\n\r\n"), []byte("\n\n")}
+
 // mayBeChunkedHTTP10 reports whether the next response is of HTTP/1.0 and its head, as far as it
 // fits the buffer, doesn't show that its body isn't chunked. net/http removes Transfer-Encoding
 // from such a response and would return the chunks as the body.
@@ -109,8 +112,10 @@
 	}
 	for n := len(http10); ; n = max(n+1, c.r.Buffered()) {
 		head, err := c.r.Peek(n)
-		if end := bytes.Index(head, []byte("\r\n\r\n")); end >= 0 {
-			return bytes.Contains(bytes.ToLower(head[:end]), []byte("\ntransfer-encoding:"))
+		for _, emptyLine := range emptyLines {
+			if end := bytes.Index(head, emptyLine); end >= 0 {
+				return bytes.Contains(bytes.ToLower(head[:end]), []byte("\ntransfer-encoding:"))
+			}
 		}
 		if err != nil {
 			return true
