--- a/internal/standin/runner/garble.go
+++ b/internal/standin/runner/garble.go
@@ -21,7 +21,7 @@
 	NoBodyStatus
 	// CutHead ends the connection inside the head.
 	CutHead
-	// EndlessHead and EndlessBody write on and on.
+	// EndlessHead and EndlessBody write on and on, in the head and in the body's trailer.
 	EndlessHead
 	EndlessBody
 	// Garblings is the number of kinds.
@@ -73,7 +73,9 @@
 	case EndlessHead:
 		length, body = "", "X: "+long
 	case EndlessBody:
-		length = "Content-Length: 1000000000000\r\n\r\n"
+		// The endless part must not belong to the body, or no one could tell it from the answer.
+		length = fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n", len(body))
+		body += "\r\n0\r\nX: "
 	default:
 		head = strings.Replace(head, "200", statuses[how], 1)
 	}
