--- a/internal/resource/resource.go
+++ b/internal/resource/resource.go
@@ -104,6 +104,9 @@
 	// Started tells the lifetimes of the endpoint apart, in Unix milliseconds; 0 if not
 	// known. Operators don't declare it.
 	Started int64 `json:"started,omitempty"`
+	// Version is the version of the endpoint's software; empty if not known. Operators
+	// don't declare it.
+	Version string `json:"version,omitempty"`
 	// EndsWithConnection says that a request stops when its connection closes: it can't
 	// be resumed. Operators don't declare it.
 	EndsWithConnection bool `json:"ends_with_connection,omitempty"`
