--- a/test/traffic/bench_test.go
+++ b/test/traffic/bench_test.go
@@ -80,6 +80,7 @@
 	b.server.Configure(snapshot())
 	var serving sync.WaitGroup
 	b.control.addresses[model] = serve(&serving, b.engine.Serve)
+	awaitServing(b.control.addresses[model])
 	b.control.addresses[bookings] = serve(&serving, b.service.Serve)
 	b.address = serve(&serving, b.server.Serve)
 	DeferCleanup(func() {
@@ -107,6 +108,15 @@
 	return ln.Addr().String()
 }
 
+// awaitServing returns when a server has answered a request. A spec may start several benches, and
+// each takes goroutines of an earlier bench that start after its own snapshot for leaked ones.
+func awaitServing(address string) {
+	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: wide}
+	answer, err := client.Get("http://" + address + "/not-served")
+	Expect(err).NotTo(HaveOccurred())
+	Expect(answer.Body.Close()).To(Succeed())
+}
+
 func sinceStart() func() time.Duration {
 	start := time.Now()
 	return func() time.Duration { return time.Since(start) }
