Reset connections to endpoints whose request was given up

Cause: after a close, and after its own timeout, the kernel keeps a request that a partition holds up and delivers it when the endpoint can be reached again, up to 6.2 s after it was sent. By then the endpoint may have been draining for longer than allowed. TestUnacknowledgedRequestIsAborted fails without the change.

--- a/internal/gateway/bounds_test.go
+++ b/internal/gateway/bounds_test.go
@@ -8,6 +8,7 @@
 	"runtime"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -306,3 +307,20 @@
 		}
 	}
 }
+
+// Guards against a request that reaches its endpoint long after it was given up: the kernel goes on
+// sending what it holds of a closed connection, and the endpoint may be draining by then.
+func TestUnacknowledgedRequestIsAborted(t *testing.T) {
+	answered, read := make(chan struct{}), make(chan error, 1)
+	h := start(t, func(e *scriptedExchange) bool {
+		<-answered
+		_, err := io.Copy(io.Discard, e.raw)
+		read <- err
+		return false
+	})
+	got := h.ask(post("/unsafe/early", "id1", strings.Repeat("x", maxTestBody)))
+	close(answered)
+	h.Expect(got.status).To(Equal(http.StatusBadGateway))
+	h.Eventually(h.dropped).WithTimeout(waitTimeout).Should(Receive(Equal(DropUndelivered)))
+	h.Eventually(read).WithTimeout(waitTimeout).Should(Receive(MatchError(syscall.ECONNRESET)))
+}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -30,6 +30,9 @@
 	// maxOtherResponses is how many responses to other requests are skipped on a connection
 	// before it is closed.
 	maxOtherResponses = 2
+	// deliveryTimeout is how long an endpoint's host may take to acknowledge a request. It is shorter
+	// than the kernel's own timeout for unresponsive peers.
+	deliveryTimeout = 2500 * time.Millisecond
 	// maxDiscardBytes bounds the body of a response that is discarded or held.
 	maxDiscardBytes = 64 << 10
 	// failedRunWait bounds the wait for the rest of a failed run's response if the request
@@ -71,16 +74,19 @@
 	defer func() {
 		// The endpoint's slot is taken until the end is reported, also if the handler panics.
 		if !returned {
-			_ = conn.Close()
+			_ = conn.Abort()
 			t.reportEnd(peerpb.Report_PHASE_BROKEN)
 		}
 	}()
-	stop := context.AfterFunc(t.call.ctx, func() { _ = conn.Close() })
+	stop := context.AfterFunc(t.call.ctx, func() { _ = conn.Abort() })
 	res := x.run()
-	// If stop returns false, the connection was closed because the caller disconnected.
-	if !stop() || !x.reusable() {
+	// If stop returns false, the connection was aborted because the caller disconnected.
+	switch {
+	case !stop() || !x.complete:
+		_ = conn.Abort()
+	case !x.reusable():
 		_ = conn.Close()
-	} else {
+	default:
 		t.call.gateway.conns.Put(conn)
 	}
 	if x.broken && conn.Reused {
@@ -149,7 +155,9 @@
 	x.deadline = time.Now().Add(left + responseMargin)
 	_ = x.conn.SetDeadline(x.deadline)
 	x.send(left)
+	undelivered := time.AfterFunc(deliveryTimeout, x.abortIfUndelivered)
 	resp, res := x.receive()
+	undelivered.Stop()
 	if resp == nil {
 		return res
 	}
@@ -182,6 +190,18 @@
 	return x.deliver(resp)
 }
 
+// abortIfUndelivered aborts the exchange if the endpoint's host has not acknowledged the whole
+// request. The kernel would otherwise deliver it when the endpoint can be reached again, which may
+// be after the endpoint has begun to drain.
+func (x *exchange) abortIfUndelivered() {
+	if n, err := x.conn.Unacknowledged(); err != nil || n == 0 {
+		// An error means that the connection was closed in the meantime.
+		return
+	}
+	x.countDrop(DropUndelivered)
+	_ = x.conn.Abort()
+}
+
 // send writes the request. A long body is written concurrently with reading the response,
 // because an endpoint may respond before it has read the whole body.
 func (x *exchange) send(left time.Duration) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -85,6 +85,7 @@
 	DropOtherRequest DropReason = "another_request"
 	DropUnread       DropReason = "rest_not_taken"
 	DropEventTooLong DropReason = "event_too_long"
+	DropUndelivered  DropReason = "not_delivered"
 )
 
 // Gateway forwards callers' requests to endpoints.
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -123,6 +123,22 @@
 	}
 }
 
+// Abort closes the connection and discards what the endpoint has not acknowledged. After a plain
+// Close the kernel goes on sending the rest of a request for seconds, and an endpoint that was
+// unreachable in the meantime would get it long after it was given up.
+func (c *Conn) Abort() error {
+	if conn, ok := c.Conn.(*net.TCPConn); ok {
+		_ = conn.SetLinger(0)
+	}
+	return c.Close()
+}
+
+// Unacknowledged returns the number of bytes of requests that the endpoint's host has not
+// acknowledged.
+func (c *Conn) Unacknowledged() (int, error) {
+	return tcp.Unacknowledged(c.Conn)
+}
+
 // Buffered returns the number of bytes that were read from the connection but not consumed.
 func (c *Conn) Buffered() int {
 	return c.r.Buffered()
