Use the momentary speed that endpoints report

Cause: the fourth figure of the endpoints' load header, how long work takes at the moment, was dropped. Placements used a pace that follows slow spells of half a second only after they have ended, and the learned rates absorbed them.

Change: the custodian reads the figure from the head of an answer and sends it with the report of the first token, or of the end if there is none. The pool uses it for a second in place of the learned pace, for the part of a request that falls into it, and divides it out of the samples of the learned speed. The age is that of the report. Endpoints that don't state the figure are treated as before; the differential tests against the naive scheduler pass.

--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -178,7 +178,7 @@
 	case Unreachable:
 		c.custody.Unreachable(c.now, e.ID, e.Attempt, &c.out)
 	case FirstToken:
-		c.custody.FirstToken(c.now, e.ID, e.After, &c.out)
+		c.custody.FirstToken(c.now, e.ID, e.After, e.LoadPercent, &c.out)
 	case Ended:
 		c.ended(e)
 	case Received:
--- a/internal/control/event.go
+++ b/internal/control/event.go
@@ -46,6 +46,8 @@
 	ID ident.Request
 	// After is the time since dispatch.
 	After time.Duration
+	// LoadPercent is the load that the answer's head states; 0: none.
+	LoadPercent int
 }
 
 // Ended reports the end of a dispatched request.
--- a/internal/fleet/engine.go
+++ b/internal/fleet/engine.go
@@ -46,9 +46,11 @@
 type engine struct {
 	resource.Endpoint
 	speed float64
-	down  bool
-	works []*work
-	cache *cache
+	// factor is by how much longer than usual work takes at this moment.
+	factor float64
+	down   bool
+	works  []*work
+	cache  *cache
 	// updated is the time up to which progress has been booked.
 	updated time.Duration
 	// version makes planned wake-ups of older plans void.
@@ -56,7 +58,7 @@
 }
 
 func newEngine(e resource.Endpoint) *engine {
-	return &engine{Endpoint: e, speed: 1, cache: newCache(e.CacheTokens / prefix.BlockTokens)}
+	return &engine{Endpoint: e, speed: 1, factor: 1, cache: newCache(e.CacheTokens / prefix.BlockTokens)}
 }
 
 // batch returns the sequences that run.
@@ -77,8 +79,8 @@
 			decoding++
 		}
 	}
-	prefill = e.PrefillRate * e.speed
-	decode = e.DecodeRate * e.speed / (1 + batchPenalty*float64(max(decoding-1, 0)))
+	prefill = e.PrefillRate * e.speed / e.factor
+	decode = e.DecodeRate * e.speed / e.factor / (1 + batchPenalty*float64(max(decoding-1, 0)))
 	if prefilling != nil && decoding > 0 {
 		prefill *= prefillShare
 		decode *= 1 - prefillShare
--- a/internal/fleet/run.go
+++ b/internal/fleet/run.go
@@ -42,8 +42,57 @@
 	Speeds []float64
 	// ReportAge is how old load reports are when they come.
 	ReportAge time.Duration
+	// Noise slows the endpoints for short spells.
+	Noise Noise
+	// Again is asked what a refused caller sends next, if set.
+	Again func(now time.Duration, refused Item, e pool.Refuse) (Item, bool)
 }
 
+// Noise slows a random part of the endpoints, another one in each spell.
+type Noise struct {
+	// Share is the part of the endpoints that is slow, by the factor Factor.
+	Share, Factor float64
+	// Spell is how long a spell takes.
+	Spell time.Duration
+	// Told says that answers state the factor. It is Late old when the policy is told.
+	Told bool
+	Late time.Duration
+	// Oracle says that the policy is told each factor when it changes.
+	Oracle bool
+	// Observe is told each change, if set.
+	Observe func(now time.Duration, e ident.Endpoint, factor float64)
+}
+
+// planNoise schedules the spells of an endpoint.
+func (r *Run) planNoise(e *engine, end time.Duration) {
+	n := r.faults.Noise
+	if n.Spell <= 0 {
+		return
+	}
+	for at := time.Duration(r.random.Int64N(int64(n.Spell))); at < end; at += n.Spell {
+		factor := 1.0
+		if r.random.Float64() < n.Share {
+			factor = n.Factor
+		}
+		r.at(at, func() { r.setFactor(e, factor) })
+	}
+}
+
+// setFactor changes by how much longer than usual an engine's work takes.
+func (r *Run) setFactor(e *engine, factor float64) {
+	e.advance(r.now)
+	e.factor = factor
+	r.settle(e)
+	if r.faults.Noise.Observe != nil {
+		r.faults.Noise.Observe(r.now, e.Name, factor)
+	}
+	if r.faults.Noise.Oracle {
+		r.mail = append(r.mail, pool.LoadReport{Endpoint: e.Name, LoadPercent: percentOf(factor)})
+	}
+}
+
+func percentOf(factor float64) int { return int(100 * factor) }
+
 // Run is one policy against one workload.
 type Run struct {
 	policy  Policy
@@ -128,6 +177,9 @@
 			r.engines[name].speed = r.faults.Speeds[i%n]
 		}
 	}
+	for _, name := range r.names {
+		r.planNoise(r.engines[name], end)
+	}
 	first := r.engines[r.names[0]]
 	if r.faults.SlowTo > 0 {
 		r.at(r.faults.SlowFrom, func() { r.setSpeed(first, 0.25) })
@@ -232,10 +284,21 @@
 		if c := r.callers[e.ID]; !c.done && c.work == nil {
 			c.done = true
 			r.result.refuse(c.item, e)
+			r.again(c.item, e)
 		}
 	}
 }
 
+// again plans what a refused caller sends next.
+func (r *Run) again(refused Item, e pool.Refuse) {
+	if r.faults.Again == nil {
+		return
+	}
+	if item, ok := r.faults.Again(r.now, refused, e); ok {
+		r.at(item.At, func() { r.arrive(item) })
+	}
+}
+
 func (r *Run) dispatch(g pool.Grant) {
 	c := r.callers[g.ID]
 	e := r.engines[g.Endpoint]
@@ -297,7 +360,7 @@
 			r.crash(e)
 			return
 		}
-		r.tell(pool.FirstToken{ID: w.request.ID, Attempt: w.attempt, After: w.firstToken})
+		r.tellFirstToken(e, w)
 	}
 	if w.decode <= doneTokens {
 		c := r.callers[w.request.ID]
@@ -307,6 +370,20 @@
 	}
 }
 
+// tellFirstToken reports a first token, with the engine's factor if answers state it.
+func (r *Run) tellFirstToken(e *engine, w *work) {
+	event := pool.FirstToken{ID: w.request.ID, Attempt: w.attempt, After: w.firstToken}
+	n := r.faults.Noise
+	if n.Told {
+		event.LoadPercent, event.LoadAge = percentOf(e.factor), messageTime+n.Late
+	}
+	if n.Late == 0 {
+		r.tell(event)
+		return
+	}
+	r.after(n.Late, func() { r.tell(event) })
+}
+
 // end takes a request off its engine and tells the policy.
 func (r *Run) end(c *caller, outcome pool.Outcome) {
 	w := c.work
--- a/internal/fleet/sessions_test.go
+++ b/internal/fleet/sessions_test.go
@@ -52,9 +52,9 @@
 var sessionSpeeds = []float64{0.55, 1, 2.8}
 
 // sessionDeployment has endpoints of three speeds whose declared speed is the same.
-func sessionDeployment() Deployment {
+func sessionDeployment(endpoints int) Deployment {
 	d := Deployment{Name: "sessions", Hosts: 8, Tiers: tiers(3), Teams: teams(3)}
-	for i := range sessionEndpoints {
+	for i := range endpoints {
 		d.Endpoints = append(d.Endpoints, resource.Endpoint{
 			Name: ident.Endpoint(fmt.Sprintf("e%02d", i)), Domain: Domain, Target: Target, Type: resource.EndpointEngine,
 			State: resource.EndpointActive, Slots: sessionSlots, PrefillRate: sessionPrefill, DecodeRate: sessionDecode,
@@ -65,25 +65,25 @@
 }
 
 // sessionCapacity is the number of requests a second whose answers take all slots.
-func sessionCapacity() float64 {
+func sessionCapacity(endpoints int) float64 {
 	slotTime, speed := 0.0, 0.0
 	for _, k := range sessionKinds {
 		decode := float64(k.output) / sessionDecode * (1 + batchPenalty*(sessionSlots-1))
 		slotTime += k.share * (decode + float64(k.own)/sessionPrefill)
 	}
-	for i := range sessionEndpoints {
+	for i := range endpoints {
 		speed += sessionSpeeds[i%len(sessionSpeeds)] * sessionSlots
 	}
 	return speed / slotTime
 }
 
 // sessionItems draws the load.
-func sessionItems(seed uint64, load float64) ([]Item, map[ident.Request]sessionKind) {
+func sessionItems(seed uint64, load float64, endpoints int, length time.Duration) ([]Item, map[ident.Request]sessionKind) {
 	random := rand.New(rand.NewPCG(seed, 0x5e55))
 	kinds := map[ident.Request]sessionKind{}
 	var items []Item
-	rate := load * sessionCapacity()
-	for at := time.Duration(0); at < sessionLength; {
+	rate := load * sessionCapacity(endpoints)
+	for at := time.Duration(0); at < length; {
 		at += time.Duration(random.ExpFloat64() / rate * float64(time.Second))
 		x, n := random.Float64(), 0
 		for n < len(sessionKinds)-1 && x >= sessionKinds[n].share {
@@ -128,7 +128,7 @@
 	if err != nil {
 		panic(err)
 	}
-	items, kinds := sessionItems(seed, load)
+	items, kinds := sessionItems(seed, load, sessionEndpoints, sessionLength)
 	first := map[ident.Request]time.Duration{}
 	earned, owed, served := 0.0, 0.0, 0
 	arrived := map[ident.Request]time.Duration{}
@@ -136,7 +136,7 @@
 		arrived[item.Request.ID] = item.At
 		owed += kinds[item.Request.ID].worth
 	}
-	r := execute(p, sessionDeployment(), items, Faults{Speeds: sessionSpeeds, ReportAge: reportAge}, seed,
+	r := execute(p, sessionDeployment(sessionEndpoints), items, Faults{Speeds: sessionSpeeds, ReportAge: reportAge}, seed,
 		func(now time.Duration, events []pool.Event, _ []pool.Effect) {
 			for _, e := range events {
 				switch e := e.(type) {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -161,6 +161,7 @@
 		}
 	}()
 	answer := platform.ReadAnswer(resp.StatusCode, resp.Header)
+	x.try.end.LoadPercent = answer.LoadPercent
 	if answer.Leaving {
 		g.opts.Post(control.EndpointLeaving{Endpoint: x.try.endpoint, Lifetime: x.try.lifetime})
 	}
@@ -557,7 +558,10 @@
 		return
 	}
 	x.try.end.FirstToken = at - x.try.began
-	x.call.gateway.opts.Post(control.FirstToken{ID: x.try.id, After: x.try.end.FirstToken})
+	x.call.gateway.opts.Post(control.FirstToken{
+		ID: x.try.id, After: x.try.end.FirstToken, LoadPercent: x.try.end.LoadPercent,
+	})
+	x.try.end.LoadPercent = 0
 }
 
 // onTime reports whether a complete response met its route's objectives.
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -49,6 +49,9 @@
 	Slots, Endpoints map[NameState]int
 	// Suspects counts the suspected requests and prompt parts, by kind and state.
 	Suspects map[NameState]int
+	// Load counts the endpoints of the pools that this host schedules, by the pool's name and
+	// their load.
+	Load map[NameState]int
 	// Age is the time since what is known was the newest, by what it is.
 	Age map[string]time.Duration
 	// Settings is the version of the settings in force; empty: none is known.
--- a/internal/platformhost/pools.go
+++ b/internal/platformhost/pools.go
@@ -59,11 +59,14 @@
 		held += q.Held
 		wait = max(wait, q.Wait)
 	}
-	var endpoints, closed []string
+	var endpoints, closed, slow []string
 	for i := range s.Endpoints {
 		e := &s.Endpoints[i]
 		inFlight += e.InFlight
 		pending += e.PendingTokens
+		if e.Load() == "slow" {
+			slow = append(slow, string(e.Name))
+		}
 		if e.Reason != "" {
 			closed = append(closed, string(e.Name))
 			continue
@@ -76,5 +79,6 @@
 		"granted": s.Holders.Granted, "prefilling": s.Holders.Prefilling, "decoding": s.Holders.Decoding,
 		"orphaned": s.Holders.Orphaned, "in_flight": inFlight, "slots": slots, "pending_tokens": pending,
 		"endpoints": strings.Join(endpoints, " "), "closed": strings.Join(closed, " "),
+		"slow": strings.Join(slow, " "),
 	}).Info()
 }
--- a/internal/platformhost/record.go
+++ b/internal/platformhost/record.go
@@ -181,6 +181,7 @@
 	s := metrics.Status{
 		Members: map[string]int{}, Waiting: map[ident.Tier]int{}, Slots: map[metrics.NameState]int{},
 		Suspects: map[metrics.NameState]int{},
+		Load:     map[metrics.NameState]int{},
 		Settings: h.settings.Load().Version(), Endpoints: map[metrics.NameState]int{}, Age: map[string]time.Duration{}, RetriesLeft: h.gateway.RetriesLeft(),
 	}
 	if rules := h.gateway.Ruleset(); rules != nil {
@@ -243,6 +244,9 @@
 	} {
 		s.Slots[metrics.NameState{Name: p.Pool.String(), State: state}] = count
 	}
+	for i := range p.Detail.Endpoints {
+		s.Load[metrics.NameState{Name: p.Pool.String(), State: p.Detail.Endpoints[i].Load()}]++
+	}
 }
 
 // tierName returns the metric label for the tier of a rank. Late requests have labels of their own.
--- a/internal/pool/endpoint.go
+++ b/internal/pool/endpoint.go
@@ -108,6 +108,7 @@
 	e.closedUntil, e.failures = 0, 0
 	e.errors, e.window, e.load = speed.Errors{}, window.Window{}, window.ForeignLoad{}
 	e.cacheTrust, e.backoffs = 1, nil
+	e.speed.ForgetFactors()
 }
 
 // supersedes reports whether the endpoint is known to have begun another lifetime
@@ -240,8 +241,8 @@
 	for _, e := range t.rows {
 		w := float64(max(1, e.Slots))
 		weight += w
-		prefill += w * float64(e.speed.Prefill(now, 1))
-		decode += w * float64(e.speed.Decode(now, 1, e.Slots))
+		prefill += w * float64(e.speed.UsualPrefill(now, 1))
+		decode += w * float64(e.speed.UsualDecode(now, 1, e.Slots))
 	}
 	weight = max(weight, 1)
 	t.cachedAverage = averageSpeed{time.Duration(prefill / weight), time.Duration(decode / weight)}
--- a/internal/pool/estimate.go
+++ b/internal/pool/estimate.go
@@ -44,7 +44,7 @@
 		// It begins when one of the requests that occupy the slots ends.
 		first += e.speed.Decode(s.now, r.outputTokens, others) / time.Duration(max(1, e.slots()))
 	}
-	total := first + e.speed.Decode(s.now, r.outputTokens, others)
+	total := first + e.speed.DecodeAfter(s.now, first, r.outputTokens, others)
 	return estimate{
 		first:    first,
 		total:    total,
--- a/internal/pool/event.go
+++ b/internal/pool/event.go
@@ -97,6 +97,10 @@
 	Attempt ident.Attempt
 	// After is the time since dispatch.
 	After time.Duration
+	// LoadPercent is how long work takes at the endpoint, in percent of the usual time; 0:
+	// not known. LoadAge is the age of the figure.
+	LoadPercent int           `cbor:",omitempty"`
+	LoadAge     time.Duration `cbor:",omitempty"`
 }
 
 // Outcome is the result of a dispatched request.
@@ -138,6 +142,9 @@
 	OutputTokens int
 	FirstToken   time.Duration
 	Total        time.Duration
+	// LoadPercent and LoadAge are as in FirstToken, whose report is then without them.
+	LoadPercent int           `cbor:",omitempty"`
+	LoadAge     time.Duration `cbor:",omitempty"`
 }
 
 // LoadReport is a report of an endpoint on its own load, which may be out of date.
@@ -147,6 +154,8 @@
 	Waiting  int
 	// Age is the age of the report.
 	Age time.Duration
+	// LoadPercent is as in FirstToken.
+	LoadPercent int `cbor:",omitempty"`
 }
 
 // CacheEvent is a delayed notice of changes in an endpoint's prefix cache.
--- a/internal/pool/learn.go
+++ b/internal/pool/learn.go
@@ -1,6 +1,8 @@
 package pool
 
 import (
+	"time"
+
 	"github.com/trefoilchute/trefoilchute/internal/pool/rules"
 	"github.com/trefoilchute/trefoilchute/internal/resource"
 )
@@ -11,6 +13,7 @@
 	if a == nil || a.sawFirstToken {
 		return
 	}
+	s.observeFactor(a.endpoint, e.LoadPercent, e.LoadAge)
 	if a.holdsSlot {
 		a.endpoint.pendingTokens -= a.uncached
 	}
@@ -28,6 +31,9 @@
 // expected length of answers, from a finished request.
 func (s *Scheduler) observeFinished(a *attempt, f Finished) {
 	e := a.endpoint
+	if !e.supersedes(f.Lifetime) {
+		s.observeFactor(e, f.LoadPercent, f.LoadAge)
+	}
 	switch f.Outcome {
 	case OutcomeLost:
 		if e.supersedes(f.Lifetime) {
@@ -94,5 +100,14 @@
 	}
 	e.load.ObserveInFlight(s.now, e.inFlight)
 	e.load.ObserveReport(r.Running+r.Waiting, r.Age)
+	s.observeFactor(e, r.LoadPercent, r.Age)
 	e.changed = true
 }
+
+// observeFactor records the momentary factor that an endpoint reported some time ago; a
+// percentage of 0 is none.
+func (s *Scheduler) observeFactor(e *endpoint, percent int, age time.Duration) {
+	if percent > 0 {
+		e.speed.ObserveFactor(s.now-max(0, age), float64(percent)/100)
+	}
+}
--- a/internal/pool/speed/speed.go
+++ b/internal/pool/speed/speed.go
@@ -45,8 +45,9 @@
 	paceHalfLife = 5 * time.Second
 )
 
-// Endpoint holds the speed of one endpoint: its long-run rates, and the pace, which is
-// the factor by which it is currently slower than these.
+// Endpoint holds the speed of one endpoint: its long-run rates, the pace, which is the
+// factor by which its recent samples were slower than these, and the momentary factors that
+// it reports. The rates and the pace are those without the momentary factors.
 type Endpoint struct {
 	prefill, decode float64
 	samples         float64
@@ -54,6 +55,7 @@
 	sampledAt       time.Duration
 	// assumed says that the initial rates were not declared for this endpoint.
 	assumed bool
+	moments moments
 }
 
 // NewEndpoint returns the speed of an endpoint with declared rates in tokens per
@@ -117,14 +119,30 @@
 	return 1 + (e.pace-1)*math.Exp2(-float64(idle)/float64(paceHalfLife))
 }
 
-// Prefill estimates the time to prefill tokens.
+// Prefill estimates the time to prefill tokens from now.
 func (e *Endpoint) Prefill(now time.Duration, tokens int) time.Duration {
-	return seconds(float64(tokens) / e.prefill * e.Pace(now))
+	return seconds(e.stretch(now, 0, float64(tokens)/e.prefill))
 }
 
-// Decode estimates the time to generate tokens beside others in flight.
+// Decode estimates the time to generate tokens from now, beside others in flight.
 func (e *Endpoint) Decode(now time.Duration, tokens float64, others int) time.Duration {
-	return seconds(tokens / e.decode * batchFactor(others) * e.Pace(now))
+	return e.DecodeAfter(now, 0, tokens, others)
+}
+
+// DecodeAfter estimates the time to generate tokens, beside others in flight, that begins
+// after a delay.
+func (e *Endpoint) DecodeAfter(now, delay time.Duration, tokens float64, others int) time.Duration {
+	return seconds(e.stretch(now, delay, tokens/e.decode*batchFactor(others)))
+}
+
+// UsualPrefill estimates the time to prefill tokens at another time than now.
+func (e *Endpoint) UsualPrefill(now time.Duration, tokens int) time.Duration {
+	return seconds(float64(tokens) / e.prefill * e.Pace(now) * e.meanFactor())
+}
+
+// UsualDecode estimates the time to generate tokens at another time than now.
+func (e *Endpoint) UsualDecode(now time.Duration, tokens float64, others int) time.Duration {
+	return seconds(tokens / e.decode * batchFactor(others) * e.Pace(now) * e.meanFactor())
 }
 
 // ObservePrefill records that tokens were prefilled in the given time.
@@ -135,7 +153,7 @@
 	if e.assumed && seconds(float64(tokens)/e.prefill) < minAssumedPrefill {
 		return
 	}
-	rate := float64(tokens) / took.Seconds()
+	rate := float64(tokens) / took.Seconds() * e.between(now-took, now)
 	e.updatePace(now, e.prefill/rate)
 	e.prefill = e.updateRate(e.prefill, rate)
 }
@@ -146,7 +164,7 @@
 	if tokens <= 0 || took <= 0 {
 		return
 	}
-	rate := float64(tokens) / took.Seconds() * (1 + batchSlope*others)
+	rate := float64(tokens) / took.Seconds() * (1 + batchSlope*others) * e.between(now-took, now)
 	if tokens >= minSampleTokens {
 		e.updatePace(now, e.decode/rate)
 	}
@@ -159,7 +177,7 @@
 	if took <= 0 {
 		return
 	}
-	rate := (1 + batchSlope*others) / took.Seconds()
+	rate := (1 + batchSlope*others) / took.Seconds() * e.between(now-took, now)
 	e.updatePace(now, e.decode/rate)
 	e.decode = e.updateRate(e.decode, rate)
 }
--- a/internal/pool/status.go
+++ b/internal/pool/status.go
@@ -69,11 +69,28 @@
 	// second for a plain service. Pace is the factor by which the endpoint is slower
 	// just now.
 	PrefillRate, DecodeRate, Pace float64
-	Draining                      bool
+	// Factor is the factor by which the endpoint says that it is slower than usual; 0 if it
+	// has not said so within a second.
+	Factor   float64
+	Draining bool
 	// Reason says why the endpoint gets no requests; empty if it does.
 	Reason string
 }
 
+// slowFactor is the factor from which an endpoint counts as slow at the moment.
+const slowFactor = 1.5
+
+// Load returns whether the endpoint says that it is slow at the moment, for operators.
+func (e *EndpointStatus) Load() string {
+	switch {
+	case e.Factor == 0:
+		return "unknown"
+	case e.Factor > slowFactor:
+		return "slow"
+	}
+	return "usual"
+}
+
 // Room is the free capacity that other domains are told of a pool.
 type Room struct {
 	// FreeSlots is the number of free slots.
@@ -136,7 +153,12 @@
 }
 
 func (s *Scheduler) endpointStatus(e *endpoint) EndpointStatus {
+	factor, known := e.speed.Factor(s.now)
+	if !known {
+		factor = 0
+	}
 	return EndpointStatus{
+		Factor:        factor,
 		Name:          e.Name,
 		InFlight:      e.inFlight,
 		Window:        e.slots(),
--- a/internal/system/custody/grant.go
+++ b/internal/system/custody/grant.go
@@ -219,17 +219,21 @@
 	Answered bool
 	// Generated says that the endpoint generated at least a part of a successful answer.
 	Generated bool
+	// LoadPercent is how long work takes at the endpoint, in percent of the usual time, as
+	// the head of its answer says; 0: nothing is said, or it was sent with the first token.
+	LoadPercent int
 }
 
-// FirstToken reports the first token of a dispatched request to the scheduler.
-func (s *System) FirstToken(now time.Duration, id ident.Request, after time.Duration, out *system.Outbox) {
+// FirstToken reports the first token of a dispatched request to the scheduler, with the
+// load that the answer's head states.
+func (s *System) FirstToken(now time.Duration, id ident.Request, after time.Duration, loadPercent int, out *system.Outbox) {
 	r := s.entries[id]
 	if r == nil || r.state != stateDispatched {
 		return
 	}
 	r.firstTokenAt = now
 	s.report(now, r, &peerpb.Report{
-		Phase: peerpb.Report_PHASE_FIRST_TOKEN, FirstTokenUs: after.Microseconds(),
+		Phase: peerpb.Report_PHASE_FIRST_TOKEN, FirstTokenUs: after.Microseconds(), LoadPercent: uint32(loadPercent),
 	}, out)
 }
 
@@ -249,5 +253,6 @@
 		PromptTokens: int64(end.PromptTokens), CachedTokens: int64(end.CachedTokens),
 		OutputTokens: int64(end.OutputTokens),
 		FirstTokenUs: end.FirstToken.Microseconds(), TotalUs: end.Total.Microseconds(),
+		LoadPercent: uint32(end.LoadPercent),
 	}, out)
 }
--- a/internal/system/scheduling/instance.go
+++ b/internal/system/scheduling/instance.go
@@ -29,6 +29,9 @@
 	// offset converts this host's clock to the custodian's: the maximum of (custodian's
 	// clock - own clock at receipt). It is too small by the shortest network delay seen.
 	offset time.Duration
+	// recentOffset is such a maximum too. It falls slowly, so that the age of messages stays
+	// right when the clocks drift apart; it was updated at recentAt.
+	recentOffset, recentAt time.Duration
 	// queriedAt is the time at which the custodian was last queried for its holdings.
 	queriedAt time.Duration
 }
@@ -127,13 +130,30 @@
 		known = false
 	}
 	if !known || offset > c.offset {
-		in.custodians[from.Host] = custodian{
+		c = custodian{
 			incarnation: from.Incarnation, offset: offset, queriedAt: c.queriedAt,
+			recentOffset: c.recentOffset, recentAt: c.recentAt,
 		}
 	}
+	c.recentOffset -= (now - c.recentAt) / clockDriftDivisor
+	if !known || offset > c.recentOffset {
+		c.recentOffset = offset
+	}
+	c.recentAt = now
+	in.custodians[from.Host] = c
 	return true
 }
 
+// clockDriftDivisor is the reciprocal of the drift between two hosts' clocks that is allowed
+// for: 100 parts per million, twice what common quartz clocks have.
+const clockDriftDivisor = 10_000
+
+// messageAge returns how much longer a custodian's message took than its fastest one, after
+// noteMessage accepted it.
+func (in *instance) messageAge(now time.Duration, from Process, clockMicros int64) time.Duration {
+	return max(0, now+in.custodians[from.Host].recentOffset-time.Duration(clockMicros)*time.Microsecond)
+}
+
 // noteRunning records a report that a dispatched request is running.
 func (in *instance) noteRunning(now time.Duration, h ident.Host, key runningKey) {
 	in.running[key] = runningEntry{host: h, lastReport: now}
--- a/internal/system/scheduling/receive.go
+++ b/internal/system/scheduling/receive.go
@@ -114,9 +114,9 @@
 		in.enqueue(pool.Started{ID: key.request, Attempt: key.attempt})
 	case peerpb.Report_PHASE_FIRST_TOKEN:
 		in.noteRunning(now, from.Host, key)
-		in.enqueue(pool.FirstToken{
-			ID: key.request, Attempt: key.attempt, After: micros(m.GetFirstTokenUs()),
-		})
+		f := pool.FirstToken{ID: key.request, Attempt: key.attempt, After: micros(m.GetFirstTokenUs())}
+		f.LoadPercent, f.LoadAge = in.loadFigure(now, from, m)
+		in.enqueue(f)
 	case peerpb.Report_PHASE_DECLINED:
 		in.enqueue(pool.Declined{
 			ID: key.request, Attempt: key.attempt,
@@ -125,7 +125,9 @@
 		})
 	default:
 		delete(in.running, key)
-		in.enqueue(finishedEvent(key, m))
+		f := finishedEvent(key, m)
+		f.LoadPercent, f.LoadAge = in.loadFigure(now, from, m)
+		in.enqueue(f)
 	}
 	s.step(now, in, out)
 }
@@ -152,6 +154,14 @@
 	}
 }
 
+// loadFigure returns the endpoint's load that a report states, in percent, and its age.
+func (in *instance) loadFigure(now time.Duration, from Process, m *peerpb.Report) (percent int, age time.Duration) {
+	if m.GetLoadPercent() == 0 {
+		return 0, 0
+	}
+	return int(m.GetLoadPercent()), in.messageAge(now, from, m.GetClockUs())
+}
+
 // micros converts microseconds to a duration.
 func micros(us int64) time.Duration {
 	return time.Duration(us) * time.Microsecond
