--- a/internal/control/simulation_test.go
+++ b/internal/control/simulation_test.go
@@ -52,6 +52,8 @@
 	runTimes []time.Duration
 	// outcomes counts the final answers by code.
 	outcomes map[result.Code]int
+	// onSend is called with each message, unless it is nil.
+	onSend func(from ident.Host, send system.Send)
 }
 
 // simHost is a host with its core.
@@ -219,6 +221,9 @@
 // deliver delivers a message unless the link is cut.
 func (sim *simulation) deliver(from ident.Host, send system.Send) {
 	to, ok := sim.hosts[send.To]
+	if sim.onSend != nil {
+		sim.onSend(from, send)
+	}
 	if !ok || sim.cut[[2]ident.Domain{sim.hosts[from].domain, to.domain}] {
 		return
 	}
