Let starting hosts agree on the schedulers by the store's list of hosts

Cause: after a start of all hosts, each knew few others, took itself for the scheduler of most pools, and asked all hosts for their holdings, once per pool and also after the pool had moved. 105 hosts opened a link between every two of them, and agreed on the schedulers after seconds. Change: a host's row in the store carries its incarnation, capacity and the time, and is written hourly. A starting host reads the list before it connects, and takes hosts with a row of less than 2.5 h for alive. Such rows are not gossiped until a host confirms them. A message of a later process replaces the row of the earlier one. A host asks at most three hosts per round for their table. A host that a pool has moved away from asks no new processes for their holdings. Store.Hosts returns a list with a version, from which it can return the changes.

--- a/internal/control/scale_test.go
+++ b/internal/control/scale_test.go
@@ -321,12 +321,17 @@
 	t.Logf("agreement after %v, for good after %v; first dispatch after %v; answers by second of sending: %v",
 		first, lasting, f.firstRunAfter(start)-start, codesBySecond(start, sent))
 	g.Expect(f.violations()).To(BeEmpty())
+	g.Expect(lasting).To(BeNumerically("~", time.Second, time.Second), "the hosts agree on the schedulers")
+	// Each pool's scheduler asks each host twice: it may know its earlier process from the list.
+	g.Expect(f.traffic.messages["take_over"]).To(BeNumerically("<", 3*2*scaleTargets*hosts))
 }
 
 // listTimes are the times after its first list at which a host reads the list of hosts.
-var listTimes = []time.Duration{0, 3 * time.Second}
+var listTimes = []time.Duration{0, 250 * time.Millisecond, time.Second, 3 * time.Second, 10 * time.Second}
 
 // hostRow returns a host's row in the store.
-func hostRow(name ident.Host, d ident.Domain, _ uint64, _ uint32) platform.HostEntry {
-	return platform.HostEntry{Host: string(name), Domain: string(d), Address: string(name)}
+func hostRow(name ident.Host, d ident.Domain, incarnation uint64, capacity uint32) platform.HostEntry {
+	return platform.HostEntry{
+		Host: string(name), Domain: string(d), Address: string(name), Incarnation: incarnation, Capacity: capacity,
+	}
 }
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -85,6 +85,10 @@
 	Address string `json:"address"`
 	// Leaving is set if the platform plans to remove the host.
 	Leaving bool `json:"leaving"`
+	// Incarnation and Capacity are those of the host's process, as in a member's row. An
+	// incarnation is set only if the process wrote it so recently that it is probably running.
+	Incarnation uint64 `json:"-"`
+	Capacity    uint32 `json:"-"`
 }
 
 // Hosts is the platform's list of hosts, which lags behind the actual state.
--- a/internal/platformhost/host.go
+++ b/internal/platformhost/host.go
@@ -97,7 +97,7 @@
 	}
 	h.core = control.New(control.Config{
 		Self: s.Host, Incarnation: h.incarnation, Domain: s.Region, Address: s.PeerListen,
-		Capacity: uint32(millicoresPerCore * s.Cores * s.CoreShare), Seed: h.incarnation, Nonce: func() string { return "" }, External: true,
+		Capacity: capacity(&s), Seed: h.incarnation, Nonce: func() string { return "" }, External: true,
 	})
 	h.loop = control.NewLoopAt(h.core, h.now)
 	h.follower = follow.New(follow.Options{
--- a/internal/platformhost/join.go
+++ b/internal/platformhost/join.go
@@ -12,6 +12,7 @@
 	"github.com/trefoilchute/trefoilchute/internal/peer"
 	"github.com/trefoilchute/trefoilchute/internal/peer/peerpb"
 	platformtypes "github.com/trefoilchute/trefoilchute/internal/platform"
+	"github.com/trefoilchute/trefoilchute/internal/settings"
 	"github.com/trefoilchute/trefoilchute/platform"
 )
 
@@ -20,20 +21,21 @@
 	joinTimeout = 2 * time.Second
 	// joinRetryDelay is the delay after a failed attempt.
 	joinRetryDelay = 250 * time.Millisecond
-	// relistDelay is the delay before the list of hosts is read a second time: hosts that
-	// started at the same moment may be missing from the first list.
-	relistDelay = 3 * time.Second
+	// firstListTimeout bounds the wait for the list of hosts before the peer connections and the
+	// control loop are started. Without the list this host would schedule alone.
+	firstListTimeout = 500 * time.Millisecond
 )
 
+// relistDelays are the delays between the reads of the changes of the list of hosts: hosts that
+// start at about the same time may be missing from an earlier one.
+var relistDelays = []time.Duration{250 * time.Millisecond, 750 * time.Millisecond, 2 * time.Second, 7 * time.Second}
+
 // join registers this host in the store, then starts the peer connections and the control
 // loop. It returns an error if the peer connections can't be started, since the other hosts
 // can't work with a host that they can't reach.
 func (h *Host) join(ctx context.Context) error {
-	s := h.settings.Load()
 	shared, ok := retry(ctx, h, logs.HostList, func(ctx context.Context) (platform.Shared, error) {
-		if err := h.store.Register(ctx, platform.Host{
-			Name: string(s.Host), Address: s.PeerListen, Domain: string(s.Region),
-		}); err != nil && !errors.Is(err, platform.ErrAmbiguous) {
+		if err := h.register(ctx); err != nil && !errors.Is(err, platform.ErrAmbiguous) {
 			return platform.Shared{}, err
 		}
 		return h.store.Shared(ctx, newSecret())
@@ -41,31 +43,79 @@
 	if !ok {
 		return nil
 	}
+	bounded, cancel := context.WithTimeout(ctx, firstListTimeout)
+	list, err := h.store.Hosts(bounded, 0)
+	cancel()
+	if err == nil {
+		h.postHosts(list)
+	}
 	if err := h.connectPeers(shared.Secret); err != nil {
 		return err
 	}
 	h.group.Go(func() { h.loop.Run(h.lifetime) })
 	h.connected.Store(true)
 	h.restoreSuspects(shared.Suspects)
-	for range 2 {
-		hosts, ok := retry(ctx, h, logs.HostList, func(ctx context.Context) ([]platform.Host, error) {
-			hosts, skipped, err := h.store.Hosts(ctx)
-			for _, row := range skipped {
-				logs.With(h.log, logs.HostList).WithField("row", row).Warn("the row is no host's")
-			}
-			return hosts, err
+	h.followHosts(ctx, list.Version)
+	return nil
+}
+
+// register writes this host's row.
+func (h *Host) register(ctx context.Context) error {
+	s := h.settings.Load()
+	return h.store.Register(ctx, platform.Host{
+		Name: string(s.Host), Address: s.PeerListen, Domain: string(s.Region),
+		Incarnation: h.incarnation, Capacity: capacity(s), Written: time.Now().UnixMilli(),
+	})
+}
+
+// capacity returns the processor capacity of this host in millicores.
+func capacity(s *settings.Gateway) uint32 {
+	return uint32(millicoresPerCore * s.Cores * s.CoreShare)
+}
+
+// followHosts reads the changes of the list of hosts after a version for some seconds, and then
+// writes this host's row at intervals, until ctx is done.
+func (h *Host) followHosts(ctx context.Context, version uint64) {
+	delays := relistDelays
+	if version == 0 {
+		delays = append([]time.Duration{0}, delays...)
+	}
+	for _, delay := range delays {
+		if !wait(ctx, delay) {
+			return
+		}
+		list, ok := retry(ctx, h, logs.HostList, func(ctx context.Context) (platform.HostList, error) {
+			return h.store.Hosts(ctx, version)
 		})
 		if !ok {
-			return nil
-		}
-		h.loop.Post(control.HostsListed{Hosts: hostEntries(hosts)})
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-time.After(relistDelay):
+			return
 		}
+		version = list.Version
+		h.postHosts(list)
+	}
+	for wait(ctx, platform.HostRowInterval) {
+		_, _ = retry(ctx, h, logs.HostList, func(ctx context.Context) (struct{}, error) {
+			return struct{}{}, h.register(ctx)
+		})
 	}
-	return nil
+}
+
+// wait waits for a time. It returns false if ctx is done first.
+func wait(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
+// postHosts passes a list of hosts to the control loop.
+func (h *Host) postHosts(list platform.HostList) {
+	for _, row := range list.Skipped {
+		logs.With(h.log, logs.HostList).WithField("row", row).Warn("the row is no host's")
+	}
+	h.loop.Post(control.HostsListed{Hosts: hostEntries(list.Hosts, time.Now())})
 }
 
 // retry repeats a store operation until it succeeds and logs each failure as event. It
@@ -87,11 +137,16 @@
 	}
 }
 
-// hostEntries converts rows of the store to seed addresses for the membership.
-func hostEntries(hosts []platform.Host) []platformtypes.HostEntry {
+// hostEntries converts rows of the store for the membership. Rows that say nothing about whether
+// their host is running become addresses to try.
+func hostEntries(hosts []platform.Host, now time.Time) []platformtypes.HostEntry {
 	list := make([]platformtypes.HostEntry, len(hosts))
-	for i, host := range hosts {
+	for i := range hosts {
+		host := &hosts[i]
 		list[i] = platformtypes.HostEntry{Host: host.Name, Domain: host.Domain, Address: host.Address}
+		if host.Running(now) {
+			list[i].Incarnation, list[i].Capacity = host.Incarnation, host.Capacity
+		}
 	}
 	return list
 }
--- a/internal/system/membership/gossip.go
+++ b/internal/system/membership/gossip.go
@@ -56,22 +56,40 @@
 	return changed
 }
 
-// fullTable returns the whole table, for a host that has just started and has none.
+// fullTable returns the whole table, for a host that has just started and has none. A host
+// that has just started itself leaves out what it only knows from the platform's list.
 func (s *System) fullTable() []*peerpb.Member {
 	members := make([]*peerpb.Member, 0, len(s.order))
 	for _, host := range s.order {
-		members = append(members, toWire(&s.table[host].Member, false))
+		if e := s.table[host]; !s.fresh || !e.listed {
+			members = append(members, toWire(&e.Member, false))
+		}
 	}
 	return members
 }
 
-// newPing returns a ping with the current sequence number.
-func (s *System) newPing(members []*peerpb.Member) *peerpb.Envelope {
+// newPing returns a ping with the current sequence number. It asks for the whole table if this
+// host has none and has not asked too many hosts.
+func (s *System) newPing(to ident.Host, members []*peerpb.Member) *peerpb.Envelope {
+	ask := s.fresh && !s.asked[to] && s.tableRequests < maxTableRequests
+	if ask {
+		s.asked[to] = true
+		s.tableRequests++
+	}
 	return &peerpb.Envelope{Body: &peerpb.Envelope_Ping{
-		Ping: &peerpb.Ping{Seq: s.seq, Members: members, Fresh: s.fresh},
+		Ping: &peerpb.Ping{Seq: s.seq, Members: members, Fresh: ask},
 	}}
 }
 
+// allowTableRequests starts a round of requests for the whole table. Once all hosts that are
+// pinged were asked, they are asked again.
+func (s *System) allowTableRequests() {
+	if s.tableRequests == 0 {
+		clear(s.asked)
+	}
+	s.tableRequests = 0
+}
+
 // ack wraps an Ack into an envelope.
 func ack(seq uint64, members []*peerpb.Member) *peerpb.Envelope {
 	return &peerpb.Envelope{Body: &peerpb.Envelope_Ack{Ack: &peerpb.Ack{Seq: seq, Members: members}}}
--- a/internal/system/membership/member.go
+++ b/internal/system/membership/member.go
@@ -1,6 +1,8 @@
 package membership
 
 import (
+	"math"
+
 	"github.com/trefoilchute/trefoilchute/internal/ident"
 	"github.com/trefoilchute/trefoilchute/internal/peer/peerpb"
 )
@@ -56,8 +58,15 @@
 	introduced uint64
 	// learnedFrom is the host that sent the last change.
 	learnedFrom ident.Host
+	// listed says that the row comes from the platform's list and no host has confirmed it
+	// yet. The others have read the same list, so such a row isn't sent.
+	listed bool
 }
 
+// neverBrief is the gossip clock at which a row counts as introduced that other hosts may not
+// know even if they have acknowledged all changes.
+const neverBrief = math.MaxUint64
+
 // overrides reports whether statement a supersedes statement b about the same host.
 func overrides(a, b *Member) bool {
 	if a.Incarnation != b.Incarnation {
--- a/internal/system/membership/membership.go
+++ b/internal/system/membership/membership.go
@@ -77,6 +77,9 @@
 	maxGossip = 64
 	// maxUnreachedProbes bounds the pings to dead hosts and unknown seeds in one round.
 	maxUnreachedProbes = 2
+	// maxTableRequests bounds the hosts that a started host asks for the whole table in one
+	// round. One answer is enough; the others are in case that hosts are lost.
+	maxTableRequests = 3
 )
 
 // Config describes this host.
@@ -134,8 +137,12 @@
 	lastRound time.Duration
 	// urgent says that the view has changed since the last round.
 	urgent bool
-	// fresh says that no other host has sent its table yet.
-	fresh       bool
+	// fresh says that no other host has sent its table yet. tableRequests counts the hosts
+	// that were asked for it in this round, and asked holds all that were.
+	fresh         bool
+	tableRequests int
+	asked         map[ident.Host]bool
+
 	nextProbe   time.Duration
 	nextContact time.Duration
 
@@ -148,10 +155,11 @@
 	superseded  bool
 }
 
-// seed is the address of a host that may be running.
+// seed is a host that may be running. The incarnation is 0 if it is unknown.
 type seed struct {
-	domain  ident.Domain
-	address string
+	domain      ident.Domain
+	address     string
+	incarnation uint64
 }
 
 // New returns a membership in which the host knows only itself.
@@ -170,6 +178,7 @@
 		lost:       map[ident.Host]bool{},
 		answeredAt: map[ident.Domain]time.Duration{},
 		misses:     map[ident.Domain]int{},
+		asked:      map[ident.Host]bool{},
 		fresh:      true,
 	}
 	self := Member{
@@ -177,29 +186,69 @@
 		Incarnation: cfg.Incarnation,
 		Domain:      cfg.Domain,
 		Address:     cfg.Address,
-		Version:     1,
+		Version:     firstVersion,
 		Capacity:    cfg.Capacity,
 	}
 	s.insert(self, cfg.Self)
 	return s
 }
 
-// SetSeeds sets the hosts in the platform's list. The list may be out of date, so it
-// is used only as a set of addresses to try.
+// SetSeeds adds the hosts in the platform's list. Those with an incarnation become members, so
+// that all hosts that start at the same time agree on the members before they have exchanged a
+// message; if they are not running, the probes find out. The list may be out of date, so the
+// others are used only as addresses to try.
 func (s *System) SetSeeds(entries []platform.HostEntry) {
 	for _, e := range entries {
 		host := ident.Host(e.Host)
 		if host == "" || host == s.cfg.Self || e.Address == "" {
 			continue
 		}
-		named := seed{domain: ident.Domain(e.Domain), address: e.Address}
-		if s.seeds[host] != named {
-			s.seeds[host] = named
-			s.viewChanged()
+		named := seed{domain: ident.Domain(e.Domain), address: e.Address, incarnation: e.Incarnation}
+		if s.seeds[host] == named {
+			continue
+		}
+		s.seeds[host] = named
+		s.viewChanged()
+		if e.Incarnation > 0 && named.domain != "" {
+			s.addListed(Member{
+				Host: host, Incarnation: e.Incarnation, Domain: named.domain, Address: e.Address, Version: firstVersion, Capacity: e.Capacity,
+			})
 		}
 	}
 }
 
+// firstVersion is the version of a host's row when its process starts.
+const firstVersion = 1
+
+// addListed adds the row of a started process that the platform's list or a message of the
+// process tells of, unless the process or a later one is known.
+func (s *System) addListed(m Member) {
+	e := s.table[m.Host]
+	if e != nil && e.Incarnation >= m.Incarnation {
+		return
+	}
+	if e == nil {
+		at, _ := slices.BinarySearch(s.order, m.Host)
+		s.order = slices.Insert(s.order, at, m.Host)
+	}
+	s.table[m.Host] = &entry{Member: m, introduced: neverBrief, listed: true}
+	delete(s.acked, m.Host)
+	delete(s.suspected, m.Host)
+	delete(s.diedAt, m.Host)
+	delete(s.lost, m.Host)
+	s.viewChanged()
+}
+
+// Heard tells that a process has sent a message. A later process of a known host replaces the
+// earlier one at once, before gossip brings its row.
+func (s *System) Heard(host ident.Host, incarnation uint64) {
+	if e := s.table[host]; e != nil && host != s.cfg.Self && e.Incarnation < incarnation && !s.departed {
+		m := e.Member
+		m.Incarnation, m.Version, m.State = incarnation, 0, Alive
+		s.addListed(m)
+	}
+}
+
 // Addresses returns the link address of each known host and each seed. It
 // includes dead hosts, which are still pinged occasionally so that the two sides
 // of a healed partition find each other.
@@ -331,6 +380,7 @@
 	e.Member = m
 	e.changed = s.gossipClock
 	e.learnedFrom = from
+	e.listed = false
 	if old.Incarnation != m.Incarnation {
 		e.introduced = s.gossipClock
 		delete(s.acked, m.Host)
--- a/internal/system/membership/probe.go
+++ b/internal/system/membership/probe.go
@@ -93,6 +93,7 @@
 func (s *System) probeRound(now time.Duration, out *system.Outbox) {
 	s.lastRound = now
 	s.urgent = false
+	s.allowTableRequests()
 	for _, t := range s.targets() {
 		s.ping(now, t.host, true, t.gossip, out)
 	}
@@ -148,7 +149,7 @@
 		p.incarnation = e.Incarnation
 	}
 	s.probes[s.seq] = p
-	out.Send(p.target, s.newPing(members))
+	out.Send(p.target, s.newPing(p.target, members))
 	return s.seq
 }
 
--- a/internal/system/membership/receive.go
+++ b/internal/system/membership/receive.go
@@ -117,6 +117,9 @@
 func (s *System) merge(now time.Duration, from ident.Host, m Member) {
 	e, known := s.table[m.Host]
 	if known && !overrides(&m, &e.Member) {
+		if e.listed && m.Incarnation == e.Incarnation {
+			s.confirm(e, from)
+		}
 		return
 	}
 	if m.Domain == "" {
@@ -142,6 +145,13 @@
 	}
 }
 
+// confirm records that another host knows a row of the platform's list. The row is sent on once,
+// since a host that read the list earlier may lack it.
+func (s *System) confirm(e *entry, from ident.Host) {
+	s.gossipClock++
+	e.listed, e.changed, e.learnedFrom = false, s.gossipClock, from
+}
+
 // updateSuspicion starts or ends the suspicion of a host after its row has changed.
 // Only hosts of the same domain time out a suspicion; the others wait for them to
 // declare the host dead.
--- a/internal/system/scheduling/scheduling.go
+++ b/internal/system/scheduling/scheduling.go
@@ -230,10 +230,18 @@
 
 // updateHosts removes the requests of dead hosts, and marks the pool as moved if another
 // host schedules it or it is no longer declared. Tick removes a moved pool after
-// movedPoolRetention.
+// movedPoolRetention. For a moved pool, new processes are not queried: when a fleet starts,
+// a pool can move over several hosts, and each would query all others.
 func (s *System) updateHosts(now time.Duration, in *instance, out *system.Outbox) {
+	host, ok := s.cfg.View.Scheduler(in.pool)
+	moved := !ok || host != s.cfg.Self || !slices.Contains(s.DeclaredPools(), in.pool)
+	if moved && in.movedAt == 0 {
+		in.movedAt = now
+	}
 	alive := s.cfg.View.Alive()
-	s.queryNewProcesses(in, out)
+	if !moved {
+		s.queryNewProcesses(in, out)
+	}
 	for _, h := range in.custodianHosts() {
 		restarted := s.cfg.View.Incarnation(h) > in.custodians[h].incarnation
 		if restarted || !slices.Contains(alive, h) {
@@ -242,11 +250,6 @@
 		}
 	}
 	s.step(now, in, out)
-	host, ok := s.cfg.View.Scheduler(in.pool)
-	moved := !ok || host != s.cfg.Self || !slices.Contains(s.DeclaredPools(), in.pool)
-	if moved && in.movedAt == 0 {
-		in.movedAt = now
-	}
 }
 
 // Suspend sets whether scheduling is suspended because this host's membership may be
