Bound what callers make a gateway hold

Cause: heads, bodies and unread answers of callers were bounded one by one, not together, and bodies were kept until the answer was complete. Change: internal/memory accounts for heads, bodies and answers by connection and decides who gives way; the gateway asks it before it reads. Heads are bounded in bytes, lines and time before net/http parses them, connections by memory and descriptors. A body that cannot be sent again is freed as it is sent. Answers are read ahead of slow callers. Section [memory] of the settings, the result code no_memory, log events and metrics.

--- a/internal/fingerprint/fingerprint.go
+++ b/internal/fingerprint/fingerprint.go
@@ -12,11 +12,18 @@
 // Of returns a hash of a request's body and of the names that identify it besides the body. The
 // hash is the same in every process. It does not resist deliberate collisions.
 func Of(body []byte, names ...string) uint64 {
+	return OfChunks([][]byte{body}, names...)
+}
+
+// OfChunks is Of for a body in parts.
+func OfChunks(body [][]byte, names ...string) uint64 {
 	d := xxhash.New()
 	for _, name := range names {
 		_, _ = d.WriteString(name)
 		_, _ = d.Write([]byte{0})
 	}
-	_, _ = d.Write(body)
+	for _, chunk := range body {
+		_, _ = d.Write(chunk)
+	}
 	return d.Sum64()
 }
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -179,6 +179,10 @@
 	case resp.StatusCode >= http.StatusInternalServerError:
 		return x.holdFailure(resp)
 	}
+	if x.call.body.size > smallBodyBytes && !(x.call.route.Resumable && isSuccess(resp.StatusCode)) {
+		// The request has run, and nothing sends its body again.
+		x.call.body.discard()
+	}
 	return x.deliver(resp)
 }
 
@@ -189,24 +193,42 @@
 	buf := headBuffers.Get().(*[]byte)
 	head := platform.AppendHead((*buf)[:0], c.r.Method, c.target, c.r.Host, c.r.Header, platform.Dispatch{
 		Endpoint: x.try.endpoint, Team: c.outcome.Team, Remaining: left, LastEvent: c.events.lastID,
-	}, len(c.body))
+	}, c.body.size)
 	x.sent = make(chan struct{})
-	if len(c.body) <= smallBodyBytes {
-		head = append(head, c.body...)
+	if c.body.size <= smallBodyBytes {
+		for _, chunk := range c.body.chunks {
+			head = append(head, chunk...)
+		}
 		_, x.sendErr = x.conn.Write(head)
 		close(x.sent)
-		*buf = head
-		headBuffers.Put(buf)
+		if cap(head) <= maxPooledHead {
+			*buf = head
+			headBuffers.Put(buf)
+		}
 		return
 	}
+	spent := !c.keepsBody()
+	c.body.spent = spent
+	c.body.writers.Add(1)
 	go func() {
 		defer close(x.sent)
-		if _, x.sendErr = x.conn.Write(head); x.sendErr == nil {
-			_, x.sendErr = x.conn.Write(c.body)
+		if _, x.sendErr = x.conn.Write(head); x.sendErr != nil {
+			c.body.writers.Add(-1)
+			return
 		}
+		x.sendErr = c.body.writeTo(x.conn, spent)
 	}()
 }
 
+// keepsBody reports whether a body is kept while it is sent, for another try.
+func (c *call) keepsBody() bool {
+	return c.outcome.Tries < c.route.MaxTries && c.gateway.ledger.retains(c.conn)
+}
+
+// maxPooledHead bounds the buffers that are kept for writing requests. An ordinary request with
+// very many prompt parts fits.
+const maxPooledHead = 64 << 10
+
 // smallBodyBytes is the largest body that is written together with the head: the kernel
 // buffers that much even if the endpoint does not read.
 const smallBodyBytes = 16 << 10
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -19,14 +19,16 @@
 	"github.com/trefoilchute/trefoilchute/internal/control"
 	"github.com/trefoilchute/trefoilchute/internal/ident"
 	"github.com/trefoilchute/trefoilchute/internal/limit"
+	"github.com/trefoilchute/trefoilchute/internal/memory"
 	"github.com/trefoilchute/trefoilchute/internal/ruleset"
-	"github.com/trefoilchute/trefoilchute/internal/tcp"
 	"github.com/trefoilchute/trefoilchute/internal/upstream"
 )
 
 const (
 	// maxHeaderBytes bounds a request's head before a configuration is known.
 	maxHeaderBytes = 64 << 10
+	// serverMaxHeaderBytes is above the limits of configurations, which callerConn enforces.
+	serverMaxHeaderBytes = 1 << 20
 	// headTimeout bounds reading a request's head, and idleTimeout how long an idle caller
 	// connection is kept. Both are well above what configurations allow callers, so that
 	// a request does not race with the closing of its connection.
@@ -55,6 +57,8 @@
 	OnOutcome func(*Outcome)
 	OnGap     func(ruleset.Kind, time.Duration)
 	OnDrop    func(DropReason)
+	// OnMemory is called for each caller who was limited to keep the host within its memory.
+	OnMemory func(MemoryAction)
 }
 
 // Tuning holds the settings that can change while the gateway serves.
@@ -73,6 +77,9 @@
 	DiscardWait time.Duration
 	// MaxBackoff bounds the backoff that an endpoint may request from this host.
 	MaxBackoff time.Duration
+	// Memory bounds what is held for callers, and HeaderLines the lines of a request's head.
+	Memory      memory.Limits
+	HeaderLines int
 }
 
 // DropReason is the reason why an endpoint's response was not read completely.
@@ -93,6 +100,7 @@
 	opts   Options
 	server *http.Server
 	conns  *upstream.Pool
+	ledger *ledger
 
 	// lifetime ends when the running requests are aborted.
 	lifetime context.Context
@@ -102,6 +110,8 @@
 	tuning   atomic.Pointer[Tuning]
 	stopping atomic.Pointer[time.Time]
 	active   atomic.Int64
+	// sending counts the connections on which answers that were read ahead are sent.
+	sending  atomic.Int64
 	sequence atomic.Uint64
 	// lastBackoffLog is the Unix second in which a bounded backoff was last logged.
 	lastBackoffLog atomic.Int64
@@ -121,24 +131,52 @@
 	g.lifetime, g.abort = context.WithCancel(context.Background())
 	g.hostCount.Store(1)
 	g.tuning.Store(&opts.Tuning)
+	g.ledger = &ledger{gateway: g, budget: memory.New(opts.Tuning.Memory)}
 	g.server = &http.Server{
 		Handler:           g,
 		ReadHeaderTimeout: headTimeout,
 		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
+		MaxHeaderBytes:    serverMaxHeaderBytes,
 		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
-			return context.WithValue(ctx, callerConn{}, conn)
+			return context.WithValue(ctx, callerConnKey{}, conn)
+		},
+		ConnState: func(conn net.Conn, state http.ConnState) {
+			if state == http.StateIdle {
+				conn.(*callerConn).awaitRequest()
+			}
 		},
 	}
 	return g
 }
 
-// callerConn is the context key of a caller's connection.
-type callerConn struct{}
+// callerConnKey is the context key of a caller's connection.
+type callerConnKey struct{}
+
+// headLimits bounds the head of a request.
+type headLimits struct {
+	bytes, lines int
+	timeout      time.Duration
+}
+
+// headLimits returns the bounds of the configuration and the settings in force.
+func (g *Gateway) headLimits() headLimits {
+	l := headLimits{bytes: maxHeaderBytes, lines: g.tuning.Load().HeaderLines, timeout: headTimeout}
+	if rules := g.rules.Load(); rules != nil {
+		if n := rules.Limits.MaxHeaderBytes; n > 0 {
+			l.bytes = n
+		}
+		if d := rules.Limits.HeaderTimeout; d > 0 {
+			l.timeout = d + headMargin
+		}
+	}
+	l.bytes += headSlack
+	return l
+}
 
 // SetTuning applies new settings to the requests that arrive from now on.
 func (g *Gateway) SetTuning(t Tuning) {
 	before := g.tuning.Swap(&t)
+	g.ledger.setLimits(t.Memory)
 	if before.RetryRatio == t.RetryRatio && before.RetryWindow == t.RetryWindow {
 		return
 	}
@@ -172,30 +210,13 @@
 
 // Serve serves callers on a listener until Close or Shutdown.
 func (g *Gateway) Serve(ln net.Listener) error {
-	err := g.server.Serve(keepaliveListener{ln})
+	err := g.server.Serve(callerListener{ln, g})
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
 	return errors.Wrap(err, "gateway: serve")
 }
 
-// keepaliveListener sets the keepalive and timeouts of accepted connections, so that
-// unresponsive callers are detected.
-type keepaliveListener struct{ net.Listener }
-
-// Accept returns the next caller's connection.
-func (l keepaliveListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	if err := tcp.SetDeadPeerTimeout(conn); err != nil {
-		// The caller has disconnected already; the server's first read fails.
-		return conn, nil
-	}
-	return conn, nil
-}
-
 // Stop begins a planned stop: callers are still served, and each is told to close its
 // connection and use another one for its next request.
 func (g *Gateway) Stop(now time.Time) {
@@ -222,9 +243,16 @@
 // Shutdown closes the listener and idle connections, and waits for the active ones until
 // ctx ends.
 func (g *Gateway) Shutdown(ctx context.Context) error {
-	return errors.Wrap(g.server.Shutdown(ctx), "gateway: shutdown")
+	err := g.server.Shutdown(ctx)
+	for g.sending.Load() > 0 && ctx.Err() == nil {
+		time.Sleep(sendingCheckInterval)
+	}
+	return errors.Wrap(err, "gateway: shutdown")
 }
 
+// sendingCheckInterval is how often a stop checks whether callers have taken their answers.
+const sendingCheckInterval = 10 * time.Millisecond
+
 // Close closes the listener and all connections.
 func (g *Gateway) Close() error {
 	err := g.server.Close()
@@ -232,8 +260,10 @@
 	return errors.Wrap(err, "gateway: close")
 }
 
-// Sweep closes expired idle connections, and those to endpoints that are no longer wanted.
+// Sweep closes expired idle connections, and those to endpoints that are no longer wanted. It is
+// called once a second.
 func (g *Gateway) Sweep(wanted func(address string) bool) {
+	g.ledger.sample()
 	g.conns.Sweep(wanted)
 }
 
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/trefoilchute/trefoilchute/internal/control"
 	"github.com/trefoilchute/trefoilchute/internal/ident"
+	"github.com/trefoilchute/trefoilchute/internal/memory"
 	"github.com/trefoilchute/trefoilchute/internal/result"
 	"github.com/trefoilchute/trefoilchute/internal/ruleset"
 	"github.com/trefoilchute/trefoilchute/internal/system/custody"
@@ -45,6 +46,7 @@
 	mu       sync.Mutex
 	outcomes chan Outcome
 	dropped  chan DropReason
+	limited  chan MemoryAction
 	ended    []custody.End
 	// leaving holds the endpoints that were reported as leaving.
 	leaving []ident.Endpoint
@@ -88,7 +90,7 @@
 // start starts a gateway in front of scripted endpoints.
 func start(t *testing.T, scripts ...script) *harness {
 	h := &harness{
-		WithT: NewWithT(t), t: t, outcomes: make(chan Outcome, 64), dropped: make(chan DropReason, 64), withdrawn: make(chan ident.Request, 64),
+		WithT: NewWithT(t), t: t, outcomes: make(chan Outcome, 64), dropped: make(chan DropReason, 64), limited: make(chan MemoryAction, 4096), withdrawn: make(chan ident.Request, 64),
 	}
 	for i, s := range scripts {
 		h.endpoints = append(h.endpoints, serveScript(t, fmt.Sprintf("e%d", i), s))
@@ -102,10 +104,11 @@
 		Tuning: Tuning{
 			KeyLife: 5 * time.Second, RetryRatio: 0.2, RetryExtra: 20, RetryWindow: 10 * time.Second,
 			HeadLimit: 64 << 10, EventLimit: 1 << 20, DiscardWait: 100 * time.Millisecond,
-			MaxBackoff: time.Minute,
+			MaxBackoff: time.Minute, HeaderLines: 1000,
+			Memory: memory.Limits{Bytes: 80 << 20, Connections: 1000, MinRate: 4 << 10},
 		},
 		OnOutcome: func(o *Outcome) { h.outcomes <- *o }, OnGap: func(ruleset.Kind, time.Duration) {},
-		OnDrop: func(d DropReason) { h.dropped <- d },
+		OnDrop: func(d DropReason) { h.dropped <- d }, OnMemory: func(a MemoryAction) { h.limited <- a },
 	})
 	h.gateway.SetRuleset(testRuleset())
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -4,8 +4,6 @@
 	"context"
 	"errors"
 	"hash/maphash"
-	"io"
-	"net"
 	"net/http"
 	"os"
 	"strings"
@@ -36,6 +34,9 @@
 	// unreadBodyTimeout bounds reading the body of a request that was refused before its
 	// body was read. The server has to read it to keep the connection.
 	unreadBodyTimeout = 1 * time.Second
+	// noMemoryRetryAfter is the Retry-After of a host without memory for a request: a few requests
+	// end in that time.
+	noMemoryRetryAfter = 500 * time.Millisecond
 	// otherHostRetryAfter is the Retry-After where another host can serve the request at once.
 	otherHostRetryAfter = 50 * time.Millisecond
 )
@@ -52,7 +53,8 @@
 
 	headers platform.Call
 	target  string
-	body    []byte
+	body    body
+	conn    *callerConn
 	rules   *ruleset.Ruleset
 	route   *ruleset.Route
 	team    *ruleset.Team
@@ -115,10 +117,14 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.active.Add(1)
 	defer g.active.Add(-1)
-	ctx, cancel := context.WithCancel(r.Context())
-	defer cancel()
-	defer context.AfterFunc(g.lifetime, cancel)()
-	c := &call{gateway: g, w: w, r: r, ctx: ctx, arrived: g.opts.Now(), tuning: g.tuning.Load()}
+	ctx, cancel := context.WithCancelCause(r.Context())
+	defer cancel(nil)
+	defer context.AfterFunc(g.lifetime, func() { cancel(nil) })()
+	conn := r.Context().Value(callerConnKey{}).(*callerConn)
+	conn.beginRequest(cancel)
+	c := &call{gateway: g, w: w, r: r, conn: conn, ctx: ctx, arrived: g.opts.Now(), tuning: g.tuning.Load()}
+	c.body.conn = conn
+	defer c.body.discard()
 	c.events.maxPartial, c.outcome.Settings = c.tuning.EventLimit, c.tuning.Version
 	if g.StoppingSince() != nil {
 		w.Header().Set("Connection", "close")
@@ -126,7 +132,7 @@
 	if err := c.read(); err != nil {
 		c.refuse(err)
 	} else {
-		c.outcome.Fingerprint = fingerprint.Of(c.body, string(c.outcome.Team), c.target)
+		c.outcome.Fingerprint = fingerprint.OfChunks(c.body.chunks, string(c.outcome.Team), c.target)
 		c.serve()
 	}
 	c.outcome.Total = g.opts.Now() - c.arrived
@@ -134,8 +140,8 @@
 	if c.outcome.Code == result.AnswerCut {
 		// Abort the connection, so that the caller does not take a truncated response for a
 		// complete one. Towards HTTP/1.0 its orderly end would complete the response.
-		if conn, ok := r.Context().Value(callerConn{}).(*net.TCPConn); ok && !r.ProtoAtLeast(1, 1) {
-			_ = conn.SetLinger(0)
+		if !r.ProtoAtLeast(1, 1) {
+			conn.abortOnClose()
 		}
 		panic(http.ErrAbortHandler)
 	}
@@ -230,12 +236,11 @@
 	}
 	controller := http.NewResponseController(c.w)
 	_ = controller.SetReadDeadline(time.Now().Add(timeout))
-	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, maxBytes))
+	err := c.body.read(http.MaxBytesReader(c.w, c.r.Body, maxBytes), c.r.ContentLength)
 	_ = controller.SetReadDeadline(time.Time{})
 	if err != nil {
 		return c.bodyError(err)
 	}
-	c.body = body
 	return nil
 }
 
@@ -245,6 +250,11 @@
 func (c *call) bodyError(err error) *result.Error {
 	c.w.Header().Set("Connection", "close")
 	switch {
+	case errors.Is(err, errNoMemory):
+		c.gateway.ledger.act(ActionBodyRefused, c.r.RemoteAddr)
+		return c.noMemory()
+	case c.conn.givesWay():
+		return c.noMemory()
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return &result.Error{
 			Code: result.LimitInQueue, RetryAfter: notRunRetryAfter, Reason: "the time limit passed before the body was whole",
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"context"
+	"errors"
 	"slices"
 	"strconv"
 	"time"
@@ -9,6 +11,7 @@
 	"github.com/trefoilchute/trefoilchute/internal/fingerprint"
 	"github.com/trefoilchute/trefoilchute/internal/ident"
 	"github.com/trefoilchute/trefoilchute/internal/logs"
+	"github.com/trefoilchute/trefoilchute/internal/memory"
 	"github.com/trefoilchute/trefoilchute/internal/peer/peerpb"
 	"github.com/trefoilchute/trefoilchute/internal/result"
 	"github.com/trefoilchute/trefoilchute/internal/ruleset"
@@ -36,6 +39,7 @@
 	}
 	budget := c.gateway.budget(target)
 	var avoid ident.Endpoint
+	c.gateway.ledger.enter(c.conn, memory.Waiting)
 	for {
 		try := c.newTry(target, avoid)
 		conn, refused := try.acquireConn()
@@ -68,6 +72,9 @@
 // mayRetry reports whether a failed try may be followed by another, provided that the retry
 // budget allows it.
 func (c *call) mayRetry(f failure) bool {
+	if c.body.spent && c.body.size > 0 {
+		return false
+	}
 	return mayRetry(tryState{
 		failure: f, idempotent: c.route.Idempotent(),
 		tries: c.outcome.Tries, maxTries: c.route.MaxTries,
@@ -191,21 +198,24 @@
 					continue
 				}
 				t.began = g.opts.Now()
-				if t.began < c.deadline {
-					return conn, nil
+				if t.began >= c.deadline {
+					// The process was stalled since the grant.
+					return nil, t.abandon(conn, queueTimeout())
 				}
-				// The process was stalled since the grant. Nothing was sent.
-				t.releaseConn(conn)
-				t.end.Total = g.opts.Now() - t.began
-				t.reportEnd(peerpb.Report_PHASE_CANCELED)
-				return nil, queueTimeout()
+				if !c.conn.dispatch() {
+					return nil, t.abandon(conn, c.noMemory())
+				}
+				return conn, nil
 			case custody.Refuse:
 				g.remove(t.id)
 				t.releaseConn(conn)
 				return nil, d.Err
 			}
 		case <-c.ctx.Done():
-			if !c.callerGone() {
+			switch {
+			case errors.Is(context.Cause(c.ctx), errGaveWay):
+				return nil, t.withdraw(conn, c.noMemory())
+			case !c.callerGone():
 				return nil, t.withdraw(conn, stoppingError())
 			}
 			return nil, t.withdraw(conn, result.New(result.CallerGone, "the caller left while its request waited"))
@@ -215,6 +225,14 @@
 	}
 }
 
+// abandon ends a try whose dispatch was committed, but of which nothing was sent.
+func (t *try) abandon(conn *upstream.Conn, e *result.Error) *result.Error {
+	t.releaseConn(conn)
+	t.end.Total = t.call.gateway.opts.Now() - t.began
+	t.reportEnd(peerpb.Report_PHASE_CANCELED)
+	return e
+}
+
 // queueTimeout returns the refusal of a request whose deadline passed before its dispatch.
 func queueTimeout() *result.Error {
 	return &result.Error{
--- a/internal/metrics/instruments.go
+++ b/internal/metrics/instruments.go
@@ -14,7 +14,7 @@
 	requests, goodput, refusals     metric.Int64Counter
 	prefill, output, platformCalls  metric.Int64Counter
 	retries, reloads, dropped       metric.Int64Counter
-	closings                        metric.Int64Counter
+	closings, limited               metric.Int64Counter
 	duration, queueWait, firstToken metric.Float64Histogram
 	tokenGap, platformTime          metric.Float64Histogram
 }
@@ -73,6 +73,7 @@
 		reloads:       b.counter(nameReloads),
 		dropped:       b.counter(nameDropped),
 		closings:      b.counter(nameClosings),
+		limited:       b.counter(nameLimited),
 		duration:      b.histogram(nameDuration, requestBounds),
 		queueWait:     b.histogram(nameQueueWait, requestBounds),
 		firstToken:    b.histogram(nameFirstToken, requestBounds),
@@ -94,6 +95,7 @@
 	share := b.floatGauge(nameRateShare)
 	age := b.floatGauge(nameAge)
 	settings := b.gauge(nameSettings)
+	held, budget, connections := b.gauge(nameHeld), b.gauge(nameBudget), b.gauge(nameConnections)
 	if b.err != nil {
 		return
 	}
@@ -103,6 +105,9 @@
 		o.ObserveInt64(inFlight, int64(s.InFlight))
 		observeEach(o, members, labelState, s.Members)
 		observeEach(o, waiting, labelTier, s.Waiting)
+		observeEach(o, held, labelKind, s.Held)
+		o.ObserveInt64(budget, s.Budget)
+		o.ObserveInt64(connections, int64(s.Connections))
 		observeStates(o, slots, labelPool, s.Slots)
 		observeStates(o, endpoints, labelTarget, s.Endpoints)
 		observeStates(o, suspects, labelKind, s.Suspects)
@@ -119,7 +124,7 @@
 			o.ObserveInt64(settings, 1, metric.WithAttributes(attribute.String(labelVersion, s.Settings)))
 		}
 		return nil
-	}, revision, members, waiting, inFlight, slots, endpoints, suspects, left, share, age, settings)
+	}, revision, members, waiting, inFlight, slots, endpoints, suspects, left, share, age, settings, held, budget, connections)
 	b.note(err)
 }
 
@@ -132,7 +137,7 @@
 }
 
 // observeEach observes a gauge for each value of a label.
-func observeEach[K ~string](o metric.Observer, gauge metric.Int64ObservableGauge, label string, counts map[K]int) {
+func observeEach[K ~string, N int | int64](o metric.Observer, gauge metric.Int64ObservableGauge, label string, counts map[K]N) {
 	for _, key := range slices.Sorted(maps.Keys(counts)) {
 		o.ObserveInt64(gauge, int64(counts[key]), metric.WithAttributes(attribute.String(label, string(key))))
 	}
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -51,6 +51,11 @@
 	Suspects map[NameState]int
 	// Age is the time since what is known was the newest, by what it is.
 	Age map[string]time.Duration
+	// Held is the number of bytes held for callers by kind, Budget the most that may be, and
+	// Connections the number of callers' connections.
+	Held        map[string]int64
+	Budget      int64
+	Connections int
 	// Settings is the version of the settings in force; empty: none is known.
 	Settings string
 }
@@ -150,6 +155,11 @@
 	m.set.dropped.Add(context.Background(), 1, m.by(labelReason, reason))
 }
 
+// CallerLimited counts a caller that was refused or closed to keep the host within its memory.
+func (m *Metrics) CallerLimited(action string) {
+	m.set.limited.Add(context.Background(), 1, m.by(labelAction, action))
+}
+
 // EndpointClosed counts an endpoint that was closed for a while.
 func (m *Metrics) EndpointClosed(reason string) {
 	m.set.closings.Add(context.Background(), 1, m.by(labelReason, reason))
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -41,7 +41,7 @@
 			Endpoints: map[NameState]int{{Name: "llm", State: "active"}: 6},
 			Suspects:  map[NameState]int{{Name: "part", State: "quarantined"}: 1},
 			Age:       map[string]time.Duration{"configuration": 500 * time.Millisecond},
-			Settings:  "5e771465",
+			Settings:  "5e771465", Held: map[string]int64{"bodies": 72000}, Budget: 1 << 20, Connections: 3,
 		}
 	})
 	if err != nil {
@@ -61,6 +61,7 @@
 	m.Reloaded("applied")
 	m.Dropped("head_too_long")
 	m.EndpointClosed("lost")
+	m.CallerLimited("body_refused")
 	m.Tokens("urgent", 100, 30, 10, true)
 	m.Tokens("urgent", 100, 0, 0, false)
 	_, _ = m.Table(failingTable{errors.Wrap(platform.ErrAmbiguous, "lost")}).Commit(t.Context(), platform.Txn{})
@@ -100,6 +101,8 @@
 		`trefoilchute_prefill_total{kind="wasted",tier="urgent"} 100`,
 		`trefoilchute_platform_calls_total{operation="table_commit",outcome="ambiguous"} 1`,
 		`trefoilchute_configuration_revision 7`,
+		`trefoilchute_callers_limited_total{action="body_refused"} 1`,
+		`trefoilchute_callers_held_bytes{kind="bodies"} 72000`,
 		`trefoilchute_membership_hosts{state="alive"} 3`,
 		`trefoilchute_queue_waiting{tier="urgent"} 5`,
 		`trefoilchute_retries_total{tier="urgent"} 2`,
--- a/internal/metrics/table.go
+++ b/internal/metrics/table.go
@@ -34,6 +34,9 @@
 	unitClosings = "{closing}"
 	unitProcess  = "{process}"
 	unitSuspects = "{suspect}"
+	unitCallers  = "{caller}"
+	unitBytes    = "By"
+	unitConns    = "{connection}"
 )
 
 // Names of the metrics.
@@ -64,6 +67,10 @@
 	nameDropped       = "trefoilchute.answers.dropped"
 	nameClosings      = "trefoilchute.endpoint.closings"
 	nameSuspects      = "trefoilchute.suspects"
+	nameLimited       = "trefoilchute.callers.limited"
+	nameHeld          = "trefoilchute.callers.held"
+	nameBudget        = "trefoilchute.callers.budget"
+	nameConnections   = "trefoilchute.callers.connections"
 )
 
 // Labels of the metrics.
@@ -80,6 +87,7 @@
 	labelOf        = "of"
 	labelVersion   = "version"
 	labelReason    = "reason"
+	labelAction    = "action"
 )
 
 // Info describes a metric for the documentation.
@@ -120,6 +128,10 @@
 	{nameDropped, kindCounter, unitAnswers, []string{labelReason}, "Answers of endpoints that were not taken whole: head_too_long, invalid_head, event_too_long, another_request or rest_not_taken."},
 	{nameClosings, kindCounter, unitClosings, []string{labelReason}, "Endpoints that a pool scheduled here closed for a while: unreachable, lost, failing, or asked_to_wait (for one host)."},
 	{nameSuspects, kindGauge, unitSuspects, []string{labelKind, labelState}, "Requests (request) and prompt parts (part) that this host knows to be suspected of crashing endpoints: suspect or quarantined."},
+	{nameLimited, kindCounter, unitCallers, []string{labelAction}, "Callers that were refused or closed to keep the host within its memory or descriptors: head_too_long, head_too_many_lines, head_refused, body_refused, connection_refused, idle_closed, sender_closed, waiting_refused or answer_reset."},
+	{nameHeld, kindGauge, unitBytes, []string{labelKind}, "Bytes held for callers: heads, bodies or answers."},
+	{nameBudget, kindGauge, unitBytes, nil, "Most bytes that may be held for callers."},
+	{nameConnections, kindGauge, unitConns, nil, "Connections of callers."},
 }
 
 // lookup returns the description of a metric that must be in Table.
@@ -135,8 +147,11 @@
 // scraped returns the metric's name as it is scraped.
 func (i Info) scraped() string {
 	name := strings.ReplaceAll(i.Name, ".", "_")
-	if i.Unit == unitSeconds {
+	switch i.Unit {
+	case unitSeconds:
 		name += "_seconds"
+	case unitBytes:
+		name += "_bytes"
 	}
 	if i.Kind == kindCounter {
 		name += "_total"
--- a/internal/platformhost/host.go
+++ b/internal/platformhost/host.go
@@ -35,10 +35,6 @@
 	secretBytes = 16
 	// millicoresPerCore converts cores to the unit in which hosts announce their processor capacity.
 	millicoresPerCore = 1000
-	// memoryLimitFraction is the fraction of the process's memory that is set as the
-	// runtime's memory limit. The rest is for the runtime's own structures and for kernel
-	// buffers.
-	memoryLimitFraction = 0.6
 	// gcPercent is the heap growth over the live heap, in percent, that starts a garbage
 	// collection while the process is below the memory limit.
 	gcPercent = 200
@@ -85,7 +81,7 @@
 	}
 	h.suspects.init()
 	h.settings.Store(&s)
-	limitMemory(&s)
+	h.limitMemory(&s)
 	h.store = platform.NewStore(s.Store, h.countStoreCall)
 	h.lifetime, h.cancel = context.WithCancel(context.Background())
 	var err error
@@ -107,7 +103,7 @@
 	h.gateway = gateway.New(gateway.Options{
 		Host: s.Host, Domain: s.Domain, Log: h.log, Post: h.loop.Post, Now: h.loop.Now,
 		ConfigurationAge: h.follower.ConfigurationAge, Tuning: tuning(&s),
-		OnOutcome: h.recordOutcome, OnGap: h.recordGap, OnDrop: h.countDrop,
+		OnOutcome: h.recordOutcome, OnGap: h.recordGap, OnDrop: h.countDrop, OnMemory: h.countLimited,
 	})
 	return h, nil
 }
--- a/internal/platformhost/record.go
+++ b/internal/platformhost/record.go
@@ -192,6 +192,11 @@
 	if age, known := h.follower.EndpointsAge(); known {
 		s.Age["endpoints"] = age
 	}
+	usage := h.gateway.MemoryUsage()
+	s.Budget, s.Connections, s.Held = usage.Limits.Bytes, usage.Connections, map[string]int64{}
+	for kind, bytes := range usage.Held {
+		s.Held[kind.String()] = bytes
+	}
 	h.countEndpoints(&s)
 	if !h.connected.Load() {
 		return s
--- a/internal/platformhost/reload.go
+++ b/internal/platformhost/reload.go
@@ -1,7 +1,6 @@
 package platformhost
 
 import (
-	"runtime/debug"
 	"strings"
 
 	"github.com/sirupsen/logrus"
@@ -53,7 +52,7 @@
 // applySettings puts settings into effect.
 func (h *Host) applySettings(s *settings.Gateway) {
 	h.settings.Store(s)
-	limitMemory(s)
+	h.limitMemory(s)
 	if level, err := logrus.ParseLevel(s.LogLevel); err == nil {
 		h.logger.SetLevel(level)
 	}
@@ -63,17 +62,12 @@
 	h.view.mu.Unlock()
 }
 
-// limitMemory sets the runtime's soft memory limit from the settings.
-func limitMemory(s *settings.Gateway) {
-	debug.SetMemoryLimit(int64(memoryLimitFraction * float64(s.Memory) * (1 << 20)))
-}
-
 // tuning returns the settings of the gateway that can change while it serves.
 func tuning(s *settings.Gateway) gateway.Tuning {
 	return gateway.Tuning{
 		Version: s.Version(), KeyLife: s.KeyLife,
 		RetryRatio: s.RetryRatio, RetryExtra: s.RetryExtra, RetryWindow: s.RetryWindow,
 		HeadLimit: s.HeadLimit, EventLimit: s.EventLimit, DiscardWait: s.DiscardWait,
-		MaxBackoff: s.MaxBackoff,
+		MaxBackoff: s.MaxBackoff, Memory: callerLimits(s), HeaderLines: s.HeaderLines,
 	}
 }
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -32,6 +32,7 @@
 	CallerGone      Code = 211
 	KeysUnconfirmed Code = 212
 	LimitInQueue    Code = 213
+	NoMemory        Code = 214
 
 	OutcomeUnknown Code = 300
 	EndpointLost   Code = 301
@@ -108,6 +109,7 @@
 	{CallerGone, "caller_gone", 499, RanNo, "yes", "The caller closed its connection before the request was dispatched."},
 	{KeysUnconfirmed, "keys_unconfirmed", http.StatusServiceUnavailable, RanNo, "after Retry-After, to another host", "The host can't confirm that the keys it knows are the current ones."},
 	{LimitInQueue, "limit_in_queue", http.StatusServiceUnavailable, RanNo, "with a new time limit", "The request's time limit passed before it was sent to an endpoint."},
+	{NoMemory, "no_memory", http.StatusServiceUnavailable, RanNo, "after Retry-After, to another host", "The host has no memory for the request."},
 	{OutcomeUnknown, "outcome_unknown", http.StatusBadGateway, RanUnknown, "only if running twice is harmless", "The request may have run."},
 	{EndpointLost, "endpoint_lost", http.StatusBadGateway, RanUnknown, "only if running twice is harmless", "The endpoint was lost while it ran the request."},
 	{AnswerCut, "answer_cut", http.StatusBadGateway, RanUnknown, "only if running twice is harmless", "The answer ended before its end marker and could not be resumed."},
--- a/internal/settings/fields.go
+++ b/internal/settings/fields.go
@@ -23,6 +23,7 @@
 	sectionRetry     = "retry"
 	sectionQuota     = "quota"
 	sectionEndpoints = "endpoints"
+	sectionMemory    = "memory"
 )
 
 // Bounds of settings.
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -53,7 +53,14 @@
 	DiscardWait time.Duration
 	// MaxBackoff bounds for how long an endpoint may want nothing from this host.
 	MaxBackoff time.Duration
-	LogLevel   string
+	// CallerBudget bounds what is held for callers, in bytes, and CallerConnections the number
+	// of their connections; 0: derived from Memory and the limit of open files.
+	CallerBudget, CallerConnections int
+	// HeaderLines bounds the lines of a request's head.
+	HeaderLines int
+	// MinRate is the progress of a caller, in bytes per second, below which it gives way first.
+	MinRate  int
+	LogLevel string
 }
 
 // Bounds of the gateway's settings.
@@ -70,6 +77,10 @@
 	minEvent, maxEvent = 4 << 10, 16 << 20
 	maxDiscard         = 10 * time.Second
 	maxBackoff         = 1 * time.Hour
+	maxBudget          = 1 << 30
+	maxCallers         = 1 << 20
+	minLines, maxLines = 100, 100_000
+	maxRate            = 1 << 20
 )
 
 // gatewayGroups holds every section of a gateway's settings.
@@ -134,6 +145,16 @@
 		inifile.Duration("discard_wait", "How long the rest of an answer that goes to nobody is waited for, to keep its connection.",
 			0, maxDiscard, func(g *Gateway) *time.Duration { return &g.DiscardWait }).Optional("100ms"),
 	}},
+	{sectionMemory, []inifile.Field[Gateway]{
+		inifile.Size("budget", "Most that is held for callers: heads and bodies of requests, and answers that they don't take; 0B derives it from memory_mb.",
+			0, maxBudget, func(g *Gateway) *int { return &g.CallerBudget }).Optional("0B"),
+		inifile.Int("connections", "connections", "Most connections of callers; 0 derives them from memory_mb and the limit of open files.",
+			0, maxCallers, func(g *Gateway) *int { return &g.CallerConnections }).Optional("0"),
+		inifile.Int("header_lines", "lines", "Most lines in the head of a request, with the empty lines before it; one that goes on loses its connection.",
+			minLines, maxLines, func(g *Gateway) *int { return &g.HeaderLines }).Optional("1000"),
+		inifile.Size("min_rate", "Progress in a second below which a caller gives way first when the budget is used up.",
+			0, maxRate, func(g *Gateway) *int { return &g.MinRate }).Optional("4KiB"),
+	}},
 	{sectionLog, []inifile.Field[Gateway]{
 		inifile.Choice("level", "Least level that is logged.", levels(),
 			func(g *Gateway) *string { return &g.LogLevel }).Optional(logrus.InfoLevel.String()),
--- a/internal/tcp/tcp.go
+++ b/internal/tcp/tcp.go
@@ -48,3 +48,13 @@
 	}
 	return errors.Wrap(err, "tcp: user timeout")
 }
+
+// SetReceiveBuffer sets the kernel's receive buffer, which the kernel no longer adapts then. It has
+// no effect on connections that aren't TCP.
+func SetReceiveBuffer(conn net.Conn, n int) error {
+	c, ok := conn.(*net.TCPConn)
+	if !ok {
+		return nil
+	}
+	return errors.Wrap(c.SetReadBuffer(n), "tcp: receive buffer")
+}
