Read roll-out orders and endpoint versions, distribute them and bound them by settings

Cause: an operator's order to move a target to a version must reach every host that schedules it. Change: rows rollout/TARGET of the operators' table are decoded in the reads that take the configuration, and passed on to the other hosts; endpoints keep their version; the optional section [rollout] turns both on.

--- a/internal/follow/endpoints.go
+++ b/internal/follow/endpoints.go
@@ -32,6 +32,8 @@
 	started bool
 	// graceEnd is the time until which removed entries are treated as expired in an outage.
 	graceEnd time.Duration
+	// withVersions keeps the versions of the endpoints, which are otherwise ignored.
+	withVersions bool
 }
 
 // NewEndpoints returns an empty table.
@@ -92,6 +94,9 @@
 
 // put applies an endpoint's row.
 func (t *Endpoints) put(e platform.Endpoint) bool {
+	if !t.withVersions {
+		e.Version = ""
+	}
 	old, known := t.rows[e.Name]
 	delete(t.missing, e.Name)
 	t.rows[e.Name] = e
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -19,6 +19,7 @@
 	"github.com/trefoilchute/trefoilchute/internal/ident"
 	"github.com/trefoilchute/trefoilchute/internal/logs"
 	"github.com/trefoilchute/trefoilchute/internal/peer/peerpb"
+	"github.com/trefoilchute/trefoilchute/internal/rollout"
 	"github.com/trefoilchute/trefoilchute/internal/ruleset"
 	"github.com/trefoilchute/trefoilchute/platform"
 )
@@ -68,6 +69,9 @@
 	OnRuleset func(r *ruleset.Ruleset, source string)
 	// OnEndpoints is called with the endpoints when they have changed.
 	OnEndpoints func([]platform.Endpoint)
+	// OnOrders is called with the roll-out orders when they have changed, and once when they
+	// have first been read. If it is nil, orders and the versions of endpoints are ignored.
+	OnOrders func([]rollout.Order)
 }
 
 // Follower follows the contents of the store.
@@ -79,6 +83,9 @@
 	// wakeups wakes the loops that read the store.
 	wakeups [2]chan struct{}
 
+	// ordersMu serializes the calls of OnOrders.
+	ordersMu sync.Mutex
+
 	queryMu     sync.Mutex
 	seq         uint64
 	outstanding query
@@ -205,6 +212,7 @@
 func (f *Follower) FollowConfiguration(ctx context.Context) {
 	dep := dependency{log: f.opts.Log, name: "configuration", reading: f.reading.Load}
 	var after uint64
+	var table orders
 	for ctx.Err() == nil {
 		if f.pause(ctx, f.wakeups[0]) {
 			after = 0
@@ -219,6 +227,7 @@
 			// The store has held the poll open for this long since it received it.
 			asked += configurationWait
 		}
+		f.applyOrders(&table, page, asked, after == 0)
 		after = page.Version
 		f.applyConfiguration(page, asked)
 	}
@@ -261,6 +270,7 @@
 func (f *Follower) FollowEndpoints(ctx context.Context) {
 	dep := dependency{log: f.opts.Log, name: "endpoints", reading: f.reading.Load}
 	table := NewEndpoints()
+	table.withVersions = f.opts.OnOrders != nil
 	var after uint64
 	for n := 1; ctx.Err() == nil; n++ {
 		if f.pause(ctx, f.wakeups[1]) {
--- a/internal/follow/peers.go
+++ b/internal/follow/peers.go
@@ -178,12 +178,13 @@
 			m.Configuration = f.state.ruleset.Raw
 		}
 	}
+	f.tellOrders(m)
 	if endpoints != never && q.GetEndpoints() != f.state.sum {
 		m.HasList = true
 		for _, e := range f.state.endpoints {
 			m.List = append(m.List, &peerpb.StoreEndpoint{
 				Name: string(e.Name), Target: e.Target, Address: e.Address, Domain: string(e.Domain),
-				Slots: uint32(e.Slots), Leaving: e.Leaving, Started: e.Started,
+				Slots: uint32(e.Slots), Leaving: e.Leaving, Started: e.Started, Version: e.Version,
 			})
 		}
 	}
@@ -208,7 +209,9 @@
 	}
 	f.queryMu.Unlock()
 	if m.GetVersionAgeUs() >= 0 {
-		f.handleConfiguration(from, m, asked.at-micros(m.GetVersionAgeUs()))
+		at := asked.at - micros(m.GetVersionAgeUs())
+		f.handleOrders(m, at)
+		f.handleConfiguration(from, m, at)
 	}
 	if m.GetEndpointsAgeUs() < 0 {
 		return
@@ -252,6 +255,7 @@
 		out = append(out, platform.Endpoint{
 			Name: ident.Endpoint(e.GetName()), Target: e.GetTarget(), Address: e.GetAddress(),
 			Domain: ident.Domain(e.GetDomain()), Slots: int(e.GetSlots()), Leaving: e.GetLeaving(), Started: e.GetStarted(),
+			Version: e.GetVersion(),
 		})
 	}
 	return out
--- a/internal/follow/state.go
+++ b/internal/follow/state.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/trefoilchute/trefoilchute/internal/rollout"
 	"github.com/trefoilchute/trefoilchute/internal/ruleset"
 	"github.com/trefoilchute/trefoilchute/platform"
 )
@@ -24,6 +25,11 @@
 	// correct; 0 if there is none.
 	sum    uint64
 	readAt time.Duration
+
+	// orders are the roll-out orders, and ordersAt is the last time for which they are known to
+	// be correct; 0 if there is none.
+	orders   []rollout.Order
+	ordersAt time.Duration
 }
 
 // adoptRuleset takes over a ruleset that was the newest at a given time. It reports whether it
@@ -136,6 +142,10 @@
 		if e.Leaving {
 			number(1)
 		}
+		if e.Version != "" {
+			number(uint64(len(e.Version)))
+			_, _ = d.WriteString(e.Version)
+		}
 	}
 	return d.Sum64()
 }
--- a/internal/logs/event.go
+++ b/internal/logs/event.go
@@ -37,6 +37,9 @@
 	PoolState             Event = "pool_state"
 	SchedulerSilent       Event = "scheduler_silent"
 	LinesDropped          Event = "lines_dropped"
+	RolloutOrderRejected  Event = "rollout_order_rejected"
+	RolloutStored         Event = "rollout_stored"
+	RolloutNotStored      Event = "rollout_not_stored"
 )
 
 // Events of the links between hosts.
@@ -117,6 +120,9 @@
 	{SchedulerSilent, "A host left a submission unanswered; for a while its pools are taken to be another host's."},
 	{PoolState, "The state of a pool that is scheduled here: what waits, what holds the slots, and each endpoint's requests in flight of the most it may have."},
 	{LinesDropped, "Log lines were dropped because their reader was too slow; lines says how many."},
+	{RolloutOrderRejected, "A row among the roll-out orders is no valid order; it has no effect."},
+	{RolloutStored, "The store has a new state of a target's roll-out, as this host or, with by=other, another host wrote it: target, version, order (the version of the order's row), state, reason, and the answers behind it of the new version (candidate, of which candidate_bad failed or were slow) and of the old one (baseline, baseline_bad)."},
+	{RolloutNotStored, "The state of a roll-out couldn't be read or written; it is tried again. A decision against the new version is in effect nevertheless."},
 	{Suspected, "A request (by kind), or a part of prompts that was not being answered yet, was in flight at an endpoint that crashed, crashes times so far, or was cleared by a run that was answered (0). A quarantined one is refused; a part only together with its co-suspects (co_suspects), the parts that were in flight at the same crashes. trial: it runs once more. fingerprint is that of answered, or one of its parts."},
 	{Retried, "A try of the request failed and it is tried again at another endpoint."},
 	{BucketsWritten, "Buckets of the burn report were written to the object store."},
--- a/internal/settings/fields.go
+++ b/internal/settings/fields.go
@@ -23,6 +23,7 @@
 	sectionRetry     = "retry"
 	sectionQuota     = "quota"
 	sectionEndpoints = "endpoints"
+	sectionRollout   = "rollout"
 )
 
 // Bounds of settings.
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -9,6 +10,7 @@
 
 	"github.com/trefoilchute/trefoilchute/internal/ident"
 	"github.com/trefoilchute/trefoilchute/internal/inifile"
+	"github.com/trefoilchute/trefoilchute/internal/rollout"
 )
 
 // Gateway holds the settings of an entry host on the users' platform, where
@@ -53,7 +55,10 @@
 	DiscardWait time.Duration
 	// MaxBackoff bounds for how long an endpoint may want nothing from this host.
 	MaxBackoff time.Duration
-	LogLevel   string
+	// Rollout bounds what a new version gets before it has been judged. Roll-outs are off if
+	// it is not enabled.
+	Rollout  rollout.Bounds
+	LogLevel string
 }
 
 // Bounds of the gateway's settings.
@@ -70,6 +75,8 @@
 	minEvent, maxEvent = 4 << 10, 16 << 20
 	maxDiscard         = 10 * time.Second
 	maxBackoff         = 1 * time.Hour
+
+	minRollback, maxRollback = 100 * time.Millisecond, time.Hour
 )
 
 // gatewayGroups holds every section of a gateway's settings.
@@ -134,12 +141,37 @@
 		inifile.Duration("discard_wait", "How long the rest of an answer that goes to nobody is waited for, to keep its connection.",
 			0, maxDiscard, func(g *Gateway) *time.Duration { return &g.DiscardWait }).Optional("100ms"),
 	}},
+	{sectionRollout, []inifile.Field[Gateway]{
+		inifile.Float("share", "Most requests that a new version may get before it has been judged, as a part of all at the target, over all hosts.", 0, 1,
+			func(g *Gateway) *float64 { return &g.Rollout.Share }).AtStart(),
+		inifile.Float("slack", "Most requests that a new version may get beside the share, over all hosts.", 0, maxExtra,
+			func(g *Gateway) *float64 { return &g.Rollout.Slack }).AtStart(),
+		inifile.Duration("rollback", "Time from a new version's 50th bad answer until no request is sent to it any more.",
+			minRollback, maxRollback, func(g *Gateway) *time.Duration { return &g.Rollout.Rollback }).AtStart(),
+	}},
 	{sectionLog, []inifile.Field[Gateway]{
 		inifile.Choice("level", "Least level that is logged.", levels(),
 			func(g *Gateway) *string { return &g.LogLevel }).Optional(logrus.InfoLevel.String()),
 	}},
 }
 
+// optionalSections are the sections of a gateway that may be missing. Each of them turns on a
+// part of the gateway, and its keys have no defaults.
+var optionalSections = []string{sectionRollout}
+
+// groupsFor returns the sections of a gateway's settings, without the fields of optional
+// sections that are not in the file.
+func groupsFor(file *inifile.File) []group[Gateway] {
+	list := slices.Clone(gatewayGroups)
+	for i := range list {
+		inFile := slices.ContainsFunc(file.Sections, func(s inifile.Section) bool { return s.Name == list[i].name })
+		if !inFile && slices.Contains(optionalSections, list[i].name) {
+			list[i].fields = nil
+		}
+	}
+	return list
+}
+
 // ReadGateway reads the settings of a gateway from a file. An error about the
 // content is of type inifile.Problems.
 func ReadGateway(path string) (*Gateway, error) {
@@ -153,12 +185,12 @@
 // ParseGateway reads the settings of a gateway. The name of the file is for
 // messages. The error is of type inifile.Problems.
 func ParseGateway(name string, data []byte) (*Gateway, error) {
-	file, err := inifile.Parse(name, data)
+	file, err := inifile.Parse(name, blankUnrendered(data))
 	if err != nil {
 		return nil, err
 	}
 	g := &Gateway{}
-	if problems := decode(file, gatewayGroups, g); len(problems) > 0 {
+	if problems := decode(file, groupsFor(file), g); len(problems) > 0 {
 		return nil, problems
 	}
 	return g, nil
--- a/internal/settings/markdown.go
+++ b/internal/settings/markdown.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"slices"
 	"strings"
 
 	"github.com/trefoilchute/trefoilchute/internal/inifile"
@@ -69,6 +70,9 @@
 	b.WriteString(markdownGateway)
 	for _, section := range GatewayDocs() {
 		b.WriteString("\n### [" + section.Name + "]\n\n")
+		if slices.Contains(optionalSections, section.Name) {
+			b.WriteString("The section may be missing; what it is about is off then.\n\n")
+		}
 		b.WriteString(inifile.Markdown(section.Keys))
 	}
 	return b.String()
