Pass roll-out orders to the pool schedulers and their decisions back

Cause: the pools' schedulers decide on roll-outs, while the store is read and written elsewhere. Change: event control.RolloutsChanged, port Ports.RolloutDecided, the pool's event RolloutChanged and effects RolloutDecided and RolloutStep, their kinds in traces, and the route of a request in its submission. The scheduler does not act on orders yet.

--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -138,6 +138,7 @@
 	c.out = system.Outbox{}
 	c.effects.Steps = c.scheduling.TakeSteps()
 	c.effects.Orders = c.orders.Take()
+	c.effects.Verdicts = c.scheduling.TakeVerdicts()
 	c.effects.Superseded = c.members.Superseded()
 	c.updateWatch()
 	return c.effects
@@ -191,6 +192,8 @@
 		c.noteLeaving(LeavingEndpoint{e.Endpoint, e.Lifetime, c.cfg.Self})
 	case SuspectsRestored:
 		c.scheduling.MergeSuspects(c.now, e.List, &c.out)
+	case RolloutsChanged:
+		c.scheduling.SetRollouts(c.now, e.Statuses, e.Bounds, &c.out)
 	case TeamLimits:
 		c.quotas.Configure(c.now, e.Teams)
 	case HostsListed:
--- a/internal/control/event.go
+++ b/internal/control/event.go
@@ -12,6 +12,7 @@
 	"github.com/trefoilchute/trefoilchute/internal/platform"
 	"github.com/trefoilchute/trefoilchute/internal/pool"
 	"github.com/trefoilchute/trefoilchute/internal/resource"
+	"github.com/trefoilchute/trefoilchute/internal/rollout"
 	"github.com/trefoilchute/trefoilchute/internal/system"
 	"github.com/trefoilchute/trefoilchute/internal/system/claim"
 	"github.com/trefoilchute/trefoilchute/internal/system/custody"
@@ -106,6 +107,15 @@
 // TeamLimits delivers the teams' rate limits, which apply to all hosts together.
 type TeamLimits struct{ Teams map[ident.Team]quota.Limit }
 
+// RolloutsChanged delivers all orders to move a target to a version, as the store has them.
+// It comes whenever they change, and at least once a second while one of them runs.
+type RolloutsChanged struct {
+	Statuses []rollout.Status
+	Bounds   rollout.Bounds
+}
+
+func (RolloutsChanged) event() {}
+
 // Leave begins a planned stop: other hosts take over the pools.
 type Leave struct{}
 
@@ -195,6 +205,8 @@
 	UnresponsiveHosts []ident.Host
 	// Orders holds the exchanges with endpoints about orders.
 	Orders []order.Effect
+	// Verdicts holds the decisions on roll-outs.
+	Verdicts []rollout.Verdict
 	// Steps holds the decisions of the pool schedulers, for traces and explain.
 	Steps []scheduling.Step
 }
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -11,6 +11,7 @@
 	"github.com/trefoilchute/trefoilchute/internal/peer/peerpb"
 	"github.com/trefoilchute/trefoilchute/internal/platform"
 	"github.com/trefoilchute/trefoilchute/internal/resource"
+	"github.com/trefoilchute/trefoilchute/internal/rollout"
 	"github.com/trefoilchute/trefoilchute/internal/system"
 	"github.com/trefoilchute/trefoilchute/internal/system/claim"
 	"github.com/trefoilchute/trefoilchute/internal/system/custody"
@@ -62,6 +63,9 @@
 	EndpointLeaving func(LeavingEndpoint)
 	// HostUnresponsive is called with hosts that did not answer a submission.
 	HostUnresponsive func(ident.Host)
+	// RolloutDecided is called with each decision on a roll-out of a pool that is scheduled
+	// here, and again after some seconds while the roll-out's status stays running.
+	RolloutDecided func(rollout.Verdict)
 	// Record is called with the pool schedulers' steps and the directives for
 	// requests in custody, for traces and explain.
 	Record func([]scheduling.Step, []custody.Directive)
@@ -184,6 +188,9 @@
 	for _, e := range effects.LeavingEndpoints {
 		l.ports.EndpointLeaving(e)
 	}
+	for _, v := range effects.Verdicts {
+		l.ports.RolloutDecided(v)
+	}
 	for _, h := range effects.UnresponsiveHosts {
 		l.ports.HostUnresponsive(h)
 	}
--- a/internal/pool/apply.go
+++ b/internal/pool/apply.go
@@ -39,6 +39,8 @@
 		s.mergeSuspects(e.List)
 	case HostLost:
 		s.hostLost(e.Host)
+	case RolloutChanged:
+		s.rolloutChanged(e)
 	}
 }
 
--- a/internal/pool/event.go
+++ b/internal/pool/event.go
@@ -60,6 +60,8 @@
 	Idempotent bool
 	// Spilled marks a request that another domain passed on. It is not passed on again.
 	Spilled bool
+	// Route is the hash of the name of the request's route; 0 if it is not known.
+	Route uint64 `cbor:",omitempty"`
 }
 
 // Event is an input of the scheduler. Its concrete types are in this file.
@@ -221,6 +223,8 @@
 func (Remote) event()     {}
 func (Suspects) event()   {}
 
+func (RolloutChanged) event() {}
+
 // Suspect is a request, or a part of prompts, that was in flight on an endpoint that
 // crashed.
 type Suspect struct {
@@ -327,6 +331,9 @@
 func (Spill) effect()   {}
 func (Publish) effect() {}
 
+func (RolloutDecided) effect() {}
+func (RolloutStep) effect()    {}
+
 // Config is fixed for the lifetime of a Scheduler.
 type Config struct {
 	Pool ident.Pool
--- a/internal/system/scheduling/scheduling.go
+++ b/internal/system/scheduling/scheduling.go
@@ -77,6 +77,7 @@
 	suspended bool
 	statusAt  time.Duration
 	steps     []Step
+	rollouts  rollouts
 }
 
 // Step records one call of a pool's scheduler, for traces and explain.
@@ -274,6 +275,7 @@
 		queryHoldings(p, in.unresponsiveHosts(now), out)
 		s.step(now, in, out)
 	}
+	s.tickRollouts(now, out)
 	if now >= s.statusAt {
 		s.statusAt = now + statusInterval
 		s.expireSuspects(now)
--- a/internal/system/scheduling/step.go
+++ b/internal/system/scheduling/step.go
@@ -44,6 +44,7 @@
 	if list := s.sortedSuspects(now); len(list) > 0 {
 		first = append(first, pool.Suspects{List: list})
 	}
+	first = append(first, s.rolloutEvents(now, in.pool)...)
 	in.pending = append(first, in.pending...)
 }
 
@@ -72,6 +73,8 @@
 			Request: string(e.ID), Target: in.pool.Target, Domain: string(in.pool.Domain),
 			ToDomain: string(e.Domain),
 		}}))
+	case pool.RolloutDecided:
+		s.rollouts.verdicts = append(s.rollouts.verdicts, e.Verdict)
 	case pool.Publish:
 		s.publishSuspects(now, e, out)
 	}
--- a/internal/trace/kind.go
+++ b/internal/trace/kind.go
@@ -22,6 +22,7 @@
 	kindHostLost
 	kindRemote
 	kindSuspects
+	kindRolloutChanged
 )
 
 // Kinds of effects. They are part of the hashed encoding of effects.
@@ -30,6 +31,8 @@
 	kindRefuse
 	kindSpill
 	kindPublish
+	kindRolloutDecided
+	kindRolloutStep
 )
 
 // decoders holds the decoder of the body of each kind of event.
@@ -47,6 +50,8 @@
 	kindHostLost:   decode[pool.HostLost],
 	kindRemote:     decode[pool.Remote],
 	kindSuspects:   decode[pool.Suspects],
+
+	kindRolloutChanged: decode[pool.RolloutChanged],
 }
 
 // decode decodes the body of an event of type E.
@@ -87,6 +92,8 @@
 		return kindRemote, nil
 	case pool.Suspects:
 		return kindSuspects, nil
+	case pool.RolloutChanged:
+		return kindRolloutChanged, nil
 	}
 	return 0, errors.Errorf("unknown event type %T", e)
 }
@@ -102,6 +109,10 @@
 		return kindSpill, nil
 	case pool.Publish:
 		return kindPublish, nil
+	case pool.RolloutDecided:
+		return kindRolloutDecided, nil
+	case pool.RolloutStep:
+		return kindRolloutStep, nil
 	}
 	return 0, errors.Errorf("unknown effect type %T", e)
 }
--- a/internal/trace/trace_test.go
+++ b/internal/trace/trace_test.go
@@ -12,6 +12,7 @@
 	"github.com/trefoilchute/trefoilchute/internal/pool"
 	"github.com/trefoilchute/trefoilchute/internal/resource"
 	"github.com/trefoilchute/trefoilchute/internal/result"
+	"github.com/trefoilchute/trefoilchute/internal/rollout"
 )
 
 // allEvents holds an event of each kind.
@@ -29,6 +30,7 @@
 	pool.HostLost{Host: "h"},
 	pool.Remote{Domain: "d", Free: 2, Wait: []time.Duration{time.Second}},
 	pool.Suspects{List: []pool.Suspect{{KeyHash: 1, Crashes: 1}}},
+	pool.RolloutChanged{Active: true, Status: rollout.Status{Order: rollout.Order{ID: 1, Target: "m", Version: "2"}}},
 }
 
 // allEffects holds an effect of each kind.
@@ -37,6 +39,8 @@
 	pool.Refuse{ID: "r", Code: result.ShedTier},
 	pool.Spill{ID: "r", Domain: "d"},
 	pool.Publish{List: []pool.Suspect{{KeyHash: 1}}},
+	pool.RolloutDecided{Verdict: rollout.Verdict{State: rollout.RolledBack, Reason: "slow"}},
+	pool.RolloutStep{Share: 0.1, Judgement: "none"},
 }
 
 // recordTrace returns a trace with a single step of all events and effects.
