Store the states and decisions of roll-outs

Cause: a decision has to hold across restarts, a change of scheduler and a store outage, and two schedulers must not write two. Change: the host that schedules a target's pool reads and writes its row of trefoilchute-rollouts with the status row, in one transaction that also needs the order to be in force. Taking over a pool changes the row, so that an earlier scheduler's late write fails. With several regions the last one whose traffic has moved completes the roll-out. A write without an answer is read back first.

--- a/internal/platformhost/host.go
+++ b/internal/platformhost/host.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"runtime/debug"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -64,6 +65,7 @@
 	metrics  *metrics.Metrics
 	view     storeView
 	suspects suspects
+	rollouts rollouts
 
 	callerListener, readyListener, metricsListener, peerListener net.Listener
 
@@ -84,6 +86,7 @@
 		logger: log, log: log.WithField("host", s.Host),
 	}
 	h.suspects.init()
+	h.rollouts.init(string(s.Host)+"/"+strconv.FormatUint(h.incarnation, 10), s.Region)
 	h.settings.Store(&s)
 	limitMemory(&s)
 	h.store = platform.NewStore(s.Store, h.countStoreCall)
@@ -102,7 +105,7 @@
 	h.loop = control.NewLoopAt(h.core, h.now)
 	h.follower = follow.New(follow.Options{
 		Self: s.Host, Store: h.store, Log: h.log, Readers: h.storeReaders, Hosts: h.liveHosts, Send: h.send,
-		OnRuleset: h.setRuleset, OnEndpoints: h.setEndpoints,
+		OnRuleset: h.setRuleset, OnEndpoints: h.setEndpoints, OnOrders: h.onOrders(),
 	})
 	h.gateway = gateway.New(gateway.Options{
 		Host: s.Host, Domain: s.Domain, Log: h.log, Post: h.loop.Post, Now: h.loop.Now,
@@ -164,6 +167,7 @@
 	h.group.Go(func() { h.sweepConnections(h.lifetime) })
 	h.group.Go(func() { h.watchPools(h.lifetime) })
 	h.group.Go(func() { h.writeSuspects(h.lifetime) })
+	h.startRollouts(h.lifetime)
 	errs := make(chan error, 4)
 	h.group.Go(func() {
 		if err := h.join(h.lifetime); err != nil {
--- a/internal/platformhost/join.go
+++ b/internal/platformhost/join.go
@@ -111,6 +111,7 @@
 		Send: h.send, SetPeers: h.setPeers, Traffic: h.gateway, Configure: h.ignoreConfigured,
 		Watch: ignoreWatch, Record: h.record, ExecuteOrder: ignoreOrder, Superseded: h.cancel,
 		HostUnresponsive: h.hostUnresponsive, EndpointLeaving: h.endpointLeaving, StoreMessage: h.follower.Receive,
+		RolloutDecided: h.rolloutDecided,
 	})
 	return errors.Wrap(h.peers.Start(h.lifetime), "start the peer transport")
 }
--- a/internal/platformhost/view.go
+++ b/internal/platformhost/view.go
@@ -142,6 +142,7 @@
 	out := resource.Endpoint{
 		Name: e.Name, Address: e.Address, Domain: e.Domain, Scope: h.settings.Load().Region, Target: e.Target,
 		State: resource.EndpointActive, Slots: e.Slots, SpeedsAssumed: true, EndsWithConnection: true, Started: e.Started,
+		Version: e.Version,
 	}
 	if e.Leaving {
 		out.State = resource.EndpointDrain
