Run roll-outs of good and bad versions before the stand-ins

Cause: the bounds for a version that has not been judged hold over all hosts and under faults, which only a run of the real processes shows. The stand-ins get versions, flaws and a hook for written rows.

--- a/internal/cli/soak.go
+++ b/internal/cli/soak.go
@@ -23,6 +23,7 @@
 			&cli.IntFlag{Name: "seeds", Usage: "run this `NUMBER` of seeds", Value: 1},
 			&cli.IntFlag{Name: "parallel", Usage: "run this `NUMBER` at a time", Value: 1},
 			&cli.DurationFlag{Name: "length", Usage: "inject faults for this `TIME` in each run", Value: 12 * time.Second},
+			&cli.BoolFlag{Name: "rollouts", Usage: "roll a new version out in each run instead: good ones and bad ones, under faults"},
 			&cli.StringFlag{Name: "dir", Usage: "keep the logs of runs that fail in `DIR`", Value: os.TempDir()},
 		},
 		Action: runSoak,
@@ -43,7 +44,7 @@
 	}
 	err = soak.Run(ctx, soak.Options{
 		Program: program, First: seed, Seeds: c.Int("seeds"), Parallel: c.Int("parallel"),
-		Length: c.Duration("length"), Dir: c.String("dir"), Out: c.Root().Writer,
+		Length: c.Duration("length"), Rollouts: c.Bool("rollouts"), Dir: c.String("dir"), Out: c.Root().Writer,
 	})
 	if err != nil {
 		return result.New(result.Internal, err.Error())
--- a/internal/soak/host.go
+++ b/internal/soak/host.go
@@ -57,8 +57,8 @@
 	return out, nil
 }
 
-// newHost writes the settings of a host in a region.
-func newHost(dir string, i int, store, region string) (*host, error) {
+// newHost writes the settings of a host in a region, with more sections at their end.
+func newHost(dir string, i int, store, region, settings string) (*host, error) {
 	p, err := newProxy(store)
 	if err != nil {
 		return nil, err
@@ -94,7 +94,7 @@
 [quota]
 slack = 0
 window = 8s
-`, h.name, i%2, region, grace, ports[0], ports[1], ports[2], ports[3], p.address(), revokeBound)
+%s`, h.name, i%2, region, grace, ports[0], ports[1], ports[2], ports[3], p.address(), revokeBound, settings)
 	if err := os.WriteFile(h.settings, []byte(text), 0o600); err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/internal/soak/rollout.go
@@ -0,0 +1,443 @@
+package soak
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/trefoilchute/trefoilchute/internal/ident"
+	"github.com/trefoilchute/trefoilchute/internal/rendezvous"
+	"github.com/trefoilchute/trefoilchute/internal/standin/runner"
+	"github.com/trefoilchute/trefoilchute/internal/standin/store"
+)
+
+const (
+	// rolloutTarget is the target of the orders, and oldVersion and newVersion are the versions
+	// of its endpoints, of which there are rolloutEndpoints each.
+	rolloutTarget, oldVersion, newVersion = "app", "1", "2"
+	rolloutEndpoints                      = 3
+	// rolloutCallers send requests that take rolloutWork: about three run at each old endpoint.
+	rolloutCallers = 16
+	rolloutWork    = 50 * time.Millisecond
+	// rolloutLimit is the time limit of the orders.
+	rolloutLimit = 60 * time.Second
+	// exposeShare, exposeSlack and rollbackBound are the users' bounds for a version that has not
+	// been judged, and unstableExtra is what an unstable store adds to the last.
+	exposeShare, exposeSlack = 0.1, 50
+	rollbackBound            = 5 * time.Second
+	unstableExtra            = 6 * time.Second
+	// badAnswers is the number of bad answers from which on the last bound is counted, and
+	// arrivalSlack the time that a request may be on its way.
+	badAnswers   = 50
+	arrivalSlack = 200 * time.Millisecond
+	// warmTime is how long requests are sent before the order, and lastTime after its decision.
+	warmTime, lastTime = 2 * time.Second, 6 * time.Second
+	// drainDelay is the time from rolled_back until the new endpoints drain.
+	drainDelay = 3 * time.Second
+	// faultWindow is the time after the order in which faults begin.
+	faultWindow = 15 * time.Second
+)
+
+// State names of the status row.
+const (
+	stateRunning    = "running"
+	stateCompleted  = "completed"
+	stateRolledBack = "rolled_back"
+)
+
+// rolloutKind is a kind of new version.
+type rolloutKind struct {
+	name string
+	// flaw is what is wrong with it, from a time after the order on; nil: nothing.
+	flaw  *runner.Flaw
+	after time.Duration
+}
+
+// goodVersion and badVersions are the kinds of versions.
+var (
+	goodVersion = rolloutKind{name: "good"}
+	badVersions = []rolloutKind{
+		{name: "fails", flaw: &runner.Flaw{Part: 0.5}},
+		{name: "slow", flaw: &runner.Flaw{Part: 0.5, Slow: 5}},
+		{name: "fails later", flaw: &runner.Flaw{Part: 0.5}, after: 6 * time.Second},
+		{name: "slow under load", flaw: &runner.Flaw{Part: 1, Slow: 5, Running: 3}},
+		{name: "fails on one route", flaw: &runner.Flaw{Part: 1, Prefix: "/safe/"}},
+		{name: "slow on one route", flaw: &runner.Flaw{Part: 0.7, Slow: 5, Prefix: "/unsafe/"}},
+		{name: "fails under load", flaw: &runner.Flaw{Part: 0.7, Running: 3}},
+		{name: "slow later", flaw: &runner.Flaw{Part: 0.5, Slow: 5}, after: 6 * time.Second},
+	}
+)
+
+// kindOf returns the kind of a seed: half of the versions are good.
+func kindOf(seed uint64) rolloutKind {
+	if seed%2 == 0 {
+		return goodVersion
+	}
+	return badVersions[seed/2%uint64(len(badVersions))]
+}
+
+// rolloutFault spoils something for a time while an order runs.
+type rolloutFault struct {
+	name string
+	do   func(w *world, h *host, d draws)
+}
+
+// rolloutFaults are the faults, most of which concern the scheduler of the pool.
+var rolloutFaults = []rolloutFault{
+	{"scheduler killed", func(w *world, h *host, d draws) { w.kill(h, d.span/2) }},
+	{"scheduler frozen", func(w *world, h *host, d draws) {
+		w.during("pause", h.name, d.span, func() { h.signal(syscall.SIGSTOP) }, func() { h.signal(syscall.SIGCONT) })
+	}},
+	{"scheduler stopped", func(w *world, h *host, _ draws) { w.term(h) }},
+	{"scheduler without store", func(w *world, h *host, d draws) {
+		w.spoilLink("store link", h.name, h.store, draws{b: 2, span: d.span})
+	}},
+	{"store refuses", func(w *world, _ *host, d draws) { w.spoilStore(d, store.Faults{Refuse: http.StatusServiceUnavailable}) }},
+	{"store silent", func(w *world, _ *host, d draws) { w.spoilStore(d, store.Faults{Silent: true}) }},
+	{"store slow", func(w *world, _ *host, d draws) { w.spoilStore(d, store.Faults{Delay: slowStore}) }},
+	{"writes lost", func(w *world, _ *host, d draws) {
+		d.span *= 3
+		w.spoilStore(d, store.Faults{LoseWrites: true})
+	}},
+	{"writes late", func(w *world, _ *host, d draws) {
+		d.span *= 3
+		w.spoilStore(d, store.Faults{LateWrites: 3 * lateWrite})
+	}},
+	{"store forgets", func(w *world, _ *host, _ draws) { w.store.Forget() }},
+}
+
+// rolloutRun is one order.
+type rolloutRun struct {
+	w    *world
+	kind rolloutKind
+	// ordered is when the order was written.
+	ordered time.Time
+	// old are the old endpoints.
+	old []*runner.Runner
+
+	mu sync.Mutex
+	// states holds the states of the status row, and decidedAt when it first was a final one.
+	states    []string
+	decidedAt time.Time
+	// decided is closed then.
+	decided chan struct{}
+	// busy counts the requests that ran at old endpoints then.
+	busy int
+}
+
+// runRollout runs the order of one seed with a number of faults. The logs of a run that fails
+// are kept.
+func runRollout(ctx context.Context, o Options, seed uint64, kind rolloutKind, faults int) (broken []string, summary string, err error) {
+	dir, err := seedDir(o, seed)
+	if err != nil {
+		return nil, "not run", err
+	}
+	w, err := newWorldOf(dir, o.Program, seed, worldOptions{
+		regions: slices.Repeat([]string{region}, hosts), work: rolloutWork, routes: []string{"safe", "unsafe"},
+		services: rolloutEndpoints, version: oldVersion,
+		settings: fmt.Sprintf("[rollout]\nshare = %g\nslack = %d\nrollback = %s\n", exposeShare, exposeSlack, rollbackBound),
+	})
+	if err != nil {
+		return nil, "not started", err
+	}
+	r := &rolloutRun{w: w, kind: kind, decided: make(chan struct{})}
+	w.store.Notify(r.rowPut)
+	life, end := context.WithCancel(ctx)
+	w.life = life
+	w.group.Add(1)
+	go w.balancer(life)
+	if !w.awaitReady(life, startTime) {
+		w.fail("not every host was ready after %v", startTime)
+	}
+	for i := range rolloutCallers {
+		w.group.Add(1)
+		go w.call(life, i, seed)
+	}
+	sleep(life, warmTime)
+	r.order()
+	names := r.faults(life, faults)
+	r.awaitDecision(life)
+	r.obey(life)
+	sleep(life, lastTime)
+	w.checkAlive()
+	end()
+	w.close()
+	w.check()
+	r.check()
+	if len(w.broken) == 0 {
+		err = removeDir(dir)
+	}
+	return w.broken, r.summary(names), err
+}
+
+// rowPut notes the states of the order.
+func (r *rolloutRun) rowPut(table, key string, value []byte) {
+	if table != "status" || key != "rollout/"+rolloutTarget {
+		return
+	}
+	var row struct{ State, To string }
+	if err := json.Unmarshal(value, &row); err != nil || row.To != newVersion {
+		go r.w.fail("a status row that is none: %q", value)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.states = append(r.states, row.State)
+	if row.State == stateRunning || !r.decidedAt.IsZero() {
+		return
+	}
+	r.decidedAt = time.Now()
+	for _, x := range r.old {
+		r.busy += x.Running()
+	}
+	close(r.decided)
+}
+
+// servers returns the endpoints of a version.
+func (r *rolloutRun) servers(version string) []*server {
+	r.w.mu.Lock()
+	defer r.w.mu.Unlock()
+	var list []*server
+	for _, s := range r.w.all {
+		if s.target == rolloutTarget && s.version == version {
+			list = append(list, s)
+		}
+	}
+	return list
+}
+
+// order starts the new endpoints and writes the order.
+func (r *rolloutRun) order() {
+	w := r.w
+	w.mu.Lock()
+	w.version = newVersion
+	w.mu.Unlock()
+	for range rolloutEndpoints {
+		if err := w.addServer(rolloutTarget); err != nil {
+			w.fail("endpoint does not start: %v", err)
+		}
+	}
+	for _, s := range r.servers(oldVersion) {
+		r.old = append(r.old, s.runner)
+	}
+	r.ordered = time.Now()
+	if f := r.kind.flaw; f != nil {
+		flaw := *f
+		flaw.From = r.ordered.Add(r.kind.after)
+		for _, s := range r.servers(newVersion) {
+			s.runner.SetFlaw(&flaw)
+		}
+	}
+	w.store.Put("op", "", "rollout/"+rolloutTarget, fmt.Appendf(nil,
+		`{"service":%q,"to":%q,"duration_s":%g}`, rolloutTarget, newVersion, rolloutLimit.Seconds()))
+}
+
+// faults lets faults happen in the background and returns their names.
+func (r *rolloutRun) faults(ctx context.Context, n int) []string {
+	w := r.w
+	names := make([]ident.Host, len(w.hosts))
+	for i, h := range w.hosts {
+		names[i] = ident.Host(h.name)
+	}
+	scheduler := rendezvous.First(rolloutTarget+"@"+region, names)
+	var done []string
+	for range n {
+		f := rolloutFaults[w.rand.IntN(len(rolloutFaults))]
+		h := w.hosts[w.rand.IntN(len(w.hosts))]
+		if w.rand.IntN(4) > 0 {
+			h = w.hosts[slices.Index(names, scheduler)]
+		}
+		at := time.Duration(w.rand.Int64N(int64(faultWindow)))
+		d := draws{span: time.Second + time.Duration(w.rand.Int64N(int64(lastSpan)))}
+		done = append(done, fmt.Sprintf("%s (%s) @%.1f for %.1f", f.name, h.name, at.Seconds(), d.span.Seconds()))
+		w.group.Add(1)
+		go func() {
+			defer w.group.Done()
+			sleep(ctx, at)
+			if ctx.Err() == nil {
+				f.do(w, h, d)
+			}
+		}()
+	}
+	return done
+}
+
+// awaitDecision waits for a final state, for longer than the time limit.
+func (r *rolloutRun) awaitDecision(ctx context.Context) {
+	select {
+	case <-r.decided:
+	case <-ctx.Done():
+	case <-time.After(rolloutLimit + unstableExtra):
+	}
+}
+
+// obey does what operators do after a decision: they stop the old endpoints at once, or drain
+// the new ones some seconds later.
+func (r *rolloutRun) obey(ctx context.Context) {
+	r.mu.Lock()
+	last := ""
+	if len(r.states) > 0 {
+		last = r.states[len(r.states)-1]
+	}
+	r.mu.Unlock()
+	switch last {
+	case stateCompleted:
+		for _, s := range r.servers(oldVersion) {
+			_ = s.runner.Close()
+			r.w.removeServer(s)
+		}
+	case stateRolledBack:
+		sleep(ctx, drainDelay)
+		for _, s := range r.servers(newVersion) {
+			r.w.mu.Lock()
+			s.leaves = time.Now()
+			r.w.writeServer(s)
+			r.w.mu.Unlock()
+		}
+	}
+}
+
+// removeServer removes an endpoint's row.
+func (w *world) removeServer(s *server) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.servers = slices.DeleteFunc(w.servers, func(x *server) bool { return x == s })
+	w.store.Remove("servers", "", s.id)
+}
+
+// summary describes the run.
+func (r *rolloutRun) summary(faults []string) string {
+	candidate, all := r.arrivals()
+	bad := r.badTimes()
+	return fmt.Sprintf("%s, %v after %.1f s, %d of %d requests at the new version, %d bad answers, faults %v",
+		r.kind.name, r.states, r.decidedAt.Sub(r.ordered).Seconds(), len(candidate), len(all), len(bad), faults)
+}
+
+// arrivals returns the times of the runs at the new version since the order until its decision,
+// and of those at both versions, in order.
+func (r *rolloutRun) arrivals() (candidate, all []time.Time) {
+	end := r.decidedAt
+	if end.IsZero() {
+		end = r.ordered.Add(rolloutLimit)
+	}
+	for _, version := range []string{oldVersion, newVersion} {
+		for _, s := range r.servers(version) {
+			for _, run := range s.runner.Runs() {
+				if run.Began.Before(r.ordered) || run.Began.After(end) {
+					continue
+				}
+				all = append(all, run.Began)
+				if version == newVersion {
+					candidate = append(candidate, run.Began)
+				}
+			}
+		}
+	}
+	slices.SortFunc(candidate, time.Time.Compare)
+	slices.SortFunc(all, time.Time.Compare)
+	return candidate, all
+}
+
+// badTimes returns when bad answers ended, in order.
+func (r *rolloutRun) badTimes() []time.Time {
+	var list []time.Time
+	for _, s := range r.servers(newVersion) {
+		list = append(list, s.runner.Bad()...)
+	}
+	slices.SortFunc(list, time.Time.Compare)
+	return list
+}
+
+// check holds what the endpoints have seen against the users' bounds.
+func (r *rolloutRun) check() {
+	want := stateCompleted
+	if r.kind.flaw != nil {
+		want = stateRolledBack
+	}
+	var final []string
+	for _, s := range r.states {
+		if s != stateRunning {
+			final = append(final, s)
+		}
+	}
+	switch {
+	case len(final) != 1:
+		r.w.fail("states %v: not one decision", r.states)
+	case final[0] != want:
+		r.w.fail("a version that is %s was %s", r.kind.name, final[0])
+	case r.decidedAt.Sub(r.ordered) > rolloutLimit:
+		r.w.fail("decided %v after the order", r.decidedAt.Sub(r.ordered))
+	}
+	if r.kind.flaw != nil {
+		r.checkExposure()
+		r.checkRollback()
+	}
+	if strings.Join(final, "") == stateCompleted {
+		r.checkMoved()
+	}
+}
+
+// checkExposure checks the share of a bad version at each of its requests.
+func (r *rolloutRun) checkExposure() {
+	candidate, all := r.arrivals()
+	for i, at := range candidate {
+		before, _ := slices.BinarySearchFunc(all, at, time.Time.Compare)
+		if most := exposeShare*float64(before+1) + exposeSlack; float64(i+1) > most {
+			r.w.fail("request %d at the bad version, of %d, %.1f s after the order", i+1, before+1, at.Sub(r.ordered).Seconds())
+			return
+		}
+	}
+}
+
+// checkRollback checks that a bad version gets nothing later than the bound after its 50th bad
+// answer.
+func (r *rolloutRun) checkRollback() {
+	bad := r.badTimes()
+	if len(bad) < badAnswers {
+		return
+	}
+	bound := rollbackBound + arrivalSlack
+	r.w.mu.Lock()
+	for _, s := range r.w.spans {
+		if s.what == "store" || s.what == "store link" {
+			bound += unstableExtra
+			break
+		}
+	}
+	r.w.mu.Unlock()
+	end := bad[badAnswers-1].Add(bound)
+	for _, s := range r.servers(newVersion) {
+		for _, run := range s.runner.Runs() {
+			if run.Began.After(end) {
+				r.w.fail("%s at %s: sent %v after the 50th bad answer", run.Attempt, s.id, run.Began.Sub(bad[badAnswers-1]))
+				return
+			}
+		}
+	}
+}
+
+// checkMoved checks that the old endpoints were idle when the roll-out was completed, and got
+// nothing after that.
+func (r *rolloutRun) checkMoved() {
+	if r.busy > 0 {
+		r.w.fail("%d requests ran at old endpoints when the roll-out was completed", r.busy)
+	}
+	for _, s := range r.servers(oldVersion) {
+		for _, run := range s.runner.Runs() {
+			if run.Began.After(r.decidedAt) {
+				r.w.fail("%s: run at the old %s %v after completed", run.Attempt, s.id, run.Began.Sub(r.decidedAt))
+			}
+		}
+	}
+}
+
+// drawnFaults returns how many faults a seed has: none, one or two.
+func drawnFaults(seed uint64) int {
+	return rand.New(rand.NewPCG(seed, 2)).IntN(3)
+}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -24,6 +24,8 @@
 	Parallel int
 	// Length is how long faults are injected in each run.
 	Length time.Duration
+	// Rollouts lets each run be about an order to move a target to another version.
+	Rollouts bool
 	// Dir keeps the logs of runs that fail.
 	Dir string
 	Out io.Writer
@@ -62,7 +64,14 @@
 			defer group.Done()
 			defer func() { <-slots }()
 			seed := o.First + uint64(i)
-			broken, summary, err := runSeed(ctx, o, seed)
+			var broken []string
+			var summary string
+			var err error
+			if o.Rollouts {
+				broken, summary, err = runRollout(ctx, o, seed, kindOf(seed), drawnFaults(seed))
+			} else {
+				broken, summary, err = runSeed(ctx, o, seed)
+			}
 			mu.Lock()
 			defer mu.Unlock()
 			if err != nil {
@@ -91,8 +100,8 @@
 
 // runSeed runs one seed. The logs of a run that fails are kept.
 func runSeed(ctx context.Context, o Options, seed uint64) (broken []string, summary string, err error) {
-	dir := filepath.Join(o.Dir, fmt.Sprintf("seed-%d", seed))
-	if err := os.MkdirAll(dir, 0o700); err != nil {
+	dir, err := seedDir(o, seed)
+	if err != nil {
 		return nil, "not run", err
 	}
 	w, err := newWorld(dir, o.Program, seed)
@@ -123,11 +132,22 @@
 	served, statuses := w.checkRecovered(calm)
 	summary = fmt.Sprintf("%d requests, served after recovery %.0f %%, statuses there %v, faults %v", len(w.seen), 100*served, statuses, names)
 	if len(w.broken) == 0 {
-		err = errors.Wrap(os.RemoveAll(dir), "remove the logs of a run that passed")
+		err = removeDir(dir)
 	}
 	return w.broken, summary, err
 }
 
+// seedDir makes the directory for the logs of a seed's run.
+func seedDir(o Options, seed uint64) (string, error) {
+	dir := filepath.Join(o.Dir, fmt.Sprintf("seed-%d", seed))
+	return dir, errors.Wrap(os.MkdirAll(dir, 0o700), "make the directory for logs")
+}
+
+// removeDir removes the logs of a run that passed.
+func removeDir(dir string) error {
+	return errors.Wrap(os.RemoveAll(dir), "remove the logs of a run that passed")
+}
+
 // inject draws faults and lets them happen, overlapping. It returns their names when
 // all have ended.
 func (w *world) inject(ctx context.Context, length time.Duration) []string {
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -52,6 +52,8 @@
 	leaves time.Time
 	beat   int
 	born   int64
+	// version is that of its software; empty: its row has none.
+	version string
 }
 
 // spoilt is a span of time in which something was spoilt.
@@ -103,6 +105,8 @@
 	work time.Duration
 	// timeout is that of the routes in the configurations written from now on.
 	timeout time.Duration
+	// version is the software's version of endpoints that are added from now on.
+	version string
 	// crashes holds when a request ended the endpoint that began to run it.
 	crashes []time.Time
 	// poisons counts the sendings of that request.
@@ -129,35 +133,58 @@
 
 // newWorldIn is newWorld with a host in each of some regions.
 func newWorldIn(dir, program string, seed uint64, regions []string) (*world, error) {
+	return newWorldOf(dir, program, seed, worldOptions{
+		regions: regions, work: plainWork, routes: []string{"safe", "unsafe", "stream", "resumable"},
+		engines: engines, services: services,
+	})
+}
+
+// worldOptions describes a run.
+type worldOptions struct {
+	// regions has the region of each host.
+	regions []string
+	// settings holds more sections of the hosts' settings.
+	settings string
+	// work is how long a plain request runs.
+	work time.Duration
+	// routes are the configuration's routes at the start.
+	routes            []string
+	engines, services int
+	// version is that of the endpoints' software; empty: they have none.
+	version string
+}
+
+// newWorldOf starts a run.
+func newWorldOf(dir, program string, seed uint64, o worldOptions) (*world, error) {
 	w := &world{
 		dir: dir, program: program, rand: rand.New(rand.NewPCG(seed, 1)), store: store.New(), stop: make(chan struct{}),
 		revoked: map[string]time.Time{}, keyed: map[string]time.Time{}, added: map[string]time.Time{}, removed: map[string]time.Time{},
-		ready: map[string]int{}, work: plainWork, timeout: routeTimeout,
+		ready: map[string]int{}, work: o.work, timeout: routeTimeout, version: o.version,
 	}
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
 	go func() { _ = w.store.Serve(ln) }()
-	w.config = configuration{routes: []string{"safe", "unsafe", "stream", "resumable"}}
+	w.config = configuration{routes: o.routes}
 	for n := range firstKeys {
 		w.config.keys = append(w.config.keys, fmt.Sprintf("key-%d", n))
 	}
 	w.writeConfiguration()
-	for range engines {
+	for range o.engines {
 		if err := w.addServer("llm"); err != nil {
 			return nil, err
 		}
 	}
-	for range services {
+	for range o.services {
 		if err := w.addServer("app"); err != nil {
 			return nil, err
 		}
 	}
 	w.group.Add(1)
 	go w.beats()
-	for i, region := range regions {
-		h, err := newHost(dir, i, ln.Addr().String(), region)
+	for i, region := range o.regions {
+		h, err := newHost(dir, i, ln.Addr().String(), region, o.settings)
 		if err != nil {
 			return nil, err
 		}
@@ -194,7 +221,7 @@
 func (w *world) addServer(target string) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	s := &server{id: fmt.Sprintf("%s-%d", target, len(w.all)), target: target}
+	s := &server{id: fmt.Sprintf("%s-%d", target, len(w.all)), target: target, version: w.version}
 	if err := w.begin(s); err != nil {
 		return err
 	}
@@ -235,6 +262,9 @@
 	if !w.crashMode.withoutStart {
 		row = fmt.Appendf(row, `,"born":%d`, s.born)
 	}
+	if s.version != "" {
+		row = fmt.Appendf(row, `,"version":%q`, s.version)
+	}
 	w.store.Put("servers", "", s.id, append(row, '}'))
 }
 
--- a/internal/standin/runner/runner.go
+++ b/internal/standin/runner/runner.go
@@ -81,6 +81,8 @@
 	turn, wait atomic.Int64
 	// garble is how many of the next answers are spoilt, and how in which way.
 	garble, how atomic.Int64
+	// flaw is what is wrong with the software; nil: nothing.
+	flaw atomic.Pointer[Flaw]
 
 	mu   sync.Mutex
 	runs []Run
@@ -88,6 +90,8 @@
 	// came.
 	away    []Away
 	arrived []Arrival
+	// bad holds the ends of the runs that were bad because of a flaw.
+	bad []time.Time
 }
 
 // Arrival is a request that came, run or not.
@@ -208,12 +212,21 @@
 	if r.garbled(w, attempt) {
 		return
 	}
+	slower := 1.0
+	if f := r.badRun(req.URL.Path, attempt); f != nil {
+		defer r.noteBad()
+		if f.Slow == 0 {
+			http.Error(w, "failed", http.StatusInternalServerError)
+			return
+		}
+		slower = f.Slow
+	}
 	if r.opts.Streams {
-		r.stream(w, req, attempt)
+		r.stream(w, req, attempt, times(r.opts.EventTime, slower))
 		return
 	}
 	select {
-	case <-time.After(r.opts.Work):
+	case <-time.After(times(r.opts.Work, slower)):
 	case <-req.Context().Done():
 		return
 	}
@@ -263,7 +276,7 @@
 }
 
 // stream sends the events of a stream behind the last that the caller has.
-func (r *Runner) stream(w http.ResponseWriter, req *http.Request, attempt string) {
+func (r *Runner) stream(w http.ResponseWriter, req *http.Request, attempt string, eventTime time.Duration) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	next := 0
 	if last, err := strconv.Atoi(req.Header.Get(headerLastEvent)); err == nil {
@@ -280,7 +293,7 @@
 	}
 	for i := next; i < Events(attempt); i++ {
 		select {
-		case <-time.After(r.opts.EventTime):
+		case <-time.After(eventTime):
 		case <-req.Context().Done():
 			return
 		}
@@ -294,6 +307,11 @@
 	}
 }
 
+// times multiplies a time.
+func times(d time.Duration, factor float64) time.Duration {
+	return time.Duration(float64(d) * factor)
+}
+
 // hasPart reports whether a list of ID:TOKENS has a part with an ID.
 func hasPart(list, id string) bool {
 	for part := range strings.SplitSeq(list, ",") {
--- a/internal/standin/store/server.go
+++ b/internal/standin/store/server.go
@@ -41,6 +41,8 @@
 	// calls counts the calls by path.
 	calls map[string]int
 	late  sync.WaitGroup
+	// notify is told each row that is put; nil: nobody is.
+	notify func(table, key string, value []byte)
 }
 
 // New returns an empty store.
@@ -73,11 +75,29 @@
 	s.faults = f
 }
 
+// Notify lets f be told each row that is put. It is called under the store's lock.
+func (s *Server) Notify(f func(table, key string, value []byte)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.notify = f
+}
+
+// apply applies a transaction whose conditions hold. The caller holds the lock.
+func (s *Server) apply(x transaction) {
+	s.rows.apply(x)
+	if s.notify == nil {
+		return
+	}
+	for _, r := range x.Puts {
+		s.notify(r.Table, r.Key, r.Value)
+	}
+}
+
 // Put writes a row as an operator or an endpoint does.
 func (s *Server) Put(table, part, key string, value []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.rows.apply(transaction{Puts: []row{{Table: table, Part: part, Key: key, Value: value}}})
+	s.apply(transaction{Puts: []row{{Table: table, Part: part, Key: key, Value: value}}})
 }
 
 // Remove removes a row.
@@ -177,7 +197,7 @@
 			answer(w, http.StatusPreconditionFailed, s.page(conflicts))
 			return
 		}
-		s.rows.apply(x)
+		s.apply(x)
 	}
 	if s.faults.LoseWrites || s.faults.LateWrites > 0 {
 		panic(http.ErrAbortHandler)
@@ -191,7 +211,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if len(s.rows.conflicts(x)) == 0 {
-		s.rows.apply(x)
+		s.apply(x)
 	}
 }
 
