--- a/internal/follow/orders_test.go
+++ b/internal/follow/orders_test.go
@@ -17,8 +17,8 @@
 
 // orderRow returns the row of an order.
 func orderRow(target, version string, row uint64) platform.Row {
-	return platform.Row{Table: "op", Key: "rollout/" + target, Version: row,
-		Value: fmt.Appendf(nil, `{"service":%q,"to":%q,"duration_s":60}`, target, version)}
+	value := fmt.Appendf(nil, `{"service":%q,"to":%q,"duration_s":60}`, target, version)
+	return platform.Row{Table: "op", Key: "rollout/" + target, Version: row, Value: value}
 }
 
 func orderOf(target, version string, row uint64) rollout.Order {
