--- a/internal/cli/soak.go
+++ b/internal/cli/soak.go
@@ -22,7 +22,7 @@
 			&cli.Uint64Flag{Name: "seed", Usage: "first `SEED`; 0 draws one"},
 			&cli.IntFlag{Name: "seeds", Usage: "run this `NUMBER` of seeds", Value: 1},
 			&cli.IntFlag{Name: "parallel", Usage: "run this `NUMBER` at a time", Value: 1},
-			&cli.DurationFlag{Name: "length", Usage: "inject faults for this `TIME` in each run", Value: 12 * time.Second},
+			&cli.DurationFlag{Name: "length", Usage: "inject faults for this `TIME` in each run; with --rollouts, the time limit of orders", Value: 12 * time.Second},
 			&cli.BoolFlag{Name: "rollouts", Usage: "roll a new version out in each run instead: good ones and bad ones, under faults"},
 			&cli.StringFlag{Name: "dir", Usage: "keep the logs of runs that fail in `DIR`", Value: os.TempDir()},
 		},
--- a/internal/soak/rollout.go
+++ b/internal/soak/rollout.go
@@ -26,8 +26,6 @@
 	// rolloutCallers send requests that take rolloutWork: about three run at each old endpoint.
 	rolloutCallers = 16
 	rolloutWork    = 50 * time.Millisecond
-	// rolloutLimit is the time limit of the orders.
-	rolloutLimit = 60 * time.Second
 	// exposeShare, exposeSlack and rollbackBound are the users' bounds for a version that has not
 	// been judged, and unstableExtra is what an unstable store adds to the last.
 	exposeShare, exposeSlack = 0.1, 50
@@ -41,8 +39,6 @@
 	warmTime, lastTime = 2 * time.Second, 6 * time.Second
 	// drainDelay is the time from rolled_back until the new endpoints drain.
 	drainDelay = 3 * time.Second
-	// faultWindow is the time after the order in which faults begin.
-	faultWindow = 15 * time.Second
 )
 
 // State names of the status row.
@@ -75,14 +71,6 @@
 	}
 )
 
-// kindOf returns the kind of a seed: half of the versions are good.
-func kindOf(seed uint64) rolloutKind {
-	if seed%2 == 0 {
-		return goodVersion
-	}
-	return badVersions[seed/2%uint64(len(badVersions))]
-}
-
 // rolloutFault spoils something for a time while an order runs.
 type rolloutFault struct {
 	name string
@@ -113,10 +101,28 @@
 	{"store forgets", func(w *world, _ *host, _ draws) { w.store.Forget() }},
 }
 
+// rolloutPlan describes one order.
+type rolloutPlan struct {
+	kind rolloutKind
+	// faults is the number of faults while it runs.
+	faults int
+	limit  time.Duration
+}
+
+// planOf returns the plan of a seed: half of the versions are good, and there are up to two
+// faults.
+func planOf(seed uint64, limit time.Duration) rolloutPlan {
+	r := rand.New(rand.NewPCG(seed, 2))
+	if seed%2 == 0 {
+		return rolloutPlan{goodVersion, r.IntN(3), limit}
+	}
+	return rolloutPlan{badVersions[seed/2%uint64(len(badVersions))], r.IntN(3), limit}
+}
+
 // rolloutRun is one order.
 type rolloutRun struct {
-	w    *world
-	kind rolloutKind
+	w *world
+	rolloutPlan
 	// ordered is when the order was written.
 	ordered time.Time
 	// old are the old endpoints.
@@ -132,9 +138,8 @@
 	busy int
 }
 
-// runRollout runs the order of one seed with a number of faults. The logs of a run that fails
-// are kept.
-func runRollout(ctx context.Context, o Options, seed uint64, kind rolloutKind, faults int) (broken []string, summary string, err error) {
+// runRollout runs one order. The logs of a run that fails are kept.
+func runRollout(ctx context.Context, o Options, seed uint64, plan rolloutPlan) (broken []string, summary string, err error) {
 	dir, err := seedDir(o, seed)
 	if err != nil {
 		return nil, "not run", err
@@ -147,7 +152,7 @@
 	if err != nil {
 		return nil, "not started", err
 	}
-	r := &rolloutRun{w: w, kind: kind, decided: make(chan struct{})}
+	r := &rolloutRun{w: w, rolloutPlan: plan, decided: make(chan struct{})}
 	w.store.Notify(r.rowPut)
 	life, end := context.WithCancel(ctx)
 	w.life = life
@@ -162,7 +167,7 @@
 	}
 	sleep(life, warmTime)
 	r.order()
-	names := r.faults(life, faults)
+	names := r.inject(life)
 	r.awaitDecision(life)
 	r.obey(life)
 	sleep(life, lastTime)
@@ -235,11 +240,11 @@
 		}
 	}
 	w.store.Put("op", "", "rollout/"+rolloutTarget, fmt.Appendf(nil,
-		`{"service":%q,"to":%q,"duration_s":%g}`, rolloutTarget, newVersion, rolloutLimit.Seconds()))
+		`{"service":%q,"to":%q,"duration_s":%g}`, rolloutTarget, newVersion, r.limit.Seconds()))
 }
 
-// faults lets faults happen in the background and returns their names.
-func (r *rolloutRun) faults(ctx context.Context, n int) []string {
+// inject lets faults happen in the background and returns their names.
+func (r *rolloutRun) inject(ctx context.Context) []string {
 	w := r.w
 	names := make([]ident.Host, len(w.hosts))
 	for i, h := range w.hosts {
@@ -247,13 +252,13 @@
 	}
 	scheduler := rendezvous.First(rolloutTarget+"@"+region, names)
 	var done []string
-	for range n {
+	for range r.faults {
 		f := rolloutFaults[w.rand.IntN(len(rolloutFaults))]
 		h := w.hosts[w.rand.IntN(len(w.hosts))]
 		if w.rand.IntN(4) > 0 {
 			h = w.hosts[slices.Index(names, scheduler)]
 		}
-		at := time.Duration(w.rand.Int64N(int64(faultWindow)))
+		at := time.Duration(w.rand.Int64N(int64(r.limit / 2)))
 		d := draws{span: time.Second + time.Duration(w.rand.Int64N(int64(lastSpan)))}
 		done = append(done, fmt.Sprintf("%s (%s) @%.1f for %.1f", f.name, h.name, at.Seconds(), d.span.Seconds()))
 		w.group.Add(1)
@@ -273,7 +278,7 @@
 	select {
 	case <-r.decided:
 	case <-ctx.Done():
-	case <-time.After(rolloutLimit + unstableExtra):
+	case <-time.After(r.limit + unstableExtra):
 	}
 }
 
@@ -324,7 +329,7 @@
 func (r *rolloutRun) arrivals() (candidate, all []time.Time) {
 	end := r.decidedAt
 	if end.IsZero() {
-		end = r.ordered.Add(rolloutLimit)
+		end = r.ordered.Add(r.limit)
 	}
 	for _, version := range []string{oldVersion, newVersion} {
 		for _, s := range r.servers(version) {
@@ -371,7 +376,7 @@
 		r.w.fail("states %v: not one decision", r.states)
 	case final[0] != want:
 		r.w.fail("a version that is %s was %s", r.kind.name, final[0])
-	case r.decidedAt.Sub(r.ordered) > rolloutLimit:
+	case r.decidedAt.Sub(r.ordered) > r.limit:
 		r.w.fail("decided %v after the order", r.decidedAt.Sub(r.ordered))
 	}
 	if r.kind.flaw != nil {
@@ -436,8 +441,3 @@
 		}
 	}
 }
-
-// drawnFaults returns how many faults a seed has: none, one or two.
-func drawnFaults(seed uint64) int {
-	return rand.New(rand.NewPCG(seed, 2)).IntN(3)
-}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -24,7 +24,8 @@
 	Parallel int
 	// Length is how long faults are injected in each run.
 	Length time.Duration
-	// Rollouts lets each run be about an order to move a target to another version.
+	// Rollouts lets each run be about an order to move a target to another version, with Length
+	// as its time limit.
 	Rollouts bool
 	// Dir keeps the logs of runs that fail.
 	Dir string
@@ -68,7 +69,7 @@
 			var summary string
 			var err error
 			if o.Rollouts {
-				broken, summary, err = runRollout(ctx, o, seed, kindOf(seed), drawnFaults(seed))
+				broken, summary, err = runRollout(ctx, o, seed, planOf(seed, o.Length))
 			} else {
 				broken, summary, err = runSeed(ctx, o, seed)
 			}
