Run roll-outs in two regions, and faults until the decision

Cause: faults after the decision test nothing, and the pools of two regions have the same endpoints. A claim that is renewed leaves the order known, and a failed read withdraws the confirmation at once.

--- a/internal/platformhost/rolloutbook.go
+++ b/internal/platformhost/rolloutbook.go
@@ -58,6 +58,8 @@
 	// readAt is the last time for which the rows are known to be correct, and storeNow the
 	// store's clock then; 0 before the first read.
 	readAt, storeNow time.Duration
+	// failed is set if the last read failed.
+	failed bool
 }
 
 func newRolloutBook(self string, region ident.Domain) rolloutBook {
@@ -153,6 +155,7 @@
 			delete(b.rows, target)
 		}
 	}
+	b.failed = false
 	if at > b.readAt {
 		b.readAt, b.storeNow = at, page.Now()
 	}
@@ -274,7 +277,7 @@
 	case !e.stored():
 		first := platform.Rollout{Version: e.row.Version, Order: e.order, FirstSeen: b.storeTime(now)}
 		return platform.RolloutWrite{Rollout: b.claim(now, first)}, true
-	case b.mustClaim(now, e):
+	case b.takesOver(e) || b.claimIsOld(now, e):
 		return platform.RolloutWrite{Rollout: b.claim(now, e.row), KeepStatus: true}, true
 	case e.decided && e.claimed:
 		return b.moved(now, e)
@@ -284,14 +287,21 @@
 	return platform.RolloutWrite{}, false
 }
 
-// mustClaim reports whether this process has to claim the pool in the row: because it has begun
-// to schedule the pool, or because another claim has been there for a while.
-func (b *rolloutBook) mustClaim(now time.Duration, e *rolloutEntry) bool {
-	if e.claimed {
-		return false
-	}
-	claimed := time.Duration(e.row.Regions[b.region].ClaimedMs) * time.Millisecond
-	return claimed <= b.storeTime(b.scheduledSince[e.target]) || b.storeTime(now)-claimed >= claimInterval
+// takesOver reports whether this process has begun to schedule the pool since the last claim in
+// the row, so that it has to claim the pool before candidates get anything.
+func (b *rolloutBook) takesOver(e *rolloutEntry) bool {
+	return !e.claimed && b.claimedAt(e) <= b.storeTime(b.scheduledSince[e.target])
+}
+
+// claimIsOld reports whether another process, which this one does not take for the scheduler, has
+// held the claim for a while.
+func (b *rolloutBook) claimIsOld(now time.Duration, e *rolloutEntry) bool {
+	return !e.claimed && b.storeTime(now)-b.claimedAt(e) >= claimInterval
+}
+
+// claimedAt returns the time of the last claim of the pool, on the store's clock.
+func (b *rolloutBook) claimedAt(e *rolloutEntry) time.Duration {
+	return time.Duration(e.row.Regions[b.region].ClaimedMs) * time.Millisecond
 }
 
 // claim returns a row with this process as the scheduler of its region.
@@ -351,12 +361,12 @@
 // statuses returns what the schedulers are to know of the orders.
 func (b *rolloutBook) statuses(now time.Duration) []rollout.Status {
 	var list []rollout.Status
-	confirmed := b.readAt > 0 && now-b.readAt < rolloutConfirmed
+	confirmed := b.readAt > 0 && !b.failed && now-b.readAt < rolloutConfirmed
 	for _, e := range b.entries() {
 		s := rollout.Status{Order: e.order, Confirmed: confirmed}
 		if e.stored() && e.row.Version > 0 {
 			s.State, s.Elapsed = e.row.State, b.age(now, e.row)
-			s.Known = !e.open || e.current && !b.mustClaim(now, &e)
+			s.Known = !e.open || e.current && !b.takesOver(&e)
 			if s.Known && e.open && e.row.Good {
 				// Judged good by another scheduler, or by this one, which goes on.
 				s.State = rollout.Completed
--- a/internal/platformhost/rollouts.go
+++ b/internal/platformhost/rollouts.go
@@ -148,6 +148,7 @@
 		page, err = h.store.Feed(ctx, platform.TableRollouts, after, rolloutWait)
 	}
 	if err != nil {
+		h.rollouts.with(func(b *rolloutBook) { b.failed = true })
 		logs.With(h.log, logs.RolloutNotStored).WithError(err).Warn("the rows can't be read")
 		return 0, err
 	}
--- a/internal/soak/rollout.go
+++ b/internal/soak/rollout.go
@@ -107,16 +107,23 @@
 	// faults is the number of faults while it runs.
 	faults int
 	limit  time.Duration
+	// regions has the region of each host.
+	regions []string
 }
 
-// planOf returns the plan of a seed: half of the versions are good, and there are up to two
-// faults.
+// planOf returns the plan of a seed: half of the versions are good, there are up to two faults,
+// and a fourth of the runs have hosts in two regions.
 func planOf(seed uint64, limit time.Duration) rolloutPlan {
-	r := rand.New(rand.NewPCG(seed, 2))
-	if seed%2 == 0 {
-		return rolloutPlan{goodVersion, r.IntN(3), limit}
+	plan := rolloutPlan{
+		kind: goodVersion, faults: rand.New(rand.NewPCG(seed, 2)).IntN(3), limit: limit, regions: slices.Repeat([]string{region}, hosts),
 	}
-	return rolloutPlan{badVersions[seed/2%uint64(len(badVersions))], r.IntN(3), limit}
+	if seed%2 == 1 {
+		plan.kind = badVersions[seed/2%uint64(len(badVersions))]
+	}
+	if seed/2%4 == 3 {
+		plan.regions[hosts-1] = "other-" + region
+	}
+	return plan
 }
 
 // rolloutRun is one order.
@@ -145,7 +152,7 @@
 		return nil, "not run", err
 	}
 	w, err := newWorldOf(dir, o.Program, seed, worldOptions{
-		regions: slices.Repeat([]string{region}, hosts), work: rolloutWork, routes: []string{"safe", "unsafe"},
+		regions: plan.regions, work: rolloutWork, routes: []string{"safe", "unsafe"},
 		services: rolloutEndpoints, version: oldVersion,
 		settings: fmt.Sprintf("[rollout]\nshare = %g\nslack = %d\nrollback = %s\n", exposeShare, exposeSlack, rollbackBound),
 	})
@@ -246,9 +253,11 @@
 // inject lets faults happen in the background and returns their names.
 func (r *rolloutRun) inject(ctx context.Context) []string {
 	w := r.w
-	names := make([]ident.Host, len(w.hosts))
+	var names []ident.Host
 	for i, h := range w.hosts {
-		names[i] = ident.Host(h.name)
+		if r.regions[i] == region {
+			names = append(names, ident.Host(h.name))
+		}
 	}
 	scheduler := rendezvous.First(rolloutTarget+"@"+region, names)
 	var done []string
@@ -258,7 +267,7 @@
 		if w.rand.IntN(4) > 0 {
 			h = w.hosts[slices.Index(names, scheduler)]
 		}
-		at := time.Duration(w.rand.Int64N(int64(r.limit / 2)))
+		at := time.Duration(w.rand.Int64N(int64(r.faultWindow())))
 		d := draws{span: time.Second + time.Duration(w.rand.Int64N(int64(lastSpan)))}
 		done = append(done, fmt.Sprintf("%s (%s) @%.1f for %.1f", f.name, h.name, at.Seconds(), d.span.Seconds()))
 		w.group.Add(1)
@@ -273,6 +282,14 @@
 	return done
 }
 
+// faultWindow is the time after the order in which faults begin: until about the decision.
+func (r *rolloutRun) faultWindow() time.Duration {
+	if r.kind.flaw != nil {
+		return r.kind.after + lastSpan
+	}
+	return r.limit * 4 / 5
+}
+
 // awaitDecision waits for a final state, for longer than the time limit.
 func (r *rolloutRun) awaitDecision(ctx context.Context) {
 	select {
@@ -320,8 +337,8 @@
 func (r *rolloutRun) summary(faults []string) string {
 	candidate, all := r.arrivals()
 	bad := r.badTimes()
-	return fmt.Sprintf("%s, %v after %.1f s, %d of %d requests at the new version, %d bad answers, faults %v",
-		r.kind.name, r.states, r.decidedAt.Sub(r.ordered).Seconds(), len(candidate), len(all), len(bad), faults)
+	return fmt.Sprintf("%s in %d regions, %v after %.1f s, %d of %d requests at the new version, %d bad answers, faults %v",
+		r.kind.name, len(slices.Compact(slices.Clone(r.regions))), r.states, r.decidedAt.Sub(r.ordered).Seconds(), len(candidate), len(all), len(bad), faults)
 }
 
 // arrivals returns the times of the runs at the new version since the order until its decision,
