--- a/internal/platformhost/rolloutbook_test.go
+++ b/internal/platformhost/rolloutbook_test.go
@@ -277,6 +277,26 @@
 	w.Expect(w.states).To(Equal([]rollout.State{rollout.Running}))
 }
 
+// TestReturningSchedulerReadsTheRowsFirst guards against a host that schedules the pool again and
+// goes by what it had read before another one decided.
+func TestReturningSchedulerReadsTheRowsFirst(t *testing.T) {
+	w := newBookWorld(t)
+	a, b := w.host("a", "r"), w.host("b", "r")
+	a.schedule(true)
+	a.settle()
+	a.schedule(false)
+	b.schedule(true)
+	b.settle()
+	b.decide(rollout.RolledBack)
+	b.settle()
+	w.now += time.Second
+	a.book.setScheduled(w.now, map[string]bool{target: true})
+	w.Expect(a.status().Known).To(BeFalse())
+	w.Expect(a.next()).To(BeNil())
+	a.read()
+	w.Expect(*a.status()).To(And(HaveField("Known", true), HaveField("State", rollout.RolledBack)))
+}
+
 // TestTwoSchedulersOfOnePoolDecideOnce has two hosts that are cut off from each other schedule the
 // pool. One decision must stand, and neither may claim the row again and again.
 func TestTwoSchedulersOfOnePoolDecideOnce(t *testing.T) {
