--- a/internal/soak/rollout.go
+++ b/internal/soak/rollout.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -54,6 +55,14 @@
 	// flaw is what is wrong with it, from a time after the order on; nil: nothing.
 	flaw  *runner.Flaw
 	after time.Duration
+	// want is the state in which its order must end; empty: by the flaw.
+	want string
+	// target and to are those of the order; empty: rolloutTarget and newVersion.
+	target, to string
+	// missing means that no endpoint of the new version is started.
+	missing bool
+	// then happens thenAfter the order; nil: nothing.
+	then func(r *rolloutRun)
 }
 
 // goodVersion and badVersions are the kinds of versions.
@@ -69,8 +78,19 @@
 		{name: "fails under load", flaw: &runner.Flaw{Part: 0.7, Running: 3}},
 		{name: "slow later", flaw: &runner.Flaw{Part: 0.5, Slow: 5}, after: 6 * time.Second},
 	}
+	// otherOrders are orders that end without a judgement, and one that is written anew.
+	otherOrders = []rolloutKind{
+		{name: "without endpoints", missing: true, want: stateRolledBack},
+		{name: "in force already", missing: true, to: oldVersion, want: stateCompleted},
+		{name: "for an unknown target", missing: true, target: "nothing", want: stateRolledBack},
+		{name: "withdrawn", want: stateRolledBack, then: func(r *rolloutRun) { r.w.store.Remove("op", "", r.key()) }},
+		{name: "replaced", want: stateCompleted, then: (*rolloutRun).writeOrder},
+	}
 )
 
+// thenAfter is the time from an order until it is withdrawn or replaced.
+const thenAfter = 4 * time.Second
+
 // rolloutFault spoils something for a time while an order runs.
 type rolloutFault struct {
 	name string
@@ -111,8 +131,8 @@
 	regions []string
 }
 
-// planOf returns the plan of a seed: half of the versions are good, there are up to two faults,
-// and a fourth of the runs have hosts in two regions.
+// planOf returns the plan of a seed: half of the versions are good, a fourth of the orders end without a
+// judgement, there are up to two faults, and a fourth of the runs have hosts in two regions.
 func planOf(seed uint64, limit time.Duration) rolloutPlan {
 	plan := rolloutPlan{
 		kind: goodVersion, faults: rand.New(rand.NewPCG(seed, 2)).IntN(3), limit: limit, regions: slices.Repeat([]string{region}, hosts),
@@ -120,6 +140,9 @@
 	if seed%2 == 1 {
 		plan.kind = badVersions[seed/2%uint64(len(badVersions))]
 	}
+	if seed/2%4 == 2 {
+		plan.kind = otherOrders[seed/8%uint64(len(otherOrders))]
+	}
 	if seed/2%4 == 3 {
 		plan.regions[hosts-1] = "other-" + region
 	}
@@ -159,6 +182,8 @@
 	if err != nil {
 		return nil, "not started", err
 	}
+	plan.kind.want = cmp.Or(plan.kind.want, map[bool]string{true: stateCompleted, false: stateRolledBack}[plan.kind.flaw == nil])
+	plan.kind.target, plan.kind.to = cmp.Or(plan.kind.target, rolloutTarget), cmp.Or(plan.kind.to, newVersion)
 	r := &rolloutRun{w: w, rolloutPlan: plan, decided: make(chan struct{})}
 	w.store.Notify(r.rowPut)
 	life, end := context.WithCancel(ctx)
@@ -191,11 +216,11 @@
 
 // rowPut notes the states of the order.
 func (r *rolloutRun) rowPut(table, key string, value []byte) {
-	if table != "status" || key != "rollout/"+rolloutTarget {
+	if table != "status" || key != r.key() {
 		return
 	}
 	var row struct{ State, To string }
-	if err := json.Unmarshal(value, &row); err != nil || row.To != newVersion {
+	if err := json.Unmarshal(value, &row); err != nil || row.To != r.kind.to {
 		go r.w.fail("a status row that is none: %q", value)
 	}
 	r.mu.Lock()
@@ -231,11 +256,14 @@
 	w.version = newVersion
 	w.mu.Unlock()
 	for range rolloutEndpoints {
+		if r.kind.missing {
+			break
+		}
 		if err := w.addServer(rolloutTarget); err != nil {
 			w.fail("endpoint does not start: %v", err)
 		}
 	}
-	for _, s := range r.servers(oldVersion) {
+	for _, s := range r.oldServers() {
 		r.old = append(r.old, s.runner)
 	}
 	r.ordered = time.Now()
@@ -246,8 +274,26 @@
 			s.runner.SetFlaw(&flaw)
 		}
 	}
-	w.store.Put("op", "", "rollout/"+rolloutTarget, fmt.Appendf(nil,
-		`{"service":%q,"to":%q,"duration_s":%g}`, rolloutTarget, newVersion, r.limit.Seconds()))
+	r.writeOrder()
+}
+
+// writeOrder writes the order's row.
+func (r *rolloutRun) writeOrder() {
+	r.w.store.Put("op", "", r.key(), fmt.Appendf(nil,
+		`{"service":%q,"to":%q,"duration_s":%g}`, r.kind.target, r.kind.to, r.limit.Seconds()))
+}
+
+// key is the key of the order's row and of its status.
+func (r *rolloutRun) key() string {
+	return "rollout/" + r.kind.target
+}
+
+// oldServers returns the endpoints that the order takes out of use.
+func (r *rolloutRun) oldServers() []*server {
+	if r.kind.to == oldVersion {
+		return nil
+	}
+	return r.servers(oldVersion)
 }
 
 // inject lets faults happen in the background and returns their names.
@@ -292,6 +338,10 @@
 
 // awaitDecision waits for a final state, for longer than the time limit.
 func (r *rolloutRun) awaitDecision(ctx context.Context) {
+	if r.kind.then != nil {
+		sleep(ctx, thenAfter)
+		r.kind.then(r)
+	}
 	select {
 	case <-r.decided:
 	case <-ctx.Done():
@@ -310,7 +360,7 @@
 	r.mu.Unlock()
 	switch last {
 	case stateCompleted:
-		for _, s := range r.servers(oldVersion) {
+		for _, s := range r.oldServers() {
 			_ = s.runner.Close()
 			r.w.removeServer(s)
 		}
@@ -378,10 +428,7 @@
 
 // check holds what the endpoints have seen against the users' bounds.
 func (r *rolloutRun) check() {
-	want := stateCompleted
-	if r.kind.flaw != nil {
-		want = stateRolledBack
-	}
+	want := r.kind.want
 	var final []string
 	for _, s := range r.states {
 		if s != stateRunning {
@@ -389,11 +436,11 @@
 		}
 	}
 	switch {
-	case len(final) != 1:
+	case len(final) != 1 || r.states[len(r.states)-1] != final[0]:
 		r.w.fail("states %v: not one decision", r.states)
 	case final[0] != want:
 		r.w.fail("a version that is %s was %s", r.kind.name, final[0])
-	case r.decidedAt.Sub(r.ordered) > r.limit:
+	case final[0] == stateCompleted && r.kind.then == nil && r.decidedAt.Sub(r.ordered) > r.limit:
 		r.w.fail("decided %v after the order", r.decidedAt.Sub(r.ordered))
 	}
 	if r.kind.flaw != nil {
@@ -450,7 +497,7 @@
 	if r.busy > 0 {
 		r.w.fail("%d requests ran at old endpoints when the roll-out was completed", r.busy)
 	}
-	for _, s := range r.servers(oldVersion) {
+	for _, s := range r.oldServers() {
 		for _, run := range s.runner.Runs() {
 			if run.Began.After(r.decidedAt) {
 				r.w.fail("%s: run at the old %s %v after completed", run.Attempt, s.id, run.Began.Sub(r.decidedAt))
