End an order at its limit while another region has not moved

Cause: a pool repeats its decision to complete, which hid the limit if another region was lost. Change: the decision is written once; the limit applies after that. Hosts that decide nothing retry their first read every 2 s, and an outage is logged once.

--- a/internal/platformhost/rolloutbook.go
+++ b/internal/platformhost/rolloutbook.go
@@ -279,8 +279,8 @@
 		return platform.RolloutWrite{Rollout: b.claim(now, first)}, true
 	case b.takesOver(e) || b.claimIsOld(now, e):
 		return platform.RolloutWrite{Rollout: b.claim(now, e.row), KeepStatus: true}, true
-	case e.decided && e.claimed:
-		return b.moved(now, e)
+	case e.decided && e.claimed && !e.row.Regions[b.region].Moved:
+		return b.moved(now, e), true
 	case b.age(now, e.row) >= e.order.Duration:
 		return b.final(now, e, rollout.RolledBack, reasonLimit, e.row.Samples), true
 	}
@@ -321,11 +321,8 @@
 
 // moved writes that all traffic of the region has moved. The last region to move completes the
 // roll-out.
-func (b *rolloutBook) moved(now time.Duration, e *rolloutEntry) (platform.RolloutWrite, bool) {
+func (b *rolloutBook) moved(now time.Duration, e *rolloutEntry) platform.RolloutWrite {
 	region := e.row.Regions[b.region]
-	if region.Moved {
-		return platform.RolloutWrite{}, false
-	}
 	region.Moved = true
 	if !e.row.Good {
 		e.row.Good, e.row.Reason, e.row.Samples = true, e.verdict.Reason, e.verdict.Samples
@@ -333,10 +330,10 @@
 	e.row = b.withRegion(e.row, region)
 	for _, r := range e.row.Regions {
 		if !r.Moved {
-			return platform.RolloutWrite{Rollout: e.row, KeepStatus: true}, true
+			return platform.RolloutWrite{Rollout: e.row, KeepStatus: true}
 		}
 	}
-	return b.final(now, e, rollout.Completed, e.row.Reason, e.row.Samples), true
+	return b.final(now, e, rollout.Completed, e.row.Reason, e.row.Samples)
 }
 
 // final returns a write with a decision.
--- a/internal/platformhost/rolloutbook_test.go
+++ b/internal/platformhost/rolloutbook_test.go
@@ -350,17 +350,7 @@
 // TestCompletedOnlyOnceEveryRegionHasMoved guards against old endpoints that are stopped while the
 // hosts of another region, whose pool has the same endpoints, still use them.
 func TestCompletedOnlyOnceEveryRegionHasMoved(t *testing.T) {
-	w := newBookWorld(t)
-	a, b := w.host("a", "r1"), w.host("b", "r2")
-	a.schedule(true)
-	b.schedule(true)
-	a.settle()
-	b.read()
-	b.settle()
-	a.read()
-	w.Expect(a.settle() + b.settle()).To(BeZero())
-	a.decide(rollout.Completed)
-	w.Expect(a.settle()).To(Equal(1))
+	w, a, b := newTwoRegions(t)
 	w.Expect(w.states).To(Equal([]rollout.State{rollout.Running}))
 	w.Expect(a.book.following()).To(BeEmpty())
 	b.read()
@@ -372,6 +362,33 @@
 	w.Expect(w.row.Reason).To(Equal("judged"))
 }
 
+// newTwoRegions returns two schedulers of one target's pools, the first of which has completed.
+func newTwoRegions(t *testing.T) (w *bookWorld, a, b *bookHost) {
+	w = newBookWorld(t)
+	a, b = w.host("a", "r1"), w.host("b", "r2")
+	a.schedule(true)
+	b.schedule(true)
+	a.settle()
+	b.read()
+	b.settle()
+	a.read()
+	w.Expect(a.settle() + b.settle()).To(BeZero())
+	a.decide(rollout.Completed)
+	w.Expect(a.settle()).To(Equal(1))
+	return w, a, b
+}
+
+// TestRolledBackIfARegionDoesNotMove checks that an order ends at its limit if another region is
+// lost, while the pool of this one repeats its decision.
+func TestRolledBackIfARegionDoesNotMove(t *testing.T) {
+	w, a, _ := newTwoRegions(t)
+	w.now += time.Minute
+	a.read()
+	a.decide(rollout.Completed)
+	a.settle()
+	w.Expect(w.states).To(Equal([]rollout.State{rollout.Running, rollout.RolledBack}))
+}
+
 // TestDecisionsCeaseToHaveAnEffect checks that versions are ignored again some time after a
 // completed or withdrawn order, so that endpoints can be replaced without an order.
 func TestDecisionsCeaseToHaveAnEffect(t *testing.T) {
--- a/internal/platformhost/rollouts.go
+++ b/internal/platformhost/rollouts.go
@@ -25,6 +25,8 @@
 	// rolloutFirstRetry and rolloutMaxRetry bound the wait after a failed call, which doubles.
 	rolloutFirstRetry = 100 * time.Millisecond
 	rolloutMaxRetry   = 500 * time.Millisecond
+	// rolloutIdleRetry is the wait of a host that decides nothing. There are many of them.
+	rolloutIdleRetry = 2 * time.Second
 	// rolloutTick is the interval at which the pools that this host schedules are looked up
 	// while there are orders. A successor learns of an order's state after this and a read.
 	rolloutTick = 250 * time.Millisecond
@@ -129,6 +131,9 @@
 		}
 		sleep(ctx, wait)
 		wait = min(2*wait, rolloutMaxRetry)
+		if !look(&h.rollouts, (*rolloutBook).needsRows) {
+			wait = rolloutIdleRetry
+		}
 	}
 }
 
@@ -148,8 +153,11 @@
 		page, err = h.store.Feed(ctx, platform.TableRollouts, after, rolloutWait)
 	}
 	if err != nil {
-		h.rollouts.with(func(b *rolloutBook) { b.failed = true })
-		logs.With(h.log, logs.RolloutNotStored).WithError(err).Warn("the rows can't be read")
+		var before bool
+		h.rollouts.with(func(b *rolloutBook) { before, b.failed = b.failed, true })
+		if !before {
+			logs.With(h.log, logs.RolloutNotStored).WithError(err).Warn("the rows can't be read")
+		}
 		return 0, err
 	}
 	if !whole && clock.Boot()-asked >= rolloutWait {
