--- a/internal/logs/event.go
+++ b/internal/logs/event.go
@@ -39,6 +39,9 @@
 	LinesDropped          Event = "lines_dropped"
 	CallerLimited         Event = "caller_limited"
 	MemoryLimits          Event = "memory_limits"
+	RolloutOrderRejected  Event = "rollout_order_rejected"
+	RolloutStored         Event = "rollout_stored"
+	RolloutNotStored      Event = "rollout_not_stored"
 )
 
 // Events of the links between hosts.
@@ -121,6 +124,9 @@
 	{LinesDropped, "Log lines were dropped because their reader was too slow; lines says how many."},
 	{CallerLimited, "A caller was refused or closed to keep the host within its memory or descriptors; action says what was done, unlogged how many others were since the last such line (at most one a second), heads, bodies and answers what is held of budget, in bytes. See operators/memory.md."},
 	{MemoryLimits, "The bounds that follow from the settings and the process's limit of open files: budget is what may be held for callers, in bytes, connections how many of theirs are taken."},
+	{RolloutOrderRejected, "A row among the roll-out orders is no valid order; it has no effect."},
+	{RolloutStored, "The store has a new state of a target's roll-out, as this host or, with by=other, another host wrote it: target, version, order (the version of the order's row), state, reason, and the answers behind it of the new version (candidate, of which candidate_bad failed or were slow) and of the old one (baseline, baseline_bad)."},
+	{RolloutNotStored, "The state of a roll-out couldn't be read or written; it is tried again. A decision against the new version is in effect nevertheless."},
 	{Suspected, "A request (by kind), or a part of prompts that was not being answered yet, was in flight at an endpoint that crashed, crashes times so far, or was cleared by a run that was answered (0). A quarantined one is refused; a part only together with its co-suspects (co_suspects), the parts that were in flight at the same crashes. trial: it runs once more. fingerprint is that of answered, or one of its parts."},
 	{Retried, "A try of the request failed and it is tried again at another endpoint."},
 	{BucketsWritten, "Buckets of the burn report were written to the object store."},
--- a/internal/settings/fields.go
+++ b/internal/settings/fields.go
@@ -24,6 +24,7 @@
 	sectionQuota     = "quota"
 	sectionEndpoints = "endpoints"
 	sectionMemory    = "memory"
+	sectionRollout   = "rollout"
 )
 
 // Bounds of settings.
