Decide on roll-outs at the schedulers of pools

Cause: a target moves to a new version without any judgement of it. Change: package rollout compares the answers of both versions by route, domain and time, bounds the requests of the new one, and moves a good one in steps; package pool counts, limits endpoints and samples runs; log event rollout, gauges of share and state; the route's hash is sent where roll-outs are configured. The tests of rollout, pool, scheduling, trace, metrics and logs pass.

--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -245,6 +245,9 @@
 		c.effects.Directives = append(c.effects.Directives, custody.Directive{Kind: custody.Refuse, ID: a.ID, Err: refusal})
 		return
 	}
+	if !c.scheduling.RolloutsEnabled() {
+		a.Route = 0
+	}
 	if a.Key != "" {
 		c.keyed[a.ID] = a
 	}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"hash/fnv"
 	"slices"
 	"strconv"
 	"time"
@@ -137,6 +138,7 @@
 		ExpectedTokens: c.headers.ExpectedTokens, Deadline: c.deadline,
 		Fingerprint: c.outcome.Fingerprint, Parts: c.outcome.Parts, Repeats: true, Idempotent: c.route.Idempotent(), Avoid: avoid, Near: g.opts.Domain,
 	}
+	a.Route = routeHash(c.route.Name)
 	switch {
 	case c.outcome.Bytes > 0 && c.route.GapObjective > 0:
 		// The stream is being resumed: its next event is due.
@@ -161,6 +163,13 @@
 	return t
 }
 
+// routeHash returns the hash of a route's name, which is the same at all hosts and never 0.
+func routeHash(name string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(name))
+	return max(1, h.Sum64())
+}
+
 // rank returns the request's rank for the schedulers.
 func (c *call) rank() int {
 	return c.rules.Rank(c.team, c.route)
--- a/internal/logs/event.go
+++ b/internal/logs/event.go
@@ -37,6 +37,7 @@
 	PoolState             Event = "pool_state"
 	SchedulerSilent       Event = "scheduler_silent"
 	LinesDropped          Event = "lines_dropped"
+	Rollout               Event = "rollout"
 )
 
 // Events of the links between hosts.
@@ -116,6 +117,7 @@
 	{PoolScheduler, "The host that schedules a pool, as this host sees it, has changed."},
 	{SchedulerSilent, "A host left a submission unanswered; for a while its pools are taken to be another host's."},
 	{PoolState, "The state of a pool that is scheduled here: what waits, what holds the slots, and each endpoint's requests in flight of the most it may have."},
+	{Rollout, "A step of a roll-out at a pool scheduled here: share is the part of the requests that endpoints of the version may get from now on, judgement the phase (waiting, watching, moving, moved, completed or rolled_back), reason what the step rests on; candidate, candidate_bad, baseline and baseline_bad count the answers of both versions since the order or the last change of the scheduler."},
 	{LinesDropped, "Log lines were dropped because their reader was too slow; lines says how many."},
 	{Suspected, "A request (by kind), or a part of prompts that was not being answered yet, was in flight at an endpoint that crashed, crashes times so far, or was cleared by a run that was answered (0). A quarantined one is refused; a part only together with its co-suspects (co_suspects), the parts that were in flight at the same crashes. trial: it runs once more. fingerprint is that of answered, or one of its parts."},
 	{Retried, "A try of the request failed and it is tried again at another endpoint."},
--- a/internal/metrics/instruments.go
+++ b/internal/metrics/instruments.go
@@ -90,6 +90,8 @@
 	slots := b.gauge(nameSlots)
 	endpoints := b.gauge(nameEndpoints)
 	suspects := b.gauge(nameSuspects)
+	rollouts := b.gauge(nameRolloutState)
+	rolloutShare := b.floatGauge(nameRolloutShare)
 	left := b.floatGauge(nameRetriesLeft)
 	share := b.floatGauge(nameRateShare)
 	age := b.floatGauge(nameAge)
@@ -106,6 +108,10 @@
 		observeStates(o, slots, labelPool, s.Slots)
 		observeStates(o, endpoints, labelTarget, s.Endpoints)
 		observeStates(o, suspects, labelKind, s.Suspects)
+		observeStates(o, rollouts, labelTarget, s.Rollouts)
+		for target, part := range s.RolloutShare {
+			o.ObserveFloat64(rolloutShare, part, metric.WithAttributes(attribute.String(labelTarget, target)))
+		}
 		for target, tries := range s.RetriesLeft {
 			o.ObserveFloat64(left, tries, metric.WithAttributes(attribute.String(labelTarget, target)))
 		}
@@ -119,7 +125,7 @@
 			o.ObserveInt64(settings, 1, metric.WithAttributes(attribute.String(labelVersion, s.Settings)))
 		}
 		return nil
-	}, revision, members, waiting, inFlight, slots, endpoints, suspects, left, share, age, settings)
+	}, revision, members, waiting, inFlight, slots, endpoints, suspects, rollouts, rolloutShare, left, share, age, settings)
 	b.note(err)
 }
 
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -49,6 +49,10 @@
 	Slots, Endpoints map[NameState]int
 	// Suspects counts the suspected requests and prompt parts, by kind and state.
 	Suspects map[NameState]int
+	// Rollouts counts the orders to move to a version by target and state, and RolloutShare
+	// holds the permitted share of each.
+	Rollouts     map[NameState]int
+	RolloutShare map[string]float64
 	// Age is the time since what is known was the newest, by what it is.
 	Age map[string]time.Duration
 	// Settings is the version of the settings in force; empty: none is known.
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -40,8 +40,9 @@
 			Slots:     map[NameState]int{{Name: "llm@a", State: "decoding"}: 4},
 			Endpoints: map[NameState]int{{Name: "llm", State: "active"}: 6},
 			Suspects:  map[NameState]int{{Name: "part", State: "quarantined"}: 1},
-			Age:       map[string]time.Duration{"configuration": 500 * time.Millisecond},
-			Settings:  "5e771465",
+			Rollouts:  map[NameState]int{{Name: "m", State: "watching"}: 1}, RolloutShare: map[string]float64{"m": 0.1},
+			Age:      map[string]time.Duration{"configuration": 500 * time.Millisecond},
+			Settings: "5e771465",
 		}
 	})
 	if err != nil {
--- a/internal/metrics/table.go
+++ b/internal/metrics/table.go
@@ -34,6 +34,7 @@
 	unitClosings = "{closing}"
 	unitProcess  = "{process}"
 	unitSuspects = "{suspect}"
+	unitOrders   = "{order}"
 )
 
 // Names of the metrics.
@@ -64,6 +65,8 @@
 	nameDropped       = "trefoilchute.answers.dropped"
 	nameClosings      = "trefoilchute.endpoint.closings"
 	nameSuspects      = "trefoilchute.suspects"
+	nameRolloutShare  = "trefoilchute.rollout.share"
+	nameRolloutState  = "trefoilchute.rollout.state"
 )
 
 // Labels of the metrics.
@@ -120,6 +123,8 @@
 	{nameDropped, kindCounter, unitAnswers, []string{labelReason}, "Answers of endpoints that were not taken whole: head_too_long, invalid_head, event_too_long, another_request or rest_not_taken."},
 	{nameClosings, kindCounter, unitClosings, []string{labelReason}, "Endpoints that a pool scheduled here closed for a while: unreachable, lost, failing, or asked_to_wait (for one host)."},
 	{nameSuspects, kindGauge, unitSuspects, []string{labelKind, labelState}, "Requests (request) and prompt parts (part) that this host knows to be suspected of crashing endpoints: suspect or quarantined."},
+	{nameRolloutShare, kindGauge, unitShare, []string{labelTarget}, "Part of a target's requests that endpoints of a new version may get, for the orders of the pools that this host schedules."},
+	{nameRolloutState, kindGauge, unitOrders, []string{labelTarget, labelState}, "1 for the state of each order to move a target to a version, for the pools that this host schedules: waiting, watching, moving, moved, completed or rolled_back."},
 }
 
 // lookup returns the description of a metric that must be in Table.
--- a/internal/platformhost/record.go
+++ b/internal/platformhost/record.go
@@ -38,6 +38,8 @@
 			switch e := e.(type) {
 			case pool.Refuse:
 				h.logRefusal(step.Config.Pool, &e)
+			case pool.RolloutStep:
+				h.logRolloutStep(step.Config.Pool, &e)
 			case pool.Publish:
 				h.logSuspects(step.Config.Pool, e.List)
 			}
@@ -180,7 +182,7 @@
 func (h *Host) status() metrics.Status {
 	s := metrics.Status{
 		Members: map[string]int{}, Waiting: map[ident.Tier]int{}, Slots: map[metrics.NameState]int{},
-		Suspects: map[metrics.NameState]int{},
+		Suspects: map[metrics.NameState]int{}, Rollouts: map[metrics.NameState]int{}, RolloutShare: map[string]float64{},
 		Settings: h.settings.Load().Version(), Endpoints: map[metrics.NameState]int{}, Age: map[string]time.Duration{}, RetriesLeft: h.gateway.RetriesLeft(),
 	}
 	if rules := h.gateway.Ruleset(); rules != nil {
@@ -206,6 +208,7 @@
 		s.RateShare = c.RateShares()
 		for _, p := range c.Pools() {
 			countPool(&s, p)
+			countRollout(&s, p)
 		}
 		for _, x := range c.Suspects() {
 			s.Suspects[metrics.NameState{Name: suspectKind(x.GetPart()), State: suspectState(x.GetQuarantined())}]++
--- a/internal/pool/apply.go
+++ b/internal/pool/apply.go
@@ -152,6 +152,7 @@
 	if !a.endpoint.supersedes(e.Lifetime) {
 		s.startBackoff(a.endpoint, a.request.Host, e.Backoff)
 	}
+	s.uncountRollout(a, true)
 	s.settle(a)
 	r := s.requests[e.ID]
 	if r == nil || r.attempt != a {
@@ -171,6 +172,7 @@
 		return
 	}
 	s.observeFinished(a, e)
+	s.observeRun(a, &e)
 	if !a.endpoint.supersedes(e.Lifetime) {
 		s.startBackoff(a.endpoint, a.request.Host, e.Backoff)
 	}
--- a/internal/pool/endpoint.go
+++ b/internal/pool/endpoint.go
@@ -47,6 +47,8 @@
 	// cacheTrust is the fraction of the expected cached tokens that the engine finds.
 	cacheTrust float64
 	load       window.ForeignLoad
+	// limit is set by an order to move to a version.
+	limit placementLimit
 }
 
 // slots returns the number of requests that the endpoint may have in flight now.
@@ -57,7 +59,7 @@
 // free returns the number of requests that the endpoint may be granted now, including
 // those that would queue there until one in flight ends.
 func (e *endpoint) free() int {
-	return e.slots() + e.Ahead - e.inFlight
+	return e.limit.room(e.slots()+e.Ahead-e.inFlight, e.inFlight)
 }
 
 // freeSlots returns the number of free slots.
@@ -74,7 +76,7 @@
 
 // available reports whether the endpoint may get grants at all.
 func (e *endpoint) available(now time.Duration) bool {
-	return e.declared && e.State != resource.EndpointDrain && now >= e.closedUntil
+	return e.declared && e.State != resource.EndpointDrain && now >= e.closedUntil && !e.withheld()
 }
 
 // update applies the endpoint's declaration. Learned speeds are kept unless the
--- a/internal/pool/ledger.go
+++ b/internal/pool/ledger.go
@@ -85,6 +85,7 @@
 	s.blocks.Store(e.number, r.Prefix, r.PrefixTokens)
 	s.attempts.add(a)
 	s.occupySlot(a)
+	s.countRollout(a)
 	s.meter.RecordGrant(r.cost)
 	if r.FirstDue > 0 {
 		s.shares.RecordGrant(s.now, r.Rank, r.cost)
@@ -114,6 +115,7 @@
 // even later.
 func (s *Scheduler) expireGrant(a *attempt) {
 	s.releaseSlot(a)
+	s.uncountRollout(a, false)
 	s.timers.set(&a.timer, s.now+rules.VoidAttemptRetention, func() { s.attempts.remove(a) })
 	if r := s.requests[a.request.ID]; r != nil && r.attempt == a {
 		if r.Deadline <= s.now {
--- a/internal/pool/place.go
+++ b/internal/pool/place.go
@@ -35,8 +35,8 @@
 
 // The filters, scorers and reservers, in the order in which they run.
 var (
-	filters   = []filter{backoffFilter{}, prefillFilter{}, objectiveFilter{}, deadlineFilter{}}
-	scorers   = []scorer{finishScore{}, interferenceScore{}, prefixScore{}, failureScore{}, domainScore{}}
+	filters   = []filter{backoffFilter{}, prefillFilter{}, objectiveFilter{}, deadlineFilter{}, rolloutFilter{}}
+	scorers   = []scorer{finishScore{}, interferenceScore{}, prefixScore{}, failureScore{}, domainScore{}, rolloutScore{}}
 	reservers = []reserver{suspectReserve{}, longRequestReserve{}, longPrefillReserve{}}
 )
 
@@ -50,6 +50,7 @@
 	reasonReserved       = "the last slots are kept from long work"
 	reasonLastEndpoint   = "it was lost with an endpoint, and only one takes work"
 	reasonBackoff        = "it asked the request's host to wait"
+	reasonTriedBefore    = "it was tried before, and the endpoint's version is not judged yet"
 	reasonCacheHold      = "it waits for the endpoint that has its prefix cached"
 )
 
--- a/internal/pool/rules/rules.go
+++ b/internal/pool/rules/rules.go
@@ -56,6 +56,14 @@
 	SweepInterval = 250 * time.Millisecond
 )
 
+// Roll-outs.
+const (
+	// RolloutFailures is the number of consecutive failures from which on a closed endpoint
+	// of the old version no longer keeps requests from the new one. By then it has been
+	// closed for seconds.
+	RolloutFailures = 3
+)
+
 // Filters, scores and reserves.
 const (
 	// SlotsPerReservedSlot is the number of slots of an endpoint for each slot
--- a/internal/pool/scheduler.go
+++ b/internal/pool/scheduler.go
@@ -47,8 +47,10 @@
 	// parts holds the suspects among prompt parts, by their fingerprint.
 	parts     *suspectTable
 	isolation isolation
-	bodies    *bodyTable
-	remotes   remoteTable
+	// rollout is the order to move to a version that is in force; nil if there is none.
+	rollout *rolloutState
+	bodies  *bodyTable
+	remotes remoteTable
 	// runningByRank counts the attempts that occupy a slot.
 	runningByRank map[int]int
 	sweepTimer    timer
@@ -117,6 +119,7 @@
 		s.apply(e)
 	}
 	s.runTimers()
+	s.runRollout()
 	s.isolate()
 	s.countSlots()
 	s.grant()
--- a/internal/pool/status.go
+++ b/internal/pool/status.go
@@ -25,6 +25,8 @@
 	Holders Holders
 	// Remotes are the domains with which requests can be exchanged, by name.
 	Remotes []Remote
+	// Rollout is the order in force to move to a version; nil if there is none.
+	Rollout *RolloutStatus
 }
 
 // Holders counts the attempts that occupy a slot by their state.
@@ -91,6 +93,7 @@
 		Epoch:    s.config.Epoch,
 		Isolated: len(s.isolation.waiting),
 	}
+	out.Rollout = s.rolloutStatus()
 	for _, t := range s.queue.tiers {
 		out.Queue = append(out.Queue, s.queueStatus(t))
 	}
@@ -158,6 +161,8 @@
 		return "draining"
 	case s.now < e.closedUntil:
 		return "closed for a while after it was lost or took no connection"
+	case e.withheld():
+		return "kept from requests by a roll-out"
 	case e.isolating:
 		return "kept for a request that is suspected of crashing endpoints"
 	case e.free() <= 0 && e.window.Size() < e.Slots:
--- a/internal/pool/table.go
+++ b/internal/pool/table.go
@@ -115,7 +115,8 @@
 	heldParts  []*suspect
 	proofTimer timer
 	// blamed means that a crash of the endpoint has been counted against the request.
-	blamed bool
+	blamed  bool
+	rollout rolloutCount
 	// holdsSlot means that the attempt counts in its endpoint's in-flight number.
 	holdsSlot bool
 	// holdsBody means that the attempt counts as in flight with its body.
--- a/internal/system/custody/custody.go
+++ b/internal/system/custody/custody.go
@@ -90,7 +90,8 @@
 	Idempotent bool
 	// Cost is what the request is charged against its team's rate; 0 for nothing.
 	Cost float64
-	// Route is the hash of the route's name; 0 if it is not told.
+	// Route is the hash of the route's name; 0 if it is not known. It is sent to the scheduler
+	// only where roll-outs are configured.
 	Route uint64
 	// FirstAttempt says that the caller declares that it has not sent the key before.
 	FirstAttempt bool
--- a/internal/system/scheduling/rollout.go
+++ b/internal/system/scheduling/rollout.go
@@ -61,6 +61,9 @@
 	}
 }
 
+// RolloutsEnabled reports whether roll-outs are configured.
+func (s *System) RolloutsEnabled() bool { return s.rollouts.bounds.Enabled() }
+
 // unchanged reports whether two statuses differ only in the time that has passed.
 func unchanged(a, b rollout.Status) bool {
 	a.Elapsed, b.Elapsed = 0, 0
@@ -95,6 +98,14 @@
 	return []pool.Event{s.rolloutEvent(now, p)}
 }
 
+// rolloutDecided passes a decision on. A pool that moved no longer sees what its endpoints run,
+// so its scheduler can't tell that the old ones are idle.
+func (s *System) rolloutDecided(in *instance, e pool.RolloutDecided) {
+	if in.movedAt == 0 {
+		s.rollouts.verdicts = append(s.rollouts.verdicts, e.Verdict)
+	}
+}
+
 // TakeVerdicts returns the decisions on roll-outs since the last call.
 func (s *System) TakeVerdicts() []rollout.Verdict {
 	list := s.rollouts.verdicts
--- a/internal/system/scheduling/step.go
+++ b/internal/system/scheduling/step.go
@@ -74,7 +74,7 @@
 			ToDomain: string(e.Domain),
 		}}))
 	case pool.RolloutDecided:
-		s.rollouts.verdicts = append(s.rollouts.verdicts, e.Verdict)
+		s.rolloutDecided(in, e)
 	case pool.Publish:
 		s.publishSuspects(now, e, out)
 	}
