--- a/internal/logs/event.go
+++ b/internal/logs/event.go
@@ -42,6 +42,7 @@
 	RolloutOrderRejected  Event = "rollout_order_rejected"
 	RolloutStored         Event = "rollout_stored"
 	RolloutNotStored      Event = "rollout_not_stored"
+	Rollout               Event = "rollout"
 )
 
 // Events of the links between hosts.
@@ -121,6 +122,7 @@
 	{PoolScheduler, "The host that schedules a pool, as this host sees it, has changed."},
 	{SchedulerSilent, "A host left a submission unanswered; for a while its pools are taken to be another host's."},
 	{PoolState, "The state of a pool that is scheduled here: what waits, what holds the slots, and each endpoint's requests in flight of the most it may have. slow names the endpoints whose answers said within the last second that work takes more than one and a half times as long as usual."},
+	{Rollout, "A step of a roll-out at a pool scheduled here: share is the part of the requests that endpoints of the version may get from now on, judgement the phase (waiting, watching, moving, moved, completed or rolled_back), reason what the step rests on; candidate, candidate_bad, baseline and baseline_bad count the answers of both versions since the order or the last change of the scheduler."},
 	{LinesDropped, "Log lines were dropped because their reader was too slow; lines says how many."},
 	{CallerLimited, "A caller was refused or closed to keep the host within its memory or descriptors; action says what was done, unlogged how many others were since the last such line (at most one a second), heads, bodies and answers what is held of budget, in bytes. See operators/memory.md."},
 	{MemoryLimits, "The bounds that follow from the settings and the process's limit of open files: budget is what may be held for callers, in bytes, connections how many of theirs are taken."},
--- a/internal/metrics/instruments.go
+++ b/internal/metrics/instruments.go
@@ -92,6 +92,8 @@
 	endpoints := b.gauge(nameEndpoints)
 	suspects := b.gauge(nameSuspects)
 	load := b.gauge(nameLoad)
+	rollouts := b.gauge(nameRolloutState)
+	rolloutShare := b.floatGauge(nameRolloutShare)
 	left := b.floatGauge(nameRetriesLeft)
 	share := b.floatGauge(nameRateShare)
 	age := b.floatGauge(nameAge)
@@ -113,6 +115,10 @@
 		observeStates(o, endpoints, labelTarget, s.Endpoints)
 		observeStates(o, suspects, labelKind, s.Suspects)
 		observeStates(o, load, labelPool, s.Load)
+		observeStates(o, rollouts, labelTarget, s.Rollouts)
+		for target, part := range s.RolloutShare {
+			o.ObserveFloat64(rolloutShare, part, metric.WithAttributes(attribute.String(labelTarget, target)))
+		}
 		for target, tries := range s.RetriesLeft {
 			o.ObserveFloat64(left, tries, metric.WithAttributes(attribute.String(labelTarget, target)))
 		}
@@ -126,7 +132,8 @@
 			o.ObserveInt64(settings, 1, metric.WithAttributes(attribute.String(labelVersion, s.Settings)))
 		}
 		return nil
-	}, revision, members, waiting, inFlight, slots, endpoints, suspects, load, left, share, age, settings, held, budget, connections)
+	}, revision, members, waiting, inFlight, slots, endpoints, suspects, rollouts, rolloutShare, load, left, share, age, settings,
+		held, budget, connections)
 	b.note(err)
 }
 
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -52,6 +52,10 @@
 	// Load counts the endpoints of the pools that this host schedules, by the pool's name and
 	// their load.
 	Load map[NameState]int
+	// Rollouts counts the orders to move to a version by target and state, and RolloutShare
+	// holds the permitted share of each.
+	Rollouts     map[NameState]int
+	RolloutShare map[string]float64
 	// Age is the time since what is known was the newest, by what it is.
 	Age map[string]time.Duration
 	// Held is the number of bytes held for callers by kind, Budget the most that may be, and
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -43,6 +43,7 @@
 			Load:      map[NameState]int{{Name: "llm@a", State: "slow"}: 1},
 			Age:       map[string]time.Duration{"configuration": 500 * time.Millisecond},
 			Settings:  "5e771465", Held: map[string]int64{"bodies": 72000}, Budget: 1 << 20, Connections: 3,
+			Rollouts: map[NameState]int{{Name: "m", State: "watching"}: 1}, RolloutShare: map[string]float64{"m": 0.1},
 		}
 	})
 	if err != nil {
--- a/internal/metrics/table.go
+++ b/internal/metrics/table.go
@@ -37,6 +37,7 @@
 	unitCallers  = "{caller}"
 	unitBytes    = "By"
 	unitConns    = "{connection}"
+	unitOrders   = "{order}"
 )
 
 // Names of the metrics.
@@ -72,6 +73,8 @@
 	nameHeld          = "trefoilchute.callers.held"
 	nameBudget        = "trefoilchute.callers.budget"
 	nameConnections   = "trefoilchute.callers.connections"
+	nameRolloutShare  = "trefoilchute.rollout.share"
+	nameRolloutState  = "trefoilchute.rollout.state"
 )
 
 // Labels of the metrics.
@@ -134,6 +137,8 @@
 	{nameHeld, kindGauge, unitBytes, []string{labelKind}, "Bytes held for callers: heads, bodies or answers."},
 	{nameBudget, kindGauge, unitBytes, nil, "Most bytes that may be held for callers."},
 	{nameConnections, kindGauge, unitConns, nil, "Connections of callers."},
+	{nameRolloutShare, kindGauge, unitShare, []string{labelTarget}, "Part of a target's requests that endpoints of a new version may get, for the orders of the pools that this host schedules."},
+	{nameRolloutState, kindGauge, unitOrders, []string{labelTarget, labelState}, "1 for the state of each order to move a target to a version, for the pools that this host schedules: waiting, watching, moving, moved, completed or rolled_back."},
 }
 
 // lookup returns the description of a metric that must be in Table.
