Begin the steady clock of the store's stand-in an hour before its start

Cause: in its first millisecond the clock stood at 0, which TestRolloutRowsAreWrittenTogetherAndConditionally takes for an answer without a time; it failed on a fast run. Change: the clock counts from an hour before the start.

--- a/internal/standin/store/rows.go
+++ b/internal/standin/store/rows.go
@@ -54,7 +54,7 @@
 }
 
 func newRows() *rows {
-	return &rows{now: map[rowID]row{}, changed: make(chan struct{}), started: time.Now()}
+	return &rows{now: map[rowID]row{}, changed: make(chan struct{}), started: time.Now().Add(-time.Hour)}
 }
 
 // conflicts returns the rows whose condition doesn't hold.
