Complete a roll-out only under a claim that has stood, and let only schedulers decide

Change: decisions of pools that this host does not schedule are dropped. A scheduler renews a claim that another took after 2 s, and completes once its own has stood for 4 s, so that two hosts that both schedule never complete while the other may use the old endpoints.

--- a/internal/platformhost/rolloutbook.go
+++ b/internal/platformhost/rolloutbook.go
@@ -18,9 +18,12 @@
 	// open for rolloutWait and may be followed by a slow one.
 	rolloutConfirmed = 2 * time.Second
 	// claimInterval is how long a scheduler leaves another's claim of the same pool alone. Two
-	// hosts that are cut off from each other both schedule; neither must stop the other from
-	// writing.
-	claimInterval = 10 * time.Second
+	// hosts that are cut off from each other both schedule, and change the claim in turn.
+	claimInterval = 2 * time.Second
+	// claimSettle is how long a claim must have stood before its host completes a roll-out.
+	// Another host that also schedules the pool, and may use the old endpoints, would have
+	// claimed it by then: after a poll, claimInterval and a slow write.
+	claimSettle = 4 * time.Second
 	// completedHold is how long after a roll-out was completed the old endpoints get nothing.
 	// They are stopped at once, but their rows may be kept for the length of a store outage.
 	// Later on, endpoints may be replaced by those of other versions without an order.
@@ -172,8 +175,13 @@
 	return max(0, b.storeTime(now)-row.FirstSeen) + rolloutSpread
 }
 
-// decide takes a decision of a pool. One against the new version is not taken back.
+// decide takes a decision of a pool that this host schedules. One against the new version is not
+// taken back. A scheduler that goes on for a while after another host has taken its pool over has
+// no say.
 func (b *rolloutBook) decide(v rollout.Verdict) {
+	if _, scheduled := b.scheduledSince[v.Order.Target]; !scheduled {
+		return
+	}
 	known, ok := b.verdicts[v.Order.Target]
 	if ok && known.Order.ID == v.Order.ID && known.State == rollout.RolledBack {
 		return
@@ -268,7 +276,7 @@
 	switch {
 	case !e.open:
 	case bad && e.stored() && e.row.Version > 0:
-		// Any host may write this, because it is always safe.
+		// This may be written late, by a host that no longer schedules the pool.
 		return b.final(now, e, rollout.RolledBack, e.verdict.Reason, e.verdict.Samples), true
 	case !e.current:
 		// The scheduler writes; it may have decided otherwise by now.
@@ -279,7 +287,7 @@
 		return platform.RolloutWrite{Rollout: b.claim(now, first)}, true
 	case b.takesOver(e) || b.claimIsOld(now, e):
 		return platform.RolloutWrite{Rollout: b.claim(now, e.row), KeepStatus: true}, true
-	case e.decided && e.claimed && !e.row.Regions[b.region].Moved:
+	case e.decided && b.settled(now, e) && !e.row.Regions[b.region].Moved:
 		return b.moved(now, e), true
 	case b.age(now, e.row) >= e.order.Duration:
 		return b.final(now, e, rollout.RolledBack, reasonLimit, e.row.Samples), true
@@ -299,6 +307,11 @@
 	return !e.claimed && b.storeTime(now)-b.claimedAt(e) >= claimInterval
 }
 
+// settled reports whether this process has held the claim for a while.
+func (b *rolloutBook) settled(now time.Duration, e *rolloutEntry) bool {
+	return e.claimed && b.storeTime(now)-b.claimedAt(e) >= claimSettle
+}
+
 // claimedAt returns the time of the last claim of the pool, on the store's clock.
 func (b *rolloutBook) claimedAt(e *rolloutEntry) time.Duration {
 	return time.Duration(e.row.Regions[b.region].ClaimedMs) * time.Millisecond
