Drop empty lines before a connection's first request, and refuse a head once

Cause: net/http reads again after some errors of a connection, so that a refused head could be answered twice (431 and 400); it takes no empty line before a request, which servers should. Change: a refusal is final; up to empty_lines empty lines are dropped where nothing can have been read ahead. On a kept connection counting goes on if the server reads on after an end.

--- a/internal/gateway/bench_test.go
+++ b/internal/gateway/bench_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"net"
-	"net/http"
 	"strings"
 	"testing"
 )
@@ -59,10 +58,8 @@
 	b.ReportAllocs()
 	for b.Loop() {
 		_, _ = io.WriteString(conn, request)
-		resp, err := http.ReadResponse(r, nil)
-		if err != nil {
-			b.Fatal(err)
+		if got := readResponse(r); got.err != nil {
+			b.Fatal(got.err)
 		}
-		_, _ = io.Copy(io.Discard, resp.Body)
 	}
 }
--- a/internal/gateway/callerconn.go
+++ b/internal/gateway/callerconn.go
@@ -50,7 +50,9 @@
 	out     *aheadWriter
 	// inHead is set while a request's head is expected or read.
 	inHead atomic.Bool
-	head   headScan
+	// refused is set when a head was refused. net/http may read again after an error.
+	refused atomic.Bool
+	head    headScan
 	// charged is what the budget has granted for the head, and headEnd when it must be complete;
 	// zero until the head turns out to be incomplete.
 	charged int64
@@ -107,10 +109,18 @@
 
 // Read reads from the caller. While a head is read, it enforces its bounds.
 func (c *callerConn) Read(p []byte) (int, error) {
+	if c.refused.Load() {
+		return 0, errHeadRefused
+	}
 	n, err := c.Conn.Read(p)
 	c.passed.Add(int64(n))
 	if n > 0 && c.inHead.Load() {
+		if skipped := c.head.skipEmptyLines(p[:n]); skipped > 0 {
+			// net/http takes no empty lines before a request, which servers should.
+			n = copy(p, p[skipped:n])
+		}
 		if action, status := c.readHead(p[:n]); action != "" {
+			c.refused.Store(true)
 			c.refuseHead(action, status)
 			return 0, errHeadRefused
 		}
@@ -120,7 +130,7 @@
 
 // readHead checks bytes of a head. It returns what the connection is closed for, and the status.
 func (c *callerConn) readHead(p []byte) (MemoryAction, int) {
-	if c.head.bytes == 0 {
+	if c.head.bytes == 0 && len(p) > 0 {
 		c.out.beginRequest()
 	}
 	c.head.scan(p)
@@ -128,7 +138,7 @@
 	switch {
 	case c.head.bytes > limits.bytes:
 		return ActionHeadTooLong, http.StatusRequestHeaderFieldsTooLarge
-	case c.head.lines > limits.lines:
+	case c.head.lines > limits.lines, c.head.empty > limits.emptyLines:
 		return ActionHeadTooManyLines, http.StatusRequestHeaderFieldsTooLarge
 	}
 	cost := int64(headByteCost*c.head.bytes + headLineCost*c.head.lines)
@@ -167,7 +177,8 @@
 
 // awaitRequest is called when a request was answered and another may follow.
 func (c *callerConn) awaitRequest() {
-	c.head, c.headEnd = headScan{}, time.Time{}
+	// The server may have read the beginning of the next request already.
+	c.head, c.headEnd = headScan{kept: true, begun: true}, time.Time{}
 	if c.charged > 0 {
 		c.gateway.ledger.free(c, memory.Heads, c.charged)
 		c.charged = 0
@@ -280,10 +291,12 @@
 	return err
 }
 
-// headScan counts the bytes and lines of a head, and finds its end. Empty lines before the request
-// count too.
+// headScan counts the bytes and lines of a head, and the empty lines before it, and finds its end.
 type headScan struct {
-	bytes, lines int
+	bytes, lines, empty int
+	// kept is set on a connection that was used before, where the beginning of the head may have
+	// been read together with the previous request.
+	kept bool
 	// begun is set when a line that is not empty was seen, ended when the empty line after the
 	// head was.
 	begun, ended bool
@@ -292,8 +305,27 @@
 	lastCR bool
 }
 
-// scan reads bytes of the connection. What follows the head is not counted.
+// skipEmptyLines returns the length of the empty lines that bytes of the connection begin with,
+// before the first request.
+func (s *headScan) skipEmptyLines(p []byte) int {
+	if s.kept || s.bytes > 0 {
+		return 0
+	}
+	for i, b := range p {
+		switch {
+		case b == '\n':
+			s.empty++
+		case b != '\r':
+			return i
+		}
+	}
+	return len(p)
+}
+
+// scan reads bytes of the connection. What follows the head is not counted, unless the server reads
+// on, which means that the end was none.
 func (s *headScan) scan(p []byte) {
+	s.ended = false
 	for len(p) > 0 && !s.ended {
 		end := bytes.IndexByte(p, '\n')
 		if end < 0 {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -77,9 +77,10 @@
 	DiscardWait time.Duration
 	// MaxBackoff bounds the backoff that an endpoint may request from this host.
 	MaxBackoff time.Duration
-	// Memory bounds what is held for callers, and HeaderLines the lines of a request's head.
-	Memory      memory.Limits
-	HeaderLines int
+	// Memory bounds what is held for callers, HeaderLines the lines of a request's head, and
+	// EmptyLines those before it.
+	Memory                  memory.Limits
+	HeaderLines, EmptyLines int
 }
 
 // DropReason is the reason why an endpoint's response was not read completely.
@@ -154,13 +155,14 @@
 
 // headLimits bounds the head of a request.
 type headLimits struct {
-	bytes, lines int
-	timeout      time.Duration
+	bytes, lines, emptyLines int
+	timeout                  time.Duration
 }
 
 // headLimits returns the bounds of the configuration and the settings in force.
 func (g *Gateway) headLimits() headLimits {
-	l := headLimits{bytes: maxHeaderBytes, lines: g.tuning.Load().HeaderLines, timeout: headTimeout}
+	tuning := g.tuning.Load()
+	l := headLimits{bytes: maxHeaderBytes, lines: tuning.HeaderLines, emptyLines: tuning.EmptyLines, timeout: headTimeout}
 	if rules := g.rules.Load(); rules != nil {
 		if n := rules.Limits.MaxHeaderBytes; n > 0 {
 			l.bytes = n
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -106,7 +106,7 @@
 		Tuning: Tuning{
 			KeyLife: 5 * time.Second, RetryRatio: 0.2, RetryExtra: 20, RetryWindow: 10 * time.Second,
 			HeadLimit: 64 << 10, EventLimit: 1 << 20, DiscardWait: 100 * time.Millisecond,
-			MaxBackoff: time.Minute, HeaderLines: 1000,
+			MaxBackoff: time.Minute, HeaderLines: 1000, EmptyLines: 16,
 			Memory: memory.Limits{Bytes: 80 << 20, Connections: 1000, MinRate: 4 << 10},
 		},
 		OnOutcome: func(o *Outcome) { h.outcomes <- *o }, OnGap: func(ruleset.Kind, time.Duration) {},
@@ -211,6 +211,11 @@
 func (h *harness) askOn(conn net.Conn, r *bufio.Reader, request string) response {
 	_, err := io.WriteString(conn, request)
 	h.Expect(err).NotTo(HaveOccurred())
+	return readResponse(r)
+}
+
+// readResponse reads a response.
+func readResponse(r *bufio.Reader) response {
 	resp, err := http.ReadResponse(r, nil)
 	if err != nil {
 		return response{err: err}
--- a/internal/gateway/limited_test.go
+++ b/internal/gateway/limited_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"net"
-	"net/http"
 	"strings"
 	"syscall"
 	"testing"
@@ -40,17 +39,18 @@
 		{"body of empty lines", post("/safe/x", "a1", newlines), 200, ""},
 		{"too many lines", head("GET", "/safe/x", "a1") + strings.Repeat("a:\r\n", 1100) + "\r\n", 431, ActionHeadTooManyLines},
 		{"too many bytes", head("GET", "/safe/x", "a1") + "X: " + strings.Repeat("x", maxHeaderBytes+headSlack), 431, ActionHeadTooLong},
-		{"empty lines", strings.Repeat("\r\n", 5000), 0, ""},
+		{"some empty lines", "\r\n\n\r\n" + get("/safe/x", "a1"), 200, ""},
+		{"too many empty lines", strings.Repeat("\r\n", 5000), 431, ActionHeadTooManyLines},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			h := start(t, answerOK)
 			conn := h.dial()
 			_, _ = io.WriteString(conn, c.request)
-			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
-			if c.status != 0 {
-				h.Expect(err).NotTo(HaveOccurred())
-				h.Expect(resp.StatusCode).To(Equal(c.status))
+			r := bufio.NewReader(conn)
+			h.Expect(readResponse(r).status).To(Equal(c.status))
+			if c.status != 200 {
+				h.Expect(readResponse(r).status).To(BeZero(), "one answer")
 			}
 			if c.action != "" {
 				h.Expect(<-h.limited).To(Equal(c.action))
@@ -76,10 +76,7 @@
 		}
 	}()
 	for range count {
-		resp, err := http.ReadResponse(r, nil)
-		h.Expect(err).NotTo(HaveOccurred())
-		h.Expect(resp.StatusCode).To(Equal(200))
-		_, _ = io.Copy(io.Discard, resp.Body)
+		h.Expect(readResponse(r).status).To(Equal(200))
 		<-h.endpoints[0].seen
 		<-h.outcomes
 	}
@@ -128,9 +125,9 @@
 				h.Expect(h.endpoints[0].seen).To(BeEmpty())
 				return
 			}
-			if resp, err := http.ReadResponse(bufio.NewReader(conn), nil); err == nil {
-				h.Expect(resp.StatusCode).To(Equal(503))
-				h.Expect(resp.Header.Get(headerCode)).To(Equal(codeText(result.NoMemory)))
+			if first := readResponse(bufio.NewReader(conn)); first.err == nil {
+				h.Expect(first.status).To(Equal(503))
+				h.Expect(first.header.Get(headerCode)).To(Equal(codeText(result.NoMemory)))
 			}
 			h.Expect((<-h.endpoints[0].seen).attempt()).To(Equal("second"))
 			h.Expect(h.endpoints[0].seen).To(BeEmpty())
@@ -197,17 +194,13 @@
 		_, err := io.WriteString(conn, get("/safe/x", "a1"))
 		h.Expect(err).NotTo(HaveOccurred())
 		h.Eventually(read, 2*waitTimeout).Should(Receive(), "the answer is read to its end")
-		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
-		var body []byte
-		if err == nil {
-			body, err = io.ReadAll(resp.Body)
-		}
+		got := readResponse(bufio.NewReader(conn))
 		if budget < int64(parts*len(part)) {
-			h.Expect(err).To(MatchError(syscall.ECONNRESET))
+			h.Expect(got.err).To(MatchError(syscall.ECONNRESET))
 			continue
 		}
-		h.Expect(err).NotTo(HaveOccurred())
-		h.Expect(string(body) == strings.Repeat(part, parts)).To(BeTrue())
+		h.Expect(got.err).NotTo(HaveOccurred())
+		h.Expect(got.body == strings.Repeat(part, parts)).To(BeTrue())
 		h.Eventually(func() int64 { return h.gateway.MemoryUsage().Held[memory.Answers] }, waitTimeout).Should(BeZero())
 	}
 }
--- a/internal/platformhost/reload.go
+++ b/internal/platformhost/reload.go
@@ -68,6 +68,6 @@
 		Version: s.Version(), KeyLife: s.KeyLife,
 		RetryRatio: s.RetryRatio, RetryExtra: s.RetryExtra, RetryWindow: s.RetryWindow,
 		HeadLimit: s.HeadLimit, EventLimit: s.EventLimit, DiscardWait: s.DiscardWait,
-		MaxBackoff: s.MaxBackoff, Memory: callerLimits(s), HeaderLines: s.HeaderLines,
+		MaxBackoff: s.MaxBackoff, Memory: callerLimits(s), HeaderLines: s.HeaderLines, EmptyLines: s.EmptyLines,
 	}
 }
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -56,8 +56,8 @@
 	// CallerBudget bounds what is held for callers, in bytes, and CallerConnections the number
 	// of their connections; 0: derived from Memory and the limit of open files.
 	CallerBudget, CallerConnections int
-	// HeaderLines bounds the lines of a request's head.
-	HeaderLines int
+	// HeaderLines bounds the lines of a request's head, and EmptyLines those before it.
+	HeaderLines, EmptyLines int
 	// MinRate is the progress of a caller, in bytes per second, below which it gives way first.
 	MinRate  int
 	LogLevel string
@@ -150,8 +150,10 @@
 			0, maxBudget, func(g *Gateway) *int { return &g.CallerBudget }).Optional("0B"),
 		inifile.Int("connections", "connections", "Most connections of callers; 0 derives them from memory_mb and the limit of open files.",
 			0, maxCallers, func(g *Gateway) *int { return &g.CallerConnections }).Optional("0"),
-		inifile.Int("header_lines", "lines", "Most lines in the head of a request, with the empty lines before it; one that goes on loses its connection.",
+		inifile.Int("header_lines", "lines", "Most lines in the head of a request; one that goes on loses its connection.",
 			minLines, maxLines, func(g *Gateway) *int { return &g.HeaderLines }).Optional("1000"),
+		inifile.Int("empty_lines", "lines", "Most empty lines before the first request of a connection; a caller who sends more loses it.",
+			1, maxLines, func(g *Gateway) *int { return &g.EmptyLines }).Optional("16"),
 		inifile.Size("min_rate", "Progress in a second below which a caller gives way first when the budget is used up.",
 			0, maxRate, func(g *Gateway) *int { return &g.MinRate }).Optional("4KiB"),
 	}},
