Send usage reports to the hosts that schedule, and mostly what has changed

Cause: each host with demand sent all its teams' demand to all hosts, twice a second and ten times a second after a start: 95 to 99 % of all bytes. A team's debt and first share were divided by the number of hosts, so in a large fleet teams far below their rate were refused, and after a start of all hosts every host without reports gave itself the whole rate or, with them, a small part. Change: reports go to the hosts that schedule pools and those that have reported. All teams are reported every 1.5 s, in between those whose demand has changed; a host that does not say that it takes partial reports gets complete ones. Rates are divided again with each report that arrives. After a start, schedulers not heard from count as asked for as much as the host itself. Debt and share without demand are divided by the number of schedulers. The choice of a pool's scheduler is kept for the step. In the tests of quota the reports are delivered as control does; what they check is unchanged.

--- a/internal/control/route.go
+++ b/internal/control/route.go
@@ -42,7 +42,7 @@
 	case *peerpb.Envelope_StoreAsk, *peerpb.Envelope_StoreTell:
 		c.effects.StoreMessages = append(c.effects.StoreMessages, m)
 	case *peerpb.Envelope_Usage:
-		c.quotas.ReceiveReport(c.now, from.Host, decodeUsage(body.Usage))
+		c.receiveUsage(from.Host, body.Usage)
 	default:
 		c.scheduling.Receive(c.now, scheduling.Process(from), m, &c.out)
 	}
--- a/internal/control/scale_test.go
+++ b/internal/control/scale_test.go
@@ -306,6 +306,10 @@
 	f.traffic = newScaleTraffic()
 	f.run(scaleWindow)
 	f.report(t, "steady", scaleWindow)
+	median, most := medianAndMax(f.names, f.traffic.byHost, func(n int) int { return n / int(scaleWindow/time.Second) })
+	g.Expect(median).To(BeNumerically("<", 20_000), "bytes/s of the median host")
+	g.Expect(most).To(BeNumerically("<", 60_000), "bytes/s of the busiest host")
+	g.Expect(f.traffic.messages["usage"]).To(BeNumerically("<", 200*int(scaleWindow/time.Second)*scaleTargets), "reports go to schedulers")
 	for _, name := range f.names {
 		f.kill(name)
 	}
@@ -321,6 +325,14 @@
 	t.Logf("agreement after %v, for good after %v; first dispatch after %v; answers by second of sending: %v",
 		first, lasting, f.firstRunAfter(start)-start, codesBySecond(start, sent))
 	g.Expect(f.violations()).To(BeEmpty())
+	g.Expect(f.traffic.peak).To(BeNumerically("<", 60_000+600*hosts), "bytes of a host in a second after the start")
+	ok := 0
+	for _, r := range sent {
+		if r.code == result.OK {
+			ok++
+		}
+	}
+	g.Expect(float64(ok)/float64(len(sent))).To(BeNumerically(">", 0.95), "answers after the start")
 	g.Expect(lasting).To(BeNumerically("~", time.Second, time.Second), "the hosts agree on the schedulers")
 	// Each pool's scheduler asks each host twice: it may know its earlier process from the list.
 	g.Expect(f.traffic.messages["take_over"]).To(BeNumerically("<", 3*2*scaleTargets*hosts))
--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -40,6 +40,7 @@
 	}
 	m, _ := v.core.members.Member(h)
 	v.core.unresponsive[h] = unansweredSubmission{v.core.now, m.Incarnation}
+	clear(v.core.schedulers)
 }
 
 // unansweredSubmission records when a process of a host did not answer a submission.
@@ -103,8 +104,28 @@
 // scheduler returns the host that schedules a pool: the first of the rendezvous hash
 // over its domain's live hosts, or over the leaving ones if there are no others. It
 // returns false if the domain is unreachable, because then the state of its hosts is
-// unknown.
+// unknown. It is called for each waiting request, so the result is kept for the step.
 func (c *Core) scheduler(p ident.Pool) (ident.Host, bool) {
+	if c.schedulersVersion != c.members.Version() {
+		clear(c.schedulers)
+		c.schedulersVersion = c.members.Version()
+	}
+	known, ok := c.schedulers[p]
+	if !ok {
+		known.host, known.ok = c.chooseScheduler(p)
+		c.schedulers[p] = known
+	}
+	return known.host, known.ok
+}
+
+// schedulerOf is the host that schedules a pool, if there is one.
+type schedulerOf struct {
+	host ident.Host
+	ok   bool
+}
+
+// chooseScheduler determines the scheduler of a pool from all hosts.
+func (c *Core) chooseScheduler(p ident.Pool) (ident.Host, bool) {
 	if !c.reachable(p.Domain) {
 		return "", false
 	}
--- a/internal/system/quota/quota_test.go
+++ b/internal/system/quota/quota_test.go
@@ -27,13 +27,21 @@
 	side map[ident.Host]int
 	// granted holds the units granted in each round.
 	granted []float64
+	// idle is the number of further live hosts, which schedule no pools.
+	idle int
+	// told holds the pairs of hosts of which the first has reported all teams to the second.
+	told map[[2]ident.Host]bool
 }
 
-func newFleet(n int) *fleet {
-	f := &fleet{hosts: map[ident.Host]*System{}, side: map[ident.Host]int{}}
+func newFleet(n int) *fleet { return newLargeFleet(n, 0) }
+
+// newLargeFleet returns a fleet with further hosts that schedule no pools.
+func newLargeFleet(n, idle int) *fleet {
+	f := &fleet{idle: idle, hosts: map[ident.Host]*System{}, side: map[ident.Host]int{}, told: map[[2]ident.Host]bool{}}
 	for i := range n {
-		name := ident.Host(fmt.Sprintf("h%d", i))
-		f.names = append(f.names, name)
+		f.names = append(f.names, ident.Host(fmt.Sprintf("h%d", i)))
+	}
+	for _, name := range f.names {
 		f.start(name)
 	}
 	return f
@@ -43,7 +51,17 @@
 func (f *fleet) start(name ident.Host) {
 	s := New()
 	s.Configure(f.now, map[ident.Team]Limit{"t": Limit{Rate: rate, Burst: burst, Debt: debt}.SpreadBurst(8 * time.Second)})
+	if f.idle > 0 {
+		// As in control, where a report is due as soon as there are limits.
+		s.SetHosts(len(f.names)+f.idle, 0)
+		s.SetSchedulers(len(f.names))
+		s.Report(f.now)
+	}
 	f.hosts[name] = s
+	for _, other := range f.names {
+		delete(f.told, [2]ident.Host{name, other})
+		delete(f.told, [2]ident.Host{other, name})
+	}
 }
 
 // round charges the hosts for the asked units, in requests of a size, and delivers the
@@ -69,17 +87,30 @@
 				live++
 			}
 		}
-		s.SetHosts(live, len(f.names)-live)
-		uses := s.Report(f.now)
+		s.SetHosts(live+f.idle, len(f.names)-live)
+		s.SetSchedulers(live)
+		report := s.Report(f.now)
 		for _, other := range f.names {
 			if other != name && f.side[other] == f.side[name] {
-				f.hosts[other].ReceiveReport(f.now, name, uses)
+				f.deliver(name, other, report)
 			}
 		}
 	}
 	f.now += step
 }
 
+// deliver delivers a report as control does.
+func (f *fleet) deliver(from, to ident.Host, report Report) {
+	if !report.Full && f.told[[2]ident.Host{from, to}] {
+		if len(report.Changed) > 0 {
+			f.hosts[to].ReceiveReport(f.now, from, report.Changed, true)
+		}
+		return
+	}
+	f.told[[2]ident.Host{from, to}] = true
+	f.hosts[to].ReceiveReport(f.now, from, report.All, false)
+}
+
 // maxGranted returns the most units granted in any window.
 func (f *fleet) maxGranted(window time.Duration) float64 {
 	n := int(window / step)
@@ -152,6 +183,77 @@
 	})
 }
 
+// TestRateAfterAllHostsRestartWithManySchedulers checks the limit of a team that asks for four
+// times its rate at each of 34 hosts, 17 targets in two regions, of a fleet of 350.
+func TestRateAfterAllHostsRestartWithManySchedulers(t *testing.T) {
+	f := newLargeFleet(34, 316)
+	asks := map[ident.Host]float64{}
+	for _, name := range f.names {
+		asks[name] = 4 * rate / 34 * step.Seconds()
+	}
+	for range 200 {
+		f.round(asks, 2000)
+	}
+	for range 20 {
+		f.round(nil, 1)
+	}
+	for _, name := range f.names {
+		f.start(name)
+	}
+	for range 200 {
+		f.round(asks, 2000)
+	}
+	if got := f.maxGranted(8 * time.Second); got > allowed {
+		t.Errorf("%.0f units in 8 s, allowed are %.0f", got, allowed)
+	}
+}
+
+// TestTeamWithinItsRateIsServedInALargeFleet guards against a rate that is divided by hosts that
+// charge nothing: at 300 hosts, teams at a twentieth of their rate were refused.
+func TestTeamWithinItsRateIsServedInALargeFleet(t *testing.T) {
+	f := newLargeFleet(8, 342)
+	const size = 2000
+	served := 0.0
+	for i := range 400 {
+		asks := map[ident.Host]float64{}
+		if i%2 == 0 {
+			asks[f.names[i/2%len(f.names)]] = size
+		}
+		f.round(asks, size)
+		served += f.granted[len(f.granted)-1]
+	}
+	if asked := 200.0 * size; served < 0.99*asked {
+		t.Errorf("%.0f of %.0f units served", served, asked)
+	}
+}
+
+// TestReportsHoldWhatChanged checks that a steady demand far below the rate is not reported again
+// and again, that one that matters is, and that a partial report leaves the others in force.
+func TestReportsHoldWhatChanged(t *testing.T) {
+	s, other := New(), New()
+	limits := map[ident.Team]Limit{"low": {Rate: rate, Burst: burst}, "high": {Rate: rate, Burst: burst, Debt: burst}, "free": {}}
+	s.Configure(0, limits)
+	other.Configure(0, limits)
+	partial := 0
+	for now := startupPeriod; now < 3*startupPeriod; now += ReportInterval {
+		s.Charge(now, "low", rate/100)
+		s.Charge(now, "high", rate)
+		s.Charge(now, "free", 1)
+		r := s.Report(now)
+		other.ReceiveReport(now, "s", r.Changed, now > startupPeriod)
+		partial += len(r.Changed)
+		if now == startupPeriod && len(r.All) != 2 {
+			t.Errorf("%v, the team without a limit needs no report", r.All)
+		}
+	}
+	if got := other.reports["s"].uses; got["high"].Demand < rate || len(got) != 1 {
+		t.Errorf("%v, want the team whose shares matter", got)
+	}
+	if rounds := int(2 * startupPeriod / ReportInterval); partial > rounds+1 {
+		t.Errorf("%d changes in %d reports", partial, rounds)
+	}
+}
+
 // TestSpreadBurstOverWindow checks that a team that is constantly above its rate gets the rate
 // and the part of the burst that is spread out in each window, and never more than the
 // rate and the burst.
