--- a/internal/pool/place.go
+++ b/internal/pool/place.go
@@ -35,8 +35,8 @@
 
 // The filters, scorers and reservers, in the order in which they run.
 var (
-	filters   = []filter{backoffFilter{}, prefillFilter{}, objectiveFilter{}, deadlineFilter{}, rolloutFilter{}}
-	scorers   = []scorer{finishScore{}, interferenceScore{}, prefixScore{}, failureScore{}, domainScore{}, rolloutScore{}}
+	filters   = []filter{backoffFilter{}, prefillFilter{}, objectiveFilter{}, deadlineFilter{}}
+	scorers   = []scorer{finishScore{}, interferenceScore{}, prefixScore{}, failureScore{}, domainScore{}}
 	reservers = []reserver{suspectReserve{}, longRequestReserve{}, longPrefillReserve{}}
 )
 
@@ -50,7 +50,6 @@
 	reasonReserved       = "the last slots are kept from long work"
 	reasonLastEndpoint   = "it was lost with an endpoint, and only one takes work"
 	reasonBackoff        = "it asked the request's host to wait"
-	reasonTriedBefore    = "it was tried before, and the endpoint's version is not judged yet"
 	reasonCacheHold      = "it waits for the endpoint that has its prefix cached"
 )
 
@@ -87,6 +86,9 @@
 			continue
 		}
 		out.sawFreeSlot = true
+		if s.rollout != nil && s.keepsRetry(r, e) {
+			continue
+		}
 		if reserve && r.FirstDue == 0 && free <= e.reservedSlots() {
 			continue
 		}
@@ -98,6 +100,9 @@
 			continue
 		}
 		cost := totalScore(s, r, c)
+		if s.rollout != nil {
+			cost += s.steeringScore(e)
+		}
 		if out.endpoint == nil || cost < least {
 			least = cost
 			out.endpoint, out.cached, out.estimate = e, c.cached, c.estimate
--- a/internal/pool/rollout.go
+++ b/internal/pool/rollout.go
@@ -40,8 +40,8 @@
 	// overdueAfter is the least time after which a run in progress is compared with the usual
 	// time. It keeps the check of the short runs off the tables.
 	overdueAfter = 500 * time.Millisecond
-	// steeringScore is a cost beyond those of any placement.
-	steeringScore = -time.Hour
+	// candidateScore outweighs the cost of any placement.
+	candidateScore = -time.Hour
 )
 
 // rolloutState is the order in force and its effect on the endpoints.
@@ -240,14 +240,10 @@
 	}
 }
 
-// rolloutFilter keeps requests that failed before from candidates.
-type rolloutFilter struct{}
-
-func (rolloutFilter) filter(s *Scheduler, r *request, c *candidate) string {
-	if r.Avoid != "" && c.endpoint.limit.set && s.isCandidate(c.endpoint) {
-		return reasonTriedBefore
-	}
-	return ""
+// keepsRetry reports whether an endpoint is kept from a request because it was tried before, and
+// the endpoint's version is not judged yet.
+func (s *Scheduler) keepsRetry(r *request, e *endpoint) bool {
+	return r.Avoid != "" && e.limit.set && s.isCandidate(e)
 }
 
 // steers reports whether the order in force decides which version a request goes to.
@@ -255,13 +251,11 @@
 	return s.rollout != nil && (s.rollout.Phase() == rollout.Watching || s.rollout.Phase() == rollout.Moving)
 }
 
-// rolloutScore makes requests go to a candidate while one may get some, whatever it would take
+// steeringScore makes requests go to a candidate while one may get some, whatever it would take
 // there: which requests the versions get must not depend on the versions.
-type rolloutScore struct{}
-
-func (rolloutScore) score(s *Scheduler, _ *request, c *candidate) time.Duration {
-	if s.steers() && s.isCandidate(c.endpoint) {
-		return steeringScore
+func (s *Scheduler) steeringScore(e *endpoint) time.Duration {
+	if s.steers() && s.isCandidate(e) {
+		return candidateScore
 	}
 	return 0
 }
--- a/internal/pool/rollout_sample.go
+++ b/internal/pool/rollout_sample.go
@@ -10,9 +10,10 @@
 	"github.com/trefoilchute/trefoilchute/internal/rollout"
 )
 
-// observeRun records the end of a run as a sample for the order in force.
+// observeRun records the end of a run as a sample for the order in force. Tries after a failed
+// one are left out: they are the baseline's only, and fail more often.
 func (s *Scheduler) observeRun(a *attempt, f *Finished) {
-	if s.rollout == nil || a.rollout.observed || f.Outcome == OutcomeRejected {
+	if s.rollout == nil || a.rollout.observed || a.request.Avoid != "" || f.Outcome == OutcomeRejected {
 		return
 	}
 	x := s.sample(a)
@@ -34,7 +35,7 @@
 func (s *Scheduler) observeOverdue() {
 	var list []*attempt
 	for _, a := range s.attempts.rows {
-		if a.started && a.holdsSlot && !a.orphaned && !a.rollout.observed && s.now-a.granted >= overdueAfter {
+		if a.started && a.holdsSlot && !a.orphaned && !a.rollout.observed && a.request.Avoid == "" && s.now-a.granted >= overdueAfter {
 			list = append(list, a)
 		}
 	}
@@ -49,6 +50,10 @@
 			f.FirstToken = a.firstTokenAt - a.granted
 		}
 		s.normalize(&x, a, &f)
+		if a.request.MaxTokens <= 0 && a.endpoint.Type != resource.EndpointService {
+			// The answer may be of any length.
+			x.Total = 0
+		}
 		a.rollout.observed = s.rollout.Observe(s.now, &x)
 	}
 }
--- a/internal/rollout/controller.go
+++ b/internal/rollout/controller.go
@@ -95,14 +95,16 @@
 	// foreignWait bounds the wait for requests of others at the baseline's endpoints: their
 	// number is an estimate.
 	foreignWait = 5 * time.Second
-	// carryMargin is the factor by which the slots of the candidates must exceed the
-	// requests in flight.
-	carryMargin = 1.1
+	// carryMargin is the factor by which the slots of the candidates must exceed the mean of
+	// requests in flight, unless they are as many as the baseline's.
+	carryMargin = 1.25
 	// maxShowing is the number of candidates that have to show a fault of the version. Where
 	// machines differ in speed, two may both be slow ones.
 	maxShowing = 3
-	// needDecay is the part of the peak of requests in flight that is forgotten per tick.
-	needDecay = 0.005
+	// inFlightWeight is the weight of a tick in that mean, and needDecay the part of its
+	// peak that is forgotten per tick.
+	inFlightWeight = 0.05
+	needDecay      = 0.005
 )
 
 // moveShares are the steps of the share of a version that was judged good. The baseline keeps a
@@ -137,11 +139,12 @@
 	step         int
 	steppedAt    time.Duration
 	baselineSeen bool
-	// need is the decaying peak of requests in flight, mostBaselineSlots the most slots that
-	// the baseline had, and mostWaiting the peak of waiting requests before the move.
-	need              float64
-	mostBaselineSlots int
-	mostWaiting       int
+	// meanInFlight is the mean of requests in flight over some seconds, need its decaying
+	// peak, mostBaselineSlots the most slots that the baseline had, and mostWaiting the peak
+	// of waiting requests before the move.
+	meanInFlight, need float64
+	mostBaselineSlots  int
+	mostWaiting        int
 	// crowdedSince is the time since which candidates are full while requests wait.
 	crowdedSince time.Duration
 	verdict      Verdict
@@ -266,7 +269,8 @@
 
 // observeLoad learns how many requests the candidates have to carry.
 func (c *Controller) observeLoad(load *Load) {
-	c.need = max(c.need*(1-needDecay), float64(load.CandidateInFlight+load.BaselineInFlight))
+	c.meanInFlight += inFlightWeight * (float64(load.CandidateInFlight+load.BaselineInFlight) - c.meanInFlight)
+	c.need = max(c.need*(1-needDecay), c.meanInFlight)
 	c.mostBaselineSlots = max(c.mostBaselineSlots, load.BaselineSlots)
 	c.baselineSeen = c.baselineSeen || load.Baseline > 0
 	if c.phase == Watching {
--- a/internal/rollout/speed.go
+++ b/internal/rollout/speed.go
@@ -28,8 +28,8 @@
 	// one that is at fault must not hide a slow version. trimmedSpread corrects for that.
 	leaveOneOut   = 5
 	trimmedSpread = 1.15
-	// minShift is the least shift of the speeds that counts, as a logarithm.
-	minShift = 0.5
+	// minShift is the least shift of the speeds that counts, as a logarithm: twice as slow.
+	minShift = 0.7
 	// While fewer than fewSpeeds of the candidates were tested, the shift has to be fewScore
 	// standard errors larger: those that come first may be slow machines.
 	fewSpeeds = 6
@@ -45,12 +45,15 @@
 // speed is the mean logarithm of an endpoint's slowness.
 type speed struct{ mean, n float64 }
 
+// tested reports whether the speed is known.
+func (x *speed) tested() bool { return x.n >= testedSpeeds }
+
 // observe adds the logarithm of the slowness of an answer.
 func (x *speed) observe(slowness float64) {
 	x.n++
 	weight := 1 / min(x.n, speedMemory)
 	step := math.Log(slowness) - x.mean
-	if x.n > testedSpeeds {
+	if x.tested() {
 		step = min(max(step, -speedStep), speedStep)
 	}
 	x.mean += weight * step
@@ -85,7 +88,7 @@
 // factor is the multiple of the usual time that is usual for the endpoint of a sample. Fast
 // endpoints count as usual ones. One that is not known yet may be as slow as others are.
 func (v *speeds) factor(x *Sample) float64 {
-	if row := v.of(x.Candidate)[x.Endpoint]; row != nil && row.n >= testedSpeeds {
+	if row := v.of(x.Candidate)[x.Endpoint]; row != nil && row.tested() {
 		return math.Exp(max(0, row.mean))
 	}
 	return math.Exp(max(0, v.slowest))
@@ -101,7 +104,7 @@
 func tested(rows map[ident.Endpoint]*speed) []float64 {
 	var list []float64
 	for _, x := range rows {
-		if x.n >= testedSpeeds {
+		if x.tested() {
 			list = append(list, x.mean)
 		}
 	}
@@ -178,7 +181,7 @@
 	}
 	var list []ident.Endpoint
 	for _, e := range slices.Sorted(maps.Keys(v.candidate)) {
-		if x := v.candidate[e]; x.n >= testedSpeeds && x.mean-mean >= max(minShift, outlier*deviation) {
+		if x := v.candidate[e]; x.tested() && x.mean-mean >= max(minShift, outlier*deviation) {
 			list = append(list, e)
 		}
 	}
