--- a/internal/logs/event.go
+++ b/internal/logs/event.go
@@ -40,6 +40,7 @@
 	RolloutOrderRejected  Event = "rollout_order_rejected"
 	RolloutStored         Event = "rollout_stored"
 	RolloutNotStored      Event = "rollout_not_stored"
+	Rollout               Event = "rollout"
 )
 
 // Events of the links between hosts.
@@ -119,6 +120,7 @@
 	{PoolScheduler, "The host that schedules a pool, as this host sees it, has changed."},
 	{SchedulerSilent, "A host left a submission unanswered; for a while its pools are taken to be another host's."},
 	{PoolState, "The state of a pool that is scheduled here: what waits, what holds the slots, and each endpoint's requests in flight of the most it may have."},
+	{Rollout, "A step of a roll-out at a pool scheduled here: share is the part of the requests that endpoints of the version may get from now on, judgement the phase (waiting, watching, moving, moved, completed or rolled_back), reason what the step rests on; candidate, candidate_bad, baseline and baseline_bad count the answers of both versions since the order or the last change of the scheduler."},
 	{LinesDropped, "Log lines were dropped because their reader was too slow; lines says how many."},
 	{RolloutOrderRejected, "A row among the roll-out orders is no valid order; it has no effect."},
 	{RolloutStored, "The store has a new state of a target's roll-out, as this host or, with by=other, another host wrote it: target, version, order (the version of the order's row), state, reason, and the answers behind it of the new version (candidate, of which candidate_bad failed or were slow) and of the old one (baseline, baseline_bad)."},
