Keep the ranking of a pool's possible schedulers until the membership changes

Cause: each look-up of a pool's scheduler, one per waiting request and tick, compared the capacity and hashed the names of all hosts of the domain. Change: the eight best hosts of each pool are kept per membership version, and the first responsive one schedules. Hosts are capable relative to the largest live host, also while that one is unresponsive. The declared pools are kept with the configuration.

--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -87,10 +87,9 @@
 	lastReachableAt map[ident.Domain]time.Duration
 	// usagePeers holds the hosts that get this host's usage reports.
 	usagePeers map[ident.Host]*usagePeer
-	// schedulers caches the hosts that schedule pools during a step, for schedulersVersion of
-	// the membership.
-	schedulers        map[ident.Pool]schedulerOf
-	schedulersVersion uint64
+	// ranked holds the hosts that may schedule a pool, as of rankedVersion of the membership.
+	ranked        map[ident.Pool][]ident.Host
+	rankedVersion uint64
 	// recovering holds the claims of dead holders whose answers are being recovered.
 	recovering map[ident.Request]claimRecovery
 }
@@ -101,7 +100,7 @@
 		cfg: cfg, keyed: map[ident.Request]custody.Arrival{}, recovering: map[ident.Request]claimRecovery{},
 		lastMessageAt: map[ident.Host]time.Duration{}, unresponsive: map[ident.Host]unansweredSubmission{},
 		lastReachableAt: map[ident.Domain]time.Duration{}, leavingEndpoints: map[ident.Endpoint]int64{},
-		usagePeers: map[ident.Host]*usagePeer{}, schedulers: map[ident.Pool]schedulerOf{},
+		usagePeers: map[ident.Host]*usagePeer{}, ranked: map[ident.Pool][]ident.Host{},
 	}
 	c.joining = cfg.External
 	c.members = membership.New(membership.Config{
@@ -133,7 +132,6 @@
 	c.now = max(c.now, now)
 	c.wall = wall
 	c.effects = Effects{}
-	clear(c.schedulers)
 	c.checkPause()
 	for _, e := range events {
 		c.apply(e)
--- a/internal/control/scale_test.go
+++ b/internal/control/scale_test.go
@@ -24,8 +24,8 @@
 	"github.com/trefoilchute/trefoilchute/internal/system/quota"
 )
 
-// scaleHosts is the largest number of hosts in TestScale. 300 takes about a minute.
-var scaleHosts = flag.Int("scale-hosts", 30, "largest number of hosts in TestScale")
+// scaleHosts is the largest number of hosts in TestScale. 300 takes about 15 s.
+var scaleHosts = flag.Int("scale-hosts", 100, "largest number of hosts in TestScale")
 
 // Workload and timing of a scaleFleet. The endpoints, teams and requests are the same for
 // every number of hosts, so whatever grows with the hosts is the hosts' own traffic.
--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -40,7 +40,6 @@
 	}
 	m, _ := v.core.members.Member(h)
 	v.core.unresponsive[h] = unansweredSubmission{v.core.now, m.Incarnation}
-	clear(v.core.schedulers)
 }
 
 // unansweredSubmission records when a process of a host did not answer a submission.
@@ -101,35 +100,21 @@
 	return v.core.members.Domains()
 }
 
-// scheduler returns the host that schedules a pool: the first of the rendezvous hash
-// over its domain's live hosts, or over the leaving ones if there are no others. It
+// scheduler returns the host that schedules a pool: the first responsive one of the rendezvous
+// hash over its domain's capable live hosts, or over the leaving ones if there are no others. It
 // returns false if the domain is unreachable, because then the state of its hosts is
-// unknown. It is called for each waiting request, so the result is kept for the step.
+// unknown.
 func (c *Core) scheduler(p ident.Pool) (ident.Host, bool) {
-	if c.schedulersVersion != c.members.Version() {
-		clear(c.schedulers)
-		c.schedulersVersion = c.members.Version()
-	}
-	known, ok := c.schedulers[p]
-	if !ok {
-		known.host, known.ok = c.chooseScheduler(p)
-		c.schedulers[p] = known
-	}
-	return known.host, known.ok
-}
-
-// schedulerOf is the host that schedules a pool, if there is one.
-type schedulerOf struct {
-	host ident.Host
-	ok   bool
-}
-
-// chooseScheduler determines the scheduler of a pool from all hosts.
-func (c *Core) chooseScheduler(p ident.Pool) (ident.Host, bool) {
 	if !c.reachable(p.Domain) {
 		return "", false
 	}
-	hosts := c.responsive(c.members.Alive(p.Domain))
+	alive := c.members.Alive(p.Domain)
+	for _, h := range c.candidates(p, alive) {
+		if c.responds(h, len(alive)) {
+			return h, true
+		}
+	}
+	hosts := c.responsive(alive)
 	if len(hosts) == 0 {
 		hosts = c.leavingHosts(p.Domain)
 	}
@@ -139,13 +124,32 @@
 	return rendezvous.First(p.String(), c.capableHosts(hosts)), true
 }
 
+// maxCandidates is the number of hosts of which one schedules a pool, unless all are unresponsive.
+const maxCandidates = 8
+
+// candidates returns the hosts that may schedule a pool, best first. They are kept until the
+// membership changes, since they depend on all hosts and the scheduler is looked up for each
+// waiting request.
+func (c *Core) candidates(p ident.Pool, alive []ident.Host) []ident.Host {
+	if c.rankedVersion != c.members.Version() {
+		clear(c.ranked)
+		c.rankedVersion = c.members.Version()
+	}
+	list, ok := c.ranked[p]
+	if !ok {
+		list = rendezvous.Pick(p.String(), c.capableHosts(alive), maxCandidates)
+		c.ranked[p] = list
+	}
+	return list
+}
+
 // minCapacityShare is the smallest processor capacity, relative to the largest host, at
 // which a host takes on duties for other hosts. On a smaller host they would compete with
 // its own callers.
 const minCapacityShare = 0.5
 
 // capableHosts returns the hosts with at least minCapacityShare of the largest capacity,
-// or all hosts if no capacity is known. hosts must not be empty; the result is not empty.
+// or all hosts if no capacity is known. The result is empty only if hosts is.
 func (c *Core) capableHosts(hosts []ident.Host) []ident.Host {
 	maxCapacity := uint32(0)
 	for _, h := range hosts {
@@ -203,26 +207,23 @@
 	if !c.cfg.External {
 		return hosts
 	}
-	probesAll := len(hosts) <= membership.FullProbeSize
-	responds := func(h ident.Host) bool {
-		if h == c.cfg.Self {
-			return true
-		}
-		if c.isUnresponsive(h) {
-			return false
-		}
-		return !probesAll || c.now-c.lastMessageAt[h] < maxMessageGap
-	}
-	if !slices.ContainsFunc(hosts, func(h ident.Host) bool { return !responds(h) }) {
+	silent := func(h ident.Host) bool { return !c.responds(h, len(hosts)) }
+	if !slices.ContainsFunc(hosts, silent) {
 		return hosts
 	}
-	var list []ident.Host
-	for _, h := range hosts {
-		if responds(h) {
-			list = append(list, h)
-		}
+	return slices.DeleteFunc(slices.Clone(hosts), silent)
+}
+
+// responds reports whether a host of a domain with the given number of live hosts is not known to
+// be unresponsive.
+func (c *Core) responds(h ident.Host, domainHosts int) bool {
+	switch {
+	case !c.cfg.External || h == c.cfg.Self:
+		return true
+	case c.isUnresponsive(h):
+		return false
 	}
-	return list
+	return domainHosts > membership.FullProbeSize || c.now-c.lastMessageAt[h] < maxMessageGap
 }
 
 // reachable reports whether a host of the domain answered recently. A newly known domain
--- a/internal/system/membership/membership.go
+++ b/internal/system/membership/membership.go
@@ -330,7 +330,7 @@
 }
 
 // Version is incremented whenever a host joins, leaves, dies, returns or changes its
-// incarnation or address, and with each new seed. The results of Alive and
+// incarnation, address or capacity, and with each new seed. The results of Alive and
 // Addresses change only with it.
 func (s *System) Version() uint64 {
 	return s.viewVersion
@@ -385,7 +385,8 @@
 		e.introduced = s.gossipClock
 		delete(s.acked, m.Host)
 	}
-	if old.Incarnation != m.Incarnation || old.Address != m.Address || viewState(old.State) != viewState(m.State) {
+	if old.Incarnation != m.Incarnation || old.Address != m.Address || old.Capacity != m.Capacity ||
+		viewState(old.State) != viewState(m.State) {
 		s.viewChanged()
 	}
 }
--- a/internal/system/scheduling/scheduling.go
+++ b/internal/system/scheduling/scheduling.go
@@ -68,8 +68,10 @@
 
 // System holds the pools scheduled by this host.
 type System struct {
-	cfg       Config
-	snapshot  *resource.Snapshot
+	cfg      Config
+	snapshot *resource.Snapshot
+	// declared holds the pools that have an endpoint in the snapshot.
+	declared  []ident.Pool
 	instances map[ident.Pool]*instance
 	// suspects holds the known suspects of endpoint crashes.
 	suspects map[suspectKey]suspectEntry
@@ -109,6 +111,11 @@
 // Configure applies a new configuration to all pools.
 func (s *System) Configure(now time.Duration, snap *resource.Snapshot, out *system.Outbox) {
 	s.snapshot = snap
+	set := map[ident.Pool]bool{}
+	for _, e := range snap.Endpoints {
+		set[e.Pool()] = true
+	}
+	s.declared = sortPools(maps.Keys(set))
 	for _, p := range s.ownedPools() {
 		in := s.instances[p]
 		in.enqueue(poolConfiguration(snap, p))
@@ -135,18 +142,15 @@
 
 // localPools returns the pools of this domain that have an endpoint.
 func (s *System) localPools() []ident.Pool {
-	return slices.DeleteFunc(s.DeclaredPools(), func(p ident.Pool) bool {
+	return slices.DeleteFunc(slices.Clone(s.declared), func(p ident.Pool) bool {
 		return p.Domain != s.cfg.Domain
 	})
 }
 
-// DeclaredPools returns the pools of all domains that have an endpoint.
+// DeclaredPools returns the pools of all domains that have an endpoint. The caller must not modify
+// the slice.
 func (s *System) DeclaredPools() []ident.Pool {
-	set := map[ident.Pool]bool{}
-	for _, e := range s.snapshot.Endpoints {
-		set[e.Pool()] = true
-	}
-	return sortPools(maps.Keys(set))
+	return s.declared
 }
 
 // Status returns the status of a pool scheduled by this host, or nil.
