Keep capacity for refused callers and tell them when to return

Cause: everybody who was refused at one moment was told the same time, the drain of the queue. All returned together, as newcomers with a fresh objective, took slots from requests that could be on time, and were refused again. The measured capacity was bounded by the slots, less than half of what uneven endpoints serve, so that waits were overestimated.

Change: internal/pool/promise keeps a bounded book of refusals for lack of room. Who finds room within a third of the time left is promised a time, spread by what newcomers are expected to leave; the rest is told a longer time. A return is recognized by team, body and deadline; its objective counts from the first arrival. A return at its time is served before the late requests of its tier and, after half of its slack, before its tier's newcomers. The naive scheduler decides alike, and the differential test plays returns.

--- a/internal/fleet/momentary_test.go
+++ b/internal/fleet/momentary_test.go
@@ -59,7 +59,7 @@
 			offered++
 		}
 	}
-	_ = execute(pool.New(pool.Config{Pool: Pool, Epoch: 1, Seed: seed}), sessionDeployment(noisyEndpoints), items,
+	_ = execute(pool.New(pool.Config{Pool: Pool, Epoch: 1, Seed: seed}), sessionDeployment(noisyEndpoints, 3), items,
 		Faults{Speeds: sessionSpeeds, ReportAge: reportAge, Noise: n}, seed,
 		func(now time.Duration, events []pool.Event, effects []pool.Effect) {
 			for _, e := range events {
--- a/internal/fleet/sessions_test.go
+++ b/internal/fleet/sessions_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -52,8 +53,8 @@
 var sessionSpeeds = []float64{0.55, 1, 2.8}
 
 // sessionDeployment has endpoints of three speeds whose declared speed is the same.
-func sessionDeployment(endpoints int) Deployment {
-	d := Deployment{Name: "sessions", Hosts: 8, Tiers: tiers(3), Teams: teams(3)}
+func sessionDeployment(endpoints, teamCount int) Deployment {
+	d := Deployment{Name: "sessions", Hosts: 8, Tiers: tiers(3), Teams: teams(teamCount)}
 	for i := range endpoints {
 		d.Endpoints = append(d.Endpoints, resource.Endpoint{
 			Name: ident.Endpoint(fmt.Sprintf("e%02d", i)), Domain: Domain, Target: Target, Type: resource.EndpointEngine,
@@ -77,14 +78,60 @@
 	return speed / slotTime
 }
 
-// sessionItems draws the load.
+// sessionLoad is a load of sessions over time.
+type sessionLoad struct {
+	// load is relative to the capacity, and during the burst by factor more.
+	load, factor float64
+	// surging teams send surge times their rate during the burst.
+	surging   int
+	surge     float64
+	from, to  time.Duration
+	endpoints int
+	teams     int
+	length    time.Duration
+}
+
+// rate returns the rate of a team at a time, relative to the capacity.
+func (l *sessionLoad) rate(team int, at time.Duration) float64 {
+	rate := l.load / float64(l.teams)
+	if !l.bursts(at) {
+		return rate
+	}
+	if l.factor > 0 {
+		rate *= l.factor
+	}
+	if team < l.surging {
+		rate *= l.surge
+	}
+	return rate
+}
+
+// bursts reports whether the burst lasts at a time.
+func (l *sessionLoad) bursts(at time.Duration) bool { return at >= l.from && at < l.to }
+
+// surges reports whether a team is one of those that send more during the burst.
+func (l *sessionLoad) surges(team ident.Team) bool {
+	return slices.ContainsFunc(teams(l.surging), func(t resource.Team) bool { return t.Name == team })
+}
+
+// sessionItems draws a load that doesn't vary, of three teams.
 func sessionItems(seed uint64, load float64, endpoints int, length time.Duration) ([]Item, map[ident.Request]sessionKind) {
+	return (&sessionLoad{load: load, endpoints: endpoints, teams: 3, length: length}).draw(seed)
+}
+
+// draw draws the load.
+func (l *sessionLoad) draw(seed uint64) ([]Item, map[ident.Request]sessionKind) {
 	random := rand.New(rand.NewPCG(seed, 0x5e55))
 	kinds := map[ident.Request]sessionKind{}
 	var items []Item
-	rate := load * sessionCapacity(endpoints)
-	for at := time.Duration(0); at < length; {
-		at += time.Duration(random.ExpFloat64() / rate * float64(time.Second))
+	capacity := sessionCapacity(l.endpoints)
+	for at := time.Duration(0); at < l.length; {
+		rates, sum := make([]float64, l.teams), 0.0
+		for team := range rates {
+			rates[team] = l.rate(team, at)
+			sum += rates[team]
+		}
+		at += time.Duration(random.ExpFloat64() / (sum * capacity) * float64(time.Second))
 		x, n := random.Float64(), 0
 		for n < len(sessionKinds)-1 && x >= sessionKinds[n].share {
 			x -= sessionKinds[n].share
@@ -102,7 +149,7 @@
 		output := max(1, int(float64(k.output)*random.ExpFloat64()))
 		r := pool.Request{
 			ID: ident.Request(fmt.Sprintf("r%06d", len(items))), Host: ident.Host(fmt.Sprintf("h%d", random.IntN(8))),
-			Rank: k.rank, Team: ident.Team(fmt.Sprintf("team%03d", random.IntN(3))), PromptTokens: k.shared + k.own,
+			Rank: k.rank, Team: ident.Team(fmt.Sprintf("team%03d", drawTeam(random, rates, sum))), PromptTokens: k.shared + k.own,
 			MaxTokens: 4 * output, ExpectedTokens: output, Prefix: blocks,
 			FirstDue: at + k.objective, Patience: at + sessionPatience, Deadline: at + k.limit,
 			KeyHash: random.Uint64(), Fingerprint: random.Uint64(),
@@ -113,6 +160,21 @@
 	return items, kinds
 }
 
+// drawTeam draws a team by the teams' rates.
+func drawTeam(random *rand.Rand, rates []float64, sum float64) int {
+	if len(rates) == 3 && rates[0] == rates[1] && rates[1] == rates[2] {
+		return random.IntN(3)
+	}
+	x := random.Float64() * sum
+	for team, rate := range rates {
+		if x < rate {
+			return team
+		}
+		x -= rate
+	}
+	return len(rates) - 1
+}
+
 // sessionResult is what callers got of the load of long sessions.
 type sessionResult struct {
 	// worth is the part of the worth that was earned, served the part of the requests
@@ -136,7 +198,7 @@
 		arrived[item.Request.ID] = item.At
 		owed += kinds[item.Request.ID].worth
 	}
-	r := execute(p, sessionDeployment(sessionEndpoints), items, Faults{Speeds: sessionSpeeds, ReportAge: reportAge}, seed,
+	r := execute(p, sessionDeployment(sessionEndpoints, 3), items, Faults{Speeds: sessionSpeeds, ReportAge: reportAge}, seed,
 		func(now time.Duration, events []pool.Event, _ []pool.Effect) {
 			for _, e := range events {
 				switch e := e.(type) {
--- a/internal/logs/event.go
+++ b/internal/logs/event.go
@@ -115,7 +115,7 @@
 	{SettingsRejected, "A settings file that was read again is in error, as the reason says; the settings in force stay."},
 	{PoolScheduler, "The host that schedules a pool, as this host sees it, has changed."},
 	{SchedulerSilent, "A host left a submission unanswered; for a while its pools are taken to be another host's."},
-	{PoolState, "The state of a pool that is scheduled here: what waits, what holds the slots, and each endpoint's requests in flight of the most it may have. slow names the endpoints whose answers said within the last second that work takes more than one and a half times as long as usual."},
+	{PoolState, "The state of a pool that is scheduled here: what waits, what holds the slots, and each endpoint's requests in flight of the most it may have. slow names the endpoints whose answers said within the last second that work takes more than one and a half times as long as usual; promised_ms is the slot time kept for refused callers who were promised a time to return, promises_made, promises_kept and promises_lapsed how many were since this scheduler began."},
 	{LinesDropped, "Log lines were dropped because their reader was too slow; lines says how many."},
 	{Suspected, "A request (by kind), or a part of prompts that was not being answered yet, was in flight at an endpoint that crashed, crashes times so far, or was cleared by a run that was answered (0). A quarantined one is refused; a part only together with its co-suspects (co_suspects), the parts that were in flight at the same crashes. trial: it runs once more. fingerprint is that of answered, or one of its parts."},
 	{Retried, "A try of the request failed and it is tried again at another endpoint."},
--- a/internal/metrics/instruments.go
+++ b/internal/metrics/instruments.go
@@ -53,6 +53,13 @@
 	return g
 }
 
+func (b *builder) observableCounter(name string) metric.Int64ObservableCounter {
+	info := lookup(name)
+	c, err := b.meter.Int64ObservableCounter(name, metric.WithUnit(info.Unit), metric.WithDescription(info.Meaning))
+	b.note(err)
+	return c
+}
+
 func (b *builder) floatGauge(name string) metric.Float64ObservableGauge {
 	info := lookup(name)
 	g, err := b.meter.Float64ObservableGauge(name, metric.WithUnit(info.Unit), metric.WithDescription(info.Meaning))
@@ -91,6 +98,7 @@
 	endpoints := b.gauge(nameEndpoints)
 	suspects := b.gauge(nameSuspects)
 	load := b.gauge(nameLoad)
+	promises := b.observableCounter(namePromises)
 	left := b.floatGauge(nameRetriesLeft)
 	share := b.floatGauge(nameRateShare)
 	age := b.floatGauge(nameAge)
@@ -108,6 +116,7 @@
 		observeStates(o, endpoints, labelTarget, s.Endpoints)
 		observeStates(o, suspects, labelKind, s.Suspects)
 		observeStates(o, load, labelPool, s.Load)
+		observeStates(o, promises, labelPool, s.Promises)
 		for target, tries := range s.RetriesLeft {
 			o.ObserveFloat64(left, tries, metric.WithAttributes(attribute.String(labelTarget, target)))
 		}
@@ -121,12 +130,12 @@
 			o.ObserveInt64(settings, 1, metric.WithAttributes(attribute.String(labelVersion, s.Settings)))
 		}
 		return nil
-	}, revision, members, waiting, inFlight, slots, endpoints, suspects, load, left, share, age, settings)
+	}, revision, members, waiting, inFlight, slots, endpoints, suspects, load, promises, left, share, age, settings)
 	b.note(err)
 }
 
-// observeStates observes a gauge for each name, under a label, and state.
-func observeStates(o metric.Observer, gauge metric.Int64ObservableGauge, label string, counts map[NameState]int) {
+// observeStates observes a gauge or counter for each name, under a label, and state.
+func observeStates(o metric.Observer, gauge metric.Int64Observable, label string, counts map[NameState]int) {
 	for key, count := range counts {
 		o.ObserveInt64(gauge, int64(count),
 			metric.WithAttributes(attribute.String(label, key.Name), attribute.String(labelState, key.State)))
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -52,6 +52,9 @@
 	// Load counts the endpoints of the pools that this host schedules, by the pool's name and
 	// their load.
 	Load map[NameState]int
+	// Promises counts the refusals for lack of room and what became of the return times, by
+	// the pool's name and state.
+	Promises map[NameState]int
 	// Age is the time since what is known was the newest, by what it is.
 	Age map[string]time.Duration
 	// Settings is the version of the settings in force; empty: none is known.
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -40,6 +40,7 @@
 			Slots:     map[NameState]int{{Name: "llm@a", State: "decoding"}: 4},
 			Endpoints: map[NameState]int{{Name: "llm", State: "active"}: 6},
 			Suspects:  map[NameState]int{{Name: "part", State: "quarantined"}: 1},
+			Promises:  map[NameState]int{{Name: "llm@a", State: "kept"}: 1},
 			Load:      map[NameState]int{{Name: "llm@a", State: "slow"}: 1},
 			Age:       map[string]time.Duration{"configuration": 500 * time.Millisecond},
 			Settings:  "5e771465",
--- a/internal/metrics/table.go
+++ b/internal/metrics/table.go
@@ -65,6 +65,7 @@
 	nameClosings      = "trefoilchute.endpoint.closings"
 	nameSuspects      = "trefoilchute.suspects"
 	nameLoad          = "trefoilchute.endpoint.load"
+	namePromises      = "trefoilchute.return_times"
 )
 
 // Labels of the metrics.
@@ -116,6 +117,7 @@
 	{nameSlots, kindGauge, unitSlots, []string{labelPool, labelState}, "Slots in the pools that this host schedules: granted (not known to be used yet), prefilling, decoding or orphaned (of lost hosts)."},
 	{nameEndpoints, kindGauge, unitEndpoint, []string{labelTarget, labelState}, "Endpoints as this host knows them: active or leaving."},
 	{nameLoad, kindGauge, unitEndpoint, []string{labelPool, labelState}, "Endpoints of the pools that this host schedules, by the load that their answers stated within the last second: slow (work takes more than one and a half times as long as usual), usual or unknown."},
+	{namePromises, kindCounter, unitRequests, []string{labelPool, labelState}, "Requests refused for lack of room by the pools that this host schedules: promised or without (a time at which capacity is kept for the caller); and returns: kept (at the promised time), early (before it) or lapsed (not by then)."},
 	{nameAge, kindGauge, unitSeconds, []string{labelOf}, "Time since this host knew the configuration, or the endpoints, to be the newest."},
 	{nameSettings, kindGauge, unitProcess, []string{labelVersion}, "1 for the version of the settings in force in this process."},
 	{nameReloads, kindCounter, unitReloads, []string{labelOutcome}, "Settings files that were read again: applied, unchanged, at_start (keys that wait for a start) or rejected."},
--- a/internal/naive/differential_test.go
+++ b/internal/naive/differential_test.go
@@ -42,6 +42,15 @@
 	granted []pool.Grant
 	running []pool.Grant
 	ranks   map[ident.Request]int
+	// sent holds the requests, and refused those that were refused and may return.
+	sent    map[ident.Request]pool.Request
+	refused []refusedRequest
+}
+
+// refusedRequest is a refused request and when its caller was told to return.
+type refusedRequest struct {
+	pool.Request
+	told time.Duration
 }
 
 var testPool = ident.Pool{Target: "m", Domain: "d"}
@@ -132,6 +141,26 @@
 func (w *world) arrive() pool.Event {
 	r := w.request()
 	w.waiting = append(w.waiting, r.ID)
+	w.sent[r.ID] = r
+	return pool.Arrive{Request: r}
+}
+
+// again returns a refused request with a fresh objective, or another request with the same body.
+func (w *world) again() pool.Event {
+	x, ok := take(w.t, &w.refused)
+	if !ok {
+		return w.arrive()
+	}
+	r := x.Request
+	w.next++
+	r.ID = ident.Request(fmt.Sprintf("r%04d", w.next))
+	w.ranks[r.ID] = r.Rank
+	if r.FirstDue > 0 {
+		r.FirstDue = w.now + time.Duration(rapid.IntRange(1, 3000).Draw(w.t, "first due"))*time.Millisecond
+	}
+	r.Deadline += time.Duration(rapid.SampledFrom([]int{-20, 0, 0, 30, 2000}).Draw(w.t, "later")) * time.Millisecond
+	w.waiting = append(w.waiting, r.ID)
+	w.sent[r.ID] = r
 	return pool.Arrive{Request: r}
 }
 
@@ -214,7 +243,7 @@
 }
 
 func (w *world) event() pool.Event {
-	switch rapid.IntRange(0, 12).Draw(w.t, "event") {
+	switch rapid.IntRange(0, 14).Draw(w.t, "event") {
 	case 0, 1, 2, 3:
 		return w.arrive()
 	case 4, 5, 6:
@@ -225,6 +254,8 @@
 		return w.firstToken()
 	case 9, 10:
 		return w.finish()
+	case 13, 14:
+		return w.again()
 	case 11:
 		id, _ := take(w.t, &w.waiting)
 		return pool.Cancel{ID: id}
@@ -258,8 +289,13 @@
 	NewWithT(w.t).Expect(got).To(Equal(want), "at %v after %+v", w.now, events)
 	w.checkTiers(events, got)
 	for _, e := range got {
-		if g, ok := e.(pool.Grant); ok {
-			w.granted = append(w.granted, g)
+		switch e := e.(type) {
+		case pool.Grant:
+			w.granted = append(w.granted, e)
+		case pool.Refuse:
+			if r, ok := w.sent[e.ID]; ok {
+				w.refused = append(w.refused, refusedRequest{r, w.now + e.RetryAfter})
+			}
 		}
 	}
 }
@@ -319,10 +355,13 @@
 func TestPoolDecidesAsTheNaiveScheduler(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		c := pool.Config{Pool: testPool, Epoch: 2}
-		w := &world{t: t, pool: pool.New(c), naive: New(c), ranks: map[ident.Request]int{}}
+		w := &world{t: t, pool: pool.New(c), naive: New(c), ranks: map[ident.Request]int{}, sent: map[ident.Request]pool.Request{}}
 		w.step([]pool.Event{w.configure()})
 		for range rapid.IntRange(1, 120).Draw(t, "steps") {
 			w.now += time.Duration(rapid.SampledFrom([]int{0, 1, 20, 300, 2500}).Draw(t, "pause")) * time.Millisecond
+			if n := len(w.refused); n > 0 && rapid.Bool().Draw(t, "return") {
+				w.now = max(w.now, w.refused[n-1].told+time.Duration(rapid.SampledFrom([]int{-40, 0, 400}).Draw(t, "after"))*time.Millisecond)
+			}
 			events := make([]pool.Event, rapid.IntRange(0, 3).Draw(t, "events"))
 			for i := range events {
 				events[i] = w.event()
--- a/internal/naive/events.go
+++ b/internal/naive/events.go
@@ -60,13 +60,17 @@
 		}
 	}
 	row.cost = s.costOf(row)
-	s.meter.RecordArrival(r.Rank, row.cost)
+	s.recognize(row)
+	if !row.before.Known() {
+		s.meter.RecordArrival(r.Rank, row.cost)
+	}
 	if r.FirstDue > 0 {
 		class := rules.SizeClass(row.cost)
 		s.sizes.RecordArrival(s.now, r.Rank, class)
 		row.favoured = s.sizes.Starved(s.now, r.Rank, class, rules.LongestFraction, rules.LongestMinGrantRatio)
 	}
 	if s.admit(row) {
+		s.promises.Admitted(row.before)
 		s.requests = append(s.requests, row)
 		s.enqueue(row)
 	}
@@ -99,6 +103,10 @@
 	if r.FirstDue > 0 && !r.late {
 		s.set(r, "late", r.FirstDue-first, func() { s.becomeLate(r) })
 	}
+	if r.FirstDue > 0 && r.late && r.before.Kept && !r.due {
+		s.set(r, "late", r.dueAt, func() { s.becomeDue(r) })
+		return
+	}
 	if r.FirstDue > 0 && r.late && r.Patience > 0 {
 		s.set(r, "late", r.Patience-first, func() { s.outwaited(r) })
 	}
--- a/internal/naive/grant.go
+++ b/internal/naive/grant.go
@@ -286,7 +286,7 @@
 // reserved says whether the free slots or endpoints are kept from a request.
 func (s *Scheduler) reserved(r *request) bool {
 	t := s.totals
-	if r.cost >= rules.LongRequestCost && t.slots > 1 && float64(t.free) <= rules.ReservedSlotFraction*float64(t.slots) {
+	if !r.due && r.cost >= rules.LongRequestCost && t.slots > 1 && float64(t.free) <= rules.ReservedSlotFraction*float64(t.slots) {
 		return true
 	}
 	return s.longPrefill(r.PromptTokens-r.best) &&
@@ -322,7 +322,7 @@
 
 // holdTime is how long a request waits for its prefix rather than take a place.
 func (s *Scheduler) holdTime(r *request, p place) time.Duration {
-	if p.endpoint == nil || (r.urgent && s.spare()) {
+	if p.endpoint == nil || r.due || (r.urgent && s.spare()) {
 		return 0
 	}
 	s.findHome(r)
--- a/internal/naive/naive.go
+++ b/internal/naive/naive.go
@@ -3,7 +3,8 @@
 // and no result is kept that can be worked out again. It is slow. Its decisions
 // are the pool scheduler's to the byte, but for the reasons in words; a
 // differential test holds both against each other. The numbers of the policy
-// and what is learned (packages rules, speed, window and meter) are shared.
+// and what is learned (packages rules, speed, window, meter and
+// promise) are shared.
 package naive
 
 import (
@@ -15,6 +16,7 @@
 	"github.com/trefoilchute/trefoilchute/internal/ident"
 	"github.com/trefoilchute/trefoilchute/internal/pool"
 	"github.com/trefoilchute/trefoilchute/internal/pool/meter"
+	"github.com/trefoilchute/trefoilchute/internal/pool/promise"
 	"github.com/trefoilchute/trefoilchute/internal/pool/rules"
 	"github.com/trefoilchute/trefoilchute/internal/pool/speed"
 	"github.com/trefoilchute/trefoilchute/internal/pool/window"
@@ -35,6 +37,7 @@
 	suspects  []*suspect
 	remotes   []pool.Remote
 	alarms    []alarm
+	promises  promise.Book
 	shares    []*share
 	proven    []uint64
 	fresh     []*request
@@ -86,7 +89,11 @@
 	heldForHome bool
 	urgent      bool
 	late        bool
-	recheck     time.Duration
+	// before is what was known of it at its arrival; due says that its promise has to be kept.
+	before  promise.Return
+	due     bool
+	dueAt   time.Duration
+	recheck time.Duration
 	// heldUntil ends the wait for the prefix; setAside is when it was held or
 	// parked.
 	heldUntil time.Duration
@@ -231,7 +238,7 @@
 
 // order is a request's place among the tiers.
 func (r *request) order() int {
-	if r.late {
+	if r.late && !r.due {
 		return r.Rank + rules.LatePriorityOffset
 	}
 	return r.Rank
@@ -240,6 +247,8 @@
 // turn is when a request is to be served.
 func (r *request) turn() time.Duration {
 	switch {
+	case r.before.Kept:
+		return r.Deadline - rules.PromisedLead
 	case r.FirstDue == 0:
 		return r.Deadline
 	case r.late:
@@ -320,6 +329,10 @@
 }
 
 func (s *Scheduler) refuse(r *request, code result.Code) {
+	if code == result.ShedTier || code == result.QueueFull {
+		s.refuseForRoom(r, code)
+		return
+	}
 	s.out = append(s.out, pool.Refuse{ID: r.ID, Host: r.Host, Code: code, RetryAfter: s.retryAfter(r.order()), Late: r.late})
 }
 
--- a/internal/naive/policy.go
+++ b/internal/naive/policy.go
@@ -97,6 +97,10 @@
 // late ones.
 func (s *Scheduler) admitByObjective(r *request, total time.Duration) bool {
 	spare := r.FirstDue - s.now - s.firstAlone(r)
+	if r.before.Kept {
+		r.dueAt = s.now + time.Duration(rules.PromisedWaitFraction*float64(s.lateSpare(r, total)))
+		return true
+	}
 	r.late = r.late || min(s.waitOf(r, r.Rank), s.floorWait(r)) > spare
 	return !r.late || s.admitLate(r, total)
 }
@@ -135,6 +139,9 @@
 // waitOf is the time until a request is served among those of an order.
 func (s *Scheduler) waitOf(r *request, order int) time.Duration {
 	sum := s.before(r, order)
+	if order >= rules.LatePriorityOffset {
+		sum += s.promises.Outstanding(s.now)
+	}
 	for _, x := range s.ranks() {
 		if x < order {
 			sum += cost(s.inTier(x))
@@ -153,8 +160,15 @@
 }
 
 func (s *Scheduler) admitLate(r *request, total time.Duration) bool {
+	if r.before.Waited {
+		return true
+	}
 	for s.waitOf(r, r.order()) > s.lateSpare(r, total) {
-		below := s.below(r.order())
+		all := s.below(r.order())
+		below := slices.DeleteFunc(slices.Clone(all), func(x *request) bool { return x.before.Kept })
+		if len(below) == 0 && len(all) > 0 {
+			return true
+		}
 		if len(below) == 0 || r.order() < rules.LatePriorityOffset {
 			s.spillOr(r, result.ShedTier)
 			return false
@@ -179,13 +193,16 @@
 		return
 	}
 	s.drop(r)
-	s.refuse(r, result.DeadlineTooNear)
+	s.refuseForRoom(r, result.DeadlineTooNear)
 }
 
 // shedOverlong sheds the last of a team's in an order while it would wait too long.
 func (s *Scheduler) shedOverlong(order int, team ident.Team) {
 	for list := s.teamQueue(order, team); len(list) > 0; list = s.teamQueue(order, team) {
 		r := slices.MaxFunc(list, compareUrgency)
+		if r.before.Waited {
+			return
+		}
 		total, ok := s.fastest(r)
 		if !ok || s.waitOf(r, order) <= s.lateSpare(r, total) {
 			return
@@ -303,7 +320,7 @@
 		return false
 	}
 	for _, t := range s.tiers {
-		if t.Rank == r.Rank && t.MaxQueued > 0 && len(s.inTier(r.order())) >= t.MaxQueued {
+		if t.Rank == r.Rank && t.MaxQueued > 0 && !r.before.Kept && len(s.inTier(r.order())) >= t.MaxQueued {
 			return s.admitToFull(r)
 		}
 	}
@@ -353,6 +370,9 @@
 	if r.FirstDue > 0 {
 		return s.admitByObjective(r, total)
 	}
+	if r.before.Kept {
+		return true
+	}
 	wait := s.teamWait(r)
 	spare := r.Deadline - s.now - total
 	if wait <= spare {
--- a/internal/platformhost/pools.go
+++ b/internal/platformhost/pools.go
@@ -79,6 +79,7 @@
 		"granted": s.Holders.Granted, "prefilling": s.Holders.Prefilling, "decoding": s.Holders.Decoding,
 		"orphaned": s.Holders.Orphaned, "in_flight": inFlight, "slots": slots, "pending_tokens": pending,
 		"endpoints": strings.Join(endpoints, " "), "closed": strings.Join(closed, " "),
-		"slow": strings.Join(slow, " "),
+		"slow": strings.Join(slow, " "), "promised_ms": s.Promises.Outstanding.Milliseconds(),
+		"promises_made": s.Promises.Made, "promises_kept": s.Promises.Kept, "promises_lapsed": s.Promises.Lapsed,
 	}).Info()
 }
--- a/internal/platformhost/record.go
+++ b/internal/platformhost/record.go
@@ -182,6 +182,7 @@
 		Members: map[string]int{}, Waiting: map[ident.Tier]int{}, Slots: map[metrics.NameState]int{},
 		Suspects: map[metrics.NameState]int{},
 		Load:     map[metrics.NameState]int{},
+		Promises: map[metrics.NameState]int{},
 		Settings: h.settings.Load().Version(), Endpoints: map[metrics.NameState]int{}, Age: map[string]time.Duration{}, RetriesLeft: h.gateway.RetriesLeft(),
 	}
 	if rules := h.gateway.Ruleset(); rules != nil {
@@ -244,6 +245,13 @@
 	} {
 		s.Slots[metrics.NameState{Name: p.Pool.String(), State: state}] = count
 	}
+	promises := p.Detail.Promises
+	for state, count := range map[string]uint64{
+		"promised": promises.Made, "without": promises.Without, "kept": promises.Kept,
+		"early": promises.Early, "lapsed": promises.Lapsed,
+	} {
+		s.Promises[metrics.NameState{Name: p.Pool.String(), State: state}] = int(count)
+	}
 	for i := range p.Detail.Endpoints {
 		s.Load[metrics.NameState{Name: p.Pool.String(), State: p.Detail.Endpoints[i].Load()}]++
 	}
--- a/internal/pool/admit.go
+++ b/internal/pool/admit.go
@@ -58,7 +58,7 @@
 		s.refuse(r, result.TeamLimit, "the team has its most requests waiting")
 		return false
 	}
-	if limit > 0 && s.queue.tier(r.priority()).size >= limit {
+	if limit > 0 && !r.before.Kept && s.queue.tier(r.priority()).size >= limit {
 		return s.admitToFullTier(r)
 	}
 	return s.admitByWait(r, total)
@@ -85,6 +85,9 @@
 	if r.FirstDue > 0 {
 		return s.admitByObjective(r, total)
 	}
+	if r.before.Kept {
+		return true
+	}
 	wait := s.teamWait(r)
 	tolerance := 1.0
 	if s.queue.waitsBelow(r.Rank) {
--- a/internal/pool/apply.go
+++ b/internal/pool/apply.go
@@ -52,11 +52,15 @@
 	row := &request{Request: r, sequence: s.sequence}
 	row.outputTokens = s.expectedOutput(&r)
 	row.cost = s.costOf(row)
-	s.meter.RecordArrival(r.Rank, row.cost)
+	s.recognize(row)
+	if !row.before.Known() {
+		s.meter.RecordArrival(r.Rank, row.cost)
+	}
 	s.checkStarvation(row)
 	if !s.admit(row) {
 		return
 	}
+	s.promises.Admitted(row.before)
 	s.requests[r.ID] = row
 	s.enqueue(row)
 }
--- a/internal/pool/deadline.go
+++ b/internal/pool/deadline.go
@@ -69,5 +69,9 @@
 
 // refuse ends a request with a refusal.
 func (s *Scheduler) refuse(r *request, code result.Code, reason string) {
+	if lacksRoom(code) {
+		s.refuseForRoom(r, code, reason)
+		return
+	}
 	s.emit(*s.refusal(r, code, s.retryAfter(r.priority()), reason))
 }
--- a/internal/pool/event.go
+++ b/internal/pool/event.go
@@ -318,6 +318,8 @@
 	Reason     string
 	// Late means that the request could not meet its objective any more.
 	Late bool `cbor:",omitempty"`
+	// Promised means that capacity is kept for the caller at RetryAfter.
+	Promised bool `cbor:",omitempty"`
 }
 
 // Spill passes a waiting request to another domain's pool.
--- a/internal/pool/meter/meter.go
+++ b/internal/pool/meter/meter.go
@@ -21,8 +21,11 @@
 	// initialUtilization is the fraction of its slots' time that a full pool is assumed
 	// to use before this was measured.
 	initialUtilization = 0.9
-	// minUtilization is the lower bound of the measured fraction.
+	// minUtilization and maxUtilization bound the measured fraction. It exceeds 1 where the
+	// expected slot time exceeds the real one: an endpoint that is twice as fast as the average
+	// does the work of two slots with each of its own.
 	minUtilization = 0.3
+	maxUtilization = 4
 )
 
 // Meter measures, in slot time per time, the work that arrives by rank and the work
@@ -41,6 +44,7 @@
 	// was closed.
 	recent   float64
 	measured bool
+	forecast forecast
 }
 
 // New returns a Meter without measurements.
@@ -85,6 +89,7 @@
 	for _, rank := range slices.Sorted(maps.Keys(m.arrived)) {
 		sum += m.arrived[rank]
 	}
+	m.forecast.add(m.arrived, buckets)
 	keep := math.Pow(1-recentWeight, float64(buckets))
 	if !m.measured {
 		keep, m.measured = 0, true
@@ -115,7 +120,7 @@
 	if m.drain == 0 {
 		return initialUtilization * float64(slots)
 	}
-	return min(max(m.drain, minUtilization*float64(slots)), float64(slots))
+	return min(max(m.drain, minUtilization*float64(slots)), maxUtilization*float64(slots))
 }
 
 // ArrivalRateAbove returns the arrival rate of all ranks above the given one. It sums
--- a/internal/pool/objective.go
+++ b/internal/pool/objective.go
@@ -21,7 +21,7 @@
 // priority returns the request's place among the tiers, where the smallest value is
 // served first: its rank, or for a late request its rank behind all ranks.
 func (r *request) priority() int {
-	if r.late {
+	if r.late && !r.due {
 		return r.Rank + rules.LatePriorityOffset
 	}
 	return r.Rank
@@ -33,6 +33,8 @@
 // first.
 func (r *request) sortKey() time.Duration {
 	switch {
+	case r.before.Kept:
+		return r.Deadline - rules.PromisedLead
 	case r.FirstDue == 0:
 		return r.Deadline
 	case r.late:
@@ -65,7 +67,7 @@
 // teams.
 func (s *Scheduler) waitAt(r *request, priority int) time.Duration {
 	before := s.queue.tier(priority).backlogBefore(r, s.teams.get(r.Team))
-	return s.drainTime(priority, s.backlogAbove(priority)+before)
+	return s.drainTime(priority, s.backlogAbove(priority)+before+s.promisedWork(priority))
 }
 
 // objectiveTime returns the part of an estimate that counts against the objective: the
@@ -98,6 +100,10 @@
 // among the late requests.
 func (s *Scheduler) admitByObjective(r *request, total time.Duration) bool {
 	slack := r.FirstDue - s.now - s.fastestFirstToken(r)
+	if r.before.Kept {
+		s.admitPromised(r, total)
+		return true
+	}
 	r.late = r.late || min(s.waitAt(r, r.Rank), s.floorWait(r)) > slack
 	return !r.late || s.admitLate(r, total)
 }
@@ -105,11 +111,19 @@
 // admitLate compares the slack of a late request with the time in which those before
 // it are served. Late requests of lower tiers are shed before it, from the lowest up.
 func (s *Scheduler) admitLate(r *request, total time.Duration) bool {
+	if r.before.Waited {
+		return true
+	}
 	slack := s.lateSlack(r, total)
 	for s.waitAt(r, r.priority()) > slack {
 		if s.shedLateBelow(r.priority()) {
 			continue
 		}
+		if s.queue.waitsBelow(r.priority()) {
+			// Only requests that returned at their promised time are left below. None may
+			// be refused for lack of room while one of a lower tier waits.
+			return true
+		}
 		s.spillOrRefuse(r, result.ShedTier, "it would be late, and those before it take longer than it can wait")
 		return false
 	}
@@ -134,6 +148,9 @@
 	tq := s.queue.tier(priority).teams[team]
 	for tq != nil && len(tq.requests) > 0 {
 		r := slices.MaxFunc(tq.requests, compareUrgency)
+		if r.before.Waited {
+			return
+		}
 		total, ok := s.fastestTotal(r)
 		if !ok || s.waitAt(r, priority) <= s.lateSlack(r, total) {
 			return
@@ -142,15 +159,6 @@
 	}
 }
 
-// shedLateBelow sheds the last of the late requests of the lowest tier below a
-// priority. It returns false if there are none.
-func (s *Scheduler) shedLateBelow(priority int) bool {
-	if priority < rules.LatePriorityOffset {
-		return false
-	}
-	return s.shedOneBelow(priority)
-}
-
 // checkObjective determines whether a request that enters the queue is late, and sets
 // its timer.
 func (s *Scheduler) checkObjective(r *request) {
@@ -169,6 +177,8 @@
 	switch {
 	case r.FirstDue > 0 && !r.late:
 		s.timers.set(&r.lateTimer, r.FirstDue-s.fastestFirstToken(r), func() { s.markLate(r) })
+	case r.FirstDue > 0 && r.before.Kept && !r.due:
+		s.timers.set(&r.lateTimer, r.dueAt, func() { s.markDue(r) })
 	case r.FirstDue > 0 && r.Patience > 0:
 		s.timers.set(&r.lateTimer, r.Patience-s.fastestFirstToken(r), func() { s.refuseAbandoned(r) })
 	}
@@ -182,7 +192,7 @@
 	}
 	reason := "the caller would leave before the first token" + r.heldSuffix()
 	s.drop(r)
-	s.refuse(r, result.DeadlineTooNear, reason)
+	s.refuseForRoom(r, result.DeadlineTooNear, reason)
 }
 
 // markLate moves a waiting request behind all that can meet their objective, or
--- a/internal/pool/place.go
+++ b/internal/pool/place.go
@@ -235,7 +235,7 @@
 type longRequestReserve struct{}
 
 func (longRequestReserve) reserve(s *Scheduler, r *request) string {
-	if r.Rank == 0 || r.cost < rules.LongRequestCost {
+	if r.Rank == 0 || r.due || r.cost < rules.LongRequestCost {
 		return ""
 	}
 	if s.totalSlots > 1 && float64(s.totalFreeSlots) <= rules.ReservedSlotFraction*float64(s.totalSlots) {
--- a/internal/pool/prefix.go
+++ b/internal/pool/prefix.go
@@ -70,7 +70,7 @@
 // holdForPrefix returns how long a request may wait for a slot of the endpoint that
 // has its prefix instead of taking the given placement; 0: not at all.
 func (s *Scheduler) holdForPrefix(r *request, p *placement) time.Duration {
-	if p.endpoint == nil || s.config.WithoutHolds || (r.urgent && s.hasSpareCapacity()) {
+	if p.endpoint == nil || s.config.WithoutHolds || r.due || (r.urgent && s.hasSpareCapacity()) {
 		return 0
 	}
 	s.matchPrefix(r)
--- a/internal/pool/rules/rules.go
+++ b/internal/pool/rules/rules.go
@@ -3,6 +3,7 @@
 package rules
 
 import (
+	"math"
 	"math/bits"
 	"time"
 
@@ -178,6 +179,13 @@
 	// is told.
 	MinRetryAfter = time.Second
 	MaxRetryAfter = time.Minute
+	// PromisedLead puts a request that returned at its promised time before all others of
+	// its team.
+	PromisedLead = time.Duration(math.MaxInt64 / 2)
+	// PromisedWaitFraction is the fraction of the time that such a request can wait for
+	// which it waits behind the requests that can still be on time. The rest is left for the
+	// slots to be freed.
+	PromisedWaitFraction = 0.5
 	// MinDrainFraction is the fraction of the pool's capacity that a tier is
 	// assumed to get at least, however much arrives in higher tiers.
 	MinDrainFraction = 0.1
--- a/internal/pool/scheduler.go
+++ b/internal/pool/scheduler.go
@@ -6,6 +6,7 @@
 	"github.com/trefoilchute/trefoilchute/internal/ident"
 	"github.com/trefoilchute/trefoilchute/internal/pool/blocks"
 	"github.com/trefoilchute/trefoilchute/internal/pool/meter"
+	"github.com/trefoilchute/trefoilchute/internal/pool/promise"
 	"github.com/trefoilchute/trefoilchute/internal/pool/rules"
 	"github.com/trefoilchute/trefoilchute/internal/pool/speed"
 )
@@ -49,6 +50,8 @@
 	isolation isolation
 	bodies    *bodyTable
 	remotes   remoteTable
+	// promises holds the refusals for lack of room, and when their callers were told to return.
+	promises promise.Book
 	// runningByRank counts the attempts that occupy a slot.
 	runningByRank map[int]int
 	sweepTimer    timer
--- a/internal/pool/shed.go
+++ b/internal/pool/shed.go
@@ -24,6 +24,28 @@
 	return false
 }
 
+// shedLateBelow sheds the last of the late requests of the lowest tier below a priority. It
+// returns false if there are none. Requests that returned at their promised time stay: they
+// are served after those of the priority, and their slot time was counted before they came.
+func (s *Scheduler) shedLateBelow(priority int) bool {
+	if priority < rules.LatePriorityOffset {
+		return false
+	}
+	for _, t := range slices.Backward(s.queue.tiers) {
+		if t.priority <= priority {
+			return false
+		}
+		if t.size == 0 {
+			continue
+		}
+		if r := t.leastUrgent(); !r.before.Kept {
+			s.shed(r)
+			return true
+		}
+	}
+	return false
+}
+
 // shedAllBelow sheds all waiting requests of the tiers below rank, from the lowest up:
 // no request is shed for lack of room while one of a lower tier waits.
 func (s *Scheduler) shedAllBelow(rank int) {
--- a/internal/pool/speed/moment.go
+++ b/internal/pool/speed/moment.go
@@ -107,7 +107,10 @@
 // that it takes at the long-run rates. The momentary factor is expected to last for half of
 // its remaining validity; then the endpoint is expected to be as slow as it is in the mean.
 func (e *Endpoint) stretch(now, delay time.Duration, work float64) float64 {
-	usual := e.Pace(now) * e.meanFactor()
+	if len(e.moments.spans) == 0 {
+		return work * e.Pace(now)
+	}
+	usual := e.Pace(now) * e.moments.mean
 	factor, known := e.Factor(now)
 	if !known {
 		return work * usual
--- a/internal/pool/status.go
+++ b/internal/pool/status.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/trefoilchute/trefoilchute/internal/ident"
+	"github.com/trefoilchute/trefoilchute/internal/pool/promise"
 	"github.com/trefoilchute/trefoilchute/internal/pool/rules"
 	"github.com/trefoilchute/trefoilchute/internal/resource"
 )
@@ -25,6 +26,9 @@
 	Holders Holders
 	// Remotes are the domains with which requests can be exchanged, by name.
 	Remotes []Remote
+	// Promises counts the return times that refused callers were promised, since this
+	// scheduler began.
+	Promises promise.Counts
 }
 
 // Holders counts the attempts that occupy a slot by their state.
@@ -107,6 +111,7 @@
 		Pool:     s.config.Pool,
 		Epoch:    s.config.Epoch,
 		Isolated: len(s.isolation.waiting),
+		Promises: s.promises.Counts(),
 	}
 	for _, t := range s.queue.tiers {
 		out.Queue = append(out.Queue, s.queueStatus(t))
--- a/internal/pool/table.go
+++ b/internal/pool/table.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/trefoilchute/trefoilchute/internal/ident"
+	"github.com/trefoilchute/trefoilchute/internal/pool/promise"
 	"github.com/trefoilchute/trefoilchute/internal/pool/rules"
 	"github.com/trefoilchute/trefoilchute/internal/resource"
 )
@@ -68,6 +69,12 @@
 	// more.
 	late      bool
 	lateTimer timer
+	// before is what was known of the request when it arrived.
+	before promise.Return
+	// due means that the request, which returned at its promised time, is served before the
+	// newcomers of its tier. dueAt is when it becomes due.
+	due   bool
+	dueAt time.Duration
 	// heldUntil is the end of the wait for the endpoint with the prefix; 0: not held
 	// yet.
 	heldUntil time.Duration
