--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -56,6 +56,9 @@
 	// holds the permitted share of each.
 	Rollouts     map[NameState]int
 	RolloutShare map[string]float64
+	// Promises counts the refusals for lack of room and what became of the return times, by
+	// the pool's name and state.
+	Promises map[NameState]int
 	// Age is the time since what is known was the newest, by what it is.
 	Age map[string]time.Duration
 	// Held is the number of bytes held for callers by kind, Budget the most that may be, and
--- a/internal/pool/status.go
+++ b/internal/pool/status.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/trefoilchute/trefoilchute/internal/ident"
+	"github.com/trefoilchute/trefoilchute/internal/pool/promise"
 	"github.com/trefoilchute/trefoilchute/internal/pool/rules"
 	"github.com/trefoilchute/trefoilchute/internal/resource"
 )
@@ -27,6 +28,9 @@
 	Remotes []Remote
 	// Rollout is the order in force to move to a version; nil if there is none.
 	Rollout *RolloutStatus
+	// Promises counts the return times that refused callers were promised, since this
+	// scheduler began.
+	Promises promise.Counts
 }
 
 // Holders counts the attempts that occupy a slot by their state.
@@ -109,6 +113,7 @@
 		Pool:     s.config.Pool,
 		Epoch:    s.config.Epoch,
 		Isolated: len(s.isolation.waiting),
+		Promises: s.promises.Counts(),
 	}
 	out.Rollout = s.rolloutStatus()
 	for _, t := range s.queue.tiers {
