Send changes of the endpoints and a compressed configuration

Cause: a reader sent every host all endpoints at each change of one, and the configuration as it stands in the store. Change: a host that says so gets the endpoints that differ from its list, named by its hash, or all if the reader no longer has that list, and the configuration compressed with Zstandard.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -72,8 +72,9 @@
 
 // Follower follows the contents of the store.
 type Follower struct {
-	opts  Options
-	state state
+	opts       Options
+	state      state
+	compressed compressed
 	// reading is set if this host reads the store for others.
 	reading atomic.Bool
 	// wakeups wakes the loops that read the store.
--- a/internal/follow/peers.go
+++ b/internal/follow/peers.go
@@ -133,7 +133,10 @@
 // sendQuery sends a query to a host.
 func (f *Follower) sendQuery(to ident.Host, reader bool) {
 	f.state.mu.Lock()
-	m := &peerpb.StoreAsk{Endpoints: f.state.sum}
+	m := &peerpb.StoreAsk{Endpoints: f.state.sum, Delta: true}
+	if f.state.wantsAll {
+		m.Endpoints, f.state.wantsAll = 0, false
+	}
 	if f.state.ruleset != nil {
 		m.Version = f.state.ruleset.Version
 	}
@@ -187,6 +190,7 @@
 			})
 		}
 	}
+	f.shorten(q, m)
 	return m
 }
 
@@ -218,7 +222,7 @@
 		f.state.confirmEndpoints(m.GetEndpoints(), at)
 		return
 	}
-	if list := decodeEndpoints(m.GetList()); f.state.adoptEndpoints(list, at) {
+	if list, ok := f.endpointsOf(m); ok && f.state.adoptEndpoints(list, at) {
 		f.opts.OnEndpoints(list)
 	}
 }
@@ -231,6 +235,10 @@
 
 // handleConfiguration applies the configuration part of an answer.
 func (f *Follower) handleConfiguration(from ident.Host, m *peerpb.StoreTell, at time.Duration) {
+	if err := decompress(m); err != nil {
+		logs.With(f.opts.Log, logs.ConfigurationRejected).WithField("from", from).WithError(err).Error()
+		return
+	}
 	if len(m.GetConfiguration()) == 0 {
 		f.state.confirm(m.GetVersion(), at)
 		return
--- a/internal/follow/state.go
+++ b/internal/follow/state.go
@@ -24,6 +24,10 @@
 	// correct; 0 if there is none.
 	sum    uint64
 	readAt time.Duration
+	// earlier holds the last lists of endpoints before this one.
+	earlier []list
+	// wantsAll is set if the next query has to be for all endpoints.
+	wantsAll bool
 }
 
 // adoptRuleset takes over a ruleset that was the newest at a given time. It reports whether it
@@ -65,7 +69,7 @@
 	if sum == s.sum && !first {
 		return false
 	}
-	s.endpoints, s.sum = list, sum
+	s.setEndpoints(list, sum)
 	return true
 }
 
@@ -79,7 +83,7 @@
 	if s.readAt > 0 && now-s.readAt < outage || sum == s.sum {
 		return false
 	}
-	s.endpoints, s.sum = list, sum
+	s.setEndpoints(list, sum)
 	return true
 }
 
