--- a/internal/follow/state.go
+++ b/internal/follow/state.go
@@ -30,6 +30,10 @@
 	// be correct; 0 if there is none.
 	orders   []rollout.Order
 	ordersAt time.Duration
+	// earlier holds the last lists of endpoints before this one.
+	earlier []list
+	// wantsAll is set if the next query has to be for all endpoints.
+	wantsAll bool
 }
 
 // adoptRuleset takes over a ruleset that was the newest at a given time. It reports whether it
@@ -71,7 +75,7 @@
 	if sum == s.sum && !first {
 		return false
 	}
-	s.endpoints, s.sum = list, sum
+	s.setEndpoints(list, sum)
 	return true
 }
 
@@ -85,7 +89,7 @@
 	if s.readAt > 0 && now-s.readAt < outage || sum == s.sum {
 		return false
 	}
-	s.endpoints, s.sum = list, sum
+	s.setEndpoints(list, sum)
 	return true
 }
 
