Displace nobody for a request that there is no room for even then

Cause: stalled senders were ended before it turned out that their bytes were not enough. Change: the choice is undone in that case. Result: the decision tests pass, with a case for it.

--- a/internal/memory/memory.go
+++ b/internal/memory/memory.go
@@ -248,11 +248,16 @@
 	for b.total()-b.leaving+n > b.limits.Bytes {
 		v := b.pick(func(v *Account) float64 { return yieldScore(now, a, v, a.total()+n) })
 		if v == nil {
-			break
+			// What could give way is not enough, so that nothing does.
+			for _, y := range yields {
+				y.leaving = false
+				b.leaving -= y.total()
+			}
+			return false, nil
 		}
 		yields = append(yields, b.leave(v))
 	}
-	if b.total()-b.leaving+n > b.limits.Bytes || b.total()+n > b.limits.Bytes+int64(overdraftShare*float64(b.limits.Bytes)) {
+	if b.total()+n > b.limits.Bytes+int64(overdraftShare*float64(b.limits.Bytes)) {
 		return false, yields
 	}
 	b.charge(a, k, n)
