Bound the connections for readiness checks and scrapes

Cause: idle connections to these addresses could use up the process's descriptors. Change: each takes 32 connections; the oldest is closed for a new one.

--- a/internal/platformhost/auxiliary_test.go
+++ b/internal/platformhost/auxiliary_test.go
@@ -78,3 +78,24 @@
 	_ = ln.Close()
 	<-served
 }
+
+// TestAuxiliaryServersCloseTheOldest guards against idle connections that use up the descriptors or
+// lock out the balancer.
+func TestAuxiliaryServersCloseTheOldest(t *testing.T) {
+	g := NewWithT(t)
+	ln, err := net.Listen("tcp", anyPort)
+	g.Expect(err).NotTo(HaveOccurred())
+	go func() { _ = serveHTTP(t.Context(), ln, http.NotFoundHandler()) }()
+	var conns []net.Conn
+	for range 2 * auxiliaryMaxConnections {
+		conn, err := net.Dial("tcp", ln.Addr().String())
+		g.Expect(err).NotTo(HaveOccurred())
+		defer conn.Close()
+		conns = append(conns, conn)
+	}
+	resp, err := http.Get("http://" + ln.Addr().String())
+	g.Expect(err).NotTo(HaveOccurred())
+	_ = resp.Body.Close()
+	_, err = conns[0].Read(make([]byte, 1))
+	g.Expect(err).To(MatchError(io.EOF))
+}
--- a/internal/platformhost/host.go
+++ b/internal/platformhost/host.go
@@ -205,7 +205,7 @@
 	}
 	stopClose := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stopClose()
-	if err := server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+	if err := server.Serve(&boundedListener{Listener: ln, most: auxiliaryMaxConnections}); !errors.Is(err, http.ErrServerClosed) {
 		return errors.Wrap(err, "serve "+ln.Addr().String())
 	}
 	return nil
@@ -220,6 +220,8 @@
 	auxiliaryIdleTimeout = 60 * time.Second
 	// auxiliaryMaxHeaderBytes bounds the headers of a request to these servers.
 	auxiliaryMaxHeaderBytes = 16 << 10
+	// auxiliaryMaxConnections bounds the connections to each of these servers.
+	auxiliaryMaxConnections = 32
 )
 
 // serveReady answers the load balancer's readiness check.
