Keep the limit of an order beside the counts of its endpoint

Cause: a decision read one more cache line per endpoint. Change: the limit stands beside the number of requests in flight.

--- a/internal/pool/endpoint.go
+++ b/internal/pool/endpoint.go
@@ -20,6 +20,8 @@
 	number int32
 	// declared is false after the endpoint has been removed from the configuration.
 	declared bool
+	// limit is set by an order to move to a version.
+	limit placementLimit
 	// inFlight counts the attempts that occupy a slot.
 	inFlight int
 	// pendingTokens is the number of prompt tokens granted and not yet prefilled.
@@ -47,8 +49,6 @@
 	// cacheTrust is the fraction of the expected cached tokens that the engine finds.
 	cacheTrust float64
 	load       window.ForeignLoad
-	// limit is set by an order to move to a version.
-	limit placementLimit
 }
 
 // slots returns the number of requests that the endpoint may have in flight now.
--- a/internal/pool/rollout.go
+++ b/internal/pool/rollout.go
@@ -66,7 +66,7 @@
 // placementLimit is a bound that an order sets on the requests in flight at an endpoint.
 type placementLimit struct {
 	set      bool
-	inFlight int
+	inFlight int32
 }
 
 // withheld reports whether an order keeps all requests from the endpoint.
@@ -77,7 +77,7 @@
 	if !l.set {
 		return free
 	}
-	return min(free, l.inFlight-inFlight)
+	return min(free, int(l.inFlight)-inFlight)
 }
 
 // rolloutChanged applies the order to move the pool's target to a version.
@@ -194,7 +194,7 @@
 			l.set = true
 		case r.Phase() == rollout.Watching:
 			// The candidate is kept as busy as the baseline.
-			l = placementLimit{true, rollout.BusyLimit(busy, e.slots())}
+			l = placementLimit{true, int32(rollout.BusyLimit(busy, e.slots()))}
 		}
 		s.setLimit(e, l)
 	}
