Judge and move in what is left of an order's time after a late takeover

Cause: a scheduler that takes over late may lack the time for 20 answers and for full steps. Change: 10 answers are enough in the second half of the time to move, and the steps shrink with what is left; an order for the version in force is not called late in its first seconds.

--- a/internal/rollout/controller.go
+++ b/internal/rollout/controller.go
@@ -76,8 +76,10 @@
 	spareFraction = 1.0 / 12
 	minSpare      = 2 * time.Second
 	maxSpare      = 10 * time.Second
-	// holdFraction is the part of the time to move for which each step of the share lasts.
+	// holdFraction is the part of the time to move for which each step of the share lasts,
+	// and maxHoldPart bounds it by what is left of that time.
 	holdFraction = 0.1
+	maxHoldPart  = 5
 	// freshFraction is the part of the time limit within which a scheduler that learns of an
 	// order is taken to be its first, which may use its part of the slack.
 	freshFraction = 0.1
@@ -87,6 +89,9 @@
 	// minSamples is the number of candidates' answers from which on a version is judged
 	// good: of a version that fails a fifth, 20 are all good with a probability of 0.01.
 	minSamples = 20
+	// lateSamples is that number once half of the time to move is over: a scheduler that took
+	// over late has few answers, and most versions are good.
+	lateSamples = 10
 	// inForceTime is how long a target must have had no other version until its order's
 	// version counts as the one in force.
 	inForceTime = 2 * time.Second
@@ -323,16 +328,21 @@
 // watch compares the versions until it is time to judge.
 func (c *Controller) watch(now time.Duration, load *Load) {
 	left := c.limitAt - now
-	if len(load.Candidates) > 0 && !c.baselineSeen && now-c.knownAt >= inForceTime {
-		c.end(now, Completed, Finished, "the version is already in force: no endpoint has another")
+	if len(load.Candidates) > 0 && !c.baselineSeen {
+		if now-c.knownAt >= inForceTime {
+			c.end(now, Completed, Finished, "the version is already in force: no endpoint has another")
+		}
 		return
 	}
 	if c.overdue(now, load) {
 		return
 	}
 	c.arrange(now, load)
-	n := c.evidence.total.Candidate
-	if left > c.moveTime() || n < minSamples || len(load.Candidates) == 0 || !c.status.Confirmed {
+	least := minSamples
+	if left < c.moveTime()/2 {
+		least = lateSamples
+	}
+	if left > c.moveTime() || c.evidence.total.Candidate < least || len(load.Candidates) == 0 || !c.status.Confirmed {
 		return
 	}
 	l := finalLevel.among(len(load.Candidates))
@@ -361,7 +371,7 @@
 		c.rollBack(now, "not judged by the limit: no endpoint has the version")
 	case found:
 		c.rollBack(now, "not judged good by the limit: "+f.describe())
-	case c.evidence.total.Candidate < minSamples:
+	case c.evidence.total.Candidate < lateSamples:
 		c.rollBack(now, "not judged by the limit: too few answers")
 	default:
 		c.rollBack(now, "not moved by the limit: the new endpoints can't carry the load, or the store is not in reach")
@@ -393,7 +403,7 @@
 	if c.overdue(now, load) {
 		return
 	}
-	hold := time.Duration(holdFraction * float64(c.moveTime()-c.spare()))
+	hold := min(time.Duration(holdFraction*float64(c.moveTime()-c.spare())), (c.limitAt-now-c.spare())/maxHoldPart)
 	if now-c.steppedAt < hold || !c.status.Confirmed || c.crowded(now, load) {
 		return
 	}
