--- a/internal/rollout/evidence.go
+++ b/internal/rollout/evidence.go
@@ -412,7 +412,12 @@
 		byRoute[key.route][key.endpoint] = c
 	}
 	l.alpha /= float64(len(byRoute))
+	onRoute := l
+	onRoute.score += routeScore
 	for _, route := range slices.Sorted(maps.Keys(byRoute)) {
+		if route != anyRoute {
+			l = onRoute
+		}
 		for k := range kinds {
 			if t, found := judge(byRoute[route], k, l.of(k)); found {
 				return finding{route: route, kind: k, tally: t}, true
--- a/internal/rollout/speed.go
+++ b/internal/rollout/speed.go
@@ -34,6 +34,9 @@
 	// standard errors larger: those that come first may be slow machines.
 	fewSpeeds = 6
 	fewScore  = 0.7
+	// routeScore is the number of standard errors by which the shift has to be larger on a
+	// single route, of which there are several.
+	routeScore = 0.7
 	// outlier is the number of standard deviations from which on a single candidate looks
 	// slow.
 	outlier = 3
