Extend the bound after the 50th bad answer only if the store failed in that time

Cause: a failure of the store at any time in the run excused late requests. Change: only one between the 50th bad answer and the last request does; the run prints the time.

--- a/internal/soak/rollout.go
+++ b/internal/soak/rollout.go
@@ -387,8 +387,9 @@
 func (r *rolloutRun) summary(faults []string) string {
 	candidate, all := r.arrivals()
 	bad := r.badTimes()
-	return fmt.Sprintf("%s in %d regions, %v after %.1f s, %d of %d requests at the new version, %d bad answers, faults %v",
-		r.kind.name, len(slices.Compact(slices.Clone(r.regions))), r.states, r.decidedAt.Sub(r.ordered).Seconds(), len(candidate), len(all), len(bad), faults)
+	late, excuses := r.lateTime()
+	return fmt.Sprintf("%s in %d regions, %v after %.1f s, %d of %d requests at the new version, %d bad answers, last sent %.1f s after the 50th %v, faults %v",
+		r.kind.name, len(slices.Compact(slices.Clone(r.regions))), r.states, r.decidedAt.Sub(r.ordered).Seconds(), len(candidate), len(all), len(bad), late.Seconds(), excuses, faults)
 }
 
 // arrivals returns the times of the runs at the new version since the order until its decision,
@@ -464,31 +465,38 @@
 	}
 }
 
-// checkRollback checks that a bad version gets nothing later than the bound after its 50th bad
-// answer.
-func (r *rolloutRun) checkRollback() {
+// lateTime returns the time from the 50th bad answer to the last request that was sent to the new
+// version; 0 if there were fewer. Failures of the store in this time are returned as excuses.
+func (r *rolloutRun) lateTime() (late time.Duration, excuses []string) {
 	bad := r.badTimes()
 	if len(bad) < badAnswers {
-		return
+		return 0, nil
 	}
-	bound := rollbackBound + arrivalSlack
-	r.w.mu.Lock()
-	for _, s := range r.w.spans {
-		if s.what == "store" || s.what == "store link" {
-			bound += unstableExtra
-			break
-		}
-	}
-	r.w.mu.Unlock()
-	end := bad[badAnswers-1].Add(bound)
+	from, last := bad[badAnswers-1], time.Time{}
 	for _, s := range r.servers(newVersion) {
 		for _, run := range s.runner.Runs() {
-			if run.Began.After(end) {
-				r.w.fail("%s at %s: sent %v after the 50th bad answer", run.Attempt, s.id, run.Began.Sub(bad[badAnswers-1]))
-				return
+			if run.Began.After(last) {
+				last = run.Began
 			}
 		}
 	}
+	r.w.mu.Lock()
+	defer r.w.mu.Unlock()
+	for _, s := range r.w.spans {
+		if strings.HasPrefix(s.what, "store") && s.from.Before(last) && (s.to.IsZero() || s.to.After(from)) {
+			excuses = append(excuses, s.what)
+		}
+	}
+	return max(0, last.Sub(from)), excuses
+}
+
+// checkRollback checks that a bad version gets nothing later than the bound after its 50th bad
+// answer, unless hosts were out of contact with the store.
+func (r *rolloutRun) checkRollback() {
+	late, excuses := r.lateTime()
+	if late > rollbackBound+arrivalSlack+time.Duration(min(1, len(excuses)))*unstableExtra {
+		r.w.fail("the last request at the bad version was sent %v after its 50th bad answer; store: %v", late, excuses)
+	}
 }
 
 // checkMoved checks that the old endpoints were idle when the roll-out was completed, and got
