Count messages between hosts by kind and failure domain

Cause: nothing told which messages make up a host's traffic, and how much of it leaves the domain. Change: metrics of messages and bytes written to other hosts, by kind and by whether the receiver is in the same failure domain, which the hosts' rows now name.

--- a/internal/metrics/instruments.go
+++ b/internal/metrics/instruments.go
@@ -38,6 +38,13 @@
 	return c
 }
 
+func (b *builder) observedCounter(name string) metric.Int64ObservableCounter {
+	info := lookup(name)
+	c, err := b.meter.Int64ObservableCounter(name, metric.WithUnit(info.Unit), metric.WithDescription(info.Meaning))
+	b.note(err)
+	return c
+}
+
 func (b *builder) histogram(name string, bounds []float64) metric.Float64Histogram {
 	info := lookup(name)
 	h, err := b.meter.Float64Histogram(name, metric.WithUnit(info.Unit), metric.WithDescription(info.Meaning),
@@ -94,6 +101,7 @@
 	share := b.floatGauge(nameRateShare)
 	age := b.floatGauge(nameAge)
 	settings := b.gauge(nameSettings)
+	peerMessages, peerBytes := b.observedCounter(namePeerMessages), b.observedCounter(namePeerBytes)
 	if b.err != nil {
 		return
 	}
@@ -115,11 +123,16 @@
 		for of, since := range s.Age {
 			o.ObserveFloat64(age, since.Seconds(), metric.WithAttributes(attribute.String(labelOf, of)))
 		}
+		for _, p := range s.Peer {
+			labels := metric.WithAttributes(attribute.String(labelKind, p.Kind), attribute.String(labelDomain, p.Domain))
+			o.ObserveInt64(peerMessages, p.Messages, labels)
+			o.ObserveInt64(peerBytes, p.Bytes, labels)
+		}
 		if s.Settings != "" {
 			o.ObserveInt64(settings, 1, metric.WithAttributes(attribute.String(labelVersion, s.Settings)))
 		}
 		return nil
-	}, revision, members, waiting, inFlight, slots, endpoints, suspects, left, share, age, settings)
+	}, revision, members, waiting, inFlight, slots, endpoints, suspects, left, share, age, settings, peerMessages, peerBytes)
 	b.note(err)
 }
 
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -51,10 +51,18 @@
 	Suspects map[NameState]int
 	// Age is the time since what is known was the newest, by what it is.
 	Age map[string]time.Duration
+	// Peer counts the messages to other hosts.
+	Peer []PeerTraffic
 	// Settings is the version of the settings in force; empty: none is known.
 	Settings string
 }
 
+// PeerTraffic counts the messages of a kind to the hosts of the same failure domain, or of others.
+type PeerTraffic struct {
+	Kind, Domain    string
+	Messages, Bytes int64
+}
+
 // NameState is what things that have a state are counted by.
 type NameState struct{ Name, State string }
 
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -42,6 +42,7 @@
 			Suspects:  map[NameState]int{{Name: "part", State: "quarantined"}: 1},
 			Age:       map[string]time.Duration{"configuration": 500 * time.Millisecond},
 			Settings:  "5e771465",
+			Peer:      []PeerTraffic{{Kind: "usage", Domain: "other", Messages: 3, Bytes: 120}},
 		}
 	})
 	if err != nil {
@@ -108,6 +109,8 @@
 		`trefoilchute_slots{pool="llm@a",state="decoding"} 4`,
 		`trefoilchute_endpoints{state="active",target="llm"} 6`,
 		`trefoilchute_age_seconds{of="configuration"} 0.5`,
+		`trefoilchute_peer_messages_total{domain="other",kind="usage"} 3`,
+		`trefoilchute_peer_bytes_total{domain="other",kind="usage"} 120`,
 	} {
 		g.Expect(recorder.Body.String()).To(ContainSubstring(line + "\n"))
 	}
--- a/internal/metrics/table.go
+++ b/internal/metrics/table.go
@@ -34,6 +34,8 @@
 	unitClosings = "{closing}"
 	unitProcess  = "{process}"
 	unitSuspects = "{suspect}"
+	unitMessages = "{message}"
+	unitBytes    = "By"
 )
 
 // Names of the metrics.
@@ -64,6 +66,8 @@
 	nameDropped       = "trefoilchute.answers.dropped"
 	nameClosings      = "trefoilchute.endpoint.closings"
 	nameSuspects      = "trefoilchute.suspects"
+	namePeerMessages  = "trefoilchute.peer.messages"
+	namePeerBytes     = "trefoilchute.peer.bytes"
 )
 
 // Labels of the metrics.
@@ -80,6 +84,7 @@
 	labelOf        = "of"
 	labelVersion   = "version"
 	labelReason    = "reason"
+	labelDomain    = "domain"
 )
 
 // Info describes a metric for the documentation.
@@ -120,6 +125,8 @@
 	{nameDropped, kindCounter, unitAnswers, []string{labelReason}, "Answers of endpoints that were not taken whole: head_too_long, invalid_head, event_too_long, another_request or rest_not_taken."},
 	{nameClosings, kindCounter, unitClosings, []string{labelReason}, "Endpoints that a pool scheduled here closed for a while: unreachable, lost, failing, or asked_to_wait (for one host)."},
 	{nameSuspects, kindGauge, unitSuspects, []string{labelKind, labelState}, "Requests (request) and prompt parts (part) that this host knows to be suspected of crashing endpoints: suspect or quarantined."},
+	{namePeerMessages, kindCounter, unitMessages, []string{labelKind, labelDomain}, "Messages written to other hosts, by what they are and by the receiver's failure domain: same, other or unknown (a host of an earlier version)."},
+	{namePeerBytes, kindCounter, unitBytes, []string{labelKind, labelDomain}, "Bytes of these messages, without framing and keepalives."},
 }
 
 // lookup returns the description of a metric that must be in Table.
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -208,7 +208,7 @@
 		return false
 	default:
 	}
-	messages := r.queue.pop()
+	messages, sizes := r.queue.pop()
 	if len(messages) == 0 && !keepalive {
 		return true
 	}
@@ -222,6 +222,11 @@
 		r.messagesSent.Add(uint64(len(messages)))
 		r.batchesSent.Add(1)
 	}
+	if t.opts.Sent != nil {
+		for i, m := range messages {
+			t.opts.Sent(l.contact.Host, peerpb.Kind(m), sizes[i])
+		}
+	}
 	return true
 }
 
--- a/internal/peer/options.go
+++ b/internal/peer/options.go
@@ -83,7 +83,10 @@
 	Deliver func(*peerpb.Envelope)
 	// Connected, when set, is told of each new link.
 	Connected func(Contact)
-	Logger    logrus.FieldLogger
+	// Sent, when set, is told of each message that was written: its kind, see peerpb.Kind, and
+	// its encoded size. It is called from several goroutines and must return at once.
+	Sent   func(to ident.Host, kind, bytes int)
+	Logger logrus.FieldLogger
 
 	Keepalive     time.Duration
 	Silence       time.Duration
--- a/internal/peer/queue.go
+++ b/internal/peer/queue.go
@@ -56,8 +56,9 @@
 	}
 }
 
-// pop removes the messages of one batch. When more remain, it signals again.
-func (q *queue) pop() []*peerpb.Envelope {
+// pop removes the messages of one batch and returns them with their sizes. When more remain, it
+// signals again.
+func (q *queue) pop() (batch []*peerpb.Envelope, sizes []int) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	n, bytes := 0, 0
@@ -65,7 +66,7 @@
 		bytes += q.sizes[n]
 		n++
 	}
-	batch := q.items[:n:n]
+	batch, sizes = q.items[:n:n], q.sizes[:n:n]
 	q.items = q.items[n:]
 	q.sizes = q.sizes[n:]
 	q.bytes -= bytes
@@ -74,7 +75,7 @@
 	} else {
 		q.signal()
 	}
-	return batch
+	return batch, sizes
 }
 
 // clear empties the queue and returns how many messages it held.
--- a/internal/platformhost/host.go
+++ b/internal/platformhost/host.go
@@ -64,6 +64,7 @@
 	metrics  *metrics.Metrics
 	view     storeView
 	suspects suspects
+	traffic  peerTraffic
 
 	callerListener, readyListener, metricsListener, peerListener net.Listener
 
@@ -84,6 +85,7 @@
 		logger: log, log: log.WithField("host", s.Host),
 	}
 	h.suspects.init()
+	h.traffic.init(s.Domain)
 	h.settings.Store(&s)
 	limitMemory(&s)
 	h.store = platform.NewStore(s.Store, h.countStoreCall)
--- a/internal/platformhost/join.go
+++ b/internal/platformhost/join.go
@@ -63,7 +63,7 @@
 func (h *Host) register(ctx context.Context) error {
 	s := h.settings.Load()
 	return h.store.Register(ctx, platform.Host{
-		Name: string(s.Host), Address: s.PeerListen, Domain: string(s.Region),
+		Name: string(s.Host), Address: s.PeerListen, Domain: string(s.Region), FailureDomain: string(s.Domain),
 		Incarnation: h.incarnation, Capacity: capacity(s), Written: time.Now().UnixMilli(),
 	})
 }
@@ -73,18 +73,27 @@
 	return uint32(millicoresPerCore * s.Cores * s.CoreShare)
 }
 
-// followHosts reads the changes of the list of hosts after a version for some seconds, and then
-// writes this host's row at intervals, until ctx is done.
+// followHosts reads the changes of the list of hosts after a version, several times in the first
+// seconds and then whenever this host writes its row again, until ctx is done.
 func (h *Host) followHosts(ctx context.Context, version uint64) {
 	delays := relistDelays
 	if version == 0 {
 		delays = append([]time.Duration{0}, delays...)
 	}
-	for _, delay := range delays {
+	for n := 0; ; n++ {
+		delay := platform.HostRowInterval
+		if n < len(delays) {
+			delay = delays[n]
+		}
 		if !wait(ctx, delay) {
 			return
 		}
 		list, ok := retry(ctx, h, logs.HostList, func(ctx context.Context) (platform.HostList, error) {
+			if n >= len(delays) {
+				if err := h.register(ctx); err != nil {
+					return platform.HostList{}, err
+				}
+			}
 			return h.store.Hosts(ctx, version)
 		})
 		if !ok {
@@ -93,11 +102,6 @@
 		version = list.Version
 		h.postHosts(list)
 	}
-	for wait(ctx, platform.HostRowInterval) {
-		_, _ = retry(ctx, h, logs.HostList, func(ctx context.Context) (struct{}, error) {
-			return struct{}{}, h.register(ctx)
-		})
-	}
 }
 
 // wait waits for a time. It returns false if ctx is done first.
@@ -115,6 +119,7 @@
 	for _, row := range list.Skipped {
 		logs.With(h.log, logs.HostList).WithField("row", row).Warn("the row is no host's")
 	}
+	h.traffic.addHosts(list.Hosts)
 	h.loop.Post(control.HostsListed{Hosts: hostEntries(list.Hosts, time.Now())})
 }
 
@@ -158,6 +163,7 @@
 	h.peers, err = peer.New(peer.Options{
 		Host: s.Host, Incarnation: h.incarnation, Domain: s.Region,
 		Listen: s.PeerListen, Listener: h.peerListener, Secret: []byte(secret), Deliver: h.deliver, Logger: h.log,
+		Sent: h.traffic.count,
 	})
 	if err != nil {
 		return errors.Wrap(err, "create the peer transport")
--- a/internal/platformhost/record.go
+++ b/internal/platformhost/record.go
@@ -193,6 +193,7 @@
 		s.Age["endpoints"] = age
 	}
 	h.countEndpoints(&s)
+	s.Peer = h.traffic.read()
 	if !h.connected.Load() {
 		return s
 	}
