Close idle links sooner and tell only schedulers that an endpoint leaves

Cause: links lived for a minute after their last message, and every host that read of a leaving endpoint in an answer told all others, which opens a link to each. Change: links without messages are closed after 15 s. The notice goes to the endpoint's scheduler and the next two in each region. A test starts fleets in which hosts are gone for good or slow.

--- a/internal/control/leaving.go
+++ b/internal/control/leaving.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 
 	"github.com/trefoilchute/trefoilchute/internal/ident"
 	"github.com/trefoilchute/trefoilchute/internal/peer/peerpb"
@@ -20,7 +21,8 @@
 }
 
 // noteLeaving records that an endpoint is leaving in its current lifetime, regardless of
-// its declared state. If this host received the answer, it notifies the other hosts.
+// its declared state. If this host received the answer, it notifies the hosts that may grant the
+// endpoint.
 func (c *Core) noteLeaving(leaving LeavingEndpoint) {
 	if known, ok := c.leavingEndpoints[leaving.Endpoint]; ok && known >= leaving.Lifetime {
 		return
@@ -31,7 +33,7 @@
 	c.leavingEndpoints[leaving.Endpoint] = leaving.Lifetime
 	c.effects.LeavingEndpoints = append(c.effects.LeavingEndpoints, leaving)
 	if leaving.Source == c.cfg.Self {
-		for _, h := range (schedulingView{c}).Alive() {
+		for _, h := range c.leavingRecipients(leaving.Endpoint) {
 			if h != c.cfg.Self {
 				c.out.Send(h, leavingMessage(leaving.Endpoint, leaving.Lifetime))
 			}
@@ -43,6 +45,32 @@
 	}
 }
 
+// leavingCandidates is the number of hosts per pool that are notified of a leaving endpoint: the
+// scheduler and those that would follow it.
+const leavingCandidates = 3
+
+// leavingRecipients returns the hosts that schedule an endpoint's target, or would next, in each
+// domain. All hosts with requests for the target receive the answer that says that the endpoint
+// leaves, so if each notified all others, it would open a link to every one of them. For an
+// endpoint that isn't declared it returns all hosts.
+func (c *Core) leavingRecipients(endpoint ident.Endpoint) []ident.Host {
+	if c.declared == nil || c.declared.Endpoints[string(endpoint)].Name == "" || !c.cfg.External {
+		return schedulingView{c}.Alive()
+	}
+	recipients := map[ident.Host]bool{}
+	for _, d := range c.members.Domains() {
+		pool := ident.Pool{Target: c.declared.Endpoints[string(endpoint)].Target, Domain: d}
+		if host, ok := c.scheduler(pool); ok {
+			recipients[host] = true
+		}
+		list := c.candidates(pool, c.members.Alive(d))
+		for _, host := range list[:min(leavingCandidates, len(list))] {
+			recipients[host] = true
+		}
+	}
+	return slices.Sorted(maps.Keys(recipients))
+}
+
 // evictLeaving makes room in the table of leaving endpoints. Endpoints that are no longer
 // declared are evicted first.
 func (c *Core) evictLeaving() {
--- a/internal/control/leaving_test.go
+++ b/internal/control/leaving_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/trefoilchute/trefoilchute/internal/ident"
 	"github.com/trefoilchute/trefoilchute/internal/peer/peerpb"
+	"github.com/trefoilchute/trefoilchute/internal/platform"
 	"github.com/trefoilchute/trefoilchute/internal/resource"
 	"github.com/trefoilchute/trefoilchute/internal/system"
 	"github.com/trefoilchute/trefoilchute/internal/system/custody"
@@ -169,3 +170,25 @@
 	g.Expect(len(s.leavingEndpoints)).To(BeNumerically("<=", maxLeavingEndpoints))
 	g.Expect(s.state()).To(Equal(resource.EndpointDrain), "the declared endpoint is kept")
 }
+
+// TestLeavingNoticeGoesToFewHosts guards against a link between every two hosts of a large fleet
+// when endpoints leave.
+func TestLeavingNoticeGoesToFewHosts(t *testing.T) {
+	g := NewWithT(t)
+	s := newObservedCore()
+	var hosts []platform.HostEntry
+	for i := range 60 {
+		hosts = append(hosts, platform.HostEntry{
+			Host: fmt.Sprint("h", i), Domain: []string{"a", "b"}[i%2], Address: "x", Incarnation: 1,
+		})
+	}
+	s.step(HostsListed{Hosts: hosts})
+	s.declare(1, 5)
+	s.step(EndpointLeaving{Endpoint: "e", Lifetime: 5})
+	g.Expect(len(s.notified())).To(BeNumerically("~", 2*leavingCandidates, 2))
+	for _, d := range []ident.Domain{"a", "b"} {
+		scheduler, ok := s.scheduler(ident.Pool{Target: "m", Domain: d})
+		g.Expect(ok).To(BeTrue())
+		g.Expect(append(s.notified(), "self")).To(ContainElement(scheduler))
+	}
+}
--- a/internal/control/scale_test.go
+++ b/internal/control/scale_test.go
@@ -35,8 +35,6 @@
 	scaleTeams     = 100
 	// scaleGap is the time between two requests.
 	scaleGap = 8 * time.Millisecond
-	// scaleSpread is the time within which all hosts start.
-	scaleSpread = 200 * time.Millisecond
 	// scaleJoin is the time from a host's start to its row in the store, and from there to
 	// its list of hosts and its configuration.
 	scaleJoin = 20 * time.Millisecond
@@ -50,6 +48,9 @@
 	*simulation
 	names       []ident.Host
 	incarnation uint64
+	// spread is the time within which all hosts start. Those in gone don't.
+	spread time.Duration
+	gone   map[ident.Host]bool
 	// rows are the hosts' rows in the store.
 	rows     map[ident.Host]platform.HostEntry
 	snapshot *resource.Snapshot
@@ -114,7 +115,7 @@
 			endpoints: map[ident.Endpoint]*endpoint{}, requests: map[ident.Request]*request{}, outcomes: map[result.Code]int{},
 		},
 		rows: map[ident.Host]platform.HostEntry{}, snapshot: resource.NewSnapshot(), limits: map[ident.Team]quota.Limit{},
-		traffic: newScaleTraffic(),
+		traffic: newScaleTraffic(), spread: 200 * time.Millisecond, gone: map[ident.Host]bool{},
 	}
 	f.onSend = func(from ident.Host, send system.Send) { f.traffic.count(f.now, from, send) }
 	for i := range hosts {
@@ -150,11 +151,14 @@
 	return &out
 }
 
-// startAll starts a process of every host within scaleSpread.
+// startAll starts a process of every host within the spread.
 func (f *scaleFleet) startAll() {
 	f.incarnation++
 	for i, name := range f.names {
-		f.at(f.now+f.random(scaleSpread), func() { f.startHost(i, name, f.incarnation) })
+		if f.gone[name] {
+			continue
+		}
+		f.at(f.now+f.random(f.spread), func() { f.startHost(i, name, f.incarnation) })
 	}
 }
 
@@ -228,6 +232,9 @@
 	schedulers := map[ident.Pool]ident.Host{}
 	for _, name := range f.names {
 		m := f.hosts[name]
+		if f.gone[name] {
+			continue
+		}
 		if m == nil || m.core.snapshot == nil {
 			return false
 		}
@@ -338,6 +345,55 @@
 	g.Expect(f.traffic.messages["take_over"]).To(BeNumerically("<", 3*2*scaleTargets*hosts))
 }
 
+// TestScaleHardStarts starts hosts of which every sixth is gone for good though the list names it,
+// and hosts that take up to three seconds to start. It guards against hosts that wait for those
+// that don't answer.
+func TestScaleHardStarts(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		spread   time.Duration
+		lostNth  int
+		settled  time.Duration
+		fraction float64
+	}{
+		{"some are gone", 200 * time.Millisecond, 6, time.Second, 0.97},
+		{"slow", 3 * time.Second, 0, 4 * time.Second, 0.97},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			f := newScaleFleet(30)
+			f.startAll()
+			f.run(10 * time.Second)
+			for i, name := range f.names {
+				f.kill(name)
+				f.gone[name] = c.lostNth > 0 && i%c.lostNth == 0
+			}
+			f.runUntil(f.now + 500*time.Millisecond)
+			f.spread = c.spread
+			start := f.now
+			f.startAll()
+			var first, lasting time.Duration
+			f.awaitAgreement(scaleWindow, &first, &lasting)
+			sent := f.run(scaleWindow)
+			f.runUntil(f.now + 31*time.Second)
+			t.Logf("agreement after %v, for good after %v; first dispatch after %v; %v",
+				first, lasting, f.firstRunAfter(start)-start, codesBySecond(start, sent))
+			ok, all := 0, 0
+			for _, r := range sent {
+				if r.sent >= start+c.settled {
+					all++
+					if r.code == result.OK {
+						ok++
+					}
+				}
+			}
+			g.Expect(float64(ok) / float64(all)).To(BeNumerically(">", c.fraction))
+			g.Expect(lasting).To(BeNumerically("~", 3500*time.Millisecond, 3500*time.Millisecond))
+			g.Expect(f.violations()).To(BeEmpty())
+		})
+	}
+}
+
 // listTimes are the times after its first list at which a host reads the list of hosts.
 var listTimes = []time.Duration{0, 250 * time.Millisecond, time.Second, 3 * time.Second, 10 * time.Second}
 
--- a/internal/peer/options.go
+++ b/internal/peer/options.go
@@ -42,8 +42,10 @@
 	// DefaultSilence is the time without received bytes after which a link is
 	// dead.
 	DefaultSilence = 3 * time.Second
-	// DefaultIdle is the time without messages after which a link is closed.
-	DefaultIdle = 60 * time.Second
+	// DefaultIdle is the time without messages after which a link is closed. It is longer than
+	// the intervals of periodic messages. An idle link costs both hosts a keepalive a second,
+	// opening one again a few round trips.
+	DefaultIdle = 15 * time.Second
 	// DefaultHandshake bounds dialling and the handshake, each.
 	DefaultHandshake = 2 * time.Second
 	// DefaultBackoffMin and DefaultBackoffMax bound the wait between failed
