--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -66,10 +66,18 @@
 	Held        map[string]int64
 	Budget      int64
 	Connections int
+	// Peer counts the messages to other hosts.
+	Peer []PeerTraffic
 	// Settings is the version of the settings in force; empty: none is known.
 	Settings string
 }
 
+// PeerTraffic counts the messages of a kind to the hosts of the same failure domain, or of others.
+type PeerTraffic struct {
+	Kind, Domain    string
+	Messages, Bytes int64
+}
+
 // NameState is what things that have a state are counted by.
 type NameState struct{ Name, State string }
 
--- a/internal/metrics/table.go
+++ b/internal/metrics/table.go
@@ -38,6 +38,7 @@
 	unitBytes    = "By"
 	unitConns    = "{connection}"
 	unitOrders   = "{order}"
+	unitMessages = "{message}"
 )
 
 // Names of the metrics.
@@ -76,6 +77,8 @@
 	nameRolloutShare  = "trefoilchute.rollout.share"
 	nameRolloutState  = "trefoilchute.rollout.state"
 	namePromises      = "trefoilchute.return_times"
+	namePeerMessages  = "trefoilchute.peer.messages"
+	namePeerBytes     = "trefoilchute.peer.bytes"
 )
 
 // Labels of the metrics.
@@ -93,6 +96,7 @@
 	labelVersion   = "version"
 	labelReason    = "reason"
 	labelAction    = "action"
+	labelDomain    = "domain"
 )
 
 // Info describes a metric for the documentation.
@@ -141,6 +145,8 @@
 	{nameConnections, kindGauge, unitConns, nil, "Connections of callers."},
 	{nameRolloutShare, kindGauge, unitShare, []string{labelTarget}, "Part of a target's requests that endpoints of a new version may get, for the orders of the pools that this host schedules."},
 	{nameRolloutState, kindGauge, unitOrders, []string{labelTarget, labelState}, "1 for the state of each order to move a target to a version, for the pools that this host schedules: waiting, watching, moving, moved, completed or rolled_back."},
+	{namePeerMessages, kindCounter, unitMessages, []string{labelKind, labelDomain}, "Messages written to other hosts, by what they are and by the receiver's failure domain: same, other or unknown (a host of an earlier version)."},
+	{namePeerBytes, kindCounter, unitBytes, []string{labelKind, labelDomain}, "Bytes of these messages, without framing and keepalives."},
 }
 
 // lookup returns the description of a metric that must be in Table.
--- a/internal/peer/options.go
+++ b/internal/peer/options.go
@@ -42,8 +42,10 @@
 	// DefaultSilence is the time without received bytes after which a link is
 	// dead.
 	DefaultSilence = 3 * time.Second
-	// DefaultIdle is the time without messages after which a link is closed.
-	DefaultIdle = 60 * time.Second
+	// DefaultIdle is the time without messages after which a link is closed. It is longer than
+	// the intervals of periodic messages. An idle link costs both hosts a keepalive a second,
+	// opening one again a few round trips.
+	DefaultIdle = 15 * time.Second
 	// DefaultHandshake bounds dialling and the handshake, each.
 	DefaultHandshake = 2 * time.Second
 	// DefaultBackoffMin and DefaultBackoffMax bound the wait between failed
@@ -83,7 +85,10 @@
 	Deliver func(*peerpb.Envelope)
 	// Connected, when set, is told of each new link.
 	Connected func(Contact)
-	Logger    logrus.FieldLogger
+	// Sent, when set, is told of each message that was written: its kind, see peerpb.Kind, and
+	// its encoded size. It is called from several goroutines and must return at once.
+	Sent   func(to ident.Host, kind, bytes int)
+	Logger logrus.FieldLogger
 
 	Keepalive     time.Duration
 	Silence       time.Duration
--- a/internal/platformhost/host.go
+++ b/internal/platformhost/host.go
@@ -62,6 +62,7 @@
 	view     storeView
 	suspects suspects
 	rollouts rollouts
+	traffic  peerTraffic
 
 	callerListener, readyListener, metricsListener, peerListener net.Listener
 
@@ -83,6 +84,7 @@
 	}
 	h.suspects.init()
 	h.rollouts.init(string(s.Host)+"/"+strconv.FormatUint(h.incarnation, 10), s.Region)
+	h.traffic.init(s.Domain)
 	h.settings.Store(&s)
 	h.limitMemory(&s)
 	h.store = platform.NewStore(s.Store, h.countStoreCall)
--- a/internal/platformhost/record.go
+++ b/internal/platformhost/record.go
@@ -201,6 +201,7 @@
 		s.Held[kind.String()] = bytes
 	}
 	h.countEndpoints(&s)
+	s.Peer = h.traffic.read()
 	if !h.connected.Load() {
 		return s
 	}
