Name the bytes sent to other hosts by their unit once

Cause: the merged rule for units appends _bytes to the name of a metric in bytes, which ended in it. Change: trefoilchute.peer.sent. Result: go test ./internal/metrics passes.

--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -116,7 +116,7 @@
 		`trefoilchute_endpoints{state="active",target="llm"} 6`,
 		`trefoilchute_age_seconds{of="configuration"} 0.5`,
 		`trefoilchute_peer_messages_total{domain="other",kind="usage"} 3`,
-		`trefoilchute_peer_bytes_total{domain="other",kind="usage"} 120`,
+		`trefoilchute_peer_sent_bytes_total{domain="other",kind="usage"} 120`,
 	} {
 		g.Expect(recorder.Body.String()).To(ContainSubstring(line + "\n"))
 	}
--- a/internal/metrics/table.go
+++ b/internal/metrics/table.go
@@ -78,7 +78,7 @@
 	nameRolloutState  = "trefoilchute.rollout.state"
 	namePromises      = "trefoilchute.return_times"
 	namePeerMessages  = "trefoilchute.peer.messages"
-	namePeerBytes     = "trefoilchute.peer.bytes"
+	namePeerBytes     = "trefoilchute.peer.sent"
 )
 
 // Labels of the metrics.
