Use less of the slack of an order, and begin with short turns of the candidates

Cause: candidates may get requests before the schedulers know of an order, which the slack has to cover; a slow version with few candidates showed late.

--- a/internal/rollout/exposure.go
+++ b/internal/rollout/exposure.go
@@ -10,6 +10,11 @@
 	"github.com/trefoilchute/trefoilchute/internal/ident"
 )
 
+// slackRequests is the number of requests up to which candidates get some beyond the share: so
+// few are needed for a judgement where requests are rare. The rest of the slack is for what
+// candidates got before the schedulers knew the order.
+const slackRequests = minSamples + 10
+
 // exposure counts the requests that reach a target, and those that candidates get.
 type exposure struct {
 	total, candidate float64
@@ -45,10 +50,13 @@
 	if c.phase == Moving {
 		return moveShares[c.step]*(x.stepTotal+1) - x.stepCandidate
 	}
-	// The slack becomes available over the first half of the time, for targets with few
-	// requests.
+	credit := c.bounds.Share*x.total - x.candidate
+	if x.candidate >= slackRequests {
+		return credit
+	}
+	// The slack becomes available over the first half of the time.
 	part := min(1, 2*float64(c.elapsed(now))/float64(max(1, c.status.Order.Duration)))
-	return c.bounds.Share*x.total + c.slack*part - x.candidate
+	return credit + c.slack*part
 }
 
 // busyFactor is how much busier than the baseline's mean a candidate may be: the baseline's own
@@ -84,6 +92,8 @@
 	// next is the index of the first candidate of the next group.
 	next      int
 	changedAt time.Duration
+	// turns counts the groups so far.
+	turns int
 	// taken counts the requests since the last change.
 	taken float64
 	// resting means that the share is saved up, because one candidate can't be kept as busy
@@ -98,6 +108,9 @@
 	// maxBurst bounds a burst: a failing version must be noticed before many of its answers
 	// are bad.
 	maxBurst = 24
+	// firstBurst bounds the bursts of the first round: a version that is bad from the start
+	// shows at each candidate, of which several have to be tested.
+	firstBurst = 8
 	// minTurn and maxTurn bound how long a group of candidates gets the share until the next
 	// one does.
 	minTurn = time.Second
@@ -115,16 +128,19 @@
 	size, slots := groupSize(list, c.bounds.Share*float64(load.BaselineSlots))
 	credit := c.credit(now)
 	g := &c.group
+	burst := c.burst(load, list[0].Slots)
+	if g.turns*size <= len(list) {
+		burst = min(burst, firstBurst)
+	}
 	missing := !slices.ContainsFunc(list, func(x Candidate) bool { return g.active[x.Name] })
 	if c.continuous(load, slots) {
 		g.resting = false
-		done := g.taken >= float64(size)*c.burst(load, list[0].Slots) && now-g.changedAt >= minTurn
+		done := g.taken >= float64(size)*burst && now-g.changedAt >= minTurn
 		if missing || done || now-g.changedAt >= c.turn(len(list), size) {
 			c.choose(now, list, size)
 		}
 		return
 	}
-	burst := c.burst(load, list[0].Slots)
 	waited := now-g.changedAt >= c.turn(len(list), size)
 	switch {
 	case g.resting && (credit >= burst || waited && credit >= 2), missing && credit >= 1:
@@ -166,6 +182,7 @@
 	}
 	g.next = (g.next + size) % len(list)
 	g.changedAt, g.taken = now, 0
+	g.turns++
 }
 
 // setAside takes the candidates whose recent answers look bad out of the list of the usable
