--- a/internal/gateway/readahead.go
+++ b/internal/gateway/readahead.go
@@ -129,8 +129,9 @@
 			break
 		}
 		if !w.conn.gateway.ledger.ask(w.conn, memory.Answers, aheadChunkBytes) {
-			w.fail(errTooSlow)
-			w.conn.gateway.ledger.act(ActionAnswerReset, w.conn.RemoteAddr().String())
+			if w.fail(errTooSlow) {
+				w.conn.gateway.ledger.act(ActionAnswerReset, w.conn.RemoteAddr().String())
+			}
 			return errTooSlow
 		}
 		part := append(make([]byte, 0, aheadChunkBytes), p[:min(len(p), aheadChunkBytes)]...)
@@ -190,16 +191,18 @@
 }
 
 // fail drops what is held and resets the connection: the caller must not take what it has for the
-// whole answer.
-func (w *aheadWriter) fail(err error) {
+// whole answer. It returns false if writing had failed before.
+func (w *aheadWriter) fail(err error) bool {
 	w.mu.Lock()
-	if w.err == nil {
+	first := w.err == nil
+	if first {
 		w.err = err
 	}
 	w.queue = nil
 	w.mu.Unlock()
 	w.conn.abortOnClose()
 	_ = w.conn.closeNow()
+	return first
 }
 
 // defers notes what is to follow when everything was sent. It returns false if nothing is held.
--- a/test/clients/world_test.go
+++ b/test/clients/world_test.go
@@ -15,6 +15,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -162,6 +163,9 @@
 	return w
 }
 
+// worlds counts the processes that were started.
+var worlds atomic.Uint32
+
 // isReady asks the host as a balancer does.
 func (w *world) isReady() bool {
 	resp, err := (&http.Client{Timeout: time.Second}).Get("http://" + w.ready + "/v1/ready")
@@ -174,9 +178,12 @@
 
 // writeSettings writes the settings of the process.
 func (w *world) writeSettings(dir, store string) string {
+	// Nothing else takes ports of this address, as the connections of other processes do of the usual
+	// one between the choice of a port and the start of the process.
+	ip := fmt.Sprintf("127.%d.%d.%d", 200+os.Getpid()%50, os.Getpid()/50%250, worlds.Add(1))
 	var ports []string
 	for range 4 {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		ln, err := net.Listen("tcp", ip+":0")
 		w.Expect(err).NotTo(HaveOccurred())
 		defer ln.Close()
 		ports = append(ports, ln.Addr().String())
