--- a/internal/pool/apply.go
+++ b/internal/pool/apply.go
@@ -204,6 +204,9 @@
 	for _, row := range s.endpoints.rows {
 		s.blocks.Resize(row.number, row.CacheTokens)
 	}
+	if s.rollout != nil {
+		s.rollout.due = true
+	}
 	if !s.endpoints.anyActive() {
 		s.refuseAll()
 	}
--- a/internal/pool/rollout.go
+++ b/internal/pool/rollout.go
@@ -49,8 +49,11 @@
 	*rollout.Controller
 	version string
 	timer   timer
-	due     bool
-	load    rollout.Load
+	// due means that the order is to be looked at in this step.
+	due  bool
+	load rollout.Load
+	// open is whether candidates may get requests according to the limits in force.
+	open bool
 }
 
 // rolloutCount says how an attempt counts for an order.
@@ -126,16 +129,20 @@
 	if r == nil {
 		return
 	}
-	s.observeLoad()
-	if r.due {
-		r.due = false
-		s.observeOverdue()
-		if v, decided := r.Tick(s.now, &r.load); decided {
-			v.Pool = s.config.Pool
-			s.emit(RolloutDecided{Verdict: v})
+	if !r.due {
+		if r.Open(s.now) != r.open {
+			s.limitEndpoints()
 		}
-		s.timers.set(&r.timer, s.now+rolloutInterval, func() { r.due = true })
+		return
+	}
+	r.due = false
+	s.observeLoad()
+	s.observeOverdue()
+	if v, decided := r.Tick(s.now, &r.load); decided {
+		v.Pool = s.config.Pool
+		s.emit(RolloutDecided{Verdict: v})
 	}
+	s.timers.set(&r.timer, s.now+rolloutInterval, func() { r.due = true })
 	for _, x := range r.TakeSteps() {
 		s.emit(RolloutStep{Order: r.Order(), Share: x.Share, Samples: x.Samples, Judgement: x.Phase.String(), Reason: x.Reason, Elapsed: x.Elapsed})
 	}
@@ -167,7 +174,7 @@
 	}
 }
 
-// limitEndpoints sets the limits of the order in force. Where only one version takes work, it
+// limitEndpoints sets the limits of the order in force, by the load when it was last looked at. Where only one version takes work, it
 // gets everything: serving takes precedence over judging.
 func (s *Scheduler) limitEndpoints() {
 	r := s.rollout
@@ -182,6 +189,7 @@
 			baseline = true
 		}
 	}
+	r.open = r.Open(s.now)
 	moved := r.Phase() == rollout.Moved || r.Phase() == rollout.Finished
 	busy := float64(r.load.BaselineInFlight) / float64(max(1, r.load.BaselineSlots))
 	for _, e := range s.endpoints.rows {
@@ -190,7 +198,7 @@
 		case !s.isCandidate(e):
 			l.set = moved && candidates
 		case !baseline:
-		case !r.MayTake(s.now, e.Name):
+		case !r.open || !r.Chosen(e.Name):
 			l.set = true
 		case r.Phase() == rollout.Watching:
 			// The candidate is kept as busy as the baseline.
@@ -221,7 +229,7 @@
 	a.rollout = rolloutCount{order: s.rollout.Order().ID, version: a.endpoint.Version, first: a.request.Avoid == ""}
 	candidate := s.isCandidate(a.endpoint)
 	s.rollout.CountGrant(candidate, a.rollout.first)
-	if candidate && !s.rollout.MayTake(s.now, a.endpoint.Name) {
+	if candidate && !s.rollout.Open(s.now) {
 		s.limitEndpoints()
 	}
 }
--- a/internal/rollout/decision_test.go
+++ b/internal/rollout/decision_test.go
@@ -189,7 +189,7 @@
 	for _, e := range s.endpoints {
 		limit := e.slots
 		switch {
-		case s.now < e.downTo, e.candidate && !s.c.MayTake(s.now, e.name), !e.candidate && moved:
+		case s.now < e.downTo, e.candidate && (!s.c.Open(s.now) || !s.c.Chosen(e.name)), !e.candidate && moved:
 			continue
 		case e.candidate && s.c.Phase() == Watching:
 			limit = BusyLimit(busy, e.slots)
--- a/internal/rollout/exposure.go
+++ b/internal/rollout/exposure.go
@@ -69,11 +69,11 @@
 	return max(1, int(math.Ceil(busyFactor*busy*float64(slots))))
 }
 
-// MayTake reports whether a candidate may get one more request.
-func (c *Controller) MayTake(now time.Duration, e ident.Endpoint) bool {
+// Open reports whether candidates may get one more request.
+func (c *Controller) Open(now time.Duration) bool {
 	switch c.phase {
 	case Watching:
-		return c.group.active[e] && !c.group.resting && c.credit(now) >= 1
+		return !c.group.resting && c.credit(now) >= 1
 	case Moving:
 		return c.credit(now) >= 1
 	case Moved, Finished:
@@ -83,6 +83,9 @@
 	return false
 }
 
+// Chosen reports whether a candidate is one of those that get requests while Open says so.
+func (c *Controller) Chosen(e ident.Endpoint) bool { return c.phase != Watching || c.group.active[e] }
+
 // group is the set of candidates that get the share.
 type group struct {
 	active map[ident.Endpoint]bool
