Leave known prompt parts out of holdings, and unlist hosts that stop

Cause: every two seconds a custodian sent the fingerprints of all prompt parts of its running requests, which their scheduler knows. The row of a host that stopped as planned looked like that of a running one for hours. Change: parts go only to a scheduler process that did not grant the request, and into the answer to a take-over. A planned stop writes the row without an incarnation.

--- a/internal/platformhost/stop.go
+++ b/internal/platformhost/stop.go
@@ -6,6 +6,7 @@
 
 	"github.com/trefoilchute/trefoilchute/internal/control"
 	"github.com/trefoilchute/trefoilchute/internal/logs"
+	"github.com/trefoilchute/trefoilchute/platform"
 )
 
 const (
@@ -39,6 +40,7 @@
 		return
 	}
 	h.loop.Post(control.Leave{})
+	h.group.Go(h.unlist)
 	drain := time.AfterFunc(time.Duration(dispatchShare*float64(grace)), func() { h.loop.Post(control.DrainTimedOut{}) })
 	defer drain.Stop()
 	abort := time.AfterFunc(grace-exitMargin, h.abort)
@@ -52,6 +54,19 @@
 	time.Sleep(departDelay)
 }
 
+// unlist marks this host's row as that of a host that doesn't run, so that a host that starts
+// later doesn't count on it. If that fails, the other hosts tell it.
+func (h *Host) unlist() {
+	s := h.settings.Load()
+	ctx, cancel := context.WithTimeout(h.lifetime, joinTimeout)
+	defer cancel()
+	if err := h.store.Register(ctx, platform.Host{
+		Name: string(s.Host), Address: s.PeerListen, Domain: string(s.Region), FailureDomain: string(s.Domain),
+	}); err != nil {
+		logs.With(h.log, logs.HostList).WithError(err).Warn()
+	}
+}
+
 // abort ends the requests that the stop grace period has no more time for.
 func (h *Host) abort() {
 	if active := h.gateway.Active(); active > 0 {
--- a/internal/system/custody/lifetime_test.go
+++ b/internal/system/custody/lifetime_test.go
@@ -87,3 +87,25 @@
 	s.Tick(4*time.Second, &out)
 	g.Expect(s.backoffs).To(BeEmpty())
 }
+
+// TestHoldingsLeaveOutKnownParts checks that the parts of a running request, which can take
+// kilobytes, are sent again only to a scheduler that did not grant it.
+func TestHoldingsLeaveOutKnownParts(t *testing.T) {
+	g := NewWithT(t)
+	var out system.Outbox
+	s, v := newLifetimeSystem(5)
+	s.Arrive(0, Arrival{ID: "r", Target: "m", Deadline: time.Minute, Parts: []uint64{1, 2}}, &out)
+	s.Granted(0, v.scheduler, &peerpb.Grant{Request: "r", Target: "m", Domain: "a", Endpoint: "e", Attempt: 1, Epoch: 1, ExpiresAtUs: time.Second.Microseconds()}, &out)
+	s.Connected(0, "r", 1, &out)
+	parts := func(now time.Duration) []uint64 {
+		out = system.Outbox{}
+		s.Tick(now, &out)
+		return out.Sends[0].Message.GetHoldings().GetRunning()[0].GetRequest().GetParts()
+	}
+	g.Expect(parts(holdingsInterval)).To(BeEmpty())
+	v.scheduler.Incarnation++
+	g.Expect(parts(2 * holdingsInterval)).To(Equal([]uint64{1, 2}))
+	out = system.Outbox{}
+	s.TakeOver(3*holdingsInterval, v.scheduler, &peerpb.TakeOver{Target: "m", Domain: "a"}, nil, &out)
+	g.Expect(out.Sends[0].Message.GetHoldings().GetRunning()[0].GetRequest().GetParts()).To(Equal([]uint64{1, 2}))
+}
--- a/internal/system/custody/tick.go
+++ b/internal/system/custody/tick.go
@@ -96,7 +96,12 @@
 		if running[r.pool] == nil {
 			pools = append(pools, r.pool)
 		}
-		running[r.pool] = append(running[r.pool], r.running(now))
+		report := r.running(now)
+		if sched, ok := s.cfg.View.Scheduler(r.pool); ok && sched == r.scheduler {
+			// The process that granted the request knows its parts, which can take kilobytes.
+			report.Request.Parts = nil
+		}
+		running[r.pool] = append(running[r.pool], report)
 	}
 	for _, pool := range sortedPools(s.reported) {
 		if running[pool] == nil {
