--- a/internal/control/quota.go
+++ b/internal/control/quota.go
@@ -15,8 +15,8 @@
 	incarnation uint64
 	// takesPartial says that the host accepts partial reports.
 	takesPartial bool
-	// told says that the host has got a report of all teams.
-	told bool
+	// told says that the host has got a report of all teams, and heard that it has sent one.
+	told, heard bool
 }
 
 // usagePeer returns the entry of a host's current process.
@@ -110,9 +110,10 @@
 	c.quotas.ReceiveReport(c.now, from, decodeUsage(m), m.GetPartial())
 	p := c.usagePeer(from)
 	p.takesPartial = m.GetTakesPartial()
-	if !p.told {
+	if !p.told && !p.heard {
 		c.quotas.ReportSoon(c.now)
 	}
+	p.heard = true
 }
 
 // usageMessage encodes a report.
