Answer a take-over with suspects only from hosts that may schedule the pool

Cause: after a start or a loss, every host sent all suspects that it knew to every new scheduler, hundreds of kilobytes each if there are many. Change: only the eight hosts that may schedule the pool do; suspects are published to all hosts. Result: TestTakeOverGetsSuspectsFromFewHosts: 8 of 40 hosts.

--- a/internal/control/route.go
+++ b/internal/control/route.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"slices"
 	"time"
 
 	"github.com/trefoilchute/trefoilchute/internal/ident"
@@ -34,7 +35,7 @@
 	case *peerpb.Envelope_Spill:
 		c.custody.Spilled(c.now, from, body.Spill, &c.out)
 	case *peerpb.Envelope_TakeOver:
-		c.custody.TakeOver(c.now, from, body.TakeOver, c.scheduling.Suspects(c.now), &c.out)
+		c.custody.TakeOver(c.now, from, body.TakeOver, c.suspectsFor(body.TakeOver), &c.out)
 	case *peerpb.Envelope_KeyNote, *peerpb.Envelope_KeyAnswer:
 		c.keys.Receive(c.now, m, &c.out)
 	case *peerpb.Envelope_Join, *peerpb.Envelope_Part:
@@ -48,6 +49,17 @@
 	}
 }
 
+// suspectsFor returns the suspects that this host answers a take-over with. Suspects are published
+// to all hosts and stored, so a new scheduler that has missed some gets them from the hosts that
+// may schedule the pool. From every host, they would take megabytes in a large fleet.
+func (c *Core) suspectsFor(m *peerpb.TakeOver) []*peerpb.Suspect {
+	p := ident.Pool{Target: m.GetTarget(), Domain: ident.Domain(m.GetDomain())}
+	if c.cfg.External && !slices.Contains(c.candidates(p, c.members.Alive(p.Domain)), c.cfg.Self) {
+		return nil
+	}
+	return c.scheduling.Suspects(c.now)
+}
+
 // replied passes the result of a platform call to the system that made it.
 func (c *Core) replied(r system.Reply) {
 	switch r.Owner {
--- a/internal/control/takeover_test.go
+++ b/internal/control/takeover_test.go
@@ -8,6 +8,9 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/trefoilchute/trefoilchute/internal/ident"
+	"github.com/trefoilchute/trefoilchute/internal/peer/peerpb"
+	"github.com/trefoilchute/trefoilchute/internal/platform"
+	"github.com/trefoilchute/trefoilchute/internal/pool"
 	"github.com/trefoilchute/trefoilchute/internal/result"
 	"github.com/trefoilchute/trefoilchute/internal/system/membership"
 )
@@ -108,3 +111,31 @@
 	g.Expect(sim.violations()).To(BeEmpty())
 	g.Expect(sim.outcomes).To(Equal(map[result.Code]int{result.OK: 8}), fmt.Sprint(sim.outcomes))
 }
+
+// TestTakeOverGetsSuspectsFromFewHosts guards against an answer with all suspects from every host
+// of a large fleet, and against none.
+func TestTakeOverGetsSuspectsFromFewHosts(t *testing.T) {
+	g := NewWithT(t)
+	var hosts []platform.HostEntry
+	for i := range 40 {
+		hosts = append(hosts, platform.HostEntry{Host: fmt.Sprint("h", i), Domain: "a", Address: "x", Incarnation: 1})
+	}
+	told := 0
+	for _, self := range hosts {
+		s := &observedCore{Core: New(Config{Self: ident.Host(self.Host), Incarnation: 1, Domain: "a", External: true})}
+		s.step(HostsListed{Hosts: hosts})
+		s.step(SuspectsRestored{List: []pool.Suspect{{Fingerprint: 1, Crashes: 2, Quarantined: true}}})
+		m := peerpb.Wrap(&peerpb.Envelope_TakeOver{TakeOver: &peerpb.TakeOver{Target: "m", Domain: "a"}})
+		m.From, m.Incarnation = "scheduler", 1
+		s.step(Received{Message: m})
+		answered := false
+		for _, send := range s.sends {
+			if h := send.Message.GetHoldings(); h != nil {
+				answered = true
+				told += len(h.GetSuspects())
+			}
+		}
+		g.Expect(answered).To(BeTrue())
+	}
+	g.Expect(told).To(Equal(maxCandidates))
+}
