--- a/internal/control/scale_test.go
+++ b/internal/control/scale_test.go
@@ -254,24 +254,32 @@
 	return true
 }
 
-// awaitAgreement polls agreed and stores the first time since the start at which it holds,
-// and since when it has held without a break.
-func (f *scaleFleet) awaitAgreement(length time.Duration, first, lasting *time.Duration) {
+// restartAll kills all hosts, starts them again half a second later, and returns the requests sent
+// from then on, and since when the hosts have agreed without a break; negative if they don't.
+func (f *scaleFleet) restartAll(t *testing.T) (sent []*request, agreed time.Duration) {
+	for _, name := range f.names {
+		f.kill(name)
+	}
+	f.runUntil(f.now + 500*time.Millisecond)
+	f.traffic = newScaleTraffic()
 	start := f.now
-	*first, *lasting = -1, -1
-	for at := 50 * time.Millisecond; at <= length; at += 50 * time.Millisecond {
+	f.startAll()
+	agreed = -1
+	for at := 50 * time.Millisecond; at <= scaleWindow; at += 50 * time.Millisecond {
 		f.at(start+at, func() {
-			switch {
-			case !f.agreed():
-				*lasting = -1
-			case *lasting < 0:
-				*lasting = at
-			}
-			if *first < 0 {
-				*first = *lasting
+			if !f.agreed() {
+				agreed = -1
+			} else if agreed < 0 {
+				agreed = at
 			}
 		})
 	}
+	sent = f.run(scaleWindow)
+	f.report(t, "start", scaleWindow)
+	f.runUntil(f.now + 31*time.Second)
+	t.Logf("agreement after %v; first dispatch after %v; answers by second of sending: %v",
+		agreed, f.firstRunAfter(start)-start, codesBySecond(start, sent))
+	return sent, agreed
 }
 
 // report writes the traffic of a phase as a table.
@@ -317,78 +325,51 @@
 	g.Expect(median).To(BeNumerically("<", 20_000), "bytes/s of the median host")
 	g.Expect(most).To(BeNumerically("<", 60_000), "bytes/s of the busiest host")
 	g.Expect(f.traffic.messages["usage"]).To(BeNumerically("<", 200*int(scaleWindow/time.Second)*scaleTargets), "reports go to schedulers")
-	for _, name := range f.names {
-		f.kill(name)
-	}
-	f.runUntil(f.now + 500*time.Millisecond)
-	f.traffic = newScaleTraffic()
-	start := f.now
-	f.startAll()
-	var first, lasting time.Duration
-	f.awaitAgreement(scaleWindow, &first, &lasting)
-	sent := f.run(scaleWindow)
-	f.report(t, "start", scaleWindow)
-	f.runUntil(f.now + 31*time.Second)
-	t.Logf("agreement after %v, for good after %v; first dispatch after %v; answers by second of sending: %v",
-		first, lasting, f.firstRunAfter(start)-start, codesBySecond(start, sent))
+	sent, agreed := f.restartAll(t)
 	g.Expect(f.violations()).To(BeEmpty())
 	g.Expect(f.traffic.peak).To(BeNumerically("<", 60_000+600*hosts), "bytes of a host in a second after the start")
+	g.Expect(servedShare(sent)).To(BeNumerically(">", 0.95))
+	g.Expect(agreed).To(BeNumerically("~", time.Second, time.Second))
+	// Each pool's scheduler asks each host twice: it may know its earlier process from the list.
+	g.Expect(f.traffic.messages["take_over"]).To(BeNumerically("<", 3*2*scaleTargets*hosts))
+}
+
+// servedShare returns the share of requests that were answered by an endpoint.
+func servedShare(sent []*request) float64 {
 	ok := 0
 	for _, r := range sent {
 		if r.code == result.OK {
 			ok++
 		}
 	}
-	g.Expect(float64(ok)/float64(len(sent))).To(BeNumerically(">", 0.95), "answers after the start")
-	g.Expect(lasting).To(BeNumerically("~", time.Second, time.Second), "the hosts agree on the schedulers")
-	// Each pool's scheduler asks each host twice: it may know its earlier process from the list.
-	g.Expect(f.traffic.messages["take_over"]).To(BeNumerically("<", 3*2*scaleTargets*hosts))
+	return float64(ok) / float64(len(sent))
 }
 
 // TestScaleHardStarts starts hosts of which every sixth is gone for good though the list names it,
 // and hosts that take up to three seconds to start. It guards against hosts that wait for those
 // that don't answer.
 func TestScaleHardStarts(t *testing.T) {
-	for _, c := range []struct {
-		name     string
-		spread   time.Duration
-		lostNth  int
-		settled  time.Duration
-		fraction float64
-	}{
-		{"some are gone", 200 * time.Millisecond, 6, time.Second, 0.97},
-		{"slow", 3 * time.Second, 0, 4 * time.Second, 0.97},
+	for name, prepare := range map[string]func(*scaleFleet) (settled time.Duration){
+		"some are gone": func(f *scaleFleet) time.Duration {
+			for i, name := range f.names {
+				f.gone[name] = i%6 == 0
+			}
+			return time.Second
+		},
+		"slow": func(f *scaleFleet) time.Duration {
+			f.spread = 3 * time.Second
+			return f.spread + time.Second
+		},
 	} {
-		t.Run(c.name, func(t *testing.T) {
+		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
 			f := newScaleFleet(30)
 			f.startAll()
 			f.run(10 * time.Second)
-			for i, name := range f.names {
-				f.kill(name)
-				f.gone[name] = c.lostNth > 0 && i%c.lostNth == 0
-			}
-			f.runUntil(f.now + 500*time.Millisecond)
-			f.spread = c.spread
-			start := f.now
-			f.startAll()
-			var first, lasting time.Duration
-			f.awaitAgreement(scaleWindow, &first, &lasting)
-			sent := f.run(scaleWindow)
-			f.runUntil(f.now + 31*time.Second)
-			t.Logf("agreement after %v, for good after %v; first dispatch after %v; %v",
-				first, lasting, f.firstRunAfter(start)-start, codesBySecond(start, sent))
-			ok, all := 0, 0
-			for _, r := range sent {
-				if r.sent >= start+c.settled {
-					all++
-					if r.code == result.OK {
-						ok++
-					}
-				}
-			}
-			g.Expect(float64(ok) / float64(all)).To(BeNumerically(">", c.fraction))
-			g.Expect(lasting).To(BeNumerically("~", 3500*time.Millisecond, 3500*time.Millisecond))
+			settled := f.now + 500*time.Millisecond + prepare(f)
+			sent, agreed := f.restartAll(t)
+			g.Expect(servedShare(slices.DeleteFunc(sent, func(r *request) bool { return r.sent < settled }))).To(BeNumerically(">", 0.97))
+			g.Expect(agreed).To(BeNumerically("~", 3500*time.Millisecond, 3500*time.Millisecond))
 			g.Expect(f.violations()).To(BeEmpty())
 		})
 	}
