Sort the teams' names once per configuration

Cause: each usage report, up to ten a second after a start, sorted the names of all teams. Change: the names are kept in order with the limits.

--- a/internal/system/quota/quota.go
+++ b/internal/system/quota/quota.go
@@ -14,7 +14,6 @@
 package quota
 
 import (
-	"maps"
 	"math"
 	"slices"
 	"time"
@@ -109,8 +108,10 @@
 
 // System holds one host's quotas.
 type System struct {
-	limits  map[ident.Team]Limit
-	teams   map[ident.Team]*team
+	limits map[ident.Team]Limit
+	teams  map[ident.Team]*team
+	// names holds the names of the teams with a limit, in order.
+	names   []ident.Team
 	reports map[ident.Host]hostReport
 	// others holds the sums over reports.
 	others map[ident.Team]otherUse
@@ -172,6 +173,13 @@
 			s.teams[name] = t
 		}
 	}
+	s.names = s.names[:0]
+	for name, limit := range limits {
+		if limit.Rate > 0 {
+			s.names = append(s.names, name)
+		}
+	}
+	slices.Sort(s.names)
 }
 
 // SetHosts sets the number of live hosts, including this one, and the number of hosts that
@@ -377,11 +385,8 @@
 	if r.Full {
 		s.fullAt = now + fullReportInterval
 	}
-	for _, name := range slices.Sorted(maps.Keys(s.teams)) {
+	for _, name := range s.names {
 		t, limit := s.teams[name], s.limits[name]
-		if limit.Rate <= 0 {
-			continue
-		}
 		s.advance(now, t, limit)
 		t.share = s.computeShare(now, name, t)
 		if !t.charged {
