Account for the scatter of answers in the speeds of endpoints

Cause: where answers of one route differ much in length, a mean of few answers shifts by chance; runs longer than most were cut off at the end of an order. Change: the score of a shift includes the variance of answers; an order completes with busy old endpoints only in the last half of the time kept for the decision; the longest run is remembered for longer.

--- a/internal/rollout/controller.go
+++ b/internal/rollout/controller.go
@@ -321,7 +321,7 @@
 func (c *Controller) moveTime() time.Duration {
 	d := float64(c.status.Order.Duration)
 	// The steps take a third of the time to move, and the longest runs need the rest.
-	longest := 1.5*float64(c.evidence.longest) + float64(c.spare())
+	longest := 1.6*float64(c.evidence.longest) + float64(c.spare())
 	return time.Duration(min(max(moveFraction*d, longest), maxMoveFraction*d))
 }
 
@@ -462,7 +462,7 @@
 		return
 	}
 	busy := load.BaselineInFlight > 0 || load.BaselineForeign > 0 && now-c.steppedAt < foreignWait
-	if busy && !late {
+	if busy && c.limitAt-now > c.spare()/2 {
 		return
 	}
 	c.end(now, Completed, Finished, fmt.Sprintf("good, all traffic has moved, and the old endpoints run %d requests", load.BaselineInFlight))
--- a/internal/rollout/evidence.go
+++ b/internal/rollout/evidence.go
@@ -26,7 +26,7 @@
 	// baseline of the same time compares: an outside fault can't be told from a bad version.
 	unmatchedRate = 0.1
 	// longestMemory is the number of runs over which the time of the longest one decays.
-	longestMemory = 2000
+	longestMemory = 20000
 )
 
 // kind is a way in which answers are bad.
--- a/internal/rollout/exposure.go
+++ b/internal/rollout/exposure.go
@@ -247,6 +247,3 @@
 	}
 	return size, slots
 }
-
-// Aside returns the candidates that are set aside.
-func (c *Controller) Aside() []ident.Endpoint { return slices.Sorted(maps.Keys(c.group.aside)) }
--- a/internal/rollout/speed.go
+++ b/internal/rollout/speed.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"cmp"
 	"maps"
 	"math"
 	"slices"
@@ -37,6 +38,8 @@
 	// routeScore is the number of standard errors by which the shift has to be larger on a
 	// single route, of which there are several.
 	routeScore = 0.7
+	// varianceWeight is the weight of one answer in the variance of answers.
+	varianceWeight = 0.01
 	// outlier is the number of standard deviations from which on a single candidate looks
 	// slow.
 	outlier = 3
@@ -65,6 +68,8 @@
 // speeds holds the speeds of endpoints on one route, or on all.
 type speeds struct {
 	candidate, baseline map[ident.Endpoint]*speed
+	// variance is that of the logarithms of the slowness of one endpoint's answers.
+	variance float64
 	// slowest is the mean of an endpoint that is as slow as most.
 	slowest float64
 }
@@ -85,7 +90,12 @@
 	if rows[x.Endpoint] == nil {
 		rows[x.Endpoint] = &speed{}
 	}
-	rows[x.Endpoint].observe(slowness)
+	row := rows[x.Endpoint]
+	if !x.Candidate && row.tested() {
+		step := math.Log(slowness) - row.mean
+		v.variance += varianceWeight * (step*step - v.variance)
+	}
+	row.observe(slowness)
 }
 
 // factor is the multiple of the usual time that is usual for the endpoint of a sample. Fast
@@ -103,21 +113,21 @@
 	v.slowest = mean + unknownFactor*deviation
 }
 
-// tested returns the means of the endpoints with enough answers, in order.
-func tested(rows map[ident.Endpoint]*speed) []float64 {
-	var list []float64
+// testedRows returns the tested endpoints, the fastest first.
+func testedRows(rows map[ident.Endpoint]*speed) []speed {
+	var list []speed
 	for _, x := range rows {
 		if x.tested() {
-			list = append(list, x.mean)
+			list = append(list, *x)
 		}
 	}
-	slices.Sort(list)
+	slices.SortFunc(list, func(a, b speed) int { return cmp.Or(cmp.Compare(a.mean, b.mean), cmp.Compare(a.n, b.n)) })
 	return list
 }
 
 // spread returns the mean of the baseline's speeds, their standard deviation and their number.
 func (v *speeds) spread() (mean, deviation, n float64) {
-	list := tested(v.baseline)
+	list := testedRows(v.baseline)
 	if len(list) == 0 {
 		return 0, unknownSpread, 0
 	}
@@ -128,8 +138,8 @@
 	n = float64(len(list))
 	var squares float64
 	for _, x := range list {
-		mean += x / n
-		squares += x * x / n
+		mean += x.mean / n
+		squares += x.mean * x.mean / n
 	}
 	if len(list) < minSpeeds-1 {
 		return mean, unknownSpread, n
@@ -140,22 +150,25 @@
 }
 
 // shift returns by how much the candidates are slower, as a logarithm, and by how many standard
-// errors.
-func shift(candidates []float64, mean, deviation, n float64) (by, score float64) {
+// errors: those of the speeds of machines, and of the answers that each speed rests on.
+func (v *speeds) shift(candidates []speed, mean, deviation, n float64) (by, score float64) {
 	if len(candidates) == 0 {
 		return 0, 0
 	}
+	count := float64(len(candidates))
+	sampling := 0.0
 	for _, x := range candidates {
-		by += x / float64(len(candidates))
+		by += x.mean / count
+		sampling += v.variance / min(x.n, speedMemory) / (count * count)
 	}
 	by -= mean
-	return by, by / (deviation * math.Sqrt(1/float64(len(candidates))+1/max(1, n)))
+	return by, by / math.Sqrt(deviation*deviation*(1/count+1/max(1, n))+sampling)
 }
 
 // slower reports whether the candidates are slower than the baseline at a level, and how much.
 func (v *speeds) slower(l level) (factor float64, found bool) {
 	mean, deviation, n := v.spread()
-	list := tested(v.candidate)
+	list := testedRows(v.candidate)
 	if n == 0 || len(list) < l.endpoints {
 		return 0, false
 	}
@@ -163,13 +176,13 @@
 	if len(list) < min(l.candidates, fewSpeeds) {
 		least += fewScore
 	}
-	by, score := shift(list, mean, deviation, n)
+	by, score := v.shift(list, mean, deviation, n)
 	if by < minShift || score < least {
 		return 0, false
 	}
 	if l.endpoints > 1 {
 		// Without the slowest candidate.
-		if by, score = shift(list[:len(list)-1], mean, deviation, n); by < minShift || score < l.score/2 {
+		if by, score = v.shift(list[:len(list)-1], mean, deviation, n); by < minShift || score < l.score/2 {
 			return 0, false
 		}
 	}
@@ -184,7 +197,11 @@
 	}
 	var list []ident.Endpoint
 	for _, e := range slices.Sorted(maps.Keys(v.candidate)) {
-		if x := v.candidate[e]; x.tested() && x.mean-mean >= max(minShift, outlier*deviation) {
+		x := v.candidate[e]
+		if !x.tested() {
+			continue
+		}
+		if by, score := v.shift([]speed{*x}, mean, deviation, math.Inf(1)); by >= minShift && score >= outlier {
 			list = append(list, e)
 		}
 	}
