Price placements outside the custodian's failure domain

Cause: a placement in another domain costs a fixed second, whatever the bytes, the delay and the capacity there. An idle domain helps a full one only when requests would be late. Change: section [domains] of the settings declares the delay and what bytes are worth. The cost of leaving is then the delay both ways, the bytes of request and answer, the risk of a partition, and what the slot is worth to the other domain's own callers, which follows their demand and reaches the fixed second when they need nearly all of their slots. Without the section nothing changes. The route of a request is sent only where roll-outs are configured, as documented; it was always sent.

--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -6,6 +6,7 @@
 
 	"github.com/trefoilchute/trefoilchute/internal/ident"
 	"github.com/trefoilchute/trefoilchute/internal/peer/peerpb"
+	"github.com/trefoilchute/trefoilchute/internal/pool/domains"
 	"github.com/trefoilchute/trefoilchute/internal/resource"
 	"github.com/trefoilchute/trefoilchute/internal/result"
 	"github.com/trefoilchute/trefoilchute/internal/system"
@@ -36,6 +37,8 @@
 	// ConfigurationChanged events. Requests then carry no keys and there are no orders, so
 	// the core calls neither the table nor the object store.
 	External bool
+	// Domains prices placements outside a custodian's failure domain.
+	Domains domains.Prices
 }
 
 // Core holds the control state of an entry host. It is not safe for concurrent
@@ -113,7 +116,7 @@
 	c.custody = custody.New(custody.Config{Self: cfg.Self, View: custodyView{c}})
 	c.quotas = quota.New()
 	c.scheduling = scheduling.New(scheduling.Config{
-		Self: cfg.Self, Domain: cfg.Domain, View: schedulingView{c}, Seed: cfg.Seed, Quotas: c.quotas,
+		Self: cfg.Self, Domain: cfg.Domain, View: schedulingView{c}, Seed: cfg.Seed, Quotas: c.quotas, Domains: cfg.Domains,
 	})
 	c.claims = claim.New(claim.Config{
 		Host: cfg.Self, Incarnation: cfg.Incarnation, Nonce: cfg.Nonce, Liveness: c.liveness,
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -50,6 +50,9 @@
 	// ConfigurationAge returns the time since the configuration was last confirmed to be
 	// the newest, or false if it never was.
 	ConfigurationAge func() (time.Duration, bool)
+	// SendRoutes is set if schedulers need the requests' routes, and SendSizes if they need their
+	// expected sizes.
+	SendRoutes, SendSizes bool
 	// Tuning holds the settings that can change while the gateway serves.
 	Tuning Tuning
 	// OnOutcome is called with the outcome of each request, OnGap with the time between two
@@ -112,6 +115,7 @@
 	tuning   atomic.Pointer[Tuning]
 	stopping atomic.Pointer[time.Time]
 	active   atomic.Int64
+	sizes    answerSizes
 	// sending counts the connections on which answers that were read ahead are sent.
 	sending  atomic.Int64
 	sequence atomic.Uint64
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -139,6 +139,9 @@
 		c.serve()
 	}
 	c.outcome.Total = g.opts.Now() - c.arrived
+	if g.opts.SendSizes && c.outcome.Code == result.OK {
+		g.sizes.observe(c.outcome.Route, c.outcome.Bytes)
+	}
 	g.opts.OnOutcome(&c.outcome)
 	if c.outcome.Code == result.AnswerCut {
 		// Abort the connection, so that the caller does not take a truncated response for a
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -148,7 +148,12 @@
 		ExpectedTokens: c.headers.ExpectedTokens, Deadline: c.deadline,
 		Fingerprint: c.outcome.Fingerprint, Parts: c.outcome.Parts, Repeats: true, Idempotent: c.route.Idempotent(), Avoid: avoid, Near: g.opts.Domain,
 	}
-	a.Route = routeHash(c.route.Name)
+	if g.opts.SendRoutes {
+		a.Route = routeHash(c.route.Name)
+	}
+	if g.opts.SendSizes {
+		a.Bytes = c.body.size + g.sizes.expect(c.route.Name)
+	}
 	switch {
 	case c.outcome.Bytes > 0 && c.route.GapObjective > 0:
 		// The stream is being resumed: its next event is due.
--- a/internal/metrics/instruments.go
+++ b/internal/metrics/instruments.go
@@ -15,6 +15,7 @@
 	prefill, output, platformCalls  metric.Int64Counter
 	retries, reloads, dropped       metric.Int64Counter
 	closings, limited               metric.Int64Counter
+	left, leftBytes                 metric.Int64Counter
 	duration, queueWait, firstToken metric.Float64Histogram
 	tokenGap, platformTime          metric.Float64Histogram
 }
@@ -87,6 +88,8 @@
 		reloads:       b.counter(nameReloads),
 		dropped:       b.counter(nameDropped),
 		closings:      b.counter(nameClosings),
+		left:          b.counter(nameLeft),
+		leftBytes:     b.counter(nameLeftBytes),
 		limited:       b.counter(nameLimited),
 		duration:      b.histogram(nameDuration, requestBounds),
 		queueWait:     b.histogram(nameQueueWait, requestBounds),
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -178,6 +178,13 @@
 	m.set.limited.Add(context.Background(), 1, m.by(labelAction, action))
 }
 
+// LeftDomain counts a request that was placed outside its custodian's failure domain, and its
+// expected bytes.
+func (m *Metrics) LeftDomain(pool string, bytes int) {
+	m.set.left.Add(context.Background(), 1, m.by(labelPool, pool))
+	m.set.leftBytes.Add(context.Background(), int64(bytes), m.by(labelPool, pool))
+}
+
 // EndpointClosed counts an endpoint that was closed for a while.
 func (m *Metrics) EndpointClosed(reason string) {
 	m.set.closings.Add(context.Background(), 1, m.by(labelReason, reason))
--- a/internal/metrics/table.go
+++ b/internal/metrics/table.go
@@ -68,6 +68,8 @@
 	nameReloads       = "trefoilchute.settings.reloads"
 	nameDropped       = "trefoilchute.answers.dropped"
 	nameClosings      = "trefoilchute.endpoint.closings"
+	nameLeft          = "trefoilchute.left_domain"
+	nameLeftBytes     = "trefoilchute.left_domain.sent"
 	nameSuspects      = "trefoilchute.suspects"
 	nameLoad          = "trefoilchute.endpoint.load"
 	nameLimited       = "trefoilchute.callers.limited"
@@ -137,6 +139,8 @@
 	{nameSettings, kindGauge, unitProcess, []string{labelVersion}, "1 for the version of the settings in force in this process."},
 	{nameReloads, kindCounter, unitReloads, []string{labelOutcome}, "Settings files that were read again: applied, unchanged, at_start (keys that wait for a start) or rejected."},
 	{nameDropped, kindCounter, unitAnswers, []string{labelReason}, "Answers of endpoints that were not taken whole: head_too_long, invalid_head, event_too_long, another_request or rest_not_taken; not_delivered are requests that were aborted because the endpoint did not acknowledge them."},
+	{nameLeft, kindCounter, unitRequests, []string{labelPool}, "Requests that a pool scheduled here placed outside their custodian's failure domain, where the settings price that."},
+	{nameLeftBytes, kindCounter, unitBytes, []string{labelPool}, "Expected bytes of these requests and their answers."},
 	{nameClosings, kindCounter, unitClosings, []string{labelReason}, "Endpoints that a pool scheduled here closed for a while: unreachable, lost, failing, or asked_to_wait (for one host)."},
 	{nameSuspects, kindGauge, unitSuspects, []string{labelKind, labelState}, "Requests (request) and prompt parts (part) that this host knows to be suspected of crashing endpoints: suspect or quarantined."},
 	{nameLimited, kindCounter, unitCallers, []string{labelAction}, "Callers that were refused or closed to keep the host within its memory or descriptors: head_too_long, head_too_many_lines, head_refused, body_refused, connection_refused, idle_closed, sender_closed, waiting_refused or answer_reset."},
--- a/internal/platformhost/host.go
+++ b/internal/platformhost/host.go
@@ -99,6 +99,7 @@
 	h.core = control.New(control.Config{
 		Self: s.Host, Incarnation: h.incarnation, Domain: s.Region, Address: s.PeerListen,
 		Capacity: capacity(&s), Seed: h.incarnation, Nonce: func() string { return "" }, External: true,
+		Domains: s.Domains,
 	})
 	h.loop = control.NewLoopAt(h.core, h.now)
 	h.follower = follow.New(follow.Options{
@@ -108,6 +109,7 @@
 	h.gateway = gateway.New(gateway.Options{
 		Host: s.Host, Domain: s.Domain, Log: h.log, Post: h.loop.Post, Now: h.loop.Now,
 		ConfigurationAge: h.follower.ConfigurationAge, Tuning: tuning(&s),
+		SendRoutes: s.Rollout.Enabled(), SendSizes: s.Domains.Enabled(),
 		OnOutcome: h.recordOutcome, OnGap: h.recordGap, OnDrop: h.countDrop, OnMemory: h.countLimited,
 	})
 	return h, nil
--- a/internal/platformhost/record.go
+++ b/internal/platformhost/record.go
@@ -36,6 +36,10 @@
 		}
 		for _, e := range step.Effects {
 			switch e := e.(type) {
+			case pool.Grant:
+				if e.Left {
+					h.metrics.LeftDomain(step.Config.Pool.String(), e.Bytes)
+				}
 			case pool.Refuse:
 				h.logRefusal(step.Config.Pool, &e)
 			case pool.RolloutStep:
--- a/internal/pool/apply.go
+++ b/internal/pool/apply.go
@@ -58,6 +58,9 @@
 	if !row.before.Known() {
 		s.meter.RecordArrival(r.Rank, row.cost)
 	}
+	if s.domains.Enabled() && r.Near != "" {
+		s.domains.Arrive(s.now, r.Near, row.cost)
+	}
 	s.checkStarvation(row)
 	if !s.admit(row) {
 		return
--- a/internal/pool/event.go
+++ b/internal/pool/event.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/trefoilchute/trefoilchute/internal/ident"
+	"github.com/trefoilchute/trefoilchute/internal/pool/domains"
 	"github.com/trefoilchute/trefoilchute/internal/pool/rules"
 	"github.com/trefoilchute/trefoilchute/internal/resource"
 	"github.com/trefoilchute/trefoilchute/internal/result"
@@ -46,6 +47,8 @@
 	// Near is the failure domain of the custodian, in a pool that spans several; if it
 	// is empty, all endpoints are equally near.
 	Near ident.Domain
+	// Bytes is the expected number of bytes of the request and its answer; 0 if it is not known.
+	Bytes int `cbor:",omitempty"`
 	// KeyHash is the hash of the team and idempotency key; 0 without a key.
 	KeyHash uint64
 	// Fingerprint is the hash of the body, independent of the team.
@@ -309,6 +312,12 @@
 	Expires time.Duration
 	// Isolated means that the endpoint runs nothing else beside this suspect.
 	Isolated bool
+	// Left means that the endpoint is outside the custodian's failure domain, where placements
+	// are priced. Gain is what the caller gains by it against the best free endpoint of its own
+	// domain; 0 if there is none. Bytes is the request's.
+	Left  bool          `cbor:",omitempty"`
+	Gain  time.Duration `cbor:",omitempty"`
+	Bytes int           `cbor:",omitempty"`
 	// Why is the reason for the placement, for explain.
 	Why string
 }
@@ -355,4 +364,6 @@
 	// WithoutHolds places every request at once, wherever its prefix is cached. It
 	// serves to measure what the waits for cached prefixes gain.
 	WithoutHolds bool
+	// Domains prices placements outside the custodian's failure domain.
+	Domains domains.Prices `cbor:",omitzero"`
 }
--- a/internal/pool/ledger.go
+++ b/internal/pool/ledger.go
@@ -106,6 +106,9 @@
 		Expires:  expires,
 		Isolated: p.isolated,
 		Why:      p.reason,
+		Left:     p.left,
+		Gain:     p.gain,
+		Bytes:    r.Bytes,
 	})
 }
 
--- a/internal/pool/place.go
+++ b/internal/pool/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"time"
 
 	"github.com/trefoilchute/trefoilchute/internal/pool/rules"
@@ -67,6 +68,10 @@
 	isolated bool
 	// sawFreeSlot means that an examined endpoint had a free slot.
 	sawFreeSlot bool
+	// left means that the endpoint is outside the custodian's failure domain, and gain is what the
+	// caller gains by that; 0 if the domain has no free endpoint.
+	left bool
+	gain time.Duration
 }
 
 // place finds the endpoint with the lowest cost among some open ones.
@@ -79,7 +84,7 @@
 	s.matchAmong(r, among)
 	out := placement{reason: reasonFull}
 	reserve := r.Rank > 0 && s.meter.HasArrivals(0)
-	var least time.Duration
+	var least, leastNear time.Duration
 	for _, e := range among {
 		free := e.free()
 		if free <= 0 {
@@ -103,6 +108,9 @@
 		if s.rollout != nil {
 			cost += s.steeringScore(e)
 		}
+		if e.Domain == r.Near && (leastNear == 0 || cost < leastNear) {
+			leastNear = cost
+		}
 		if out.endpoint == nil || cost < least {
 			least = cost
 			out.endpoint, out.cached, out.estimate = e, c.cached, c.estimate
@@ -112,9 +120,24 @@
 		return placement{reason: reasonCacheHold, sawFreeSlot: true, hold: hold}
 	}
 	out.explain(r.bestCached)
+	if s.domains.Enabled() && out.endpoint != nil && r.Near != "" && out.endpoint.Domain != r.Near {
+		out.explainLeaving(r, least, leastNear, s.domains.Cost(s.now, out.endpoint.Domain, r.Bytes))
+	}
 	return out
 }
 
+// explainLeaving records that a placement leaves the custodian's domain, what the caller gains by it
+// before its cost, and that cost. Without a free endpoint in the domain the gain is unknown.
+func (p *placement) explainLeaving(r *request, least, leastNear, cost time.Duration) {
+	p.left = true
+	gain := "unknown"
+	if leastNear > 0 {
+		p.gain = leastNear - least + cost
+		gain = strconv.FormatInt(p.gain.Milliseconds(), 10)
+	}
+	p.reason += fmt.Sprintf(", left_domain %s for %s, gain_ms %s, cost_ms %d", r.Near, p.endpoint.Domain, gain, cost.Milliseconds())
+}
+
 func (p *placement) explain(bestCached int) {
 	if p.endpoint == nil {
 		return
@@ -287,9 +310,12 @@
 // connections that cross it.
 type domainScore struct{}
 
-func (domainScore) score(_ *Scheduler, r *request, c *candidate) time.Duration {
-	if r.Near == "" || c.endpoint.Domain == r.Near {
+func (domainScore) score(s *Scheduler, r *request, c *candidate) time.Duration {
+	switch {
+	case r.Near == "" || c.endpoint.Domain == r.Near:
 		return 0
+	case s.domains.Enabled():
+		return s.domains.Cost(s.now, c.endpoint.Domain, r.Bytes)
 	}
 	return rules.CrossDomainPenalty
 }
--- a/internal/pool/scheduler.go
+++ b/internal/pool/scheduler.go
@@ -5,6 +5,7 @@
 
 	"github.com/trefoilchute/trefoilchute/internal/ident"
 	"github.com/trefoilchute/trefoilchute/internal/pool/blocks"
+	"github.com/trefoilchute/trefoilchute/internal/pool/domains"
 	"github.com/trefoilchute/trefoilchute/internal/pool/meter"
 	"github.com/trefoilchute/trefoilchute/internal/pool/promise"
 	"github.com/trefoilchute/trefoilchute/internal/pool/rules"
@@ -54,6 +55,8 @@
 	remotes remoteTable
 	// promises holds the refusals for lack of room, and when their callers were told to return.
 	promises promise.Book
+	// domains prices placements outside the custodian's failure domain.
+	domains domains.Ledger
 	// runningByRank counts the attempts that occupy a slot.
 	runningByRank map[int]int
 	sweepTimer    timer
@@ -106,6 +109,7 @@
 		bodies:              newBodyTable(),
 		runningByRank:       map[int]int{},
 		unexaminedPriority:  noPriority,
+		domains:             domains.NewLedger(c.Domains),
 		lastAttempt:         c.Epoch << rules.AttemptBits,
 	}
 	s.queue = newQueue()
--- a/internal/pool/shed.go
+++ b/internal/pool/shed.go
@@ -117,8 +117,15 @@
 // countSlots sums up the slots of the available endpoints.
 func (s *Scheduler) countSlots() {
 	s.totalSlots, s.totalFreeSlots, s.availableEndpoints, s.longPrefillEndpoints = 0, 0, 0, 0
+	priced := s.domains.Enabled()
+	if priced {
+		s.domains.ClearSlots()
+	}
 	for _, e := range s.endpoints.rows {
 		if e.available(s.now) {
+			if priced {
+				s.domains.AddSlots(e.Domain, max(0, e.slots()))
+			}
 			s.totalSlots += max(0, e.slots())
 			s.totalFreeSlots += e.freeSlots()
 			s.availableEndpoints++
--- a/internal/settings/fields.go
+++ b/internal/settings/fields.go
@@ -25,6 +25,7 @@
 	sectionEndpoints = "endpoints"
 	sectionMemory    = "memory"
 	sectionRollout   = "rollout"
+	sectionDomains   = "domains"
 )
 
 // Bounds of settings.
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -10,6 +10,7 @@
 
 	"github.com/trefoilchute/trefoilchute/internal/ident"
 	"github.com/trefoilchute/trefoilchute/internal/inifile"
+	"github.com/trefoilchute/trefoilchute/internal/pool/domains"
 	"github.com/trefoilchute/trefoilchute/internal/rollout"
 )
 
@@ -64,7 +65,9 @@
 	MinRate int
 	// Rollout bounds what a new version gets before it has been judged. Roll-outs are off if
 	// it is not enabled.
-	Rollout  rollout.Bounds
+	Rollout rollout.Bounds
+	// Domains prices placements outside a host's failure domain. Without it each costs the same.
+	Domains  domains.Prices
 	LogLevel string
 }
 
@@ -88,6 +91,9 @@
 	maxRate            = 1 << 20
 
 	minRollback, maxRollback = 100 * time.Millisecond, time.Hour
+
+	maxDelay                 = 10 * time.Second
+	minByteCost, maxByteCost = time.Millisecond, time.Hour
 )
 
 // gatewayGroups holds every section of a gateway's settings.
@@ -172,6 +178,12 @@
 		inifile.Duration("rollback", "Time from a new version's 50th bad answer until no request is sent to it any more.",
 			minRollback, maxRollback, func(g *Gateway) *time.Duration { return &g.Rollout.Rollback }).AtStart(),
 	}},
+	{sectionDomains, []inifile.Field[Gateway]{
+		inifile.Duration("delay", "One-way delay between two failure domains.", 0, maxDelay,
+			func(g *Gateway) *time.Duration { return &g.Domains.Delay }).AtStart(),
+		inifile.Duration("byte_cost", "Time of an endpoint's slot that a MiB between failure domains is worth.", minByteCost, maxByteCost,
+			func(g *Gateway) *time.Duration { return &g.Domains.ByteCost }).AtStart(),
+	}},
 	{sectionLog, []inifile.Field[Gateway]{
 		inifile.Choice("level", "Least level that is logged.", levels(),
 			func(g *Gateway) *string { return &g.LogLevel }).Optional(logrus.InfoLevel.String()),
@@ -180,7 +192,7 @@
 
 // optionalSections are the sections of a gateway that may be missing. Each of them turns on a
 // part of the gateway, and its keys have no defaults.
-var optionalSections = []string{sectionRollout}
+var optionalSections = []string{sectionRollout, sectionDomains}
 
 // groupsFor returns the sections of a gateway's settings, without the fields of optional
 // sections that are not in the file.
--- a/internal/system/custody/custody.go
+++ b/internal/system/custody/custody.go
@@ -93,6 +93,8 @@
 	// Route is the hash of the route's name; 0 if it is not known. It is sent to the scheduler
 	// only where roll-outs are configured.
 	Route uint64
+	// Bytes is the expected number of bytes of the request and its answer; 0 if it is not known.
+	Bytes int
 	// FirstAttempt says that the caller declares that it has not sent the key before.
 	FirstAttempt bool
 }
--- a/internal/system/custody/message.go
+++ b/internal/system/custody/message.go
@@ -22,7 +22,7 @@
 		Prefix:     r.Prefix, KeyHash: r.KeyHash, Fingerprint: r.Fingerprint, Parts: r.Parts,
 		Repeats: r.Repeats, Idempotent: r.Idempotent, Spilled: r.spilled, ClockUs: now.Microseconds(),
 		Epoch: epoch, ExpectedTokens: int64(r.ExpectedTokens), Avoid: string(r.Avoid), Cost: r.Cost,
-		Near: string(r.Near), Route: r.Route,
+		Near: string(r.Near), Route: r.Route, Bytes: int64(r.Bytes),
 	}
 	if r.FirstDue > 0 {
 		m.HasObjective = true
--- a/internal/system/scheduling/receive.go
+++ b/internal/system/scheduling/receive.go
@@ -70,7 +70,7 @@
 		Prefix:   m.GetPrefix(), KeyHash: m.GetKeyHash(), Fingerprint: m.GetFingerprint(), Parts: m.GetParts(),
 		Repeats: m.GetRepeats(), Idempotent: m.GetIdempotent(), Spilled: m.GetSpilled(),
 		ExpectedTokens: int(m.GetExpectedTokens()), Avoid: ident.Endpoint(m.GetAvoid()),
-		Near: ident.Domain(m.GetNear()), Route: m.GetRoute(),
+		Near: ident.Domain(m.GetNear()), Route: m.GetRoute(), Bytes: int(m.GetBytes()),
 	}
 	if m.GetHasObjective() {
 		r.FirstDue = max(1, now+micros(m.GetFirstTokenDueUs()))
--- a/internal/system/scheduling/scheduling.go
+++ b/internal/system/scheduling/scheduling.go
@@ -13,6 +13,7 @@
 	"github.com/trefoilchute/trefoilchute/internal/ident"
 	"github.com/trefoilchute/trefoilchute/internal/peer/peerpb"
 	"github.com/trefoilchute/trefoilchute/internal/pool"
+	"github.com/trefoilchute/trefoilchute/internal/pool/domains"
 	"github.com/trefoilchute/trefoilchute/internal/resource"
 	"github.com/trefoilchute/trefoilchute/internal/system"
 	"github.com/trefoilchute/trefoilchute/internal/system/quota"
@@ -64,6 +65,8 @@
 	Seed uint64
 	// Quotas enforces the teams' rate limits; nil if there are none.
 	Quotas *quota.System
+	// Domains prices placements outside the custodian's failure domain.
+	Domains domains.Prices
 }
 
 // System holds the pools scheduled by this host.
