--- a/internal/pool/apply.go
+++ b/internal/pool/apply.go
@@ -55,9 +55,7 @@
 	row.outputTokens = s.expectedOutput(&r)
 	row.cost = s.costOf(row)
 	s.recognize(row)
-	if !row.before.Known() {
-		s.meter.RecordArrival(r.Rank, row.cost)
-	}
+	s.measureShare(row)
 	if s.domains.Enabled() && r.Near != "" {
 		s.domains.Arrive(s.now, r.Near, row.cost)
 	}
--- a/internal/pool/scheduler.go
+++ b/internal/pool/scheduler.go
@@ -9,6 +9,7 @@
 	"github.com/trefoilchute/trefoilchute/internal/pool/meter"
 	"github.com/trefoilchute/trefoilchute/internal/pool/promise"
 	"github.com/trefoilchute/trefoilchute/internal/pool/rules"
+	"github.com/trefoilchute/trefoilchute/internal/pool/share"
 	"github.com/trefoilchute/trefoilchute/internal/pool/speed"
 )
 
@@ -57,6 +58,10 @@
 	promises promise.Book
 	// domains prices placements outside the custodian's failure domain.
 	domains domains.Ledger
+	// teamShares measures what each team sends.
+	teamShares share.Table
+	// lendingUntil is the end of the time in which slots are kept for teams within their share.
+	lendingUntil time.Duration
 	// runningByRank counts the attempts that occupy a slot.
 	runningByRank map[int]int
 	sweepTimer    timer
