Refuse a second return at once if its wait would exceed its time twice

Cause: a caller who had waited as long as it was told to was queued whatever its expected wait. Change: such a request is refused if its expected wait exceeds the time that it can wait by a factor of two. Kept promises are admitted as before.

--- a/internal/naive/policy.go
+++ b/internal/naive/policy.go
@@ -160,7 +160,7 @@
 }
 
 func (s *Scheduler) admitLate(r *request, total time.Duration) bool {
-	if r.before.Waited {
+	if r.before.Kept {
 		return true
 	}
 	for s.waitOf(r, r.order()) > s.lateSpare(r, total) {
@@ -181,10 +181,14 @@
 
 // lateSpare is how long a late request may wait.
 func (s *Scheduler) lateSpare(r *request, total time.Duration) time.Duration {
+	spare := r.Deadline - s.now - total
 	if r.Patience > 0 {
-		return min(r.Deadline-s.now-total, r.Patience-s.now-s.firstAlone(r))
+		spare = min(spare, r.Patience-s.now-s.firstAlone(r))
+	}
+	if r.before.Waited && !r.before.Kept {
+		spare *= rules.ReturnWaitTolerance
 	}
-	return r.Deadline - s.now - total
+	return spare
 }
 
 // outwaited refuses a request whose caller would leave before its first token.
@@ -200,7 +204,7 @@
 func (s *Scheduler) shedOverlong(order int, team ident.Team) {
 	for list := s.teamQueue(order, team); len(list) > 0; list = s.teamQueue(order, team) {
 		r := slices.MaxFunc(list, compareUrgency)
-		if r.before.Waited {
+		if r.before.Kept {
 			return
 		}
 		total, ok := s.fastest(r)
--- a/internal/pool/objective.go
+++ b/internal/pool/objective.go
@@ -111,7 +111,7 @@
 // admitLate compares the slack of a late request with the time in which those before
 // it are served. Late requests of lower tiers are shed before it, from the lowest up.
 func (s *Scheduler) admitLate(r *request, total time.Duration) bool {
-	if r.before.Waited {
+	if r.before.Kept {
 		return true
 	}
 	slack := s.lateSlack(r, total)
@@ -133,12 +133,16 @@
 
 // lateSlack returns how long a late request with an estimated total may wait: until
 // its complete answer would miss the deadline, or until its caller would disconnect
-// before the first token.
+// before the first token. A caller who has waited as long as it was told to returns only
+// once, so its request is refused only if the wait would exceed that time by a factor.
 func (s *Scheduler) lateSlack(r *request, total time.Duration) time.Duration {
 	slack := r.Deadline - s.now - total
 	if r.Patience > 0 {
 		slack = min(slack, r.Patience-s.now-s.fastestFirstToken(r))
 	}
+	if r.before.Waited && !r.before.Kept {
+		slack *= rules.ReturnWaitTolerance
+	}
 	return slack
 }
 
@@ -148,7 +152,7 @@
 	tq := s.queue.tier(priority).teams[team]
 	for tq != nil && len(tq.requests) > 0 {
 		r := slices.MaxFunc(tq.requests, compareUrgency)
-		if r.before.Waited {
+		if r.before.Kept {
 			return
 		}
 		total, ok := s.fastestTotal(r)
--- a/internal/pool/rules/rules.go
+++ b/internal/pool/rules/rules.go
@@ -183,6 +183,11 @@
 	// wait of a request has to exceed before waiting requests of lower tiers are
 	// shed and the request itself is refused.
 	WaitToleranceOverLowerTiers = 3
+	// ReturnWaitTolerance is the multiple of its slack that the expected wait of a request
+	// has to exceed before it is refused again, if its caller has waited as long as it was
+	// told to. Of such requests that were queued whatever their expected wait, one in ten was
+	// served, and the others were told no after most of their time.
+	ReturnWaitTolerance = 2
 	// MinRetryAfter and MaxRetryAfter bound the retry delay that a refused caller
 	// is told.
 	MinRetryAfter = time.Second
