Leave the first read of a large fleet's start to the readers of the store

Cause: after a start of all hosts each read all endpoints from the store. With 300 hosts and 3,000 endpoints that is 1,800 pages at once; the store turns calls away beyond its rate, and a read that is turned away began with its first page again. Change: from 32 hosts on a starting host waits up to 2 s for the readers' answer, which it asks for at once, before it reads itself.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -48,6 +48,15 @@
 	retryJitter = 0.3
 	// maxPause bounds the sleep of a host that does not need to read the store.
 	maxPause = 500 * time.Millisecond
+	// manyHosts is the number of hosts from which on a starting host leaves the first read to the
+	// readers. A table of thousands of endpoints has several pages, and with hundreds of hosts
+	// that read them at the same time the store turns most calls away.
+	manyHosts = 32
+	// firstReadGrace is how long it does so. The readers need some ten milliseconds, and each answer
+	// is up to hundreds of kilobytes on the reader's link. startTimeout bounds the wait for the
+	// list of hosts.
+	firstReadGrace = 2 * time.Second
+	startTimeout   = 600 * time.Millisecond
 )
 
 // SourceStore names the store as the source of a configuration.
@@ -81,6 +90,10 @@
 	compressed compressed
 	// reading is set if this host reads the store for others.
 	reading atomic.Bool
+	// started is closed when the number of hosts is known, and graceEnd is the time on the clock
+	// of package clock until which this host waits for the readers after its start.
+	started  chan struct{}
+	graceEnd atomic.Int64
 	// wakeups wakes the loops that read the store.
 	wakeups [2]chan struct{}
 
@@ -101,7 +114,7 @@
 
 // New returns a follower that is not running yet.
 func New(opts Options) *Follower {
-	f := &Follower{opts: opts, nextReader: len(opts.Self)}
+	f := &Follower{opts: opts, nextReader: len(opts.Self), started: make(chan struct{})}
 	f.reading.Store(true)
 	for i := range f.wakeups {
 		f.wakeups[i] = make(chan struct{}, 1)
@@ -131,7 +144,27 @@
 
 // needsStore reports whether this host has to read the store itself.
 func (f *Follower) needsStore() bool {
-	return f.reading.Load() || !f.fresh()
+	return f.reading.Load() || !f.fresh() && clock.Boot() >= time.Duration(f.graceEnd.Load())
+}
+
+// Start tells how many hosts there are, when the list of hosts has been read for the first time. It
+// must be called once at most.
+func (f *Follower) Start(hosts int) {
+	if hosts >= manyHosts {
+		grace := time.Duration(float64(firstReadGrace) * (1 + retryJitter*rand.Float64()))
+		f.graceEnd.Store(int64(clock.Boot() + grace))
+		f.reading.Store(false)
+	}
+	close(f.started)
+}
+
+// awaitStart waits for Start, or for startTimeout if the list of hosts can't be read.
+func (f *Follower) awaitStart(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-f.started:
+	case <-time.After(startTimeout):
+	}
 }
 
 // wake makes the loops that read the store check whether they have to.
@@ -211,6 +244,7 @@
 
 // FollowConfiguration reads the configuration until ctx ends, whenever this host has to.
 func (f *Follower) FollowConfiguration(ctx context.Context) {
+	f.awaitStart(ctx)
 	dep := dependency{log: f.opts.Log, name: "configuration", reading: f.reading.Load}
 	var after uint64
 	var table orders
@@ -269,6 +303,7 @@
 
 // FollowEndpoints reads the endpoints until ctx ends, whenever this host has to.
 func (f *Follower) FollowEndpoints(ctx context.Context) {
+	f.awaitStart(ctx)
 	dep := dependency{log: f.opts.Log, name: "endpoints", reading: f.reading.Load}
 	table := NewEndpoints()
 	table.withVersions = f.opts.OnOrders != nil
--- a/internal/follow/peers.go
+++ b/internal/follow/peers.go
@@ -21,6 +21,8 @@
 	// queryInterval is the time between two queries to readers. Together with the readers'
 	// own interval it bounds the delay of a change.
 	queryInterval = 400 * time.Millisecond
+	// startQueryInterval is the same until the first answer.
+	startQueryInterval = 100 * time.Millisecond
 	// freshAge is the age up to which the host's copy counts as fresh. Above it, this host
 	// reads the store itself. It is one interval of a reader plus two of this host, and less
 	// than the time for which an endpoint that leaves may go unnoticed.
@@ -40,8 +42,13 @@
 
 // FollowReaders queries the readers of the store until ctx ends, unless this host is a reader.
 func (f *Follower) FollowReaders(ctx context.Context) {
+	f.awaitStart(ctx)
 	for ctx.Err() == nil {
-		sleep(ctx, queryInterval)
+		interval := queryInterval
+		if _, known := f.EndpointsAge(); !known {
+			interval = startQueryInterval
+		}
+		sleep(ctx, interval)
 		readers := f.opts.Readers()
 		// A host that knows no readers yet reads the store once its copy is too old.
 		f.reading.Store(slices.Contains(readers, f.opts.Self))
--- a/internal/follow/peers_test.go
+++ b/internal/follow/peers_test.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/sirupsen/logrus/hooks/test"
 
+	"github.com/trefoilchute/trefoilchute/internal/clock"
 	"github.com/trefoilchute/trefoilchute/internal/ident"
 	"github.com/trefoilchute/trefoilchute/internal/peer/peerpb"
 	"github.com/trefoilchute/trefoilchute/internal/ruleset"
@@ -134,3 +135,16 @@
 	g.Expect(calls(true)).To(BeNumerically(">=", 18))
 	g.Expect(calls(false)).To(BeNumerically("<=", 10))
 }
+
+// Guards against hundreds of starting hosts that all read the same tables: a host of a large fleet
+// waits for the readers, and reads the store itself if they don't answer.
+func TestStartingHostsLeaveTheFirstReadToTheReaders(t *testing.T) {
+	for hosts, reads := range map[int]bool{1: true, manyHosts - 1: true, manyHosts: false, 300: false} {
+		g := NewWithT(t)
+		f := New(Options{Self: "h"})
+		f.Start(hosts)
+		g.Expect(f.needsStore()).To(Equal(reads), "%d hosts", hosts)
+		f.graceEnd.Store(int64(clock.Boot()))
+		g.Expect(f.needsStore()).To(BeTrue(), "the readers have not answered")
+	}
+}
--- a/internal/platformhost/join.go
+++ b/internal/platformhost/join.go
@@ -49,6 +49,7 @@
 	if err == nil {
 		h.postHosts(list)
 	}
+	h.follower.Start(len(list.Hosts))
 	if err := h.connectPeers(shared.Secret); err != nil {
 		return err
 	}
