--- a/internal/control/route.go
+++ b/internal/control/route.go
@@ -17,7 +17,7 @@
 func (c *Core) receive(m *peerpb.Envelope) {
 	from := custody.Scheduler{Host: ident.Host(m.GetFrom()), Incarnation: m.GetIncarnation()}
 	c.lastMessageAt[from.Host] = c.now
-	c.members.Heard(from.Host, from.Incarnation)
+	c.members.ObserveProcess(from.Host, from.Incarnation)
 	switch body := m.GetBody().(type) {
 	case *peerpb.Envelope_Ping, *peerpb.Envelope_Ack, *peerpb.Envelope_PingReq:
 		c.members.Receive(c.now, m, &c.out)
--- a/internal/follow/orders.go
+++ b/internal/follow/orders.go
@@ -80,9 +80,9 @@
 	}
 }
 
-// tellOrders adds the orders to an answer. The answer states the age of the configuration, so
+// addOrders adds the orders to an answer. The answer states the age of the configuration, so
 // orders that are older are left out. The caller must hold f.state.mu.
-func (f *Follower) tellOrders(m *peerpb.StoreTell) {
+func (f *Follower) addOrders(m *peerpb.StoreTell) {
 	s := &f.state
 	if f.opts.OnOrders == nil || s.ordersAt == 0 || s.ordersAt < s.confirmed {
 		return
--- a/internal/follow/peers.go
+++ b/internal/follow/peers.go
@@ -188,7 +188,7 @@
 			m.Configuration = f.state.ruleset.Raw
 		}
 	}
-	f.tellOrders(m)
+	f.addOrders(m)
 	if endpoints != never && q.GetEndpoints() != f.state.sum {
 		m.HasList = true
 		for _, e := range f.state.endpoints {
--- a/internal/system/membership/listed_test.go
+++ b/internal/system/membership/listed_test.go
@@ -70,8 +70,8 @@
 func TestMessageTellsOfALaterProcess(t *testing.T) {
 	g := NewWithT(t)
 	s := newListed("a", listedRow("b", 10))
-	s.Heard("b", 11)
-	s.Heard("unknown", 11)
+	s.ObserveProcess("b", 11)
+	s.ObserveProcess("unknown", 11)
 	m, _ := s.Member("b")
 	g.Expect(m.Incarnation).To(BeEquivalentTo(11))
 	s.mergeAll(0, "b", []*peerpb.Member{{Host: "b", Incarnation: 11, Domain: "d", Address: "moved", Version: 1}})
--- a/internal/system/membership/membership.go
+++ b/internal/system/membership/membership.go
@@ -239,9 +239,9 @@
 	s.viewChanged()
 }
 
-// Heard tells that a process has sent a message. A later process of a known host replaces the
+// ObserveProcess records that a process has sent a message. A later process of a known host replaces the
 // earlier one at once, before gossip brings its row.
-func (s *System) Heard(host ident.Host, incarnation uint64) {
+func (s *System) ObserveProcess(host ident.Host, incarnation uint64) {
 	if e := s.table[host]; e != nil && host != s.cfg.Self && e.Incarnation < incarnation && !s.departed {
 		m := e.Member
 		m.Incarnation, m.Version, m.State = incarnation, 0, Alive
