--- a/review/stage2/main.go
+++ b/review/stage2/main.go
@@ -22,6 +22,7 @@
 // cases are the scripts by name.
 var cases = map[string]func(s *stage, trouble bool) (int, error){
 	"config-feed": configFeed,
+	"half-close":  halfClose,
 	"region-cut":  regionCut,
 }
 
--- a/review/stage2/regions.go
+++ b/review/stage2/regions.go
@@ -27,8 +27,8 @@
 // regionCut lets one tenant ask for more than its allotment in two regions that have lost each
 // other, while both reach the store.
 func regionCut(s *stage, trouble bool) (int, error) {
-	for range 3 {
-		if err := s.addRunner("app", "zone-a", runner.Options{Slots: 6, Queue: 24, Work: 30 * time.Millisecond}); err != nil {
+	for i := range 4 {
+		if err := s.addRunner("app", fmt.Sprintf("zone-%c", 'a'+i%2), runner.Options{Slots: 6, Queue: 24, Work: 30 * time.Millisecond}); err != nil {
 			return cannotRun, err
 		}
 	}
