--- a/review/stage2/configfeed.go
+++ b/review/stage2/configfeed.go
@@ -35,7 +35,7 @@
 	}
 	s.writeKeys(7, []string{"key-of-before"})
 	for i := range 2 {
-		h, err := s.addHost(fmt.Sprintf("front-%d", i), fmt.Sprintf("zone-%c", 'a'+i), "region")
+		h, err := s.addHost(fmt.Sprintf("front-%d", i), fmt.Sprintf("zone-%c", 'a'+i))
 		if err != nil {
 			return cannotRun, err
 		}
@@ -43,7 +43,7 @@
 			return cannotRun, err
 		}
 	}
-	if !s.awaitReady(10 * time.Second) {
+	if !s.awaitReady() {
 		return cannotRun, errNotReady
 	}
 	late := 0
--- a/review/stage2/halfclose.go
+++ b/review/stage2/halfclose.go
@@ -35,14 +35,14 @@
 	if err := s.writeTwoServices(); err != nil {
 		return cannotRun, err
 	}
-	h, err := s.addHost("front-0", "zone-a", "region")
+	h, err := s.addHost("front-0", "zone-a")
 	if err != nil {
 		return cannotRun, err
 	}
 	if err := h.start(); err != nil {
 		return cannotRun, err
 	}
-	if !s.awaitReady(10 * time.Second) {
+	if !s.awaitReady() {
 		return cannotRun, errNotReady
 	}
 	time.Sleep(time.Second)
--- a/review/stage2/stage.go
+++ b/review/stage2/stage.go
@@ -38,10 +38,10 @@
 
 // host is one gateway process.
 type host struct {
-	name, settings, address, ready, links string
-	log                                   *os.File
-	process                               *exec.Cmd
-	ended                                 chan struct{}
+	name, settings, address, ready string
+	log                            *os.File
+	process                        *exec.Cmd
+	ended                          chan struct{}
 }
 
 // newStage starts a store. record.txt is written in dir, everything else in a temporary folder.
@@ -131,7 +131,7 @@
 }
 
 // addHost prepares a host with the settings that the deploy file's template gives on the users' site.
-func (s *stage) addHost(name, zone, region string) (*host, error) {
+func (s *stage) addHost(name, zone string) (*host, error) {
 	ip := fmt.Sprintf("127.%d.%d.%d", 30+os.Getpid()%90, os.Getpid()/90%250, len(s.hosts)+1)
 	var ports []string
 	for range 4 {
@@ -142,11 +142,11 @@
 		defer func() { _ = ln.Close() }()
 		ports = append(ports, ln.Addr().String())
 	}
-	h := &host{name: name, settings: filepath.Join(s.dir, name+".ini"), address: ports[0], ready: ports[1], links: ports[2]}
+	h := &host{name: name, settings: filepath.Join(s.dir, name+".ini"), address: ports[0], ready: ports[1]}
 	text := fmt.Sprintf(`[host]
 name = %s
 domain = %s
-region = %s
+region = be-flanders
 memory_mb = 134
 cores = 1
 core_share = 0.4
@@ -168,7 +168,7 @@
 [quota]
 slack = 140000
 window = 8s
-`, name, zone, region, ports[0], ports[1], ports[2], ports[3], s.storeAddress)
+`, name, zone, ports[0], ports[1], ports[2], ports[3], s.storeAddress)
 	if err := os.WriteFile(h.settings, []byte(text), 0o600); err != nil {
 		return nil, err
 	}
@@ -210,9 +210,12 @@
 	<-h.ended
 }
 
+// startTime is how long the hosts may take until they are ready.
+const startTime = 10 * time.Second
+
 // awaitReady waits until all hosts say that they are ready.
-func (s *stage) awaitReady(most time.Duration) bool {
-	until := time.Now().Add(most)
+func (s *stage) awaitReady() bool {
+	until := time.Now().Add(startTime)
 	for _, h := range s.hosts {
 		for !h.isReady() {
 			if time.Now().After(until) {
