--- a/review/stage2/main.go
+++ b/review/stage2/main.go
@@ -23,7 +23,8 @@
 var cases = map[string]func(s *stage, trouble bool) (int, error){
 	"config-feed": configFeed,
 	"half-close":  halfClose,
-	"region-cut":  regionCut,
+	"many-parts":  manyParts,
+	"odd-prompt":  oddPrompt,
 }
 
 func main() {
