--- a/review/stage2/halfclose.go
+++ b/review/stage2/halfclose.go
@@ -22,6 +22,8 @@
 	closeAfter = 100 * time.Millisecond
 	// requesters is how many of each kind send a request.
 	requesters = 10
+	// shortTimeout is the timeout of the route /short/.
+	shortTimeout = time.Second
 )
 
 // halfClose lets requesters close the sending side of their channel after the request, and read on.
@@ -122,6 +124,10 @@
 				"name": "stream", "host": "app.test", "prefix": "/stream/", "kind": "streaming", "timeout_ms": 12000, "target_latency_ms": 600,
 				"gap_aim_ms": 400, "service": "llm", "max_attempts": 1, "session_affinity": true,
 			},
+			map[string]any{
+				"name": "short", "host": "app.test", "prefix": "/short/", "kind": "streaming", "timeout_ms": shortTimeout.Milliseconds(),
+				"target_latency_ms": 400, "gap_aim_ms": 400, "service": "llm", "max_attempts": 1, "session_affinity": true,
+			},
 		},
 		"services": []any{
 			map[string]any{"name": "app", "max_connections": 110},
--- a/review/stage2/manyparts.go
+++ b/review/stage2/manyparts.go
@@ -59,7 +59,7 @@
 		wg.Go(func() {
 			for n := next.Add(1); n <= partsRequests; n = next.Add(1) {
 				text := promptOf(n, parts)
-				status, err := s.sendPrompt(s.hosts[n%int64(len(s.hosts))], text)
+				status, err := s.sendPrompt(s.hosts[n%int64(len(s.hosts))], "/stream/x", text)
 				if status == http.StatusOK && err == nil {
 					served.Add(1)
 				}
--- a/review/stage2/oddprefix.go
+++ b/review/stage2/oddprefix.go
@@ -18,26 +18,38 @@
 	// don't control.
 	ordinaryPrefix = "5c1e07a2:60,%08x:40"
 	oddPrefix      = "5c1e07a2:60,91bd3f06:3000000000"
-	// ordinaryBefore and ordinaryAfter are how long ordinary requests come before and after the odd
-	// ones, at each host ordinaryGap apart. ordinaryLimit is the time limit of all requests.
-	ordinaryBefore, ordinaryAfter = 3 * time.Second, 20 * time.Second
-	ordinaryGap                   = 200 * time.Millisecond
-	ordinaryLimit                 = 3 * time.Second
+	// ordinaryLimit is the time limit of all requests.
+	ordinaryLimit = 3 * time.Second
+)
+
+// phase is a time in which ordinary requests come to each host, gap apart.
+type phase struct {
+	name        string
+	length, gap time.Duration
+	path        string
+}
+
+// The phases of the case. The one of the crowd has about as many requests a second as the users' site
+// has on its heaviest days.
+var (
+	before    = phase{"before", 3 * time.Second, 200 * time.Millisecond, "/stream/x"}
+	after     = phase{"after", 10 * time.Second, 200 * time.Millisecond, "/stream/x"}
+	crowd     = phase{"crowd", 45 * time.Second, 12500 * time.Microsecond, "/short/x"}
+	afterward = phase{"afterward", 5 * time.Second, 200 * time.Millisecond, "/short/x"}
 )
 
 // tally counts the answers to ordinary requests.
 type tally struct {
-	mu       sync.Mutex
-	sent     int
-	served   int
-	statuses map[string]int
+	mu                       sync.Mutex
+	sent, served, unanswered int
+	statuses                 map[string]int
 }
 
 // oddPrompt sends a request to each host whose Prompt-Prefix declares a part of 3,000,000,000 tokens,
 // between ordinary requests to all hosts.
 func oddPrompt(s *stage, trouble bool) (int, error) {
 	for i := range 3 {
-		o := runner.Options{Slots: 10, Queue: 60, Streams: true, EventTime: 10 * time.Millisecond}
+		o := runner.Options{Slots: 10, Queue: 60, Streams: true, EventTime: time.Millisecond}
 		if err := s.addRunner("llm", fmt.Sprintf("zone-%c", 'a'+i%2), o); err != nil {
 			return cannotRun, err
 		}
@@ -58,19 +70,18 @@
 		return cannotRun, errNotReady
 	}
 	time.Sleep(2 * time.Second)
-	before := s.sendOrdinary(ordinaryBefore)
-	s.note("before: %d ordinary requests, %d served", before.sent, before.served)
-	if before.served < before.sent*9/10 {
+	if t := s.sendOrdinary(before); t.served < t.sent*9/10 {
 		return cannotRun, errors.New("the hosts don't serve ordinary requests")
 	}
 	if trouble {
 		for _, h := range s.hosts {
-			status, err := s.sendPrompt(h, oddPrefix)
+			status, err := s.sendPrompt(h, "/stream/x", oddPrefix)
 			s.note("a request with Prompt-Prefix %s to %s: status %d, %v", oddPrefix, h.name, status, err)
 		}
 	}
-	after := s.sendOrdinary(ordinaryAfter)
-	s.note("after: %d ordinary requests, %d served, %v", after.sent, after.served, after.statuses)
+	served := s.sendOrdinary(after).served + s.sendOrdinary(crowd).served
+	last := s.sendOrdinary(afterward)
+	served += last.served
 	ready, ended := 0, 0
 	for _, h := range s.hosts {
 		select {
@@ -83,20 +94,21 @@
 		}
 	}
 	s.note("hosts that say they are ready: %d, processes that ended: %d, of %d", ready, ended, len(s.hosts))
-	if after.served == 0 || ended > 0 {
+	s.note("ordinary requests served after the odd ones: %d; without any answer: %d of the last %d", served, last.unanswered, last.sent)
+	if served == 0 || ended > 0 || last.unanswered > last.sent/2 {
 		return broken, nil
 	}
 	return held, nil
 }
 
 // sendOrdinary sends ordinary requests to all hosts for a time and waits for their answers.
-func (s *stage) sendOrdinary(length time.Duration) *tally {
+func (s *stage) sendOrdinary(p phase) *tally {
 	t := &tally{statuses: map[string]int{}}
 	var wg sync.WaitGroup
-	for until := time.Now().Add(length); time.Now().Before(until); time.Sleep(ordinaryGap) {
+	for until := time.Now().Add(p.length); time.Now().Before(until); time.Sleep(p.gap) {
 		for _, h := range s.hosts {
 			wg.Go(func() {
-				status, err := s.sendPrompt(h, fmt.Sprintf(ordinaryPrefix, s.attempts.Load()))
+				status, err := s.sendPrompt(h, p.path, fmt.Sprintf(ordinaryPrefix, s.attempts.Load()))
 				t.mu.Lock()
 				defer t.mu.Unlock()
 				t.sent++
@@ -104,7 +116,8 @@
 					t.served++
 				}
 				text := fmt.Sprintf("status %d", status)
-				if err != nil {
+				if status == 0 {
+					t.unanswered++
 					text = "no answer"
 				}
 				t.statuses[text]++
@@ -112,15 +125,16 @@
 		}
 	}
 	wg.Wait()
+	s.note("%s: %d ordinary requests, %d served, %v", p.name, t.sent, t.served, t.statuses)
 	return t
 }
 
 // sendPrompt sends one request for a stream.
-func (s *stage) sendPrompt(h *host, parts string) (int, error) {
+func (s *stage) sendPrompt(h *host, path, parts string) (int, error) {
 	attempt := fmt.Sprintf("a%06d", s.attempts.Add(1))
 	ctx, cancel := context.WithTimeout(context.Background(), ordinaryLimit+time.Second)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+h.address+"/stream/x", strings.NewReader("prompt"))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+h.address+path, strings.NewReader("prompt"))
 	if err != nil {
 		return 0, err
 	}
