Put the newest of several versions in one answer of the store into force

Cause: platform.Configuration took the first row of the configuration in an answer. The answer has every change in order, and the follower goes on behind the last, so the newest version was never read again; polls without rows then confirmed the older one. If a newer one can't be decoded, it is put in force without being confirmed.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -271,15 +271,18 @@
 // applyConfiguration applies rows read from the operators' table.
 func (f *Follower) applyConfiguration(page platform.Page, asked time.Duration) {
 	next, err := platform.Configuration(page.Rows)
-	switch {
-	case err != nil:
-		// The previous configuration stays in force and is not confirmed.
+	at := asked
+	if err != nil {
+		// The newest version is none of those that can be in force, so none is confirmed.
 		logs.With(f.opts.Log, logs.ConfigurationRejected).WithError(err).Error()
+		at = unconfirmed
+	}
+	switch {
 	case next != nil:
-		if f.state.adoptRuleset(next, asked) {
+		if f.state.adoptRuleset(next, at) {
 			f.opts.OnRuleset(next, SourceStore)
 		}
-	default:
+	case err == nil:
 		// No row has changed since the last read of this loop.
 		f.state.mu.Lock()
 		if f.state.ruleset != nil {
--- a/internal/follow/state.go
+++ b/internal/follow/state.go
@@ -36,8 +36,11 @@
 	wantsAll bool
 }
 
-// adoptRuleset takes over a ruleset that was the newest at a given time. It reports whether it
-// is newer than the one in force. The version in force never decreases.
+// unconfirmed is the time of a ruleset that is not known to have been the newest at any time.
+const unconfirmed = time.Duration(0)
+
+// adoptRuleset takes over a ruleset that was the newest at a given time, or unconfirmed. It
+// reports whether it is newer than the one in force. The version in force never decreases.
 func (s *state) adoptRuleset(r *ruleset.Ruleset, at time.Duration) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
