Confirm only the version of the configuration that the store holds

A version that a host couldn't decode was followed by a poll without changes, which confirmed the one before it: keys that the unreadable version took away stayed valid without an end. So did a configuration whose row was deleted. Cause: a poll without rows was taken to confirm whatever is in force, not what was last read. Change: the loop keeps the version that the row held when it was last read, and a read confirms only that one. A deleted row counts as unreadable.

--- a/internal/follow/configuration_test.go
+++ b/internal/follow/configuration_test.go
@@ -67,6 +67,11 @@
 	h.store.Put(platform.TableOperator, "", "config", fmt.Appendf(nil, `{"version":%d}`, version))
 }
 
+// putInvalid writes a version that can't be decoded.
+func (h *configurationReader) putInvalid(version int) {
+	h.store.Put(platform.TableOperator, "", "config", fmt.Appendf(nil, `{"version":%d,"routes":[{"kind":"new"}]}`, version))
+}
+
 // versions returns the versions that came into force, in order.
 func (h *configurationReader) versions() []uint64 {
 	h.mu.Lock()
@@ -111,3 +116,34 @@
 	h.Eventually(h.age, 5*time.Second).Should(BeNumerically("<", pollTime))
 	h.Consistently(newest, severalPolls).Should(BeEquivalentTo(4))
 }
+
+// Guards against an unreadable version that the next poll without changes lets be forgotten: the
+// version before it counted as the newest from then on.
+func TestUnreadableVersionIsNeverConfirmed(t *testing.T) {
+	t.Parallel()
+	for name, write := range map[string]func(*configurationReader){
+		"alone":             func(h *configurationReader) { h.putInvalid(2) },
+		"after another one": func(h *configurationReader) { h.withSlowAnswer(func() { h.put(2); h.putInvalid(3) }) },
+		"removed":           func(h *configurationReader) { h.store.Remove(platform.TableOperator, "", "config") },
+		"removed, with a part of the history": func(h *configurationReader) {
+			h.store.Remove(platform.TableOperator, "", "config")
+			h.store.Forget()
+			h.store.Put(platform.TableOperator, "", "other", nil)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			h := newConfigurationReader(t)
+			write(h)
+			h.Eventually(h.age, 10*time.Second).Should(BeNumerically(">", severalPolls), "nothing confirms version 1")
+			if name == "after another one" {
+				h.Expect(h.versions()).To(Equal([]uint64{1, 2}), "the newest one that can be decoded is in force")
+			} else {
+				h.Expect(h.versions()).To(Equal([]uint64{1}))
+			}
+			h.put(9)
+			h.Eventually(h.age, 5*time.Second).Should(BeNumerically("<", pollTime), "the next valid one is confirmed")
+			h.Consistently(h.age, severalPolls).Should(BeNumerically("<", pollTime), "and so are polls without changes")
+		})
+	}
+}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -248,6 +248,7 @@
 	dep := dependency{log: f.opts.Log, name: "configuration", reading: f.reading.Load}
 	var after uint64
 	var table orders
+	var stored storedConfiguration
 	for ctx.Err() == nil {
 		if f.pause(ctx, f.wakeups[0]) {
 			after = 0
@@ -263,32 +264,40 @@
 			asked += configurationWait
 		}
 		f.applyOrders(&table, page, asked, after == 0)
+		f.applyConfiguration(&stored, page, asked, after == 0)
 		after = page.Version
-		f.applyConfiguration(page, asked)
 	}
 }
 
-// applyConfiguration applies rows read from the operators' table.
-func (f *Follower) applyConfiguration(page platform.Page, asked time.Duration) {
+// storedConfiguration is what a loop knows of the configuration's row in the store.
+type storedConfiguration struct {
+	// version is the row's version as of the last read. If valid isn't set, the row is missing or
+	// can't be decoded, so no version can be confirmed to be the newest.
+	version uint64
+	valid   bool
+}
+
+// applyConfiguration applies rows read from the operators' table: the whole table if whole is set,
+// otherwise only changes. A read confirms the version in force only if the store holds that one.
+func (f *Follower) applyConfiguration(stored *storedConfiguration, page platform.Page, asked time.Duration, whole bool) {
+	if whole {
+		stored.valid = false
+	}
 	next, err := platform.Configuration(page.Rows)
-	at := asked
 	if err != nil {
-		// The newest version is none of those that can be in force, so none is confirmed.
+		stored.valid = false
 		logs.With(f.opts.Log, logs.ConfigurationRejected).WithError(err).Error()
-		at = unconfirmed
 	}
-	switch {
-	case next != nil:
-		if f.state.adoptRuleset(next, at) {
-			f.opts.OnRuleset(next, SourceStore)
+	if next != nil {
+		if err == nil {
+			*stored = storedConfiguration{version: next.Version, valid: true}
 		}
-	case err == nil:
-		// No row has changed since the last read of this loop.
-		f.state.mu.Lock()
-		if f.state.ruleset != nil {
-			f.state.confirmed = max(f.state.confirmed, asked)
+		if f.state.adoptRuleset(next, unconfirmed) {
+			f.opts.OnRuleset(next, SourceStore)
 		}
-		f.state.mu.Unlock()
+	}
+	if stored.valid {
+		f.state.confirm(stored.version, asked)
 	}
 }
 
--- a/internal/logs/event.go
+++ b/internal/logs/event.go
@@ -107,7 +107,7 @@
 	{Final, "The request's answer is a refusal; code and reason say why."},
 	{Answered, "The caller has the final answer. parts names the first eight prompt parts that other requests may share, by the fingerprints of suspected."},
 	{AcceptedElsewhere, "Another host accepted the request and knows more."},
-	{ConfigurationRejected, "A configuration couldn't be read; the last one stays in force."},
+	{ConfigurationRejected, "A configuration couldn't be read or was deleted; the last one stays in force and isn't confirmed any more."},
 	{EndpointIn, "An endpoint was registered or came back; it may get requests."},
 	{EndpointLeaving, "An endpoint takes its leave, by its entry or, with source, by what it said in an answer to that host; it gets no new requests."},
 	{EndpointGone, "An endpoint's entry is gone; it gets no new requests."},
