Take a response for whole only if its connection ended in order

A response without a length or chunks that was cut by a reset reached the caller as complete, where the endpoint answered a long upload before it had read it (MIXED, reported by the users). Cause: the kernel reports a reset to one call. The concurrent write of the request got it, and the read returned the end of the file. Change: at such an end the gateway asks the kernel for the connection's state. After a reset the response is broken off, resumed, or in case of a failed run not passed on.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -369,7 +370,7 @@
 	_ = x.conn.SetReadDeadline(until)
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxDiscardBytes))
 	_ = x.conn.SetReadDeadline(x.deadline)
-	if err != nil || len(body) == maxDiscardBytes {
+	if err != nil || len(body) == maxDiscardBytes || endsWithConn(resp) && !x.endReceived() {
 		x.countDrop(DropUnread)
 		return nil, false
 	}
@@ -484,6 +485,9 @@
 // errCallerGone is returned when the caller cannot be written to.
 var errCallerGone = errors.New("the caller takes no more of the answer")
 
+// errReset is returned when a response that ends with its connection is cut by a reset.
+var errReset = fmt.Errorf("the connection was reset before the response ended: %w", syscall.ECONNRESET)
+
 // errInsideEvent is returned when a response ends properly, but inside an event.
 var errInsideEvent = errors.New("the stream ended inside an event")
 
@@ -493,7 +497,6 @@
 func (x *exchange) copy(resp *http.Response) error {
 	buf := copyBuffers.Get().(*[]byte)
 	defer copyBuffers.Put(buf)
-	endsWithConn := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
 	received, held := false, 0
 	for {
 		n, err := resp.Body.Read((*buf)[held:])
@@ -516,7 +519,7 @@
 			return writeErr
 		}
 		if errors.Is(err, io.EOF) {
-			return x.checkEnd(received, endsWithConn)
+			return x.checkEnd(received, endsWithConn(resp))
 		}
 		if err != nil {
 			x.call.events.discardPartial()
@@ -554,6 +557,9 @@
 	incomplete := x.format != formatOther && (x.call.events.Inside() || endsWithConn && !received)
 	x.call.events.discardPartial()
 	switch {
+	case endsWithConn && !x.endReceived():
+		x.countDrop(DropReset)
+		return errReset
 	case !incomplete:
 		return nil
 	case endsWithConn:
@@ -562,6 +568,19 @@
 	return errInsideEvent
 }
 
+// endsWithConn reports whether a response's body has neither a length nor chunks, so that the end of
+// the connection is its end.
+func endsWithConn(resp *http.Response) bool {
+	return resp.Body != http.NoBody && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+}
+
+// endReceived reports whether the endpoint has ended the connection in order. Reading its end is no
+// proof: if the request was still being written, the write may have got the error of a reset.
+func (x *exchange) endReceived() bool {
+	received, err := x.conn.EndReceived()
+	return err == nil && received
+}
+
 // recordBytes records the time and size of a part of the response.
 func (x *exchange) recordBytes(b []byte) {
 	c, at := x.call, x.call.gateway.opts.Now()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -97,6 +97,8 @@
 	DropUnread       DropReason = "rest_not_taken"
 	DropEventTooLong DropReason = "event_too_long"
 	DropUndelivered  DropReason = "not_delivered"
+	// DropReset is a response without a length or chunks whose connection was reset.
+	DropReset DropReason = "reset"
 )
 
 // Gateway forwards callers' requests to endpoints.
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -214,6 +214,13 @@
 	return readResponse(r)
 }
 
+// exchangeOn sends a request on a connection and reads the response, which may come before the whole
+// request is sent.
+func exchangeOn(conn net.Conn, request string) response {
+	go func() { _, _ = io.WriteString(conn, request) }()
+	return readResponse(bufio.NewReader(conn))
+}
+
 // readResponse reads a response.
 func readResponse(r *bufio.Reader) response {
 	resp, err := http.ReadResponse(r, nil)
@@ -305,7 +312,7 @@
 			return
 		}
 		x := &scriptedExchange{conn: conn, request: req, raw: r}
-		if !strings.HasPrefix(req.URL.Path, "/unsafe/early") {
+		if !strings.HasSuffix(req.URL.Path, "/early") {
 			body, err := io.ReadAll(req.Body)
 			if err != nil {
 				return
--- a/internal/metrics/table.go
+++ b/internal/metrics/table.go
@@ -138,7 +138,7 @@
 	{nameAge, kindGauge, unitSeconds, []string{labelOf}, "Time since this host knew the configuration, or the endpoints, to be the newest."},
 	{nameSettings, kindGauge, unitProcess, []string{labelVersion}, "1 for the version of the settings in force in this process."},
 	{nameReloads, kindCounter, unitReloads, []string{labelOutcome}, "Settings files that were read again: applied, unchanged, at_start (keys that wait for a start) or rejected."},
-	{nameDropped, kindCounter, unitAnswers, []string{labelReason}, "Answers of endpoints that were not taken whole: head_too_long, invalid_head, event_too_long, another_request or rest_not_taken; not_delivered are requests that were aborted because the endpoint did not acknowledge them."},
+	{nameDropped, kindCounter, unitAnswers, []string{labelReason}, "Answers of endpoints that were not taken whole: head_too_long, invalid_head, event_too_long, another_request, rest_not_taken or reset (before the end of one that ends with its connection); not_delivered are requests that were aborted because the endpoint did not acknowledge them."},
 	{nameLeft, kindCounter, unitRequests, []string{labelPool}, "Requests that a pool scheduled here placed outside their custodian's failure domain, where the settings price that."},
 	{nameLeftBytes, kindCounter, unitBytes, []string{labelPool}, "Expected bytes of these requests and their answers."},
 	{nameClosings, kindCounter, unitClosings, []string{labelReason}, "Endpoints that a pool scheduled here closed for a while: unreachable, lost, failing, or asked_to_wait (for one host)."},
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -142,6 +142,11 @@
 	return tcp.Unacknowledged(c.Conn)
 }
 
+// EndReceived reports whether the endpoint has closed the connection in order, and not reset it.
+func (c *Conn) EndReceived() (bool, error) {
+	return tcp.EndReceived(c.Conn)
+}
+
 // Buffered returns the number of bytes that were read from the connection but not consumed.
 func (c *Conn) Buffered() int {
 	return c.r.Buffered()
--- a/test/traffic/framing_test.go
+++ b/test/traffic/framing_test.go
@@ -21,6 +21,16 @@
 // serveRaw serves connections with write, after the request was read, and closes them. It returns the
 // server's address.
 func serveRaw(write func(net.Conn, *http.Request)) string {
+	return serveConn(func(conn net.Conn, r *bufio.Reader) {
+		if req, err := http.ReadRequest(r); err == nil {
+			_, _ = io.Copy(io.Discard, req.Body)
+			write(conn, req)
+		}
+	})
+}
+
+// serveConn serves connections one after the other and closes them. It returns the server's address.
+func serveConn(serve func(net.Conn, *bufio.Reader)) string {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
 	done := make(chan struct{})
@@ -35,10 +45,7 @@
 			if err != nil {
 				return
 			}
-			if req, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-				_, _ = io.Copy(io.Discard, req.Body)
-				write(conn, req)
-			}
+			serve(conn, bufio.NewReader(conn))
 			_ = conn.Close()
 		}
 	}()
@@ -82,6 +89,35 @@
 	Entry("inside an event", "data: a\n\ndata: b\n", result.OutcomeUnknown),
 )
 
+// A part of an answer that ends with its connection must not count as the whole if the connection is
+// reset, also where the request is still being written.
+var _ = DescribeTable("a service's answer whose connection is reset is no answer",
+	func(read int64, body int) {
+		for range 4 {
+			b := newBench(200)
+			address := serveConn(func(conn net.Conn, r *bufio.Reader) {
+				_, _ = http.ReadRequest(r)
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\npartly")
+				_, _ = io.CopyN(io.Discard, r, read)
+				time.Sleep(20 * time.Millisecond)
+				Expect(conn.(*net.TCPConn).SetLinger(0)).To(Succeed())
+			})
+			b.control.with(func(c *fakeControl) { c.addresses[bookings] = address })
+			declared := snapshot()
+			route := declared.Routes["booking"]
+			route.MaxBody = 0
+			declared.Routes["booking"] = route
+			b.server.Configure(declared)
+			order := []byte(`{"text":"` + strings.Repeat("x", body) + `"}`)
+			got := b.send(http.MethodPost, bookingPath, order, entry.HeaderKey, "k1")
+			Expect(got.errorCode()).To(Equal(result.OutcomeUnknown))
+		}
+	},
+	Entry("a short request", int64(0), 10),
+	Entry("a long request of which nothing was read", int64(0), 8<<20),
+	Entry("a long request of which a part was read", int64(1<<20), 8<<20),
+)
+
 var _ = DescribeTable("a service's answer with a garbled status is no answer",
 	func(line string) {
 		for name, frame := range bodyFramings {
