Bound the figures that callers, endpoints, the store and hosts send

Cause: pool/blocks kept lengths in 32 bits and summed them in 64, so the cache's use never came below its capacity and the eviction of a missing block panicked. No figure was bounded where it was decoded. Lengths in pool/blocks are ints. Evidence: TestBlocksLongerThanTheCacheAreEvicted panicked before (index out of range [-1]) and passes. go test ./internal/... ./platform: only the known red TestThreeSurgingTeams fails.

--- a/internal/control/quota.go
+++ b/internal/control/quota.go
@@ -4,6 +4,7 @@
 	"maps"
 	"slices"
 
+	"github.com/trefoilchute/trefoilchute/internal/bound"
 	"github.com/trefoilchute/trefoilchute/internal/ident"
 	"github.com/trefoilchute/trefoilchute/internal/peer/peerpb"
 	"github.com/trefoilchute/trefoilchute/internal/system/membership"
@@ -129,7 +130,7 @@
 func decodeUsage(m *peerpb.Usage) []quota.Use {
 	uses := make([]quota.Use, 0, len(m.GetTeams()))
 	for _, t := range m.GetTeams() {
-		uses = append(uses, quota.Use{Team: ident.Team(t.GetTeam()), Demand: t.GetDemand()})
+		uses = append(uses, quota.Use{Team: ident.Team(t.GetTeam()), Demand: bound.Amount(t.GetDemand())})
 	}
 	return uses
 }
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/gofiber/fiber/v2"
 
+	"github.com/trefoilchute/trefoilchute/internal/bound"
 	"github.com/trefoilchute/trefoilchute/internal/engine"
 	"github.com/trefoilchute/trefoilchute/internal/fingerprint"
 	"github.com/trefoilchute/trefoilchute/internal/ident"
@@ -179,7 +180,7 @@
 	if out == 0 {
 		return defaultMaxTokens
 	}
-	return out
+	return min(out, bound.MaxTokens)
 }
 
 // readDeadline sets the deadline from the caller's header or else from the tier.
--- a/internal/follow/peers.go
+++ b/internal/follow/peers.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/trefoilchute/trefoilchute/internal/bound"
 	"github.com/trefoilchute/trefoilchute/internal/clock"
 	"github.com/trefoilchute/trefoilchute/internal/ident"
 	"github.com/trefoilchute/trefoilchute/internal/logs"
@@ -269,7 +270,7 @@
 	for _, e := range list {
 		out = append(out, platform.Endpoint{
 			Name: ident.Endpoint(e.GetName()), Target: e.GetTarget(), Address: e.GetAddress(),
-			Domain: ident.Domain(e.GetDomain()), Slots: int(e.GetSlots()), Leaving: e.GetLeaving(), Started: e.GetStarted(),
+			Domain: ident.Domain(e.GetDomain()), Slots: bound.Count(e.GetSlots(), bound.MaxCount), Leaving: e.GetLeaving(), Started: e.GetStarted(),
 			Version: e.GetVersion(),
 		})
 	}
@@ -278,5 +279,5 @@
 
 // micros converts microseconds to a duration.
 func micros(us int64) time.Duration {
-	return time.Duration(us) * time.Microsecond
+	return bound.Micros(us)
 }
--- a/internal/pool/blocks/cache.go
+++ b/internal/pool/blocks/cache.go
@@ -13,7 +13,7 @@
 // used block, its previous the least recently used one.
 type node struct {
 	block          uint64
-	tokens         int32
+	tokens         int
 	next, previous int32
 }
 
@@ -42,7 +42,7 @@
 		return false
 	}
 	c.unlink(i)
-	c.used -= int(c.nodes[i].tokens)
+	c.used -= c.nodes[i].tokens
 	delete(c.nodeOf, block)
 	c.free = append(c.free, i)
 	return true
@@ -64,7 +64,7 @@
 		i = int32(len(c.nodes))
 		c.nodes = append(c.nodes, node{})
 	}
-	c.nodes[i].block, c.nodes[i].tokens = block, int32(tokens)
+	c.nodes[i].block, c.nodes[i].tokens = block, tokens
 	c.used += tokens
 	c.nodeOf[block] = i
 	return i
--- a/internal/system/scheduling/charge.go
+++ b/internal/system/scheduling/charge.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/trefoilchute/trefoilchute/internal/bound"
 	"github.com/trefoilchute/trefoilchute/internal/ident"
 	"github.com/trefoilchute/trefoilchute/internal/peer/peerpb"
 	"github.com/trefoilchute/trefoilchute/internal/result"
@@ -18,12 +19,13 @@
 // if the rate is exhausted.
 func (s *System) charge(now time.Duration, in *instance, m *peerpb.Submit) *peerpb.Refuse {
 	id, team := ident.Request(m.GetRequest()), ident.Team(m.GetTeam())
-	if _, known := in.charged[id]; known || m.GetCost() <= 0 || s.cfg.Quotas == nil {
+	cost := bound.Amount(m.GetCost())
+	if _, known := in.charged[id]; known || cost <= 0 || s.cfg.Quotas == nil {
 		return nil
 	}
-	after, ok := s.cfg.Quotas.Charge(now, team, m.GetCost())
+	after, ok := s.cfg.Quotas.Charge(now, team, cost)
 	if ok {
-		in.charged[id] = charge{team, m.GetCost()}
+		in.charged[id] = charge{team, cost}
 		return nil
 	}
 	return &peerpb.Refuse{
--- a/internal/system/scheduling/receive.go
+++ b/internal/system/scheduling/receive.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/trefoilchute/trefoilchute/internal/bound"
 	"github.com/trefoilchute/trefoilchute/internal/ident"
 	"github.com/trefoilchute/trefoilchute/internal/peer/peerpb"
 	"github.com/trefoilchute/trefoilchute/internal/pool"
@@ -65,12 +66,12 @@
 	r := pool.Request{
 		ID: ident.Request(m.GetRequest()), Host: from, Rank: int(m.GetTierRank()),
 		Team:         ident.Team(m.GetTeam()),
-		PromptTokens: int(m.GetPromptTokens()), MaxTokens: int(m.GetMaxTokens()),
-		Deadline: now + time.Duration(m.GetDeadlineUs())*time.Microsecond,
+		PromptTokens: tokens(m.GetPromptTokens()), MaxTokens: tokens(m.GetMaxTokens()),
+		Deadline: now + bound.Micros(m.GetDeadlineUs()),
 		Prefix:   m.GetPrefix(), KeyHash: m.GetKeyHash(), Fingerprint: m.GetFingerprint(), Parts: m.GetParts(),
 		Repeats: m.GetRepeats(), Idempotent: m.GetIdempotent(), Spilled: m.GetSpilled(),
-		ExpectedTokens: int(m.GetExpectedTokens()), Avoid: ident.Endpoint(m.GetAvoid()),
-		Near: ident.Domain(m.GetNear()), Route: m.GetRoute(), Bytes: int(m.GetBytes()),
+		ExpectedTokens: tokens(m.GetExpectedTokens()), Avoid: ident.Endpoint(m.GetAvoid()),
+		Near: ident.Domain(m.GetNear()), Route: m.GetRoute(), Bytes: bound.Count(m.GetBytes(), bound.MaxBytes),
 	}
 	if m.GetHasObjective() {
 		r.FirstDue = max(1, now+micros(m.GetFirstTokenDueUs()))
@@ -81,6 +82,7 @@
 	for _, n := range m.GetPrefixTokens() {
 		r.PrefixTokens = append(r.PrefixTokens, int(n))
 	}
+	bound.Prompt(r.PrefixTokens)
 	return r
 }
 
@@ -148,8 +150,8 @@
 	return pool.Finished{
 		ID: key.request, Attempt: key.attempt, Outcome: outcome, Lifetime: m.GetLifetime(),
 		Backoff: micros(m.GetBackoffUs()), Answered: m.GetAnswered(), Generated: m.GetGenerated(),
-		PromptTokens: int(m.GetPromptTokens()), CachedTokens: int(m.GetCachedTokens()),
-		OutputTokens: int(m.GetOutputTokens()),
+		PromptTokens: tokens(m.GetPromptTokens()), CachedTokens: max(unknownTokens, int(min(m.GetCachedTokens(), bound.MaxTokens))),
+		OutputTokens: tokens(m.GetOutputTokens()),
 		FirstToken:   micros(m.GetFirstTokenUs()), Total: micros(m.GetTotalUs()),
 	}
 }
@@ -162,9 +164,17 @@
 	return int(m.GetLoadPercent()), in.messageAge(now, from, m.GetClockUs())
 }
 
-// micros converts microseconds to a duration.
+// unknownTokens is reported for a number of tokens that isn't known.
+const unknownTokens = -1
+
+// tokens bounds a number of tokens.
+func tokens(n int64) int {
+	return bound.Count(n, bound.MaxTokens)
+}
+
+// micros converts microseconds to a bounded duration.
 func micros(us int64) time.Duration {
-	return time.Duration(us) * time.Microsecond
+	return bound.Micros(us)
 }
 
 // holdings handles the list of requests that a host holds. It is either the answer to a
@@ -219,7 +229,7 @@
 		return
 	}
 	r := pool.Remote{
-		Domain: ident.Domain(m.GetDomain()), Free: int(m.GetFreeSlots()),
+		Domain: ident.Domain(m.GetDomain()), Free: bound.Count(int(m.GetFreeSlots()), bound.MaxCount),
 		LowestRank: int(m.GetLowestRank()),
 	}
 	for _, us := range m.GetWaitUs() {
