End the process, or drop the event, when a part of a host panics

Cause: conc.WaitGroup keeps a panic until a wait that came only at a stop. Readiness did not depend on the loop, and Post blocked for ever once the mailbox was full. Change: an event whose handling panics is dropped, logged and counted, its request refused, and the schedulers start anew; the same event would strike each host that is asked next, so ending the process would end the fleet. A panic of any other part, or a loop without progress, ends the process. Readiness and a metric follow the loop's progress. Messages about the store are handled outside the loop, which they post to. Tests of the packages pass with the race detector.

--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -95,6 +95,10 @@
 	// ranked holds the hosts that may schedule a pool, as of rankedVersion of the membership.
 	ranked        map[ident.Pool][]ident.Host
 	rankedVersion uint64
+	// dropsInRow counts the events dropped since the last one that was applied, and restartedAt is
+	// when the schedulers were last restarted after a panic; 0 if never.
+	dropsInRow  int
+	restartedAt time.Duration
 	// recovering holds the claims of dead holders whose answers are being recovered.
 	recovering map[ident.Request]claimRecovery
 }
@@ -140,8 +144,7 @@
 	c.effects = Effects{}
 	c.checkPause()
 	for _, e := range events {
-		c.apply(e)
-		c.propagate()
+		c.applyProtected(e)
 	}
 	c.tick()
 	c.propagate()
@@ -195,7 +198,7 @@
 	case Ended:
 		c.ended(e)
 	case Received:
-		c.receive(e.Message)
+		c.receiveProtected(e.Message)
 	case Replied:
 		c.replied(e.Reply)
 	case EndpointObserved:
@@ -274,7 +277,7 @@
 		c.tickTable()
 	}
 	c.custody.Tick(c.now, &c.out)
-	c.scheduling.Tick(c.now, &c.out)
+	c.tickSchedulers()
 	c.reportUsage()
 }
 
@@ -318,7 +321,7 @@
 	}
 	c.out.Sends = others
 	for _, m := range own {
-		c.receive(m)
+		c.receiveProtected(m)
 	}
 	return len(own) > 0
 }
--- a/internal/control/event.go
+++ b/internal/control/event.go
@@ -203,6 +203,8 @@
 	StoreMessages []*peerpb.Envelope
 	// LeavingEndpoints holds the endpoints newly known to be leaving.
 	LeavingEndpoints []LeavingEndpoint
+	// Dropped holds the events that were dropped because their handling panicked.
+	Dropped []Dropped
 	// UnresponsiveHosts holds the hosts that did not answer a submission of this host.
 	UnresponsiveHosts []ident.Host
 	// Orders holds the exchanges with endpoints about orders.
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -2,16 +2,17 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
-	"github.com/sourcegraph/conc"
 
 	"github.com/trefoilchute/trefoilchute/internal/ident"
 	"github.com/trefoilchute/trefoilchute/internal/peer/peerpb"
 	"github.com/trefoilchute/trefoilchute/internal/platform"
 	"github.com/trefoilchute/trefoilchute/internal/resource"
 	"github.com/trefoilchute/trefoilchute/internal/rollout"
+	"github.com/trefoilchute/trefoilchute/internal/supervise"
 	"github.com/trefoilchute/trefoilchute/internal/system"
 	"github.com/trefoilchute/trefoilchute/internal/system/claim"
 	"github.com/trefoilchute/trefoilchute/internal/system/custody"
@@ -61,6 +62,8 @@
 	StoreMessage func(*peerpb.Envelope)
 	// EndpointLeaving is called with endpoints newly known to be leaving.
 	EndpointLeaving func(LeavingEndpoint)
+	// Dropped is called with each event that was dropped because its handling panicked.
+	Dropped func(Dropped)
 	// HostUnresponsive is called with hosts that did not answer a submission.
 	HostUnresponsive func(ident.Host)
 	// RolloutDecided is called with each decision on a roll-out of a pool that is scheduled
@@ -77,8 +80,12 @@
 	ports     Ports
 	mailbox   chan Event
 	now       func() time.Duration
-	calls     conc.WaitGroup
+	calls     supervise.Group
 	callSlots chan struct{}
+	// stopped is closed when Run has returned or panicked.
+	stopped chan struct{}
+	// steppedAt is the time of the last completed step.
+	steppedAt atomic.Int64
 }
 
 // NewLoop returns a loop for a core. Connect must be called before Run.
@@ -94,6 +101,7 @@
 		mailbox:   make(chan Event, mailboxSize),
 		now:       now,
 		callSlots: make(chan struct{}, maxCalls),
+		stopped:   make(chan struct{}),
 	}
 }
 
@@ -108,9 +116,52 @@
 }
 
 // Post queues an event for the control goroutine. It blocks while the mailbox is
-// full.
+// full. After the loop has stopped the event is dropped. The control goroutine itself must not
+// call Post.
 func (l *Loop) Post(e Event) {
-	l.mailbox <- e
+	select {
+	case l.mailbox <- e:
+		return
+	default:
+	}
+	select {
+	case l.mailbox <- e:
+	case <-l.stopped:
+	}
+}
+
+// Offer queues an event for the control goroutine. It returns false if the mailbox is full for
+// the given time, or if the loop has stopped.
+func (l *Loop) Offer(e Event, wait time.Duration) bool {
+	select {
+	case <-l.stopped:
+		return false
+	default:
+	}
+	select {
+	case l.mailbox <- e:
+		return true
+	default:
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case l.mailbox <- e:
+		return true
+	case <-l.stopped:
+	case <-timer.C:
+	}
+	return false
+}
+
+// Idle returns the time since the last completed step; a running loop completes one at least every
+// maxSleep. It returns 0 before the first step.
+func (l *Loop) Idle() time.Duration {
+	at := time.Duration(l.steppedAt.Load())
+	if at == 0 {
+		return 0
+	}
+	return max(0, l.Now()-at)
 }
 
 // Inspect runs f on the control goroutine and waits until f has returned and the
@@ -134,18 +185,20 @@
 
 // Run steps the core until ctx ends.
 func (l *Loop) Run(ctx context.Context) {
+	defer l.calls.Wait()
+	defer close(l.stopped)
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
-			l.calls.Wait()
 			return
 		case e := <-l.mailbox:
 			l.step(l.batch(e))
 		case <-timer.C:
 			l.step(nil)
 		}
+		l.steppedAt.Store(int64(max(1, l.Now())))
 		timer.Reset(l.core.NextWake() - l.Now())
 	}
 }
@@ -191,6 +244,9 @@
 	for _, v := range effects.Verdicts {
 		l.ports.RolloutDecided(v)
 	}
+	for _, d := range effects.Dropped {
+		l.ports.Dropped(d)
+	}
 	for _, h := range effects.UnresponsiveHosts {
 		l.ports.HostUnresponsive(h)
 	}
@@ -202,7 +258,7 @@
 		l.ports.ExecuteOrder(e)
 	}
 	for _, call := range effects.Calls {
-		l.calls.Go(func() { l.call(call) })
+		l.calls.Go("platform call", func() { l.call(call) })
 	}
 	for _, e := range events {
 		if insp, ok := e.(inspection); ok {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -46,7 +46,10 @@
 	Log    logrus.FieldLogger
 	// Post queues an event for control. Now reads control's clock.
 	Post func(control.Event)
-	Now  func() time.Duration
+	// Offer does the same with requests that arrive. It returns false if there is no room for
+	// the event within a time.
+	Offer func(control.Event, time.Duration) bool
+	Now   func() time.Duration
 	// ConfigurationAge returns the time since the configuration was last confirmed to be
 	// the newest, or false if it never was.
 	ConfigurationAge func() (time.Duration, bool)
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -101,7 +101,7 @@
 	log.SetOutput(io.Discard)
 	began := time.Now()
 	h.gateway = New(Options{
-		Host: "h", Log: log, Post: h.post, Now: func() time.Duration { return time.Since(began) },
+		Host: "h", Log: log, Post: h.post, Offer: h.offer, Now: func() time.Duration { return time.Since(began) },
 		ConfigurationAge: func() (time.Duration, bool) { return time.Duration(h.age.Load()), true },
 		Tuning: Tuning{
 			KeyLife: 5 * time.Second, RetryRatio: 0.2, RetryExtra: 20, RetryWindow: 10 * time.Second,
@@ -125,6 +125,12 @@
 	return h
 }
 
+// offer is post for a control that has room for events.
+func (h *harness) offer(e control.Event, _ time.Duration) bool {
+	h.post(e)
+	return true
+}
+
 // post stands in for control: it grants the next endpoint and commits every dispatch.
 func (h *harness) post(e control.Event) {
 	switch e := e.(type) {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -28,6 +28,10 @@
 	return strconv.Itoa(int(c))
 }
 
+// offerTimeout bounds the wait for room in the mailbox of the control loop, which empties it within
+// milliseconds.
+const offerTimeout = 500 * time.Millisecond
+
 // notRunRetryAfter is the Retry-After when an endpoint had no capacity: others may have.
 const notRunRetryAfter = 200 * time.Millisecond
 
@@ -174,7 +178,11 @@
 		}
 	}
 	c.outcome.Rank, c.outcome.Cost = a.Rank, c.outcome.Cost+a.Cost
-	g.opts.Post(control.Arrived{Arrival: a})
+	if !g.opts.Offer(control.Arrived{Arrival: a}, min(offerTimeout, c.deadline-g.opts.Now())) {
+		g.Apply(custody.Directive{Kind: custody.Refuse, ID: t.id, Err: &result.Error{
+			Code: result.NotReady, RetryAfter: otherHostRetryAfter, Reason: "the control loop takes no requests",
+		}})
+	}
 	return t
 }
 
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -6,13 +6,14 @@
 	"crypto/rand"
 	"encoding/binary"
 	"encoding/hex"
+	"fmt"
 	"net"
 	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
-	"github.com/sourcegraph/conc"
+	"github.com/sourcegraph/conc/panics"
 
 	"github.com/trefoilchute/trefoilchute/internal/admin"
 	"github.com/trefoilchute/trefoilchute/internal/control"
@@ -27,6 +28,7 @@
 	"github.com/trefoilchute/trefoilchute/internal/report"
 	"github.com/trefoilchute/trefoilchute/internal/resource"
 	"github.com/trefoilchute/trefoilchute/internal/settings"
+	"github.com/trefoilchute/trefoilchute/internal/supervise"
 	"github.com/trefoilchute/trefoilchute/internal/traffic"
 	"github.com/trefoilchute/trefoilchute/internal/watcher"
 )
@@ -58,7 +60,9 @@
 
 	entryListener net.Listener
 	adminListener net.Listener
-	group         conc.WaitGroup
+	group         supervise.Group
+	// failed receives the error that ends the process.
+	failed chan error
 	// life ends with the process's work; end ends it.
 	life context.Context
 	end  context.CancelFunc
@@ -82,7 +86,9 @@
 		book:        explain.New(),
 		assembled:   make(chan struct{}),
 		done:        make(chan struct{}),
+		failed:      make(chan error, 1),
 	}
+	h.group.Panicked = h.panicked
 	if err := h.listen(); err != nil {
 		return nil, err
 	}
@@ -149,6 +155,7 @@
 		Deliver:   h.deliver,
 		Connected: h.connected,
 		Logger:    h.log,
+		Panicked:  h.panicked,
 	})
 	if err != nil {
 		return errors.Wrap(err, "host: peers")
@@ -211,7 +218,7 @@
 		Table: table, Objects: objects, Send: h.send, SetPeers: h.peers.SetPeers,
 		Traffic: h.runner, Configure: h.configure, Watch: h.watcher.SetEndpoints, Record: h.record,
 		HostUnresponsive: h.unresponsive, EndpointLeaving: func(control.LeavingEndpoint) {}, StoreMessage: func(*peerpb.Envelope) {},
-		ExecuteOrder: h.orders.Execute, Superseded: h.superseded.end,
+		ExecuteOrder: h.orders.Execute, Superseded: h.superseded.end, Dropped: h.eventDropped,
 	})
 	return nil
 }
@@ -233,12 +240,12 @@
 func (h *Host) Run(ctx context.Context) error {
 	defer close(h.done)
 	defer h.end()
-	h.group.Go(func() { h.loop.Run(h.life) })
-	h.group.Go(func() { h.followHostList(h.life) })
-	h.group.Go(func() { h.buckets.Run(h.life) })
+	h.group.Go("control loop", func() { h.loop.Run(h.life) })
+	h.group.Go("list of hosts", func() { h.followHostList(h.life) })
+	h.group.Go("burn report", func() { h.buckets.Run(h.life) })
 	failed := make(chan error, 2)
-	h.group.Go(func() { failed <- h.entry.Serve(h.entryListener) })
-	h.group.Go(func() { failed <- h.admin.Serve(h.adminListener) })
+	h.group.Go("callers", func() { failed <- h.entry.Serve(h.entryListener) })
+	h.group.Go("operators", func() { failed <- h.admin.Serve(h.adminListener) })
 	logs.With(h.log, logs.Ready).WithFields(logrus.Fields{
 		"listen":       h.entryListener.Addr().String(),
 		"admin_listen": h.adminListener.Addr().String(), "peer_listen": h.peers.Addr(),
@@ -252,6 +259,9 @@
 		logs.With(h.log, logs.Superseded).Error()
 		h.stop()
 	case err = <-failed:
+	case err = <-h.failed:
+		// What the failed part holds, such as a lock, may keep the others from ending.
+		return err
 	}
 	h.end()
 	h.peers.Close()
@@ -262,6 +272,24 @@
 	return err
 }
 
+// panicked logs the panic of a part of the process and ends the process, which could not serve without
+// that part.
+func (h *Host) panicked(part string, r *panics.Recovered) {
+	logs.With(h.log, logs.Panicked).WithField("part", part).WithField("stack", string(r.Stack)).
+		WithField("reason", fmt.Sprint(r.Value)).Error()
+	select {
+	case h.failed <- errors.Errorf("host: %s failed: %v", part, r.Value):
+	default:
+	}
+}
+
+// eventDropped logs and counts an event that the control loop has dropped.
+func (h *Host) eventDropped(d control.Dropped) {
+	h.metrics.EventDropped()
+	logs.With(h.log, logs.EventDropped).WithField("event", d.Event).WithField("stack", d.Stack).
+		WithField("reason", fmt.Sprint(d.Reason)).Error()
+}
+
 // nonce returns a random value for a claim.
 func nonce() string {
 	var b [nonceBytes]byte
--- a/internal/host/stop.go
+++ b/internal/host/stop.go
@@ -35,7 +35,7 @@
 	defer drain.Stop()
 	time.Sleep(min(balancerDelay, h.settings.DrainGrace))
 	shut := make(chan struct{})
-	h.group.Go(func() {
+	h.group.Go("shutdown", func() {
 		defer close(shut)
 		_ = h.entry.Shutdown()
 	})
--- a/internal/logs/event.go
+++ b/internal/logs/event.go
@@ -20,6 +20,9 @@
 	HostList             Event = "host_list"
 	TraceBroken          Event = "trace_broken"
 	Superseded           Event = "superseded"
+	Panicked             Event = "panicked"
+	EventDropped         Event = "event_dropped"
+	LoopStalled          Event = "loop_stalled"
 	// Events of what a gateway believes.
 	ConfigurationRejected Event = "configuration_rejected"
 	EndpointIn            Event = "endpoint_in"
@@ -92,6 +95,9 @@
 	{ConfigurationInForce, "A revision came into force at this host."},
 	{TraceBroken, "The trace of decisions couldn't be written; it ends here."},
 	{Superseded, "A later process with this host's name lives; this one stops."},
+	{Panicked, "A part of the process panicked; the process ends."},
+	{EventDropped, "The handling of an event panicked; the event was dropped, and its request refused."},
+	{LoopStalled, "The control loop has not completed a step for some time; the process ends."},
 	{LinkUp, "A link to another host was opened."},
 	{LinkDown, "A link to another host ended."},
 	{LinkRefused, "A connection did not become a link: a wrong secret, a malformed hello, or too many at once."},
--- a/internal/metrics/instruments.go
+++ b/internal/metrics/instruments.go
@@ -11,13 +11,13 @@
 
 // instruments holds the metrics that are recorded as things happen.
 type instruments struct {
-	requests, goodput, refusals     metric.Int64Counter
-	prefill, output, platformCalls  metric.Int64Counter
-	retries, reloads, dropped       metric.Int64Counter
-	closings, limited               metric.Int64Counter
-	left, leftBytes                 metric.Int64Counter
-	duration, queueWait, firstToken metric.Float64Histogram
-	tokenGap, platformTime          metric.Float64Histogram
+	requests, goodput, refusals      metric.Int64Counter
+	prefill, output, platformCalls   metric.Int64Counter
+	retries, reloads, dropped        metric.Int64Counter
+	closings, limited, eventsDropped metric.Int64Counter
+	left, leftBytes                  metric.Int64Counter
+	duration, queueWait, firstToken  metric.Float64Histogram
+	tokenGap, platformTime           metric.Float64Histogram
 }
 
 // builder makes instruments from Table and keeps the first error.
@@ -88,6 +88,7 @@
 		reloads:       b.counter(nameReloads),
 		dropped:       b.counter(nameDropped),
 		closings:      b.counter(nameClosings),
+		eventsDropped: b.counter(nameEventsDropped),
 		left:          b.counter(nameLeft),
 		leftBytes:     b.counter(nameLeftBytes),
 		limited:       b.counter(nameLimited),
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -190,6 +190,11 @@
 	m.set.closings.Add(context.Background(), 1, m.by(labelReason, reason))
 }
 
+// EventDropped counts an event of the control loop whose handling panicked.
+func (m *Metrics) EventDropped() {
+	m.set.eventsDropped.Add(context.Background(), 1)
+}
+
 // Values of the label kind of the prefill counter.
 const (
 	prefillCached = "cached"
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -65,6 +65,7 @@
 	m.Reloaded("applied")
 	m.Dropped("head_too_long")
 	m.EndpointClosed("lost")
+	m.EventDropped()
 	m.LeftDomain("llm@a", 1200)
 	m.CallerLimited("body_refused")
 	m.Tokens("urgent", 100, 30, 10, true)
--- a/internal/metrics/table.go
+++ b/internal/metrics/table.go
@@ -39,6 +39,7 @@
 	unitConns    = "{connection}"
 	unitOrders   = "{order}"
 	unitMessages = "{message}"
+	unitEvents   = "{event}"
 )
 
 // Names of the metrics.
@@ -68,6 +69,7 @@
 	nameReloads       = "trefoilchute.settings.reloads"
 	nameDropped       = "trefoilchute.answers.dropped"
 	nameClosings      = "trefoilchute.endpoint.closings"
+	nameEventsDropped = "trefoilchute.control.events.dropped"
 	nameLeft          = "trefoilchute.left_domain"
 	nameLeftBytes     = "trefoilchute.left_domain.sent"
 	nameSuspects      = "trefoilchute.suspects"
@@ -135,13 +137,14 @@
 	{nameEndpoints, kindGauge, unitEndpoint, []string{labelTarget, labelState}, "Endpoints as this host knows them: active or leaving."},
 	{nameLoad, kindGauge, unitEndpoint, []string{labelPool, labelState}, "Endpoints of the pools that this host schedules, by the load that their answers stated within the last second: slow (work takes more than one and a half times as long as usual), usual or unknown."},
 	{namePromises, kindCounter, unitRequests, []string{labelPool, labelState}, "Requests refused for lack of room by the pools that this host schedules: promised or without (a time at which capacity is kept for the caller); and returns: kept (at the promised time), early (before it) or lapsed (not by then)."},
-	{nameAge, kindGauge, unitSeconds, []string{labelOf}, "Time since this host knew the configuration, or the endpoints, to be the newest."},
+	{nameAge, kindGauge, unitSeconds, []string{labelOf}, "Time since this host knew the configuration, or the endpoints, to be the newest, and since its control_loop completed a step."},
 	{nameSettings, kindGauge, unitProcess, []string{labelVersion}, "1 for the version of the settings in force in this process."},
 	{nameReloads, kindCounter, unitReloads, []string{labelOutcome}, "Settings files that were read again: applied, unchanged, at_start (keys that wait for a start) or rejected."},
 	{nameDropped, kindCounter, unitAnswers, []string{labelReason}, "Answers of endpoints that were not taken whole: head_too_long, invalid_head, event_too_long, another_request, rest_not_taken or reset (before the end of one that ends with its connection); not_delivered are requests that were aborted because the endpoint did not acknowledge them."},
 	{nameLeft, kindCounter, unitRequests, []string{labelPool}, "Requests that a pool scheduled here placed outside their custodian's failure domain, where the settings price that."},
 	{nameLeftBytes, kindCounter, unitBytes, []string{labelPool}, "Expected bytes of these requests and their answers."},
 	{nameClosings, kindCounter, unitClosings, []string{labelReason}, "Endpoints that a pool scheduled here closed for a while: unreachable, lost, failing, or asked_to_wait (for one host)."},
+	{nameEventsDropped, kindCounter, unitEvents, nil, "Events of the control loop that were dropped because their handling panicked; a fault of the program."},
 	{nameSuspects, kindGauge, unitSuspects, []string{labelKind, labelState}, "Requests (request) and prompt parts (part) that this host knows to be suspected of crashing endpoints: suspect or quarantined."},
 	{nameLimited, kindCounter, unitCallers, []string{labelAction}, "Callers that were refused or closed to keep the host within its memory or descriptors: head_too_long, head_too_many_lines, head_refused, body_refused, connection_refused, idle_closed, sender_closed, waiting_refused or answer_reset."},
 	{nameHeld, kindGauge, unitBytes, []string{labelKind}, "Bytes held for callers: heads, bodies or answers."},
--- a/internal/ordering/ordering.go
+++ b/internal/ordering/ordering.go
@@ -8,13 +8,13 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"github.com/sourcegraph/conc"
 	"github.com/valyala/fasthttp"
 
 	"github.com/trefoilchute/trefoilchute/internal/control"
 	"github.com/trefoilchute/trefoilchute/internal/endpoint"
 	"github.com/trefoilchute/trefoilchute/internal/engine"
 	"github.com/trefoilchute/trefoilchute/internal/platform"
+	"github.com/trefoilchute/trefoilchute/internal/supervise"
 	"github.com/trefoilchute/trefoilchute/internal/system/order"
 )
 
@@ -34,7 +34,7 @@
 	post    func(control.Event)
 	now     func() time.Duration
 	weights platform.Weights
-	group   conc.WaitGroup
+	group   supervise.Group
 }
 
 // New returns an executor that posts results with post. now must be the clock of
@@ -46,7 +46,7 @@
 // Execute performs the exchange of an effect in the background and posts its
 // result.
 func (x *Executor) Execute(e order.Effect) {
-	x.group.Go(func() { x.post(control.OrderEvent{Event: x.exchange(e)}) })
+	x.group.Go("orders", func() { x.post(control.OrderEvent{Event: x.exchange(e)}) })
 }
 
 // Wait waits until all exchanges have ended.
--- a/internal/peer/accept.go
+++ b/internal/peer/accept.go
@@ -54,7 +54,7 @@
 		<-t.slots
 		return
 	}
-	t.wg.Go(func() { t.serve(raw) })
+	t.wg.Go("links: serve", func() { t.serve(raw) })
 }
 
 // serve runs the one link of an accepted connection.
--- a/internal/peer/dial.go
+++ b/internal/peer/dial.go
@@ -27,7 +27,7 @@
 func (t *Transport) startDial(r *remote) {
 	r.dialing = true
 	address := r.address
-	t.wg.Go(func() { t.dialPeer(r, address) })
+	t.wg.Go("links: dial", func() { t.dialPeer(r, address) })
 }
 
 // dialPeer dials a known peer and runs the link until it ends.
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -6,10 +6,10 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"github.com/sourcegraph/conc"
 
 	"github.com/trefoilchute/trefoilchute/internal/logs"
 	"github.com/trefoilchute/trefoilchute/internal/peer/peerpb"
+	"github.com/trefoilchute/trefoilchute/internal/supervise"
 )
 
 // retireGrace is how long a link that gave way to another is still read, so
@@ -81,8 +81,8 @@
 	if t.opts.Connected != nil {
 		t.opts.Connected(l.contact)
 	}
-	var wg conc.WaitGroup
-	wg.Go(func() { t.write(r, l) })
+	wg := supervise.Group{Panicked: t.opts.Panicked}
+	wg.Go("links: write", func() { t.write(r, l) })
 	err := t.read(r, l)
 	l.end()
 	wg.Wait()
--- a/internal/peer/options.go
+++ b/internal/peer/options.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc/panics"
 
 	"github.com/trefoilchute/trefoilchute/internal/ident"
 	"github.com/trefoilchute/trefoilchute/internal/peer/peerpb"
@@ -87,8 +88,10 @@
 	Connected func(Contact)
 	// Sent, when set, is told of each message that was written: its kind, see peerpb.Kind, and
 	// its encoded size. It is called from several goroutines and must return at once.
-	Sent   func(to ident.Host, kind, bytes int)
-	Logger logrus.FieldLogger
+	Sent func(to ident.Host, kind, bytes int)
+	// Panicked is called if a goroutine of the transport panicked; see supervise.Group.
+	Panicked func(part string, r *panics.Recovered)
+	Logger   logrus.FieldLogger
 
 	Keepalive     time.Duration
 	Silence       time.Duration
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -9,10 +9,10 @@
 
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
-	"github.com/sourcegraph/conc"
 
 	"github.com/trefoilchute/trefoilchute/internal/ident"
 	"github.com/trefoilchute/trefoilchute/internal/peer/peerpb"
+	"github.com/trefoilchute/trefoilchute/internal/supervise"
 )
 
 // Transport sends and receives messages between this host and the others.
@@ -22,7 +22,7 @@
 	listener net.Listener
 	// slots bounds the handshakes of accepted connections.
 	slots chan struct{}
-	wg    conc.WaitGroup
+	wg    supervise.Group
 
 	refused      atomic.Uint64
 	rejected     atomic.Uint64
@@ -77,6 +77,7 @@
 		peers:  map[ident.Host]*remote{},
 		conns:  map[net.Conn]struct{}{},
 		hinted: map[string]struct{}{},
+		wg:     supervise.Group{Panicked: opts.Panicked},
 	}, nil
 }
 
@@ -96,7 +97,7 @@
 	t.ctx, t.cancel = context.WithCancel(ctx)
 	t.running = true
 	context.AfterFunc(t.ctx, t.shut)
-	t.wg.Go(t.accept)
+	t.wg.Go("links: accept", t.accept)
 	return nil
 }
 
@@ -178,7 +179,7 @@
 		return
 	}
 	t.hinted[address] = struct{}{}
-	t.wg.Go(func() { t.dialHint(address) })
+	t.wg.Go("links: dial", func() { t.dialHint(address) })
 }
 
 // reached reports whether a link was dialled to the address. The caller holds
--- a/internal/platformhost/host.go
+++ b/internal/platformhost/host.go
@@ -16,7 +16,6 @@
 
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
-	"github.com/sourcegraph/conc"
 
 	"github.com/trefoilchute/trefoilchute/internal/clock"
 	"github.com/trefoilchute/trefoilchute/internal/control"
@@ -28,6 +27,7 @@
 	"github.com/trefoilchute/trefoilchute/internal/peer"
 	"github.com/trefoilchute/trefoilchute/internal/peer/peerpb"
 	"github.com/trefoilchute/trefoilchute/internal/settings"
+	"github.com/trefoilchute/trefoilchute/internal/supervise"
 	"github.com/trefoilchute/trefoilchute/platform"
 )
 
@@ -66,7 +66,11 @@
 
 	callerListener, readyListener, metricsListener, peerListener net.Listener
 
-	group conc.WaitGroup
+	group supervise.Group
+	// failed receives the error that ends the process.
+	failed chan error
+	// storeMessages queues the other hosts' messages about the store.
+	storeMessages chan *peerpb.Envelope
 	// lifetime is canceled when the process stops serving.
 	lifetime context.Context
 	cancel   context.CancelFunc
@@ -81,7 +85,9 @@
 	h := &Host{
 		readSettings: readSettings, incarnation: uint64(time.Now().UnixMilli()), startTime: clock.Boot(),
 		logger: log, log: log.WithField("host", s.Host),
+		failed: make(chan error, 1), storeMessages: make(chan *peerpb.Envelope, storeMessageQueue),
 	}
+	h.group.Panicked = h.panicked
 	h.suspects.init()
 	h.rollouts.init(string(s.Host)+"/"+strconv.FormatUint(h.incarnation, 10), s.Region)
 	h.traffic.init(s.Domain)
@@ -107,7 +113,7 @@
 		OnRuleset: h.setRuleset, OnEndpoints: h.setEndpoints, OnOrders: h.onOrders(),
 	})
 	h.gateway = gateway.New(gateway.Options{
-		Host: s.Host, Domain: s.Domain, Log: h.log, Post: h.loop.Post, Now: h.loop.Now,
+		Host: s.Host, Domain: s.Domain, Log: h.log, Post: h.loop.Post, Offer: h.loop.Offer, Now: h.loop.Now,
 		ConfigurationAge: h.follower.ConfigurationAge, Tuning: tuning(&s),
 		SendRoutes: s.Rollout.Enabled(), SendSizes: s.Domains.Enabled(),
 		OnOutcome: h.recordOutcome, OnGap: h.recordGap, OnDrop: h.countDrop, OnMemory: h.countLimited,
@@ -161,23 +167,27 @@
 		"listen": s.Listen, "peer_listen": s.PeerListen,
 		"domain": s.Domain, "incarnation": h.incarnation, "settings": s.Version(),
 	}).Info()
-	h.group.Go(func() { h.follower.FollowConfiguration(h.lifetime) })
-	h.group.Go(func() { h.follower.FollowEndpoints(h.lifetime) })
-	h.group.Go(func() { h.follower.FollowReaders(h.lifetime) })
-	h.group.Go(func() { h.sweepConnections(h.lifetime) })
-	h.group.Go(func() { h.watchPools(h.lifetime) })
-	h.group.Go(func() { h.writeSuspects(h.lifetime) })
+	h.group.Go("configuration", func() { h.follower.FollowConfiguration(h.lifetime) })
+	h.group.Go("endpoints", func() { h.follower.FollowEndpoints(h.lifetime) })
+	h.group.Go("readers", func() { h.follower.FollowReaders(h.lifetime) })
+	h.group.Go("connections", func() { h.sweepConnections(h.lifetime) })
+	h.group.Go("pools", func() { h.watchPools(h.lifetime) })
+	h.group.Go("suspects", func() { h.writeSuspects(h.lifetime) })
 	h.startRollouts(h.lifetime)
 	errs := make(chan error, 4)
-	h.group.Go(func() {
+	h.group.Go("join", func() {
 		if err := h.join(h.lifetime); err != nil {
 			errs <- err
 		}
 	})
-	h.group.Go(func() { errs <- h.gateway.Serve(h.callerListener) })
-	h.group.Go(func() { errs <- serveHTTP(h.lifetime, h.readyListener, http.HandlerFunc(h.serveReady)) })
-	h.group.Go(func() { errs <- serveHTTP(h.lifetime, h.metricsListener, h.metrics.Handler()) })
+	h.group.Go("callers", func() { errs <- h.gateway.Serve(h.callerListener) })
+	h.group.Go("readiness", func() { errs <- serveHTTP(h.lifetime, h.readyListener, http.HandlerFunc(h.serveReady)) })
+	h.group.Go("metrics", func() { errs <- serveHTTP(h.lifetime, h.metricsListener, h.metrics.Handler()) })
 	err := h.waitForEnd(ctx, reload, errs)
+	if errors.Is(err, errUnusable) {
+		// What the failed part holds, such as a lock, may keep the others from ending.
+		return err
+	}
 	h.cancel()
 	_ = h.gateway.Close()
 	if h.connected.Load() {
@@ -199,6 +209,8 @@
 			return nil
 		case err := <-errs:
 			return err
+		case err := <-h.failed:
+			return err
 		case <-reload:
 			h.reload()
 		}
@@ -242,7 +254,8 @@
 // isReady reports whether the load balancer should send callers to this host.
 func (h *Host) isReady() bool {
 	_, endpoints := h.follower.EndpointsAge()
-	return endpoints && h.gateway.Ruleset() != nil && h.connected.Load() && h.gateway.StoppingSince() == nil
+	return endpoints && h.gateway.Ruleset() != nil && h.connected.Load() && h.gateway.StoppingSince() == nil &&
+		h.loop.Idle() < stallTimeout
 }
 
 // newSecret returns a random secret for the connections between hosts.
--- a/internal/platformhost/join.go
+++ b/internal/platformhost/join.go
@@ -53,7 +53,9 @@
 	if err := h.connectPeers(shared.Secret); err != nil {
 		return err
 	}
-	h.group.Go(func() { h.loop.Run(h.lifetime) })
+	h.group.Go("control loop", func() { h.loop.Run(h.lifetime) })
+	h.group.Go("progress of the control loop", func() { h.watchLoop(h.lifetime, stallInterval) })
+	h.group.Go("store messages", func() { h.receiveStoreMessages(h.lifetime) })
 	h.connected.Store(true)
 	h.restoreSuspects(shared.Suspects)
 	h.followHosts(ctx, list.Version)
@@ -164,7 +166,7 @@
 	h.peers, err = peer.New(peer.Options{
 		Host: s.Host, Incarnation: h.incarnation, Domain: s.Region,
 		Listen: s.PeerListen, Listener: h.peerListener, Secret: []byte(secret), Deliver: h.deliver, Logger: h.log,
-		Sent: h.traffic.count,
+		Sent: h.traffic.count, Panicked: h.panicked,
 	})
 	if err != nil {
 		return errors.Wrap(err, "create the peer transport")
@@ -172,8 +174,8 @@
 	h.loop.Connect(control.Ports{
 		Send: h.send, SetPeers: h.setPeers, Traffic: h.gateway, Configure: h.ignoreConfigured,
 		Watch: ignoreWatch, Record: h.record, ExecuteOrder: ignoreOrder, Superseded: h.cancel,
-		HostUnresponsive: h.hostUnresponsive, EndpointLeaving: h.endpointLeaving, StoreMessage: h.follower.Receive,
-		RolloutDecided: h.rolloutDecided,
+		HostUnresponsive: h.hostUnresponsive, EndpointLeaving: h.endpointLeaving, StoreMessage: h.queueStoreMessage,
+		RolloutDecided: h.rolloutDecided, Dropped: h.eventDropped,
 	})
 	return errors.Wrap(h.peers.Start(h.lifetime), "start the peer transport")
 }
--- a/internal/platformhost/record.go
+++ b/internal/platformhost/record.go
@@ -199,6 +199,7 @@
 	if age, known := h.follower.EndpointsAge(); known {
 		s.Age["endpoints"] = age
 	}
+	s.Age["control_loop"] = h.loop.Idle()
 	usage := h.gateway.MemoryUsage()
 	s.Budget, s.Connections, s.Held = usage.Limits.Bytes, usage.Connections, map[string]int64{}
 	for kind, bytes := range usage.Held {
--- a/internal/platformhost/rollouts.go
+++ b/internal/platformhost/rollouts.go
@@ -89,9 +89,9 @@
 	if !h.settings.Load().Rollout.Enabled() {
 		return
 	}
-	h.group.Go(func() { h.readRollouts(ctx) })
-	h.group.Go(func() { h.writeRollouts(ctx) })
-	h.group.Go(func() { h.postRollouts(ctx) })
+	h.group.Go("roll-outs: read", func() { h.readRollouts(ctx) })
+	h.group.Go("roll-outs: write", func() { h.writeRollouts(ctx) })
+	h.group.Go("roll-outs: post", func() { h.postRollouts(ctx) })
 }
 
 // onOrders returns the function that takes the orders read from the store, or nil if roll-outs
--- a/internal/platformhost/stop.go
+++ b/internal/platformhost/stop.go
@@ -40,7 +40,7 @@
 		return
 	}
 	h.loop.Post(control.Leave{})
-	h.group.Go(h.unlist)
+	h.group.Go("unlist", h.unlist)
 	drain := time.AfterFunc(time.Duration(dispatchShare*float64(grace)), func() { h.loop.Post(control.DrainTimedOut{}) })
 	defer drain.Stop()
 	abort := time.AfterFunc(grace-exitMargin, h.abort)
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -102,7 +102,7 @@
 	{NoEndpoint, "no_endpoint", http.StatusServiceUnavailable, RanNo, "after Retry-After", "No endpoint of the target takes work now."},
 	{PlatformDown, "platform_down", http.StatusServiceUnavailable, RanNo, "after Retry-After", "The platform's table can't be reached, so that running at most once can't be assured."},
 	{Stopping, "stopping", http.StatusServiceUnavailable, RanNo, "at once, to another host", "The host is stopping."},
-	{NotReady, "not_ready", http.StatusServiceUnavailable, RanNo, "after Retry-After", "The host has no configuration yet."},
+	{NotReady, "not_ready", http.StatusServiceUnavailable, RanNo, "after Retry-After", "The host has no configuration yet, or can't take requests now."},
 	{Expired, "expired", http.StatusGatewayTimeout, RanNo, "with a new deadline", "The deadline passed before the request was dispatched."},
 	{Quarantined, "quarantined", http.StatusUnprocessableEntity, RanNo, "no", "The request is quarantined, because endpoints that ran it crashed."},
 	{CutOff, "cut_off", http.StatusServiceUnavailable, RanNo, "after Retry-After", "The failure domain is cut off from what would prove that the key has not run."},
--- a/internal/system/custody/custody.go
+++ b/internal/system/custody/custody.go
@@ -295,6 +295,13 @@
 	s.emit(Directive{Kind: Refuse, ID: r.ID, Err: err})
 }
 
+// Forget removes a request that was not dispatched, without a directive.
+func (s *System) Forget(id ident.Request) {
+	if r := s.entries[id]; r != nil && r.state != stateDispatched {
+		delete(s.entries, id)
+	}
+}
+
 // withdraw cancels a request or its grant at the scheduler.
 func (s *System) withdraw(now time.Duration, r *entry, out *system.Outbox) {
 	switch r.state {
--- a/internal/system/scheduling/scheduling.go
+++ b/internal/system/scheduling/scheduling.go
@@ -275,6 +275,14 @@
 	s.Reassign(now, out)
 }
 
+// Restart gives up the state of all pools and takes them over again. The hosts report what they hold.
+func (s *System) Restart(now time.Duration, out *system.Outbox) {
+	s.instances = map[ident.Pool]*instance{}
+	if !s.suspended {
+		s.Reassign(now, out)
+	}
+}
+
 // Tick runs what is due: ends of warm-ups, timers of the schedulers, and status messages
 // to other domains.
 func (s *System) Tick(now time.Duration, out *system.Outbox) {
--- a/internal/traffic/join.go
+++ b/internal/traffic/join.go
@@ -63,7 +63,7 @@
 		return
 	}
 	if j.Custodian != r.opts.Self {
-		r.group.Go(func() { r.joinRemote(job, j) })
+		r.group.Go("join", func() { r.joinRemote(job, j) })
 		return
 	}
 	first := r.jobs.get(j.Request)
@@ -76,7 +76,7 @@
 		return true
 	}
 	end := func(f answer.Final) { job.Answer.Finish(f) }
-	r.group.Go(func() { follow(first.Answer, 0, part, end) })
+	r.group.Go("join", func() { follow(first.Answer, 0, part, end) })
 }
 
 // noLongerKept ends a join whose answer was dropped to make room.
@@ -150,7 +150,7 @@
 	switch body := m.GetBody().(type) {
 	case *peerpb.Envelope_Join:
 		to := ident.Host(m.GetFrom())
-		r.group.Go(func() { r.serveJoin(to, body.Join) })
+		r.group.Go("join", func() { r.serveJoin(to, body.Join) })
 	case *peerpb.Envelope_Part:
 		r.takePart(body.Part)
 	}
--- a/internal/traffic/rescue.go
+++ b/internal/traffic/rescue.go
@@ -16,7 +16,7 @@
 	if job == nil {
 		return
 	}
-	r.group.Go(func() {
+	r.group.Go("answer of a lost host", func() {
 		final := r.readFromAny(job, rescue)
 		job.Answer.Finish(final)
 		r.opts.Post(control.AnswerRecovered{ID: rescue.ID, Answer: keptAnswer(job.Answer)})
--- a/internal/traffic/runner.go
+++ b/internal/traffic/runner.go
@@ -4,8 +4,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/sourcegraph/conc"
-
 	"github.com/trefoilchute/trefoilchute/internal/answer"
 	"github.com/trefoilchute/trefoilchute/internal/control"
 	"github.com/trefoilchute/trefoilchute/internal/endpoint"
@@ -13,6 +11,7 @@
 	"github.com/trefoilchute/trefoilchute/internal/peer/peerpb"
 	"github.com/trefoilchute/trefoilchute/internal/resource"
 	"github.com/trefoilchute/trefoilchute/internal/result"
+	"github.com/trefoilchute/trefoilchute/internal/supervise"
 	"github.com/trefoilchute/trefoilchute/internal/system/custody"
 )
 
@@ -34,7 +33,7 @@
 	jobs      jobs
 	retention retention
 	joins     joins
-	group     conc.WaitGroup
+	group     supervise.Group
 	// aborted says that the process ends before its jobs.
 	aborted atomic.Bool
 }
@@ -92,7 +91,7 @@
 	switch d.Kind {
 	case custody.Connect:
 		word := j.expect(d.Attempt)
-		r.group.Go(func() { r.connect(j, d, word) })
+		r.group.Go("run", func() { r.connect(j, d, word) })
 	case custody.Commit:
 		j.committed(d.Attempt, d.Proceed)
 	case custody.Refuse:
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"github.com/sourcegraph/conc"
 	"github.com/valyala/fasthttp"
 
 	"github.com/trefoilchute/trefoilchute/internal/control"
@@ -18,6 +17,7 @@
 	"github.com/trefoilchute/trefoilchute/internal/ident"
 	"github.com/trefoilchute/trefoilchute/internal/pool"
 	"github.com/trefoilchute/trefoilchute/internal/resource"
+	"github.com/trefoilchute/trefoilchute/internal/supervise"
 )
 
 const (
@@ -37,7 +37,7 @@
 type Watcher struct {
 	post   func(control.Event)
 	client *fasthttp.Client
-	group  conc.WaitGroup
+	group  supervise.Group
 
 	mu      sync.Mutex
 	watches map[ident.Endpoint]watch
@@ -98,8 +98,8 @@
 func (w *Watcher) start(e resource.Endpoint) {
 	ctx, cancel := context.WithCancel(context.Background())
 	w.watches[e.Name] = watch{endpoint: e, cancel: cancel}
-	w.group.Go(func() { w.followLoad(ctx, e) })
-	w.group.Go(func() { w.followCache(ctx, e) })
+	w.group.Go("load reports", func() { w.followLoad(ctx, e) })
+	w.group.Go("cache events", func() { w.followCache(ctx, e) })
 }
 
 // Close stops polling and waits for the goroutines to end.
