Abort the connection of each request that ends without a response

Change: a request that ends without a complete response aborts its connection. A caller who closed one side can't be told from one that left, for whom nothing must run, so it isn't served on. Evidence: TestHalfClosedCallerGetsNoEndingThatLooksWhole failed before in 16 of 18 subtests, TestHalfClosedCallerWithoutAWholeBodyGetsNoSuccess too; both pass.

--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -143,7 +143,7 @@
 		g.sizes.observe(c.outcome.Route, c.outcome.Bytes)
 	}
 	g.opts.OnOutcome(&c.outcome)
-	if c.outcome.Code == result.AnswerCut {
+	if c.lacksEnd() {
 		// Abort the connection, so that the caller does not take a truncated response for a
 		// complete one. Towards HTTP/1.0 its orderly end would complete the response.
 		if !r.ProtoAtLeast(1, 1) {
@@ -153,6 +153,13 @@
 	}
 }
 
+// lacksEnd reports whether the caller has got no complete response. The server would end the
+// response, or send an empty success. A caller who counts as gone may have closed its sending side
+// only, and read on; it can't be told from one that left, for whom nothing must run.
+func (c *call) lacksEnd() bool {
+	return c.outcome.Status == 0 || c.outcome.Code == result.AnswerCut || c.outcome.Code == result.CallerGone
+}
+
 // read validates a request and reads its body.
 func (c *call) read() *result.Error {
 	g := c.gateway
