Reset the connection of a caller that leaves its stream on the own interface

A caller who closed its sending side only got the cut stream with an orderly end. Cause: fasthttp ends a stream whose writer returns. Change: the connection is reset. A service's answer that is cut between its body and its end gets its error instead of an implicit status 200. Evidence: the new entry of 'a caller that leaves' in test/traffic failed before and passes.

--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -104,9 +104,22 @@
 	c.Context().SetBodyStreamWriter(func(w *bufio.Writer) {
 		final := e.copyStream(w)
 		e.close(final)
+		if e.callerLeft {
+			// A caller who closed its sending side only may read on. The server would end the
+			// cut stream in order.
+			e.resetConn()
+		}
 	})
 }
 
+// resetConn resets the caller's connection.
+func (e *exchange) resetConn() {
+	if conn, ok := e.conn.(*net.TCPConn); ok {
+		_ = conn.SetLinger(0)
+	}
+	_ = e.conn.Close()
+}
+
 // copyStream writes all parts and the end of the answer. Once the caller has left, it
 // continues to the end of the answer without writing.
 func (e *exchange) copyStream(w *bufio.Writer) *answer.Final {
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -57,6 +57,9 @@
 func (e *exchange) writeServiceAnswer(c *fiber.Ctx, body []byte) error {
 	final := e.nextPart(1).Final
 	defer e.close(final)
+	if final.Code != result.OK {
+		return writeError(c, finalError(final))
+	}
 	if final.ContentType != "" {
 		c.Set(fiber.HeaderContentType, final.ContentType)
 	}
--- a/test/traffic/caller_test.go
+++ b/test/traffic/caller_test.go
@@ -1,8 +1,11 @@
 package traffic_test
 
 import (
+	"bufio"
 	"io"
+	"net"
 	"net/http"
+	"strings"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -60,6 +63,23 @@
 		b.expectOneArrivalEach(1)
 	})
 
+	// A caller may close its sending side only, and read on. It must not take the end of a cut
+	// stream for that of a whole one.
+	It("gets no orderly end of its stream if it reads on", func() {
+		b := newBench(20)
+		body, _ := question("long", 60)
+		conn := b.dial()
+		_, err := io.WriteString(conn, raw(strings.Replace(string(body), "{", `{"stream":true,`, 1)))
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(b.control.count(started)).WithTimeout(wide).Should(Equal(1))
+		Expect(conn.(*net.TCPConn).CloseWrite()).To(Succeed())
+		answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(answer.StatusCode).To(Equal(http.StatusOK))
+		got, err := io.ReadAll(answer.Body)
+		Expect(err).To(HaveOccurred(), "%q ended in order", got)
+	})
+
 	It("doesn't cancel a request with a key, whose answer a resend may ask for", func() {
 		b := newBench(100)
 		b.leaveWhen(b.control.count(started), entry.HeaderKey+": k1")
