Bound the blocks of endpoints' caches by number

Cause: the model of the endpoints' caches was bounded by tokens alone; parts of 0 tokens were never evicted. Change: a block counts as at least 16 tokens, and a pool's caches have at most 65,536 blocks, or 4,096 an endpoint.

--- a/internal/pool/blocks/cache.go
+++ b/internal/pool/blocks/cache.go
@@ -1,8 +1,12 @@
 package blocks
 
+// minBlockTokens is what a shorter block counts against the capacity of a cache. Otherwise blocks of one
+// token, or of none, would make the model of a cache many times larger than any engine's own table.
+const minBlockTokens = 16
+
 // cache is an LRU cache of blocks: a doubly linked ring in an array of nodes.
 type cache struct {
-	// limit and used are in tokens.
+	// limit and used are in tokens; a block counts as at least minBlockTokens.
 	limit, used int
 	nodeOf      map[uint64]int32
 	nodes       []node
@@ -64,8 +68,8 @@
 		i = int32(len(c.nodes))
 		c.nodes = append(c.nodes, node{})
 	}
-	c.nodes[i].block, c.nodes[i].tokens = block, tokens
-	c.used += tokens
+	c.nodes[i].block, c.nodes[i].tokens = block, max(minBlockTokens, tokens)
+	c.used += c.nodes[i].tokens
 	c.nodeOf[block] = i
 	return i
 }
--- a/internal/pool/blocks/index.go
+++ b/internal/pool/blocks/index.go
@@ -8,11 +8,23 @@
 	"github.com/trefoilchute/trefoilchute/internal/prefix"
 )
 
+const (
+	// minBlocks and blocksPerEndpoint bound the blocks of all endpoints of a pool together. A block
+	// takes about 120 bytes.
+	minBlocks         = 1 << 16
+	blocksPerEndpoint = 4 << 10
+	// evictedShare is the part of the largest cache that is evicted at once when there are too many
+	// blocks, so that the largest one is seldom looked up.
+	evictedShare = 1.0 / 64
+)
+
 // Index maps blocks to the endpoints that hold them. Endpoints are numbered by the
 // caller. Each endpoint's cache is modelled as a bounded LRU cache.
 type Index struct {
 	holders map[uint64][]int32
 	caches  map[int32]*cache
+	// total is the number of blocks in all caches.
+	total int
 }
 
 // NewIndex returns an empty index.
@@ -43,9 +55,11 @@
 	for i, b := range slices.Backward(prompt) {
 		if c.touch(b, prefix.TokensOf(tokens, i)) {
 			x.holders[b] = append(x.holders[b], endpoint)
+			x.total++
 		}
 	}
 	x.evictToLimit(endpoint, c)
+	x.evictToTotal()
 }
 
 // Evict records that the endpoint has evicted blocks.
@@ -116,7 +130,32 @@
 	}
 }
 
+// evictToTotal evicts the least recently used blocks of the largest caches until all caches together
+// have few enough.
+func (x *Index) evictToTotal() {
+	most := max(minBlocks, blocksPerEndpoint*len(x.caches))
+	for x.total > most {
+		endpoint := x.largest()
+		c := x.caches[endpoint]
+		for range max(1, int(evictedShare*float64(c.size()))) {
+			x.removeHolder(endpoint, c.dropOldest())
+		}
+	}
+}
+
+// largest returns the endpoint whose cache has most blocks; of several, the one with the lowest number.
+func (x *Index) largest() int32 {
+	out, most := int32(-1), 0
+	for e, c := range x.caches {
+		if n := c.size(); n > most || n == most && e < out {
+			out, most = e, n
+		}
+	}
+	return out
+}
+
 func (x *Index) removeHolder(endpoint int32, block uint64) {
+	x.total--
 	list := x.holders[block]
 	i := slices.Index(list, endpoint)
 	list[i] = list[len(list)-1]
