Give a later process of a host the higher incarnation whatever its clock says

Cause: the time of day was a process's incarnation. Change: a starting process takes an incarnation above the one in its host's row, and writes the row under a condition. A superseded process stops as planned.

--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -136,6 +136,13 @@
 	return c
 }
 
+// SetIncarnation replaces the incarnation of this process. It must be called before the first step,
+// and only if the configuration is external.
+func (c *Core) SetIncarnation(incarnation uint64) {
+	c.cfg.Incarnation = incarnation
+	c.members.SetIncarnation(incarnation)
+}
+
 // Step applies the events in order and returns the resulting effects. now is a
 // monotonic time and must not decrease; wall is the Unix time in milliseconds.
 func (c *Core) Step(now time.Duration, wall int64, events []Event) Effects {
--- a/internal/logs/event.go
+++ b/internal/logs/event.go
@@ -20,6 +20,7 @@
 	HostList             Event = "host_list"
 	TraceBroken          Event = "trace_broken"
 	Superseded           Event = "superseded"
+	Enlisted             Event = "enlisted"
 	Panicked             Event = "panicked"
 	EventDropped         Event = "event_dropped"
 	LoopStalled          Event = "loop_stalled"
@@ -94,6 +95,7 @@
 	{AdminShutdown, "The operators' interface didn't close in time."},
 	{ConfigurationInForce, "A revision came into force at this host."},
 	{TraceBroken, "The trace of decisions couldn't be written; it ends here."},
+	{Enlisted, "The host has written its row; its incarnation is above those of its earlier processes."},
 	{Superseded, "A later process with this host's name lives; this one stops."},
 	{Panicked, "A part of the process panicked; the process ends."},
 	{EventDropped, "The handling of an event panicked; the event was dropped, and its request refused."},
--- a/internal/platformhost/host.go
+++ b/internal/platformhost/host.go
@@ -10,7 +10,7 @@
 	"net"
 	"net/http"
 	"runtime/debug"
-	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -48,9 +48,10 @@
 	// readSettings reads the settings file.
 	readSettings func() (*settings.Gateway, error)
 	logger       *logrus.Logger
-	incarnation  uint64
-	log          logrus.FieldLogger
-	startTime    time.Duration
+	// incarnation is above those of the host's earlier processes once the host has registered.
+	incarnation uint64
+	log         logrus.FieldLogger
+	startTime   time.Duration
 
 	store    *platform.Store
 	follower *follow.Follower
@@ -69,6 +70,9 @@
 	group supervise.Group
 	// failed receives the error that ends the process.
 	failed chan error
+	// superseded is closed when a later process of this host has started.
+	superseded    chan struct{}
+	supersedeOnce sync.Once
 	// storeMessages queues the other hosts' messages about the store.
 	storeMessages chan *peerpb.Envelope
 	// lifetime is canceled when the process stops serving.
@@ -85,11 +89,11 @@
 	h := &Host{
 		readSettings: readSettings, incarnation: uint64(time.Now().UnixMilli()), startTime: clock.Boot(),
 		logger: log, log: log.WithField("host", s.Host),
-		failed: make(chan error, 1), storeMessages: make(chan *peerpb.Envelope, storeMessageQueue),
+		failed: make(chan error, 1), superseded: make(chan struct{}), storeMessages: make(chan *peerpb.Envelope, storeMessageQueue),
 	}
 	h.group.Panicked = h.panicked
 	h.suspects.init()
-	h.rollouts.init(string(s.Host)+"/"+strconv.FormatUint(h.incarnation, 10), s.Region)
+	h.rollouts.init(processName(s.Host, h.incarnation), s.Region)
 	h.traffic.init(s.Domain)
 	h.settings.Store(&s)
 	h.limitMemory(&s)
@@ -165,7 +169,7 @@
 	s := h.settings.Load()
 	logs.With(h.log, logs.Ready).WithFields(logrus.Fields{
 		"listen": s.Listen, "peer_listen": s.PeerListen,
-		"domain": s.Domain, "incarnation": h.incarnation, "settings": s.Version(),
+		"domain": s.Domain, "settings": s.Version(),
 	}).Info()
 	h.group.Go("configuration", func() { h.follower.FollowConfiguration(h.lifetime) })
 	h.group.Go("endpoints", func() { h.follower.FollowEndpoints(h.lifetime) })
@@ -211,6 +215,9 @@
 			return err
 		case err := <-h.failed:
 			return err
+		case <-h.superseded:
+			h.stop()
+			return nil
 		case <-reload:
 			h.reload()
 		}
--- a/internal/platformhost/join.go
+++ b/internal/platformhost/join.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -34,9 +35,15 @@
 // loop. It returns an error if the peer connections can't be started, since the other hosts
 // can't work with a host that they can't reach.
 func (h *Host) join(ctx context.Context) error {
+	enlisted := false
 	shared, ok := retry(ctx, h, logs.HostList, func(ctx context.Context) (platform.Shared, error) {
-		if err := h.register(ctx); err != nil && !errors.Is(err, platform.ErrAmbiguous) {
-			return platform.Shared{}, err
+		if !enlisted {
+			incarnation, err := h.store.Enlist(ctx, h.row())
+			if err != nil {
+				return platform.Shared{}, err
+			}
+			h.setIncarnation(incarnation)
+			enlisted = true
 		}
 		return h.store.Shared(ctx, newSecret())
 	})
@@ -62,13 +69,26 @@
 	return nil
 }
 
-// register writes this host's row.
-func (h *Host) register(ctx context.Context) error {
+// row returns this host's row.
+func (h *Host) row() platform.Host {
 	s := h.settings.Load()
-	return h.store.Register(ctx, platform.Host{
+	return platform.Host{
 		Name: string(s.Host), Address: s.PeerListen, Domain: string(s.Region), FailureDomain: string(s.Domain),
 		Incarnation: h.incarnation, Capacity: capacity(s), Written: time.Now().UnixMilli(),
-	})
+	}
+}
+
+// setIncarnation replaces the incarnation, before the control loop and the peer connections are started.
+func (h *Host) setIncarnation(incarnation uint64) {
+	h.incarnation = incarnation
+	h.core.SetIncarnation(incarnation)
+	h.rollouts.with(func(b *rolloutBook) { b.self = processName(h.settings.Load().Host, incarnation) })
+	logs.With(h.log, logs.Enlisted).WithField("incarnation", incarnation).Info()
+}
+
+// processName names a process in the stored state of roll-outs.
+func processName(host ident.Host, incarnation uint64) string {
+	return string(host) + "/" + strconv.FormatUint(incarnation, 10)
 }
 
 // capacity returns the processor capacity of this host in millicores.
@@ -93,7 +113,10 @@
 		}
 		list, ok := retry(ctx, h, logs.HostList, func(ctx context.Context) (platform.HostList, error) {
 			if n >= len(delays) {
-				if err := h.register(ctx); err != nil {
+				err := h.store.Register(ctx, h.row())
+				if errors.Is(err, platform.ErrSuperseded) {
+					h.supersede()
+				} else if err != nil {
 					return platform.HostList{}, err
 				}
 			}
@@ -173,7 +196,7 @@
 	}
 	h.loop.Connect(control.Ports{
 		Send: h.send, SetPeers: h.setPeers, Traffic: h.gateway, Configure: h.ignoreConfigured,
-		Watch: ignoreWatch, Record: h.record, ExecuteOrder: ignoreOrder, Superseded: h.cancel,
+		Watch: ignoreWatch, Record: h.record, ExecuteOrder: ignoreOrder, Superseded: h.supersede,
 		HostUnresponsive: h.hostUnresponsive, EndpointLeaving: h.endpointLeaving, StoreMessage: h.queueStoreMessage,
 		RolloutDecided: h.rolloutDecided, Dropped: h.eventDropped,
 	})
--- a/internal/platformhost/stop.go
+++ b/internal/platformhost/stop.go
@@ -62,6 +62,7 @@
 	defer cancel()
 	if err := h.store.Register(ctx, platform.Host{
 		Name: string(s.Host), Address: s.PeerListen, Domain: string(s.Region), FailureDomain: string(s.Domain),
+		LastIncarnation: h.incarnation,
 	}); err != nil {
 		logs.With(h.log, logs.HostList).WithError(err).Warn()
 	}
--- a/internal/platformhost/supervise.go
+++ b/internal/platformhost/supervise.go
@@ -48,6 +48,15 @@
 	}
 }
 
+// supersede stops this process because a later one of its host has started. The requests that it has
+// accepted are answered, as at a planned stop.
+func (h *Host) supersede() {
+	h.supersedeOnce.Do(func() {
+		logs.With(h.log, logs.Superseded).Error()
+		close(h.superseded)
+	})
+}
+
 // eventDropped logs and counts an event that the control loop has dropped.
 func (h *Host) eventDropped(d control.Dropped) {
 	h.metrics.EventDropped()
--- a/internal/platformhost/supervise_test.go
+++ b/internal/platformhost/supervise_test.go
@@ -14,8 +14,9 @@
 	"github.com/trefoilchute/trefoilchute/internal/standin/store"
 )
 
-// startHost starts a host before a stand-in store and returns it with a channel that gets Run's error.
-func startHost(t *testing.T) (*Host, <-chan error) {
+// startHost starts a host before a stand-in store, which prepare may fill, and returns it with a channel
+// that gets Run's error.
+func startHost(t *testing.T, prepare ...func(*store.Server)) (*Host, <-chan error) {
 	g := NewWithT(t)
 	server := store.New()
 	ln, err := net.Listen("tcp", anyPort)
@@ -23,6 +24,9 @@
 	go func() { _ = server.Serve(ln) }()
 	server.Put("op", "", "config", []byte(`{"version":1,"services":[{"name":"s"}]}`))
 	server.Put("servers", "", "e", []byte(`{"service":"s","address":"127.0.0.1:9","zone":"z","slots":1,"state":"ready","sequence":1}`))
+	for _, f := range prepare {
+		f(server)
+	}
 	h, err := New(settings.Gateway{
 		Host: "host-1", Region: "region", Domain: "z", Store: ln.Addr().String(), Memory: 256, Cores: 1, CoreShare: 1,
 		Listen: anyPort, ReadyListen: anyPort, MetricsListen: anyPort, PeerListen: anyPort, StopGrace: time.Second,
--- a/internal/system/membership/membership.go
+++ b/internal/system/membership/membership.go
@@ -193,6 +193,12 @@
 	return s
 }
 
+// SetIncarnation replaces the incarnation of this process, before other hosts know of it.
+func (s *System) SetIncarnation(incarnation uint64) {
+	s.cfg.Incarnation = incarnation
+	s.self().Incarnation = incarnation
+}
+
 // SetSeeds adds the hosts in the platform's list. Those with an incarnation become members, so
 // that all hosts that start at the same time agree on the members before they have exchanged a
 // message; if they are not running, the probes find out. The list may be out of date, so the
