Keep the part of a lost region in a team's rate

Two regions that lost each other each dealt out a team's whole rate, for as long as the cut lasted. Cause: only hosts that membership declares dead count as lost, which it does in its own region only. A lost region's hosts counted as live, while their reports expired. Change: the hosts of a region from which no report is valid count as lost.

--- a/internal/control/quota.go
+++ b/internal/control/quota.go
@@ -91,11 +91,23 @@
 	return hosts
 }
 
-// countHosts counts the live hosts and those lost within quota.LostHostGrace.
+// countHosts counts the live hosts and those that are lost. Hosts of this domain are lost for
+// quota.LostHostGrace after their death. Those of another domain are lost while no report comes from
+// it: membership declares nobody dead there, and a domain that is cut off goes on serving.
 func (c *Core) countHosts(members []membership.Member) (live, lost int) {
+	heard := map[ident.Domain]bool{c.cfg.Domain: true}
+	for _, host := range c.quotas.Reporters(c.now) {
+		if m, ok := c.members.Member(host); ok {
+			heard[m.Domain] = true
+		}
+	}
 	for _, m := range members {
 		if m.State != membership.Dead {
-			live++
+			if heard[m.Domain] {
+				live++
+			} else {
+				lost++
+			}
 			continue
 		}
 		if at, ok := c.members.LostAt(m.Host); ok && c.now-at < quota.LostHostGrace {
