Break off a resumed stream that begins with an event sent before

Cause: the rest of a stream had to begin with an event, whichever. Change: the first event must follow the last one sent, by number.

--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"net/http"
+	"strconv"
 	"strings"
 
 	"github.com/pkg/errors"
@@ -61,6 +62,27 @@
 	}
 }
 
+// firstID returns the ID of the first of some complete events; empty if it has none.
+func firstID(whole []byte) string {
+	for line := range bytes.FieldsFuncSeq(whole, func(r rune) bool { return r == '\r' || r == '\n' }) {
+		if id, ok := bytes.CutPrefix(line, idField); ok {
+			return string(bytes.TrimSpace(id))
+		}
+	}
+	return ""
+}
+
+// follows reports whether an event may come after another, by their IDs, which increase. Where one of
+// them has no number, it reports whether they differ.
+func follows(id, last string) bool {
+	n, err1 := strconv.ParseUint(id, 10, 64)
+	before, err2 := strconv.ParseUint(last, 10, 64)
+	if err1 != nil || err2 != nil {
+		return id == "" || id != last
+	}
+	return n > before
+}
+
 // discardPartial drops the incomplete event of a lost endpoint.
 func (e *eventSplitter) discardPartial() {
 	e.partial = nil
--- a/internal/gateway/events_test.go
+++ b/internal/gateway/events_test.go
@@ -95,6 +95,33 @@
 	}
 }
 
+// Guards against an event that reaches the caller twice: an endpoint that is asked to go on after an event
+// begins with that one, or an earlier one, again (soak seed 61027).
+func TestResumedStreamThatBeginsAgainIsBrokenOff(t *testing.T) {
+	for _, c := range []struct {
+		from  int
+		whole bool
+	}{{0, false}, {1, false}, {2, false}, {3, true}} {
+		t.Run(fmt.Sprintf("begins with event %d", c.from), func(t *testing.T) {
+			h := start(t, streamEvents(0, 2, false), streamEvents(c.from, lastEvent, false))
+			got := h.ask(post("/resumable/x", "id1", "prompt"))
+			last := 2
+			if c.whole {
+				h.Expect(got.err).NotTo(HaveOccurred())
+				last = lastEvent
+			} else {
+				h.Expect(got.err).To(HaveOccurred())
+			}
+			want := ""
+			for i := range last + 1 {
+				want += fmt.Sprintf("id: %d\ndata: x\n\n", i)
+			}
+			h.Expect(got.body).To(Equal(want))
+			h.Expect((<-h.outcomes).Tries).To(Equal(2))
+		})
+	}
+}
+
 // untilClose responds with a stream that has neither a length nor chunks and ends with its
 // connection.
 func untilClose(header, stream string) script {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -138,8 +138,9 @@
 	// closedByPeer is set if the endpoint closed the connection before its response was
 	// complete, and endpointLost if it refuses new connections too: it has ended.
 	closedByPeer, endpointLost bool
-	// resumes is set if the response continues a stream of which the caller has a part.
-	resumes bool
+	// resumes is set if the response continues a stream of which the caller has a part, and joined
+	// when its first event follows the last one that the caller has.
+	resumes, joined bool
 	// format is the format of the response's body, and declared if it declares to be events.
 	format   format
 	declared bool
@@ -482,6 +483,9 @@
 // errNotResumed is returned when the rest of a stream was requested and something else came.
 var errNotResumed = errors.New("the stream was not resumed: no events came")
 
+// errBeginsAgain is returned when a resumed stream begins with an event that the caller has.
+var errBeginsAgain = errors.New("the stream was not resumed: it begins with an event that was sent before")
+
 // errCallerGone is returned when the caller cannot be written to.
 var errCallerGone = errors.New("the caller takes no more of the answer")
 
@@ -535,12 +539,20 @@
 	switch {
 	case x.format != formatEvents:
 	case c.route.Resumable:
+		last := c.events.lastID
 		var tooLong error
 		if b, tooLong = c.events.add(b); tooLong != nil {
 			x.countDrop(DropEventTooLong)
 			c.events.discardPartial()
 			return tooLong
 		}
+		if x.resumes && !x.joined && len(b) > 0 {
+			if x.joined = follows(firstID(b), last); !x.joined {
+				c.events.lastID = last
+				c.events.discardPartial()
+				return errBeginsAgain
+			}
+		}
 	default:
 		c.events.Scan(b)
 	}
