Leave endpoints alone that share their key with a row of another partition

Such a row, or its removal, took an endpoint out until its next report. Cause: the follower looked at a row's key only. Change: rows of other partitions concern no endpoint. Evidence: TestRowsOfOtherPartitionsConcernNoEndpoint failed before and passes.

--- a/internal/follow/endpoints.go
+++ b/internal/follow/endpoints.go
@@ -68,15 +68,16 @@
 	t.started, t.readAt = true, now
 	listed := map[ident.Endpoint]bool{}
 	for _, row := range rows {
-		name := ident.Endpoint(row.Key)
+		// A row of another partition is none of an endpoint's.
+		name, elsewhere := ident.Endpoint(row.Key), row.Part != ""
 		if row.Deleted {
-			changed = t.remove(now, name) || changed
+			changed = !elsewhere && t.remove(now, name) || changed
 			continue
 		}
 		e, err := platform.DecodeEndpoint(row)
 		if err != nil {
 			skipped = append(skipped, Skipped{Row: row.Key, Err: err})
-			changed = t.forget(name) || changed
+			changed = !elsewhere && t.forget(name) || changed
 			continue
 		}
 		listed[name] = true
--- a/internal/follow/endpoints_test.go
+++ b/internal/follow/endpoints_test.go
@@ -52,6 +52,20 @@
 	g.Expect(endpointNames(table)).To(BeEmpty(), "an invalid row describes no endpoint")
 }
 
+// Guards against a row of another partition that takes an endpoint out until its next report: it has
+// the endpoint's key, but is another row.
+func TestRowsOfOtherPartitionsConcernNoEndpoint(t *testing.T) {
+	g := NewWithT(t)
+	table := NewEndpoints()
+	table.Update(0, []platform.Row{readyRow("a", 1)}, true)
+	other := readyRow("a", 2)
+	other.Part = "p"
+	changed, skipped := table.Update(time.Second, []platform.Row{other, {Key: "a", Part: "p", Deleted: true}, {Key: "b", Part: "p"}}, false)
+	g.Expect(changed).To(BeFalse())
+	g.Expect(skipped).To(HaveLen(2), "those that are no removals are reported")
+	g.Expect(endpointNames(table)).To(Equal([]ident.Endpoint{"a"}))
+}
+
 // TestEntriesExpiredInAnOutageMayReappear checks that an entry that is missing when the store
 // is available again is kept for the grace period, because it may merely have expired. If it
 // does not reappear by then, the endpoint is gone.
