Know an event by the line that tells of other weights

Cause: the detection of events knew the standard fields only. Change: platform names the protocol's own field. Evidence: TestResumedStreamMayBeginWithTheLineOfOtherWeights failed before and passes.

--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -10,6 +10,7 @@
 
 	"github.com/trefoilchute/trefoilchute/internal/ruleset"
 	"github.com/trefoilchute/trefoilchute/internal/sse"
+	"github.com/trefoilchute/trefoilchute/platform"
 )
 
 // errEventTooLong is returned when an event exceeds the size limit.
@@ -117,7 +118,7 @@
 }
 
 // fieldNames are the names of an event's fields.
-var fieldNames = []string{"id", "data", "event", "retry"}
+var fieldNames = append([]string{"id", "data", "event", "retry"}, platform.EventFields...)
 
 // detectFormat returns the format that the first bytes of a body tell, or formatUndeclared if
 // more bytes are needed.
--- a/internal/gateway/events_test.go
+++ b/internal/gateway/events_test.go
@@ -122,6 +122,29 @@
 	}
 }
 
+// Guards against a resumed stream that is broken off because its first event begins with the line that
+// tells of other weights.
+func TestResumedStreamMayBeginWithTheLineOfOtherWeights(t *testing.T) {
+	const first, rest = "id: 0\ndata: a\n\n", "weight-versions: 7\nid: 1\ndata: b\n\n"
+	respond := func(body string, whole bool) script {
+		return func(e *scriptedExchange) bool {
+			e.write(sealedHead(200, e.attempt()) + "Transfer-Encoding: chunked\r\n\r\n" + chunk(body))
+			if whole {
+				e.write("0\r\n\r\n")
+			}
+			return whole
+		}
+	}
+	h := start(t, respond(first, false), respond(rest, true))
+	got := h.ask(post("/resumable/x", "id1", "prompt"))
+	h.Expect(got.err).NotTo(HaveOccurred())
+	h.Expect(got.body).To(Equal(first + rest))
+	h = start(t, respond(rest, true))
+	got = h.ask(post("/stream/x", "id2", "prompt"))
+	h.Expect(got.body).To(Equal(rest))
+	h.Expect((<-h.outcomes).Events).To(Equal(1), "a stream of events without a declared type")
+}
+
 // untilClose responds with a stream that has neither a length nor chunks and ends with its
 // connection.
 func untilClose(header, stream string) script {
