Draw odd figures and half-closed callers in the soak

Callers who send odd figures in the headers that the gateway decodes, and callers who close their sending side and read on, are among the kinds of the soak. What they get is checked like any answer.

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -141,6 +141,14 @@
 
 // judge checks an answer by itself and keeps it for the checks across requests.
 func (w *world) judge(o *observed) {
+	w.checkAnswer(o)
+	w.mu.Lock()
+	w.seen = append(w.seen, *o)
+	w.mu.Unlock()
+}
+
+// checkAnswer checks an answer by itself.
+func (w *world) checkAnswer(o *observed) {
 	a, attempt := &o.answer, o.request.Attempt
 	want := runner.Body(attempt)
 	if o.route == "stream" || o.route == "resumable" {
@@ -158,7 +166,4 @@
 	case a.Status != 0 && a.Attempt() != attempt && a.Status != 404:
 		w.fail("%s at %s: the answer is to %q", attempt, o.host, a.Attempt())
 	}
-	w.mu.Lock()
-	w.seen = append(w.seen, *o)
-	w.mu.Unlock()
 }
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -117,6 +117,8 @@
 		w.store.Remove("servers", "", key)
 	}},
 	{"prompt part crashes engines", func(w *world, d draws) { w.sendPoisonPart(w.life, w.hosts, 2*d.span) }},
+	{"odd figures", func(w *world, d draws) { w.sendOdd(d, "odd", setOddFigure) }},
+	{"half-closed callers", func(w *world, d draws) { w.sendOdd(d, "half", closeHalf) }},
 	{"key revoked", func(w *world, d draws) { w.revoke() }},
 	{"route changes", func(w *world, d draws) { w.changeRoutes(d) }},
 	{"route changes", func(w *world, d draws) { w.changeRoutes(d) }},
--- /dev/null
+++ b/internal/soak/odd.go
@@ -0,0 +1,64 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/trefoilchute/trefoilchute/internal/standin/caller"
+)
+
+const (
+	// oddEvery is the time between two odd requests, and oddLimit how long their caller waits.
+	oddEvery = 40 * time.Millisecond
+	oddLimit = 1 * time.Second
+	// latestHalfClose bounds the time after a request until its caller closes its sending side. Some
+	// answers are whole by then.
+	latestHalfClose = 80 * time.Millisecond
+)
+
+// oddHeaders are the headers whose odd figures callers send.
+var oddHeaders = []string{"Token-Usage", "Prompt-Prefix", "Length-Hint", "Deadline-Ms", "Last-Event-Id", "Model"}
+
+// oddFigures are figures, and texts that are none.
+var oddFigures = []string{
+	"0", "-1", "1e999", "NaN", "Inf", "-Inf", "0x7f", "2147483648", "3000000000", "4294967296",
+	"9223372036854775807", "9223372036854775808", "99999999999999999999999999", "1.5", "", "seven", ",", ":",
+}
+
+// setOddFigure gives one header of a request an odd value.
+func setOddFigure(r *rand.Rand, q *caller.Request) {
+	q.OddName = oddHeaders[r.IntN(len(oddHeaders))]
+	figure := func() string { return oddFigures[r.IntN(len(oddFigures))] }
+	switch q.OddName {
+	case "Token-Usage":
+		q.Odd = figure() + "," + figure()
+	case "Prompt-Prefix":
+		q.Odd = "aa:60,bb:" + figure() + ",cc:" + figure()
+	default:
+		q.Odd = figure()
+	}
+}
+
+// closeHalf lets the caller of a request close its sending side and read on.
+func closeHalf(r *rand.Rand, q *caller.Request) {
+	q.HalfClose = 1 + time.Duration(r.Int64N(int64(latestHalfClose)))
+}
+
+// sendOdd sends requests that differ from ordinary ones at the hosts in turn, for a time. What they get
+// is checked by itself; they need not be served.
+func (w *world) sendOdd(d draws, name string, change func(*rand.Rand, *caller.Request)) {
+	r := rand.New(rand.NewPCG(uint64(d.a), uint64(d.b)))
+	until := time.Now().Add(d.span)
+	for n := 0; time.Now().Before(until) && w.life.Err() == nil; n++ {
+		h := w.hosts[n%len(w.hosts)]
+		q, route := w.draw(r, fmt.Sprintf("%s%d-%d-%d", name, d.a, d.b, n))
+		q.Limit = oddLimit
+		change(r, &q)
+		c := caller.New(h.address)
+		o := observed{request: q, answer: c.Do(q), route: route, host: h.name}
+		c.Close()
+		w.checkAnswer(&o)
+		sleep(w.life, oddEvery)
+	}
+}
--- a/internal/standin/caller/caller.go
+++ b/internal/standin/caller/caller.go
@@ -23,6 +23,11 @@
 	PromptTokens, MaxTokens int
 	// Parts is the list of the prompt's parts, as ID:TOKENS; empty: one part.
 	Parts string
+	// Odd is the value of the header OddName, which is sent instead of the usual one, if any.
+	OddName, Odd string
+	// HalfClose is when the caller closes its sending side after the request, to read on; 0: it
+	// doesn't.
+	HalfClose time.Duration
 }
 
 // Answer is what came back.
@@ -82,6 +87,11 @@
 		return a
 	}
 	a.Sent = true
+	if q.HalfClose > 0 {
+		time.Sleep(q.HalfClose)
+		_ = c.conn.(*net.TCPConn).CloseWrite()
+		defer c.Close()
+	}
 	resp, err := http.ReadResponse(c.r, &http.Request{Method: q.Method})
 	if err != nil {
 		a.Err = err
@@ -99,14 +109,17 @@
 
 // text is the request as it is sent.
 func (q *Request) text() string {
-	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nDeadline-Ms: %d\r\n",
-		q.Method, q.Path, q.Host, q.Attempt, q.Limit.Milliseconds())
+	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\n", q.Method, q.Path, q.Host, q.Attempt)
+	head += q.header("Deadline-Ms", fmt.Sprint(q.Limit.Milliseconds()))
 	if q.Key != "" {
 		head += "Credential: " + q.Key + "\r\n"
 	}
 	if q.PromptTokens > 0 {
-		parts := cmp.Or(q.Parts, fmt.Sprintf("aa:%d", q.PromptTokens))
-		head += fmt.Sprintf("Model: m\r\nToken-Usage: %d,%d\r\nPrompt-Prefix: %s\r\n", q.PromptTokens, q.MaxTokens, parts)
+		head += q.header("Model", "m") + q.header("Token-Usage", fmt.Sprintf("%d,%d", q.PromptTokens, q.MaxTokens)) +
+			q.header("Prompt-Prefix", cmp.Or(q.Parts, fmt.Sprintf("aa:%d", q.PromptTokens)))
+	}
+	if q.OddName != "" {
+		head += q.OddName + ": " + q.Odd + "\r\n"
 	}
 	if q.Method != http.MethodGet {
 		head += fmt.Sprintf("Content-Length: %d\r\n", len(q.Body))
@@ -114,6 +127,14 @@
 	return head + "\r\n" + q.Body
 }
 
+// header returns a header line, unless an odd value takes its place.
+func (q *Request) header(name, value string) string {
+	if name == q.OddName {
+		return ""
+	}
+	return name + ": " + value + "\r\n"
+}
+
 // Promises reports whether a status says that the request was not run.
 func Promises(status int) bool {
 	switch status {
