Bring what is newer into force last

A version of the configuration, or a list of endpoints, that was read from the store could come into force after a newer one from another host: callers would be served by the older until the next change. Cause: what is known and what is in force were changed under different locks, by two goroutines. Change: each takes over and brings into force under one lock.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -97,8 +97,9 @@
 	// wakeups wakes the loops that read the store.
 	wakeups [2]chan struct{}
 
-	// ordersMu serializes the calls of OnOrders.
-	ordersMu sync.Mutex
+	// rulesetMu, endpointsMu and ordersMu serialize the calls of OnRuleset, OnEndpoints and OnOrders
+	// together with what they are told, so that nothing older comes into force after it.
+	rulesetMu, endpointsMu, ordersMu sync.Mutex
 
 	queryMu     sync.Mutex
 	seq         uint64
@@ -292,15 +293,41 @@
 		if err == nil {
 			*stored = storedConfiguration{version: next.Version, valid: true}
 		}
-		if f.state.adoptRuleset(next, unconfirmed) {
-			f.opts.OnRuleset(next, SourceStore)
-		}
+		f.adoptRuleset(next, unconfirmed, SourceStore)
 	}
 	if stored.valid {
 		f.state.confirm(stored.version, asked)
 	}
 }
 
+// adoptRuleset takes over a ruleset that was the newest at a given time, or unconfirmed, and brings it
+// into force if it is newer.
+func (f *Follower) adoptRuleset(r *ruleset.Ruleset, at time.Duration, source string) {
+	f.rulesetMu.Lock()
+	defer f.rulesetMu.Unlock()
+	if f.state.adoptRuleset(r, at) {
+		f.opts.OnRuleset(r, source)
+	}
+}
+
+// adoptEndpoints takes over the endpoints as of a given time.
+func (f *Follower) adoptEndpoints(list []platform.Endpoint, at time.Duration) {
+	f.endpointsMu.Lock()
+	defer f.endpointsMu.Unlock()
+	if f.state.adoptEndpoints(list, at) {
+		f.opts.OnEndpoints(list)
+	}
+}
+
+// adoptUncertain takes over endpoints of which some may be gone.
+func (f *Follower) adoptUncertain(list []platform.Endpoint, now time.Duration) {
+	f.endpointsMu.Lock()
+	defer f.endpointsMu.Unlock()
+	if f.state.adoptUncertain(list, now) {
+		f.opts.OnEndpoints(list)
+	}
+}
+
 // readConfiguration reads the operators' table: the whole, or the changes after a version.
 func (f *Follower) readConfiguration(ctx context.Context, after uint64) (platform.Page, error) {
 	if after == 0 {
@@ -339,14 +366,10 @@
 		for _, s := range skipped {
 			logs.With(f.opts.Log, logs.EndpointSkipped).WithField("endpoint", s.Row).WithError(s.Err).Warn()
 		}
-		list, adopted := table.List(), false
-		if table.Pending() {
-			adopted = f.state.adoptUncertain(list, asked)
+		if list := table.List(); table.Pending() {
+			f.adoptUncertain(list, asked)
 		} else {
-			adopted = f.state.adoptEndpoints(list, asked)
-		}
-		if adopted {
-			f.opts.OnEndpoints(list)
+			f.adoptEndpoints(list, asked)
 		}
 		sleep(ctx, endpointInterval)
 	}
--- a/internal/follow/peers.go
+++ b/internal/follow/peers.go
@@ -233,8 +233,8 @@
 		f.state.confirmEndpoints(m.GetEndpoints(), at)
 		return
 	}
-	if list, ok := f.endpointsOf(m); ok && f.state.adoptEndpoints(list, at) {
-		f.opts.OnEndpoints(list)
+	if list, ok := f.endpointsOf(m); ok {
+		f.adoptEndpoints(list, at)
 	}
 }
 
@@ -259,9 +259,7 @@
 		logs.With(f.opts.Log, logs.ConfigurationRejected).WithField("from", from).WithError(err).Error()
 		return
 	}
-	if f.state.adoptRuleset(r, at) {
-		f.opts.OnRuleset(r, string(from))
-	}
+	f.adoptRuleset(r, at, string(from))
 }
 
 // decodeEndpoints returns the endpoints of an answer.
--- a/internal/follow/peers_test.go
+++ b/internal/follow/peers_test.go
@@ -1,6 +1,7 @@
 package follow
 
 import (
+	"sync"
 	"testing"
 	"time"
 
@@ -13,6 +14,7 @@
 	"github.com/trefoilchute/trefoilchute/internal/ident"
 	"github.com/trefoilchute/trefoilchute/internal/peer/peerpb"
 	"github.com/trefoilchute/trefoilchute/internal/ruleset"
+	"github.com/trefoilchute/trefoilchute/platform"
 )
 
 // querier is a host that queries others for the store's contents.
@@ -136,6 +138,44 @@
 	g.Expect(calls(false)).To(BeNumerically("<=", 10))
 }
 
+// Guards against a version, or a list of endpoints, that comes into force after a newer one: the readings
+// of the store and the answers of other hosts come on different goroutines.
+func TestWhatIsNewerComesIntoForceLast(t *testing.T) {
+	g := NewWithT(t)
+	var f *Follower
+	var mu sync.Mutex
+	var versions []uint64
+	var lists [][]platform.Endpoint
+	var later sync.WaitGroup
+	log, _ := test.NewNullLogger()
+	f = New(Options{
+		Self: "h", Log: log,
+		OnRuleset: func(r *ruleset.Ruleset, _ string) {
+			if r.Version == 2 {
+				later.Go(func() { f.adoptRuleset(&ruleset.Ruleset{Version: 3}, time.Second, "other") })
+				time.Sleep(100 * time.Millisecond)
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			versions = append(versions, r.Version)
+		},
+		OnEndpoints: func(list []platform.Endpoint) {
+			if len(list) == 2 {
+				later.Go(func() { f.adoptEndpoints([]platform.Endpoint{{Name: "a"}}, 2*time.Second) })
+				time.Sleep(100 * time.Millisecond)
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			lists = append(lists, list)
+		},
+	})
+	f.adoptRuleset(&ruleset.Ruleset{Version: 2}, unconfirmed, SourceStore)
+	f.adoptEndpoints([]platform.Endpoint{{Name: "a"}, {Name: "b"}}, time.Second)
+	later.Wait()
+	g.Expect(versions).To(Equal([]uint64{2, 3}))
+	g.Expect(lists[len(lists)-1]).To(HaveLen(1))
+}
+
 // Guards against hundreds of starting hosts that all read the same tables: a host of a large fleet
 // waits for the readers, and reads the store itself if they don't answer.
 func TestStartingHostsLeaveTheFirstReadToTheReaders(t *testing.T) {
--- a/internal/platformhost/incarnation_test.go
+++ b/internal/platformhost/incarnation_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-
 	"testing"
 	"time"
 
