Count dropped events over steps, and restart schedulers that a second fault struck

Events that were dropped in a row counted within one step only, so a control state on which every event panics would not have ended the process. A panic less than a second after a restart left the schedulers with the state that the fault had left. Cause: the timers of each step counted as an applied event; a restart that came too soon was dropped. Change: events alone are counted, and a restart that comes too soon becomes due. Evidence: TestUnusableControlStatePanics, now over several steps, and TestSchedulersStartAnewAfterASecondFault pass; the first failed before.

--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -95,10 +95,12 @@
 	// ranked holds the hosts that may schedule a pool, as of rankedVersion of the membership.
 	ranked        map[ident.Pool][]ident.Host
 	rankedVersion uint64
-	// dropsInRow counts the events dropped since the last one that was applied, and restartedAt is
-	// when the schedulers were last restarted after a panic; 0 if never.
+	// dropsInRow counts the events dropped since the last one that was applied. restartedAt is when
+	// the schedulers were last restarted after a panic, 0 if never, and restartDue is set if they have
+	// to be again.
 	dropsInRow  int
 	restartedAt time.Duration
+	restartDue  bool
 	// recovering holds the claims of dead holders whose answers are being recovered.
 	recovering map[ident.Request]claimRecovery
 }
--- a/internal/control/protect.go
+++ b/internal/control/protect.go
@@ -33,19 +33,23 @@
 // protect runs f, which handles an event. It reports false if f panicked; the event is dropped then.
 func (c *Core) protect(event func() string, f func()) bool {
 	r := panics.Try(f)
-	if r == nil {
-		c.dropsInRow = 0
-		return true
+	if r != nil {
+		c.effects.Dropped = append(c.effects.Dropped, Dropped{Event: event(), Reason: r.Value, Stack: string(r.Stack)})
 	}
-	c.effects.Dropped = append(c.effects.Dropped, Dropped{Event: event(), Reason: r.Value, Stack: string(r.Stack)})
-	if c.dropsInRow++; c.dropsInRow >= maxDropsInRow {
-		panic(fmt.Sprintf("control: %d events in a row panicked, the last with: %v", c.dropsInRow, r.Value))
-	}
-	return false
+	return r == nil
 }
 
-// applyProtected applies an event and refuses its request if that panics.
+// applyProtected applies an event and refuses its request if that panics. It panics itself if too many
+// events in a row do.
 func (c *Core) applyProtected(e Event) {
+	before := len(c.effects.Dropped)
+	defer func() {
+		if len(c.effects.Dropped) == before {
+			c.dropsInRow = 0
+		} else if c.dropsInRow++; c.dropsInRow >= maxDropsInRow {
+			panic(fmt.Sprintf("control: %d events in a row panicked", c.dropsInRow))
+		}
+	}()
 	ok := c.protect(func() string { return fmt.Sprintf("%T", e) }, func() {
 		c.apply(e)
 		c.propagate()
@@ -82,15 +86,22 @@
 
 // tickSchedulers runs the schedulers' timers. If that panics, the schedulers start anew.
 func (c *Core) tickSchedulers() {
+	if c.restartDue {
+		c.restartSchedulers()
+	}
+	if c.restartDue {
+		return
+	}
 	if !c.protect(func() string { return "timers of the schedulers" }, func() { c.scheduling.Tick(c.now, &c.out) }) {
 		c.restartSchedulers()
 	}
 }
 
 // restartSchedulers gives up the state of the pools scheduled here, which a panic may have left
-// inconsistent. It is restored from the custodians' holdings, as after a take-over.
+// inconsistent. It is restored from the custodians' holdings, as after a take-over. If the last restart
+// was shortly before, it only makes the next one due.
 func (c *Core) restartSchedulers() {
-	if c.restartedAt > 0 && c.now < c.restartedAt+restartInterval {
+	if c.restartDue = c.restartedAt > 0 && c.now < c.restartedAt+restartInterval; c.restartDue {
 		return
 	}
 	c.restartedAt = max(1, c.now)
--- a/internal/control/protect_test.go
+++ b/internal/control/protect_test.go
@@ -84,11 +84,35 @@
 	g := NewWithT(t)
 	s := newScheduler()
 	var events []Event
-	for range maxDropsInRow {
+	for range maxDropsInRow / 2 {
 		events = append(events, inspection{run: panicking})
 	}
-	g.Expect(func() { s.Step(s.now, 0, append(events[1:], arrival("sound"))) }).NotTo(Panic())
-	g.Expect(func() { s.Step(s.now, 0, events) }).To(PanicWith(ContainSubstring("in a row")))
+	step := func(events ...Event) func() { return func() { s.Step(s.now, 0, events) } }
+	g.Expect(step(events...)).NotTo(Panic())
+	g.Expect(step()).NotTo(Panic())
+	g.Expect(step(append(events[1:], arrival("sound"))...)).NotTo(Panic())
+	g.Expect(step(events...)).NotTo(Panic())
+	g.Expect(step(events...)).To(PanicWith(ContainSubstring("in a row")))
+}
+
+// A second fault shortly after a restart leaves the schedulers without their timers until the next one,
+// and no longer.
+func TestSchedulersStartAnewAfterASecondFault(t *testing.T) {
+	g := NewWithT(t)
+	s := newScheduler()
+	for range 2 {
+		s.handleProtected(&peerpb.Envelope{}, func(*peerpb.Envelope) { panic("fault") })
+	}
+	served := map[ident.Request]bool{}
+	events, until := []Event{arrival("sound")}, s.now+3*restartInterval
+	for s.now < until {
+		for _, d := range s.Step(s.now, 0, events).Directives {
+			served[d.ID] = served[d.ID] || d.Kind == custody.Connect
+		}
+		events, s.now = nil, max(s.now+time.Millisecond, s.NextWake())
+	}
+	g.Expect(served).To(HaveKeyWithValue(ident.Request("sound"), true))
+	g.Expect(s.restartDue).To(BeFalse())
 }
 
 // Guards against callers that are held by a loop that takes no events.
