--- a/internal/gateway/reset_test.go
+++ b/internal/gateway/reset_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -100,10 +101,10 @@
 	part := func(i int) string { return fmt.Sprintf("id: %d\ndata: x\n\n", i) }
 	for _, version := range []string{"HTTP/1.0", "HTTP/1.1"} {
 		t.Run(version, func(t *testing.T) {
-			ends := 0
+			var runs atomic.Int64
 			h := start(t, func(e *scriptedExchange) bool {
-				e.write(sealedHead(200, e.attempt()) + "Content-Type: text/event-stream\r\n\r\n" + part(ends))
-				ends++
+				run := int(runs.Add(1)) - 1
+				e.write(sealedHead(200, e.attempt()) + "Content-Type: text/event-stream\r\n\r\n" + part(run))
 				resetOnClose(e)
 				return false
 			})
