Read an endpoint's process in the soak under its lock

The soak's own code was at fault, not a host; no promise was broken. Change: faults take an endpoint's process and proxy under the lock.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -80,7 +80,8 @@
 	}},
 	{"endpoint link", func(w *world, d draws) {
 		if s := w.pick(d.a); s != nil {
-			w.spoilLink("endpoint link", "", s.proxy, d)
+			_, p := w.process(s)
+			w.spoilLink("endpoint link", "", p, d)
 		}
 	}},
 	{"endpoint crash", func(w *world, d draws) { w.crash(d) }},
@@ -88,15 +89,17 @@
 	{"answers lost", func(w *world, d draws) {
 		if s := w.pick(d.a); s != nil {
 			end := w.spoil("answers lost", "")
-			s.runner.Lose(1 + d.b%mostSpoilt)
+			r, _ := w.process(s)
+			r.Lose(1 + d.b%mostSpoilt)
 			time.Sleep(d.span)
-			s.runner.Lose(0)
+			r.Lose(0)
 			end()
 		}
 	}},
 	{"runs fail", func(w *world, d draws) {
 		if s := w.pick(d.a); s != nil {
-			s.runner.Fail(1 + d.b%mostSpoilt)
+			r, _ := w.process(s)
+			r.Fail(1 + d.b%mostSpoilt)
 		}
 	}},
 	{"answers garbled", func(w *world, d draws) { w.garble(d) }},
@@ -107,7 +110,8 @@
 	{"endpoint says it leaves", func(w *world, d draws) { w.sayLeaving(d) }},
 	{"endpoint turns away", func(w *world, d draws) {
 		if s := w.pick(d.a); s != nil {
-			s.runner.TurnAway(1+d.b%mostTurned, d.span)
+			r, _ := w.process(s)
+			r.TurnAway(1+d.b%mostTurned, d.span)
 		}
 	}},
 	{"odd row", func(w *world, d draws) {
@@ -216,6 +220,13 @@
 	return list[n%len(list)]
 }
 
+// process returns an endpoint's present process and its proxy, which another fault may replace.
+func (w *world) process(s *server) (*runner.Runner, *proxy) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return s.runner, s.proxy
+}
+
 // crash ends an endpoint's process and starts it again.
 func (w *world) crash(d draws) {
 	s := w.pick(d.a)
@@ -223,7 +234,8 @@
 		return
 	}
 	defer w.spoil("endpoint crash", "")()
-	_ = s.runner.Close()
+	r, _ := w.process(s)
+	_ = r.Close()
 	w.bringBack(s, d.span)
 }
 
