--- a/internal/soak/odd.go
+++ b/internal/soak/odd.go
@@ -18,9 +18,6 @@
 	latestHalfClose = 80 * time.Millisecond
 )
 
-// oddHeaders are the headers whose odd figures callers send.
-var oddHeaders = []string{"Token-Usage", "Prompt-Prefix", "Length-Hint", "Deadline-Ms", "Model"}
-
 // oddFigures are figures, and texts that are none.
 var oddFigures = []string{
 	"0", "-1", "1e999", "NaN", "Inf", "-Inf", "0x7f", "2147483648", "3000000000", "4294967296",
@@ -32,16 +29,7 @@
 	route = "stream"
 	q.Method, q.Path, q.Body = "POST", "/"+route+"/"+q.Attempt, "body of "+q.Attempt
 	q.PromptTokens, q.MaxTokens = minPrompt, maxOutput
-	q.OddName = oddHeaders[r.IntN(len(oddHeaders))]
-	figure := func() string { return oddFigures[r.IntN(len(oddFigures))] }
-	switch q.OddName {
-	case "Token-Usage":
-		q.Odd = figure() + "," + figure()
-	case "Prompt-Prefix":
-		q.Odd = "aa:60,bb:" + figure() + ",cc:" + figure()
-	default:
-		q.Odd = figure()
-	}
+	q.SetOdd(r.IntN(caller.FigureHeaders), func() string { return oddFigures[r.IntN(len(oddFigures))] })
 	return route
 }
 
--- a/internal/standin/caller/caller.go
+++ b/internal/standin/caller/caller.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"time"
 )
 
@@ -23,8 +24,8 @@
 	PromptTokens, MaxTokens int
 	// Parts is the list of the prompt's parts, as ID:TOKENS; empty: one part.
 	Parts string
-	// Odd is the value of the header OddName, which is sent instead of the usual one, if any.
-	OddName, Odd string
+	// oddName and odd are a header that is sent instead of the usual one, if any; see SetOdd.
+	oddName, odd string
 	// HalfClose is when the caller closes its sending side after the request, to read on; 0: it
 	// doesn't.
 	HalfClose time.Duration
@@ -118,8 +119,8 @@
 		head += q.header("Model", "m") + q.header("Token-Usage", fmt.Sprintf("%d,%d", q.PromptTokens, q.MaxTokens)) +
 			q.header("Prompt-Prefix", cmp.Or(q.Parts, fmt.Sprintf("aa:%d", q.PromptTokens)))
 	}
-	if q.OddName != "" {
-		head += q.OddName + ": " + q.Odd + "\r\n"
+	if q.oddName != "" {
+		head += q.oddName + ": " + q.odd + "\r\n"
 	}
 	if q.Method != http.MethodGet {
 		head += fmt.Sprintf("Content-Length: %d\r\n", len(q.Body))
@@ -129,12 +130,28 @@
 
 // header returns a header line, unless an odd value takes its place.
 func (q *Request) header(name, value string) string {
-	if name == q.OddName {
+	if name == q.oddName {
 		return ""
 	}
 	return name + ": " + value + "\r\n"
 }
 
+// FigureHeaders is the number of headers that SetOdd can replace.
+const FigureHeaders = 5
+
+// figureHeaders are the headers whose values are decoded. Each "#" is a figure.
+var figureHeaders = [FigureHeaders]struct{ name, value string }{
+	{"Token-Usage", "#,#"}, {"Prompt-Prefix", "aa:60,bb:#,cc:#"}, {"Length-Hint", "#"}, {"Deadline-Ms", "#"}, {"Model", "#"},
+}
+
+// SetOdd replaces header n, from 0 to FigureHeaders-1, by one with the figures that figure returns.
+func (q *Request) SetOdd(n int, figure func() string) {
+	q.oddName, q.odd = figureHeaders[n].name, figureHeaders[n].value
+	for strings.Contains(q.odd, "#") {
+		q.odd = strings.Replace(q.odd, "#", figure(), 1)
+	}
+}
+
 // Promises reports whether a status says that the request was not run.
 func Promises(status int) bool {
 	switch status {
