--- a/review/harness3/main.go
+++ b/review/harness3/main.go
@@ -16,11 +16,11 @@
 
 // cases maps the names of cases to what they do. A case returns whether its rule was broken.
 var cases = map[string]func(*world) (bool, error){
-	"quota-cut":      quotaCut,
-	"budget-kill":    budgetKill,
-	"quota-drill":    quotaDrill,
-	"memory":         memoryOfPrompts,
-	"quota-long-cut": quotaLongCut,
+	"quota-cut":   quotaCut,
+	"budget-kill": budgetKill,
+	"stall":       stallOfCrash,
+	"quota-drill": quotaDrill,
+	"memory":      memoryOfPrompts,
 }
 
 func main() {
--- a/review/harness3/runner.go
+++ b/review/harness3/runner.go
@@ -35,9 +35,12 @@
 	id, service, address, zone string
 	// failing is the part of the runs that fail, in percent.
 	failing atomic.Int64
-	// events is the number of events of a stream.
-	events  atomic.Int64
-	born    int64
+	// events is the number of events of a stream, and prefill the time to the first of them.
+	events, prefill atomic.Int64
+	born            int64
+	server          *http.Server
+	// down is set while the runner does not run.
+	down    bool
 	record  *record
 	slots   chan struct{}
 	waiting atomic.Int64
@@ -53,12 +56,11 @@
 		return nil, err
 	}
 	x := &runner{
-		id: id, service: service, address: ln.Addr().String(), zone: zone, born: time.Now().UnixMilli(),
+		id: id, service: service, address: ln.Addr().String(), zone: zone,
 		record: r, slots: make(chan struct{}, runnerSlots),
 	}
 	x.events.Store(shortStream)
-	server := &http.Server{Handler: x, ReadHeaderTimeout: 5 * time.Second}
-	go func() { _ = server.Serve(ln) }()
+	x.serve(ln)
 	x.report(s)
 	go func() {
 		for {
@@ -69,10 +71,38 @@
 	return x, nil
 }
 
+// serve begins a lifetime.
+func (x *runner) serve(ln net.Listener) {
+	server := &http.Server{Handler: x, ReadHeaderTimeout: 5 * time.Second}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.server, x.down, x.born = server, false, time.Now().UnixMilli()
+	go func() { _ = server.Serve(ln) }()
+}
+
+// crash ends the runner, and starts it again after a time under the same id.
+func (x *runner) crash(s *store, after time.Duration) {
+	x.mu.Lock()
+	x.down = true
+	_ = x.server.Close()
+	x.mu.Unlock()
+	time.Sleep(after)
+	ln, err := net.Listen("tcp", x.address)
+	if err != nil {
+		x.record.notef("%s can't start again: %v", x.id, err)
+		return
+	}
+	x.serve(ln)
+	x.report(s)
+}
+
 // report writes the runner's row.
 func (x *runner) report(s *store) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
+	if x.down {
+		return
+	}
 	x.sequence++
 	value, err := json.Marshal(map[string]any{
 		"service": x.service, "address": x.address, "zone": x.zone, "version": "1", "slots": runnerSlots, "state": "ready",
@@ -122,6 +152,7 @@
 		http.Error(w, "the run failed", http.StatusInternalServerError)
 		return
 	}
+	time.Sleep(time.Duration(x.prefill.Load()))
 	h.Set("Content-Type", "text/event-stream")
 	for i := range x.events.Load() {
 		time.Sleep(eventTime)
