Add review case 15: a host that starts in a drill of the store takes a revoked key

The host takes keys by the older configuration that the store came back with, until another host tells it of a later one. The case of the retry budget gives way to it.

--- a/review/15/run.sh
+++ b/review/15/run.sh
@@ -2,4 +2,4 @@
 # Exits with 1 if the rule was broken, 0 if it held and 2 if the case could not run.
 # TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
-exec target/review-3/harness3 budget-kill review/15/record.txt
+exec target/review-3/harness3 revoked-key review/15/record.txt
--- a/review/harness3/main.go
+++ b/review/harness3/main.go
@@ -17,8 +17,8 @@
 // cases maps the names of cases to what they do. A case returns whether its rule was broken.
 var cases = map[string]func(*world) (bool, error){
 	"quota-cut":   quotaCut,
-	"budget-kill": budgetKill,
 	"stall":       stallOfCrash,
+	"revoked-key": revokedKey,
 	"quota-drill": quotaDrill,
 	"memory":      memoryOfPrompts,
 }
