Read changes of the store within one era only

Cause: reads of changes go on from a version of the store. The store gives versions out again after it came back; once it had passed the last version read, there was no 410, the changes up to it were never told, and each poll without changes confirmed the configuration in force. The header Store-Era, which tells the histories apart, was not read.

Change: what a read goes on from is a version and its era. An answer of another era means that the whole table is read again, for the configuration, the endpoints, the hosts and the roll-outs. An answer of an earlier era than another one is no answer. An invalid header is logged and counts as none. The era is in the logs (store_era) and the metrics (trefoilchute_platform_era).

--- a/internal/follow/configuration_test.go
+++ b/internal/follow/configuration_test.go
@@ -23,8 +23,9 @@
 	store    *store.Server
 	follower *Follower
 
-	mu      sync.Mutex
-	inForce []uint64
+	mu        sync.Mutex
+	inForce   []uint64
+	endpoints []platform.Endpoint
 }
 
 // newConfigurationReader returns a host that has taken over version 1.
@@ -43,6 +44,11 @@
 			defer h.mu.Unlock()
 			h.inForce = append(h.inForce, r.Version)
 		},
+		OnEndpoints: func(list []platform.Endpoint) {
+			h.mu.Lock()
+			defer h.mu.Unlock()
+			h.endpoints = list
+		},
 	})
 	h.follower.Start(1)
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -247,26 +247,27 @@
 func (f *Follower) FollowConfiguration(ctx context.Context) {
 	f.awaitStart(ctx)
 	dep := dependency{log: f.opts.Log, name: "configuration", reading: f.reading.Load}
-	var after uint64
+	var after platform.Position
 	var table orders
 	var stored storedConfiguration
 	for ctx.Err() == nil {
 		if f.pause(ctx, f.wakeups[0]) {
-			after = 0
+			after = platform.Position{}
 		}
+		whole := after.Version == 0
 		asked := clock.Boot()
 		page, err := f.readConfiguration(ctx, after)
 		if !dep.afterCall(ctx, err) {
-			after = 0
+			after = platform.Position{}
 			continue
 		}
-		if waited := after > 0 && clock.Boot()-asked >= configurationWait; waited {
+		if waited := !whole && clock.Boot()-asked >= configurationWait; waited {
 			// The store has held the poll open for this long since it received it.
 			asked += configurationWait
 		}
-		f.applyOrders(&table, page, asked, after == 0)
-		f.applyConfiguration(&stored, page, asked, after == 0)
-		after = page.Version
+		f.applyOrders(&table, page, asked, whole)
+		f.applyConfiguration(&stored, page, asked, whole)
+		after = page.Position()
 	}
 }
 
@@ -328,9 +329,9 @@
 	}
 }
 
-// readConfiguration reads the operators' table: the whole, or the changes after a version.
-func (f *Follower) readConfiguration(ctx context.Context, after uint64) (platform.Page, error) {
-	if after == 0 {
+// readConfiguration reads the operators' table: the whole, or the changes after a position.
+func (f *Follower) readConfiguration(ctx context.Context, after platform.Position) (platform.Page, error) {
+	if after.Version == 0 {
 		ctx, cancel := context.WithTimeout(ctx, callTimeout)
 		defer cancel()
 		return f.opts.Store.ReadTable(ctx, platform.TableOperator, "")
@@ -346,22 +347,22 @@
 	dep := dependency{log: f.opts.Log, name: "endpoints", reading: f.reading.Load}
 	table := NewEndpoints()
 	table.withVersions = f.opts.OnOrders != nil
-	var after uint64
+	var after platform.Position
 	for n := 1; ctx.Err() == nil; n++ {
 		if f.pause(ctx, f.wakeups[1]) {
-			after = 0
+			after = platform.Position{}
 		}
-		whole := after == 0 || n%fullReadEvery == 0
-		if after == 0 {
+		whole := after.Version == 0 || n%fullReadEvery == 0
+		if after.Version == 0 {
 			table.ResetTo(f.state.known())
 		}
 		asked := clock.Boot()
 		page, err := f.readEndpoints(ctx, after, whole)
 		if !dep.afterCall(ctx, err) {
-			after = 0
+			after = platform.Position{}
 			continue
 		}
-		after = page.Version
+		after = page.Position()
 		_, skipped := table.Update(clock.Boot(), page.Rows, whole)
 		for _, s := range skipped {
 			logs.With(f.opts.Log, logs.EndpointSkipped).WithField("endpoint", s.Row).WithError(s.Err).Warn()
@@ -375,8 +376,8 @@
 	}
 }
 
-// readEndpoints reads the endpoints' table: the whole, or the changes after a version.
-func (f *Follower) readEndpoints(ctx context.Context, after uint64, whole bool) (platform.Page, error) {
+// readEndpoints reads the endpoints' table: the whole, or the changes after a position.
+func (f *Follower) readEndpoints(ctx context.Context, after platform.Position, whole bool) (platform.Page, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	if whole {
--- a/internal/logs/event.go
+++ b/internal/logs/event.go
@@ -35,6 +35,7 @@
 	SuspectNotKept        Event = "suspect_not_kept"
 	DependencyLost        Event = "dependency_lost"
 	DependencyRegained    Event = "dependency_regained"
+	StoreEra              Event = "store_era"
 	Settings              Event = "settings"
 	SettingsRejected      Event = "settings_rejected"
 	PoolScheduler         Event = "pool_scheduler"
@@ -125,6 +126,7 @@
 	{EndpointSkipped, "A row in the endpoints' table names no endpoint to use."},
 	{DependencyLost, "A call that the host depends on failed; it goes on with what it has and tries again."},
 	{DependencyRegained, "A dependency works again."},
+	{StoreEra, "The platform's store has named an era for the first time, or another one: it came back from an older copy, and what was written since is gone. As a warning: its header names no era."},
 	{Settings, "The settings file was read, at the start or again; version names the settings in force, applied the keys that changed, at_start those that the next start changes."},
 	{SettingsRejected, "A settings file that was read again is in error, as the reason says; the settings in force stay."},
 	{PoolScheduler, "The host that schedules a pool, as this host sees it, has changed."},
--- a/internal/metrics/instruments.go
+++ b/internal/metrics/instruments.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"math"
 	"slices"
 
 	"go.opentelemetry.io/otel/attribute"
@@ -117,6 +118,7 @@
 	share := b.floatGauge(nameRateShare)
 	age := b.floatGauge(nameAge)
 	settings := b.gauge(nameSettings)
+	era := b.gauge(nameStoreEra)
 	held, budget, connections := b.gauge(nameHeld), b.gauge(nameBudget), b.gauge(nameConnections)
 	peerMessages, peerBytes := b.observedCounter(namePeerMessages), b.observedCounter(namePeerBytes)
 	if b.err != nil {
@@ -146,6 +148,9 @@
 		for team, part := range s.RateShare {
 			o.ObserveFloat64(share, part, metric.WithAttributes(attribute.String(labelTeam, string(team))))
 		}
+		if s.StoreEra != nil {
+			o.ObserveInt64(era, int64(min(*s.StoreEra, math.MaxInt64)))
+		}
 		for of, since := range s.Age {
 			o.ObserveFloat64(age, since.Seconds(), metric.WithAttributes(attribute.String(labelOf, of)))
 		}
@@ -159,7 +164,7 @@
 		}
 		return nil
 	}, revision, members, waiting, inFlight, slots, endpoints, suspects, rollouts, rolloutShare, load, promises, left, share, age,
-		settings, held, budget, connections, peerMessages, peerBytes)
+		settings, era, held, budget, connections, peerMessages, peerBytes)
 	b.note(err)
 }
 
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -61,6 +61,8 @@
 	Promises map[NameState]int
 	// Age is the time since what is known was the newest, by what it is.
 	Age map[string]time.Duration
+	// StoreEra is the era that the platform's store has named; nil if none.
+	StoreEra *uint64
 	// Held is the number of bytes held for callers by kind, Budget the most that may be, and
 	// Connections the number of callers' connections.
 	Held        map[string]int64
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -32,6 +32,7 @@
 // record records each metric at least once.
 func record(t *testing.T) *Metrics {
 	t.Helper()
+	storeEra := uint64(7)
 	m, err := New(func() Status {
 		return Status{
 			Revision: 7, InFlight: 2, Members: map[string]int{"alive": 3},
@@ -43,6 +44,7 @@
 			Promises:  map[NameState]int{{Name: "llm@a", State: "kept"}: 1},
 			Load:      map[NameState]int{{Name: "llm@a", State: "slow"}: 1},
 			Age:       map[string]time.Duration{"configuration": 500 * time.Millisecond},
+			StoreEra:  &storeEra,
 			Settings:  "5e771465", Held: map[string]int64{"bodies": 72000}, Budget: 1 << 20, Connections: 3,
 			Rollouts: map[NameState]int{{Name: "m", State: "watching"}: 1}, RolloutShare: map[string]float64{"m": 0.1},
 			Peer: []PeerTraffic{{Kind: "usage", Domain: "other", Messages: 3, Bytes: 120}},
@@ -117,6 +119,7 @@
 		`trefoilchute_slots{pool="llm@a",state="decoding"} 4`,
 		`trefoilchute_endpoints{state="active",target="llm"} 6`,
 		`trefoilchute_age_seconds{of="configuration"} 0.5`,
+		`trefoilchute_platform_era 7`,
 		`trefoilchute_peer_messages_total{domain="other",kind="usage"} 3`,
 		`trefoilchute_peer_sent_bytes_total{domain="other",kind="usage"} 120`,
 	} {
--- a/internal/metrics/table.go
+++ b/internal/metrics/table.go
@@ -25,6 +25,7 @@
 	unitHosts    = "{host}"
 	unitCalls    = "{call}"
 	unitRevision = "{revision}"
+	unitEra      = "{era}"
 	unitTries    = "{try}"
 	unitShare    = "{part}"
 	unitSlots    = "{slot}"
@@ -65,6 +66,7 @@
 	nameSlots         = "trefoilchute.slots"
 	nameEndpoints     = "trefoilchute.endpoints"
 	nameAge           = "trefoilchute.age"
+	nameStoreEra      = "trefoilchute.platform.era"
 	nameSettings      = "trefoilchute.settings"
 	nameReloads       = "trefoilchute.settings.reloads"
 	nameDropped       = "trefoilchute.answers.dropped"
@@ -138,6 +140,7 @@
 	{nameLoad, kindGauge, unitEndpoint, []string{labelPool, labelState}, "Endpoints of the pools that this host schedules, by the load that their answers stated within the last second: slow (work takes more than one and a half times as long as usual), usual or unknown."},
 	{namePromises, kindCounter, unitRequests, []string{labelPool, labelState}, "Requests refused for lack of room by the pools that this host schedules: promised or without (a time at which capacity is kept for the caller); and returns: kept (at the promised time), early (before it) or lapsed (not by then)."},
 	{nameAge, kindGauge, unitSeconds, []string{labelOf}, "Time since this host knew the configuration, or the endpoints, to be the newest, and since its control_loop completed a step."},
+	{nameStoreEra, kindGauge, unitEra, nil, "Era that the platform's store has named; absent while it has named none."},
 	{nameSettings, kindGauge, unitProcess, []string{labelVersion}, "1 for the version of the settings in force in this process."},
 	{nameReloads, kindCounter, unitReloads, []string{labelOutcome}, "Settings files that were read again: applied, unchanged, at_start (keys that wait for a start) or rejected."},
 	{nameDropped, kindCounter, unitAnswers, []string{labelReason}, "Answers of endpoints that were not taken whole: head_too_long, invalid_head, event_too_long, another_request, rest_not_taken or reset (before the end of one that ends with its connection); not_delivered are requests that were aborted because the endpoint did not acknowledge them."},
--- a/internal/platformhost/host.go
+++ b/internal/platformhost/host.go
@@ -98,6 +98,7 @@
 	h.settings.Store(&s)
 	h.limitMemory(&s)
 	h.store = platform.NewStore(s.Store, h.countStoreCall)
+	h.store.OnEra(h.logEra)
 	h.lifetime, h.cancel = context.WithCancel(context.Background())
 	var err error
 	if h.metrics, err = metrics.New(h.status); err != nil {
--- a/internal/platformhost/incarnation_test.go
+++ b/internal/platformhost/incarnation_test.go
@@ -11,6 +11,7 @@
 	"github.com/trefoilchute/trefoilchute/internal/control"
 	"github.com/trefoilchute/trefoilchute/internal/ident"
 	"github.com/trefoilchute/trefoilchute/internal/standin/store"
+	"github.com/trefoilchute/trefoilchute/platform"
 )
 
 // Guards against a process that the other hosts take for its predecessor after the time of day went
@@ -24,7 +25,7 @@
 				s.Put("trefoilchute-hosts", "hosts", "host-1", fmt.Appendf(nil,
 					`{"name":"host-1","address":"127.0.0.1:9","domain":"region",%q:%d,"written":%d}`, field, predecessor, time.Now().UnixMilli()))
 			})
-			list, err := h.store.Hosts(context.Background(), 0)
+			list, err := h.store.Hosts(context.Background(), platform.Position{})
 			g.Expect(err).NotTo(HaveOccurred())
 			g.Expect(list.Hosts).To(HaveExactElements(HaveField("Incarnation", BeNumerically(">", predecessor))))
 			g.Expect(h.loop.Inspect(context.Background(), func(c *control.Core) {
--- a/internal/platformhost/join.go
+++ b/internal/platformhost/join.go
@@ -51,7 +51,7 @@
 		return nil
 	}
 	bounded, cancel := context.WithTimeout(ctx, firstListTimeout)
-	list, err := h.store.Hosts(bounded, 0)
+	list, err := h.store.Hosts(bounded, platform.Position{})
 	cancel()
 	if err == nil {
 		h.postHosts(list)
@@ -65,7 +65,7 @@
 	h.group.Go("store messages", func() { h.receiveStoreMessages(h.lifetime) })
 	h.connected.Store(true)
 	h.restoreSuspects(shared.Suspects)
-	h.followHosts(ctx, list.Version)
+	h.followHosts(ctx, list.Position)
 	return nil
 }
 
@@ -96,11 +96,11 @@
 	return uint32(millicoresPerCore * s.Cores * s.CoreShare)
 }
 
-// followHosts reads the changes of the list of hosts after a version, several times in the first
+// followHosts reads the changes of the list of hosts after a position, several times in the first
 // seconds and then whenever this host writes its row again, until ctx is done.
-func (h *Host) followHosts(ctx context.Context, version uint64) {
+func (h *Host) followHosts(ctx context.Context, after platform.Position) {
 	delays := relistDelays
-	if version == 0 {
+	if after.Version == 0 {
 		delays = append([]time.Duration{0}, delays...)
 	}
 	for n := 0; ; n++ {
@@ -120,12 +120,12 @@
 					return platform.HostList{}, err
 				}
 			}
-			return h.store.Hosts(ctx, version)
+			return h.store.Hosts(ctx, after)
 		})
 		if !ok {
 			return
 		}
-		version = list.Version
+		after = list.Position
 		h.postHosts(list)
 	}
 }
--- a/internal/platformhost/record.go
+++ b/internal/platformhost/record.go
@@ -164,6 +164,16 @@
 	h.metrics.Called(path, storeOutcome(err), duration)
 }
 
+// logEra logs a change of the store's era.
+func (h *Host) logEra(c platform.EraChange) {
+	line := logs.With(h.log, logs.StoreEra).WithFields(logrus.Fields{"from": c.From.String(), "to": c.To.String()})
+	if c.Invalid != nil {
+		line.WithField("header", c.Invalid).Warn("the header names no era")
+		return
+	}
+	line.Info()
+}
+
 // storeOutcome returns the metric label for the result of a store call.
 func storeOutcome(err error) string {
 	switch {
@@ -200,6 +210,9 @@
 		s.Age["endpoints"] = age
 	}
 	s.Age["control_loop"] = h.loop.Idle()
+	if era := h.store.Era(); era.Named {
+		s.StoreEra = &era.Number
+	}
 	usage := h.gateway.MemoryUsage()
 	s.Budget, s.Connections, s.Held = usage.Limits.Bytes, usage.Connections, map[string]int64{}
 	for kind, bytes := range usage.Held {
--- a/internal/platformhost/rollouts.go
+++ b/internal/platformhost/rollouts.go
@@ -113,19 +113,19 @@
 // readRollouts reads the rows once at the start, because an order may have been withdrawn while
 // no host ran, and keeps them up to date while this host has to decide an order.
 func (h *Host) readRollouts(ctx context.Context) {
-	var after uint64
+	var after platform.Position
 	wait := rolloutFirstRetry
 	for ctx.Err() == nil {
 		if look(&h.rollouts, func(b *rolloutBook) bool { return b.readAt > 0 && !b.needsRows() }) {
-			after = 0
+			after = platform.Position{}
 			select {
 			case <-ctx.Done():
 			case <-h.rollouts.wake[0]:
 			}
 			continue
 		}
-		version, err := h.readRolloutRows(ctx, after)
-		if after = version; err == nil {
+		next, err := h.readRolloutRows(ctx, after)
+		if after = next; err == nil {
 			wait = rolloutFirstRetry
 			continue
 		}
@@ -137,10 +137,10 @@
 	}
 }
 
-// readRolloutRows reads the whole table, or its changes after a version, and returns the version
-// of what it has read; 0 after an error.
-func (h *Host) readRolloutRows(ctx context.Context, after uint64) (uint64, error) {
-	asked, whole := clock.Boot(), after == 0
+// readRolloutRows reads the whole table, or its changes after a position, and returns the position
+// after what it has read; the beginning after an error.
+func (h *Host) readRolloutRows(ctx context.Context, after platform.Position) (platform.Position, error) {
+	asked, whole := clock.Boot(), after.Version == 0
 	var page platform.Page
 	var err error
 	if whole {
@@ -158,7 +158,7 @@
 		if !before {
 			logs.With(h.log, logs.RolloutNotStored).WithError(err).Warn("the rows can't be read")
 		}
-		return 0, err
+		return platform.Position{}, err
 	}
 	if !whole && clock.Boot()-asked >= rolloutWait {
 		// The store has held the poll open for this long since it received it.
@@ -173,7 +173,7 @@
 	for _, target := range skipped {
 		logs.With(h.log, logs.RolloutNotStored).WithField("target", target).Warn("the stored row is invalid")
 	}
-	return page.Version, nil
+	return page.Position(), nil
 }
 
 // logRollout logs a state that was read from the store.
@@ -203,7 +203,7 @@
 		}
 		err := h.writeRollout(ctx, write)
 		// Whatever became of the write, the rows tell. Only after an answer is the next one due.
-		_, readErr := h.readRolloutRows(ctx, 0)
+		_, readErr := h.readRolloutRows(ctx, platform.Position{})
 		if err == nil && readErr == nil {
 			wait = rolloutFirstRetry
 			continue
--- a/internal/standin/store/rows.go
+++ b/internal/standin/store/rows.go
@@ -103,9 +103,9 @@
 }
 
 // since returns the changes of a table after a version; false when they are not
-// kept any more.
+// kept any more, or when the store hasn't given out that version.
 func (t *rows) since(table string, after uint64) ([]row, bool) {
-	if after < t.forgotten {
+	if after < t.forgotten || after > t.version {
 		return nil, false
 	}
 	var out []row
--- a/internal/standin/store/server.go
+++ b/internal/standin/store/server.go
@@ -43,16 +43,21 @@
 	late  sync.WaitGroup
 	// notify is told each row that is put; nil: nobody is.
 	notify func(table, key string, value []byte)
+	// era counts the times that the store came back from a copy, and eraHeader holds the values of the
+	// header that names it.
+	era       uint64
+	eraHeader []string
+	conns     map[net.Conn]struct{}
 }
 
 // New returns an empty store.
 func New() *Server {
-	s := &Server{rows: newRows(), calls: map[string]int{}}
+	s := &Server{rows: newRows(), calls: map[string]int{}, conns: map[net.Conn]struct{}{}}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/rows-tx", s.transact)
 	mux.HandleFunc("GET /v1/rows-get", s.get)
 	mux.HandleFunc("GET /v1/rows-feed", s.feed)
-	s.http = &http.Server{Handler: s.faulty(mux)}
+	s.http = &http.Server{Handler: s.faulty(mux), ConnState: s.track}
 	return s
 }
 
@@ -145,6 +150,9 @@
 			}
 		}
 		if f.Refuse != 0 {
+			s.mu.Lock()
+			s.setEra(w)
+			s.mu.Unlock()
 			w.WriteHeader(f.Refuse)
 			return
 		}
@@ -152,11 +160,14 @@
 	})
 }
 
-// answer writes a JSON answer.
-func answer(w http.ResponseWriter, status int, v any) {
+// answer writes a page.
+func answer(w http.ResponseWriter, status int, p page) {
 	w.Header().Set("Content-Type", "application/json")
+	for _, value := range p.era {
+		w.Header().Add(headerEra, value)
+	}
 	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(v)
+	_ = json.NewEncoder(w).Encode(p)
 }
 
 // page is an answer with rows.
@@ -165,6 +176,8 @@
 	More    bool   `json:"has_more"`
 	Version uint64 `json:"ver"`
 	Now     int64  `json:"now_ms"`
+	// era holds the values of the header that names the era.
+	era []string
 }
 
 // page returns rows with the version of now. The caller holds the lock.
@@ -176,7 +189,7 @@
 	if list == nil {
 		list = []row{}
 	}
-	return page{Rows: list, More: more, Version: s.rows.version, Now: time.Since(s.rows.started).Milliseconds()}
+	return page{Rows: list, More: more, Version: s.rows.version, Now: time.Since(s.rows.started).Milliseconds(), era: s.eraHeader}
 }
 
 // transact applies a transaction.
@@ -238,6 +251,7 @@
 		s.mu.Lock()
 		list, kept := s.rows.since(q.Get("table"), after)
 		if !kept {
+			s.setEra(w)
 			s.mu.Unlock()
 			w.WriteHeader(http.StatusGone)
 			return
