Confirm what the store holds only once its era is settled

Cause: a host that starts took the configuration in the store for the newest, and its read confirmed it. Nothing told that the store had lost a newer one.

Change: in each era of the store the hosts write one row with the newest version that one of them knew. What the store holds confirms a configuration only in an era that has this mark, or in which the operator has written since, and only if it isn't older. A host that knows writes the mark at once; one that has started waits for another host, the mark or the operator, key_life at most, and isn't ready meanwhile if there are teams. Refusals carry the time that is left, where no host knows. Two more causes of the same effect, found by reading: a configuration of another host counted as confirmed before it was in force, and a request took its configuration before the age that allows its key.

--- a/internal/follow/configuration_test.go
+++ b/internal/follow/configuration_test.go
@@ -38,7 +38,7 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	h.follower = New(Options{
-		Self: "h", Log: log, Store: client,
+		Self: "h", Log: log, Store: client, KeyLife: testKeyLife,
 		OnRuleset: func(r *ruleset.Ruleset, _ string) {
 			h.mu.Lock()
 			defer h.mu.Unlock()
@@ -50,7 +50,7 @@
 			h.endpoints = list
 		},
 	})
-	h.follower.Start(1)
+	h.follower.Start(1, false)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	t.Cleanup(func() {
--- /dev/null
+++ b/internal/follow/era.go
@@ -0,0 +1,147 @@
+package follow
+
+import (
+	"time"
+
+	"github.com/trefoilchute/trefoilchute/platform"
+)
+
+// A store that comes back from an older copy may hold a configuration that was replaced before. Its era
+// tells that it came back, but not what it has lost. So in each era the hosts write one row, the mark,
+// which names the newest version that one of them knew: until a host has seen it, or knows by itself,
+// what the store holds confirms no configuration. See docs/design/store-eras.md.
+
+const (
+	// noticeTime is the time in which a host that reads the store notices a new era and, if it knows
+	// more than the mark, raises it: two failed calls with the longest wait between them.
+	noticeTime = 1500 * time.Millisecond
+	// unsettledWait is how long a poll is held open while the era isn't settled, because another host
+	// may write the mark, which ends no poll.
+	unsettledWait = 300 * time.Millisecond
+)
+
+// knowledge is what a host knows of the configuration, whatever the store holds.
+type knowledge struct {
+	// version is that of the configuration in force; 0 if there is none.
+	version uint64
+	// age is the time since it was known to be the newest, or never.
+	age time.Duration
+}
+
+// settler is what settled an era at this host.
+type settler string
+
+// What may settle an era.
+const (
+	byMark      settler = "mark"
+	byOperator  settler = "operator"
+	byKnowledge settler = "knowledge"
+	byTime      settler = "time"
+)
+
+// eraGuard decides from when on what the store holds may confirm a configuration. It does no I/O and
+// reads no clock, and is not safe for concurrent use. Stores that name no era need none.
+type eraGuard struct {
+	// keyLife is how long keys are accepted without a confirmation, and first is set at a host that
+	// had no row in the store when it started: the hosts' first start, or a new host.
+	keyLife time.Duration
+	first   bool
+
+	era platform.Era
+	// since is the time of the first read in the era.
+	since time.Duration
+	// settled is set once the era has a mark or the operator has written in it. floor is the newest
+	// version that any host is known to have known.
+	settled bool
+	floor   uint64
+	// rewritten is set if the operator has written in the era since the first read.
+	rewritten bool
+	// watchUntil is the time until which the mark is read again, because it may be raised.
+	watchUntil time.Duration
+	// hasRow is set once the configuration's row was looked for in this era, and row is its version
+	// in the store; 0 if there is none.
+	hasRow bool
+	row    uint64
+}
+
+// enter begins another era, if the store is in one. It reports whether it is.
+func (g *eraGuard) enter(era platform.Era, now time.Duration) bool {
+	if era == g.era {
+		return false
+	}
+	next := eraGuard{keyLife: g.keyLife, first: g.first, era: era, since: now, floor: g.floor}
+	if g.era.Named {
+		next.watchUntil = now + g.keyLife
+	}
+	*g = next
+	return true
+}
+
+// observe takes what a read tells of the configuration's row: its version in the store, or 0 if there
+// is none. A row that has changed since another read of the era was written in it.
+func (g *eraGuard) observe(row uint64) {
+	if g.hasRow && row != g.row && row > 0 {
+		g.rewritten, g.settled = true, true
+	}
+	g.hasRow, g.row = true, row
+}
+
+// needsMark reports whether the mark has to be read.
+func (g *eraGuard) needsMark(now time.Duration) bool {
+	return !g.settled || now < g.watchUntil
+}
+
+// learn takes the mark that was read in the era. One of an earlier era still names a version that a
+// host has known.
+func (g *eraGuard) learn(m platform.EraMark) {
+	g.floor = max(g.floor, m.Configuration)
+	if m.Era == g.era {
+		g.settled = true
+	} else {
+		g.watchUntil = max(g.watchUntil, g.since+g.keyLife)
+	}
+}
+
+// due returns the mark to write in place of m, if this host may write one. stored is the version of the
+// configuration that the store holds.
+func (g *eraGuard) due(now time.Duration, known knowledge, stored uint64, m platform.EraMark) (platform.EraMark, bool) {
+	newest := max(known.version, stored, g.floor)
+	next := platform.EraMark{Era: g.era, Configuration: newest, Row: m.Row}
+	if m.Era == g.era {
+		return next, newest > m.Configuration && newest > stored
+	}
+	return next, g.rewritten || now-g.since >= g.wait(known)
+}
+
+// wait returns how long after the first read of an era without a mark this host leaves the mark to
+// others, which may know more.
+func (g *eraGuard) wait(known knowledge) time.Duration {
+	switch {
+	case known.age == never && !g.first:
+		// Nobody may be left that knows. An operator who writes again in the time for which keys
+		// outlive their removal anyway keeps to it.
+		return g.keyLife
+	case known.age == never || known.age >= g.keyLife/2:
+		return noticeTime
+	}
+	return 0
+}
+
+// marked takes note that this host has written the mark.
+func (g *eraGuard) marked(m platform.EraMark) {
+	g.settled, g.floor = true, max(g.floor, m.Configuration)
+}
+
+// confirms reports whether the store holds the newest version, if that is the one it holds.
+func (g *eraGuard) confirms(stored uint64) bool {
+	return !g.era.Named || g.settled && stored >= g.floor
+}
+
+// opensAt returns the time at which this host settles the era if nobody else does before; 0 if the era
+// is settled.
+func (g *eraGuard) opensAt(known knowledge) time.Duration {
+	if !g.era.Named || g.settled {
+		return 0
+	}
+	return g.since + g.wait(known)
+}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -78,6 +78,8 @@
 	OnRuleset func(r *ruleset.Ruleset, source string)
 	// OnEndpoints is called with the endpoints when they have changed.
 	OnEndpoints func([]platform.Endpoint)
+	// KeyLife returns how long keys are accepted without a confirmation of the configuration.
+	KeyLife func() time.Duration
 	// OnOrders is called with the roll-out orders when they have changed, and once when they
 	// have first been read. If it is nil, orders and the versions of endpoints are ignored.
 	OnOrders func([]rollout.Order)
@@ -94,6 +96,13 @@
 	// of package clock until which this host waits for the readers after its start.
 	started  chan struct{}
 	graceEnd atomic.Int64
+	// first is set if the store had no row of this host when it started.
+	first atomic.Bool
+	// opensAt is the time on the clock of package clock at which this host settles the store's era if
+	// nobody else does before, and unknowing the last time that another host answered that it doesn't
+	// know the newest configuration either; 0 if there is none. alone is set if there are no others.
+	opensAt, unknowing atomic.Int64
+	alone              atomic.Bool
 	// wakeups wakes the loops that read the store.
 	wakeups [2]chan struct{}
 
@@ -148,9 +157,11 @@
 	return f.reading.Load() || !f.fresh() && clock.Boot() >= time.Duration(f.graceEnd.Load())
 }
 
-// Start tells how many hosts there are, when the list of hosts has been read for the first time. It
-// must be called once at most.
-func (f *Follower) Start(hosts int) {
+// Start tells how many hosts there are, when the list of hosts has been read for the first time, and
+// whether the store had no row of this host before. It must be called once at most.
+func (f *Follower) Start(hosts int, first bool) {
+	f.first.Store(first)
+	f.alone.Store(hosts == 1)
 	if hosts >= manyHosts {
 		grace := time.Duration(float64(firstReadGrace) * (1 + retryJitter*rand.Float64()))
 		f.graceEnd.Store(int64(clock.Boot() + grace))
@@ -250,23 +261,26 @@
 	var after platform.Position
 	var table orders
 	var stored storedConfiguration
+	held := configurationWait
 	for ctx.Err() == nil {
 		if f.pause(ctx, f.wakeups[0]) {
 			after = platform.Position{}
 		}
 		whole := after.Version == 0
 		asked := clock.Boot()
-		page, err := f.readConfiguration(ctx, after)
+		page, err := f.readConfiguration(ctx, after, held)
 		if !dep.afterCall(ctx, err) {
 			after = platform.Position{}
 			continue
 		}
-		if waited := !whole && clock.Boot()-asked >= configurationWait; waited {
+		if waited := !whole && clock.Boot()-asked >= held; waited {
 			// The store has held the poll open for this long since it received it.
-			asked += configurationWait
+			asked += held
 		}
 		f.applyOrders(&table, page, asked, whole)
-		f.applyConfiguration(&stored, page, asked, whole)
+		if held = configurationWait; !f.applyConfiguration(ctx, &stored, page, asked, whole) {
+			held = unsettledWait
+		}
 		after = page.Position()
 	}
 }
@@ -277,11 +291,15 @@
 	// can't be decoded, so no version can be confirmed to be the newest.
 	version uint64
 	valid   bool
+	guard   eraGuard
 }
 
 // applyConfiguration applies rows read from the operators' table: the whole table if whole is set,
-// otherwise only changes. A read confirms the version in force only if the store holds that one.
-func (f *Follower) applyConfiguration(stored *storedConfiguration, page platform.Page, asked time.Duration, whole bool) {
+// otherwise only changes. A read confirms the version in force only if the store holds that one, and if
+// the store can't have lost a newer one. It reports whether the store's era is settled.
+func (f *Follower) applyConfiguration(
+	ctx context.Context, stored *storedConfiguration, page platform.Page, asked time.Duration, whole bool,
+) bool {
 	if whole {
 		stored.valid = false
 	}
@@ -292,23 +310,105 @@
 	}
 	if next != nil {
 		if err == nil {
-			*stored = storedConfiguration{version: next.Version, valid: true}
+			stored.version, stored.valid = next.Version, true
 		}
 		f.adoptRuleset(next, unconfirmed, SourceStore)
 	}
-	if stored.valid {
+	settled := f.settleEra(ctx, stored, page, whole)
+	if stored.valid && stored.guard.confirms(stored.version) {
 		f.state.confirm(stored.version, asked)
 	}
+	return settled
+}
+
+// settleEra finds out what the hosts knew of the configuration before the store's era, and tells it. It
+// reports whether the era is settled.
+func (f *Follower) settleEra(ctx context.Context, stored *storedConfiguration, page platform.Page, whole bool) bool {
+	g := &stored.guard
+	g.keyLife, g.first = f.opts.KeyLife(), f.first.Load()
+	g.enter(page.Era, clock.Boot())
+	if !page.Era.Named {
+		return true
+	}
+	before := g.settled
+	if row, changed := platform.ConfigurationRow(page.Rows); changed || whole {
+		g.observe(row)
+	}
+	by := byOperator
+	if g.needsMark(clock.Boot()) {
+		by = f.readMark(ctx, g, stored.version)
+	}
+	f.opensAt.Store(int64(g.opensAt(f.state.knowledge(clock.Boot()))))
+	if g.settled && !before {
+		logs.With(f.opts.Log, logs.StoreEraSettled).WithFields(logrus.Fields{
+			"era": g.era.String(), "by": by, "newest": g.floor, "stored": stored.version, "after_ms": (clock.Boot() - g.since).Milliseconds(),
+		}).Info()
+	}
+	return g.settled
+}
+
+// readMark reads the mark of the store's era, and writes it if that is due. It returns what settles the
+// era if it is settled then.
+func (f *Follower) readMark(ctx context.Context, g *eraGuard, stored uint64) settler {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	by := byMark
+	if g.rewritten {
+		by = byOperator
+	}
+	m, era, err := f.opts.Store.EraMark(ctx)
+	if err == nil && era != g.era {
+		err = errors.Errorf("read in era %s, not %s", era, g.era)
+	}
+	if err != nil {
+		logs.With(f.opts.Log, logs.StoreEraOpen).WithField("era", g.era.String()).WithError(err).Warn("the mark can't be read")
+		return by
+	}
+	g.learn(m)
+	now := clock.Boot()
+	known := f.state.knowledge(now)
+	next, due := g.due(now, known, stored, m)
+	if !due {
+		return by
+	}
+	err = f.opts.Store.PutEraMark(ctx, next)
+	if err != nil && !errors.Is(err, platform.ErrConflict) {
+		logs.With(f.opts.Log, logs.StoreEraOpen).WithField("era", g.era.String()).WithError(err).Warn("the mark can't be written")
+	}
+	if err != nil {
+		return by
+	}
+	g.marked(next)
+	switch {
+	case g.rewritten:
+	case known.age == never:
+		by = byTime
+	default:
+		by = byKnowledge
+	}
+	return by
+}
+
+// UntilConfirmed returns the time after which this host confirms the configuration that the store holds
+// if nobody tells it a newer one before; 0 if that isn't known, or if other hosts may know now.
+func (f *Follower) UntilConfirmed() time.Duration {
+	now := clock.Boot()
+	recent := now-time.Duration(f.unknowing.Load()) < 2*queryInterval
+	if !f.alone.Load() && !recent {
+		return 0
+	}
+	return max(0, time.Duration(f.opensAt.Load())-now)
 }
 
 // adoptRuleset takes over a ruleset that was the newest at a given time, or unconfirmed, and brings it
-// into force if it is newer.
+// into force if it is newer. It counts as confirmed only then, because the one before isn't.
 func (f *Follower) adoptRuleset(r *ruleset.Ruleset, at time.Duration, source string) {
 	f.rulesetMu.Lock()
 	defer f.rulesetMu.Unlock()
-	if f.state.adoptRuleset(r, at) {
+	if f.state.adoptRuleset(r, unconfirmed) {
 		f.opts.OnRuleset(r, source)
 	}
+	f.state.confirm(r.Version, at)
 }
 
 // adoptEndpoints takes over the endpoints as of a given time.
@@ -329,16 +429,17 @@
 	}
 }
 
-// readConfiguration reads the operators' table: the whole, or the changes after a position.
-func (f *Follower) readConfiguration(ctx context.Context, after platform.Position) (platform.Page, error) {
+// readConfiguration reads the operators' table: the whole, or the changes after a position, for which
+// it waits up to a time.
+func (f *Follower) readConfiguration(ctx context.Context, after platform.Position, wait time.Duration) (platform.Page, error) {
 	if after.Version == 0 {
 		ctx, cancel := context.WithTimeout(ctx, callTimeout)
 		defer cancel()
 		return f.opts.Store.ReadTable(ctx, platform.TableOperator, "")
 	}
-	ctx, cancel := context.WithTimeout(ctx, configurationWait+callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
 	defer cancel()
-	return f.opts.Store.Feed(ctx, platform.TableOperator, after, configurationWait)
+	return f.opts.Store.Feed(ctx, platform.TableOperator, after, wait)
 }
 
 // FollowEndpoints reads the endpoints until ctx ends, whenever this host has to.
--- a/internal/follow/peers.go
+++ b/internal/follow/peers.go
@@ -44,9 +44,11 @@
 // FollowReaders queries the readers of the store until ctx ends, unless this host is a reader.
 func (f *Follower) FollowReaders(ctx context.Context) {
 	f.awaitStart(ctx)
+	started := clock.Boot()
 	for ctx.Err() == nil {
 		interval := queryInterval
-		if _, known := f.EndpointsAge(); !known {
+		_, endpoints := f.EndpointsAge()
+		if _, rules := f.ConfigurationAge(); !endpoints || !rules && clock.Boot()-started < firstReadGrace {
 			interval = startQueryInterval
 		}
 		sleep(ctx, interval)
@@ -220,7 +222,10 @@
 		f.recordMiss(from)
 	}
 	f.queryMu.Unlock()
-	if m.GetVersionAgeUs() >= 0 {
+	if m.GetVersionAgeUs() < 0 {
+		f.unknowing.Store(int64(clock.Boot()))
+	} else {
+		f.unknowing.Store(0)
 		at := asked.at - micros(m.GetVersionAgeUs())
 		f.handleOrders(m, at)
 		f.handleConfiguration(from, m, at)
--- a/internal/follow/state.go
+++ b/internal/follow/state.go
@@ -96,6 +96,17 @@
 	return true
 }
 
+// knowledge returns what this host knows of the configuration.
+func (s *state) knowledge(now time.Duration) knowledge {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	k := knowledge{age: ageAt(now, s.confirmed)}
+	if s.ruleset != nil {
+		k.version = s.ruleset.Version
+	}
+	return k
+}
+
 // known returns the endpoints and the time for which they are known to be correct.
 func (s *state) known() ([]platform.Endpoint, time.Duration) {
 	s.mu.Lock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -53,6 +53,9 @@
 	// ConfigurationAge returns the time since the configuration was last confirmed to be
 	// the newest, or false if it never was.
 	ConfigurationAge func() (time.Duration, bool)
+	// UntilConfirmed returns the time after which the configuration will be confirmed; 0 if that isn't
+	// known, or if another host may accept keys now.
+	UntilConfirmed func() time.Duration
 	// SendRoutes is set if schedulers need the requests' routes, and SendSizes if they need their
 	// expected sizes.
 	SendRoutes, SendSizes bool
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -413,9 +413,27 @@
 	got := h.ask(get("/unsafe/x", "id2"))
 	h.Expect(got.status).To(Equal(503), "the key may have been revoked")
 	h.Expect(got.header.Get("Trefoilchute-Code")).To(Equal("212"))
+	h.Expect(got.header.Get("Retry-After")).To(Equal("0.050"), "another host may know")
+	h.untilConfirmed.Store(int64(2 * time.Second))
+	h.Expect(h.ask(get("/unsafe/x", "id2")).header.Get("Retry-After")).To(Equal("2.000"), "no host knows")
 	h.Expect(h.ask(get("/public/x", "id3")).status).To(Equal(200), "no key is needed")
 }
 
+// Guards against a key that an older configuration accepts by the age of a newer one, which comes into
+// force and is confirmed while the request is read.
+func TestKeyIsCheckedByTheConfigurationThatWasConfirmed(t *testing.T) {
+	h := start(t, answerOK)
+	confirm := func() {
+		newer := testRuleset()
+		newer.Version++
+		newer.Teams[0].Keys = []string{"other"}
+		newer.Index()
+		h.gateway.SetRuleset(newer)
+	}
+	h.onAge.Store(&confirm)
+	h.Expect(h.ask(get("/unsafe/x", "id1")).status).To(Equal(401))
+}
+
 func TestImmediateRefusals(t *testing.T) {
 	h := start(t, answerOK)
 	h.Expect(h.ask(get("/nowhere/", "id1")).status).To(Equal(404))
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -38,6 +38,10 @@
 	granted   atomic.Int64
 	// age is the configuration's age in nanoseconds.
 	age atomic.Int64
+	// onAge, if set, is called when the age is read.
+	onAge atomic.Pointer[func()]
+	// untilConfirmed is the time after which the configuration will be confirmed; 0: unknown.
+	untilConfirmed atomic.Int64
 	// refuse, if set, is control's answer to every request.
 	refuse *result.Error
 	// regrant grants each request a second time before it is connected for the first.
@@ -102,7 +106,13 @@
 	began := time.Now()
 	h.gateway = New(Options{
 		Host: "h", Log: log, Post: h.post, Offer: h.offer, Now: func() time.Duration { return time.Since(began) },
-		ConfigurationAge: func() (time.Duration, bool) { return time.Duration(h.age.Load()), true },
+		ConfigurationAge: func() (time.Duration, bool) {
+			if confirm := h.onAge.Load(); confirm != nil {
+				(*confirm)()
+			}
+			return time.Duration(h.age.Load()), true
+		},
+		UntilConfirmed: func() time.Duration { return time.Duration(h.untilConfirmed.Load()) },
 		Tuning: Tuning{
 			KeyLife: 5 * time.Second, RetryRatio: 0.2, RetryExtra: 20, RetryWindow: 10 * time.Second,
 			HeadLimit: 64 << 10, EventLimit: 1 << 20, DiscardWait: 100 * time.Millisecond,
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -59,8 +59,10 @@
 	body    body
 	conn    *callerConn
 	rules   *ruleset.Ruleset
-	route   *ruleset.Route
-	team    *ruleset.Team
+	// confirmed is set if rules, or a configuration before them, was ever confirmed to be the newest.
+	confirmed bool
+	route     *ruleset.Route
+	team      *ruleset.Team
 
 	// arrived and deadline are on control's clock.
 	arrived  time.Duration
@@ -168,12 +170,14 @@
 	if began := g.StoppingSince(); began != nil && time.Since(*began) >= stopIntakePeriod {
 		return stoppingError()
 	}
+	// The age is read first: the configuration of which it is the age, or a later one, is used.
+	age, confirmed := g.opts.ConfigurationAge()
 	c.rules = g.rules.Load()
 	if c.rules == nil {
 		return &result.Error{Code: result.NotReady, RetryAfter: notReadyRetryAfter, Reason: "no configuration yet"}
 	}
 	c.outcome.Version = c.rules.Version
-	c.outcome.ConfigurationAge, _ = g.opts.ConfigurationAge()
+	c.outcome.ConfigurationAge, c.confirmed = age, confirmed
 	var err error
 	c.headers, err = platform.ReadCall(c.r.Header)
 	c.target = requestTarget(c.r)
@@ -217,14 +221,18 @@
 // checkConfigurationAge refuses a request that needs a key if the configuration is so old
 // that the key may have been revoked without this host knowing.
 func (c *call) checkConfigurationAge() *result.Error {
-	age, ok := c.gateway.opts.ConfigurationAge()
-	if ok && age < c.tuning.KeyLife-keyLifeMargin {
+	age := c.outcome.ConfigurationAge
+	if c.confirmed && age < c.tuning.KeyLife-keyLifeMargin {
 		return nil
 	}
-	return &result.Error{
-		Code: result.KeysUnconfirmed, RetryAfter: otherHostRetryAfter,
+	e := &result.Error{
+		Code: result.KeysUnconfirmed, RetryAfter: max(otherHostRetryAfter, c.gateway.opts.UntilConfirmed()),
 		Reason: "the configuration was last confirmed " + age.Round(time.Millisecond).String() + " ago",
 	}
+	if !c.confirmed {
+		e.Reason = "no configuration has been confirmed since the start"
+	}
+	return e
 }
 
 // readBody sets the deadline and reads the body.
--- a/internal/platformhost/host.go
+++ b/internal/platformhost/host.go
@@ -116,10 +116,11 @@
 	h.follower = follow.New(follow.Options{
 		Self: s.Host, Store: h.store, Log: h.log, Readers: h.storeReaders, Hosts: h.liveHosts, Send: h.send,
 		OnRuleset: h.setRuleset, OnEndpoints: h.setEndpoints, OnOrders: h.onOrders(),
+		KeyLife: func() time.Duration { return h.settings.Load().KeyLife },
 	})
 	h.gateway = gateway.New(gateway.Options{
 		Host: s.Host, Domain: s.Domain, Log: h.log, Post: h.loop.Post, Offer: h.loop.Offer, Now: h.loop.Now,
-		ConfigurationAge: h.follower.ConfigurationAge, Tuning: tuning(&s),
+		ConfigurationAge: h.follower.ConfigurationAge, UntilConfirmed: h.follower.UntilConfirmed, Tuning: tuning(&s),
 		SendRoutes: s.Rollout.Enabled(), SendSizes: s.Domains.Enabled(),
 		OnOutcome: h.recordOutcome, OnGap: h.recordGap, OnDrop: h.countDrop, OnMemory: h.countLimited,
 	})
@@ -259,10 +260,13 @@
 	}
 }
 
-// isReady reports whether the load balancer should send callers to this host.
+// isReady reports whether the load balancer should send callers to this host. Before a configuration
+// with teams was first confirmed, the host refuses keys that other hosts may accept.
 func (h *Host) isReady() bool {
 	_, endpoints := h.follower.EndpointsAge()
-	return endpoints && h.gateway.Ruleset() != nil && h.connected.Load() && h.gateway.StoppingSince() == nil &&
+	_, confirmed := h.follower.ConfigurationAge()
+	rules := h.gateway.Ruleset()
+	return endpoints && rules != nil && (confirmed || len(rules.Teams) == 0) && h.connected.Load() && h.gateway.StoppingSince() == nil &&
 		h.loop.Idle() < stallTimeout
 }
 
--- a/internal/platformhost/join.go
+++ b/internal/platformhost/join.go
@@ -35,15 +35,15 @@
 // loop. It returns an error if the peer connections can't be started, since the other hosts
 // can't work with a host that they can't reach.
 func (h *Host) join(ctx context.Context) error {
-	enlisted := false
+	enlisted, first := false, false
 	shared, ok := retry(ctx, h, logs.HostList, func(ctx context.Context) (platform.Shared, error) {
 		if !enlisted {
-			incarnation, err := h.store.Enlist(ctx, h.row())
+			process, err := h.store.Enlist(ctx, h.row())
 			if err != nil {
 				return platform.Shared{}, err
 			}
-			h.setIncarnation(incarnation)
-			enlisted = true
+			h.setIncarnation(process.Incarnation)
+			enlisted, first = true, process.First
 		}
 		return h.store.Shared(ctx, newSecret())
 	})
@@ -56,7 +56,7 @@
 	if err == nil {
 		h.postHosts(list)
 	}
-	h.follower.Start(len(list.Hosts))
+	h.follower.Start(len(list.Hosts), first)
 	if err := h.connectPeers(shared.Secret); err != nil {
 		return err
 	}
