Let the store of the soak come back from older copies

The soak had no drill of the store: what it acknowledged was never lost, and it named no era. Now it names one, and a fault, drawn twice as often as most, lets it come back from a copy of up to 8 s before, on broken connections or on those that it has, with versions given out again at once. The operator and the endpoints write again.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -74,6 +74,8 @@
 		w.spoilStore(d, store.Faults{LoseWrites: true, LateWrites: time.Duration(d.a%2) * lateWrite})
 	}},
 	{"store forgets", func(w *world, _ draws) { w.store.Forget() }},
+	{"store drill", func(w *world, d draws) { w.drill(d) }},
+	{"store drill", func(w *world, d draws) { w.drill(d) }},
 	{"store link", func(w *world, d draws) {
 		h := w.hosts[d.a%hosts]
 		w.spoilLink("store link", h.name, h.store, d)
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -97,6 +97,10 @@
 	// when a route was.
 	revoked, keyed map[string]time.Time
 	added, removed map[string]time.Time
+	// written is the configuration that the operator wrote last, and copies holds the store's content
+	// at each of the last reports of endpoints.
+	written []byte
+	copies  []storeCopy
 	// ready counts the questions in a row that each host has missed.
 	ready map[string]int
 	// crashMode is set before the run begins.
@@ -165,6 +169,7 @@
 	if err != nil {
 		return nil, err
 	}
+	w.store.NameEra(1)
 	go func() { _ = w.store.Serve(ln) }()
 	w.config = configuration{routes: o.routes}
 	for n := range firstKeys {
@@ -281,6 +286,8 @@
 		for _, s := range w.servers {
 			w.writeServer(s)
 		}
+		w.copies = append(w.copies, storeCopy{at: time.Now(), content: w.store.Copy()})
+		w.copies = w.copies[max(0, len(w.copies)-keptCopies):]
 		w.mu.Unlock()
 	}
 }
@@ -316,6 +323,7 @@
 	if err != nil {
 		panic(err) // maps of plain values encode
 	}
+	w.written = value
 	w.store.Put("op", "", "config", value)
 }
 
