Write the hosts' rows and the links' secret again in a new era of the store

Cause: the secret of the links was lost, nobody wrote it or the hosts' rows again, and the host that started stored a secret of its own: two fleets, each with its own schedulers.

Change: hosts that run write their rows and suspects again in each era, and those that read the store the secret. A host that starts and misses the secret leaves it to them for a time. Hosts that don't read the store learn the era from StoreTell. The time within which a host that knows settles an era by itself is now key_life less the time in which others are heard, and an answer of an earlier version counts as none.

--- a/internal/follow/configuration_test.go
+++ b/internal/follow/configuration_test.go
@@ -50,7 +50,7 @@
 			h.endpoints = list
 		},
 	})
-	h.follower.Start(1, false)
+	h.follower.Start(1)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	t.Cleanup(func() {
--- a/internal/follow/era.go
+++ b/internal/follow/era.go
@@ -12,9 +12,11 @@
 // what the store holds confirms no configuration. See docs/design/store-eras.md.
 
 const (
-	// noticeTime is the time in which a host that reads the store notices a new era and, if it knows
-	// more than the mark, raises it: two failed calls with the longest wait between them.
-	noticeTime = 1500 * time.Millisecond
+	// NoticeTime is the time in which a host that reads the store notices a new era and, if it knows
+	// more than is stored there, writes that: two failed calls with the longest wait between them.
+	NoticeTime = 1500 * time.Millisecond
+	// tellTime is the time in which another host's mark reaches a host that has settled the era.
+	tellTime = NoticeTime + configurationWait
 	// unsettledWait is how long a poll is held open while the era isn't settled, because another host
 	// may write the mark, which ends no poll.
 	unsettledWait = 300 * time.Millisecond
@@ -121,8 +123,8 @@
 		// Nobody may be left that knows. An operator who writes again in the time for which keys
 		// outlive their removal anyway keeps to it.
 		return g.keyLife
-	case known.age == never || known.age >= g.keyLife/2:
-		return noticeTime
+	case known.age == never || known.age+tellTime >= g.keyLife:
+		return NoticeTime
 	}
 	return 0
 }
--- a/internal/follow/era_test.go
+++ b/internal/follow/era_test.go
@@ -31,10 +31,10 @@
 		first bool
 		after time.Duration
 	}{
-		"a host that knew the newest lately":          {knowledge{version: 6, age: time.Second}, false, 0},
-		"a host that has heard nothing for long":      {knowledge{version: 6, age: 3 * time.Second}, false, noticeTime},
+		"a host that knew the newest lately":          {knowledge{version: 6, age: guardLife - tellTime - 1}, false, 0},
+		"a host that has heard nothing for long":      {knowledge{version: 6, age: guardLife - tellTime}, false, NoticeTime},
 		"a host that has started":                     {knowledge{version: 6, age: never}, false, guardLife},
-		"a host that has started for the first time":  {knowledge{version: 6, age: never}, true, noticeTime},
+		"a host that has started for the first time":  {knowledge{version: 6, age: never}, true, NoticeTime},
 		"a host that has started and was told lately": {knowledge{version: 6, age: time.Second}, false, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -80,6 +80,8 @@
 	OnEndpoints func([]platform.Endpoint)
 	// KeyLife returns how long keys are accepted without a confirmation of the configuration.
 	KeyLife func() time.Duration
+	// OnEra, if set, is called with the era of the store that another host tells.
+	OnEra func(platform.Era)
 	// OnOrders is called with the roll-out orders when they have changed, and once when they
 	// have first been read. If it is nil, orders and the versions of endpoints are ignored.
 	OnOrders func([]rollout.Order)
@@ -157,10 +159,14 @@
 	return f.reading.Load() || !f.fresh() && clock.Boot() >= time.Duration(f.graceEnd.Load())
 }
 
-// Start tells how many hosts there are, when the list of hosts has been read for the first time, and
-// whether the store had no row of this host before. It must be called once at most.
-func (f *Follower) Start(hosts int, first bool) {
+// Enlisted tells whether the store had no row of this host when it started.
+func (f *Follower) Enlisted(first bool) {
 	f.first.Store(first)
+}
+
+// Start tells how many hosts there are, when the list of hosts has been read for the first time. It
+// must be called once at most.
+func (f *Follower) Start(hosts int) {
 	f.alone.Store(hosts == 1)
 	if hosts >= manyHosts {
 		grace := time.Duration(float64(firstReadGrace) * (1 + retryJitter*rand.Float64()))
@@ -314,6 +320,7 @@
 		}
 		f.adoptRuleset(next, unconfirmed, SourceStore)
 	}
+	f.state.noteEra(page.Era)
 	settled := f.settleEra(ctx, stored, page, whole)
 	if stored.valid && stored.guard.confirms(stored.version) {
 		f.state.confirm(stored.version, asked)
--- a/internal/follow/peers.go
+++ b/internal/follow/peers.go
@@ -191,6 +191,9 @@
 			m.Configuration = f.state.ruleset.Raw
 		}
 	}
+	if era := f.state.era; era.Named {
+		m.StoreEra = &era.Number
+	}
 	f.addOrders(m)
 	if endpoints != never && q.GetEndpoints() != f.state.sum {
 		m.HasList = true
@@ -222,6 +225,7 @@
 		f.recordMiss(from)
 	}
 	f.queryMu.Unlock()
+	f.handleEra(m)
 	if m.GetVersionAgeUs() < 0 {
 		f.unknowing.Store(int64(clock.Boot()))
 	} else {
@@ -243,6 +247,17 @@
 	}
 }
 
+// handleEra takes the era of the store that an answer tells to a host that doesn't read the store.
+func (f *Follower) handleEra(m *peerpb.StoreTell) {
+	if m.StoreEra == nil || f.reading.Load() || !isFresh(m.GetVersionAgeUs()) {
+		return
+	}
+	era := platform.NewEra(m.GetStoreEra())
+	if f.state.tellEra(era) && f.opts.OnEra != nil {
+		f.opts.OnEra(era)
+	}
+}
+
 // isFresh reports whether an age from an answer, in microseconds, is low enough. The age is
 // negative for data that was never known.
 func isFresh(us int64) bool {
--- a/internal/follow/peers_test.go
+++ b/internal/follow/peers_test.go
@@ -182,7 +182,7 @@
 	for hosts, reads := range map[int]bool{1: true, manyHosts - 1: true, manyHosts: false, 300: false} {
 		g := NewWithT(t)
 		f := New(Options{Self: "h"})
-		f.Start(hosts, false)
+		f.Start(hosts)
 		g.Expect(f.needsStore()).To(Equal(reads), "%d hosts", hosts)
 		f.graceEnd.Store(int64(clock.Boot()))
 		g.Expect(f.needsStore()).To(BeTrue(), "the readers have not answered")
--- a/internal/follow/restored_test.go
+++ b/internal/follow/restored_test.go
@@ -115,7 +115,8 @@
 			h.version = r.Version
 		},
 	})
-	h.Start(3, first)
+	h.Enlisted(first)
+	h.Start(3)
 	ctx, cancel := context.WithCancel(context.Background())
 	var group sync.WaitGroup
 	for _, run := range []func(context.Context){h.FollowConfiguration, h.FollowEndpoints, h.FollowReaders, h.sample} {
@@ -164,10 +165,10 @@
 func (s *restoredStore) loseVersion2(cut bool) *storeHost {
 	s.write(1)
 	a := s.start("a", true, false)
-	s.Eventually(a.versions, 2*noticeTime).Should(Equal([]uint64{1}))
+	s.Eventually(a.versions, 2*NoticeTime).Should(Equal([]uint64{1}))
 	older := s.server.Copy()
 	s.write(2)
-	s.Eventually(a.versions, noticeTime).Should(Equal([]uint64{1, 2}))
+	s.Eventually(a.versions, NoticeTime).Should(Equal([]uint64{1, 2}))
 	s.server.Restore(older, cut)
 	return a
 }
@@ -182,8 +183,8 @@
 			s := newRestoredStore(t)
 			a := s.loseVersion2(cut)
 			c := s.start("c", false, false)
-			s.Eventually(c.versions, noticeTime).Should(Equal([]uint64{2}))
-			s.Consistently(c.versions, noticeTime).Should(Equal([]uint64{2}))
+			s.Eventually(c.versions, NoticeTime).Should(Equal([]uint64{2}))
+			s.Consistently(c.versions, NoticeTime).Should(Equal([]uint64{2}))
 			s.Expect(a.versions()).To(Equal([]uint64{1, 2}))
 		})
 	}
@@ -196,9 +197,9 @@
 	s := newRestoredStore(t)
 	s.loseVersion2(true)
 	c := s.start("c", false, true)
-	s.Consistently(c.versions, testLife+noticeTime).Should(BeEmpty())
+	s.Consistently(c.versions, testLife+NoticeTime).Should(BeEmpty())
 	s.write(2)
-	s.Eventually(c.versions, noticeTime).Should(Equal([]uint64{2}))
+	s.Eventually(c.versions, NoticeTime).Should(Equal([]uint64{2}))
 }
 
 // Guards against the same if all hosts end while the store is away, so that nobody knows (letter 13).
@@ -211,7 +212,7 @@
 	s.Expect(a.UntilConfirmed()).To(And(BeNumerically(">", 0), BeNumerically("<", testLife)), "the others don't know either")
 	s.write(2)
 	for _, h := range []*storeHost{a, c} {
-		s.Eventually(h.versions, noticeTime).Should(Equal([]uint64{2}))
+		s.Eventually(h.versions, NoticeTime).Should(Equal([]uint64{2}))
 	}
 }
 
@@ -221,9 +222,9 @@
 	s := newRestoredStore(t)
 	s.loseVersion2(true).stop()
 	a := s.start("a", false, false)
-	s.Eventually(a.versions, testLife+noticeTime).Should(Equal([]uint64{1}))
+	s.Eventually(a.versions, testLife+NoticeTime).Should(Equal([]uint64{1}))
 	later := s.start("d", false, true)
-	s.Eventually(later.versions, noticeTime/2).Should(Equal([]uint64{1}), "the era has a mark")
+	s.Eventually(later.versions, NoticeTime/2).Should(Equal([]uint64{1}), "the era has a mark")
 }
 
 // TestHostThatKnowsGoesOn checks that a host goes on accepting keys if the store has lost no version.
@@ -232,13 +233,13 @@
 	s := newRestoredStore(t)
 	s.write(1)
 	a := s.start("a", true, false)
-	s.Eventually(a.versions, 2*noticeTime).Should(Equal([]uint64{1}))
+	s.Eventually(a.versions, 2*NoticeTime).Should(Equal([]uint64{1}))
 	a.mu.Lock()
 	a.refused = 0
 	a.mu.Unlock()
 	for range 3 {
 		s.server.Restore(s.server.Copy(), true)
-		time.Sleep(noticeTime / 2)
+		time.Sleep(NoticeTime / 2)
 	}
 	time.Sleep(testLife)
 	a.mu.Lock()
--- a/internal/follow/state.go
+++ b/internal/follow/state.go
@@ -30,6 +30,8 @@
 	// be correct; 0 if there is none.
 	orders   []rollout.Order
 	ordersAt time.Duration
+	// era is the era of the store that was last read or told.
+	era platform.Era
 	// earlier holds the last lists of endpoints before this one.
 	earlier []list
 	// wantsAll is set if the next query has to be for all endpoints.
@@ -96,6 +98,25 @@
 	return true
 }
 
+// noteEra takes the era of the store as it was read.
+func (s *state) noteEra(era platform.Era) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era = era
+}
+
+// tellEra takes the era of the store that another host tells. It reports whether that is a later one than
+// was known.
+func (s *state) tellEra(era platform.Era) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.era.Named && era.Number <= s.era.Number {
+		return false
+	}
+	s.era = era
+	return true
+}
+
 // knowledge returns what this host knows of the configuration.
 func (s *state) knowledge(now time.Duration) knowledge {
 	s.mu.Lock()
--- a/internal/logs/event.go
+++ b/internal/logs/event.go
@@ -38,6 +38,7 @@
 	StoreEra              Event = "store_era"
 	StoreEraSettled       Event = "store_era_settled"
 	StoreEraOpen          Event = "store_era_open"
+	StoreRowsRestored     Event = "store_rows_restored"
 	Settings              Event = "settings"
 	SettingsRejected      Event = "settings_rejected"
 	PoolScheduler         Event = "pool_scheduler"
@@ -129,6 +130,7 @@
 	{DependencyLost, "A call that the host depends on failed; it goes on with what it has and tries again."},
 	{DependencyRegained, "A dependency works again."},
 	{StoreEraSettled, "The host knows which configuration was the newest before the store's era; by names how: another host's mark, the operator who wrote again, the host's own knowledge, or that nobody told a newer one in time."},
+	{StoreRowsRestored, "The host has written the rows again that it stands for, since the store came back from an older copy: its own, the suspects that it has stored and, if it reads the store, the links' secret."},
 	{StoreEraOpen, "The mark of the store's era couldn't be read or written; keys aren't accepted by what the store holds until it is."},
 	{StoreEra, "The platform's store has named an era for the first time, or another one: it came back from an older copy, and what was written since is gone. As a warning: its header names no era."},
 	{Settings, "The settings file was read, at the start or again; version names the settings in force, applied the keys that changed, at_start those that the next start changes."},
--- a/internal/platformhost/host.go
+++ b/internal/platformhost/host.go
@@ -63,6 +63,7 @@
 	view     storeView
 	suspects suspects
 	rollouts rollouts
+	eraRise  eraRise
 	traffic  peerTraffic
 
 	callerListener, readyListener, metricsListener, peerListener net.Listener
@@ -93,12 +94,13 @@
 	}
 	h.group.Panicked = h.panicked
 	h.suspects.init()
+	h.eraRise.init()
 	h.rollouts.init(processName(s.Host, h.incarnation), s.Region)
 	h.traffic.init(s.Domain)
 	h.settings.Store(&s)
 	h.limitMemory(&s)
 	h.store = platform.NewStore(s.Store, h.countStoreCall)
-	h.store.OnEra(h.logEra)
+	h.store.OnEra(h.storeEra)
 	h.lifetime, h.cancel = context.WithCancel(context.Background())
 	var err error
 	if h.metrics, err = metrics.New(h.status); err != nil {
@@ -117,6 +119,7 @@
 		Self: s.Host, Store: h.store, Log: h.log, Readers: h.storeReaders, Hosts: h.liveHosts, Send: h.send,
 		OnRuleset: h.setRuleset, OnEndpoints: h.setEndpoints, OnOrders: h.onOrders(),
 		KeyLife: func() time.Duration { return h.settings.Load().KeyLife },
+		OnEra:   func(era platform.Era) { h.eraRise.note(era, false) },
 	})
 	h.gateway = gateway.New(gateway.Options{
 		Host: s.Host, Domain: s.Domain, Log: h.log, Post: h.loop.Post, Offer: h.loop.Offer, Now: h.loop.Now,
--- a/internal/platformhost/join.go
+++ b/internal/platformhost/join.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -36,6 +37,10 @@
 // can't work with a host that they can't reach.
 func (h *Host) join(ctx context.Context) error {
 	enlisted, first := false, false
+	var missing secretWait
+	var once sync.Once
+	startFollower := func(hosts int) { once.Do(func() { h.follower.Start(hosts) }) }
+	waiting := sync.OnceFunc(func() { startFollower(len(h.firstList(ctx).Hosts)) })
 	shared, ok := retry(ctx, h, logs.HostList, func(ctx context.Context) (platform.Shared, error) {
 		if !enlisted {
 			process, err := h.store.Enlist(ctx, h.row())
@@ -43,20 +48,17 @@
 				return platform.Shared{}, err
 			}
 			h.setIncarnation(process.Incarnation)
+			h.eraRise.done(h.store.Era())
+			h.follower.Enlisted(process.First)
 			enlisted, first = true, process.First
 		}
-		return h.store.Shared(ctx, newSecret())
+		return h.sharedState(ctx, &missing, first, waiting)
 	})
 	if !ok {
 		return nil
 	}
-	bounded, cancel := context.WithTimeout(ctx, firstListTimeout)
-	list, err := h.store.Hosts(bounded, platform.Position{})
-	cancel()
-	if err == nil {
-		h.postHosts(list)
-	}
-	h.follower.Start(len(list.Hosts), first)
+	list := h.firstList(ctx)
+	startFollower(len(list.Hosts))
 	if err := h.connectPeers(shared.Secret); err != nil {
 		return err
 	}
@@ -64,11 +66,26 @@
 	h.group.Go("progress of the control loop", func() { h.watchLoop(h.lifetime, stallInterval) })
 	h.group.Go("store messages", func() { h.receiveStoreMessages(h.lifetime) })
 	h.connected.Store(true)
+	h.group.Go("rows of a new era", func() { h.restoreRows(h.lifetime, shared.Secret) })
 	h.restoreSuspects(shared.Suspects)
 	h.followHosts(ctx, list.Position)
 	return nil
 }
 
+// firstList reads the list of hosts and passes it to the control loop. It returns none if that takes
+// longer than firstListTimeout.
+func (h *Host) firstList(ctx context.Context) platform.HostList {
+	ctx, cancel := context.WithTimeout(ctx, firstListTimeout)
+	defer cancel()
+	list, err := h.store.Hosts(ctx, platform.Position{})
+	if err != nil {
+		logs.With(h.log, logs.HostList).WithError(err).Warn()
+		return platform.HostList{}
+	}
+	h.postHosts(list)
+	return list
+}
+
 // row returns this host's row.
 func (h *Host) row() platform.Host {
 	s := h.settings.Load()
--- a/internal/platformhost/suspects.go
+++ b/internal/platformhost/suspects.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -26,8 +28,10 @@
 	changes chan pool.Suspect
 
 	mu sync.Mutex
-	// stored holds the rows in the store, as far as this host knows.
-	stored map[storedSuspect]bool
+	// stored holds the rows in the store, as far as this host knows, and written those that this host
+	// has written or read.
+	stored  map[storedSuspect]bool
+	written map[storedSuspect]platform.Suspect
 }
 
 // storedSuspect identifies the row of a suspect.
@@ -38,6 +42,7 @@
 
 func (s *suspects) init() {
 	s.changes, s.stored = make(chan pool.Suspect, maxSuspectRows), map[storedSuspect]bool{}
+	s.written = map[storedSuspect]platform.Suspect{}
 }
 
 // storeSuspect queues the row of a suspect for writing, or for removal if the suspect was
@@ -85,12 +90,12 @@
 	at := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, suspectWriteTimeout)
 	defer cancel()
+	row := platform.Suspect{Fingerprint: x.Fingerprint, Part: x.Part, CoSuspects: x.CoSuspects, Crashes: x.Crashes, At: at}
+	h.suspects.keep(row)
 	_, ok := retry(ctx, h, logs.SuspectNotKept, func(ctx context.Context) (struct{}, error) {
 		switch {
 		case x.Crashes > 0:
-			return struct{}{}, h.store.PutSuspect(ctx, platform.Suspect{
-				Fingerprint: x.Fingerprint, Part: x.Part, CoSuspects: x.CoSuspects, Crashes: x.Crashes, At: at,
-			})
+			return struct{}{}, h.store.PutSuspect(ctx, row)
 		case x.Part:
 			return struct{}{}, h.store.DeleteSuspectPart(ctx, x.Fingerprint)
 		}
@@ -101,6 +106,35 @@
 	}
 }
 
+// keep keeps a row that is in the store, or forgets it if it was removed there.
+func (s *suspects) keep(row platform.Suspect) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	key := storedSuspect{row.Fingerprint, row.Part}
+	if row.Crashes > 0 {
+		s.written[key] = row
+	} else {
+		delete(s.written, key)
+	}
+}
+
+// rewriteSuspects writes the rows again that the store may have lost.
+func (h *Host) rewriteSuspects(ctx context.Context) {
+	h.suspects.mu.Lock()
+	rows := slices.Collect(maps.Values(h.suspects.written))
+	h.suspects.mu.Unlock()
+	for _, row := range rows {
+		bounded, cancel := context.WithTimeout(ctx, suspectWriteTimeout)
+		_, ok := retry(bounded, h, logs.SuspectNotKept, func(ctx context.Context) (struct{}, error) {
+			return struct{}{}, h.store.PutSuspect(ctx, row)
+		})
+		cancel()
+		if !ok {
+			return
+		}
+	}
+}
+
 // logNotStored logs why a suspect's row was not written or removed.
 func (h *Host) logNotStored(x pool.Suspect, reason string) {
 	logs.With(h.log, logs.SuspectNotKept).WithField("fingerprint", formatFingerprint(x.Fingerprint)).Warn(reason)
@@ -116,6 +150,7 @@
 		if row.Part {
 			x = pool.NewSuspectPart(row.Fingerprint, row.CoSuspects, row.Crashes, age)
 		}
+		h.suspects.keep(row)
 		h.suspects.mu.Lock()
 		h.suspects.stored[storedSuspect{x.Fingerprint, x.Part}] = true
 		h.suspects.mu.Unlock()
