Keep later reports of endpoints against an older copy of the store

Cause: rows were taken as the store holds them, whatever the endpoint had written since.

Change: for 20 s after the store's era rose, a row that is older than a report that this host has read, by the start of the endpoint's process and the report's number, isn't taken. One that the copy lacks stays for 2.5 s, as after an outage.

Measured: TestRowsOfAnOlderCopyDontReplaceLaterReports fails without the comparison. No run of hosts shows the fault.

--- a/internal/follow/endpoints.go
+++ b/internal/follow/endpoints.go
@@ -19,8 +19,43 @@
 	// successful read. The platform specifies two seconds; the rest covers the read
 	// interval.
 	returnGrace = 2500 * time.Millisecond
+	// restoredTime is how long rows of an older copy of the store may be there: those of endpoints that
+	// are gone lapse after three missed reports.
+	restoredTime = 20 * time.Second
+	// reportTTL is how long the last report of an endpoint is known: a copy of the store is some seconds
+	// old, and its rows stay for restoredTime.
+	reportTTL = time.Minute
 )
 
+// report identifies a report of an endpoint: the start of its process in Unix milliseconds, or 0 if it
+// doesn't say, and the report's number.
+type report struct {
+	started int64
+	number  uint64
+	// at is when it was read, and gone is set if the endpoint has been removed since.
+	at   time.Duration
+	gone bool
+}
+
+// supersedes reports whether a row is an older one of the same endpoint. Without a start, it can't be
+// told from one of the endpoint's next process.
+func (r report) supersedes(e *platform.Endpoint) bool {
+	switch {
+	case r.started == 0 || e.Started == 0:
+		return false
+	case e.Started != r.started:
+		return e.Started < r.started
+	case r.gone:
+		return e.Heartbeat <= r.number
+	}
+	return e.Heartbeat < r.number
+}
+
+// forgetReports forgets the reports that are no longer of use.
+func (t *Endpoints) forgetReports(now time.Duration) {
+	maps.DeleteFunc(t.reports, func(_ ident.Endpoint, r report) bool { return now-r.at > reportTTL })
+}
+
 // Endpoints is the table of endpoints built from the store's rows. It does no I/O and reads
 // no clock, and is not safe for concurrent use.
 type Endpoints struct {
@@ -32,6 +67,11 @@
 	started bool
 	// graceEnd is the time until which removed entries are treated as expired in an outage.
 	graceEnd time.Duration
+	// reports holds what is known of each endpoint's reports, and era is the era of the last read. Until
+	// restoredEnd, rows may be those of an older copy of the store.
+	reports     map[ident.Endpoint]report
+	era         platform.Era
+	restoredEnd time.Duration
 	// withVersions keeps the versions of the endpoints, which are otherwise ignored.
 	withVersions bool
 }
@@ -40,7 +80,17 @@
 func NewEndpoints() *Endpoints {
 	return &Endpoints{
 		rows: map[ident.Endpoint]platform.Endpoint{}, missing: map[ident.Endpoint]time.Duration{},
+		reports: map[ident.Endpoint]report{},
+	}
+}
+
+// EnterEra tells the era of the store in which the next update was read. In a new one, rows may be
+// missing or older than those known, until the endpoints have written again.
+func (t *Endpoints) EnterEra(now time.Duration, era platform.Era) {
+	if t.era.Named && era != t.era {
+		t.graceEnd, t.restoredEnd = now+returnGrace, now+restoredTime
 	}
+	t.era = era
 }
 
 // ResetTo replaces the table by a known list of endpoints and the time for which it was
@@ -80,10 +130,17 @@
 			changed = !elsewhere && t.forget(name) || changed
 			continue
 		}
+		if now < t.restoredEnd && t.reports[name].supersedes(&e) {
+			// A row of the older copy: the endpoint's later one is known.
+			listed[name] = !t.reports[name].gone
+			continue
+		}
 		listed[name] = true
+		t.reports[name] = report{started: e.Started, number: e.Heartbeat, at: now}
 		changed = t.put(e) || changed
 	}
 	if whole {
+		t.forgetReports(now)
 		for _, name := range slices.Sorted(maps.Keys(t.rows)) {
 			if !listed[name] {
 				changed = t.remove(now, name) || changed
@@ -123,6 +180,10 @@
 
 // forget drops an endpoint.
 func (t *Endpoints) forget(name ident.Endpoint) bool {
+	if r, ok := t.reports[name]; ok {
+		r.gone = true
+		t.reports[name] = r
+	}
 	_, known := t.rows[name]
 	delete(t.rows, name)
 	delete(t.missing, name)
--- a/internal/follow/endpoints_test.go
+++ b/internal/follow/endpoints_test.go
@@ -143,3 +143,68 @@
 	g.Expect(table.Pending()).To(BeFalse())
 	g.Expect(freshAge+queryInterval).To(BeNumerically("<", 2*time.Second), "an endpoint that leaves gets no requests after that")
 }
+
+// reportRow returns the row of an endpoint that started at a time.
+func reportRow(name, state string, born int64, number int) platform.Row {
+	return platform.Row{Key: name, Value: fmt.Appendf(nil,
+		`{"service":"s","address":"10.0.0.1:80","zone":"z","slots":10,"state":%q,"sequence":%d,"born":%d}`, state, number, born)}
+}
+
+// Guards against requests to endpoints as they were in an older copy of the store: one that had
+// announced its end, one that had left and one that had started anew count as before, and one that the
+// copy lacks stays.
+func TestRowsOfAnOlderCopyDontReplaceLaterReports(t *testing.T) {
+	g := NewWithT(t)
+	table := NewEndpoints()
+	at := time.Second
+	update := func(era uint64, whole bool, rows ...platform.Row) {
+		table.EnterEra(at, platform.NewEra(era))
+		table.Update(at, rows, whole)
+		at += time.Second
+	}
+	leaving := func() map[ident.Endpoint]bool {
+		states := map[ident.Endpoint]bool{}
+		for _, e := range table.List() {
+			states[e.Name] = e.Leaving
+		}
+		return states
+	}
+	older := []platform.Row{
+		reportRow("leaves", "ready", 1, 7), reportRow("left", "ready", 1, 7), reportRow("anew", "draining", 1, 7), reportRow("stays", "ready", 1, 7),
+	}
+	update(1, true, older...)
+	update(1, false, reportRow("leaves", "draining", 1, 9), reportRow("left", "draining", 1, 9), reportRow("anew", "ready", 5, 1), reportRow("new", "ready", 6, 1))
+	update(1, false, deletedRow("left"))
+	now := map[ident.Endpoint]bool{"leaves": true, "anew": false, "stays": false, "new": false}
+	g.Expect(leaving()).To(Equal(now))
+
+	update(2, true, older...)
+	g.Expect(leaving()).To(Equal(now))
+	g.Expect(table.Pending()).To(BeTrue(), "the one that the copy lacks may be gone")
+	update(2, false, reportRow("new", "ready", 6, 2), reportRow("stays", "draining", 1, 8))
+	now["stays"] = true
+	g.Expect(leaving()).To(Equal(now))
+	g.Expect(table.Pending()).To(BeFalse())
+	update(2, false, reportRow("left", "ready", 1, 10), reportRow("anew", "ready", 5, 3))
+	now["left"] = false
+	g.Expect(leaving()).To(Equal(now), "an endpoint that reports again lives")
+	update(2, false, deletedRow("stays"))
+	delete(now, "stays")
+	g.Expect(leaving()).To(Equal(now))
+}
+
+// TestReportsAreComparedAfterANewEraOnly checks that rows are taken as they are from a store that has
+// lost nothing.
+func TestReportsAreComparedAfterANewEraOnly(t *testing.T) {
+	for name, era := range map[string]platform.Era{"no era": {}, "one era": platform.NewEra(1)} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			table := NewEndpoints()
+			for n, row := range []platform.Row{reportRow("a", "draining", 5, 9), reportRow("a", "ready", 5, 3), reportRow("a", "draining", 4, 1)} {
+				table.EnterEra(time.Duration(n)*time.Second, era)
+				table.Update(time.Duration(n)*time.Second, []platform.Row{row}, n == 0)
+				g.Expect(table.List()).To(HaveExactElements(HaveField("Leaving", n != 1)))
+			}
+		})
+	}
+}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -471,6 +471,7 @@
 			continue
 		}
 		after = page.Position()
+		table.EnterEra(clock.Boot(), page.Era)
 		_, skipped := table.Update(clock.Boot(), page.Rows, whole)
 		for _, s := range skipped {
 			logs.With(f.opts.Log, logs.EndpointSkipped).WithField("endpoint", s.Row).WithError(s.Err).Warn()
