Settle an era of the store at once where all hosts agree

Cause: each host had heard nothing for long, and left the era to others that might know more.

Change: the hosts that read the store for the rest ask all others once in an era; if each tells that it knows no newer configuration and has run since this host last knew the newest, the era is settled. A configuration that was written again, at another version of the store than this host had read it, is the operator's word. A host that has heard nothing for key_life waits as long as one that starts. Only hosts that find neither their row nor a secret count as starting for the first time.

Measured: TestHostsThatAgreeSettleAnEraAtOnce and TestConfigurationWrittenAgainIsTold.

--- a/internal/follow/era.go
+++ b/internal/follow/era.go
@@ -44,8 +44,8 @@
 // eraGuard decides from when on what the store holds may confirm a configuration. It does no I/O and
 // reads no clock, and is not safe for concurrent use. Stores that name no era need none.
 type eraGuard struct {
-	// keyLife is how long keys are accepted without a confirmation, and first is set at a host that
-	// had no row in the store when it started: the hosts' first start, or a new host.
+	// keyLife is how long keys are accepted without a confirmation, and first is set if the hosts
+	// start for the first time, as far as the store tells.
 	keyLife time.Duration
 	first   bool
 
@@ -60,10 +60,10 @@
 	rewritten bool
 	// watchUntil is the time until which the mark is read again, because it may be raised.
 	watchUntil time.Duration
-	// hasRow is set once the configuration's row was looked for in this era, and row is its version
-	// in the store; 0 if there is none.
-	hasRow bool
-	row    uint64
+	// hasRow is set once the configuration's row was looked for in this era. row is its version in the
+	// store, 0 if there is none, and version that of the configuration, as of the last read in any era.
+	hasRow       bool
+	row, version uint64
 }
 
 // enter begins another era, if the store is in one. It reports whether it is.
@@ -71,7 +71,9 @@
 	if era == g.era {
 		return false
 	}
-	next := eraGuard{keyLife: g.keyLife, first: g.first, era: era, since: now, floor: g.floor}
+	next := eraGuard{
+		keyLife: g.keyLife, first: g.first, era: era, since: now, floor: g.floor, row: g.row, version: g.version,
+	}
 	if g.era.Named {
 		next.watchUntil = now + g.keyLife
 	}
@@ -80,12 +82,13 @@
 }
 
 // observe takes what a read tells of the configuration's row: its version in the store, or 0 if there
-// is none. A row that has changed since another read of the era was written in it.
-func (g *eraGuard) observe(row uint64) {
-	if g.hasRow && row != g.row && row > 0 {
+// is none, and the configuration's version. A row that has changed since another read of the era was
+// written in it, and so was one that has another version than the same configuration had before.
+func (g *eraGuard) observe(row, version uint64) {
+	if row > 0 && row != g.row && (g.hasRow || g.row > 0 && version == g.version) {
 		g.rewritten, g.settled = true, true
 	}
-	g.hasRow, g.row = true, row
+	g.hasRow, g.row, g.version = true, row, version
 }
 
 // needsMark reports whether the mark has to be read.
@@ -107,23 +110,29 @@
 // due returns the mark to write in place of m, if this host may write one. stored is the version of the
 // configuration that the store holds.
 func (g *eraGuard) due(now time.Duration, known knowledge, stored uint64, m platform.EraMark) (platform.EraMark, bool) {
-	newest := max(known.version, stored, g.floor)
-	next := platform.EraMark{Era: g.era, Configuration: newest, Row: m.Row}
+	next := g.next(known, stored, m)
 	if m.Era == g.era {
-		return next, newest > m.Configuration && newest > stored
+		return next, next.Configuration > max(m.Configuration, stored)
 	}
 	return next, g.rewritten || now-g.since >= g.wait(known)
 }
 
+// next returns the mark of the era that replaces m.
+func (g *eraGuard) next(known knowledge, stored uint64, m platform.EraMark) platform.EraMark {
+	return platform.EraMark{Era: g.era, Configuration: max(known.version, stored, g.floor), Row: m.Row}
+}
+
 // wait returns how long after the first read of an era without a mark this host leaves the mark to
 // others, which may know more.
 func (g *eraGuard) wait(known knowledge) time.Duration {
 	switch {
-	case known.age == never && !g.first:
+	case known.age == never && g.first:
+		return NoticeTime
+	case known.age == never || known.age >= g.keyLife:
 		// Nobody may be left that knows. An operator who writes again in the time for which keys
 		// outlive their removal anyway keeps to it.
 		return g.keyLife
-	case known.age == never || known.age+tellTime >= g.keyLife:
+	case known.age+tellTime >= g.keyLife:
 		return NoticeTime
 	}
 	return 0
--- a/internal/follow/era_test.go
+++ b/internal/follow/era_test.go
@@ -31,11 +31,12 @@
 		first bool
 		after time.Duration
 	}{
-		"a host that knew the newest lately":          {knowledge{version: 6, age: guardLife - tellTime - 1}, false, 0},
-		"a host that has heard nothing for long":      {knowledge{version: 6, age: guardLife - tellTime}, false, NoticeTime},
-		"a host that has started":                     {knowledge{version: 6, age: never}, false, guardLife},
-		"a host that has started for the first time":  {knowledge{version: 6, age: never}, true, NoticeTime},
-		"a host that has started and was told lately": {knowledge{version: 6, age: time.Second}, false, 0},
+		"a host that knew the newest lately":               {knowledge{version: 6, age: guardLife - tellTime - 1}, false, 0},
+		"a host that has heard nothing for long":           {knowledge{version: 6, age: guardLife - tellTime}, false, NoticeTime},
+		"a host that has heard nothing for its keys' life": {knowledge{version: 6, age: guardLife}, false, guardLife},
+		"a host that has started":                          {knowledge{version: 6, age: never}, false, guardLife},
+		"a host that has started for the first time":       {knowledge{version: 6, age: never}, true, NoticeTime},
+		"a host that has started and was told lately":      {knowledge{version: 6, age: time.Second}, false, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
@@ -104,17 +105,35 @@
 func TestOperatorWhoWritesAgainSettlesAnEra(t *testing.T) {
 	g := NewWithT(t)
 	guard := enteredGuard(false)
-	guard.observe(30)
-	guard.observe(30)
+	guard.observe(30, 6)
+	guard.observe(30, 6)
 	g.Expect(guard.confirms(6)).To(BeFalse())
-	guard.observe(0)
+	guard.observe(0, 0)
 	g.Expect(guard.confirms(6)).To(BeFalse(), "deleted")
-	guard.observe(33)
+	guard.observe(33, 6)
 	g.Expect(guard.confirms(6)).To(BeTrue())
 	_, due := guard.due(10*time.Second, knowledge{version: 6, age: never}, 6, platform.EraMark{})
 	g.Expect(due).To(BeTrue(), "the other hosts are told")
 }
 
+// TestConfigurationWrittenAgainIsTold checks a host that has read the row in the era before: the copy would
+// have it at the version that it had.
+func TestConfigurationWrittenAgainIsTold(t *testing.T) {
+	g := NewWithT(t)
+	for row, again := range map[uint64]bool{40: false, 31: true, 44: true} {
+		guard := enteredGuard(true)
+		guard.observe(40, 6)
+		guard.enter(platform.NewEra(3), 20*time.Second)
+		guard.observe(row, 6)
+		g.Expect(guard.confirms(6)).To(Equal(again), "row %d", row)
+	}
+	guard := enteredGuard(true)
+	guard.observe(40, 6)
+	guard.enter(platform.NewEra(3), 20*time.Second)
+	guard.observe(31, 5)
+	g.Expect(guard.confirms(6)).To(BeFalse(), "an older configuration")
+}
+
 // TestStoreWithoutErasNeedsNoMark checks that nothing is awaited from a store that names no era.
 func TestStoreWithoutErasNeedsNoMark(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -72,6 +72,9 @@
 	Readers func() []ident.Host
 	// Hosts returns all hosts that are known to be alive.
 	Hosts func() []ident.Host
+	// Others returns all other hosts, or nil if one is dead or they aren't known. If it is nil itself,
+	// they aren't asked after the store has come back from an older copy.
+	Others func() []ident.Host
 	// Send queues a message to another host.
 	Send func(ident.Host, *peerpb.Envelope) bool
 	// OnRuleset is called with each newer configuration and its source.
@@ -92,13 +95,16 @@
 	opts       Options
 	state      state
 	compressed compressed
+	census     census
+	// startTime is the time of New on the clock of package clock.
+	startTime time.Duration
 	// reading is set if this host reads the store for others.
 	reading atomic.Bool
 	// started is closed when the number of hosts is known, and graceEnd is the time on the clock
 	// of package clock until which this host waits for the readers after its start.
 	started  chan struct{}
 	graceEnd atomic.Int64
-	// first is set if the store had no row of this host when it started.
+	// first is set if the hosts start for the first time.
 	first atomic.Bool
 	// opensAt is the time on the clock of package clock at which this host settles the store's era if
 	// nobody else does before, and unknowing the last time that another host answered that it doesn't
@@ -126,7 +132,7 @@
 
 // New returns a follower that is not running yet.
 func New(opts Options) *Follower {
-	f := &Follower{opts: opts, nextReader: len(opts.Self), started: make(chan struct{})}
+	f := &Follower{opts: opts, nextReader: len(opts.Self), started: make(chan struct{}), startTime: clock.Boot()}
 	f.reading.Store(true)
 	for i := range f.wakeups {
 		f.wakeups[i] = make(chan struct{}, 1)
@@ -159,7 +165,8 @@
 	return f.reading.Load() || !f.fresh() && clock.Boot() >= time.Duration(f.graceEnd.Load())
 }
 
-// Enlisted tells whether the store had no row of this host when it started.
+// Enlisted tells whether the hosts start for the first time: the store had neither a row of this host nor
+// the hosts' shared state.
 func (f *Follower) Enlisted(first bool) {
 	f.first.Store(first)
 }
@@ -339,7 +346,7 @@
 	}
 	before := g.settled
 	if row, changed := platform.ConfigurationRow(page.Rows); changed || whole {
-		g.observe(row)
+		g.observe(row, stored.version)
 	}
 	by := byOperator
 	if g.needsMark(clock.Boot()) {
@@ -375,6 +382,10 @@
 	now := clock.Boot()
 	known := f.state.knowledge(now)
 	next, due := g.due(now, known, stored, m)
+	if !due && !g.settled && f.agreed(g.era) {
+		known = f.state.knowledge(now)
+		next, due = g.next(known, stored, m), true
+	}
 	if !due {
 		return by
 	}
--- a/internal/follow/peers.go
+++ b/internal/follow/peers.go
@@ -177,7 +177,7 @@
 	defer f.state.mu.Unlock()
 	m := &peerpb.StoreTell{
 		Seq: q.GetSeq(), VersionAgeUs: rules.Microseconds(), EndpointsAgeUs: endpoints.Microseconds(),
-		Endpoints: f.state.sum,
+		Endpoints: f.state.sum, RunningUs: (clock.Boot() - f.startTime).Microseconds(),
 	}
 	if rules == never {
 		m.VersionAgeUs = -1
@@ -195,7 +195,9 @@
 		m.StoreEra = &era.Number
 	}
 	f.addOrders(m)
-	if endpoints != never && q.GetEndpoints() != f.state.sum {
+	if q.GetConfigurationOnly() {
+		m.EndpointsAgeUs, m.Endpoints = -1, 0
+	} else if endpoints != never && q.GetEndpoints() != f.state.sum {
 		m.HasList = true
 		for _, e := range f.state.endpoints {
 			m.List = append(m.List, &peerpb.StoreEndpoint{
@@ -211,6 +213,9 @@
 // handleAnswer applies an answer. Its contents were correct when the query was sent, minus the
 // age that the answer states.
 func (f *Follower) handleAnswer(from ident.Host, m *peerpb.StoreTell) {
+	if f.handleCensus(from, m) {
+		return
+	}
 	f.queryMu.Lock()
 	asked := f.outstanding
 	if asked.seq != m.GetSeq() || asked.to != from {
--- a/internal/follow/restored_test.go
+++ b/internal/follow/restored_test.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -104,6 +106,7 @@
 	}
 	h.Follower = New(Options{
 		Self: name, Log: log, Store: client, KeyLife: testKeyLife, Readers: readers, Hosts: readers,
+		Others: func() []ident.Host { return slices.DeleteFunc(readers(), func(h ident.Host) bool { return h == name }) },
 		Send: func(to ident.Host, m *peerpb.Envelope) bool {
 			m.From = string(name)
 			return s.send(to, m)
@@ -248,6 +251,40 @@
 	s.Expect(a.accepted).To(Equal([]uint64{1}))
 }
 
+// Guards against keys that are refused for longer than the store was away: after an outage all hosts have
+// heard nothing for long, and none knows more than another (soak seed 94035).
+func TestHostsThatAgreeSettleAnEraAtOnce(t *testing.T) {
+	t.Parallel()
+	for name, ended := range map[string]bool{"all run": false, "one has started since": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newRestoredStore(t)
+			s.write(1)
+			a, b := s.start("a", true, false), s.start("b", true, false)
+			s.Eventually(a.versions, 2*NoticeTime).Should(Equal([]uint64{1}))
+			s.Eventually(b.versions, NoticeTime).Should(Equal([]uint64{1}))
+			s.server.Set(store.Faults{Refuse: http.StatusServiceUnavailable})
+			time.Sleep(testLife + time.Second)
+			if ended {
+				b.stop()
+				s.start("b", false, false)
+			}
+			s.server.Restore(s.server.Copy(), true)
+			s.server.Set(store.Faults{})
+			confirmed := func() bool {
+				age, known := a.ConfigurationAge()
+				return known && age < testLife
+			}
+			if !ended {
+				s.Eventually(confirmed, NoticeTime).Should(BeTrue())
+				return
+			}
+			s.Consistently(confirmed, testLife/2).Should(BeFalse(), "the other may have known more")
+			s.Eventually(confirmed, testLife).Should(BeTrue())
+		})
+	}
+}
+
 // Guards against keys that an older configuration accepts while the newer one, which another host has
 // confirmed, is still coming into force.
 func TestConfigurationIsConfirmedOnceItIsInForce(t *testing.T) {
--- a/internal/platformhost/era.go
+++ b/internal/platformhost/era.go
@@ -152,21 +152,44 @@
 	return now-w.since >= most
 }
 
-// sharedState reads the state that all hosts share. It stores a secret if there is none and no host can
-// be left that has one. It calls waiting if it has to wait for that.
-func (h *Host) sharedState(ctx context.Context, missing *secretWait, first bool, waiting func()) (platform.Shared, error) {
-	shared, err := h.store.Shared(ctx, "")
-	if err != nil || shared.Secret != "" {
-		return shared, err
+// joining is how far a host that starts has registered in the store.
+type joining struct {
+	// enlisted is set once the host has written its row, and asked once it has read the shared state.
+	enlisted, asked bool
+	// first is set if the hosts start for the first time, as far as the store tells.
+	first   bool
+	missing secretWait
+	// waiting is called before the host waits for the secret.
+	waiting func()
+}
+
+// register writes this host's row and returns the state that all hosts share. It may be repeated.
+func (h *Host) register(ctx context.Context, j *joining) (platform.Shared, error) {
+	if !j.enlisted {
+		process, err := h.store.Enlist(ctx, h.row())
+		if err != nil {
+			return platform.Shared{}, err
+		}
+		h.setIncarnation(process.Incarnation)
+		h.eraRise.done(h.store.Era())
+		j.enlisted, j.first = true, process.First
 	}
-	for !missing.over(shared.Era, first, h.settings.Load().KeyLife) {
-		waiting()
+	shared, err := h.store.ReadShared(ctx)
+	if err == nil && !j.asked {
+		// A host that is new among others finds their secret.
+		j.asked, j.first = true, j.first && shared.Secret == ""
+		h.follower.Enlisted(j.first)
+	}
+	// The secret is stored once no host can be left that has one.
+	for err == nil && shared.Secret == "" {
+		if j.missing.over(shared.Era, j.first, h.settings.Load().KeyLife) {
+			return h.store.StoreSecret(ctx, shared, newSecret())
+		}
+		j.waiting()
 		if !wait(ctx, joinRetryDelay) {
 			return platform.Shared{}, errSecretMissing
 		}
-		if shared, err = h.store.Shared(ctx, ""); err != nil || shared.Secret != "" {
-			return shared, err
-		}
+		shared, err = h.store.ReadShared(ctx)
 	}
-	return h.store.Shared(ctx, newSecret())
+	return shared, err
 }
--- a/internal/platformhost/era_test.go
+++ b/internal/platformhost/era_test.go
@@ -28,7 +28,7 @@
 	ctx := context.Background()
 	h.storeSuspect(pool.NewRepeatedSuspect(77, 3, 0))
 	shared := func() platform.Shared {
-		found, _ := h.store.Shared(ctx, "")
+		found, _ := h.store.ReadShared(ctx)
 		return found
 	}
 	suspects := HaveField("Suspects", ConsistOf(And(HaveField("Fingerprint", BeEquivalentTo(77)), HaveField("Crashes", 3))))
@@ -80,7 +80,7 @@
 	began := time.Now()
 	h, _ := startHost(t, func(s *store.Server) { s.NameEra(1) })
 	g.Expect(time.Since(began)).To(BeNumerically("<", 4*time.Second))
-	shared, err := h.store.Shared(context.Background(), "")
+	shared, err := h.store.ReadShared(context.Background())
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(shared.Secret).NotTo(BeEmpty())
 }
--- a/internal/platformhost/host.go
+++ b/internal/platformhost/host.go
@@ -28,6 +28,7 @@
 	"github.com/trefoilchute/trefoilchute/internal/peer/peerpb"
 	"github.com/trefoilchute/trefoilchute/internal/settings"
 	"github.com/trefoilchute/trefoilchute/internal/supervise"
+	"github.com/trefoilchute/trefoilchute/internal/system/membership"
 	"github.com/trefoilchute/trefoilchute/platform"
 )
 
@@ -119,6 +120,7 @@
 		Self: s.Host, Store: h.store, Log: h.log, Readers: h.storeReaders, Hosts: h.liveHosts, Send: h.send,
 		OnRuleset: h.setRuleset, OnEndpoints: h.setEndpoints, OnOrders: h.onOrders(),
 		KeyLife: func() time.Duration { return h.settings.Load().KeyLife },
+		Others:  h.otherHosts,
 		OnEra:   func(era platform.Era) { h.eraRise.note(era, false) },
 	})
 	h.gateway = gateway.New(gateway.Options{
@@ -303,6 +305,26 @@
 	return h.inspectHosts((*control.Core).LiveHosts)
 }
 
+// otherHosts returns all other hosts, or nil if one is dead or that isn't known.
+func (h *Host) otherHosts() []ident.Host {
+	if !h.connected.Load() {
+		return nil
+	}
+	self := h.settings.Load().Host
+	return h.inspectHosts(func(c *control.Core) []ident.Host {
+		others := []ident.Host{}
+		for _, m := range c.Members() {
+			if m.State == membership.Dead {
+				return nil
+			}
+			if m.Host != self {
+				others = append(others, m.Host)
+			}
+		}
+		return others
+	})
+}
+
 // inspectHosts reads a list of hosts from the control state. It returns none if the
 // control loop doesn't answer within inspectTimeout.
 func (h *Host) inspectHosts(list func(*control.Core) []ident.Host) []ident.Host {
--- a/internal/platformhost/join.go
+++ b/internal/platformhost/join.go
@@ -36,24 +36,10 @@
 // loop. It returns an error if the peer connections can't be started, since the other hosts
 // can't work with a host that they can't reach.
 func (h *Host) join(ctx context.Context) error {
-	enlisted, first := false, false
-	var missing secretWait
 	var once sync.Once
 	startFollower := func(hosts int) { once.Do(func() { h.follower.Start(hosts) }) }
-	waiting := sync.OnceFunc(func() { startFollower(len(h.firstList(ctx).Hosts)) })
-	shared, ok := retry(ctx, h, logs.HostList, func(ctx context.Context) (platform.Shared, error) {
-		if !enlisted {
-			process, err := h.store.Enlist(ctx, h.row())
-			if err != nil {
-				return platform.Shared{}, err
-			}
-			h.setIncarnation(process.Incarnation)
-			h.eraRise.done(h.store.Era())
-			h.follower.Enlisted(process.First)
-			enlisted, first = true, process.First
-		}
-		return h.sharedState(ctx, &missing, first, waiting)
-	})
+	j := joining{waiting: sync.OnceFunc(func() { startFollower(len(h.firstList(ctx).Hosts)) })}
+	shared, ok := retry(ctx, h, logs.HostList, func(ctx context.Context) (platform.Shared, error) { return h.register(ctx, &j) })
 	if !ok {
 		return nil
 	}
