--- a/internal/follow/restored_test.go
+++ b/internal/follow/restored_test.go
@@ -37,6 +37,8 @@
 	t       *testing.T
 	server  *store.Server
 	address string
+	// readers are the hosts that read the store for the others; nil: all.
+	readers []ident.Host
 
 	mu    sync.Mutex
 	hosts map[ident.Host]*storeHost
@@ -100,13 +102,17 @@
 	client := platform.NewStore(s.address, func(string, time.Duration, error) {})
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	readers := s.names
+	others, readers := s.names, s.names
+	if s.readers != nil {
+		readers = func() []ident.Host { return s.readers }
+	}
 	if alone {
-		readers = func() []ident.Host { return []ident.Host{name} }
+		others = func() []ident.Host { return []ident.Host{name} }
+		readers = others
 	}
 	h.Follower = New(Options{
-		Self: name, Log: log, Store: client, KeyLife: testKeyLife, Readers: readers, Hosts: readers,
-		Others: func() []ident.Host { return slices.DeleteFunc(readers(), func(h ident.Host) bool { return h == name }) },
+		Self: name, Log: log, Store: client, KeyLife: testKeyLife, Readers: readers, Hosts: others,
+		Others: func() []ident.Host { return slices.DeleteFunc(others(), func(h ident.Host) bool { return h == name }) },
 		Send: func(to ident.Host, m *peerpb.Envelope) bool {
 			m.From = string(name)
 			return s.send(to, m)
