--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -346,7 +346,11 @@
 	}
 	before := g.settled
 	if row, changed := platform.ConfigurationRow(page.Rows); changed || whole {
-		g.observe(row, stored.version)
+		version := stored.version
+		if !stored.valid {
+			version = 0
+		}
+		g.observe(row, version)
 	}
 	by := byOperator
 	if g.needsMark(clock.Boot()) {
