Keep decisions and orders of roll-outs that the store has lost

Cause: rows of roll-outs were compared by versions, which are given out again, and an order's identity is the version of its row.

Change: orders that the store has lost are held for key_life, and keep their roll-out if they are written again. What a scheduler has read and written of a roll-out goes before a row of the older copy that says less, and is written again. The soak of roll-outs has the drill as a fault; a decision that is written again counts once there.

--- a/internal/follow/orders_test.go
+++ b/internal/follow/orders_test.go
@@ -117,3 +117,47 @@
 	off.state.adoptRuleset(&ruleset.Ruleset{Version: 7}, time.Second)
 	g.Expect(off.answer(&peerpb.StoreAsk{}).GetHasRollouts()).To(BeFalse())
 }
+
+// heldTable returns a table that has read an order in era 1 and what the store holds in era 2.
+func heldTable(held ...platform.Row) *orders {
+	var t orders
+	t.enterEra(time.Second, platform.NewEra(1), time.Minute)
+	t.update([]platform.Row{orderRow("a", "2", 50)}, true)
+	t.settle(time.Second)
+	t.enterEra(2*time.Second, platform.NewEra(2), time.Minute)
+	t.update(held, true)
+	t.settle(2 * time.Second)
+	return &t
+}
+
+// Guards against an order that counts as withdrawn, and is rolled back, because the store has lost it.
+func TestOrdersThatTheStoreHasLostAreHeld(t *testing.T) {
+	known := orderOf("a", "2", 50)
+	again := orderOf("a", "2", 44)
+	again.Again = 50
+	for name, c := range map[string]struct {
+		held []platform.Row
+		then []platform.Row
+		at   time.Duration
+		want []rollout.Order
+	}{
+		"lost":                             {nil, nil, 3 * time.Second, []rollout.Order{known}},
+		"kept":                             {[]platform.Row{orderRow("a", "2", 50)}, nil, 3 * time.Second, []rollout.Order{known}},
+		"written again":                    {nil, []platform.Row{orderRow("a", "2", 44)}, 3 * time.Second, []rollout.Order{again}},
+		"written again before it was read": {[]platform.Row{orderRow("a", "2", 44)}, nil, 3 * time.Second, []rollout.Order{again}},
+		"the one before it":                {[]platform.Row{orderRow("a", "1", 40)}, nil, 3 * time.Second, []rollout.Order{known}},
+		"the one before it, then again":    {[]platform.Row{orderRow("a", "1", 40)}, []platform.Row{orderRow("a", "2", 44)}, 3 * time.Second, []rollout.Order{again}},
+		"another one":                      {[]platform.Row{orderRow("a", "1", 40)}, []platform.Row{orderRow("a", "3", 44)}, 3 * time.Second, []rollout.Order{orderOf("a", "3", 44)}},
+		"withdrawn since":                  {nil, []platform.Row{{Key: "rollout/a", Deleted: true, Version: 44}}, 3 * time.Second, []rollout.Order{}},
+		"never written again":              {nil, nil, 3 * time.Minute, []rollout.Order{}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			table := heldTable(c.held...)
+			table.enterEra(c.at, platform.NewEra(2), time.Minute)
+			table.update(c.then, false)
+			table.settle(c.at)
+			g.Expect(table.list()).To(Equal(c.want))
+		})
+	}
+}
--- a/internal/platformhost/rolloutbook.go
+++ b/internal/platformhost/rolloutbook.go
@@ -63,12 +63,19 @@
 	readAt, storeNow time.Duration
 	// failed is set if the last read failed.
 	failed bool
+	// era is the store's era of the last read, and stale is set if the store is in a later one.
+	era   platform.Era
+	stale bool
+	// kept holds rows of the era before with more than the store has, by target, until they are written
+	// again.
+	kept map[string]platform.Rollout
 }
 
 func newRolloutBook(self string, region ident.Domain) rolloutBook {
 	return rolloutBook{
 		self: self, region: region, rows: map[string]platform.Rollout{},
 		scheduledSince: map[string]time.Duration{}, goneSince: map[string]time.Duration{}, verdicts: map[string]rollout.Verdict{},
+		kept: map[string]platform.Rollout{},
 	}
 }
 
@@ -79,6 +86,10 @@
 	before := b.orders
 	b.orders = make(map[string]rollout.Order, len(list))
 	for _, o := range list {
+		if o.Again != 0 {
+			b.rename(o)
+			o.Again = 0
+		}
 		b.orders[o.Target] = o
 	}
 	for target, o := range before {
@@ -98,6 +109,9 @@
 	for target := range b.rows {
 		set[target] = true
 	}
+	for target := range b.kept {
+		set[target] = true
+	}
 	return slices.Sorted(maps.Keys(set))
 }
 
@@ -113,6 +127,7 @@
 			}
 			if now-gone[target] > withdrawnHold {
 				delete(b.rows, target)
+				delete(b.kept, target)
 			}
 		}
 		if !scheduled[target] {
@@ -132,6 +147,7 @@
 // read applies rows of the own table that were correct at a given time: the whole table if
 // whole is set, otherwise changes. It returns the rows with a new state and the invalid ones.
 func (b *rolloutBook) read(page platform.Page, at time.Duration, whole bool) (changed []platform.Rollout, skipped []string) {
+	b.enterEra(page.Era)
 	listed := map[string]bool{}
 	for _, row := range page.Rows {
 		known := b.rows[row.Key]
@@ -158,6 +174,7 @@
 			delete(b.rows, target)
 		}
 	}
+	b.forgetKept()
 	b.failed = false
 	if at > b.readAt {
 		b.readAt, b.storeNow = at, page.Now()
@@ -193,8 +210,10 @@
 type rolloutEntry struct {
 	target string
 	order  rollout.Order
-	// row is the stored row; its version is 0 if there is none.
-	row platform.Rollout
+	// row is the stored row; its version is 0 if there is none. lost is set if the store has lost it, or
+	// what it said last.
+	row  platform.Rollout
+	lost bool
 	// withdrawn is set if the order has no row in the operators' table any more.
 	withdrawn bool
 	// open is set if the order is not decided yet, as far as this host knows.
@@ -211,7 +230,8 @@
 
 // entry returns what is known of a target's roll-out.
 func (b *rolloutBook) entry(target string) rolloutEntry {
-	e := rolloutEntry{target: target, row: b.rows[target]}
+	e := rolloutEntry{target: target}
+	e.row, e.lost = b.row(target)
 	var ordered bool
 	if e.order, ordered = b.orders[target]; ordered {
 		// A row of a later order means that the orders here are not up to date.
@@ -246,7 +266,8 @@
 
 // needsRows reports whether the rows have to be kept up to date.
 func (b *rolloutBook) needsRows() bool {
-	return slices.ContainsFunc(b.entries(), func(e rolloutEntry) bool { return e.open && (e.scheduled || e.decided) })
+	return b.stale && len(b.rows)+len(b.kept) > 0 ||
+		slices.ContainsFunc(b.entries(), func(e rolloutEntry) bool { return (e.open || e.lost) && (e.scheduled || e.decided) })
 }
 
 // active reports whether an order is not decided yet, as far as this host knows.
@@ -274,6 +295,8 @@
 func (b *rolloutBook) nextOf(now time.Duration, e *rolloutEntry) (platform.RolloutWrite, bool) {
 	bad := e.decided && e.verdict.State == rollout.RolledBack
 	switch {
+	case e.lost && e.scheduled:
+		return platform.RolloutWrite{Rollout: e.row, Withdrawn: e.withdrawn}, true
 	case !e.open:
 	case bad && e.stored() && e.row.Version > 0:
 		// This may be written late, by a host that no longer schedules the pool.
@@ -374,7 +397,7 @@
 	confirmed := b.readAt > 0 && !b.failed && now-b.readAt < rolloutConfirmed
 	for _, e := range b.entries() {
 		s := rollout.Status{Order: e.order, Confirmed: confirmed}
-		if e.stored() && e.row.Version > 0 {
+		if e.stored() && (e.row.Version > 0 || e.lost) {
 			s.State, s.Elapsed = e.row.State, b.age(now, e.row)
 			s.Known = !e.open || e.current && !b.takesOver(&e)
 			if s.Known && e.open && e.row.Good {
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -37,6 +37,9 @@
 	Version string
 	// Duration is the time limit, from the confirmation of the order.
 	Duration time.Duration
+	// Again is the ID that the order had before the store lost it and the operator wrote it again; 0 if
+	// it didn't.
+	Again uint64
 }
 
 // Bounds limits what a version gets before it has been judged.
--- a/internal/soak/drill.go
+++ b/internal/soak/drill.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"bytes"
 	"fmt"
 	"net/http"
 	"time"
@@ -27,6 +28,18 @@
 	content store.Copy
 }
 
+// writeOrder writes a row of the operator, or removes it if there is no value.
+func (w *world) writeOrder(key string, value []byte) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.orders[key] = value
+	if value == nil {
+		w.store.Remove("op", "", key)
+	} else {
+		w.store.Put("op", "", key, value)
+	}
+}
+
 // drill lets the store come back from an older copy. Endpoints write their rows again at once, the
 // operator the configuration after a while, and rows of endpoints that are gone lapse.
 func (w *world) drill(d draws) {
@@ -55,6 +68,15 @@
 	time.Sleep(min(d.span/4, longestRewrite))
 	w.mu.Lock()
 	w.store.Put("op", "", "config", w.written)
+	for key, value := range w.orders {
+		have, ok := w.store.Value("op", "", key)
+		switch {
+		case value == nil && ok:
+			w.store.Remove("op", "", key)
+		case value != nil && !bytes.Equal(have, value):
+			w.store.Put("op", "", key, value)
+		}
+	}
 	w.mu.Unlock()
 	time.Sleep(ghostTime)
 	w.mu.Lock()
--- a/internal/soak/rollout.go
+++ b/internal/soak/rollout.go
@@ -83,7 +83,7 @@
 		{name: "without endpoints", missing: true, want: stateRolledBack},
 		{name: "in force already", missing: true, to: oldVersion, want: stateCompleted},
 		{name: "for an unknown target", missing: true, target: "nothing", want: stateRolledBack},
-		{name: "withdrawn", want: stateRolledBack, then: func(r *rolloutRun) { r.w.store.Remove("op", "", r.key()) }},
+		{name: "withdrawn", want: stateRolledBack, then: func(r *rolloutRun) { r.w.writeOrder(r.key(), nil) }},
 		{name: "replaced", want: stateCompleted, then: (*rolloutRun).writeOrder},
 	}
 )
@@ -119,6 +119,8 @@
 		w.spoilStore(d, store.Faults{LateWrites: 3 * lateWrite})
 	}},
 	{"store forgets", func(w *world, _ *host, _ draws) { w.store.Forget() }},
+	{"store drill", func(w *world, _ *host, d draws) { w.drill(d) }},
+	{"store drill", func(w *world, _ *host, d draws) { w.drill(d) }},
 }
 
 // rolloutPlan describes one order.
@@ -279,7 +281,7 @@
 
 // writeOrder writes the order's row.
 func (r *rolloutRun) writeOrder() {
-	r.w.store.Put("op", "", r.key(), fmt.Appendf(nil,
+	r.w.writeOrder(r.key(), fmt.Appendf(nil,
 		`{"service":%q,"to":%q,"duration_s":%g}`, r.kind.target, r.kind.to, r.limit.Seconds()))
 }
 
@@ -436,6 +438,10 @@
 			final = append(final, s)
 		}
 	}
+	if slices.ContainsFunc(r.w.spans, func(s spoilt) bool { return s.what == "store drill" }) {
+		// A decision that the store has lost is written again.
+		final = slices.Compact(final)
+	}
 	switch {
 	case len(final) != 1 || r.states[len(r.states)-1] != final[0]:
 		r.w.fail("states %v: not one decision", r.states)
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -101,6 +101,8 @@
 	// at each of the last reports of endpoints.
 	written []byte
 	copies  []storeCopy
+	// orders holds the operator's other rows by key, nil for one that was removed.
+	orders map[string][]byte
 	// ready counts the questions in a row that each host has missed.
 	ready map[string]int
 	// crashMode is set before the run begins.
@@ -163,7 +165,7 @@
 	w := &world{
 		dir: dir, program: program, rand: rand.New(rand.NewPCG(seed, 1)), store: store.New(), stop: make(chan struct{}),
 		revoked: map[string]time.Time{}, keyed: map[string]time.Time{}, added: map[string]time.Time{}, removed: map[string]time.Time{},
-		ready: map[string]int{}, work: o.work, timeout: routeTimeout, version: o.version,
+		orders: map[string][]byte{}, ready: map[string]int{}, work: o.work, timeout: routeTimeout, version: o.version,
 	}
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/internal/standin/store/copy.go
+++ b/internal/standin/store/copy.go
@@ -45,6 +45,14 @@
 	}
 }
 
+// Value returns the value of a row, or false if there is none.
+func (s *Server) Value(table, part, key string) ([]byte, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r, ok := s.rows.now[rowID{table, part, key}]
+	return r.Value, ok
+}
+
 // NameEra makes the store name an era in all its answers. By default it names none.
 func (s *Server) NameEra(era uint64) {
 	s.SetEraHeader(strconv.FormatUint(era, 10))
