--- a/internal/follow/era.go
+++ b/internal/follow/era.go
@@ -82,8 +82,9 @@
 }
 
 // observe takes what a read tells of the configuration's row: its version in the store, or 0 if there
-// is none, and the configuration's version, or 0 if it can't be decoded. A row that has changed since another read of the era was
-// written in it, and so was one that has another version than the same configuration had before.
+// is none, and the configuration's version, or 0 if it can't be decoded. A row that has changed since
+// another read of the era was written in it, and so was one that has another version in the store than
+// the same configuration had in the era before.
 func (g *eraGuard) observe(row, version uint64) {
 	if row > 0 && row != g.row && (g.hasRow || version > 0 && version == g.version) {
 		g.rewritten, g.settled = true, true
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -177,6 +177,10 @@
 	f.alone.Store(hosts == 1)
 	if hosts >= manyHosts {
 		grace := time.Duration(float64(firstReadGrace) * (1 + retryJitter*rand.Float64()))
+		if f.first.Load() && f.opts.Store.Era().Named {
+			// The readers are linked with the others, and settle the era, only after this.
+			grace += 2 * NoticeTime
+		}
 		f.graceEnd.Store(int64(clock.Boot() + grace))
 		f.reading.Store(false)
 	}
--- a/internal/follow/restored_test.go
+++ b/internal/follow/restored_test.go
@@ -14,6 +14,7 @@
 	. "github.com/onsi/gomega"
 	"github.com/sirupsen/logrus"
 
+	"github.com/trefoilchute/trefoilchute/internal/clock"
 	"github.com/trefoilchute/trefoilchute/internal/ident"
 	"github.com/trefoilchute/trefoilchute/internal/peer/peerpb"
 	"github.com/trefoilchute/trefoilchute/internal/ruleset"
@@ -306,3 +307,20 @@
 	_, known = f.ConfigurationAge()
 	g.Expect(known).To(BeTrue())
 }
+
+// Guards against hundreds of hosts that all read the store at their first start, because the readers wait for
+// those that may have run before.
+func TestFirstStartLeavesTheReadersTheirTime(t *testing.T) {
+	s := newRestoredStore(t)
+	for first, longer := range map[bool]bool{false: false, true: true} {
+		client := platform.NewStore(s.address, func(string, time.Duration, error) {})
+		t.Cleanup(client.Close)
+		_, err := client.ReadTable(t.Context(), platform.TableOperator, "")
+		s.Expect(err).NotTo(HaveOccurred())
+		f := New(Options{Self: "h", Store: client})
+		f.Enlisted(first)
+		f.Start(manyHosts)
+		grace := time.Duration(f.graceEnd.Load()) - clock.Boot()
+		s.Expect(grace > 2*NoticeTime).To(Equal(longer))
+	}
+}
