--- a/internal/soak/host.go
+++ b/internal/soak/host.go
@@ -25,6 +25,8 @@
 	address  string
 	ready    string
 	store    *proxy
+	// unready is the last answer, or the error, of a readiness check.
+	unready atomic.Value
 
 	mu      sync.Mutex
 	process *exec.Cmd
@@ -192,8 +194,17 @@
 	}
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
+		h.unready.Store(err.Error())
 		return false
 	}
 	_ = resp.Body.Close()
+	h.unready.Store(resp.Status)
 	return resp.StatusCode == http.StatusOK
 }
+
+// describeReadiness says what the host last answered to the question whether it is ready, and whether its
+// process runs.
+func (h *host) describeReadiness() string {
+	last, _ := h.unready.Load().(string)
+	return fmt.Sprintf("%s: %q, ended: %t", h.name, last, h.wait(0))
+}
--- a/internal/soak/rollout.go
+++ b/internal/soak/rollout.go
@@ -193,7 +193,7 @@
 	w.group.Add(1)
 	go w.balancer(life)
 	if !w.awaitReady(life, startTime) {
-		w.fail("not every host was ready after %v", startTime)
+		w.fail("not every host was ready after %v: %s", startTime, w.describeReadiness())
 	}
 	for i := range rolloutCallers {
 		w.group.Add(1)
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"os"
 	"path/filepath"
+	"strings"
 	"sync"
 	"time"
 
@@ -114,7 +115,7 @@
 	w.group.Add(1)
 	go w.balancer(life)
 	if !w.awaitReady(life, startTime) {
-		w.fail("not every host was ready after %v", startTime)
+		w.fail("not every host was ready after %v: %s", startTime, w.describeReadiness())
 	}
 	for i := range callers {
 		w.group.Add(1)
@@ -123,7 +124,7 @@
 	names := w.inject(life, o.Length)
 	w.checkAlive()
 	if !w.awaitReady(life, recoverTime) {
-		w.fail("not every host was ready %v after the last fault", recoverTime)
+		w.fail("not every host was ready %v after the last fault: %s", recoverTime, w.describeReadiness())
 	}
 	calm := time.Now()
 	sleep(life, afterTime)
@@ -208,6 +209,15 @@
 	return false
 }
 
+// describeReadiness says what each host last answered to the question whether it is ready.
+func (w *world) describeReadiness() string {
+	list := make([]string, len(w.hosts))
+	for i, h := range w.hosts {
+		list[i] = h.describeReadiness()
+	}
+	return strings.Join(list, "; ")
+}
+
 // checkRecovered returns the part of the requests that were served after the recovery,
 // and counts their answers by status; 0: none came.
 func (w *world) checkRecovered(since time.Time) (share float64, statuses map[int]int) {
